--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# `make run` shows the system at work; `make test` proves it; `make bench` measures it.
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := core platform fleet callers operators upstreams weightstore daemon cli standins
+
+.PHONY: run test bench slopes format settings-page
+
+$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
+		$(foreach package,$(PACKAGES),-e packages/$(package))
+	touch $@
+
+run: $(VENV)/installed
+	$(BIN)/python examples/first_fleet.py
+
+test: $(VENV)/installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/python -m pytest -n 6 tests
+
+format: $(VENV)/installed
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the callers over HTTP."""
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Give operators a command line."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the decisions and the shared state, without input or output."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -0,0 +1,219 @@
+"""Define the messages between the system's own processes."""
+
+import msgspec
+
+from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import (
+    AttemptId,
+    ConfigurationVersion,
+    CustomerName,
+    DataCentre,
+    Epoch,
+    InstanceId,
+    RequestId,
+    UpstreamId,
+)
+from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
+
+
+class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Be a typed message; the class name is its tag on the wire."""
+
+
+# Announcing and leaving, between sidecars and entries.
+
+
+class Announce(Message, frozen=True):
+    """Say that an upstream is there, and renew its lease."""
+
+    description: UpstreamDescription
+    epoch: Epoch
+    lease_seconds: float
+    load: LoadReport
+    leaving: bool = False
+
+
+class AnnounceAnswer(Message, frozen=True):
+    """Answer an announcement with the entries that the sidecar may use."""
+
+    upstream_id: UpstreamId
+    entries: tuple[tuple[InstanceId, str], ...]
+    """Entry instances known to the answering one, with their mailbox addresses."""
+
+
+class Withdraw(Message, frozen=True):
+    """Say that an upstream has left for good; its lease ends now."""
+
+    upstream_id: UpstreamId
+    epoch: Epoch
+
+
+class Suspect(Message, frozen=True):
+    """Tell other entries that an upstream has been silent towards the sender."""
+
+    upstream_id: UpstreamId
+    epoch: Epoch
+    silent_seconds: float
+
+
+# Which processes there are, among entries.
+
+
+class EntryAlive(Message, frozen=True):
+    """Say that an entry instance is there, and whether it holds a replica."""
+
+    data_centre: DataCentre
+    holds_replica: bool
+    configuration_version: ConfigurationVersion
+    in_force_since: float
+    """Seconds since 1970 at which the sender put that version in force."""
+
+
+# Spreading the configuration.
+
+
+class FetchConfiguration(Message, frozen=True):
+    """Ask for the configuration in force by somebody who has an older one."""
+
+    have_version: ConfigurationVersion
+
+
+class ConfigurationSnapshot(Message, frozen=True):
+    """Carry the whole configuration in force at the sender."""
+
+    configuration: FleetConfiguration
+    confirmed_by_quorum: bool
+    """Whether a quorum confirmed it after the question that it answers."""
+
+
+# Requests that must run at most once; commands to the replicated state.
+
+
+class ClaimAsked(Message, frozen=True):
+    """Claim the right to run the request under a customer's idempotency key."""
+
+    customer: CustomerName
+    key: str
+    request_id: RequestId
+    attempt_id: AttemptId
+    upstream_id: UpstreamId
+    sidecar_epoch: Epoch
+    owner: InstanceId
+    body_digest: str
+    deadline_seconds: float
+
+
+class ClaimMoved(Message, frozen=True):
+    """Move a claim to a new attempt after the old one was promised never to run."""
+
+    customer: CustomerName
+    key: str
+    request_id: RequestId
+    from_attempt: AttemptId
+    to_attempt: AttemptId
+    upstream_id: UpstreamId
+    sidecar_epoch: Epoch
+    owner: InstanceId
+
+
+class StoredAnswer(Message, frozen=True):
+    """Be an answer that later resends of the same key get."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    whole: bool
+    """False where the body was too large to store; the run itself was whole."""
+
+
+class ClaimFinished(Message, frozen=True):
+    """Store the answer, or the refusal, that ends a claim."""
+
+    customer: CustomerName
+    key: str
+    request_id: RequestId
+    attempt_id: AttemptId
+    answer: StoredAnswer | None
+    refusal: Refusal | None
+
+
+class ClaimGranted(Message, frozen=True):
+    """Answer that the asker alone may run the request, under this attempt."""
+
+    attempt_id: AttemptId
+
+
+class ClaimHeld(Message, frozen=True):
+    """Answer that another request holds the key, and what is known of it."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    upstream_id: UpstreamId
+    sidecar_epoch: Epoch
+    owner: InstanceId
+    deadline_passed: bool
+    answer: StoredAnswer | None
+    refusal: Refusal | None
+
+
+class ClaimRefused(Message, frozen=True):
+    """Answer that the key belongs to another body, or that the attempt is not open."""
+
+    reason: str
+
+
+# Frames of an answer, from a sidecar to an entry, over one HTTP response.
+
+
+class StreamHead(Message, frozen=True):
+    """Begin an answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+
+
+class StreamChunk(Message, frozen=True):
+    """Carry the next piece of an answer; sequence numbers count from one."""
+
+    sequence: int
+    data: bytes
+    tokens: int = 0
+
+
+class StreamHeartbeat(Message, frozen=True):
+    """Show that the connection lives while there is nothing to say."""
+
+
+class StreamEnd(Message, frozen=True):
+    """End an answer; without this frame an answer is not whole."""
+
+    last_sequence: int
+    refusal: Refusal | None = None
+
+
+Frame = StreamHead | StreamChunk | StreamHeartbeat | StreamEnd
+
+
+# What a sidecar answers about attempts, as bodies of HTTP responses.
+
+
+class AttemptRefused(Message, frozen=True):
+    """Refuse a hand-over, with the sidecar's present load as the last word."""
+
+    refusal: Refusal
+    load: LoadReport
+
+
+class NeverRan(Message, frozen=True):
+    """Promise that an attempt was never handed to the upstream and never will be."""
+
+    attempt_id: AttemptId
+
+
+class MayHaveRun(Message, frozen=True):
+    """Say that an attempt was handed over, or that this sidecar can't know."""
+
+    attempt_id: AttemptId
+    known: bool
+    """True where this sidecar holds the attempt and its frames can be read."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/upstream.py
@@ -0,0 +1,81 @@
+"""Describe upstreams, their load and the requests handed to them."""
+
+from typing import NamedTuple
+
+from cowslipshelf_core.configuration import ServiceKind
+from cowslipshelf_core.identifiers import (
+    AttemptId,
+    ConfigurationVersion,
+    CustomerName,
+    DataCentre,
+    Epoch,
+    InstanceId,
+    ModelName,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
+
+
+class UpstreamDescription(NamedTuple):
+    """Be what an upstream says of itself when it announces itself."""
+
+    upstream_id: UpstreamId
+    data_centre: DataCentre
+    service: ServiceName
+    kind: ServiceKind
+    models: tuple[ModelName, ...]
+    memory_tokens: int
+    """Tokens of KV cache that fit its memory; zero for a plain service."""
+    checks_fencing: bool
+    attempts_address: str
+    """IP:port where its sidecar takes attempts over HTTP."""
+
+
+class LoadReport(NamedTuple):
+    """Report how full an upstream is; always from its sidecar, never guessed."""
+
+    sequence: int = 0
+    running: int = 0
+    """Attempts handed to the upstream and not finished."""
+    decoding: int = 0
+    """Attempts past their first token."""
+    prefill_tokens: int = 0
+    """Prompt tokens accepted and not yet prefilled."""
+    reserved_tokens: int = 0
+    memory_tokens: int = 0
+    prefill_seconds_per_token: float = 0.0
+    prefill_seconds_per_token_squared: float = 0.0
+    decode_seconds_per_token: float = 0.0
+    hot_prefixes: tuple[int, ...] = ()
+    """Hashes of prompt prefixes believed cached; a hint that may be wrong."""
+
+
+class HandOver(NamedTuple):
+    """Carry one attempt of one request from an entry to a sidecar; sent once only."""
+
+    request_id: RequestId
+    attempt_id: AttemptId
+    owner: InstanceId
+    """Entry instance that keeps the attempt's reservation alive."""
+    upstream_id: UpstreamId
+    sidecar_epoch: Epoch
+    """Start of the sidecar that the entry chose; another start refuses."""
+    configuration_version: ConfigurationVersion
+    customer: CustomerName
+    service: ServiceName
+    model: ModelName
+    non_idempotent: bool
+    deadline_seconds: float
+    """Time left of the caller's deadline when this was sent."""
+    prompt_tokens: int
+    most_output_tokens: int
+    priority: int
+    """Lower is served first."""
+    prefix_hash: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    delivered_tokens: int = 0
+    """Output tokens that the caller already has from an earlier attempt."""
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Run the daemon of the system."""
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Carry messages between the processes of the system."""
--- /dev/null
+++ b/packages/operators/src/cowslipshelf_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the operators over HTTP, and call that interface."""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the platform: settings, logs, metrics, disk, clock and signals."""
--- /dev/null
+++ b/packages/upstreams/src/cowslipshelf_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Speak to model engines and plain services."""
--- /dev/null
+++ b/packages/weightstore/src/cowslipshelf_weightstore/__init__.py
@@ -0,0 +1,1 @@
+"""Ask the rate-limited weight store."""
