--- a/packages/core/src/cowslipshelf_core/errors.py
+++ b/packages/core/src/cowslipshelf_core/errors.py
@@ -1,10 +1,10 @@
 """Define the errors and refusals that the system's parts hand to each other."""
 
-from enum import Enum
+from enum import StrEnum
 from typing import NamedTuple
 
 
-class RefusalCode(str, Enum):
+class RefusalCode(StrEnum):
     """Say what a refusal claims about the request."""
 
     NOT_RUN = "not_run"
@@ -15,7 +15,7 @@
     """It ran, and did not finish whole."""
 
 
-class RefusalReason(str, Enum):
+class RefusalReason(StrEnum):
     """Name why a request was refused or given up."""
 
     BUSY = "busy"
