Load a daemon's settings strictly, with every problem in one line

Cause: a daemon needs its addresses, data centre and limits before anything else, and a misspelt or contradictory setting must not be taken silently. The codec alone was ruled out for checking: it stops at the first error and shows the value, so a secret of the wrong length would be printed.

Change: the settings are msgspec structs; each field's range, form and secrecy stand in its type. A walk over the JSON collects every problem, and rules over the whole check what fields mean together. Secret fields are masked in reprs and problems.

--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Describe, load and check settings."""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/addresses.py
@@ -0,0 +1,49 @@
+"""Read addresses of the form IP:PORT."""
+
+from ipaddress import IPv4Address, IPv6Address, ip_address
+from typing import NamedTuple
+
+HIGHEST_PORT = 65_535
+
+
+class NetworkAddress(NamedTuple):
+    """Be an IP number and a port."""
+
+    ip: IPv4Address | IPv6Address
+    port: int
+
+    def collides(self, other: "NetworkAddress") -> bool:
+        """Tell whether both can't be bound on one machine."""
+        if self.port != other.port:
+            return False
+        same = self.ip == other.ip
+        return same or self.ip.is_unspecified or other.ip.is_unspecified
+
+
+class AddressError(ValueError):
+    """Say why a text is no address."""
+
+
+def parse_address(text: str) -> NetworkAddress:
+    """Read IP:PORT, or raise `AddressError` with the reason."""
+    host, colon, port = text.rpartition(":")
+    if not colon:
+        raise AddressError("without a port")
+    if not (port.isascii() and port.isdigit()):
+        raise AddressError("whose port is no number")
+    # Compared by length first: Python refuses to convert very long numbers.
+    if len(port) > len(str(HIGHEST_PORT)) or not 1 <= int(port) <= HIGHEST_PORT:
+        raise AddressError(f"whose port is not between 1 and {HIGHEST_PORT}")
+    return NetworkAddress(parse_ip(host), int(port))
+
+
+def parse_ip(host: str) -> IPv4Address | IPv6Address:
+    """Read an IP number, an IPv6 one in brackets, or raise `AddressError`."""
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        ip = ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        raise AddressError("with a hostname where an IP number is needed") from None
+    if bracketed != isinstance(ip, IPv6Address):
+        raise AddressError("whose brackets do not fit: [IPv6]:PORT or IPv4:PORT")
+    return ip
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/field_types.py
@@ -0,0 +1,128 @@
+"""Read what a settings field allows from its type."""
+
+from functools import cache
+from types import NoneType, UnionType
+from typing import Annotated, Any, Literal, NamedTuple, Union, get_args, get_origin
+from typing import get_type_hints as resolved_hints
+
+import msgspec
+
+from cowslipshelf_platform.internal.settings.forms import (
+    FORM_KEY,
+    SECRET_KEY,
+    FieldForm,
+)
+
+NOUNS = {str: "text", int: "a whole number", float: "a number", bool: "true or false"}
+FORM_TEXTS = {
+    FieldForm.NAME: "a name of 1 to 63 letters, digits, '.', '_' or '-'",
+    FieldForm.LISTEN_ADDRESS: "IP:PORT, such as 0.0.0.0:8080 or [::1]:8080",
+    FieldForm.PEER_ADDRESS: "IP:PORT that peers can reach, such as 10.0.0.7:8080",
+    FieldForm.KEY_HASH: "a SHA-256 as 64 hexadecimal digits in lower case",
+    FieldForm.FOLDER: "the path of a folder",
+}
+
+
+class FieldType(NamedTuple):
+    """Be the type of a field, taken apart."""
+
+    whole: Any
+    """The type as written, which the codec checks a value against."""
+    base: Any
+    """The type without its range and without None."""
+    optional: bool
+    form: FieldForm
+    secret: bool
+    low: float | None
+    high: float | None
+    shortest: int | None
+    longest: int | None
+    item: "FieldType | None"
+    """Type of the items, where the field is a list."""
+
+    @classmethod
+    def from_hint(cls, hint: Any) -> "FieldType":
+        """Take a type hint apart."""
+        inner, optional = without_none(hint)
+        base, metas = without_meta(inner)
+        base = getattr(base, "__supertype__", base)
+        extra = {
+            key: value for meta in metas for key, value in (meta.extra or {}).items()
+        }
+        item = None
+        if get_origin(base) is tuple:
+            item = cls.from_hint(get_args(base)[0])
+        return cls(
+            whole=hint,
+            base=base,
+            optional=optional,
+            form=extra.get(FORM_KEY, FieldForm.OTHER),
+            secret=bool(extra.get(SECRET_KEY, False)),
+            low=first_given(meta.ge for meta in metas),
+            high=first_given(meta.le for meta in metas),
+            shortest=first_given(meta.min_length for meta in metas),
+            longest=first_given(meta.max_length for meta in metas),
+            item=item,
+        )
+
+    @property
+    def is_document(self) -> bool:
+        """Tell whether the field holds a nested object."""
+        return isinstance(self.base, type) and issubclass(self.base, msgspec.Struct)
+
+
+def without_none(hint: Any) -> tuple[Any, bool]:
+    """Split `T | None` into T and whether None is allowed."""
+    if get_origin(hint) not in (Union, UnionType):
+        return hint, False
+    kept = [argument for argument in get_args(hint) if argument is not NoneType]
+    return kept[0], True
+
+
+def without_meta(hint: Any) -> tuple[Any, list[msgspec.Meta]]:
+    """Split an annotated type into the plain one and its constraints."""
+    if get_origin(hint) is not Annotated:
+        return hint, []
+    base, *notes = get_args(hint)
+    return base, [note for note in notes if isinstance(note, msgspec.Meta)]
+
+
+def first_given(values: Any) -> Any:
+    """Return the first value that is set."""
+    return next((value for value in values if value is not None), None)
+
+
+@cache
+def fields_of(document: type[msgspec.Struct]) -> dict[str, FieldType]:
+    """Read the types of a document's fields, in order."""
+    hints = resolved_hints(document, include_extras=True)
+    names = document.__struct_fields__
+    return {name: FieldType.from_hint(hints[name]) for name in names}
+
+
+def allowed_text(field: FieldType) -> str:
+    """Say in words what a field allows."""
+    if field.item is not None:
+        return list_text(field)
+    if field.is_document:
+        return "an object"
+    if get_origin(field.base) is Literal:
+        return "one of " + ", ".join(f'"{value}"' for value in get_args(field.base))
+    if field.form in FORM_TEXTS:
+        return FORM_TEXTS[field.form]
+    return NOUNS[field.base] + range_text(field)
+
+
+def list_text(field: FieldType) -> str:
+    """Say in words what a list allows."""
+    least = f" with at least {field.shortest} of" if field.shortest else " of"
+    return f"a list{least}: {allowed_text(field.item)}"
+
+
+def range_text(field: FieldType) -> str:
+    """Say in words how long or large a value may be."""
+    if field.low is not None:
+        return f" from {field.low:,} to {field.high:,}".replace(",", " ")
+    if field.shortest is not None and field.longest is not None:
+        return f" of {field.shortest} to {field.longest} characters"
+    return ""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/masking.py
@@ -0,0 +1,29 @@
+"""Print documents without their secrets."""
+
+import msgspec
+
+from cowslipshelf_platform.internal.settings.field_types import FieldType, fields_of
+
+MASK = "'***'"
+
+
+def masked_repr(document: msgspec.Struct) -> str:
+    """Show a document with its secret fields masked."""
+    fields = fields_of(type(document))
+    shown = (
+        f"{name}={shown_value(getattr(document, name), field)}"
+        for name, field in fields.items()
+    )
+    return f"{type(document).__name__}({', '.join(shown)})"
+
+
+def shown_value(value: object, field: FieldType) -> str:
+    """Show one field, or the mask where it or its items are secret."""
+    if is_secret(field):
+        return MASK
+    return repr(value)
+
+
+def is_secret(field: FieldType) -> bool:
+    """Tell whether a field must never be printed."""
+    return field.secret or (field.item is not None and field.item.secret)
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/rules.py
@@ -0,0 +1,205 @@
+"""Check what settings mean, once each field is well-formed by itself."""
+
+from collections.abc import Iterator
+from itertools import combinations
+from typing import NamedTuple
+
+from cowslipshelf_platform.internal.settings.addresses import parse_address
+from cowslipshelf_platform.internal.settings.documents import (
+    DaemonSettings,
+    LimitSettings,
+    TimingSettings,
+    UpstreamSettings,
+)
+
+FEWEST_INTERVALS = 2
+
+
+class RuleBroken(NamedTuple):
+    """Be a problem without its file."""
+
+    field: str
+    found: str
+    allowed: str
+
+
+class AddressInUse(NamedTuple):
+    """Be one address, who has it and by which field."""
+
+    instance: str
+    field: str
+    address: str
+
+
+def broken_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
+    """Yield every rule that the settings of one daemon break."""
+    yield from role_rules(settings)
+    yield from data_centre_rules(settings)
+    yield from entry_rules(settings)
+    yield from address_rules(settings)
+    yield from timing_rules(settings.timings)
+    if settings.entry is not None:
+        yield from limit_rules(settings.entry.limits)
+    if settings.sidecar is not None:
+        yield from upstream_rules(settings.sidecar.upstream)
+
+
+def role_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
+    """Yield a missing section of the role, and the section of another one."""
+    sections = {"entry": settings.entry, "sidecar": settings.sidecar}
+    for role, section in sections.items():
+        if role == settings.role and section is None:
+            yield RuleBroken(role, "nothing", f'an object, as the role is "{role}"')
+        if role != settings.role and section is not None:
+            allowed = f'nothing, as the role is "{settings.role}"'
+            yield RuleBroken(role, "an object", allowed)
+    if settings.role == "sidecar" and not settings.entries:
+        yield RuleBroken("entries", "a list of 0", "at least one entry to announce to")
+
+
+def data_centre_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
+    """Yield data centres that are not listed, listed twice or without instances."""
+    listed = settings.data_centres
+    used = {"data_centre": settings.data_centre}
+    for index, entry in enumerate(settings.entries):
+        used[f"entries[{index}].data_centre"] = entry.data_centre
+    for field, name in used.items():
+        if name not in listed:
+            allowed = "one of data_centres: " + ", ".join(listed)
+            yield RuleBroken(field, f'"{name}"', allowed)
+    for index, name in enumerate(listed):
+        field = f"data_centres[{index}]"
+        if name in listed[:index]:
+            yield RuleBroken(field, f'"{name}" again', "each data centre once")
+        if name not in used.values():
+            allowed = "data centres that this instance or one of entries is in"
+            yield RuleBroken(field, f'"{name}", where no instance is', allowed)
+
+
+def entry_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
+    """Yield entries listed twice or otherwise than this instance says of itself."""
+    names = [entry.instance for entry in settings.entries]
+    for index, entry in enumerate(settings.entries):
+        field = f"entries[{index}]"
+        if entry.instance in names[:index]:
+            found = f'"{entry.instance}" again'
+            yield RuleBroken(f"{field}.instance", found, "each instance once")
+        if entry.instance != settings.instance:
+            continue
+        own = settings.mailbox_address
+        if parse_address(entry.mailbox_address) != parse_address(own):
+            found = f'"{entry.mailbox_address}"'
+            allowed = f"this instance's own mailbox_address {own}"
+            yield RuleBroken(f"{field}.mailbox_address", found, allowed)
+        if entry.data_centre != settings.data_centre:
+            found = f'"{entry.data_centre}"'
+            allowed = f"this instance's own data_centre {settings.data_centre}"
+            yield RuleBroken(f"{field}.data_centre", found, allowed)
+        yield from own_replica_rules(settings, field, entry.replica)
+
+
+def own_replica_rules(
+    settings: DaemonSettings, field: str, replica: bool
+) -> Iterator[RuleBroken]:
+    """Yield a disagreement on whether this instance holds a replica."""
+    if settings.role == "sidecar":
+        allowed = "entries only; this instance is a sidecar"
+        yield RuleBroken(field, "this instance", allowed)
+        return
+    if settings.entry is None:
+        return
+    has_folder = settings.entry.data_folder is not None
+    if replica != has_folder:
+        state = "set" if has_folder else "not set"
+        yield RuleBroken(
+            f"{field}.replica",
+            str(replica).lower(),
+            f"{str(has_folder).lower()}, as entry.data_folder is {state}",
+        )
+
+
+def address_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
+    """Yield addresses that two would have to share."""
+    for first, second in combinations(addresses_in_use(settings), 2):
+        earlier, later = parse_address(first.address), parse_address(second.address)
+        same_machine = first.instance == second.instance
+        if (same_machine and earlier.collides(later)) or earlier == later:
+            taken = f"{first.instance} has it by {first.field}"
+            allowed = f"an address of its own; {taken}"
+            yield RuleBroken(second.field, f'"{second.address}"', allowed)
+
+
+def addresses_in_use(settings: DaemonSettings) -> list[AddressInUse]:
+    """List the addresses that the settings give out, this instance's own first."""
+    own: dict[str, str] = {"mailbox_address": settings.mailbox_address}
+    if settings.entry is not None:
+        own["entry.callers_address"] = settings.entry.callers_address
+        own["entry.operators_address"] = settings.entry.operators_address
+    if settings.sidecar is not None:
+        own["sidecar.attempts_address"] = settings.sidecar.attempts_address
+        own["sidecar.upstream.address"] = settings.sidecar.upstream.address
+    listed = [
+        AddressInUse(settings.instance, field, address)
+        for field, address in own.items()
+    ]
+    for index, entry in enumerate(settings.entries):
+        if entry.instance != settings.instance:
+            field = f"entries[{index}].mailbox_address"
+            listed.append(AddressInUse(entry.instance, field, entry.mailbox_address))
+    return listed
+
+
+def timing_rules(timings: TimingSettings) -> Iterator[RuleBroken]:
+    """Yield times that contradict each other."""
+    pairs = (
+        ("lease_seconds", "announce_seconds"),
+        ("silence_seconds", "heartbeat_seconds"),
+        ("owner_lease_seconds", "heartbeat_seconds"),
+        ("announce_seconds", "tick_seconds"),
+        ("heartbeat_seconds", "tick_seconds"),
+        ("election_seconds", "tick_seconds"),
+    )
+    for longer, shorter in pairs:
+        # One lost message or one late look must not count as a failure already.
+        least = FEWEST_INTERVALS * getattr(timings, shorter)
+        found = getattr(timings, longer)
+        if found < least:
+            allowed = f"at least {FEWEST_INTERVALS} x {shorter} = {least:g}"
+            yield RuleBroken(f"timings.{longer}", f"{found:g}", allowed)
+
+
+def limit_rules(limits: LimitSettings) -> Iterator[RuleBroken]:
+    """Yield limits that contradict each other."""
+    field = "entry.limits.most_queued_seconds_short"
+    short, long = limits.most_queued_seconds_short, limits.most_queued_seconds_long
+    if short > long:
+        allowed = f"at most most_queued_seconds_long = {long:g}"
+        yield RuleBroken(field, f"{short:g}", allowed)
+    if limits.largest_stored_answer_bytes > limits.largest_body_bytes:
+        yield RuleBroken(
+            "entry.limits.largest_stored_answer_bytes",
+            str(limits.largest_stored_answer_bytes),
+            f"at most largest_body_bytes = {limits.largest_body_bytes}",
+        )
+
+
+def upstream_rules(upstream: UpstreamSettings) -> Iterator[RuleBroken]:
+    """Yield what an upstream of its kind lacks or cannot have."""
+    field = "sidecar.upstream"
+    names = upstream.models
+    if len(set(names)) < len(names):
+        yield RuleBroken(f"{field}.models", "a model twice", "each model once")
+    if upstream.kind == "model":
+        if not names:
+            yield RuleBroken(f"{field}.models", "no model", "at least one model")
+        if not upstream.memory_tokens:
+            allowed = "the tokens of KV cache that fit its memory"
+            yield RuleBroken(f"{field}.memory_tokens", "0", allowed)
+        return
+    if names:
+        allowed = 'none, as the kind is "plain"'
+        yield RuleBroken(f"{field}.models", "models", allowed)
+    if upstream.memory_tokens:
+        found = str(upstream.memory_tokens)
+        allowed = '0, as the kind is "plain"'
+        yield RuleBroken(f"{field}.memory_tokens", found, allowed)
