--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 format: $(VENV)/installed
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
+
+settings-page: $(VENV)/installed
+	$(BIN)/python -m cowslipshelf_platform.settings_page docs/SETTINGS.md
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/addresses.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/addresses.py
@@ -43,7 +43,7 @@
     try:
         ip = ip_address(host[1:-1] if bracketed else host)
     except ValueError:
-        raise AddressError("with a hostname where an IP number is needed") from None
+        raise AddressError("a hostname where an IP number is needed") from None
     if bracketed != isinstance(ip, IPv6Address):
-        raise AddressError("whose brackets do not fit: [IPv6]:PORT or IPv4:PORT")
+        raise AddressError("with brackets that do not fit: [IPv6]:PORT or IPv4:PORT")
     return ip
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/document_check.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/document_check.py
@@ -1,6 +1,5 @@
 """Compare a JSON value with the settings types and collect every problem."""
 
-from collections.abc import Iterator
 from difflib import get_close_matches
 
 import msgspec
@@ -16,6 +15,10 @@
 )
 from cowslipshelf_platform.internal.settings.forms import FieldForm
 from cowslipshelf_platform.internal.settings.masking import is_secret
+from cowslipshelf_platform.internal.settings.placeholders import (
+    placeholder,
+    placeholder_document,
+)
 from cowslipshelf_platform.internal.settings.problems import (
     WHOLE_FILE,
     SettingsProblem,
@@ -28,92 +31,90 @@
 
 
 class DocumentCheck:
-    """Walk one file's JSON beside the types."""
+    """Walk one file's JSON beside the types and note what is wrong.
+
+    Each method returns a value that the types allow: the given one, with
+    placeholders where it was faulty. So the rules on what fields mean together
+    can be tried in the same run, and one run names everything.
+    """
 
     def __init__(self, file: str) -> None:
         self.file = file
+        self.problems: list[SettingsProblem] = []
+
+    def note(self, field: str, found: str, allowed: str) -> None:
+        """Note a problem."""
+        self.problems.append(SettingsProblem(self.file, field, found, allowed))
 
-    def document_problems(
-        self, value: object, document: type[msgspec.Struct], path: str
-    ) -> Iterator[SettingsProblem]:
-        """Yield what is wrong with an object and everything in it."""
+    def document(
+        self, value: object, document: type[msgspec.Struct], path: str = ""
+    ) -> dict[str, object]:
+        """Check an object and everything in it."""
         if not isinstance(value, dict):
-            yield self.problem(path or WHOLE_FILE, shown(value), "an object")
-            return
+            self.note(path or WHOLE_FILE, shown(value), "an object")
+            return placeholder_document(document)
         fields = fields_of(document)
         for name in value:
             if name not in fields:
-                yield self.unknown_field(name, list(fields), path)
-        for description in msgspec.structs.fields(document):
-            name = description.name
-            if name in value:
-                yield from self.field_problems(
-                    value[name], fields[name], joined(path, name)
-                )
-            elif description.required:
-                allowed = allowed_text(fields[name])
-                yield self.problem(joined(path, name), "nothing", allowed)
-
-    def field_problems(
-        self, value: object, field: FieldType, path: str
-    ) -> Iterator[SettingsProblem]:
-        """Yield what is wrong with the value of one field."""
+                self.note_unknown_field(name, list(fields), path)
+        usable: dict[str, object] = {}
+        for info in msgspec.structs.fields(document):
+            field, inner = fields[info.name], joined(path, info.name)
+            if info.name in value:
+                usable[info.name] = self.field(value[info.name], field, inner)
+            elif info.required:
+                self.note(inner, "nothing", allowed_text(field))
+                usable[info.name] = placeholder(field)
+        return usable
+
+    def field(self, value: object, field: FieldType, path: str) -> object:
+        """Check the value of one field."""
         if value is None and field.optional:
-            return
+            return None
         if field.is_document:
-            yield from self.document_problems(value, field.base, path)
-        elif field.item is not None and isinstance(value, list):
-            yield from self.list_problems(value, field, path)
-        else:
-            yield from self.value_problems(value, field, path)
+            return self.document(value, field.base, path)
+        if field.item is not None and isinstance(value, list):
+            return self.items(value, field, path)
+        return self.single_value(value, field, path)
 
-    def list_problems(
-        self, value: list[object], field: FieldType, path: str
-    ) -> Iterator[SettingsProblem]:
-        """Yield what is wrong with a list and its items."""
+    def items(self, value: list[object], field: FieldType, path: str) -> object:
+        """Check a list and its items."""
         if len(value) < (field.shortest or 0):
-            yield self.problem(path, shown(value), allowed_text(field))
-        for index, item in enumerate(value):
-            yield from self.field_problems(item, field.item, f"{path}[{index}]")
-
-    def value_problems(
-        self, value: object, field: FieldType, path: str
-    ) -> Iterator[SettingsProblem]:
-        """Yield what is wrong with a text, number or truth value."""
+            self.note(path, shown(value), allowed_text(field))
+            return placeholder(field)
+        return [
+            self.field(item, field.item, f"{path}[{index}]")
+            for index, item in enumerate(value)
+        ]
+
+    def single_value(self, value: object, field: FieldType, path: str) -> object:
+        """Check a text, number or truth value."""
         found = SECRET_FOUND if is_secret(field) else shown(value)
         try:
             msgspec.convert(value, field.whole)
+            if field.form in ADDRESS_FORMS:
+                check_address(value, field.form)
         except msgspec.ValidationError:
-            yield self.problem(path, found, allowed_text(field))
-            return
-        if field.form in ADDRESS_FORMS:
-            yield from self.address_problems(value, field, path)
-
-    def address_problems(
-        self, value: str, field: FieldType, path: str
-    ) -> Iterator[SettingsProblem]:
-        """Yield what is wrong with an address."""
-        try:
-            address = parse_address(value)
+            self.note(path, found, allowed_text(field))
         except AddressError as error:
-            yield self.problem(path, f"{shown(value)} {error}", allowed_text(field))
-            return
-        if field.form is FieldForm.PEER_ADDRESS and address.ip.is_unspecified:
-            found = f"{shown(value)}, the address of all interfaces"
-            yield self.problem(path, found, allowed_text(field))
-
-    def unknown_field(self, name: str, known: list[str], path: str) -> SettingsProblem:
-        """Describe an unknown field and suggest the name that was meant."""
+            self.note(path, f"{found}, {error}", allowed_text(field))
+        else:
+            return value
+        return placeholder(field)
+
+    def note_unknown_field(self, name: str, known: list[str], path: str) -> None:
+        """Note an unknown field and suggest the name that was meant."""
         near = get_close_matches(name, known, n=1, cutoff=LEAST_LIKENESS)
-        listed = ", ".join(known)
-        allowed = f'did you mean "{near[0]}"? ' if near else ""
-        return self.problem(
-            joined(path, shown(name)), "an unknown field", f"{allowed}known: {listed}"
-        )
-
-    def problem(self, field: str, found: str, allowed: str) -> SettingsProblem:
-        """Describe a problem of this file."""
-        return SettingsProblem(self.file, field, found, allowed)
+        suggested = f'did you mean "{near[0]}"? ' if near else ""
+        allowed = f"{suggested}known: {', '.join(known)}"
+        self.note(joined(path, shown(name)), "an unknown field", allowed)
+
+
+def check_address(text: str, form: FieldForm) -> None:
+    """Raise `AddressError` where a text is no address of its form."""
+    address = parse_address(text)
+    if form is FieldForm.PEER_ADDRESS and address.ip.is_unspecified:
+        raise AddressError("the address of all interfaces")
 
 
 def joined(path: str, name: str) -> str:
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
@@ -1,5 +1,6 @@
 """Define the settings of one daemon as people write them, in JSON."""
 
+from collections.abc import Iterator
 from typing import Annotated, Literal
 
 import msgspec
@@ -40,6 +41,10 @@
         """Show every field but the secret ones."""
         return masked_repr(self)
 
+    def __rich_repr__(self) -> Iterator[str]:
+        """Show the same to pretty printers, which would else read every field."""
+        yield masked_repr(self)
+
 
 class EntryAddress(SettingsDocument, frozen=True):
     """Tell where an entry instance is."""
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/loading.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/loading.py
@@ -46,9 +46,10 @@
         problem = SettingsProblem(file, error.place, error.found, error.allowed)
         return Err((problem,))
     check = DocumentCheck(file)
-    problems = tuple(check.document_problems(value, DaemonSettings, ""))
-    if problems:
-        return Err(problems)
-    settings = msgspec.convert(value, DaemonSettings)
-    broken = tuple(check.problem(*rule) for rule in broken_rules(settings))
-    return Err(broken) if broken else Ok(settings)
+    settings = msgspec.convert(check.document(value, DaemonSettings), DaemonSettings)
+    faulty = tuple(problem.field for problem in check.problems)
+    for broken in broken_rules(settings):
+        # A rule that read a placeholder says nothing about what was written.
+        if not broken.reads_any_of(faulty):
+            check.note(broken.field, broken.found, broken.allowed)
+    return Err(tuple(check.problems)) if check.problems else Ok(settings)
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/rules.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/rules.py
@@ -13,6 +13,15 @@
 )
 
 FEWEST_INTERVALS = 2
+LONGER_THAN = (
+    ("lease_seconds", "announce_seconds"),
+    ("silence_seconds", "heartbeat_seconds"),
+    ("owner_lease_seconds", "heartbeat_seconds"),
+    ("announce_seconds", "tick_seconds"),
+    ("heartbeat_seconds", "tick_seconds"),
+    ("election_seconds", "tick_seconds"),
+)
+"""Times of which the first must span at least two of the second."""
 
 
 class RuleBroken(NamedTuple):
@@ -21,6 +30,20 @@
     field: str
     found: str
     allowed: str
+    also_read: tuple[str, ...] = ()
+    """Fields, beside its own, that the rule was tried on."""
+
+    def reads_any_of(self, faulty: tuple[str, ...]) -> bool:
+        """Tell whether the rule read one of the fields, or a part or the whole."""
+        read = (self.field, *self.also_read)
+        return any(overlap(field, each) for field in faulty for each in read)
+
+
+def overlap(first: str, second: str) -> bool:
+    """Tell whether two paths are the same or one lies within the other."""
+    shorter, longer = sorted((first, second), key=len)
+    after = longer[len(shorter) : len(shorter) + 1]
+    return longer.startswith(shorter) and after in ("", ".", "[")
 
 
 class AddressInUse(NamedTuple):
@@ -49,12 +72,14 @@
     sections = {"entry": settings.entry, "sidecar": settings.sidecar}
     for role, section in sections.items():
         if role == settings.role and section is None:
-            yield RuleBroken(role, "nothing", f'an object, as the role is "{role}"')
+            allowed = f'an object, as the role is "{role}"'
+            yield RuleBroken(role, "nothing", allowed, ("role",))
         if role != settings.role and section is not None:
             allowed = f'nothing, as the role is "{settings.role}"'
-            yield RuleBroken(role, "an object", allowed)
+            yield RuleBroken(role, "an object", allowed, ("role",))
     if settings.role == "sidecar" and not settings.entries:
-        yield RuleBroken("entries", "a list of 0", "at least one entry to announce to")
+        allowed = "at least one entry to announce to"
+        yield RuleBroken("entries", "a list of 0", allowed, ("role",))
 
 
 def data_centre_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
@@ -66,14 +91,15 @@
     for field, name in used.items():
         if name not in listed:
             allowed = "one of data_centres: " + ", ".join(listed)
-            yield RuleBroken(field, f'"{name}"', allowed)
+            yield RuleBroken(field, f'"{name}"', allowed, ("data_centres",))
     for index, name in enumerate(listed):
         field = f"data_centres[{index}]"
         if name in listed[:index]:
             yield RuleBroken(field, f'"{name}" again', "each data centre once")
         if name not in used.values():
             allowed = "data centres that this instance or one of entries is in"
-            yield RuleBroken(field, f'"{name}", where no instance is', allowed)
+            found = f'"{name}", where no instance is'
+            yield RuleBroken(field, found, allowed, tuple(used))
 
 
 def entry_rules(settings: DaemonSettings) -> Iterator[RuleBroken]:
@@ -90,11 +116,13 @@
         if parse_address(entry.mailbox_address) != parse_address(own):
             found = f'"{entry.mailbox_address}"'
             allowed = f"this instance's own mailbox_address {own}"
-            yield RuleBroken(f"{field}.mailbox_address", found, allowed)
+            read = ("instance", "mailbox_address")
+            yield RuleBroken(f"{field}.mailbox_address", found, allowed, read)
         if entry.data_centre != settings.data_centre:
             found = f'"{entry.data_centre}"'
             allowed = f"this instance's own data_centre {settings.data_centre}"
-            yield RuleBroken(f"{field}.data_centre", found, allowed)
+            read = ("instance", "data_centre")
+            yield RuleBroken(f"{field}.data_centre", found, allowed, read)
         yield from own_replica_rules(settings, field, entry.replica)
 
 
@@ -104,7 +132,7 @@
     """Yield a disagreement on whether this instance holds a replica."""
     if settings.role == "sidecar":
         allowed = "entries only; this instance is a sidecar"
-        yield RuleBroken(field, "this instance", allowed)
+        yield RuleBroken(field, "this instance", allowed, ("instance", "role"))
         return
     if settings.entry is None:
         return
@@ -115,6 +143,7 @@
             f"{field}.replica",
             str(replica).lower(),
             f"{str(has_folder).lower()}, as entry.data_folder is {state}",
+            ("instance", "entry"),
         )
 
 
@@ -126,7 +155,8 @@
         if (same_machine and earlier.collides(later)) or earlier == later:
             taken = f"{first.instance} has it by {first.field}"
             allowed = f"an address of its own; {taken}"
-            yield RuleBroken(second.field, f'"{second.address}"', allowed)
+            found = f'"{second.address}"'
+            yield RuleBroken(second.field, found, allowed, (first.field, "instance"))
 
 
 def addresses_in_use(settings: DaemonSettings) -> list[AddressInUse]:
@@ -151,55 +181,44 @@
 
 def timing_rules(timings: TimingSettings) -> Iterator[RuleBroken]:
     """Yield times that contradict each other."""
-    pairs = (
-        ("lease_seconds", "announce_seconds"),
-        ("silence_seconds", "heartbeat_seconds"),
-        ("owner_lease_seconds", "heartbeat_seconds"),
-        ("announce_seconds", "tick_seconds"),
-        ("heartbeat_seconds", "tick_seconds"),
-        ("election_seconds", "tick_seconds"),
-    )
-    for longer, shorter in pairs:
+    for longer, shorter in LONGER_THAN:
         # One lost message or one late look must not count as a failure already.
         least = FEWEST_INTERVALS * getattr(timings, shorter)
         found = getattr(timings, longer)
         if found < least:
             allowed = f"at least {FEWEST_INTERVALS} x {shorter} = {least:g}"
-            yield RuleBroken(f"timings.{longer}", f"{found:g}", allowed)
+            read = (f"timings.{shorter}",)
+            yield RuleBroken(f"timings.{longer}", f"{found:g}", allowed, read)
 
 
 def limit_rules(limits: LimitSettings) -> Iterator[RuleBroken]:
     """Yield limits that contradict each other."""
-    field = "entry.limits.most_queued_seconds_short"
-    short, long = limits.most_queued_seconds_short, limits.most_queued_seconds_long
-    if short > long:
-        allowed = f"at most most_queued_seconds_long = {long:g}"
-        yield RuleBroken(field, f"{short:g}", allowed)
-    if limits.largest_stored_answer_bytes > limits.largest_body_bytes:
-        yield RuleBroken(
-            "entry.limits.largest_stored_answer_bytes",
-            str(limits.largest_stored_answer_bytes),
-            f"at most largest_body_bytes = {limits.largest_body_bytes}",
-        )
+    pairs = (
+        ("most_queued_seconds_short", "most_queued_seconds_long"),
+        ("largest_stored_answer_bytes", "largest_body_bytes"),
+    )
+    for smaller, larger in pairs:
+        found, most = getattr(limits, smaller), getattr(limits, larger)
+        if found > most:
+            field, read = f"entry.limits.{smaller}", (f"entry.limits.{larger}",)
+            yield RuleBroken(field, f"{found:g}", f"at most {larger} = {most:g}", read)
 
 
 def upstream_rules(upstream: UpstreamSettings) -> Iterator[RuleBroken]:
     """Yield what an upstream of its kind lacks or cannot have."""
-    field = "sidecar.upstream"
-    names = upstream.models
-    if len(set(names)) < len(names):
-        yield RuleBroken(f"{field}.models", "a model twice", "each model once")
-    if upstream.kind == "model":
-        if not names:
-            yield RuleBroken(f"{field}.models", "no model", "at least one model")
-        if not upstream.memory_tokens:
-            allowed = "the tokens of KV cache that fit its memory"
-            yield RuleBroken(f"{field}.memory_tokens", "0", allowed)
-        return
-    if names:
+    models, memory = "sidecar.upstream.models", "sidecar.upstream.memory_tokens"
+    read = ("sidecar.upstream.kind",)
+    if len(set(upstream.models)) < len(upstream.models):
+        yield RuleBroken(models, "a model twice", "each model once")
+    is_model = upstream.kind == "model"
+    if is_model and not upstream.models:
+        yield RuleBroken(models, "no model", "at least one model", read)
+    if is_model and not upstream.memory_tokens:
+        allowed = "the tokens of KV cache that fit its memory"
+        yield RuleBroken(memory, "0", allowed, read)
+    if not is_model and upstream.models:
         allowed = 'none, as the kind is "plain"'
-        yield RuleBroken(f"{field}.models", "models", allowed)
-    if upstream.memory_tokens:
-        found = str(upstream.memory_tokens)
+        yield RuleBroken(models, "models", allowed, read)
+    if not is_model and upstream.memory_tokens:
         allowed = '0, as the kind is "plain"'
-        yield RuleBroken(f"{field}.memory_tokens", found, allowed)
+        yield RuleBroken(memory, str(upstream.memory_tokens), allowed, read)
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/settings_page.py
@@ -0,0 +1,18 @@
+"""Write docs/SETTINGS.md: `python -m cowslipshelf_platform.settings_page FILE`."""
+
+import sys
+from pathlib import Path
+
+from cowslipshelf_platform.internal.settings.page import render_settings_page
+
+__all__ = ["render_settings_page"]
+
+
+def main(arguments: list[str]) -> None:
+    """Write the page to the one file that is named."""
+    (target,) = arguments
+    Path(target).write_text(render_settings_page(), encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
