--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Write logs."""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/logs/setup.py
@@ -0,0 +1,74 @@
+"""Set up structured logs."""
+
+import logging
+from typing import Any, TextIO
+
+import structlog
+from structlog.typing import EventDict, Processor, WrappedLogger
+
+from cowslipshelf_platform.internal.logs.secrets import mask_secrets
+from cowslipshelf_platform.internal.logs.writing import LineWriter
+from cowslipshelf_platform.settings import LogSettings
+
+PART = "part"
+EVENT = "event"
+
+
+def configure_logs(settings: LogSettings, stream: TextIO | None = None) -> LineWriter:
+    """Make every part logger write as the settings say, to standard error if unset."""
+    writer = LineWriter(stream)
+    level = logging.getLevelNamesMapping()[settings.level.upper()]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            mask_secrets,
+            prefix_event,
+            *renderers(settings),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=lambda *_arguments: writer,
+        cache_logger_on_first_use=False,
+    )
+    return writer
+
+
+def part_logger(prefix: str) -> Any:
+    """Return the logger of one part, whose lines all begin with its prefix."""
+    return structlog.get_logger(**{PART: prefix})
+
+
+def prefix_event(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+    """Put the part's prefix before the sentence."""
+    part = event.get(PART)
+    if part is None:
+        return event
+    return event | {EVENT: f"{part}: {event.get(EVENT, '')}"}
+
+
+def renderers(settings: LogSettings) -> list[Processor]:
+    """Return what turns a log entry into one line."""
+    match settings.format:
+        case "json":
+            return [structlog.processors.JSONRenderer()]
+        case "console":
+            return [drop_part, escape_event, console_line]
+
+
+def drop_part(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+    """Leave out the part, as a console line begins with it."""
+    return {name: value for name, value in event.items() if name != PART}
+
+
+def escape_event(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+    """Escape what would break the line, as text from peers could forge a second one."""
+    return event | {EVENT: repr(event[EVENT])[1:-1]}
+
+
+def console_line(_logger: WrappedLogger, _method: str, event: EventDict) -> str:
+    """Write the time, the level, the sentence and the fields behind it."""
+    fields = dict(event)
+    head = [fields.pop("timestamp"), fields.pop("level"), fields.pop(EVENT)]
+    return " ".join(head + [f"{name}={value!r}" for name, value in fields.items()])
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Count and time what happens."""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/metrics/registry.py
@@ -0,0 +1,130 @@
+"""Hold all metrics of a process and write them for Prometheus."""
+
+import re
+from collections.abc import Callable
+from threading import Lock
+from typing import NamedTuple, TypeVar
+
+from cowslipshelf_platform.internal.metrics.series import (
+    Counter,
+    Gauge,
+    Latency,
+    Sample,
+    Series,
+)
+from cowslipshelf_platform.internal.metrics.text import metric_lines
+
+METRIC_NAME = re.compile(r"[a-z][a-z0-9_]*\Z")
+RESERVED_LABELS = frozenset({"quantile", "le"})
+MOST_LABEL_SETS = 200
+OVERFLOW_METRIC = "cowslipshelf_metrics_overflow_total"
+OVERFLOW_HELP = "Values whose label set was beyond the bound, by metric."
+
+LabelSet = tuple[tuple[str, str], ...]
+OVERFLOW_LABELS: LabelSet = (("overflow", "true"),)
+SeriesType = TypeVar("SeriesType", Counter, Gauge, Latency)
+
+
+class MetricError(ValueError):
+    """Say how a metric is misused."""
+
+
+class Metric(NamedTuple):
+    """Be one metric with its series by label set."""
+
+    name: str
+    make_series: Callable[[], Series]
+    series: dict[LabelSet, Series]
+
+
+class Metrics:
+    """Count, hold and time by name and labels, from any thread."""
+
+    def __init__(self, most_label_sets: int = MOST_LABEL_SETS) -> None:
+        self.most_label_sets = most_label_sets
+        self.lock = Lock()
+        self.metrics: dict[str, Metric] = {}
+        self.helps: dict[str, str] = {OVERFLOW_METRIC: OVERFLOW_HELP}
+
+    def describe(self, name: str, help_text: str) -> None:
+        """Say what a metric means, for who reads the text."""
+        self.helps[checked_name(name)] = help_text
+
+    def count(self, name: str, amount: float = 1, /, **labels: str) -> None:
+        """Add to a counter; its name ends in `_total`."""
+        self.series(name, Counter, labels).add(amount)
+
+    def gauge(self, name: str, value: float, /, **labels: str) -> None:
+        """Set a gauge."""
+        self.series(name, Gauge, labels).set(value)
+
+    def record_seconds(self, name: str, seconds: float, /, **labels: str) -> None:
+        """Record a duration in seconds; its name ends in `_seconds`."""
+        self.series(name, Latency, labels).record(seconds)
+
+    def series(
+        self, name: str, kind: type[SeriesType], labels: dict[str, str]
+    ) -> SeriesType:
+        """Find a series, or make it where the bound allows one more.
+
+        Label values can come from callers, such as a model that nobody has; without
+        a bound each would cost memory for good. What is beyond it is counted under
+        one label set and reported by a counter of its own.
+        """
+        key: LabelSet = tuple(
+            sorted((key, str(value)) for key, value in labels.items())
+        )
+        with self.lock:
+            metric = self.metrics.get(name)
+            if metric is None or key not in metric.series:
+                check_labels(key)
+            if metric is None:
+                metric = Metric(checked_name(name), kind, {})
+                self.metrics[name] = metric
+            if metric.make_series is not kind:
+                raise MetricError(f"{name} is of two kinds")
+            if key not in metric.series and len(metric.series) >= self.most_label_sets:
+                self.note_overflow(name)
+                key = OVERFLOW_LABELS
+            if key not in metric.series:
+                metric.series[key] = kind()
+            return metric.series[key]  # type: ignore[return-value]
+
+    def note_overflow(self, name: str) -> None:
+        """Count a value beyond the bound; there are no more series than metrics."""
+        made = Metric(OVERFLOW_METRIC, Counter, {})
+        metric = self.metrics.setdefault(OVERFLOW_METRIC, made)
+        series = metric.series.setdefault((("metric", name),), Counter())
+        series.add(1)  # type: ignore[attr-defined]
+
+    def prometheus_text(self) -> str:
+        """Write all metrics in the Prometheus text format."""
+        with self.lock:
+            listed = [
+                (metric, sorted(metric.series.items()))
+                for _, metric in sorted(self.metrics.items())
+            ]
+        lines: list[str] = []
+        for metric, series in listed:
+            kind = series[0][1].kind
+            samples: list[tuple[LabelSet, Sample]] = [
+                (labels, sample) for labels, each in series for sample in each.samples()
+            ]
+            lines += metric_lines(
+                metric.name, kind, self.helps.get(metric.name, ""), samples
+            )
+        return "".join(f"{line}\n" for line in lines)
+
+
+def check_labels(labels: LabelSet) -> None:
+    """Raise `MetricError` for a label name that the text format does not allow."""
+    for label, _ in labels:
+        if label in RESERVED_LABELS or not METRIC_NAME.match(label):
+            raise MetricError(f"{label!r} is no label name, or one with a meaning")
+
+
+def checked_name(name: str) -> str:
+    """Return a name that the text format allows, or raise `MetricError`."""
+    if not METRIC_NAME.match(name):
+        raise MetricError(f"{name!r} is no metric name: a-z, 0-9 and '_' only")
+    return name
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/metrics/series.py
@@ -0,0 +1,109 @@
+"""Keep the values of one metric under one set of labels."""
+
+import math
+from threading import Lock
+from typing import NamedTuple, Protocol
+
+from hdrh.histogram import HdrHistogram
+
+MICROSECONDS = 1_000_000
+SHORTEST_MICROSECONDS = 1
+LONGEST_MICROSECONDS = 3600 * MICROSECONDS
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.95, 0.99)
+
+
+class Sample(NamedTuple):
+    """Be one line of the text format, without the metric's name and labels."""
+
+    suffix: str
+    quantile: float | None
+    value: float
+
+
+class Series(Protocol):
+    """Be what all kinds of series can do."""
+
+    kind: str
+
+    def samples(self) -> list[Sample]:
+        """Read the present values."""
+
+
+class Counter:
+    """Count what happened."""
+
+    kind = "counter"
+
+    def __init__(self) -> None:
+        self.lock = Lock()
+        self.total = 0.0
+
+    def add(self, amount: float) -> None:
+        """Add an amount that is not negative, as rates are taken from the total."""
+        if not (math.isfinite(amount) and amount >= 0):
+            raise ValueError(f"a counter cannot grow by {amount}")
+        with self.lock:
+            self.total += amount
+
+    def samples(self) -> list[Sample]:
+        """Read the total."""
+        return [Sample("", None, self.total)]
+
+
+class Gauge:
+    """Hold a value that goes up and down."""
+
+    kind = "gauge"
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def set(self, value: float) -> None:
+        """Replace the value."""
+        self.value = float(value)
+
+    def samples(self) -> list[Sample]:
+        """Read the value."""
+        return [Sample("", None, self.value)]
+
+
+class Latency:
+    """Hold durations from a microsecond to an hour, to two digits."""
+
+    kind = "summary"
+
+    def __init__(self) -> None:
+        # Each series has its own lock: reading the quantiles of one takes about a
+        # millisecond, and threads that record others need not wait for that.
+        self.lock = Lock()
+        self.histogram = HdrHistogram(
+            SHORTEST_MICROSECONDS, LONGEST_MICROSECONDS, SIGNIFICANT_DIGITS
+        )
+        self.sum_seconds = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Record a duration; one beyond the range counts as its nearest end."""
+        if math.isnan(seconds):
+            raise ValueError("a duration cannot be NaN")
+        longest = LONGEST_MICROSECONDS / MICROSECONDS
+        clamped = min(max(seconds, 0.0), longest)
+        microseconds = max(SHORTEST_MICROSECONDS, round(clamped * MICROSECONDS))
+        with self.lock:
+            self.histogram.record_value(microseconds)
+            self.sum_seconds += clamped
+
+    def samples(self) -> list[Sample]:
+        """Read the quantiles, the sum, the number and the maximum."""
+        with self.lock:
+            wanted = [quantile * 100 for quantile in QUANTILES]
+            values = self.histogram.get_percentile_to_value_dict(wanted)
+            count = self.histogram.get_total_count()
+            most = self.histogram.get_max_value() if count else 0
+            total = self.sum_seconds
+        found = [
+            Sample("", quantile, values.get(percent, 0) / MICROSECONDS)
+            for quantile, percent in zip(QUANTILES, wanted, strict=True)
+        ]
+        found.append(Sample("", 1.0, most / MICROSECONDS))
+        return [*found, Sample("_sum", None, total), Sample("_count", None, count)]
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/metrics/text.py
@@ -0,0 +1,46 @@
+"""Write samples in the Prometheus text format."""
+
+import math
+from collections.abc import Iterator, Sequence
+
+from cowslipshelf_platform.internal.metrics.series import Sample
+
+Labels = Sequence[tuple[str, str]]
+
+
+def metric_lines(
+    name: str, kind: str, help_text: str, samples: Sequence[tuple[Labels, Sample]]
+) -> Iterator[str]:
+    """Write one metric with all its samples."""
+    if help_text:
+        yield f"# HELP {name} {escaped(help_text)}"
+    yield f"# TYPE {name} {kind}"
+    for labels, sample in samples:
+        shown = [*labels]
+        if sample.quantile is not None:
+            shown.append(("quantile", f"{sample.quantile:g}"))
+        yield f"{name}{sample.suffix}{labels_text(shown)} {value_text(sample.value)}"
+
+
+def labels_text(labels: Labels) -> str:
+    """Write labels in braces, or nothing where there are none."""
+    if not labels:
+        return ""
+    pairs = (f'{key}="{escaped(value, quoted=True)}"' for key, value in labels)
+    return "{" + ",".join(pairs) + "}"
+
+
+def escaped(text: str, *, quoted: bool = False) -> str:
+    """Escape what the format reserves, and what UTF-8 cannot carry."""
+    sound = text.encode("utf-8", "backslashreplace").decode("utf-8")
+    safe = sound.replace("\\", "\\\\").replace("\n", "\\n")
+    return safe.replace('"', '\\"') if quoted else safe
+
+
+def value_text(value: float) -> str:
+    """Write a number as the format has it."""
+    if math.isnan(value):
+        return "NaN"
+    if math.isinf(value):
+        return "+Inf" if value > 0 else "-Inf"
+    return str(int(value)) if value == int(value) else repr(float(value))
