Add the replicated control state with plans, claims, orders and grants

Ruled out: keeping the would-be configuration with each pending plan (300 KB each at 1,900 customers); the change is kept and worked out again, which gives the same result because a plan takes effect only on the version it was made for. Replica settings for the weight store's rate: replicas with unequal settings would diverge, so the rate is a part of the configuration (new, with defaults).

A confirmed plan opens its orders in the same log entry, so that none is lost with the process that confirmed it. RecordPlan on an outdated base answers PlanOutdated with a fresh plan at once.

--- a/packages/core/src/cowslipshelf_core/configuration.py
+++ b/packages/core/src/cowslipshelf_core/configuration.py
@@ -56,6 +56,15 @@
     """Worth of a second saved for long prompts against one saved for short ones."""
 
 
+class WeightStoreLimits(Document, frozen=True):
+    """Limit how fast the whole fleet loads weights from the weight store."""
+
+    tokens_per_second: float = 1.0
+    """Tokens are the unit of the store's own rate limit; a load costs one or more."""
+    burst_tokens: int = 4
+    most_open_grants: int = 8
+
+
 class FleetConfiguration(Document, frozen=True):
     """Be everything that operators have put in force, under one version."""
 
@@ -65,3 +74,4 @@
     models: tuple[Model, ...] = ()
     draining: tuple[UpstreamId, ...] = ()
     """Upstreams that leave: no new work, running work finishes."""
+    weight_store: WeightStoreLimits = WeightStoreLimits()
--- a/packages/core/src/cowslipshelf_core/identifiers.py
+++ b/packages/core/src/cowslipshelf_core/identifiers.py
@@ -20,6 +20,9 @@
 AttemptId = NewType("AttemptId", str)
 ChangeId = NewType("ChangeId", str)
 PlanId = NewType("PlanId", str)
+OrderId = NewType("OrderId", str)
+GrantId = NewType("GrantId", str)
+OperatorName = NewType("OperatorName", str)
 
 ConfigurationVersion = NewType("ConfigurationVersion", int)
 """Counts accepted configurations; zero is the empty one nobody accepted."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the public modules re-export; import from those instead."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/control/changes.py
@@ -0,0 +1,187 @@
+"""Record plans and put them in force, each change at most once."""
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+
+from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.identifiers import (
+    ChangeId,
+    ConfigurationVersion,
+    OperatorName,
+    PlanId,
+)
+from cowslipshelf_core.internal.control.bounded import BoundedRecords
+from cowslipshelf_core.internal.control.codec import decode_outcome, encode_outcome
+from cowslipshelf_core.internal.control.commands import ConfirmPlan, RecordPlan
+from cowslipshelf_core.internal.control.limits import (
+    MOST_CHANGE_BYTES,
+    MOST_CHANGE_IDS,
+    MOST_PENDING_PLAN_BYTES,
+    MOST_PENDING_PLANS,
+)
+from cowslipshelf_core.internal.control.orders import OrderBook
+from cowslipshelf_core.internal.control.outcomes import (
+    PlanConfirmed,
+    PlanOutdated,
+    PlanRecorded,
+    PlanRefused,
+    PlanUnknown,
+)
+from cowslipshelf_core.internal.control.planning import Draft, draft_plan
+from cowslipshelf_core.internal.control.plans import Plan
+
+
+class ChangeRecord(NamedTuple):
+    """Be what is kept of a change id: whose it is, and its first answer."""
+
+    operator: OperatorName
+    digest: bytes
+    first_answer: bytes
+
+
+class Confirmation(NamedTuple):
+    """Be the outcome of a confirmation, with the draft where it took effect."""
+
+    outcome: PlanConfirmed | PlanOutdated | PlanUnknown | PlanRefused
+    first: bool
+    """False where this repeats an earlier answer."""
+    change_id: ChangeId | None = None
+    draft: Draft | None = None
+
+
+CHANGE_DECODER = msgspec.msgpack.Decoder(ChangeRecord)
+PENDING_DECODER = msgspec.msgpack.Decoder(RecordPlan)
+
+
+@dataclass
+class ChangeBook:
+    """Keep the configuration in force, the pending plans and the first answers.
+
+    Answers are found by change id and by plan id, and travel in snapshots: so a
+    resend gets its first answer from any instance and under any leader.
+    """
+
+    configuration: FleetConfiguration = FleetConfiguration()
+    changes: BoundedRecords = field(
+        default_factory=lambda: BoundedRecords(MOST_CHANGE_IDS, MOST_CHANGE_BYTES)
+    )
+    pending: BoundedRecords = field(
+        default_factory=lambda: BoundedRecords(
+            MOST_PENDING_PLANS, MOST_PENDING_PLAN_BYTES
+        )
+    )
+    confirmations: BoundedRecords = field(
+        default_factory=lambda: BoundedRecords(MOST_CHANGE_IDS, MOST_CHANGE_BYTES)
+    )
+
+    def record(
+        self, command: RecordPlan, index: int
+    ) -> tuple[PlanRecorded | PlanRefused | PlanOutdated, bool]:
+        """Answer a change with a plan; tell whether this is the first answer."""
+        digest = change_digest(command)
+        known = self.changes.get(command.change_id)
+        if known is not None:
+            return self.repeated(command, CHANGE_DECODER.decode(known), digest), False
+        if command.based_on > self.configuration.version:
+            reason = (
+                f"based_on is {command.based_on}, but the newest version is"
+                f" {self.configuration.version}"
+            )
+            return PlanRefused(command.change_id, (reason,)), False
+        outcome = self.draft_answer(command, index)
+        if isinstance(outcome, PlanRefused):
+            # Not kept: the operator mends the change and may keep its id.
+            return outcome, False
+        answer = ChangeRecord(command.operator, digest, encode_outcome(outcome))
+        self.changes.put(command.change_id, msgspec.msgpack.encode(answer))
+        return outcome, True
+
+    def repeated(
+        self, command: RecordPlan, known: ChangeRecord, digest: bytes
+    ) -> PlanRecorded | PlanOutdated | PlanRefused:
+        """Give the first answer again, to the same change only."""
+        if known.operator != command.operator:
+            reason = f"change id {command.change_id!r} is another operator's"
+            return PlanRefused(command.change_id, (reason,))
+        if known.digest != digest:
+            reason = f"change id {command.change_id!r} was used for another change"
+            return PlanRefused(command.change_id, (reason,))
+        return decode_outcome(known.first_answer)
+
+    def draft_answer(
+        self, pending: RecordPlan, index: int
+    ) -> PlanRecorded | PlanRefused | PlanOutdated:
+        """Draft a plan on the present version, and keep it until it is confirmed."""
+        present = self.configuration.version
+        draft = draft_plan(self.configuration, pending.change, pending.upstreams)
+        if draft.problems:
+            if pending.based_on == present:
+                return PlanRefused(pending.change_id, draft.problems)
+            return PlanOutdated(present, None, draft.problems)
+        plan_id = PlanId(f"plan-{index}")
+        fresh = msgspec.structs.replace(pending, based_on=present)
+        self.pending.put(plan_id, msgspec.msgpack.encode(fresh))
+        plan = Plan(
+            plan_id=plan_id,
+            change_id=pending.change_id,
+            operator=pending.operator,
+            based_on=present,
+            changes=draft.changes,
+            orders=draft.orders,
+            touches=draft.touches,
+            not_done=draft.not_done,
+        )
+        if pending.based_on == present:
+            return PlanRecorded(plan)
+        return PlanOutdated(present, plan)
+
+    def confirm(
+        self, command: ConfirmPlan, orders: OrderBook, index: int
+    ) -> Confirmation:
+        """Put a plan in force if no other change came first."""
+        answered = self.confirmations.get(command.plan_id)
+        if answered is not None:
+            return Confirmation(decode_outcome(answered), first=False)
+        data = self.pending.get(command.plan_id)
+        if data is None:
+            return Confirmation(PlanUnknown(command.plan_id), first=False)
+        pending = PENDING_DECODER.decode(data)
+        if command.change_id not in (None, pending.change_id):
+            reason = f"{command.plan_id} belongs to change id {pending.change_id!r}"
+            refused = PlanRefused(command.change_id, (reason,))
+            return Confirmation(refused, first=False)
+        self.pending.drop(command.plan_id)
+        confirmation = self.decide(command.plan_id, pending, orders, index)
+        self.confirmations.put(command.plan_id, encode_outcome(confirmation.outcome))
+        return confirmation
+
+    def decide(
+        self, plan_id: PlanId, pending: RecordPlan, orders: OrderBook, index: int
+    ) -> Confirmation:
+        """Compare and set the version: of two plans on one version, one wins."""
+        present = self.configuration
+        if pending.based_on != present.version:
+            outdated = self.draft_answer(pending, index)
+            return Confirmation(outdated, True, pending.change_id)
+        draft = draft_plan(present, pending.change, pending.upstreams)
+        if draft.configuration != present:
+            version = ConfigurationVersion(present.version + 1)
+            self.configuration = msgspec.structs.replace(
+                draft.configuration, version=version
+            )
+        confirmed = PlanConfirmed(
+            plan_id,
+            pending.change_id,
+            self.configuration.version,
+            orders.open_planned(draft.orders, plan_id, index),
+        )
+        return Confirmation(confirmed, True, pending.change_id, draft)
+
+
+def change_digest(command: RecordPlan) -> bytes:
+    """Tell changes apart; the asker's view of upstreams is no part of a change."""
+    data = msgspec.msgpack.encode((command.based_on, command.change))
+    return hashlib.blake2b(data, digest_size=16).digest()
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/control/grants.py
@@ -0,0 +1,113 @@
+"""Hand out the right to load from the weight store, within the fleet's rate."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from cowslipshelf_core.configuration import WeightStoreLimits
+from cowslipshelf_core.identifiers import GrantId, InstanceId, UpstreamId
+from cowslipshelf_core.internal.control.commands import AskLoadGrant, ReturnLoadGrant
+from cowslipshelf_core.internal.control.limits import MOST_GRANT_SECONDS
+from cowslipshelf_core.internal.control.outcomes import (
+    LoadGranted,
+    LoadGrantRefused,
+    LoadGrantReturned,
+)
+
+NEVER_SECONDS = MOST_GRANT_SECONDS
+
+
+class OpenGrant(NamedTuple):
+    """Be a grant that was neither given back nor expired."""
+
+    grant_id: GrantId
+    holder: InstanceId
+    upstream_id: UpstreamId
+    expires_at: float
+
+
+@dataclass
+class LoadGrants:
+    """Keep a token bucket for the whole fleet, and the open grants.
+
+    The bucket starts full and is filled by the log's clock, so that every replica
+    counts alike, and a new leader goes on where the old one stopped.
+    """
+
+    tokens: float | None = None
+    """Tokens in the bucket at `filled_at`; None before the first question."""
+    filled_at: float = 0.0
+    grants: dict[GrantId, OpenGrant] = field(default_factory=dict)
+
+    def ask(
+        self, asked: AskLoadGrant, limits: WeightStoreLimits, at: float
+    ) -> LoadGranted | LoadGrantRefused:
+        """Grant a load, or tell when to ask again."""
+        self.fill(limits, at)
+        self.expire(at)
+        known = self.grants.get(asked.grant_id)
+        if known is not None and known.holder == asked.holder:
+            return LoadGranted(known.grant_id, known.expires_at)
+        refused = self.refusal(asked, limits, at)
+        if refused is not None:
+            return refused
+        self.tokens -= asked.tokens
+        expires_at = at + min(asked.seconds, MOST_GRANT_SECONDS)
+        grant = OpenGrant(asked.grant_id, asked.holder, asked.upstream_id, expires_at)
+        self.grants[asked.grant_id] = grant
+        return LoadGranted(asked.grant_id, expires_at)
+
+    def refusal(
+        self, asked: AskLoadGrant, limits: WeightStoreLimits, at: float
+    ) -> LoadGrantRefused | None:
+        """Find what stands against a grant."""
+        if asked.grant_id in self.grants:
+            reason = "another instance holds this grant id"
+            return LoadGrantRefused(asked.grant_id, reason, NEVER_SECONDS)
+        if not 1 <= asked.tokens <= limits.burst_tokens or not asked.seconds > 0:
+            reason = (
+                f"tokens must be from 1 to {limits.burst_tokens}, and seconds above 0"
+            )
+            return LoadGrantRefused(asked.grant_id, reason, NEVER_SECONDS)
+        if len(self.grants) >= limits.most_open_grants:
+            soonest = min(grant.expires_at for grant in self.grants.values())
+            reason = f"{len(self.grants)} loads are running"
+            return LoadGrantRefused(asked.grant_id, reason, max(soonest - at, 0.0))
+        missing = asked.tokens - self.tokens
+        if missing > 0:
+            reason = "the fleet's rate is used up"
+            wait = missing / limits.tokens_per_second
+            return LoadGrantRefused(asked.grant_id, reason, wait)
+        return None
+
+    def give_back(self, returned: ReturnLoadGrant) -> LoadGrantReturned:
+        """End a grant; its tokens are spent, the store has served the load."""
+        grant = self.grants.get(returned.grant_id)
+        if grant is None or grant.holder != returned.holder:
+            return LoadGrantReturned(returned.grant_id, was_open=False)
+        del self.grants[returned.grant_id]
+        return LoadGrantReturned(returned.grant_id, was_open=True)
+
+    def fill(self, limits: WeightStoreLimits, at: float) -> None:
+        """Add the tokens of the time since the last question."""
+        burst = float(limits.burst_tokens)
+        if self.tokens is None:
+            self.tokens = burst
+        else:
+            gained = (at - self.filled_at) * limits.tokens_per_second
+            self.tokens = min(burst, self.tokens + gained)
+        self.filled_at = at
+
+    def expire(self, at: float) -> None:
+        """End grants whose holder never came back."""
+        for grant in tuple(self.grants.values()):
+            if grant.expires_at <= at:
+                del self.grants[grant.grant_id]
+
+    def open_grants(self) -> tuple[OpenGrant, ...]:
+        """List the open grants, the oldest first."""
+        return tuple(self.grants.values())
+
+    def restore(self, grants: Iterable[OpenGrant]) -> None:
+        """Take over the grants of a snapshot."""
+        self.grants = {grant.grant_id: grant for grant in grants}
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/control/orders.py
@@ -0,0 +1,195 @@
+"""Keep the orders to upstreams: one open at a time, each with a fencing number."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import FencingNumber, OrderId, UpstreamId
+from cowslipshelf_core.internal.control.commands import CloseOrder, RequestOrder
+from cowslipshelf_core.internal.control.limits import (
+    MOST_ORDER_SLOTS,
+    MOST_REMEMBERED_ORDERS,
+    MOST_WAITING_ORDERS,
+)
+from cowslipshelf_core.internal.control.outcomes import (
+    OrderClosed,
+    OrderGranted,
+    OrderRefused,
+)
+from cowslipshelf_core.internal.control.plans import OrderKind, PlannedOrder
+
+
+class WaitingOrder(NamedTuple):
+    """Be an order of a confirmed plan that waits for the open one to end."""
+
+    order_id: OrderId
+    kind: OrderKind
+    argument: str
+
+
+class OrderSlot(NamedTuple):
+    """Be all that is known of the orders to one upstream."""
+
+    upstream_id: UpstreamId
+    fencing: FencingNumber = FencingNumber(0)
+    """Number of the newest order; the upstream must obey none below it."""
+    open_order: OrderGranted | None = None
+    waiting: tuple[WaitingOrder, ...] = ()
+    ended: tuple[OrderId, ...] = ()
+    """The last orders that were closed or superseded."""
+
+
+@dataclass
+class OrderBook:
+    """Grant one order at a time to each upstream; its log index is the number.
+
+    The index grows with every order, whoever is the leader. So a control instance
+    that was isolated and still sends an old order carries a lower number than the
+    one that the majority granted since, and the upstream or its sidecar refuses it.
+    """
+
+    slots: dict[UpstreamId, OrderSlot] = field(default_factory=dict)
+    dropped_fencing: FencingNumber = FencingNumber(0)
+    """Highest number among idle slots that were dropped to stay within bounds."""
+
+    def request(self, asked: RequestOrder, index: int) -> OrderGranted | OrderRefused:
+        """Open an order; it supersedes the open one."""
+        slot = self.slot(asked.upstream_id)
+        if slot.open_order is not None and slot.open_order.order_id == asked.order_id:
+            return repeated_answer(slot.open_order, asked)
+        if asked.order_id in slot.ended:
+            # A late copy of an ended order must not supersede its successor.
+            return OrderRefused(asked.order_id, "this order has ended")
+        if not self.make_room(asked.upstream_id):
+            return OrderRefused(asked.order_id, "too many upstreams have open orders")
+        order = WaitingOrder(asked.order_id, asked.kind, asked.argument)
+        return self.open_in(slot, order, index)
+
+    def open_planned(
+        self, planned: Iterable[PlannedOrder], plan_id: str, index: int
+    ) -> tuple[OrderGranted, ...]:
+        """Open or queue the orders of a confirmed plan.
+
+        A plan speaks of announced upstreams alone, which bounds its orders.
+        """
+        opened: list[OrderGranted] = []
+        for number, order in enumerate(planned, start=1):
+            order_id = OrderId(f"{plan_id}-order-{number}")
+            waiting = WaitingOrder(order_id, order.kind, order.argument)
+            slot = self.slot(order.upstream_id)
+            if slot.open_order is None:
+                self.make_room(order.upstream_id)
+                opened.append(self.open_in(slot, waiting, index))
+            else:
+                self.keep(queued(slot, waiting))
+        return tuple(opened)
+
+    def close(self, closing: CloseOrder, index: int) -> OrderClosed | OrderRefused:
+        """End the open order, and open the next one that waits."""
+        slot = self.slot(closing.upstream_id)
+        if closing.order_id in slot.ended:
+            return OrderClosed(closing.order_id, slot.open_order)
+        order = slot.open_order
+        if order is None or order.order_id != closing.order_id:
+            return OrderRefused(closing.order_id, "this order is not open")
+        if order.fencing != closing.fencing:
+            return OrderRefused(
+                closing.order_id, f"its fencing number is {order.fencing}"
+            )
+        slot = ended(slot)
+        self.keep(slot)
+        if not slot.waiting:
+            return OrderClosed(closing.order_id, None)
+        following = slot._replace(waiting=slot.waiting[1:])
+        return OrderClosed(
+            closing.order_id, self.open_in(following, slot.waiting[0], index)
+        )
+
+    def current_fencing(self, upstream_id: UpstreamId) -> FencingNumber:
+        """Read the number below which no order to the upstream is valid."""
+        slot = self.slots.get(upstream_id)
+        return self.dropped_fencing if slot is None else slot.fencing
+
+    def open_orders(self) -> tuple[OrderGranted, ...]:
+        """List all open orders."""
+        orders = (slot.open_order for slot in self.slots.values())
+        return tuple(order for order in orders if order is not None)
+
+    def slot(self, upstream_id: UpstreamId) -> OrderSlot:
+        """Read an upstream's slot, an empty one where it has none."""
+        empty = OrderSlot(upstream_id, self.dropped_fencing)
+        return self.slots.get(upstream_id, empty)
+
+    def keep(self, slot: OrderSlot) -> None:
+        """Write a slot back, as the newest."""
+        self.slots.pop(slot.upstream_id, None)
+        self.slots[slot.upstream_id] = slot
+
+    def open_in(self, slot: OrderSlot, order: WaitingOrder, index: int) -> OrderGranted:
+        """Put an order in force in a slot."""
+        fencing = FencingNumber(index)
+        granted = OrderGranted(
+            order.order_id, slot.upstream_id, order.kind, order.argument, fencing
+        )
+        if slot.open_order is not None:
+            slot = ended(slot)
+        self.keep(slot._replace(open_order=granted, fencing=fencing))
+        return granted
+
+    def make_room(self, upstream_id: UpstreamId) -> bool:
+        """Make room for a slot by dropping the idle one that was used longest ago.
+
+        Its number lives on in `dropped_fencing`: were it forgotten, an upstream
+        would be told that a number below its last one is current.
+        """
+        if upstream_id in self.slots or len(self.slots) < MOST_ORDER_SLOTS:
+            return True
+        idle = (
+            slot
+            for slot in self.slots.values()
+            if slot.open_order is None and not slot.waiting
+        )
+        dropped = next(idle, None)
+        if dropped is None:
+            return False
+        del self.slots[dropped.upstream_id]
+        self.dropped_fencing = max(self.dropped_fencing, dropped.fencing)
+        return True
+
+    def restore(self, slots: Iterable[OrderSlot]) -> None:
+        """Take over the slots of a snapshot."""
+        self.slots = {slot.upstream_id: slot for slot in slots}
+
+
+def queued(slot: OrderSlot, order: WaitingOrder) -> OrderSlot:
+    """Queue an order; one for the same thing is replaced, the oldest go beyond a bound.
+
+    What a model's version should be is said by the newest plan alone.
+    """
+    others = (
+        entry
+        for entry in slot.waiting
+        if model_of(entry.argument) != model_of(order.argument)
+    )
+    waiting = (*others, order)
+    return slot._replace(waiting=waiting[-MOST_WAITING_ORDERS:])
+
+
+def model_of(argument: str) -> str:
+    """Read the model's name out of `name@version`."""
+    return argument.partition("@")[0]
+
+
+def ended(slot: OrderSlot) -> OrderSlot:
+    """End the open order of a slot, and remember its id for a while."""
+    remembered = (*slot.ended, slot.open_order.order_id)[-MOST_REMEMBERED_ORDERS:]
+    return slot._replace(open_order=None, ended=remembered)
+
+
+def repeated_answer(
+    granted: OrderGranted, asked: RequestOrder
+) -> OrderGranted | OrderRefused:
+    """Answer a resend, unless it asks for something else under the same id."""
+    if (granted.kind, granted.argument) == (asked.kind, asked.argument):
+        return granted
+    return OrderRefused(asked.order_id, "this order id was used for another order")
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
@@ -0,0 +1,51 @@
+"""Define the snapshot of the replicated control state."""
+
+import msgspec
+
+from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.identifiers import FencingNumber
+from cowslipshelf_core.internal.control.audit import AuditRecord
+from cowslipshelf_core.internal.control.bounded import KeptRecord
+from cowslipshelf_core.internal.control.errors import ControlCodecError
+from cowslipshelf_core.internal.control.grants import OpenGrant
+from cowslipshelf_core.internal.control.orders import OrderSlot
+from cowslipshelf_core.messages import Message
+
+SNAPSHOT_FORMAT = 1
+
+
+class ControlSnapshot(Message, frozen=True):
+    """Be the whole control state; equal states give equal bytes."""
+
+    format_version: int
+    applied_index: int
+    clock: float
+    configuration: FleetConfiguration
+    changes: tuple[KeptRecord, ...]
+    pending: tuple[KeptRecord, ...]
+    confirmations: tuple[KeptRecord, ...]
+    claims: tuple[KeptRecord, ...]
+    answers: tuple[KeptRecord, ...]
+    late_finishes: int
+    order_slots: tuple[OrderSlot, ...]
+    dropped_fencing: FencingNumber
+    grants: tuple[OpenGrant, ...]
+    grant_tokens: float | None
+    grants_filled_at: float
+    audit: tuple[AuditRecord, ...]
+
+
+SNAPSHOT_DECODER = msgspec.msgpack.Decoder(ControlSnapshot)
+
+
+def decode_snapshot(data: bytes) -> ControlSnapshot:
+    """Decode a snapshot; `ControlCodecError` where the bytes are none."""
+    step = "decode control snapshot"
+    try:
+        snapshot = SNAPSHOT_DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise ControlCodecError(step, str(error)) from error
+    if snapshot.format_version != SNAPSHOT_FORMAT:
+        detail = f"format {snapshot.format_version}, expected {SNAPSHOT_FORMAT}"
+        raise ControlCodecError(step, detail)
+    return snapshot
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/control/state.py
@@ -0,0 +1,289 @@
+"""Apply commands to the control state, alike on every replica."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+
+from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.identifiers import (
+    ChangeId,
+    ConfigurationVersion,
+    FencingNumber,
+    OperatorName,
+    UpstreamId,
+)
+from cowslipshelf_core.internal.control.audit import AuditRecord, AuditTrail
+from cowslipshelf_core.internal.control.changes import CHANGE_DECODER, ChangeBook
+from cowslipshelf_core.internal.control.claims import ClaimTable
+from cowslipshelf_core.internal.control.codec import decode_outcome
+from cowslipshelf_core.internal.control.commands import (
+    AskLoadGrant,
+    CloseOrder,
+    ConfirmPlan,
+    ControlCommand,
+    RecordMembership,
+    RecordPlan,
+    RequestOrder,
+    ReturnLoadGrant,
+)
+from cowslipshelf_core.internal.control.errors import AppliedOutOfOrderError
+from cowslipshelf_core.internal.control.grants import LoadGrants, OpenGrant
+from cowslipshelf_core.internal.control.orders import OrderBook
+from cowslipshelf_core.internal.control.outcomes import (
+    ControlOutcome,
+    LoadGranted,
+    MembershipRecorded,
+    OrderClosed,
+    OrderGranted,
+    PlanConfirmed,
+    PlanOutdated,
+    PlanRecorded,
+)
+from cowslipshelf_core.internal.control.snapshots import (
+    SNAPSHOT_FORMAT,
+    ControlSnapshot,
+    decode_snapshot,
+)
+from cowslipshelf_core.messages import ClaimAsked, ClaimFinished, ClaimMoved
+
+
+class ChangeExplanation(NamedTuple):
+    """Tell what became of a change."""
+
+    change_id: ChangeId
+    operator: OperatorName
+    first_answer: PlanRecorded | PlanOutdated
+    audit: tuple[AuditRecord, ...]
+    """Without records so old that the trail has dropped them."""
+
+
+@dataclass
+class ControlState:
+    """Hold what must survive: the configuration, claims, orders, grants, the trail.
+
+    Deterministic: equal commands under equal indexes and times give equal outcomes
+    and equal snapshots, byte for byte. The time is the leader's, from the log.
+    """
+
+    applied_index: int = 0
+    clock: float = 0.0
+    """Highest time seen; a leader whose clock is behind cannot turn it back."""
+    changes: ChangeBook = field(default_factory=ChangeBook)
+    claims: ClaimTable = field(default_factory=ClaimTable)
+    orders: OrderBook = field(default_factory=OrderBook)
+    grants: LoadGrants = field(default_factory=LoadGrants)
+    trail: AuditTrail = field(default_factory=AuditTrail)
+
+    @property
+    def configuration(self) -> FleetConfiguration:
+        """The configuration in force."""
+        return self.changes.configuration
+
+    def apply(self, command: ControlCommand, index: int, at: float) -> ControlOutcome:
+        """Apply a committed command; indexes must grow, `at` is in seconds since 1970.
+
+        Raises `AppliedOutOfOrderError` for an index that was applied before.
+        """
+        if index <= self.applied_index:
+            # A log replayed over a snapshot that holds it already would run claims
+            # and changes twice; every replica must stop rather than diverge.
+            detail = f"index {index} after {self.applied_index}"
+            raise AppliedOutOfOrderError("apply control command", detail)
+        self.applied_index = index
+        self.clock = max(self.clock, at)
+        match command:
+            case ClaimAsked():
+                return self.claims.ask(command, self.clock)
+            case ClaimMoved():
+                return self.claims.move(command, self.clock)
+            case ClaimFinished():
+                return self.claims.finish(command, self.clock)
+            case RecordPlan():
+                return self.record_plan(command)
+            case ConfirmPlan():
+                return self.confirm_plan(command)
+            case RequestOrder():
+                return self.request_order(command)
+            case CloseOrder():
+                return self.close_order(command)
+            case AskLoadGrant():
+                return self.ask_load_grant(command)
+            case ReturnLoadGrant():
+                return self.return_load_grant(command)
+            case RecordMembership():
+                return self.record_membership(command)
+
+    def record_plan(self, command: RecordPlan) -> ControlOutcome:
+        """Record a plan; nothing else changes."""
+        outcome, first = self.changes.record(command, self.applied_index)
+        if first:
+            self.audit_change(
+                command.operator, "record_plan", command.change_id, "waits for confirm"
+            )
+        return outcome
+
+    def confirm_plan(self, command: ConfirmPlan) -> ControlOutcome:
+        """Put a plan in force."""
+        before = self.configuration
+        confirmation = self.changes.confirm(command, self.orders, self.applied_index)
+        if not confirmation.first:
+            return confirmation.outcome
+        match confirmation.outcome:
+            case PlanConfirmed(opened=opened):
+                # Time that has passed counts at the rate that held while it passed.
+                self.grants.fill(before.weight_store, self.clock)
+                changed = len(confirmation.draft.changes)
+                detail = f"{changed} fields changed, {len(opened)} orders opened"
+                action = "confirm_plan"
+            case _:
+                detail = f"{command.plan_id}: another change came first"
+                action = "outdate_plan"
+        self.audit_change(
+            command.operator, action, confirmation.change_id, detail, before.version
+        )
+        return confirmation.outcome
+
+    def request_order(self, command: RequestOrder) -> ControlOutcome:
+        """Open an order."""
+        outcome = self.orders.request(command, self.applied_index)
+        match outcome:
+            case OrderGranted(fencing=self.applied_index):
+                detail = f"{command.upstream_id}: {command.kind} {command.argument}"
+                self.audit_change(command.operator, "open_order", None, detail)
+        return outcome
+
+    def close_order(self, command: CloseOrder) -> ControlOutcome:
+        """End an order."""
+        fencing_before = self.orders.current_fencing(command.upstream_id)
+        was_open = self.is_open(command)
+        outcome = self.orders.close(command, self.applied_index)
+        if was_open and isinstance(outcome, OrderClosed):
+            end = "done" if command.succeeded else "failed"
+            detail = f"{command.upstream_id}: {end}, was {fencing_before}"
+            detail = f"{detail} {command.detail}".rstrip()
+            self.audit_change(
+                OperatorName(command.upstream_id), "close_order", None, detail
+            )
+        return outcome
+
+    def is_open(self, command: CloseOrder) -> bool:
+        """Tell whether a report is about the order that is open."""
+        open_order = self.orders.slot(command.upstream_id).open_order
+        return open_order is not None and open_order.order_id == command.order_id
+
+    def ask_load_grant(self, command: AskLoadGrant) -> ControlOutcome:
+        """Grant a load from the weight store."""
+        known = command.grant_id in self.grants.grants
+        limits = self.configuration.weight_store
+        outcome = self.grants.ask(command, limits, self.clock)
+        if isinstance(outcome, LoadGranted) and not known:
+            detail = f"{command.grant_id}: {command.tokens} for {command.upstream_id}"
+            self.audit_change(OperatorName(command.holder), "grant_load", None, detail)
+        return outcome
+
+    def return_load_grant(self, command: ReturnLoadGrant) -> ControlOutcome:
+        """Take a load grant back."""
+        outcome = self.grants.give_back(command)
+        if outcome.was_open:
+            self.audit_change(
+                OperatorName(command.holder), "return_load", None, command.grant_id
+            )
+        return outcome
+
+    def record_membership(self, command: RecordMembership) -> ControlOutcome:
+        """Note a change of the replicas."""
+        detail = f"{command.action} {command.instance} {command.detail}".rstrip()
+        self.audit_change(command.operator, "change_membership", None, detail)
+        return MembershipRecorded()
+
+    def audit_change(
+        self,
+        operator: OperatorName,
+        action: str,
+        change_id: ChangeId | None,
+        detail: str,
+        version_before: ConfigurationVersion | None = None,
+    ) -> None:
+        """Leave a record of the present command."""
+        present = self.configuration.version
+        before = present if version_before is None else version_before
+        record = AuditRecord(
+            self.applied_index,
+            self.clock,
+            operator,
+            action,
+            change_id,
+            before,
+            present,
+            detail,
+        )
+        self.trail.add(record)
+
+    def current_fencing(self, upstream_id: UpstreamId) -> FencingNumber:
+        """Read the number below which no order to the upstream is valid."""
+        return self.orders.current_fencing(upstream_id)
+
+    def open_orders(self) -> tuple[OrderGranted, ...]:
+        """List the orders that upstreams should be carrying out."""
+        return self.orders.open_orders()
+
+    def open_grants(self) -> tuple[OpenGrant, ...]:
+        """List the load grants that were not given back."""
+        return self.grants.open_grants()
+
+    def audit(self, since_index: int, limit: int) -> tuple[AuditRecord, ...]:
+        """Read the audit trail after a log index, the oldest first."""
+        return self.trail.since(since_index, limit)
+
+    def explain_change(self, change_id: ChangeId) -> ChangeExplanation | None:
+        """Tell what became of a change; None where its id is no longer kept."""
+        data = self.changes.changes.get(change_id)
+        if data is None:
+            return None
+        record = CHANGE_DECODER.decode(data)
+        first_answer = decode_outcome(record.first_answer)
+        return ChangeExplanation(
+            change_id, record.operator, first_answer, self.trail.of_change(change_id)
+        )
+
+    def to_snapshot(self) -> bytes:
+        """Encode the whole state."""
+        snapshot = ControlSnapshot(
+            format_version=SNAPSHOT_FORMAT,
+            applied_index=self.applied_index,
+            clock=self.clock,
+            configuration=self.configuration,
+            changes=self.changes.changes.to_records(),
+            pending=self.changes.pending.to_records(),
+            confirmations=self.changes.confirmations.to_records(),
+            claims=self.claims.to_records(),
+            answers=self.claims.answers.to_records(),
+            late_finishes=self.claims.late_finishes,
+            order_slots=tuple(self.orders.slots.values()),
+            dropped_fencing=self.orders.dropped_fencing,
+            grants=self.grants.open_grants(),
+            grant_tokens=self.grants.tokens,
+            grants_filled_at=self.grants.filled_at,
+            audit=tuple(self.trail.records),
+        )
+        return msgspec.msgpack.encode(snapshot)
+
+    @classmethod
+    def from_snapshot(cls, data: bytes) -> "ControlState":
+        """Decode a whole state; `ControlCodecError` where the bytes are none."""
+        snapshot = decode_snapshot(data)
+        state = cls(applied_index=snapshot.applied_index, clock=snapshot.clock)
+        state.changes.configuration = snapshot.configuration
+        state.changes.changes.restore(snapshot.changes)
+        state.changes.pending.restore(snapshot.pending)
+        state.changes.confirmations.restore(snapshot.confirmations)
+        state.claims.restore(snapshot.claims, snapshot.answers)
+        state.claims.late_finishes = snapshot.late_finishes
+        state.orders.restore(snapshot.order_slots)
+        state.orders.dropped_fencing = snapshot.dropped_fencing
+        state.grants.restore(snapshot.grants)
+        state.grants.tokens = snapshot.grant_tokens
+        state.grants.filled_at = snapshot.grants_filled_at
+        state.trail.restore(snapshot.audit)
+        return state
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/control/validation.py
@@ -0,0 +1,125 @@
+"""Find what is wrong with a configuration before anybody can put it in force."""
+
+import math
+import re
+from collections.abc import Iterable
+
+from cowslipshelf_core.configuration import (
+    Customer,
+    FleetConfiguration,
+    Model,
+    Service,
+    WeightStoreLimits,
+)
+from cowslipshelf_core.internal.control.limits import MOST_NAME_CHARACTERS
+from cowslipshelf_core.internal.control.names import repeated_names
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]*")
+KEY_HASH_PATTERN = re.compile(r"[0-9a-f]{64}")
+MOST_COUNT = 2**31 - 1
+MOST_SECONDS = 7 * 24 * 3600.0
+MOST_WEIGHT = 1_000_000
+
+
+def configuration_problems(configuration: FleetConfiguration) -> tuple[str, ...]:
+    """List everything that is wrong, not the first problem alone."""
+    models = {entry.name for entry in configuration.models}
+    services = {entry.name for entry in configuration.services}
+    problems: list[str] = []
+    for model in configuration.models:
+        problems.extend(model_problems(model))
+    for service in configuration.services:
+        problems.extend(service_problems(service, models))
+    for customer in configuration.customers:
+        problems.extend(customer_problems(customer, services))
+    problems.extend(shared_key_problems(configuration.customers))
+    for upstream in configuration.draining:
+        problems.extend(name_problems("draining", upstream))
+    problems.extend(weight_store_problems(configuration.weight_store))
+    return tuple(problems)
+
+
+def model_problems(model: Model) -> Iterable[str]:
+    """Check one model."""
+    where = f"model {model.name!r}"
+    yield from name_problems(where, model.name)
+    yield from name_problems(f"{where}: version", model.version)
+    yield from count_problems(f"{where}: context_tokens", model.context_tokens)
+
+
+def service_problems(service: Service, models: set[str]) -> Iterable[str]:
+    """Check one service, and that its models exist."""
+    where = f"service {service.name!r}"
+    yield from name_problems(where, service.name)
+    yield from repeated_names(f"{where}: models", service.models)
+    for model in service.models:
+        if model not in models:
+            yield f"{where}: there is no model {model!r}"
+    if service.kind == "plain" and service.models:
+        yield f"{where}: a plain service has no models"
+    if service.kind == "model" and not service.models:
+        yield f"{where}: a service of kind 'model' needs a model"
+    yield from number_problems(
+        f"{where}: default_deadline_seconds",
+        service.default_deadline_seconds,
+        MOST_SECONDS,
+    )
+    yield from number_problems(
+        f"{where}: long_prompt_weight", service.long_prompt_weight, MOST_WEIGHT
+    )
+
+
+def customer_problems(customer: Customer, services: set[str]) -> Iterable[str]:
+    """Check one customer, and that its services exist."""
+    where = f"customer {customer.name!r}"
+    yield from name_problems(where, customer.name)
+    if not customer.key_hash:
+        yield f"{where}: a new customer needs `key` or `key_hash`"
+    elif not KEY_HASH_PATTERN.fullmatch(customer.key_hash):
+        yield f"{where}: key_hash must be 64 lower-case hexadecimal digits"
+    yield from repeated_names(f"{where}: services", customer.services)
+    for service in customer.services:
+        if service not in services:
+            yield f"{where}: there is no service {service!r}"
+    yield from count_problems(f"{where}: weight", customer.weight, MOST_WEIGHT)
+    yield from count_problems(f"{where}: most_concurrent", customer.most_concurrent)
+
+
+def shared_key_problems(customers: Iterable[Customer]) -> Iterable[str]:
+    """Find customers that one key would let in as each other."""
+    owners: dict[str, str] = {}
+    for customer in customers:
+        owner = owners.setdefault(customer.key_hash, customer.name)
+        if owner != customer.name and customer.key_hash:
+            yield f"customer {customer.name!r}: has the same key as {owner!r}"
+
+
+def weight_store_problems(limits: WeightStoreLimits) -> Iterable[str]:
+    """Check the limits of the weight store."""
+    where = "weight_store"
+    yield from number_problems(
+        f"{where}: tokens_per_second", limits.tokens_per_second, MOST_COUNT
+    )
+    yield from count_problems(f"{where}: burst_tokens", limits.burst_tokens)
+    yield from count_problems(f"{where}: most_open_grants", limits.most_open_grants)
+
+
+def name_problems(where: str, name: str) -> Iterable[str]:
+    """Check a name."""
+    if len(name) > MOST_NAME_CHARACTERS or not NAME_PATTERN.fullmatch(name):
+        yield (
+            f"{where}: a name has 1 to {MOST_NAME_CHARACTERS} letters, digits and"
+            f" ._:/- and begins with a letter or digit, found {name[:40]!r}"
+        )
+
+
+def count_problems(where: str, value: int, most: int = MOST_COUNT) -> Iterable[str]:
+    """Check a whole number."""
+    if not 1 <= value <= most:
+        yield f"{where}: must be from 1 to {most}, found {value}"
+
+
+def number_problems(where: str, value: float, most: float) -> Iterable[str]:
+    """Check a number that must be above zero; NaN is none."""
+    if not math.isfinite(value) or not 0 < value <= most:
+        yield f"{where}: must be above 0 and at most {most:g}, found {value}"
