--- /dev/null
+++ b/examples/local_fleet.py
@@ -0,0 +1,311 @@
+"""Start a small fleet of real processes on this machine, for examples and tests.
+
+The starter is not part of the system: none of the system's processes starts another.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import urllib3
+
+CLUSTER_KEY = "an-example-cluster-key-of-32-characters"
+OPERATOR_KEY = "an-example-operator-key"
+LOOPBACK = "127.0.0.1"
+DATA_CENTRES = ("maadi", "nasr", "smart-village")
+POLL_SECONDS = 0.05
+PATIENCE_SECONDS = 60.0
+GRACE_SECONDS = 40.0
+
+
+class FleetError(Exception):
+    """Say what did not happen in this fleet, and where its logs are."""
+
+
+class Upstream(NamedTuple):
+    """Describe one upstream that the fleet runs."""
+
+    name: str
+    service: str
+    kind: str
+    models: tuple[str, ...] = ()
+    memory_tokens: int = 400_000
+    checks_fencing: bool = True
+    options: tuple[str, ...] = ()
+
+
+def free_address() -> str:
+    """Return an address whose port the kernel has just given out."""
+    with socket.socket() as listener:
+        listener.bind((LOOPBACK, 0))
+        return f"{LOOPBACK}:{listener.getsockname()[1]}"
+
+
+def wait_until(condition: Callable[[], Any], what: str) -> Any:
+    """Poll until the condition gives something true, within a wide limit."""
+    limit = time.monotonic() + PATIENCE_SECONDS
+    while time.monotonic() < limit:
+        found = condition()
+        if found:
+            return found
+        time.sleep(POLL_SECONDS)
+    raise FleetError(f"{what} did not happen within {PATIENCE_SECONDS:.0f} s")
+
+
+class LocalFleet:
+    """Own the processes, settings files and data folders of one small fleet."""
+
+    def __init__(
+        self, folder: Path, entries: int = 3, timings: dict[str, float] | None = None
+    ) -> None:
+        self.folder = folder
+        self.timings = timings or {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.settings: dict[str, Path] = {}
+        self.upstream_addresses: dict[str, str] = {}
+        self.entry_names = tuple(f"entry-{index + 1}" for index in range(entries))
+        self.mailboxes = {name: free_address() for name in self.entry_names}
+        self.callers = {name: free_address() for name in self.entry_names}
+        self.operators = {name: free_address() for name in self.entry_names}
+        self.attempts: dict[str, str] = {}
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def data_centre(self, index: int) -> str:
+        """Spread instances over the data centres."""
+        return DATA_CENTRES[index % len(DATA_CENTRES)]
+
+    def write_settings(self, name: str, document: dict[str, Any]) -> Path:
+        """Write one instance's settings file."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document, indent=2))
+        self.settings[name] = path
+        return path
+
+    def common_settings(self, name: str, index: int, mailbox: str) -> dict[str, Any]:
+        """Return what the settings of every role share."""
+        return {
+            "instance": name,
+            "data_centre": self.data_centre(index),
+            "data_centres": list(DATA_CENTRES),
+            "cluster_key": CLUSTER_KEY,
+            "mailbox_address": mailbox,
+            "entries": [
+                {
+                    "instance": entry,
+                    "data_centre": self.data_centre(position),
+                    "mailbox_address": self.mailboxes[entry],
+                    "replica": True,
+                }
+                for position, entry in enumerate(self.entry_names)
+            ],
+            "timings": self.timings,
+        }
+
+    def start_entry(self, name: str) -> None:
+        """Start, or start again, one entry daemon with its data folder."""
+        import hashlib
+
+        index = self.entry_names.index(name)
+        document = self.common_settings(name, index, self.mailboxes[name]) | {
+            "role": "entry",
+            "entry": {
+                "callers_address": self.callers[name],
+                "operators_address": self.operators[name],
+                "data_folder": str(self.folder / f"{name}-data"),
+                "operator_key_hashes": [
+                    hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+                ],
+            },
+        }
+        self.start_daemon(name, self.write_settings(name, document))
+
+    def start_upstream(self, upstream: Upstream) -> None:
+        """Start one upstream stand-in and the sidecar in its slot."""
+        self.start_standin(upstream)
+        self.start_sidecar(upstream)
+
+    def start_standin(self, upstream: Upstream) -> None:
+        """Start, or start again, the stand-in of one upstream."""
+        address = self.upstream_addresses.setdefault(upstream.name, free_address())
+        role = "engine" if upstream.kind == "model" else "plain"
+        command = ["-m", "cowslipshelf_standins", role, "--address", address]
+        if role == "engine":
+            command += ["--memory-tokens", str(upstream.memory_tokens)]
+        self.start_process(upstream.name, [*command, *upstream.options])
+        self.wait_for_port(address)
+
+    def start_sidecar(self, upstream: Upstream) -> None:
+        """Start, or start again, the sidecar of one upstream."""
+        name = f"{upstream.name}-sidecar"
+        attempts = self.attempts.setdefault(name, free_address())
+        index = len(self.attempts)
+        document = self.common_settings(name, index, free_address()) | {
+            "role": "sidecar",
+            "sidecar": {
+                "attempts_address": attempts,
+                "upstream": {
+                    "upstream_id": upstream.name,
+                    "service": upstream.service,
+                    "kind": upstream.kind,
+                    "models": list(upstream.models),
+                    "memory_tokens": upstream.memory_tokens
+                    if upstream.kind == "model"
+                    else 0,
+                    "checks_fencing": upstream.checks_fencing,
+                    "address": self.upstream_addresses[upstream.name],
+                },
+            },
+        }
+        self.start_daemon(name, self.write_settings(name, document))
+
+    def start_daemon(self, name: str, settings: Path) -> None:
+        """Start one daemon on its settings file."""
+        arguments = ["-m", "cowslipshelf_daemon", "--settings", str(settings)]
+        self.start_process(name, arguments)
+
+    def start_process(self, name: str, arguments: Sequence[str]) -> None:
+        """Start one Python process that logs into the fleet's folder."""
+        environment = os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)}
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, *arguments],
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def wait_for_port(self, address: str) -> None:
+        """Wait until something listens."""
+        host, port = address.split(":")
+
+        def listening() -> bool:
+            with socket.socket() as probe:
+                probe.settimeout(1.0)
+                return probe.connect_ex((host, int(port))) == 0
+
+        wait_until(listening, f"a listener on {address}")
+
+    def operator_call(
+        self, name: str, method: str, path: str, document: Any = None
+    ) -> tuple[int, Any]:
+        """Call one entry's operators interface."""
+        response = self.http.request(
+            method,
+            f"http://{self.operators[name]}{path}",
+            body=None if document is None else json.dumps(document).encode(),
+            headers={"Authorization": f"Bearer {OPERATOR_KEY}"},
+        )
+        try:
+            return response.status, json.loads(response.data)
+        except ValueError:
+            return response.status, response.data.decode(errors="replace")
+
+    def is_ready(self, name: str) -> bool:
+        """Tell whether an entry says that it serves."""
+        try:
+            return self.operator_call(name, "GET", "/readyz")[0] == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def wait_ready(self) -> None:
+        """Wait until every running entry is ready."""
+        for name in self.entry_names:
+            if self.is_running(name):
+                wait_until(lambda name=name: self.is_ready(name), f"readiness of {name}")
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process was started and has not ended."""
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
+    def change(self, change_id: str, change: dict[str, Any]) -> dict[str, Any]:
+        """Plan a change at the first entry that can, and confirm it."""
+        return wait_until(
+            lambda: self.try_change(change_id, change), f"change {change_id}"
+        )
+
+    def try_change(
+        self, change_id: str, change: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        """Plan and confirm once; resending either is safe."""
+        for name in self.entry_names:
+            if not self.is_running(name):
+                continue
+            try:
+                answer = self.try_change_at(name, change_id, change)
+            except urllib3.exceptions.HTTPError:
+                continue
+            if answer is not None:
+                return answer
+        return None
+
+    def try_change_at(
+        self, name: str, change_id: str, change: dict[str, Any]
+    ) -> dict[str, Any] | None:
+        """Plan and confirm once at one entry."""
+        _, state = self.operator_call(name, "GET", "/v1/state")
+        based_on = state["configuration"]["version"]
+        document = {"change_id": change_id, "based_on": based_on, "change": change}
+        status, plan = self.operator_call(name, "POST", "/v1/plans", document)
+        if status == 400:
+            raise FleetError(f"plan {change_id} refused: {plan}")
+        if status != 200:
+            return None
+        path = f"/v1/plans/{plan['plan_id']}/confirm"
+        status, answer = self.operator_call(
+            name, "POST", path, {"change_id": f"{change_id}-confirm"}
+        )
+        return answer if status == 200 else None
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process of this fleet."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill one process and wait until it has gone."""
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def stop(self) -> dict[str, int]:
+        """End everything gracefully, entries first; return the exit codes."""
+        codes = {}
+        sidecars = [name for name in self.processes if name.endswith("-sidecar")]
+        rest = [name for name in self.processes if name not in sidecars]
+        entries = [name for name in rest if name in self.entry_names]
+        upstreams = [name for name in rest if name not in self.entry_names]
+        for group in (entries, sidecars, upstreams):
+            codes |= self.stop_group(group)
+        return codes
+
+    def stop_group(self, names: Sequence[str]) -> dict[str, int]:
+        """Ask processes to end, then wait; kill what does not end."""
+        for name in names:
+            if self.is_running(name):
+                self.processes[name].send_signal(signal.SIGCONT)
+                self.processes[name].terminate()
+        return {name: self.wait_for_end(name) for name in names}
+
+    def wait_for_end(self, name: str) -> int:
+        """Wait for one process, and kill it past the grace."""
+        process = self.processes[name]
+        try:
+            return process.wait(GRACE_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def __enter__(self) -> "LocalFleet":
+        """Begin a fleet that is stopped at the end of the block."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop every process."""
+        self.stop()
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Keep what is not part of the public surface."""
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Run the role beside the callers and operators."""
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/post.py
@@ -0,0 +1,59 @@
+"""Deliver messages to instances by name or address, this one included."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import InstanceId
+from cowslipshelf_core.messages import Message
+from cowslipshelf_fleet import Mailbox
+
+
+class Delivered(NamedTuple):
+    """Be a message for an actor, from another process or from this one."""
+
+    sender: InstanceId
+    sender_address: str
+    message: Message
+
+
+class Post:
+    """Know the entries' mailbox addresses and send to them; shared by the actors."""
+
+    def __init__(self, instance: InstanceId, address: str) -> None:
+        self.instance = instance
+        self.address = address
+        self.mailbox: Mailbox | None = None
+        self.deliver_here: Callable[[Delivered], None] | None = None
+        self.lock = threading.Lock()
+        self.addresses: dict[InstanceId, str] = {instance: address}
+
+    def learn(self, instance: InstanceId, address: str) -> None:
+        """Remember where an entry instance is."""
+        with self.lock:
+            self.addresses[instance] = address
+
+    def entries(self) -> tuple[tuple[InstanceId, str], ...]:
+        """List the entry instances known, this one included."""
+        with self.lock:
+            return tuple(self.addresses.items())
+
+    def send_to_instance(self, instance: InstanceId, message: Message) -> None:
+        """Send to an entry instance; a message to an unknown one is lost."""
+        with self.lock:
+            address = self.addresses.get(instance)
+        if address is not None:
+            self.send(address, message)
+
+    def send(self, address: str, message: Message) -> None:
+        """Send to an address, without the network where it is this process's own."""
+        if address == self.address:
+            self.deliver_here(Delivered(self.instance, address, message))
+        else:
+            self.mailbox.send(address, message)
+
+    def tell_other_entries(self, message: Message) -> None:
+        """Send to every other entry instance."""
+        for instance, address in self.entries():
+            if instance != self.instance:
+                self.mailbox.send(address, message)
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -0,0 +1,302 @@
+"""Drive one caller's request: carry out what its decider says, one step at a time."""
+
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+from queue import Empty, SimpleQueue
+from typing import NamedTuple
+
+from cowslipshelf_callers import AnswerWriter, CallerGoneError
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId, Epoch, InstanceId, UpstreamId
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimRefused,
+    Frame,
+    Message,
+)
+from cowslipshelf_core.requests import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerRefusal,
+    AskClaim,
+    AskRetryBudget,
+    CallerGone,
+    CallerRequest,
+    Cancel,
+    ChoosePlacement,
+    ClaimAnswered,
+    ClaimUnavailable,
+    DeadlinePassed,
+    FinishClaim,
+    FrameArrived,
+    HandOverAnswered,
+    HandOverLost,
+    MoveClaim,
+    Note,
+    Placed,
+    PlacementRefused,
+    Report,
+    RequestEffect,
+    RequestEvent,
+    RequestMachine,
+    Resume,
+    ResumeAnswered,
+    RetryAnswered,
+    RetryBudget,
+    Revoke,
+    RevokeAnswered,
+    SendHandOver,
+    Started,
+    StreamLost,
+    Wait,
+    WaitElapsed,
+)
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_daemon.internal.entry.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
+from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
+from cowslipshelf_fleet import (
+    AttemptsClient,
+    AttemptStream,
+    HandOverFailed,
+    StreamLostError,
+)
+
+SHORTEST_WAIT_SECONDS = 0.001
+
+
+class SharedRetryBudget:
+    """Guard the process's one retry budget, which every request's thread asks."""
+
+    def __init__(self, budget: RetryBudget) -> None:
+        self.budget = budget
+        self.lock = threading.Lock()
+
+    def request_started(self, now: float) -> None:
+        """Count a first attempt."""
+        with self.lock:
+            self.budget.request_started(now)
+
+    def allows(self, now: float) -> bool:
+        """Spend a retry where there is one to spend."""
+        with self.lock:
+            return self.budget.take(now)
+
+
+class DriverServices(NamedTuple):
+    """Be what every request of one entry uses."""
+
+    instance: InstanceId
+    routing: RoutingDesk
+    control: ControlGateway
+    attempts: AttemptsClient
+    retry_budget: SharedRetryBudget
+    new_attempt_id: Callable[[], AttemptId]
+
+
+class RequestDriver:
+    """Own the sockets of one request, on the thread of its caller's connection."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        machine: RequestMachine,
+        writer: AnswerWriter,
+        services: DriverServices,
+        record: RequestRecord,
+    ) -> None:
+        self.request = request
+        self.machine = machine
+        self.writer = writer
+        self.services = services
+        self.record = record
+        self.effects: deque[RequestEffect] = deque()
+        self.stream: AttemptStream | None = None
+        self.streaming: AttemptId | None = None
+        self.deadline_at = time.monotonic() + request.deadline_seconds
+        self.ended = False
+
+    def run(self) -> None:
+        """Drive the request to its one final answer."""
+        self.services.retry_budget.request_started(time.monotonic())
+        self.handle(Started())
+        try:
+            while not self.ended:
+                self.step()
+        finally:
+            self.close_stream()
+
+    def step(self) -> None:
+        """Carry out the next effect, or else read the open stream."""
+        if self.effects:
+            self.perform(self.effects.popleft())
+        elif self.stream is not None:
+            self.read_stream()
+        else:
+            # Without an effect and a stream only the deadline is left to come.
+            time.sleep(max(SHORTEST_WAIT_SECONDS, self.seconds_left()))
+            self.handle(DeadlinePassed())
+
+    def handle(self, event: RequestEvent) -> None:
+        """Give the decider an event and queue what it wants done."""
+        self.effects.extend(self.machine.handle(event, time.monotonic()))
+
+    def seconds_left(self) -> float:
+        """Return the time left of the caller's deadline, in seconds."""
+        return self.deadline_at - time.monotonic()
+
+    def perform(self, effect: RequestEffect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case ChoosePlacement():
+                self.choose_placement(effect)
+            case AskClaim(claim) | MoveClaim(claim):
+                self.ask_claim(claim)
+            case FinishClaim(claim):
+                self.services.control.ask(claim, self.seconds_left())
+            case SendHandOver(address, hand_over):
+                self.send_hand_over(address, hand_over)
+            case Resume(address, attempt_id, after_sequence):
+                self.resume(address, attempt_id, after_sequence)
+            case Revoke(address, attempt_id, epoch, upstream_id):
+                self.revoke(address, attempt_id, epoch, upstream_id)
+            case Cancel(address, attempt_id):
+                self.services.attempts.cancel(address, attempt_id)
+            case AskRetryBudget():
+                self.ask_retry_budget()
+            case Wait(seconds):
+                time.sleep(max(0.0, min(seconds, self.seconds_left())))
+                self.handle(WaitElapsed())
+            case Report(event):
+                self.services.routing.report(event)
+            case Note(text):
+                self.record.note(text)
+            case AnswerHead() | AnswerChunk() | AnswerEnd() | AnswerRefusal():
+                self.answer(effect)
+
+    def choose_placement(self, effect: ChoosePlacement) -> None:
+        """Ask the router and wait for its one answer."""
+        attempt_id = self.services.new_attempt_id()
+        answer = self.services.routing.place(
+            self.request, attempt_id, effect.excluded, self.seconds_left()
+        )
+        if answer is None:
+            self.handle(DeadlinePassed())
+            return
+        self.record.placed(answer.explanation)
+        match answer.answer:
+            case ChosenUpstream() as chosen:
+                self.handle(Placed(chosen))
+            case Refusal() as refusal:
+                self.handle(PlacementRefused(refusal))
+
+    def ask_claim(self, claim: Message) -> None:
+        """Put a claim to the replicated state."""
+        match self.services.control.ask(claim, self.seconds_left()):
+            case ClaimHeld(owner=owner) as held:
+                gone = not self.services.routing.entry_is_alive(owner)
+                self.handle(ClaimAnswered(held, gone))
+            case (ClaimGranted() | ClaimRefused()) as answer:
+                self.handle(ClaimAnswered(answer))
+            case Refusal() as refusal:
+                self.handle(ClaimUnavailable(refusal))
+
+    def send_hand_over(self, address: str, hand_over: HandOver) -> None:
+        """Hand an attempt over; this is its only sending."""
+        self.close_stream()
+        attempt_id = hand_over.attempt_id
+        answer = self.services.attempts.hand_over(address, hand_over)
+        match answer:
+            case AttemptRefused():
+                self.handle(HandOverAnswered(answer, attempt_id))
+            case HandOverFailed(may_have_arrived=may_have_arrived):
+                self.record.note(f"hand-over failed: {answer.detail}")
+                self.handle(HandOverLost(may_have_arrived, attempt_id))
+            case _:
+                self.open_stream(answer, attempt_id)
+                self.handle(HandOverAnswered(None, attempt_id))
+
+    def resume(self, address: str, attempt_id: AttemptId, after: int) -> None:
+        """Read an attempt's frames from where they were cut."""
+        self.close_stream()
+        stream = self.services.attempts.resume(address, attempt_id, after)
+        if stream is not None:
+            self.open_stream(stream, attempt_id)
+        self.handle(ResumeAnswered(stream is not None, attempt_id))
+
+    def revoke(
+        self, address: str, attempt_id: AttemptId, epoch: Epoch, upstream: UpstreamId
+    ) -> None:
+        """Ask a sidecar for the promise that an attempt never runs."""
+        where = address or self.services.routing.attempts_address(upstream)
+        answer = None
+        if where:
+            answer = self.services.attempts.revoke(where, attempt_id, epoch)
+        self.handle(RevokeAnswered(answer, attempt_id))
+
+    def ask_retry_budget(self) -> None:
+        """Ask whether this process may spend a retry."""
+        allowed = self.services.retry_budget.allows(time.monotonic())
+        self.handle(RetryAnswered(allowed, random.random()))
+
+    def open_stream(self, stream: AttemptStream, attempt_id: AttemptId) -> None:
+        """Begin to read an attempt's frames."""
+        self.stream = stream
+        self.streaming = attempt_id
+
+    def close_stream(self) -> None:
+        """Give up the connection of the present stream."""
+        if self.stream is not None:
+            self.stream.close()
+        self.stream = None
+
+    def read_stream(self) -> None:
+        """Take the next frame; the stream's silence limit bounds the wait."""
+        frame: Frame | None = None
+        try:
+            frame = self.stream.next_frame(self.seconds_left())
+        except StreamLostError as error:
+            self.record.note(str(error))
+            self.close_stream()
+            self.handle(StreamLost(self.streaming))
+            return
+        if frame is None:
+            self.handle(DeadlinePassed())
+        else:
+            self.handle(FrameArrived(frame, self.streaming))
+
+    def answer(
+        self, effect: AnswerHead | AnswerChunk | AnswerEnd | AnswerRefusal
+    ) -> None:
+        """Write to the caller; one that has gone does not end the request."""
+        self.ended = isinstance(effect, AnswerEnd | AnswerRefusal)
+        try:
+            self.write(effect)
+        except CallerGoneError as error:
+            self.record.note(str(error))
+            if not self.ended:
+                self.handle(CallerGone())
+
+    def write(
+        self, effect: AnswerHead | AnswerChunk | AnswerEnd | AnswerRefusal
+    ) -> None:
+        """Write one piece of the answer."""
+        match effect:
+            case AnswerHead(status, headers):
+                self.writer.head(status, headers)
+            case AnswerChunk(data):
+                self.record.chunk_written()
+                self.writer.chunk(data)
+            case AnswerEnd():
+                self.record.end("whole")
+                self.writer.end()
+            case AnswerRefusal(refusal, head_sent):
+                self.record.end(f"{refusal.code}: {refusal.reason}")
+                self.writer.refusal(refusal, head_sent)
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Run the role in the slot of one upstream."""
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_log.py
@@ -0,0 +1,33 @@
+"""Hold the frame buffers of a sidecar's attempts."""
+
+import threading
+
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_fleet import FrameBuffer
+
+
+class AttemptLog:
+    """Map attempts to their frames; shared by the actor and the HTTP threads."""
+
+    def __init__(self) -> None:
+        self.buffers: dict[AttemptId, FrameBuffer] = {}
+        self.lock = threading.Lock()
+
+    def open(self, attempt_id: AttemptId) -> FrameBuffer:
+        """Make the buffer of a new attempt."""
+        buffer = FrameBuffer()
+        with self.lock:
+            self.buffers[attempt_id] = buffer
+        return buffer
+
+    def find(self, attempt_id: AttemptId) -> FrameBuffer | None:
+        """Return the buffer of an attempt that is not forgotten."""
+        with self.lock:
+            return self.buffers.get(attempt_id)
+
+    def forget(self, attempt_id: AttemptId) -> None:
+        """Drop an attempt's frames; nobody can resume it any more."""
+        with self.lock:
+            buffer = self.buffers.pop(attempt_id, None)
+        if buffer is not None:
+            buffer.close()
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
@@ -0,0 +1,74 @@
+"""Answer what entries ask of this sidecar over HTTP."""
+
+from queue import Empty, SimpleQueue
+from typing import NamedTuple
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId, Epoch
+from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.sidecar import CancelArrived, RevokeArrived
+from cowslipshelf_core.upstream import HandOver, LoadReport
+from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
+from cowslipshelf_fleet import FrameBuffer
+from pykka import ActorDeadError, ActorRef
+
+ANSWER_SECONDS = 5.0
+
+
+class HandOverAsked(NamedTuple):
+    """Ask the actor to decide on a hand-over."""
+
+    hand_over: HandOver
+    reply: "SimpleQueue[AttemptRefused | FrameBuffer]"
+
+
+class RevokeAsked(NamedTuple):
+    """Ask the actor to promise that an attempt never runs."""
+
+    event: RevokeArrived
+    reply: "SimpleQueue[NeverRan | MayHaveRun]"
+
+
+class SidecarAttemptsHandler:
+    """Pass attempts to the sidecar's actor and wait for its decision."""
+
+    def __init__(self, sidecar: ActorRef, log: AttemptLog) -> None:
+        self.sidecar = sidecar
+        self.log = log
+
+    def hand_over(self, hand_over: HandOver) -> AttemptRefused | FrameBuffer:
+        """Decide on one attempt."""
+        reply: SimpleQueue[AttemptRefused | FrameBuffer] = SimpleQueue()
+        try:
+            self.sidecar.tell(HandOverAsked(hand_over, reply))
+            return reply.get(timeout=ANSWER_SECONDS)
+        except (ActorDeadError, Empty):
+            return self.outcome_unknown(hand_over)
+
+    def outcome_unknown(self, hand_over: HandOver) -> AttemptRefused:
+        """Refuse without a promise: the actor may yet take the attempt."""
+        refusal = Refusal(
+            RefusalCode.OUTCOME_UNKNOWN,
+            RefusalReason.NOT_READY,
+            "hand_over",
+            hand_over.upstream_id,
+            "the sidecar did not decide in time",
+        )
+        return AttemptRefused(refusal, LoadReport())
+
+    def frames(self, attempt_id: AttemptId) -> FrameBuffer | None:
+        """Return an attempt's frames where they are still kept."""
+        return self.log.find(attempt_id)
+
+    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+        """Ask for the promise; without an answer there is none."""
+        reply: SimpleQueue[NeverRan | MayHaveRun] = SimpleQueue()
+        try:
+            self.sidecar.tell(RevokeAsked(RevokeArrived(attempt_id, epoch), reply))
+            return reply.get(timeout=ANSWER_SECONDS)
+        except (ActorDeadError, Empty):
+            return MayHaveRun(attempt_id, known=False)
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Cancel an attempt that nobody waits for."""
+        self.sidecar.tell(CancelArrived(attempt_id))
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -0,0 +1,287 @@
+"""Own the sidecar's deciders and carry out their effects."""
+
+import time
+from collections.abc import Callable
+from queue import SimpleQueue
+from typing import Any, NamedTuple
+
+from cowslipshelf_core.configuration_view import (
+    AskForConfiguration,
+    BecameServable,
+    ConfigurationConflict,
+    ConfigurationView,
+    ConfigurationViewEvent,
+    PutInForce,
+    SnapshotArrived,
+    VersionSeen,
+)
+from cowslipshelf_core.configuration_view import TickElapsed as ViewTickElapsed
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
+from cowslipshelf_core.messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    MayHaveRun,
+    NeverRan,
+    StreamEnd,
+    Withdraw,
+)
+from cowslipshelf_core.sidecar import (
+    AnswerRevoke,
+    CancelArrived,
+    CancelAtUpstream,
+    ConfigurationApplied,
+    EndAttempt,
+    FirstTokenArrived,
+    ForgetAttempt,
+    HandOverArrived,
+    InventoryRead,
+    LeavingBegun,
+    LeftForGood,
+    OwnerSeen,
+    RefuseAttempt,
+    ReleaseAtUpstream,
+    SidecarEffect,
+    SidecarEvent,
+    SidecarState,
+    StartAttempt,
+    TickElapsed,
+    UpstreamAccepted,
+    UpstreamFinished,
+)
+from cowslipshelf_core.upstream import HandOver, UpstreamDescription
+from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
+from cowslipshelf_daemon.internal.sidecar.attempt_runner import (
+    AttemptRunner,
+    AttemptServices,
+)
+from cowslipshelf_daemon.internal.sidecar.attempts_handler import (
+    HandOverAsked,
+    RevokeAsked,
+)
+from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_fleet import Mailbox, Received
+from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_platform.settings import DaemonSettings
+from pykka import ThreadingActor
+
+LOG = part_logger("sidecar")
+
+DECIDER_TICK_SECONDS = 0.25
+
+
+class LeaveAsked(NamedTuple):
+    """Ask the sidecar to take no more work and leave when what runs has ended."""
+
+    on_left: Callable[[], None]
+
+
+class SidecarParts(NamedTuple):
+    """Be what the sidecar's actor works with."""
+
+    settings: DaemonSettings
+    description: UpstreamDescription
+    epoch: Epoch
+    state: SidecarState
+    view: ConfigurationView
+    attempts: AttemptLog
+
+
+class SidecarActor(ThreadingActor):
+    """Decide about one upstream's attempts; the only owner of that state."""
+
+    def __init__(self, parts: SidecarParts) -> None:
+        super().__init__()
+        self.settings = parts.settings
+        self.description = parts.description
+        self.epoch = parts.epoch
+        self.state = parts.state
+        self.view = parts.view
+        self.attempts = parts.attempts
+        self.mailbox: Mailbox | None = None
+        self.services: AttemptServices | None = None
+        self.keeper: UpstreamKeeper | None = None
+        self.entry_addresses = {
+            entry.mailbox_address for entry in parts.settings.entries
+        }
+        self.runners: dict[AttemptId, AttemptRunner] = {}
+        self.leave: LeaveAsked | None = None
+        self.next_announcement = 0.0
+        self.next_decider_tick = 0.0
+
+    def attach(
+        self, mailbox: Mailbox, services: AttemptServices, keeper: UpstreamKeeper
+    ) -> None:
+        """Take over the peers, which need this actor's address to be made."""
+        self.mailbox = mailbox
+        self.services = services
+        self.keeper = keeper
+
+    def on_receive(self, message: Any) -> None:
+        """Turn one message into an event for a decider."""
+        now = time.monotonic()
+        match message:
+            case Tick():
+                self.tick(now)
+            case HandOverAsked(hand_over=hand_over, reply=reply):
+                self.decide_hand_over(hand_over, reply, now)
+            case RevokeAsked(event=event, reply=reply):
+                self.decide_revoke(message, now)
+            case Received():
+                self.receive(message, now)
+            case LeaveAsked():
+                self.leave = message
+                LOG.info("leaving", upstream=self.description.upstream_id)
+                self.decide(LeavingBegun(), now)
+                self.announce(now)
+            case UpstreamFinished(attempt_id=attempt_id):
+                self.runners.pop(attempt_id, None)
+                self.decide(message, now)
+            case (
+                UpstreamAccepted()
+                | FirstTokenArrived()
+                | CancelArrived()
+                | InventoryRead()
+            ):
+                self.decide(message, now)
+
+    def decide(self, event: SidecarEvent, now: float) -> None:
+        """Give the decider an event and carry out what it says."""
+        for effect in self.state.handle(event, now):
+            self.perform(effect)
+
+    def decide_hand_over(
+        self, hand_over: HandOver, reply: "SimpleQueue[Any]", now: float
+    ) -> None:
+        """Decide one hand-over; what is not refused here gets a buffer of frames."""
+        self.decide(OwnerSeen(hand_over.owner), now)
+        effects = self.state.handle(HandOverArrived(hand_over), now)
+        refusals = [
+            effect
+            for effect in effects
+            if isinstance(effect, RefuseAttempt)
+            and effect.attempt_id == hand_over.attempt_id
+        ]
+        if not refusals:
+            # The buffer must be there before the attempt starts to fill it.
+            self.attempts.open(hand_over.attempt_id)
+        for effect in effects:
+            if effect not in refusals:
+                self.perform(effect)
+        if refusals:
+            reply.put(refusals[0].refused)
+        else:
+            reply.put(self.attempts.find(hand_over.attempt_id))
+
+    def decide_revoke(self, asked: RevokeAsked, now: float) -> None:
+        """Decide one revocation and answer it."""
+        answer: NeverRan | MayHaveRun = MayHaveRun(asked.event.attempt_id, known=False)
+        for effect in self.state.handle(asked.event, now):
+            match effect:
+                case AnswerRevoke():
+                    answer = effect.answer
+                case _:
+                    self.perform(effect)
+        asked.reply.put(answer)
+
+    def perform(self, effect: SidecarEffect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case StartAttempt(hand_over):
+                self.start_attempt(hand_over)
+            case EndAttempt(attempt_id, refusal):
+                self.end_attempt(attempt_id, refusal)
+            case CancelAtUpstream(attempt_id) | ReleaseAtUpstream(attempt_id):
+                self.cancel_at_upstream(attempt_id)
+            case ForgetAttempt(attempt_id):
+                self.attempts.forget(attempt_id)
+            case LeftForGood():
+                self.left_for_good()
+
+    def start_attempt(self, hand_over: HandOver) -> None:
+        """Start the thread that runs an attempt at the upstream."""
+        buffer = self.attempts.find(hand_over.attempt_id)
+        runner = AttemptRunner(hand_over, buffer, self.services)
+        self.runners[hand_over.attempt_id] = runner
+        runner.start()
+
+    def end_attempt(self, attempt_id: AttemptId, refusal: Refusal) -> None:
+        """End the frames of an attempt that never got to the upstream."""
+        buffer = self.attempts.find(attempt_id)
+        if buffer is not None:
+            buffer.append(StreamEnd(0, refusal))
+
+    def cancel_at_upstream(self, attempt_id: AttemptId) -> None:
+        """Stop an attempt here and at the upstream."""
+        runner = self.runners.get(attempt_id)
+        if runner is not None:
+            runner.cancel()
+        self.keeper.cancel(attempt_id)
+
+    def left_for_good(self) -> None:
+        """Say farewell to the entries and let the program end."""
+        farewell = Withdraw(self.description.upstream_id, self.epoch)
+        for address in sorted(self.entry_addresses):
+            self.mailbox.send(address, farewell)
+        LOG.info("left", upstream=self.description.upstream_id)
+        if self.leave is not None:
+            self.leave.on_left()
+
+    def receive(self, received: Received, now: float) -> None:
+        """Take one message from another process."""
+        self.decide(OwnerSeen(received.sender), now)
+        seen = VersionSeen(received.sender_address, received.configuration_version)
+        self.look_at_configuration(seen, now)
+        match received.message:
+            case AnnounceAnswer(entries=entries):
+                self.entry_addresses.update(address for _, address in entries)
+            case ConfigurationSnapshot() as snapshot:
+                arrived = SnapshotArrived(snapshot, received.sender_address)
+                self.look_at_configuration(arrived, now)
+
+    def look_at_configuration(self, event: ConfigurationViewEvent, now: float) -> None:
+        """Give the configuration's decider an event and carry out what it says."""
+        for effect in self.view.handle(event, now):
+            match effect:
+                case AskForConfiguration(address, question):
+                    self.mailbox.send(address, question)
+                case PutInForce(configuration):
+                    LOG.info("configuration in force", version=configuration.version)
+                    self.decide(ConfigurationApplied(configuration), now)
+                case BecameServable():
+                    LOG.info("servable", version=self.view.in_force.version)
+                    self.announce(now)
+                case ConfigurationConflict(version, address):
+                    LOG.error("two contents of one version", version=version, peer=address)
+
+    def tick(self, now: float) -> None:
+        """Look at what is due."""
+        if now >= self.next_decider_tick:
+            self.next_decider_tick = now + DECIDER_TICK_SECONDS
+            self.decide(TickElapsed(), now)
+            self.look_at_configuration(ViewTickElapsed(), now)
+            self.keeper.look(now)
+        if self.view.servable and now >= self.next_announcement:
+            self.announce(now)
+
+    def announce(self, now: float) -> None:
+        """Renew the upstream's lease at the entries, with its present load."""
+        if not self.view.servable:
+            return
+        timings = self.settings.timings
+        self.next_announcement = now + timings.announce_seconds
+        announcement = Announce(
+            self.description,
+            self.epoch,
+            timings.lease_seconds,
+            self.state.load_report(),
+            leaving=self.leave is not None,
+        )
+        for address in sorted(self.entry_addresses):
+            self.mailbox.send(address, announcement)
+
+    def configuration_version(self) -> ConfigurationVersion:
+        """Return the version in force here; read from other threads."""
+        return self.view.in_force.version
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -0,0 +1,69 @@
+"""Watch the upstream and free what nobody claims, off the actor's thread."""
+
+import threading
+from queue import SimpleQueue
+
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
+from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_upstreams import EngineClient, UpstreamError
+from pykka import ActorDeadError, ActorRef
+
+LOG = part_logger("upstream")
+
+INVENTORY_SECONDS = 1.0
+
+
+class UpstreamKeeper:
+    """Own a thread that cancels attempts and reads the engine's inventory.
+
+    A frozen engine answers nothing for as long as its client waits. The actor must go
+    on deciding meanwhile, so these calls have a thread of their own.
+    """
+
+    def __init__(self, engine: EngineClient, sidecar: ActorRef) -> None:
+        self.engine = engine
+        self.sidecar = sidecar
+        self.work: SimpleQueue[AttemptId | None] = SimpleQueue()
+        self.next_inventory = 0.0
+        self.inventory_due = threading.Event()
+        self.thread = threading.Thread(target=self.run, name="upstream", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self.thread.start()
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Cancel an attempt at the engine as soon as the thread is free."""
+        self.work.put(attempt_id)
+
+    def look(self, now: float) -> None:
+        """Have the inventory read when it is due and none is being read."""
+        if now < self.next_inventory or self.inventory_due.is_set():
+            return
+        self.next_inventory = now + INVENTORY_SECONDS
+        self.inventory_due.set()
+        self.work.put(None)
+
+    def run(self) -> None:
+        """Do what is asked, one thing at a time."""
+        while True:
+            attempt_id = self.work.get()
+            try:
+                self.do(attempt_id)
+            except UpstreamError as error:
+                # A lost cancel is not repeated here: the inventory shows what the
+                # engine still holds, and the decider asks for it again.
+                LOG.warning("upstream call failed", error=str(error))
+            except ActorDeadError:
+                return
+
+    def do(self, attempt_id: AttemptId | None) -> None:
+        """Cancel one attempt, or read the inventory."""
+        if attempt_id is not None:
+            self.engine.cancel(attempt_id)
+            return
+        self.inventory_due.clear()
+        inventory = self.engine.inventory()
+        held = tuple(HeldMemory(item.attempt_id, item.tokens) for item in inventory.held)
+        self.sidecar.tell(InventoryRead(held))
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
@@ -0,0 +1,25 @@
+"""List the message types that the daemons exchange through their mailboxes."""
+
+from typing import Union
+
+from cowslipshelf_core.agreement import AgreementMessage
+from cowslipshelf_core.messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    EntryAlive,
+    FetchConfiguration,
+    Suspect,
+    Withdraw,
+)
+
+MailboxMessage = Union[  # noqa: UP007 - built from another union at run time
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    EntryAlive,
+    FetchConfiguration,
+    Suspect,
+    Withdraw,
+    AgreementMessage,
+]
