--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which upstream takes a request, and when."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/routing.py
@@ -0,0 +1,53 @@
+"""Choose upstreams: cost, placement, admission, shares and outliers."""
+
+from cowslipshelf_core.directory_events import (
+    LoadUpdated,
+    UpstreamAvailable,
+    UpstreamUnavailable,
+)
+from cowslipshelf_core.internal.routing.events import (
+    AskId,
+    AttemptEnded,
+    AttemptOutcome,
+    ChosenUpstream,
+    ConfigurationApplied,
+    ConsideredUpstream,
+    FirstTokenSeen,
+    HandOverAccepted,
+    HandOverRefused,
+    PlacementAnswered,
+    PlacementAsked,
+    PlacementExplanation,
+    PlacementFacts,
+    PlacementWithdrawn,
+    Prediction,
+    RouterEvent,
+    TickElapsed,
+)
+from cowslipshelf_core.internal.routing.router import Router
+from cowslipshelf_core.internal.routing.settings import RouterConfig
+
+__all__ = [
+    "AskId",
+    "AttemptEnded",
+    "AttemptOutcome",
+    "ChosenUpstream",
+    "ConfigurationApplied",
+    "ConsideredUpstream",
+    "FirstTokenSeen",
+    "HandOverAccepted",
+    "HandOverRefused",
+    "LoadUpdated",
+    "PlacementAnswered",
+    "PlacementAsked",
+    "PlacementExplanation",
+    "PlacementFacts",
+    "PlacementWithdrawn",
+    "Prediction",
+    "Router",
+    "RouterConfig",
+    "RouterEvent",
+    "TickElapsed",
+    "UpstreamAvailable",
+    "UpstreamUnavailable",
+]
