Carry messages and attempts between the system's own processes

The daemon needs the whole interface of the fleet package to be wired against. Mailbox: one pull listener, one push connection for each peer, heartbeats per connection. Attempts: hand-over, resume, revoke and cancel over HTTP/1.1, frames streamed in chunks, no request ever sent twice.

Beyond the settled interface: Mailbox.address and AttemptsServer.address give the real port after start(); both servers have start() and stop(); the client has close(). A resume after sequence 0 repeats the head, because chunks count from one and whoever asks may not have seen the head.

--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the parts that the public modules of this package re-export."""
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/addresses.py
@@ -0,0 +1,24 @@
+"""Parse the addresses of processes."""
+
+from typing import NamedTuple
+
+
+class HostPort(NamedTuple):
+    """Be an IP number and a port."""
+
+    host: str
+    port: int
+
+
+def parse_address(address: str) -> HostPort:
+    """Split `ip:port`, where an IPv6 number stands in brackets."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdecimal():
+        raise ValueError(f"not an address of the form ip:port: {address!r}")
+    return HostPort(host.removeprefix("[").removesuffix("]"), int(port))
+
+
+def format_address(address: HostPort) -> str:
+    """Write an address as `ip:port`, an IPv6 number in brackets."""
+    host = f"[{address.host}]" if ":" in address.host else address.host
+    return f"{host}:{address.port}"
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
@@ -0,0 +1,168 @@
+"""Reach the attempts of sidecars over HTTP."""
+
+from time import monotonic
+from typing import NamedTuple
+
+import msgspec
+from urllib3 import BaseHTTPResponse, PoolManager, Timeout
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from cowslipshelf_core.identifiers import AttemptId, Epoch
+from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_fleet.errors import HandOverFailed
+from cowslipshelf_fleet.internal.addresses import parse_address
+from cowslipshelf_fleet.internal.attempt_stream import AttemptStream
+from cowslipshelf_fleet.internal.attempts_protocol import (
+    CONTENT_TYPE,
+    STATUS_DONE,
+    STATUS_REFUSED,
+    STATUS_STREAM,
+    TAG_HEADER,
+    AttemptsRequest,
+    CancelRequest,
+    FramesRequest,
+    HandOverRequest,
+    RevokeRequest,
+    attempts_tagger,
+    encoder,
+    refused_decoder,
+    request_tag,
+    revoked_decoder,
+    target_of,
+)
+from cowslipshelf_fleet.internal.fresh_connections import FreshConnectionPool
+
+MOST_POOLS = 512
+MOST_KEPT_CONNECTIONS = 16
+
+HAND_OVER_STEP = "hand over"
+
+
+class AttemptsClientConfig(NamedTuple):
+    """Say how long an entry waits for sidecars."""
+
+    connect_seconds: float
+    silence_seconds: float
+    """Longest time without a byte from the sidecar, heartbeats included."""
+    cluster_key: bytes
+
+
+class AttemptsClient:
+    """Hand attempts to sidecars and read their frames; safe between threads.
+
+    Nothing is ever sent twice by the client itself.
+    """
+
+    def __init__(self, config: AttemptsClientConfig) -> None:
+        self.timeout = Timeout(
+            connect=config.connect_seconds, read=config.silence_seconds
+        )
+        self.tagger = attempts_tagger(config.cluster_key)
+        self.pools = PoolManager(num_pools=MOST_POOLS, maxsize=MOST_KEPT_CONNECTIONS)
+        self.pools.pool_classes_by_scheme = {"http": FreshConnectionPool}
+
+    @classmethod
+    def from_config(cls, config: AttemptsClientConfig) -> "AttemptsClient":
+        """Make a client without connections."""
+        return cls(config)
+
+    def hand_over(
+        self, address: str, hand_over: HandOver
+    ) -> AttemptStream | AttemptRefused | HandOverFailed:
+        """Send an attempt, once, and return its frames or why there are none."""
+        body = encoder.encode(hand_over)
+        try:
+            response = self.ask(address, "POST", HandOverRequest(), body)
+            return self.hand_over_answer(address, response)
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            # Both are raised only while connecting: no byte of the request left.
+            return HandOverFailed(False, HAND_OVER_STEP, address, str(error))
+        except (HTTPError, OSError, msgspec.MsgspecError) as error:
+            return HandOverFailed(True, HAND_OVER_STEP, address, str(error))
+
+    def hand_over_answer(
+        self, address: str, response: BaseHTTPResponse
+    ) -> AttemptStream | AttemptRefused | HandOverFailed:
+        """Return what the sidecar's answer to a hand-over says."""
+        if response.status == STATUS_STREAM:
+            return AttemptStream(response, address)
+        content = read_whole(response)
+        if response.status == STATUS_REFUSED:
+            return refused_decoder.decode(content)
+        detail = f"status {response.status} {content[:200]!r}"
+        return HandOverFailed(True, HAND_OVER_STEP, address, detail)
+
+    def resume(
+        self, address: str, attempt_id: AttemptId, after_sequence: int
+    ) -> AttemptStream | None:
+        """Return the frames after a chunk, or None where they can't be had."""
+        request = FramesRequest(attempt_id, after_sequence)
+        try:
+            response = self.ask(address, "GET", request)
+            if response.status == STATUS_STREAM:
+                return AttemptStream(response, address)
+            read_whole(response)
+        except (HTTPError, OSError):
+            return None
+        return None
+
+    def revoke(
+        self, address: str, attempt_id: AttemptId, epoch: Epoch
+    ) -> NeverRan | MayHaveRun | None:
+        """Ask for the promise that an attempt never runs; None is no answer."""
+        body = encoder.encode(epoch)
+        try:
+            response = self.ask(address, "POST", RevokeRequest(attempt_id), body)
+            content = read_whole(response)
+            if response.status != STATUS_STREAM:
+                return None
+            return revoked_decoder.decode(content)
+        except (HTTPError, OSError, msgspec.MsgspecError):
+            return None
+
+    def cancel(self, address: str, attempt_id: AttemptId) -> bool:
+        """Cancel an attempt; return whether the sidecar is known to have heard it."""
+        try:
+            response = self.ask(address, "DELETE", CancelRequest(attempt_id))
+            read_whole(response)
+        except (HTTPError, OSError):
+            return False
+        return response.status == STATUS_DONE
+
+    def close(self) -> None:
+        """Close the connections that are not in use."""
+        self.pools.clear()
+
+    def ask(
+        self, address: str, method: str, request: AttemptsRequest, body: bytes = b""
+    ) -> BaseHTTPResponse:
+        """Send one request once, and return the beginning of its answer."""
+        target = target_of(request)
+        host, port = parse_address(address)
+        pool = self.pools.connection_from_host(host, port, "http")
+        headers = {
+            TAG_HEADER: request_tag(self.tagger, method, target, body),
+            "Content-Type": CONTENT_TYPE,
+            "Content-Length": str(len(body)),
+        }
+        return pool.urlopen(
+            method,
+            target,
+            body=body,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            timeout=self.timeout,
+            preload_content=False,
+        )
+
+
+def read_whole(response: BaseHTTPResponse) -> bytes:
+    """Read a short answer and give its connection back."""
+    connection = response.connection
+    content = response.read()
+    if connection is not None:
+        connection.last_heard = monotonic()
+    response.release_conn()
+    return content
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
@@ -0,0 +1,114 @@
+"""Answer one HTTP request about attempts."""
+
+from http import HTTPStatus
+
+import msgspec
+from cheroot.server import Gateway
+
+from cowslipshelf_core.identifiers import Epoch
+from cowslipshelf_core.messages import AttemptRefused, StreamHeartbeat
+from cowslipshelf_fleet.internal.attempts_protocol import (
+    CONTENT_TYPE,
+    STATUS_DONE,
+    STATUS_MALFORMED,
+    STATUS_REFUSED,
+    STATUS_STREAM,
+    STATUS_UNKNOWN,
+    STATUS_WRONG_TAG,
+    TAG_HEADER,
+    CancelRequest,
+    FramesRequest,
+    HandOverRequest,
+    RevokeRequest,
+    encoder,
+    epoch_decoder,
+    hand_over_decoder,
+    parse_request,
+    tag_is_right,
+)
+from cowslipshelf_fleet.internal.frame_buffer import FrameBuffer
+from cowslipshelf_fleet.internal.frame_codec import encode_frame, encode_frames
+
+TAG_HEADER_NAME = TAG_HEADER.title().encode()
+HEARTBEAT = encode_frame(StreamHeartbeat())
+
+
+class AttemptsGateway(Gateway):
+    """Check one request, ask the handler and write the answer."""
+
+    def respond(self) -> None:
+        """Answer the request; nothing is parsed before its tag was accepted."""
+        body = self.req.rfile.read()
+        method = self.req.method.decode("latin-1")
+        target = self.req.uri.decode("latin-1")
+        tag = self.req.inheaders.get(TAG_HEADER_NAME, b"").decode("latin-1")
+        server = self.req.server
+        if not tag_is_right(server.tagger, tag, method, target, body):
+            self.answer(STATUS_WRONG_TAG)
+            return
+        try:
+            self.route(method, target, body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self.answer(STATUS_MALFORMED, str(error).encode())
+
+    def route(self, method: str, target: str, body: bytes) -> None:
+        """Ask the handler for what the request names."""
+        handler = self.req.server.handler
+        match parse_request(method, target):
+            case HandOverRequest():
+                self.hand_over(body)
+            case FramesRequest(attempt_id, after):
+                buffer = handler.frames(attempt_id)
+                if buffer is None:
+                    self.answer(STATUS_UNKNOWN)
+                else:
+                    self.stream(buffer, after)
+            case RevokeRequest(attempt_id):
+                epoch = Epoch(epoch_decoder.decode(body))
+                outcome = handler.revoke(attempt_id, epoch)
+                self.answer(STATUS_STREAM, encoder.encode(outcome))
+            case CancelRequest(attempt_id):
+                handler.cancel(attempt_id)
+                self.answer(STATUS_DONE)
+            case None:
+                self.answer(STATUS_UNKNOWN)
+
+    def hand_over(self, body: bytes) -> None:
+        """Hand the attempt to the handler, once."""
+        outcome = self.req.server.handler.hand_over(hand_over_decoder.decode(body))
+        if isinstance(outcome, AttemptRefused):
+            self.answer(STATUS_REFUSED, encoder.encode(outcome))
+        else:
+            self.stream(outcome, 0)
+
+    def stream(self, buffer: FrameBuffer, after: int) -> None:
+        """Write frames until the last one, with heartbeats while there are none.
+
+        A client that reads nothing ends the response by the socket's timeout; the
+        frames stay in their buffer for a resume.
+        """
+        server = self.req.server
+        reader = buffer.take_over()
+        position = buffer.position_after(after)
+        self.begin(STATUS_STREAM)
+        self.req.ensure_headers_sent()
+        while not buffer.ended_for(position, reader):
+            if server.stopping.is_set():
+                self.req.close_connection = True
+                break
+            frames = buffer.read_from(position, server.config.heartbeat_seconds, reader)
+            position += len(frames)
+            self.req.write(encode_frames(frames) if frames else HEARTBEAT)
+
+    def answer(self, status: int, body: bytes = b"") -> None:
+        """Write a whole answer."""
+        self.begin(status)
+        self.req.outheaders.append((b"Content-Length", str(len(body)).encode()))
+        self.req.ensure_headers_sent()
+        self.req.write(body)
+
+    def begin(self, status: int) -> None:
+        """Set the status line and the type of the body."""
+        phrase = HTTPStatus(status).phrase
+        self.req.status = f"{status} {phrase}".encode()
+        self.req.outheaders.append((b"Content-Type", CONTENT_TYPE.encode()))
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
@@ -0,0 +1,121 @@
+"""Define the HTTP requests by which entries reach the attempts of a sidecar."""
+
+from dataclasses import dataclass
+from urllib.parse import parse_qs, quote, unquote, urlsplit
+
+import msgspec
+
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_fleet.internal.tags import Tagger
+
+TAG_HEADER = "X-Cowslipshelf-Tag"
+CONTENT_TYPE = "application/vnd.msgpack"
+ATTEMPTS_PATH = "/v1/attempts"
+PURPOSE = b"attempts"
+MOST_BODY_BYTES = 32 * 1024 * 1024
+
+STATUS_STREAM = 200
+STATUS_DONE = 204
+STATUS_MALFORMED = 400
+STATUS_WRONG_TAG = 403
+STATUS_UNKNOWN = 404
+STATUS_REFUSED = 409
+
+encoder = msgspec.msgpack.Encoder()
+hand_over_decoder = msgspec.msgpack.Decoder(HandOver)
+refused_decoder = msgspec.msgpack.Decoder(AttemptRefused)
+revoked_decoder = msgspec.msgpack.Decoder(NeverRan | MayHaveRun)
+epoch_decoder = msgspec.msgpack.Decoder(str)
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverRequest:
+    """Ask for an attempt to be run."""
+
+
+@dataclass(frozen=True, slots=True)
+class FramesRequest:
+    """Ask for the frames of an attempt after one of its chunks."""
+
+    attempt_id: AttemptId
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class RevokeRequest:
+    """Ask for the promise that an attempt never ran and never will."""
+
+    attempt_id: AttemptId
+
+
+@dataclass(frozen=True, slots=True)
+class CancelRequest:
+    """Ask that an attempt be cancelled."""
+
+    attempt_id: AttemptId
+
+
+AttemptsRequest = HandOverRequest | FramesRequest | RevokeRequest | CancelRequest
+
+
+def attempts_tagger(cluster_key: bytes) -> Tagger:
+    """Return the tagger of requests."""
+    return Tagger.from_cluster_key(cluster_key, PURPOSE)
+
+
+def request_tag(tagger: Tagger, method: str, target: str, body: bytes) -> str:
+    """Return the value of the tag header."""
+    return tagger.tag(method.encode(), target.encode(), body).hex()
+
+
+def tag_is_right(
+    tagger: Tagger, tag: str, method: str, target: str, body: bytes
+) -> bool:
+    """Tell whether a request's tag header was made with the cluster key."""
+    try:
+        given = bytes.fromhex(tag)
+    except ValueError:
+        return False
+    return tagger.accepts(given, method.encode(), target.encode(), body)
+
+
+def target_of(request: AttemptsRequest) -> str:
+    """Return the path and query of a request."""
+    match request:
+        case HandOverRequest():
+            return ATTEMPTS_PATH
+        case FramesRequest(attempt_id, after):
+            return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}/frames?after={after}"
+        case RevokeRequest(attempt_id):
+            return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}/revoke"
+        case CancelRequest(attempt_id):
+            return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}"
+
+
+def parse_request(method: str, target: str) -> AttemptsRequest | None:
+    """Return what a method and target ask for, or None for nothing known."""
+    parts = urlsplit(target)
+    if not parts.path.startswith(ATTEMPTS_PATH):
+        return None
+    names = parts.path.removeprefix(ATTEMPTS_PATH).split("/")[1:]
+    match method, names:
+        case "POST", []:
+            return HandOverRequest()
+        case "GET", [attempt, "frames"]:
+            return parse_frames_request(attempt, parts.query)
+        case "POST", [attempt, "revoke"]:
+            return RevokeRequest(AttemptId(unquote(attempt)))
+        case "DELETE", [attempt]:
+            return CancelRequest(AttemptId(unquote(attempt)))
+        case _:
+            return None
+
+
+def parse_frames_request(attempt: str, query: str) -> FramesRequest | None:
+    """Return a request for frames, or None where its number is none."""
+    after = parse_qs(query).get("after", [""])[0]
+    if not (after.isascii() and after.isdigit()):
+        return None
+    return FramesRequest(AttemptId(unquote(attempt)), int(after))
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
@@ -0,0 +1,112 @@
+"""Serve a sidecar's attempts to entries over HTTP."""
+
+import logging
+from threading import Event, Thread
+from typing import NamedTuple, Protocol
+
+from cheroot.server import HTTPServer
+
+from cowslipshelf_core.identifiers import AttemptId, Epoch
+from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_fleet.internal.addresses import (
+    HostPort,
+    format_address,
+    parse_address,
+)
+from cowslipshelf_fleet.internal.attempts_gateway import AttemptsGateway
+from cowslipshelf_fleet.internal.attempts_protocol import (
+    MOST_BODY_BYTES,
+    attempts_tagger,
+)
+from cowslipshelf_fleet.internal.frame_buffer import FrameBuffer
+from cowslipshelf_fleet.internal.growing_pool import GrowingThreadPool
+
+logger = logging.getLogger(__name__)
+
+MOST_HEADER_BYTES = 16 * 1024
+STOP_SECONDS = 2.0
+SELECT_SECONDS = 0.1
+"""Longest time for which the accepting thread overlooks that it is to stop."""
+
+
+class AttemptsServerConfig(NamedTuple):
+    """Say where a sidecar takes attempts, and how it keeps streams alive."""
+
+    listen_address: str
+    """IP:port; port 0 takes a free one, to be read from `AttemptsServer.address`."""
+    cluster_key: bytes
+    heartbeat_seconds: float
+    stalled_seconds: float = 10.0
+    """A client that reads nothing, or sends half a request, is cut after so long."""
+    spare_threads: int = 8
+    most_threads: int = 600
+    """Streams at a time; further connections wait."""
+
+
+class AttemptsHandler(Protocol):
+    """Decide about attempts; called from many threads at once."""
+
+    def hand_over(self, hand_over: HandOver) -> AttemptRefused | FrameBuffer:
+        """Take an attempt and return where its frames will be, or refuse it."""
+
+    def frames(self, attempt_id: AttemptId) -> FrameBuffer | None:
+        """Return the frames of an attempt that is not forgotten."""
+
+    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+        """Promise that an attempt never runs, or say that it may have run."""
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Cancel an attempt, if there is one."""
+
+
+class AttemptsServer(HTTPServer):
+    """Take hand-overs and stream the frames of attempts."""
+
+    keep_alive_conn_limit = None
+    expiration_interval = SELECT_SECONDS
+    max_request_header_size = MOST_HEADER_BYTES
+    max_request_body_size = MOST_BODY_BYTES
+    shutdown_timeout = STOP_SECONDS
+
+    def __init__(self, config: AttemptsServerConfig, handler: AttemptsHandler) -> None:
+        listen = parse_address(config.listen_address)
+        super().__init__(tuple(listen), AttemptsGateway, server_name="cowslipshelf")
+        self.config = config
+        self.handler = handler
+        self.tagger = attempts_tagger(config.cluster_key)
+        self.timeout = config.stalled_seconds
+        self.requests = GrowingThreadPool(
+            self, spare=config.spare_threads, most=config.most_threads
+        )
+        self.stopping = Event()
+        self.serving = Thread(target=self.serve, name="attempts-accept", daemon=True)
+
+    @classmethod
+    def from_config(
+        cls, config: AttemptsServerConfig, handler: AttemptsHandler
+    ) -> "AttemptsServer":
+        """Make a server that is not listening yet."""
+        return cls(config, handler)
+
+    @property
+    def address(self) -> str:
+        """Return the address that the server listens on, with its real port."""
+        return format_address(HostPort(*self.bind_addr[:2]))
+
+    def start(self) -> None:
+        """Listen and serve on threads of the server; raise `OSError` if it can't."""
+        self.prepare()
+        self.serving.start()
+
+    def stop(self) -> None:
+        """Cut the streams that are left, and end every thread of the server."""
+        self.stopping.set()
+        super().stop()
+        self.serving.join()
+
+    def error_log(
+        self, msg: str = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        """Log what the library reports."""
+        logger.log(level, "attempts: %s", msg, exc_info=traceback)
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -0,0 +1,144 @@
+"""Keep the frames of one attempt, so that a cut stream can be read again."""
+
+from threading import Condition
+from time import monotonic
+
+from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
+
+MOST_BUFFERED_BYTES = 16 * 1024 * 1024
+FRAME_OVERHEAD_BYTES = 128
+"""Memory of a frame besides its data, so that many empty frames are bounded too."""
+
+
+class FrameOrderError(ValueError):
+    """Tell that a writer broke the order of frames."""
+
+
+class FrameBuffer:
+    """Hold all frames of an attempt until it is forgotten; safe between threads.
+
+    One thread writes; each response reads. Positions count frames; sequence
+    numbers count chunks, from one.
+    """
+
+    def __init__(self, most_bytes: int = MOST_BUFFERED_BYTES) -> None:
+        self.most_bytes = most_bytes
+        self.frames: list[Frame] = []
+        self.bytes = 0
+        self.last_sequence = 0
+        self.frames_before_chunks = 0
+        self.finished = False
+        """Whether the last frame of the stream was appended."""
+        self.closed = False
+        self.reader = 0
+        self.changed = Condition()
+
+    def append(self, frame: Frame) -> bool:
+        """Add the next frame; return False, and add nothing, where it is too much.
+
+        The writer must then end the stream with a refusal: the last frame is
+        always taken. Frames already sent can't make room, since a resumed stream
+        may need them.
+        """
+        size = frame_size(frame)
+        with self.changed:
+            self.check_order(frame)
+            is_last = isinstance(frame, StreamEnd)
+            if self.closed or (self.bytes + size > self.most_bytes and not is_last):
+                return False
+            self.frames.append(frame)
+            self.bytes += size
+            self.note(frame)
+            self.changed.notify_all()
+            return True
+
+    def read_after(self, sequence: int, timeout: float) -> list[Frame]:
+        """Return the frames after a chunk, waiting up to `timeout` seconds for one.
+
+        Sequence zero stands for the beginning, the head included: whoever has
+        seen the head and no chunk gets the head again.
+        """
+        return self.read_from(self.position_after(sequence), timeout, self.reader)
+
+    def position_after(self, sequence: int) -> int:
+        """Return the position of the first frame after a chunk."""
+        if sequence <= 0:
+            return 0
+        with self.changed:
+            return self.frames_before_chunks + sequence
+
+    def take_over(self) -> int:
+        """Make the caller the only reader, and return its number.
+
+        A stream that fell silent is resumed over a new connection while the
+        response on the old one still waits; without this each resume would leave
+        a thread behind until the attempt's end.
+        """
+        with self.changed:
+            self.reader += 1
+            self.changed.notify_all()
+            return self.reader
+
+    def read_from(self, position: int, timeout: float, reader: int) -> list[Frame]:
+        """Return the frames from a position on, for a reader not yet replaced."""
+        end = monotonic() + timeout
+        with self.changed:
+            while self.must_wait(position, reader):
+                left = end - monotonic()
+                if left <= 0:
+                    return []
+                self.changed.wait(left)
+            return self.frames[position:] if reader == self.reader else []
+
+    def must_wait(self, position: int, reader: int) -> bool:
+        """Tell whether a reader at the position has to wait for something."""
+        if self.closed or self.finished or reader != self.reader:
+            return False
+        return position >= len(self.frames)
+
+    def ended_for(self, position: int, reader: int) -> bool:
+        """Tell whether a reader will never get anything more."""
+        with self.changed:
+            if reader != self.reader or self.closed:
+                return True
+            return self.finished and position >= len(self.frames)
+
+    def close(self) -> None:
+        """Forget the frames and let every reader go."""
+        with self.changed:
+            self.closed = True
+            self.frames = []
+            self.bytes = 0
+            self.changed.notify_all()
+
+    def check_order(self, frame: Frame) -> None:
+        """Raise `FrameOrderError` where a frame may not come next."""
+        if self.finished:
+            raise FrameOrderError("a frame after the last one")
+        match frame:
+            case StreamHead():
+                in_order = not self.frames
+            case StreamChunk(sequence=sequence):
+                in_order = sequence == self.last_sequence + 1
+            case StreamEnd(last_sequence=last_sequence):
+                in_order = last_sequence == self.last_sequence
+            case _:
+                in_order = False
+        if not in_order:
+            raise FrameOrderError(f"after chunk {self.last_sequence}: {frame!r:.100}")
+
+    def note(self, frame: Frame) -> None:
+        """Update what is known of the stream by a frame just added."""
+        match frame:
+            case StreamHead():
+                self.frames_before_chunks = 1
+            case StreamChunk(sequence=sequence):
+                self.last_sequence = sequence
+            case StreamEnd():
+                self.finished = True
+
+
+def frame_size(frame: Frame) -> int:
+    """Return about how much memory a frame takes, in bytes."""
+    data = len(frame.data) if isinstance(frame, StreamChunk) else 0
+    return data + FRAME_OVERHEAD_BYTES
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_codec.py
@@ -0,0 +1,57 @@
+"""Encode frames, and decode them from the pieces in which bytes arrive."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from cowslipshelf_core.messages import Frame
+from cowslipshelf_fleet.errors import FrameError
+
+LENGTH_BYTES = 4
+MOST_FRAME_BYTES = 16 * 1024 * 1024
+
+encoder = msgspec.msgpack.Encoder()
+frame_decoder = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return the frame's length in four bytes, big end first, and the frame."""
+    content = encoder.encode(frame)
+    return len(content).to_bytes(LENGTH_BYTES) + content
+
+
+def encode_frames(frames: Iterable[Frame]) -> bytes:
+    """Return several frames as one run of bytes."""
+    return b"".join(map(encode_frame, frames))
+
+
+class FrameDecoder:
+    """Collect bytes until they make whole frames."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def decode(self, data: bytes) -> list[Frame]:
+        """Return the frames that the bytes complete; raise `FrameError`."""
+        data = self.rest + data if self.rest else data
+        frames: list[Frame] = []
+        start = 0
+        while len(data) - start >= LENGTH_BYTES:
+            length = int.from_bytes(data[start : start + LENGTH_BYTES])
+            if length > MOST_FRAME_BYTES:
+                raise FrameError(f"a frame of {length} bytes")
+            end = start + LENGTH_BYTES + length
+            if end > len(data):
+                break
+            frames.append(decode_content(data[start + LENGTH_BYTES : end]))
+            start = end
+        self.rest = data[start:]
+        return frames
+
+
+def decode_content(content: bytes) -> Frame:
+    """Return the frame without its length."""
+    try:
+        return frame_decoder.decode(content)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise FrameError(str(error)) from error
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -0,0 +1,242 @@
+"""Send and receive one-way messages between the system's own processes."""
+
+import logging
+from collections.abc import Callable
+from random import Random, SystemRandom
+from threading import Event, Lock, Thread
+from time import monotonic
+from typing import Any, NamedTuple
+
+import pynng
+
+from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch, InstanceId
+from cowslipshelf_core.messages import Message
+from cowslipshelf_fleet.internal.counters import (
+    CountedEvent,
+    CounterTable,
+    MailboxCounters,
+)
+from cowslipshelf_fleet.internal.envelope import (
+    Envelope,
+    EnvelopeCodec,
+    MailboxPing,
+    MailboxPong,
+    Rejected,
+)
+from cowslipshelf_fleet.internal.link import PeerLink
+from cowslipshelf_fleet.internal.peer import Peer
+
+logger = logging.getLogger(__name__)
+
+TICKS_PER_HEARTBEAT = 4
+RECEIVED_QUEUE_MESSAGES = 256
+RECEIVE_LIMIT_FACTOR = 2
+"""The library closes connections that send more; less is counted as oversized."""
+
+
+class MailboxConfig(NamedTuple):
+    """Say who a mailbox is, where it listens and what it understands."""
+
+    instance: InstanceId
+    epoch: Epoch
+    listen_address: str
+    """IP:port; port 0 takes a free one, to be read from `Mailbox.address`."""
+    cluster_key: bytes
+    heartbeat_seconds: float
+    silence_seconds: float
+    """A connection that answers nothing for so long is closed and dialled anew."""
+    message_types: Any
+    """Union of the `Message` types that the mailbox may receive."""
+    idle_seconds: float = 60.0
+    """A peer that nothing is sent to for so long is disconnected."""
+    most_message_bytes: int = 4 * 1024 * 1024
+    most_unanswered_bytes: int = 8 * 1024 * 1024
+    """Bytes that may wait for one peer, in memory or on their way."""
+
+
+class Received(NamedTuple):
+    """Be a message with what its envelope says of the sender."""
+
+    sender: InstanceId
+    sender_address: str
+    sender_epoch: Epoch
+    configuration_version: ConfigurationVersion
+    message: Message
+
+
+class Mailbox:
+    """Exchange messages with any number of peers; any message may be lost."""
+
+    def __init__(
+        self,
+        config: MailboxConfig,
+        receive: Callable[[Received], None],
+        configuration_version: Callable[[], ConfigurationVersion],
+    ) -> None:
+        self.config = config
+        self.receive = receive
+        self.configuration_version = configuration_version
+        self.address = config.listen_address
+        self.codec = EnvelopeCodec.from_config(
+            config.cluster_key, config.message_types, config.most_message_bytes
+        )
+        self.counter_table = CounterTable()
+        self.peers: dict[str, Peer] = {}
+        self.lock = Lock()
+        self.random: Random = SystemRandom()
+        self.stopping = Event()
+        self.listener: pynng.Pull0 | None = None
+        self.threads: list[Thread] = []
+
+    @classmethod
+    def from_config(
+        cls,
+        config: MailboxConfig,
+        receive: Callable[[Received], None],
+        configuration_version: Callable[[], ConfigurationVersion],
+    ) -> "Mailbox":
+        """Make a mailbox that is not listening yet.
+
+        `receive` runs on the mailbox's only receiving thread: while it works no
+        other message is received and no heartbeat answered, so it must hand the
+        message on and return. What it raises is logged and counted.
+        """
+        return cls(config, receive, configuration_version)
+
+    @property
+    def counters(self) -> MailboxCounters:
+        """Return what was sent, received and dropped so far."""
+        return self.counter_table.read()
+
+    def start(self) -> None:
+        """Listen and begin to receive; raise `pynng.AddressInUse` if that is taken."""
+        self.listen()
+        for work in (self.receive_all, self.tick_all):
+            thread = Thread(target=work, name=f"mailbox-{work.__name__}", daemon=True)
+            thread.start()
+            self.threads.append(thread)
+
+    def listen(self) -> None:
+        """Bind the listener and learn the real address."""
+        self.listener = pynng.Pull0(
+            recv_max_size=RECEIVE_LIMIT_FACTOR * self.config.most_message_bytes,
+            recv_buffer_size=RECEIVED_QUEUE_MESSAGES,
+        )
+        bound = self.listener.listen(f"tcp://{self.config.listen_address}")
+        self.address = bound.url.removeprefix("tcp://")
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to the mailbox at the address; never wait, may lose it."""
+        data = self.encode(message)
+        if len(data) > self.config.most_message_bytes:
+            self.counter_table.add(CountedEvent.TOO_LARGE)
+            return
+        self.peer_at(address).send(data)
+
+    def stop(self) -> None:
+        """Stop receiving and close every connection."""
+        self.stopping.set()
+        if self.listener is not None:
+            self.listener.close()
+        for thread in self.threads:
+            thread.join()
+        with self.lock:
+            peers = list(self.peers.values())
+            self.peers.clear()
+        for peer in peers:
+            peer.close()
+
+    def encode(self, message: Message) -> bytes:
+        """Put the message into an envelope, with the version in force right now."""
+        envelope = Envelope(
+            self.config.instance,
+            self.address,
+            self.config.epoch,
+            self.configuration_version(),
+            message,
+        )
+        return self.codec.encode(envelope)
+
+    def peer_at(self, address: str) -> Peer:
+        """Return the peer at the address, known or new."""
+        with self.lock:
+            peer = self.peers.get(address)
+            if peer is None:
+                peer = self.peers[address] = self.new_peer(address)
+            return peer
+
+    def new_peer(self, address: str) -> Peer:
+        """Make a peer that is dialled when the first message is sent to it."""
+        now = monotonic()
+        link = PeerLink(
+            heartbeat_seconds=self.config.heartbeat_seconds,
+            silence_seconds=self.config.silence_seconds,
+            idle_seconds=self.config.idle_seconds,
+            most_unanswered_bytes=self.config.most_unanswered_bytes,
+            needed_until=now,
+            asked_until=now + self.config.silence_seconds,
+        )
+        return Peer(address, link, self.encode, self.counter_table)
+
+    def receive_all(self) -> None:
+        """Receive until the mailbox stops; the work of the receiving thread."""
+        while not self.stopping.is_set():
+            try:
+                data = self.listener.recv()
+            except pynng.Closed:
+                return
+            self.take(data)
+
+    def take(self, data: bytes) -> None:
+        """Handle one message's bytes, whatever they are."""
+        envelope = self.codec.decode(data)
+        if isinstance(envelope, Rejected):
+            self.counter_table.add_rejection(envelope.reason)
+            return
+        self.counter_table.add_message(
+            CountedEvent.RECEIVED, CountedEvent.RECEIVED_BYTES, len(data)
+        )
+        message = envelope.message
+        with self.lock:
+            known = self.peers.get(envelope.sender_address)
+        if known is not None:
+            known.heard(message)
+        match message:
+            case MailboxPing():
+                self.peer_at(envelope.sender_address).answer(message)
+            case MailboxPong():
+                pass
+            case _:
+                self.deliver(envelope)
+
+    def deliver(self, envelope: Envelope) -> None:
+        """Call the receiver; its failure must not end the receiving thread."""
+        received = Received(
+            envelope.sender,
+            envelope.sender_address,
+            envelope.sender_epoch,
+            envelope.configuration_version,
+            envelope.message,
+        )
+        try:
+            self.receive(received)
+        except Exception:
+            self.counter_table.add(CountedEvent.RECEIVER_FAILED)
+            logger.exception("mailbox: receiver failed on %s", type(envelope.message))
+
+    def tick_all(self) -> None:
+        """Keep the connections' heartbeats; the work of the timer thread."""
+        interval = self.config.heartbeat_seconds / TICKS_PER_HEARTBEAT
+        while not self.stopping.wait(interval):
+            with self.lock:
+                peers = list(self.peers.values())
+            for peer in peers:
+                peer.tick(self.random)
+                if peer.forgotten:
+                    self.forget(peer)
+
+    def forget(self, peer: Peer) -> None:
+        """Drop a peer and close its connection."""
+        with self.lock:
+            del self.peers[peer.address]
+        peer.close()
