--- a/packages/core/src/cowslipshelf_core/internal/__init__.py
+++ b/packages/core/src/cowslipshelf_core/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold what the public modules re-export; import from those instead."""
+"""Keep what no other package imports directly."""
