Serve the operators over HTTP, and add the client

The handler gets the operator's name as its first argument, since the trail needs it; `key_hashes` pairs operators with hashes.

--- /dev/null
+++ b/packages/operators/src/cowslipshelf_operators/internal/application.py
@@ -0,0 +1,246 @@
+"""Check operators' requests, and pass them to the handler."""
+
+import hmac
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any, TypeVar, get_args
+from urllib.parse import parse_qsl
+
+import msgspec
+from cheroot.errors import MaxSizeExceeded
+
+from cowslipshelf_core.control import ConfirmDocument, PlanDocument, hash_key
+from cowslipshelf_core.identifiers import OperatorName, PlanId
+from cowslipshelf_operators.errors import HandlerError, RequestError
+from cowslipshelf_operators.internal.answers import (
+    METRICS_TYPE,
+    HttpAnswer,
+    audit_answer,
+    error_answer,
+    json_answer,
+    outcome_answer,
+)
+from cowslipshelf_operators.internal.documents import ExplainKind, HealthAnswer
+from cowslipshelf_operators.internal.handler import OperatorsHandler
+from cowslipshelf_operators.internal.settings import (
+    DEFAULT_AUDIT_PAGE,
+    MOST_AUDIT_PAGE,
+    OperatorKey,
+)
+
+Asked = TypeVar("Asked", PlanDocument, ConfirmDocument)
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+BEARER = "bearer "
+EXPLAIN_KINDS = get_args(ExplainKind)
+
+
+class BrokenBodyError(OSError):
+    """Say that the connection timed out or broke; the server below answers that."""
+
+
+class OperatorsApplication:
+    """Be the WSGI application behind the operators' server."""
+
+    def __init__(
+        self,
+        key_hashes: tuple[OperatorKey, ...],
+        handler: OperatorsHandler,
+        report: Callable[[str], None],
+    ) -> None:
+        self.key_hashes = key_hashes
+        self.handler = handler
+        self.report = report
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request."""
+        answer = self.answer_or_error(environ)
+        start_response(
+            f"{answer.status.value} {answer.status.phrase}",
+            [
+                ("Content-Type", answer.content_type),
+                ("Content-Length", str(len(answer.body))),
+                ("Cache-Control", "no-store"),
+                *answer.headers,
+            ],
+        )
+        return [answer.body]
+
+    def answer_or_error(self, environ: Environ) -> HttpAnswer:
+        """Answer, whatever the handler does."""
+        try:
+            return self.answer(environ)
+        except HandlerError as error:
+            return error_answer(error)
+        except BrokenBodyError:
+            raise
+        except Exception as error:
+            # An operator must not be left without an answer by a fault of ours, nor
+            # be shown our insides.
+            self.report(f"answer operator: {error!r}")
+            detail = "the request met a fault in this process; see its log"
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            fault = HandlerError(
+                "handle request", "entry", detail, status=status, code="internal"
+            )
+            return error_answer(fault)
+
+    def answer(self, environ: Environ) -> HttpAnswer:
+        """Route a request; three paths need no key."""
+        segments = tuple(environ["PATH_INFO"].strip("/").split("/"))
+        match segments:
+            case ("healthz",):
+                return self.get(environ, self.health)
+            case ("readyz",):
+                return self.get(environ, self.ready)
+            case ("metrics",):
+                return self.get(environ, self.metrics)
+        operator = self.authenticate(environ)
+        match segments:
+            case ("v1", "plans"):
+                return self.post(environ, lambda: self.plan(operator, environ))
+            case ("v1", "plans", plan_id, "confirm"):
+                return self.post(
+                    environ, lambda: self.confirm(operator, PlanId(plan_id), environ)
+                )
+            case ("v1", "state"):
+                return self.get(environ, lambda: json_answer(self.handler.state()))
+            case ("v1", "audit"):
+                return self.get(environ, lambda: self.audit(environ))
+            case ("v1", "explain", kind, *name) if kind in EXPLAIN_KINDS and name:
+                return self.get(environ, lambda: self.explain(kind, "/".join(name)))
+        raise RequestError(
+            "route request",
+            f"there is nothing at {environ['PATH_INFO']!r}",
+            status=HTTPStatus.NOT_FOUND,
+            code="unknown_path",
+        )
+
+    def get(self, environ: Environ, answer: Callable[[], HttpAnswer]) -> HttpAnswer:
+        """Answer a GET."""
+        return self.only(environ, "GET", answer)
+
+    def post(self, environ: Environ, answer: Callable[[], HttpAnswer]) -> HttpAnswer:
+        """Answer a POST."""
+        return self.only(environ, "POST", answer)
+
+    def only(
+        self, environ: Environ, method: str, answer: Callable[[], HttpAnswer]
+    ) -> HttpAnswer:
+        """Answer one method, and refuse all others."""
+        if environ["REQUEST_METHOD"] == method:
+            return answer()
+        raise RequestError(
+            "route request",
+            f"{environ['PATH_INFO']} takes {method}",
+            status=HTTPStatus.METHOD_NOT_ALLOWED,
+            code="method_not_allowed",
+        )
+
+    def authenticate(self, environ: Environ) -> OperatorName:
+        """Find the operator whose key this is, in the same time for every key."""
+        header = environ.get("HTTP_AUTHORIZATION", "")
+        key = header[len(BEARER) :] if header.lower().startswith(BEARER) else ""
+        found: OperatorName | None = None
+        given = hash_key(key)
+        for entry in self.key_hashes:
+            if hmac.compare_digest(given, entry.key_hash) and key:
+                found = entry.operator
+        if found is None:
+            raise RequestError(
+                "authenticate",
+                "send an operator's key as `Authorization: Bearer KEY`",
+                status=HTTPStatus.UNAUTHORIZED,
+                code="bad_key",
+            )
+        return found
+
+    def plan(self, operator: OperatorName, environ: Environ) -> HttpAnswer:
+        """Ask for a plan."""
+        document = decode_document(read_body(environ), PlanDocument)
+        return outcome_answer(self.handler.plan(operator, document))
+
+    def confirm(
+        self, operator: OperatorName, plan_id: PlanId, environ: Environ
+    ) -> HttpAnswer:
+        """Confirm a plan."""
+        document = decode_document(read_body(environ) or b"{}", ConfirmDocument)
+        return outcome_answer(self.handler.confirm(operator, plan_id, document))
+
+    def audit(self, environ: Environ) -> HttpAnswer:
+        """Read a page of the audit trail."""
+        query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+        since = query_number(query, "since", 0)
+        limit = query_number(query, "limit", DEFAULT_AUDIT_PAGE)
+        return audit_answer(self.handler.audit(since, min(limit, MOST_AUDIT_PAGE)))
+
+    def explain(self, kind: ExplainKind, name: str) -> HttpAnswer:
+        """Tell what happened to something."""
+        answer = self.handler.explain(kind, name)
+        if answer is not None:
+            return json_answer(answer)
+        raise RequestError(
+            "explain",
+            f"this instance knows no {kind} {name!r}",
+            status=HTTPStatus.NOT_FOUND,
+            code="unknown_name",
+        )
+
+    def health(self) -> HttpAnswer:
+        """Tell whether the process works."""
+        return health_answer(self.handler.health())
+
+    def ready(self) -> HttpAnswer:
+        """Tell whether the process should get callers."""
+        return health_answer(self.handler.ready())
+
+    def metrics(self) -> HttpAnswer:
+        """Write the metrics."""
+        text = self.handler.metrics_text().encode()
+        return HttpAnswer(HTTPStatus.OK, text, METRICS_TYPE)
+
+
+def health_answer(health: HealthAnswer) -> HttpAnswer:
+    """Answer 503 where a process is not well."""
+    status = HTTPStatus.OK if health.ok else HTTPStatus.SERVICE_UNAVAILABLE
+    return json_answer(health, status)
+
+
+def read_body(environ: Environ) -> bytes:
+    """Read the whole body, or refuse it."""
+    step = "read body"
+    try:
+        body = environ["wsgi.input"].read()
+    except MaxSizeExceeded as error:
+        status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        detail = "the body is too large"
+        raise RequestError(step, detail, status=status, code="too_large") from error
+    except OSError as error:
+        raise BrokenBodyError(*error.args) from error
+    except (ValueError, IndexError) as error:
+        raise RequestError(step, "the chunks of the body are malformed") from error
+    announced = int(environ.get("CONTENT_LENGTH") or len(body))
+    if len(body) < announced:
+        # A client that died half-way must not have half of its document taken.
+        raise RequestError(step, f"{announced} bytes announced, {len(body)} came")
+    return body
+
+
+def decode_document(body: bytes, document_type: type[Asked]) -> Asked:
+    """Decode a JSON document, strictly."""
+    try:
+        return msgspec.json.decode(body, type=document_type)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise RequestError("read document", str(error)) from error
+
+
+def query_number(query: dict[str, str], name: str, default: int) -> int:
+    """Read a whole number from the query."""
+    text = query.get(name, str(default))
+    if not (text.isascii() and text.isdigit()):
+        detail = f"`{name}` must be a whole number, found {text!r}"
+        raise RequestError("read query", detail)
+    return int(text)
--- /dev/null
+++ b/packages/operators/src/cowslipshelf_operators/internal/client.py
@@ -0,0 +1,171 @@
+"""Call the operators' interface."""
+
+from http import HTTPStatus
+from typing import NamedTuple, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from cowslipshelf_core.configuration import Document
+from cowslipshelf_core.control import ConfirmDocument, PlanDocument
+from cowslipshelf_core.identifiers import ChangeId, PlanId
+from cowslipshelf_operators.errors import AnsweredError, ClientError
+from cowslipshelf_operators.internal.documents import (
+    AuditAnswer,
+    ConfirmedAnswer,
+    ErrorEnvelope,
+    ExplainAnswer,
+    ExplainKind,
+    HealthAnswer,
+    OutdatedAnswer,
+    PlanAnswer,
+    StateAnswer,
+)
+from cowslipshelf_operators.internal.settings import (
+    DEFAULT_AUDIT_PAGE,
+    OperatorsClientConfig,
+)
+
+Answer = TypeVar("Answer", bound=Document)
+
+
+class HttpReply(NamedTuple):
+    """Be what an address answered."""
+
+    address: str
+    status: int
+    body: bytes
+    retry_after: str | None
+
+
+class OperatorsClient:
+    """Ask one of several entry instances.
+
+    The next address is asked where one can't be reached, breaks off or isn't ready.
+    An answer may be lost after the change was taken; resending is safe since changes
+    carry a change id and plans an id, under which the first answer is kept.
+    """
+
+    def __init__(self, config: OperatorsClientConfig) -> None:
+        self.config = config
+        self.pool = urllib3.PoolManager(
+            retries=False,
+            timeout=urllib3.Timeout(
+                connect=config.connect_seconds, read=config.answer_seconds
+            ),
+        )
+
+    @classmethod
+    def from_config(cls, config: OperatorsClientConfig) -> "OperatorsClient":
+        """Build a client; it connects when it is first used."""
+        return cls(config)
+
+    def plan(self, document: PlanDocument) -> PlanAnswer | OutdatedAnswer:
+        """Ask for a plan."""
+        reply = self.ask("POST", "/v1/plans", msgspec.json.encode(document))
+        if is_outdated(reply):
+            return decode(reply, OutdatedAnswer)
+        return decode_success(reply, PlanAnswer)
+
+    def confirm(
+        self, plan_id: PlanId, change_id: ChangeId | None = None
+    ) -> ConfirmedAnswer | OutdatedAnswer:
+        """Put a plan in force."""
+        body = msgspec.json.encode(ConfirmDocument(change_id))
+        path = f"/v1/plans/{quote(plan_id, safe='')}/confirm"
+        reply = self.ask("POST", path, body)
+        if is_outdated(reply):
+            return decode(reply, OutdatedAnswer)
+        return decode_success(reply, ConfirmedAnswer)
+
+    def state(self) -> StateAnswer:
+        """Describe the fleet."""
+        return decode_success(self.ask("GET", "/v1/state"), StateAnswer)
+
+    def audit(
+        self, since_index: int = 0, limit: int = DEFAULT_AUDIT_PAGE
+    ) -> AuditAnswer:
+        """Read a page of the audit trail."""
+        query = urlencode({"since": since_index, "limit": limit})
+        return decode_success(self.ask("GET", f"/v1/audit?{query}"), AuditAnswer)
+
+    def explain(self, kind: ExplainKind, name: str) -> ExplainAnswer:
+        """Tell what happened to something."""
+        path = f"/v1/explain/{kind}/{quote(name, safe='')}"
+        return decode_success(self.ask("GET", path), ExplainAnswer)
+
+    def ready(self, address: str) -> HealthAnswer:
+        """Tell whether one instance is ready."""
+        reply = self.ask_address(address, "GET", "/readyz", None)
+        return decode(reply, HealthAnswer)
+
+    def ask(self, method: str, path: str, body: bytes | None = None) -> HttpReply:
+        """Ask the addresses in turn until one answers and is ready."""
+        step = f"{method} {path}"
+        failures: list[str] = []
+        unready: HttpReply | None = None
+        for address in self.config.addresses:
+            try:
+                reply = self.ask_address(address, method, path, body)
+            except ClientError as error:
+                failures.append(f"{address}: {error.detail}")
+                continue
+            if reply.status != HTTPStatus.SERVICE_UNAVAILABLE:
+                return reply
+            unready = reply
+        if unready is not None:
+            return unready
+        peers = ", ".join(self.config.addresses)
+        raise ClientError(step, peers, "; ".join(failures) or "no address is given")
+
+    def ask_address(
+        self, address: str, method: str, path: str, body: bytes | None
+    ) -> HttpReply:
+        """Ask one address; `ClientError` where it can't be reached or breaks off."""
+        headers = {"Authorization": f"Bearer {self.config.key}"}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            response = self.pool.request(
+                method, f"http://{address}{path}", body=body, headers=headers
+            )
+        except HTTPError as error:
+            raise ClientError(f"{method} {path}", address, str(error)) from error
+        retry_after = response.headers.get("Retry-After")
+        return HttpReply(address, response.status, response.data, retry_after)
+
+    def close(self) -> None:
+        """Close pooled connections."""
+        self.pool.clear()
+
+
+def is_outdated(reply: HttpReply) -> bool:
+    """Tell whether another change came first."""
+    return reply.status == HTTPStatus.CONFLICT
+
+
+def decode_success(reply: HttpReply, answer_type: type[Answer]) -> Answer:
+    """Decode an answer, or raise the error that came in its place."""
+    if reply.status == HTTPStatus.OK:
+        return decode(reply, answer_type)
+    error = decode(reply, ErrorEnvelope).error
+    seconds = reply.retry_after
+    raise AnsweredError(
+        error.step,
+        f"{reply.address}, {error.peer}",
+        error.message,
+        status=reply.status,
+        code=error.code,
+        retry_after_seconds=float(seconds) if seconds else None,
+    )
+
+
+def decode(reply: HttpReply, answer_type: type[Answer]) -> Answer:
+    """Decode an answer; `ClientError` where it isn't one of ours."""
+    try:
+        return msgspec.json.decode(reply.body, type=answer_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        detail = f"status {reply.status}, and not our format: {error}"
+        raise ClientError("read answer", reply.address, detail) from error
