--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
@@ -0,0 +1,85 @@
+"""Own the view of the configuration in one entry."""
+
+import time
+from typing import Any, NamedTuple
+
+from pykka import ActorRef, ThreadingActor
+
+from cowslipshelf_core.configuration_view import (
+    AskForConfiguration,
+    BecameServable,
+    ConfigurationConflict,
+    ConfigurationView,
+    ConfigurationViewEvent,
+    PutInForce,
+    SnapshotArrived,
+    TickElapsed,
+    VersionSeen,
+)
+from cowslipshelf_core.messages import ConfigurationSnapshot, FetchConfiguration
+from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
+from cowslipshelf_daemon.internal.entry.post import Delivered, Post
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_platform.logs import part_logger
+
+LOG = part_logger("configuration")
+
+TICK_SECONDS = 0.1
+
+
+class ConfigurationParts(NamedTuple):
+    """Be what the configuration actor works with."""
+
+    view: ConfigurationView
+    in_force: ConfigurationInForce
+    post: Post
+    routing: ActorRef
+
+
+class ConfigurationActor(ThreadingActor):
+    """Put newer configurations in force in this process, and never older ones."""
+
+    def __init__(self, parts: ConfigurationParts) -> None:
+        super().__init__()
+        self.view = parts.view
+        self.in_force = parts.in_force
+        self.post = parts.post
+        self.routing = parts.routing
+        self.next_tick = 0.0
+
+    def on_receive(self, message: Any) -> None:
+        """Turn one message into an event for the decider."""
+        now = time.monotonic()
+        match message:
+            case Tick() if now >= self.next_tick:
+                self.next_tick = now + TICK_SECONDS
+                self.look(TickElapsed(), now)
+            case VersionSeen():
+                self.look(message, now)
+            case Delivered(message=ConfigurationSnapshot() as snapshot):
+                self.look(SnapshotArrived(snapshot, message.sender_address), now)
+            case Delivered(message=FetchConfiguration() as question):
+                self.answer(question, message.sender_address)
+
+    def look(self, event: ConfigurationViewEvent, now: float) -> None:
+        """Give the decider an event and carry out what it says."""
+        for effect in self.view.handle(event, now):
+            match effect:
+                case AskForConfiguration(address, question):
+                    self.post.send(address, question)
+                case PutInForce(configuration):
+                    self.in_force.replace(configuration)
+                    self.routing.tell(configuration)
+                    LOG.info("in force", version=configuration.version)
+                case BecameServable():
+                    self.in_force.servable = True
+                    LOG.info("servable", version=self.view.in_force.version)
+                case ConfigurationConflict(version, address):
+                    LOG.error("two contents of one version", version=version, peer=address)
+
+    def answer(self, question: FetchConfiguration, address: str) -> None:
+        """Answer with what is in force here, which no quorum has confirmed just now."""
+        snapshot = ConfigurationSnapshot(
+            self.view.in_force, confirmed_by_quorum=False, question=question.question
+        )
+        self.post.send(address, snapshot)
