Add stand-ins for upstreams and the clients that speak to them

The daemon needs something to speak to before a real engine is there, and its sidecar needs typed clients whose errors say whether a request can have arrived.

Tried by hand over loopback: streamed and whole answers, resume, cancel, orders, echo calls, rate-limited weights.

--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the stand-ins are made of."""
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/engine_http.py
@@ -0,0 +1,228 @@
+"""Serve an engine over HTTP."""
+
+from collections.abc import Iterator
+from typing import Self
+from urllib.parse import parse_qs
+from uuid import uuid4
+
+import msgspec
+
+from cowslipshelf_standins.internal.attempts import Attempt
+from cowslipshelf_standins.internal.configuration import EngineConfig
+from cowslipshelf_standins.internal.engine import Engine, StartOptions
+from cowslipshelf_standins.internal.event_stream import (
+    DONE_EVENT,
+    KEEP_ALIVE_COMMENT,
+    answer_event,
+    whole_answer,
+)
+from cowslipshelf_standins.internal.faults import FaultSwitch
+from cowslipshelf_standins.internal.http_serving import (
+    BadRequestError,
+    StandInHandler,
+    StandInServer,
+)
+from cowslipshelf_standins.internal.kv_parts import KvExport, KvImport
+from cowslipshelf_standins.internal.orders import OrderAnswer, OrderBody
+from cowslipshelf_standins.internal.prompts import prompt_from_body
+
+EVENT_STREAM_HEADERS = (
+    ("Content-Type", "text/event-stream"),
+    ("Cache-Control", "no-store"),
+)
+
+
+class StreamDroppedError(OSError):
+    """Cut a connection on purpose, as a fault."""
+
+
+class ModelEntry(msgspec.Struct, frozen=True):
+    """Name one model in the published shape."""
+
+    id: str
+    object: str = "model"
+    owned_by: str = "stand-in"
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """List models in the published shape."""
+
+    data: tuple[ModelEntry, ...]
+    object: str = "list"
+
+
+class Cancelled(msgspec.Struct, frozen=True):
+    """Answer a cancellation."""
+
+    cancelled: bool
+
+
+class EngineHandler(StandInHandler):
+    """Answer the engine's paths."""
+
+    server: "EngineServer"
+
+    @property
+    def engine(self) -> Engine:
+        """Return the engine that this connection speaks to."""
+        return self.server.engine
+
+    def respond(self, body: bytes) -> None:
+        """Route a request by its method and path."""
+        engine = self.engine
+        match (self.command, self.path_only.strip("/").split("/")):
+            case ("POST", ["v1", "completions"]):
+                self.start(body, chat=False)
+            case ("POST", ["v1", "chat", "completions"]):
+                self.start(body, chat=True)
+            case ("GET", ["v1", "attempts", attempt_id, "events"]):
+                self.resume(attempt_id)
+            case ("DELETE", ["v1", "attempts", attempt_id]):
+                self.cancel(attempt_id)
+            case ("GET", ["v1", "inventory"]):
+                self.answer_json(200, engine.inventory())
+            case ("GET", ["v1", "load"]):
+                self.answer_json(200, engine.read_load())
+            case ("GET", ["v1", "cache", "events"]):
+                self.answer_json(200, engine.cache_events(self.number("after")))
+            case ("POST", ["v1", "orders"]):
+                self.order(msgspec.json.decode(body, type=OrderBody))
+            case ("GET", ["v1", "orders"]):
+                self.answer_json(200, engine.orders.state())
+            case ("POST", ["v1", "kv", "export"]):
+                wanted = msgspec.json.decode(body, type=KvExport)
+                self.answer_json(200, engine.export(wanted, uuid4().hex))
+            case ("POST", ["v1", "kv", "import"]):
+                parts = msgspec.json.decode(body, type=KvImport).parts
+                self.answer_json(200, engine.kv_parts.add(parts))
+            case ("GET", ["v1", "models"]):
+                names = tuple(ModelEntry(name) for name in engine.orders.models)
+                self.answer_json(200, ModelList(names))
+            case _:
+                raise BadRequestError(404, "not_found", f"no path {self.path}")
+
+    def number(self, name: str) -> int:
+        """Return a number from the query; zero where it is missing."""
+        return int(parse_qs(self.query).get(name, ["0"])[0])
+
+    def start(self, body: bytes, chat: bool) -> None:
+        """Start an attempt and answer as it generates."""
+        prompt = prompt_from_body(body, chat)
+        attempt = self.engine.submit(prompt, self.start_options())
+        if prompt.stream:
+            self.stream(attempt, 0)
+        else:
+            self.answer_whole(attempt)
+
+    def start_options(self) -> StartOptions:
+        """Read the headers that tell how to run an attempt."""
+        headers = self.headers
+        attempt_id = headers.get("X-Attempt-Id") or uuid4().hex
+        start, _, end = headers.get("X-Token-Range", "0-").partition("-")
+        handles = headers.get("X-Kv-Handles", "")
+        resume_from = int(headers.get("X-Resume-From", "0"))
+        if resume_from < 0:
+            raise BadRequestError(400, "bad_request", "X-Resume-From is negative")
+        return StartOptions(
+            attempt_id=attempt_id,
+            completion_id="cmpl-" + headers.get("X-Request-Id", attempt_id),
+            priority=int(headers.get("X-Priority", "0")),
+            resume_from=resume_from,
+            range_start=int(start),
+            range_end=int(end) if end else None,
+            kv_handles=tuple(h.strip() for h in handles.split(",") if h.strip()),
+        )
+
+    def resume(self, attempt_id: str) -> None:
+        """Stream an attempt's events after the last one that was seen."""
+        attempt = self.engine.attempts.get(attempt_id)
+        if attempt is None:
+            raise BadRequestError(404, "unknown_attempt", f"no attempt {attempt_id}")
+        after = int(self.headers.get("Last-Event-ID", "0"))
+        if not 0 <= after <= len(attempt.event_ends) + 1:
+            raise BadRequestError(400, "bad_request", "Last-Event-ID is ahead")
+        self.stream(attempt, after)
+
+    def cancel(self, attempt_id: str) -> None:
+        """Cancel an attempt, or only say so while that fault is in play."""
+        if self.server.switch.faults.lose_cancel:
+            self.answer_json(200, Cancelled(True))
+            return
+        known = self.engine.cancel(attempt_id)
+        self.answer_json(200 if known else 404, Cancelled(known))
+
+    def order(self, order: OrderBody) -> None:
+        """Carry an order out, or refuse it as old."""
+        accepted = self.engine.order(order)
+        newest = self.engine.orders.newest_fencing_number
+        self.answer_json(200 if accepted else 409, OrderAnswer(accepted, newest))
+
+    def answer_whole(self, attempt: Attempt) -> None:
+        """Answer with the whole output once it is there."""
+        while not attempt.ended:
+            attempt.read_after(len(attempt.event_ends), self.keep_alive_seconds)
+        if attempt.read_after(0, 0.0).cancelled:
+            raise StreamDroppedError("the attempt was cancelled")
+        self.answer_bytes(
+            200, whole_answer(attempt), (("Content-Type", "application/json"),)
+        )
+
+    @property
+    def keep_alive_seconds(self) -> float:
+        """Return after how long a quiet stream sends a comment."""
+        return self.engine.config.keep_alive_seconds
+
+    def stream(self, attempt: Attempt, after: int) -> None:
+        """Stream events after a sequence number; cut the stream if cancelled."""
+        switch = self.server.switch
+        self.begin_stream(EVENT_STREAM_HEADERS)
+        sent = 0
+        for event in self.events(attempt, after):
+            switch.wait_while_frozen()
+            most = switch.faults.drop_after_events
+            if most is not None and sent >= most and event != KEEP_ALIVE_COMMENT:
+                raise StreamDroppedError("dropped as a fault")
+            self.write_chunk(event)
+            sent += event != KEEP_ALIVE_COMMENT
+        self.end_stream()
+
+    def events(self, attempt: Attempt, after: int) -> Iterator[bytes]:
+        """Yield an attempt's events, and comments while there is none."""
+        sequence = after
+        while True:
+            progress = attempt.read_after(sequence, self.keep_alive_seconds)
+            for _ in progress.ends:
+                sequence += 1
+                yield answer_event(attempt, sequence)
+            if progress.cancelled:
+                raise StreamDroppedError("the attempt was cancelled")
+            if progress.finished:
+                break
+            if not progress.ends:
+                yield KEEP_ALIVE_COMMENT
+        yield DONE_EVENT % (len(attempt.event_ends) + 1)
+
+
+class EngineServer(StandInServer):
+    """Be one engine stand-in that listens."""
+
+    def __init__(self, listen_address: str, config: EngineConfig) -> None:
+        super().__init__(listen_address, EngineHandler, FaultSwitch())
+        self.engine = Engine(config, self.switch)
+
+    @classmethod
+    def from_config(
+        cls, config: EngineConfig, listen_address: str = "127.0.0.1:0"
+    ) -> Self:
+        """Make an engine that listens but does not run yet."""
+        return cls(listen_address, config)
+
+    def start(self) -> Self:
+        """Run the engine and serve it."""
+        self.engine.start()
+        return super().start()
+
+    def stop(self) -> None:
+        """Stop serving and end the engine."""
+        super().stop()
+        self.engine.stop()
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -0,0 +1,202 @@
+"""Serve HTTP for stand-ins: one thread a connection, JSON, chunked streams."""
+
+import sys
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from math import ceil
+from threading import Thread
+from typing import Any, Self
+from urllib.parse import urlsplit
+
+import msgspec
+
+from cowslipshelf_standins.internal.faults import Faults, FaultSwitch
+
+FAULTS_PATH = "/_faults"
+WRITE_BUFFER_BYTES = 65_536
+MOST_BODY_BYTES = 64 * 1024 * 1024
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Be the inner part of an error in the published shape."""
+
+    message: str
+    type: str
+    code: str
+
+
+class ErrorAnswer(msgspec.Struct, frozen=True):
+    """Be an error in the published shape."""
+
+    error: ErrorBody
+
+
+class BadRequestError(Exception):
+    """Report a request that the stand-in can't read, with the status to answer."""
+
+    def __init__(
+        self, status: int, code: str, message: str, retry_after: float = 1.0
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.code = code
+        self.retry_after = retry_after
+
+
+class StandInHandler(BaseHTTPRequestHandler):
+    """Read one request after another and hand each to `respond`."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = WRITE_BUFFER_BYTES
+    server: "StandInServer"
+
+    def log_message(self, format: str, *args: Any) -> None:  # noqa: A002
+        """Stay silent; tests read answers, not logs."""
+
+    def __getattr__(self, name: str) -> Any:
+        """Serve every method the same way, whatever its name."""
+        if name.startswith("do_"):
+            return self.serve_request
+        raise AttributeError(name)
+
+    def serve_request(self) -> None:
+        """Answer one request under the faults in play."""
+        switch = self.server.switch
+        try:
+            body = self.read_body()
+            if self.path_only == FAULTS_PATH:
+                self.answer_faults(body)
+                return
+            switch.wait_while_frozen()
+            if switch.faults.refuse:
+                raise BadRequestError(503, "overloaded", "the stand-in refuses")
+            self.respond(body)
+        except BadRequestError as error:
+            self.answer_error(error)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self.answer_error(BadRequestError(400, "bad_request", str(error)))
+        except OSError:
+            # The peer is gone; what it asked for goes on without it.
+            self.close_connection = True
+
+    @property
+    def path_only(self) -> str:
+        """Return the path without its query."""
+        return urlsplit(self.path).path
+
+    @property
+    def query(self) -> str:
+        """Return the query text without its question mark."""
+        return urlsplit(self.path).query
+
+    def respond(self, body: bytes) -> None:
+        """Answer a request that no fault has stopped."""
+        raise NotImplementedError
+
+    def read_body(self) -> bytes:
+        """Return the whole body of the request."""
+        if self.headers.get("Transfer-Encoding"):
+            raise BadRequestError(411, "length_required", "send a Content-Length")
+        length = int(self.headers.get("Content-Length") or 0)
+        if length > MOST_BODY_BYTES:
+            self.close_connection = True
+            raise BadRequestError(413, "too_large", "the body is too large")
+        body = self.rfile.read(length)
+        if len(body) < length:
+            raise ConnectionResetError("the body was cut")
+        return body
+
+    def answer_faults(self, body: bytes) -> None:
+        """Set the faults in play where a body is given, and show them."""
+        if body:
+            self.server.switch.set(msgspec.json.decode(body, type=Faults))
+        self.answer_json(200, self.server.switch.faults)
+
+    def answer_error(self, error: BadRequestError) -> None:
+        """Answer an error in the published shape."""
+        kind = "server_error" if error.status >= 500 else "invalid_request_error"
+        answer = ErrorAnswer(ErrorBody(str(error), kind, error.code))
+        retry_after = str(ceil(error.retry_after))
+        headers = (("Retry-After", retry_after),) if error.status in (429, 503) else ()
+        self.answer_json(error.status, answer, headers)
+
+    def answer_json(
+        self, status: int, value: Any, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
+        """Answer with a value as JSON."""
+        self.answer_bytes(
+            status,
+            msgspec.json.encode(value),
+            (("Content-Type", "application/json"), *headers),
+        )
+
+    def answer_bytes(
+        self, status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()
+    ) -> None:
+        """Answer with a body of known length."""
+        self.server.switch.wait_while_frozen_unless(self.path_only == FAULTS_PATH)
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        if self.command != "HEAD":
+            self.wfile.write(body)
+        self.wfile.flush()
+
+    def begin_stream(self, headers: tuple[tuple[str, str], ...]) -> None:
+        """Send the head of a chunked answer."""
+        self.send_response(200)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        self.wfile.flush()
+
+    def write_chunk(self, data: bytes) -> None:
+        """Send one chunk at once."""
+        self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def end_stream(self) -> None:
+        """Send the marker that ends a chunked answer."""
+        self.wfile.write(b"0\r\n\r\n")
+        self.wfile.flush()
+
+
+class StandInServer(ThreadingHTTPServer):
+    """Be one listening stand-in inside this process."""
+
+    daemon_threads = True
+    block_on_close = False
+    request_queue_size = 1024
+    allow_reuse_address = True
+
+    def __init__(
+        self, listen_address: str, handler: type[StandInHandler], switch: FaultSwitch
+    ) -> None:
+        host, _, port = listen_address.rpartition(":")
+        super().__init__((host, int(port)), handler)
+        self.switch = switch
+
+    @property
+    def address(self) -> str:
+        """Return where the stand-in listens, as IP:port."""
+        host, port = self.server_address[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> Self:
+        """Serve on a thread of its own."""
+        Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+        return self
+
+    def stop(self) -> None:
+        """Stop listening and wake whoever a freeze holds."""
+        self.switch.set(Faults())
+        self.shutdown()
+        self.server_close()
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Drop connections that broke; any other error is shown."""
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/kv_parts.py
@@ -0,0 +1,68 @@
+"""Account for parts of a prompt's KV cache, exported and imported by reference."""
+
+import msgspec
+
+from cowslipshelf_standins.internal.http_serving import BadRequestError
+
+
+class KvPart(msgspec.Struct, frozen=True):
+    """Be a reference to the KV cache of some tokens of one prompt."""
+
+    handle: str
+    prompt_seed: int
+    from_token: int
+    to_token: int
+
+
+class KvExport(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Ask for a reference to a part that an attempt holds."""
+
+    attempt_id: str
+    from_token: int
+    to_token: int
+
+
+class KvImport(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Make parts known that other engines hold."""
+
+    parts: tuple[KvPart, ...]
+
+
+class KvImported(msgspec.Struct, frozen=True):
+    """Count the parts that were imported."""
+
+    imported: int
+
+
+class KvParts:
+    """Hold the parts that were imported."""
+
+    def __init__(self) -> None:
+        self.parts: dict[str, KvPart] = {}
+
+    def add(self, parts: tuple[KvPart, ...]) -> KvImported:
+        """Make parts known."""
+        self.parts.update((part.handle, part) for part in parts)
+        return KvImported(len(parts))
+
+    def tokens_elsewhere(
+        self, handles: tuple[str, ...], seed: int, start: int, end: int
+    ) -> int:
+        """Return how many tokens of a range the named parts cover."""
+        covered: set[tuple[int, int]] = set()
+        for handle in handles:
+            part = self.parts.get(handle)
+            if part is None or part.prompt_seed != seed:
+                raise BadRequestError(409, "unknown_kv_part", f"no part {handle}")
+            covered.add((max(start, part.from_token), min(end, part.to_token)))
+        return merged_length(sorted(covered))
+
+
+def merged_length(ranges: list[tuple[int, int]]) -> int:
+    """Return the length that sorted ranges cover together."""
+    total = 0
+    reached = 0
+    for start, end in ranges:
+        total += max(0, end - max(start, reached))
+        reached = max(reached, end)
+    return total
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/load.py
@@ -0,0 +1,46 @@
+"""Report the engine's load with a lag."""
+
+from collections import deque
+
+import msgspec
+
+SNAPSHOTS_PER_LAG = 16
+
+
+class EngineLoad(msgspec.Struct, frozen=True):
+    """Say how full the engine was."""
+
+    running: int = 0
+    decoding: int = 0
+    queued: int = 0
+    prefill_tokens: int = 0
+    reserved_tokens: int = 0
+    memory_tokens: int = 0
+
+
+class LaggedLoad:
+    """Remember loads and show the newest that is older than the lag."""
+
+    def __init__(self, lag_seconds: float, first: EngineLoad) -> None:
+        self.lag_seconds = lag_seconds
+        self.history: deque[tuple[float, EngineLoad]] = deque([(0.0, first)])
+
+    def record(self, load: EngineLoad, now: float) -> None:
+        """Remember the load of this moment, a few times a lag at most."""
+        at = self.history[-1][0]
+        if len(self.history) > 1 and now - at < self.lag_seconds / SNAPSHOTS_PER_LAG:
+            self.history.pop()
+        else:
+            at = now
+        self.history.append((at, load))
+        self.forget_old(now)
+
+    def read(self, now: float) -> EngineLoad:
+        """Return the load as it was one lag ago."""
+        self.forget_old(now)
+        return self.history[0][1]
+
+    def forget_old(self, now: float) -> None:
+        """Drop what a newer load that is old enough to show has replaced."""
+        while len(self.history) > 1 and self.history[1][0] <= now - self.lag_seconds:
+            self.history.popleft()
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/prefix_cache.py
@@ -0,0 +1,87 @@
+"""Cache prompt prefixes by block, and publish what changed late and with gaps."""
+
+from collections import OrderedDict, deque
+from random import Random
+
+import msgspec
+
+from cowslipshelf_standins.internal.prompts import TOKENS_PER_BLOCK
+
+MOST_EVENTS_KEPT = 2_000
+
+
+class CacheEvent(msgspec.Struct, frozen=True):
+    """Say that blocks were stored or removed."""
+
+    sequence: int
+    kind: str
+    """`stored` or `removed`."""
+    block_hashes: tuple[int, ...]
+    attempt_id: str = ""
+    """Attempt whose prompt was stored."""
+
+
+class CacheEvents(msgspec.Struct, frozen=True):
+    """Be the answer to a question for cache events."""
+
+    newest_sequence: int
+    events: tuple[CacheEvent, ...]
+
+
+class PrefixCache:
+    """Hold block hashes up to a number of tokens, least recently used out first."""
+
+    def __init__(
+        self, most_tokens: int, delay_seconds: float, loss: float, seed: int
+    ) -> None:
+        self.most_blocks = most_tokens // TOKENS_PER_BLOCK
+        self.delay_seconds = delay_seconds
+        self.loss = loss
+        self.random = Random(seed)
+        self.blocks: OrderedDict[int, None] = OrderedDict()
+        self.sequence = 0
+        self.events: deque[tuple[float, CacheEvent]] = deque(maxlen=MOST_EVENTS_KEPT)
+
+    def cached_tokens(self, block_hashes: tuple[int, ...]) -> int:
+        """Return how many tokens from the start are cached, and keep them longer."""
+        found = 0
+        for block_hash in block_hashes:
+            if block_hash not in self.blocks:
+                break
+            found += 1
+        # Later blocks are worth nothing without earlier ones, so these outlive them.
+        for block_hash in reversed(block_hashes[:found]):
+            self.blocks.move_to_end(block_hash)
+        return found * TOKENS_PER_BLOCK
+
+    def store(self, block_hashes: tuple[int, ...], attempt_id: str, now: float) -> None:
+        """Cache the blocks of a prompt that was prefilled."""
+        kept = block_hashes[: self.most_blocks]
+        fresh = tuple(h for h in kept if h not in self.blocks)
+        for block_hash in reversed(kept):
+            self.blocks[block_hash] = None
+            self.blocks.move_to_end(block_hash)
+        if fresh:
+            self.publish("stored", fresh, attempt_id, now)
+        removed = []
+        while len(self.blocks) > self.most_blocks:
+            removed.append(self.blocks.popitem(last=False)[0])
+        if removed:
+            self.publish("removed", tuple(removed), "", now)
+
+    def publish(
+        self, kind: str, hashes: tuple[int, ...], attempt_id: str, now: float
+    ) -> None:
+        """Publish an event under the next number, or lose it and leave a gap."""
+        self.sequence += 1
+        if self.random.random() < self.loss:
+            return
+        event = CacheEvent(self.sequence, kind, hashes, attempt_id)
+        self.events.append((now + self.delay_seconds, event))
+
+    def events_after(self, sequence: int, now: float) -> CacheEvents:
+        """Return the events after a sequence number that are old enough to show."""
+        shown = [event for due, event in self.events if due <= now]
+        newest = shown[-1].sequence if shown else 0
+        later = tuple(event for event in shown if event.sequence > sequence)
+        return CacheEvents(newest, later)
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/prompts.py
@@ -0,0 +1,112 @@
+"""Read the published request shapes and count their prompt tokens."""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+import msgspec
+
+from cowslipshelf_standins.internal.http_serving import BadRequestError
+
+BYTES_PER_TOKEN = 4
+BYTES_PER_TOKEN_ID = 8
+TOKENS_PER_BLOCK = 256
+BLOCK_HASH_BYTES = 8
+DEFAULT_MAX_TOKENS = 16
+
+
+class ChatPart(msgspec.Struct, frozen=True):
+    """Be one part of a chat message with several parts."""
+
+    text: str = ""
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """Be one message of a chat."""
+
+    role: str
+    content: str | list[ChatPart] | None = None
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Be the body of a completion request, in the published shape."""
+
+    model: str
+    prompt: str | list[int] | None = None
+    messages: list[ChatMessage] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+
+
+class Prompt(NamedTuple):
+    """Be a prompt as the engine sees it."""
+
+    model: str
+    tokens: int
+    most_output_tokens: int
+    stream: bool
+    chat: bool
+    seed: int
+    """Decides every token of the answer, so that all engines agree on it."""
+    block_hashes: tuple[int, ...]
+    """Chained hashes of the whole blocks, from the start."""
+
+
+BODY_DECODER = msgspec.json.Decoder(CompletionBody)
+
+
+def prompt_from_body(body: bytes, chat: bool) -> Prompt:
+    """Return the prompt of a request body, or raise `BadRequestError`."""
+    try:
+        request = BODY_DECODER.decode(body)
+    except msgspec.MsgspecError as error:
+        raise BadRequestError(400, "bad_request", str(error)) from error
+    content, bytes_per_token = prompt_bytes(request, chat)
+    tokens = -(-len(content) // bytes_per_token)
+    most_output = request.max_completion_tokens or request.max_tokens
+    most_output = DEFAULT_MAX_TOKENS if most_output is None else most_output
+    if tokens < 1 or most_output < 1:
+        raise BadRequestError(400, "bad_request", "prompt and max_tokens must be > 0")
+    seed = blake2b(content, digest_size=8, key=request.model.encode()[:64]).digest()
+    return Prompt(
+        model=request.model,
+        tokens=tokens,
+        most_output_tokens=most_output,
+        stream=request.stream,
+        chat=chat,
+        seed=int.from_bytes(seed),
+        block_hashes=hash_blocks(content, TOKENS_PER_BLOCK * bytes_per_token),
+    )
+
+
+def prompt_bytes(request: CompletionBody, chat: bool) -> tuple[bytes, int]:
+    """Return what the model reads, and how many bytes of it make a token."""
+    if chat:
+        if not request.messages:
+            raise BadRequestError(400, "bad_request", "messages are missing")
+        lines = [f"{m.role}: {message_text(m)}\n" for m in request.messages]
+        return "".join(lines).encode(), BYTES_PER_TOKEN
+    if not request.prompt:
+        raise BadRequestError(400, "bad_request", "prompt is missing")
+    if isinstance(request.prompt, str):
+        return request.prompt.encode(), BYTES_PER_TOKEN
+    ids = b"".join(i.to_bytes(BYTES_PER_TOKEN_ID, signed=True) for i in request.prompt)
+    return ids, BYTES_PER_TOKEN_ID
+
+
+def message_text(message: ChatMessage) -> str:
+    """Return the text of a chat message, whichever way it is written."""
+    if isinstance(message.content, list):
+        return "".join(part.text for part in message.content)
+    return message.content or ""
+
+
+def hash_blocks(content: bytes, block_bytes: int) -> tuple[int, ...]:
+    """Return the chained hash of every whole block."""
+    hashes = []
+    chained = b""
+    for start in range(0, len(content) - block_bytes + 1, block_bytes):
+        block = content[start : start + block_bytes]
+        chained = blake2b(block, digest_size=BLOCK_HASH_BYTES, key=chained).digest()
+        hashes.append(int.from_bytes(chained))
+    return tuple(hashes)
--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/weight_store_http.py
@@ -0,0 +1,90 @@
+"""Serve a weight store with a rate limit."""
+
+from threading import Lock
+from time import monotonic
+from typing import NamedTuple, Self
+
+import msgspec
+
+from cowslipshelf_standins.internal.faults import FaultSwitch
+from cowslipshelf_standins.internal.http_serving import (
+    BadRequestError,
+    StandInHandler,
+    StandInServer,
+)
+
+
+class WeightStoreConfig(NamedTuple):
+    """Say how large weights are and how many loads a window allows."""
+
+    weight_bytes: int = 65_536
+    loads_per_window: int = 4
+    window_seconds: float = 1.0
+
+
+class Served(msgspec.Struct, frozen=True):
+    """Count what the store gave out and refused."""
+
+    loads: int = 0
+    bytes: int = 0
+    limited: int = 0
+
+
+class WeightStoreHandler(StandInHandler):
+    """Answer `GET /weights/{model}/{version}`."""
+
+    server: "WeightStoreServer"
+
+    def respond(self, body: bytes) -> None:  # noqa: ARG002
+        """Give out weights, or say when to come back."""
+        match (self.command, self.path_only.strip("/").split("/")):
+            case ("GET", ["_served"]):
+                self.answer_json(200, self.server.served)
+            case ("GET", ["weights", _, _]):
+                self.give_weights()
+            case _:
+                raise BadRequestError(404, "not_found", f"no path {self.path}")
+
+    def give_weights(self) -> None:
+        """Give out weights where the limit and the grant allow it."""
+        if not self.headers.get("X-Load-Grant"):
+            raise BadRequestError(403, "no_grant", "a load needs a grant")
+        wait = self.server.take_load()
+        if wait > 0:
+            raise BadRequestError(429, "rate_limited", "too many loads", wait)
+        size = self.server.config.weight_bytes
+        kind = (("Content-Type", "application/octet-stream"),)
+        self.answer_bytes(200, bytes(size), kind)
+
+
+class WeightStoreServer(StandInServer):
+    """Be one weight store that listens."""
+
+    def __init__(self, listen_address: str, config: WeightStoreConfig) -> None:
+        super().__init__(listen_address, WeightStoreHandler, FaultSwitch())
+        self.config = config
+        self.lock = Lock()
+        self.loads_at: list[float] = []
+        self.served = Served()
+
+    @classmethod
+    def from_config(
+        cls, config: WeightStoreConfig, listen_address: str = "127.0.0.1:0"
+    ) -> Self:
+        """Make a weight store that listens but does not serve yet."""
+        return cls(listen_address, config)
+
+    def take_load(self) -> float:
+        """Count a load and return zero, or return the seconds to wait."""
+        with self.lock:
+            now = monotonic()
+            oldest = now - self.config.window_seconds
+            self.loads_at = [at for at in self.loads_at if at > oldest]
+            served = self.served
+            if len(self.loads_at) >= self.config.loads_per_window:
+                self.served = Served(served.loads, served.bytes, served.limited + 1)
+                return self.loads_at[0] - oldest
+            self.loads_at.append(now)
+            size = served.bytes + self.config.weight_bytes
+            self.served = Served(served.loads + 1, size, served.limited)
+            return 0.0
--- a/packages/upstreams/src/cowslipshelf_upstreams/__init__.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/__init__.py
@@ -1,1 +1,45 @@
 """Speak to model engines and plain services."""
+
+from cowslipshelf_upstreams.errors import (
+    UpstreamFailedError,
+    UpstreamLostError,
+    UpstreamRefusedError,
+)
+from cowslipshelf_upstreams.internal.engine_client import (
+    EngineClient,
+    EngineClientConfig,
+)
+from cowslipshelf_upstreams.internal.engine_documents import (
+    CacheEvent,
+    CacheEvents,
+    EngineInventory,
+    EngineLoad,
+    EngineOrder,
+    HeldAttempt,
+    KvPart,
+    OrderResult,
+    PromptPart,
+)
+from cowslipshelf_upstreams.internal.plain_client import PlainClient, PlainClientConfig
+from cowslipshelf_upstreams.internal.stream import UpstreamPiece, UpstreamStream
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "EngineClient",
+    "EngineClientConfig",
+    "EngineInventory",
+    "EngineLoad",
+    "EngineOrder",
+    "HeldAttempt",
+    "KvPart",
+    "OrderResult",
+    "PlainClient",
+    "PlainClientConfig",
+    "PromptPart",
+    "UpstreamFailedError",
+    "UpstreamLostError",
+    "UpstreamPiece",
+    "UpstreamRefusedError",
+    "UpstreamStream",
+]
--- /dev/null
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the upstream clients are made of."""
--- /dev/null
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/event_parser.py
@@ -0,0 +1,48 @@
+"""Parse server-sent events as they arrive."""
+
+from typing import NamedTuple
+
+MOST_EVENT_BYTES = 4 * 1024 * 1024
+
+
+class ServerSentEvent(NamedTuple):
+    """Be one event."""
+
+    event_id: bytes
+    data: bytes
+
+
+class EventTooLargeError(ValueError):
+    """Report an event that never ends."""
+
+
+class EventParser:
+    """Turn pieces of bytes, cut anywhere, into events."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, piece: bytes) -> list[ServerSentEvent]:
+        """Return the events that a further piece completes."""
+        # A line may end in CR LF, and the two may come in different pieces.
+        self.rest = (self.rest + piece).replace(b"\r\n", b"\n")
+        *blocks, self.rest = self.rest.split(b"\n\n")
+        if len(self.rest) > MOST_EVENT_BYTES:
+            raise EventTooLargeError(f"an event exceeds {MOST_EVENT_BYTES} bytes")
+        events = [parse_block(block) for block in blocks]
+        return [event for event in events if event is not None]
+
+
+def parse_block(block: bytes) -> ServerSentEvent | None:
+    """Return the event that some lines make; none where they carry no data."""
+    event_id = b""
+    data = []
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        match name:
+            case b"data":
+                data.append(value)
+            case b"id":
+                event_id = value
+    return ServerSentEvent(event_id, b"\n".join(data)) if data else None
--- /dev/null
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
@@ -0,0 +1,157 @@
+"""Read the answer of an upstream piece by piece, and tell whether it is whole."""
+
+from collections.abc import Iterator
+from contextlib import suppress
+from typing import NamedTuple
+
+import msgspec
+from urllib3 import HTTPResponse
+from urllib3.exceptions import HTTPError
+
+from cowslipshelf_upstreams.errors import UpstreamFailedError, UpstreamLostError
+from cowslipshelf_upstreams.internal.connections import Headers, end_to_end
+from cowslipshelf_upstreams.internal.event_parser import EventParser, ServerSentEvent
+
+STREAM_STEP = "stream"
+EVENT_STREAM = "text/event-stream"
+DONE = b"[DONE]"
+READ_BYTES = 65_536
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+class UpstreamPiece(NamedTuple):
+    """Be the next piece of an answer, as it goes on to the caller."""
+
+    sequence: int
+    data: bytes
+    tokens: int
+    """Output tokens in this piece; zero where the upstream doesn't count them."""
+
+
+class ChunkUsage(msgspec.Struct, frozen=True):
+    """Count the output tokens up to a chunk."""
+
+    completion_tokens: int = 0
+
+
+class EventChunk(msgspec.Struct, frozen=True):
+    """Be what matters to us of a chunk in the published shape."""
+
+    usage: ChunkUsage | None = None
+    error: msgspec.Raw | None = None
+    choices: tuple[msgspec.Raw, ...] = ()
+
+
+CHUNK_DECODER = msgspec.json.Decoder(EventChunk)
+
+
+class UpstreamStream:
+    """Be an answer that is arriving; iterating ends only if it came whole."""
+
+    def __init__(
+        self,
+        response: HTTPResponse,
+        peer: str,
+        after: int = 0,
+        delivered_tokens: int | None = 0,
+    ) -> None:
+        self.response = response
+        self.peer = peer
+        self.status = response.status
+        self.sequence = after
+        self.delivered_tokens = delivered_tokens
+        """Output tokens before the next event; None where nobody knows."""
+        self.is_event_stream = response.headers.get("Content-Type", "").startswith(
+            EVENT_STREAM
+        )
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers that belong to the answer, not to the connection."""
+        return end_to_end(tuple(self.response.headers.items()), frozenset())
+
+    def __iter__(self) -> Iterator[UpstreamPiece]:
+        try:
+            if self.is_event_stream:
+                yield from self.read_events()
+            else:
+                yield from self.read_body()
+        except (HTTPError, OSError, ValueError, AttributeError) as error:
+            # Another thread that closes the stream makes a read fail in any of
+            # these ways; all mean that the end was not seen.
+            raise self.lost(str(error) or type(error).__name__) from error
+        finally:
+            self.close()
+
+    def read_events(self) -> Iterator[UpstreamPiece]:
+        """Yield events up to the final marker, or raise where there is none."""
+        parser = EventParser()
+        for data in self.response.stream(READ_BYTES, decode_content=False):
+            for event in parser.feed(data):
+                if not self.is_new(event):
+                    continue
+                yield self.piece_of(event)
+                if event.data == DONE:
+                    return
+        raise self.lost("the stream ended before its final marker")
+
+    def is_new(self, event: ServerSentEvent) -> bool:
+        """Take an event's number; false for one seen before, an error after a gap."""
+        number = int(event.event_id) if event.event_id else self.sequence + 1
+        if number <= self.sequence:
+            return False
+        if number != self.sequence + 1:
+            raise self.lost(f"event {number} came after event {self.sequence}")
+        self.sequence = number
+        return True
+
+    def piece_of(self, event: ServerSentEvent) -> UpstreamPiece:
+        """Return an event as a piece, with its output tokens counted."""
+        tokens = 0 if event.data == DONE else self.count_tokens(event.data)
+        lines = event.data.replace(b"\n", b"\ndata: ")
+        return UpstreamPiece(self.sequence, b"data: %b\n\n" % lines, tokens)
+
+    def count_tokens(self, data: bytes) -> int:
+        """Return the output tokens of a chunk; one where the engine doesn't count."""
+        try:
+            chunk = CHUNK_DECODER.decode(data)
+        except msgspec.MsgspecError as error:
+            raise self.lost(f"malformed event: {error}") from error
+        if chunk.error is not None:
+            detail = bytes(chunk.error).decode(errors="replace")
+            raise UpstreamFailedError(STREAM_STEP, self.peer, detail)
+        if chunk.usage is None:
+            return min(1, len(chunk.choices))
+        before = self.delivered_tokens
+        self.delivered_tokens = chunk.usage.completion_tokens
+        return 1 if before is None else max(0, self.delivered_tokens - before)
+
+    def read_body(self) -> Iterator[UpstreamPiece]:
+        """Yield a body of known length, or one in chunks with a final marker."""
+        self.check_framed()
+        for data in self.response.stream(READ_BYTES, decode_content=False):
+            self.sequence += 1
+            yield UpstreamPiece(self.sequence, data, 0)
+
+    def check_framed(self) -> None:
+        """Refuse a body whose end nobody could tell from a cut."""
+        headers = self.response.headers
+        framed = "Content-Length" in headers or self.response.chunked
+        bodiless = self.status in BODILESS_STATUSES
+        if not (framed or bodiless or self.is_head_answer()):
+            raise self.lost("the answer has neither a length nor chunks")
+
+    def is_head_answer(self) -> bool:
+        """Say whether the answer has no body because of the request's method."""
+        return self.response.length_remaining == 0
+
+    def lost(self, detail: str) -> UpstreamLostError:
+        """Return the error for an answer that is not whole."""
+        return UpstreamLostError(STREAM_STEP, self.peer, detail)
+
+    def close(self) -> None:
+        """Give the answer up, from any thread; a blocked read ends at once."""
+        # The connection may be closed already, which is what is wanted.
+        with suppress(OSError, ValueError, RuntimeError):
+            self.response.shutdown()
+        self.response.close()
--- /dev/null
+++ b/packages/weightstore/src/cowslipshelf_weightstore/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the weight store's client is made of."""
