--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -0,0 +1,183 @@
+"""Put a sidecar together, start it and take it apart in order."""
+
+import threading
+import uuid
+from typing import NamedTuple
+
+from pykka import ActorRef
+
+from cowslipshelf_core.configuration_view import (
+    ConfigurationView,
+    ConfigurationViewConfig,
+)
+from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch
+from cowslipshelf_core.sidecar import SidecarConfig, SidecarState
+from cowslipshelf_core.upstream import UpstreamDescription
+from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
+from cowslipshelf_daemon.internal.sidecar.attempt_runner import AttemptServices
+from cowslipshelf_daemon.internal.sidecar.attempts_handler import (
+    SidecarAttemptsHandler,
+)
+from cowslipshelf_daemon.internal.sidecar.sidecar_actor import (
+    LeaveAsked,
+    PeersAttached,
+    SidecarActor,
+    SidecarParts,
+)
+from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
+from cowslipshelf_daemon.internal.ticker import Ticker
+from cowslipshelf_daemon.internal.wire import MailboxMessage
+from cowslipshelf_fleet import (
+    AttemptsServer,
+    AttemptsServerConfig,
+    Mailbox,
+    MailboxConfig,
+    Received,
+)
+from cowslipshelf_platform.settings import DaemonSettings, UpstreamSettings
+from cowslipshelf_upstreams import (
+    EngineClient,
+    EngineClientConfig,
+    PlainClient,
+    PlainClientConfig,
+)
+
+
+class SidecarRole(NamedTuple):
+    """Be a sidecar that runs."""
+
+    settings: DaemonSettings
+    actor: ActorRef
+    mailbox: Mailbox
+    server: AttemptsServer
+    ticker: Ticker
+    left: threading.Event
+
+    def leave(self) -> bool:
+        """Finish what runs and go; return whether all of it finished in time."""
+        self.actor.tell(LeaveAsked(self.left.set))
+        return self.left.wait(self.settings.timings.shutdown_seconds)
+
+    def stop(self) -> None:
+        """End every thread and socket."""
+        self.ticker.stop()
+        self.server.stop()
+        self.mailbox.stop()
+        self.actor.stop()
+
+
+class VersionSource:
+    """Tell the version in force before and after there is an actor to ask."""
+
+    def __init__(self, view: ConfigurationView) -> None:
+        self.view = view
+
+    def __call__(self) -> ConfigurationVersion:
+        """Return the version in force."""
+        return self.view.in_force.version
+
+
+def start_sidecar(settings: DaemonSettings) -> SidecarRole:
+    """Start a sidecar from its settings."""
+    epoch = Epoch(uuid.uuid4().hex)
+    view = make_view(settings, epoch)
+    parts = make_parts(settings, epoch, view)
+    actor = SidecarActor.start(parts)
+    mailbox = make_mailbox(settings, epoch, view, actor)
+    services = AttemptServices(
+        make_client(settings.sidecar.upstream),
+        actor,
+        settings.sidecar.upstream.upstream_id,
+    )
+    keeper = make_keeper(services, actor)
+    server = make_server(settings, actor, parts.attempts)
+    ticker = Ticker((actor,), settings.timings.tick_seconds)
+    actor.tell(PeersAttached(mailbox, services, keeper))
+    mailbox.start()
+    server.start()
+    ticker.start()
+    return SidecarRole(settings, actor, mailbox, server, ticker, threading.Event())
+
+
+def make_view(settings: DaemonSettings, epoch: Epoch) -> ConfigurationView:
+    """Make the view of the configuration, which asks the replicas."""
+    replicas = tuple(
+        entry.mailbox_address for entry in settings.entries if entry.replica
+    )
+    return ConfigurationView.from_config(ConfigurationViewConfig(epoch, replicas))
+
+
+def make_parts(
+    settings: DaemonSettings, epoch: Epoch, view: ConfigurationView
+) -> SidecarParts:
+    """Make what the sidecar's actor works with."""
+    upstream = settings.sidecar.upstream
+    description = UpstreamDescription(
+        upstream.upstream_id,
+        settings.data_centre,
+        upstream.service,
+        upstream.kind,
+        upstream.models,
+        upstream.memory_tokens,
+        upstream.checks_fencing,
+        settings.sidecar.attempts_address,
+    )
+    state = SidecarState.from_config(
+        SidecarConfig(
+            description, epoch, owner_lease_seconds=settings.timings.owner_lease_seconds
+        )
+    )
+    return SidecarParts(settings, description, epoch, state, view, AttemptLog())
+
+
+def make_mailbox(
+    settings: DaemonSettings, epoch: Epoch, view: ConfigurationView, actor: ActorRef
+) -> Mailbox:
+    """Make the mailbox, whose messages go to the actor."""
+
+    def receive(received: Received) -> None:
+        actor.tell(received)
+
+    config = MailboxConfig(
+        instance=settings.instance,
+        epoch=epoch,
+        listen_address=settings.mailbox_address,
+        cluster_key=settings.cluster_key.encode(),
+        heartbeat_seconds=settings.timings.heartbeat_seconds,
+        silence_seconds=settings.timings.silence_seconds,
+        message_types=MailboxMessage,
+    )
+    return Mailbox.from_config(config, receive, VersionSource(view))
+
+
+def make_client(upstream: UpstreamSettings) -> EngineClient | PlainClient:
+    """Make the client that speaks to the upstream."""
+    base_url = f"http://{upstream.address}"
+    match upstream.kind:
+        case "model":
+            return EngineClient.from_config(EngineClientConfig(base_url))
+        case "plain":
+            return PlainClient.from_config(PlainClientConfig(base_url))
+
+
+def make_keeper(services: AttemptServices, actor: ActorRef) -> UpstreamKeeper | None:
+    """Make and start the keeper of an engine; a plain service has none."""
+    match services.client:
+        case EngineClient() as engine:
+            keeper = UpstreamKeeper(engine, actor)
+            keeper.start()
+            return keeper
+        case PlainClient():
+            return None
+
+
+def make_server(
+    settings: DaemonSettings, actor: ActorRef, log: AttemptLog
+) -> AttemptsServer:
+    """Make the server that takes attempts."""
+    config = AttemptsServerConfig(
+        listen_address=settings.sidecar.attempts_address,
+        cluster_key=settings.cluster_key.encode(),
+        heartbeat_seconds=settings.timings.heartbeat_seconds,
+    )
+    return AttemptsServer.from_config(config, SidecarAttemptsHandler(actor, log))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -23,7 +23,8 @@
 
 STEP = "run_at_upstream"
 MOST_RESUMES = 3
-MAXIMUM_WRITE_WAIT_SECONDS = 30.0
+OK = 200
+SERVER_ERROR = 500
 
 
 class AttemptServices(NamedTuple):
@@ -46,6 +47,7 @@
         self.cancelled = threading.Event()
         self.last_sequence = 0
         self.first_token_seen = False
+        self.overflowed = False
 
     def start(self) -> None:
         """Begin to run the attempt."""
@@ -74,11 +76,14 @@
         try:
             stream = self.open_stream()
         except UpstreamLostError as error:
-            return self.failure(str(error))
+            return self.failed_start(error)
+        if stream.status >= SERVER_ERROR and self.is_engine():
+            return self.failure(f"the engine answered with status {stream.status}")
+        self.buffer.append(StreamHead(stream.status, tuple(stream.headers)))
         for _ in range(MOST_RESUMES + 1):
             try:
                 self.copy(stream)
-                return self.cancellation() if self.cancelled.is_set() else None
+                return self.ending()
             except UpstreamLostError as error:
                 detail = str(error)
             if self.cancelled.is_set():
@@ -99,20 +104,28 @@
             case PlainClient() as plain:
                 stream = plain.call(self.hand_over)
         self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
-        self.buffer.append(StreamHead(stream.status, tuple(stream.headers)))
         return stream
 
+    def is_engine(self) -> bool:
+        """Tell whether the upstream is a model engine."""
+        return isinstance(self.services.client, EngineClient)
+
     def resume_stream(self) -> UpstreamStream | None:
         """Ask the engine for what comes after the last piece."""
         match self.services.client:
             case EngineClient() as engine:
-                try:
-                    return engine.resume(self.attempt_id, self.last_sequence)
-                except UpstreamLostError:
-                    return None
+                return self.resume_at(engine)
             case PlainClient():
                 return None
 
+    def resume_at(self, engine: EngineClient) -> UpstreamStream | None:
+        """Resume at an engine; None where it cannot be had."""
+        try:
+            stream = engine.resume(self.attempt_id, self.last_sequence)
+        except UpstreamLostError:
+            return None
+        return stream if stream.status == OK else None
+
     def copy(self, stream: UpstreamStream) -> None:
         """Copy pieces into frames until the stream's end marker."""
         for piece in stream:
@@ -121,8 +134,30 @@
             if not self.first_token_seen:
                 self.first_token_seen = True
                 self.services.sidecar.tell(FirstTokenArrived(self.attempt_id))
+            chunk = StreamChunk(piece.sequence, piece.data, piece.tokens)
+            if not self.buffer.append(chunk):
+                self.overflowed = True
+                return
             self.last_sequence = piece.sequence
-            self.buffer.append(StreamChunk(piece.sequence, piece.data, piece.tokens))
+
+    def ending(self) -> Refusal | None:
+        """Return why the answer ended before its end marker, if it did."""
+        if self.cancelled.is_set():
+            return self.cancellation()
+        if self.overflowed:
+            return self.failure("the answer is too large to keep for a resume")
+        return None
+
+    def failed_start(self, error: UpstreamLostError) -> Refusal:
+        """Describe an attempt whose start got no answer.
+
+        Where no byte can have reached the upstream the attempt never ran, and since
+        this is its only start it never will: only then is "not run" true.
+        """
+        refusal = self.failure(str(error))
+        if error.may_have_arrived:
+            return refusal
+        return refusal._replace(code=RefusalCode.NOT_RUN)
 
     def failure(self, detail: str) -> Refusal:
         """Describe an attempt that was handed over and did not finish."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -78,6 +78,15 @@
     on_left: Callable[[], None]
 
 
+class PeersAttached(NamedTuple):
+    """Hand over the peers, which need the actor's address to be made."""
+
+    mailbox: Mailbox
+    services: AttemptServices
+    keeper: UpstreamKeeper | None
+    """None for a plain service, which cannot be asked what it holds."""
+
+
 class SidecarParts(NamedTuple):
     """Be what the sidecar's actor works with."""
 
@@ -111,23 +120,19 @@
         self.next_announcement = 0.0
         self.next_decider_tick = 0.0
 
-    def attach(
-        self, mailbox: Mailbox, services: AttemptServices, keeper: UpstreamKeeper
-    ) -> None:
-        """Take over the peers, which need this actor's address to be made."""
-        self.mailbox = mailbox
-        self.services = services
-        self.keeper = keeper
-
     def on_receive(self, message: Any) -> None:
         """Turn one message into an event for a decider."""
         now = time.monotonic()
         match message:
             case Tick():
                 self.tick(now)
+            case PeersAttached(mailbox=mailbox, services=services, keeper=keeper):
+                self.mailbox = mailbox
+                self.services = services
+                self.keeper = keeper
             case HandOverAsked(hand_over=hand_over, reply=reply):
                 self.decide_hand_over(hand_over, reply, now)
-            case RevokeAsked(event=event, reply=reply):
+            case RevokeAsked():
                 self.decide_revoke(message, now)
             case Received():
                 self.receive(message, now)
@@ -218,7 +223,8 @@
         runner = self.runners.get(attempt_id)
         if runner is not None:
             runner.cancel()
-        self.keeper.cancel(attempt_id)
+        if self.keeper is not None:
+            self.keeper.cancel(attempt_id)
 
     def left_for_good(self) -> None:
         """Say farewell to the entries and let the program end."""
@@ -262,7 +268,8 @@
             self.next_decider_tick = now + DECIDER_TICK_SECONDS
             self.decide(TickElapsed(), now)
             self.look_at_configuration(ViewTickElapsed(), now)
-            self.keeper.look(now)
+            if self.keeper is not None:
+                self.keeper.look(now)
         if self.view.servable and now >= self.next_announcement:
             self.announce(now)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -6,7 +6,11 @@
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
 from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_upstreams import EngineClient, UpstreamError
+from cowslipshelf_upstreams import (
+    EngineClient,
+    UpstreamLostError,
+    UpstreamRefusedError,
+)
 from pykka import ActorDeadError, ActorRef
 
 LOG = part_logger("upstream")
@@ -51,7 +55,7 @@
             attempt_id = self.work.get()
             try:
                 self.do(attempt_id)
-            except UpstreamError as error:
+            except (UpstreamLostError, UpstreamRefusedError) as error:
                 # A lost cancel is not repeated here: the inventory shows what the
                 # engine still holds, and the decider asks for it again.
                 LOG.warning("upstream call failed", error=str(error))
