--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the parts of the replicated log."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/config.py
@@ -0,0 +1,27 @@
+"""Define the settings of a replica."""
+
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import InstanceId
+
+
+class ReplicaConfig(NamedTuple):
+    """Set the pace and the bounds of a replica."""
+
+    replica_instances: tuple[InstanceId, ...]
+    """Every instance that the settings give a data folder, this one included."""
+    heartbeat_seconds: float = 0.1
+    election_seconds: float = 0.5
+    """Shortest silence before an election; the longest is twice as long."""
+    lease_seconds: float = 0.5
+    """A leader that has heard from no quorum for so long steps down."""
+    join_seconds: float = 0.5
+    """Pause between two questions of an empty replica to be taken in."""
+    snapshot_after_entries: int = 4096
+    entries_kept: int = 1024
+    """Entries kept before a snapshot for replicas that are a little behind."""
+    most_uncommitted_entries: int = 4096
+    most_entries_per_message: int = 512
+    most_bytes_per_message: int = 262_144
+    """Bound on payloads in one message; a larger single entry still travels."""
+    most_messages_in_flight: int = 8
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/following.py
@@ -0,0 +1,72 @@
+"""Take entries from the leader."""
+
+from cowslipshelf_core.internal.agreement.effects import Persist
+from cowslipshelf_core.internal.agreement.errors import LogDivergedError
+from cowslipshelf_core.internal.agreement.messages import AppendEntries, AppendRefused
+from cowslipshelf_core.internal.agreement.records import Entry, ReplicaId
+from cowslipshelf_core.internal.agreement.snapshots import confirm_match
+from cowslipshelf_core.internal.agreement.state import ReplicaState
+
+
+def append_entries(
+    state: ReplicaState, leader: ReplicaId, message: AppendEntries
+) -> None:
+    """Append what follows a common entry, or say that the logs differ there."""
+    previous = message.previous_index
+    if not holds(state, previous, message.previous_term):
+        conflict_term, conflict_index = state.log.conflict_at(previous)
+        state.send(
+            leader,
+            AppendRefused,
+            previous_index=previous,
+            read_round=message.read_round,
+            conflict_term=conflict_term,
+            conflict_index=conflict_index,
+        )
+        return
+    take_over(state, message.entries)
+    match_index = previous + len(message.entries)
+    commit_index = min(message.commit_index, match_index)
+    if commit_index > state.commit_index:
+        state.commit_up_to(commit_index)
+    # What is committed here stands in every later leader's log as well.
+    match_index = max(match_index, state.commit_index)
+    confirm_match(state, leader, match_index, message.read_round)
+
+
+def holds(state: ReplicaState, index: int, term: int) -> bool:
+    """Tell whether the log has this entry; what is committed needs no check."""
+    return index <= state.commit_index or state.log.term_at(index) == term
+
+
+def take_over(state: ReplicaState, entries: tuple[Entry, ...]) -> None:
+    """Append the entries that are new, after cutting off those that contradict.
+
+    Entries that are already there stay, and so does what follows them: a late
+    copy of an older message must not cut off entries that were confirmed since.
+    """
+    truncate_from = None
+    for position, entry in enumerate(entries):
+        if entry.index <= state.commit_index:
+            check_committed(state, entry)
+            continue
+        term = state.log.term_at(entry.index)
+        if term == entry.term:
+            continue
+        if term is not None:
+            truncate_from = entry.index
+            state.log.truncate_from(entry.index)
+        new = tuple(entries[position:])
+        state.log.append(new)
+        state.effects.append(Persist(truncate_from=truncate_from, entries=new))
+        return
+
+
+def check_committed(state: ReplicaState, entry: Entry) -> None:
+    """Stop rather than go on beside a leader that has another history."""
+    term = state.log.term_at(entry.index)
+    if term is not None and term != entry.term:
+        raise LogDivergedError(
+            f"entry {entry.index} is committed with term {term}, "
+            f"but the leader sent it with term {entry.term}"
+        )
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/founding.py
@@ -0,0 +1,100 @@
+"""Found a cluster from empty data folders, or ask to join the one there is."""
+
+from cowslipshelf_core.identifiers import InstanceId
+from cowslipshelf_core.internal.agreement.effects import Persist, SendTo
+from cowslipshelf_core.internal.agreement.membership import admit_newcomer
+from cowslipshelf_core.internal.agreement.messages import JoinAnswered, JoinAsked
+from cowslipshelf_core.internal.agreement.records import (
+    Entry,
+    EntryKind,
+    Membership,
+    ReplicaId,
+    encode_membership,
+)
+from cowslipshelf_core.internal.agreement.state import ReplicaState
+
+FOUNDING_TERM = 1
+
+
+def is_empty(state: ReplicaState) -> bool:
+    """Tell whether this data folder belongs to no cluster yet."""
+    return not state.hard_state.cluster
+
+
+def ask_when_due(state: ReplicaState) -> None:
+    """Ask every replica of the settings, from time to time, to be taken in."""
+    waiting = state.join_due is not None and state.now < state.join_due
+    if waiting or not may_ask(state):
+        return
+    state.join_due = state.now + state.config.join_seconds
+    own = state.replica_id
+    asked = JoinAsked(own.folder, state.hard_state.cluster)
+    for instance in state.config.replica_instances:
+        if instance != own.instance:
+            state.effects.append(SendTo(instance, asked))
+    if is_empty(state):
+        found_if_all_are_empty(state)
+
+
+def may_ask(state: ReplicaState) -> bool:
+    """Tell whether this replica is a newcomer rather than one that was removed.
+
+    A newcomer that holds some entries may have been forgotten, when the leader
+    that took it in was lost before the change was committed; it asks again. One
+    whose instance is in no membership that it knows was removed by operators.
+    """
+    instances = {replica.instance for replica in state.membership.replicas}
+    return is_empty(state) or state.replica_id.instance in instances
+
+
+def join_asked(state: ReplicaState, sender: InstanceId, message: JoinAsked) -> None:
+    """Take an empty replica in as the leader, or tell it that this one is empty."""
+    newcomer = ReplicaId(sender, message.sender_folder)
+    if message.cluster not in ("", state.hard_state.cluster):
+        return
+    if state.leadership is not None:
+        admit_newcomer(state, newcomer)
+    elif is_empty(state):
+        answer = JoinAnswered(state.replica_id.folder, newcomer.folder)
+        state.effects.append(SendTo(sender, answer))
+
+
+def join_answered(
+    state: ReplicaState, sender: InstanceId, message: JoinAnswered
+) -> None:
+    """Note that another replica is empty too; the answer must be to this folder.
+
+    An answer to the folder that a wiped disk had before may be old: the others
+    have since founded a cluster, and counting it would found a second one.
+    """
+    if not is_empty(state) or message.recipient_folder != state.replica_id.folder:
+        return
+    state.empty_peers[sender] = ReplicaId(sender, message.sender_folder)
+    found_if_all_are_empty(state)
+
+
+def found_if_all_are_empty(state: ReplicaState) -> None:
+    """Found the cluster, at the first instance by name only.
+
+    Every replica of the settings must have said that it is empty: one that was
+    wiped finds others that are not, and waits for them instead.
+    """
+    own = state.replica_id
+    instances = sorted(state.config.replica_instances)
+    others = [instance for instance in instances if instance != own.instance]
+    if not instances or instances[0] != own.instance:
+        return
+    if any(instance not in state.empty_peers for instance in others):
+        return
+    voters = (own, *(state.empty_peers[instance] for instance in others))
+    entry = Entry(
+        index=1,
+        term=FOUNDING_TERM,
+        at=0.0,
+        kind=EntryKind.MEMBERSHIP,
+        payload=encode_membership(Membership(voters)),
+    )
+    state.save_hard_state(term=FOUNDING_TERM, voted_for=own, cluster=own.folder)
+    state.log.append((entry,))
+    state.effects.append(Persist(entries=(entry,)))
+    state.election_due = state.now
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/log.py
@@ -0,0 +1,150 @@
+"""Keep the recent part of the replicated log in memory."""
+
+from dataclasses import dataclass, field
+
+from cowslipshelf_core.internal.agreement.records import (
+    Entry,
+    EntryKind,
+    Membership,
+    Snapshot,
+    StoredState,
+    decode_membership,
+)
+
+
+@dataclass(slots=True)
+class ReplicaLog:
+    """Hold the entries after a base point, and the memberships they carry.
+
+    The base is the entry just before the first one held; its term is known, so
+    that the first one can still be checked against a leader's log.
+    """
+
+    base_index: int = 0
+    base_term: int = 0
+    snapshot: Snapshot | None = None
+    entries: list[Entry] = field(default_factory=list)
+    memberships: list[tuple[int, Membership]] = field(default_factory=list)
+
+    @classmethod
+    def from_stored(cls, stored: StoredState) -> "ReplicaLog":
+        """Build the log from what a data folder held."""
+        log = cls()
+        entries = stored.entries
+        if stored.snapshot is not None:
+            log.adopt_snapshot(stored.snapshot)
+            entries = tuple(e for e in entries if e.index > stored.snapshot.index)
+        log.append(entries)
+        return log
+
+    @property
+    def snapshot_index(self) -> int:
+        """Return the last index that the snapshot stands for."""
+        return self.snapshot.index if self.snapshot else 0
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    @property
+    def last_at(self) -> float:
+        """Return the leader's time in the last entry."""
+        if self.entries:
+            return self.entries[-1].at
+        return self.snapshot.at if self.snapshot else 0.0
+
+    @property
+    def membership(self) -> Membership:
+        """Return the membership in force: the last one appended, committed or not."""
+        return self.memberships[-1][1] if self.memberships else Membership()
+
+    @property
+    def membership_index(self) -> int:
+        """Return the index of the membership in force."""
+        return self.memberships[-1][0] if self.memberships else 0
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or nothing where it isn't held."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entry_at(index).term
+        return None
+
+    def entry_at(self, index: int) -> Entry:
+        """Return an entry that is held."""
+        return self.entries[index - self.base_index - 1]
+
+    def slice_from(self, index: int, most_entries: int, most_bytes: int) -> list[Entry]:
+        """Return entries from an index on, at least one, within the bounds."""
+        start = index - self.base_index - 1
+        chosen = []
+        size = 0
+        for entry in self.entries[start : start + most_entries]:
+            size += len(entry.payload)
+            if chosen and size > most_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Append entries; a membership among them is in force from now on."""
+        for entry in entries:
+            self.entries.append(entry)
+            if entry.kind is EntryKind.MEMBERSHIP:
+                self.memberships.append((entry.index, decode_membership(entry.payload)))
+
+    def truncate_from(self, index: int) -> None:
+        """Drop an entry and all after it; a membership among them is rolled back."""
+        del self.entries[index - self.base_index - 1 :]
+        self.memberships = [m for m in self.memberships if m[0] < index]
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership that was in force at an index."""
+        known = [m for at, m in self.memberships if at <= index]
+        return known[-1] if known else Membership()
+
+    def compact(self, snapshot: Snapshot, keep_from: int) -> None:
+        """Let a snapshot of the own state stand for the entries before an index."""
+        self.snapshot = snapshot
+        base = max(keep_from - 1, self.base_index)
+        base_term = self.term_at(base)
+        del self.entries[: base - self.base_index]
+        self.base_index = base
+        self.base_term = base_term
+        later = [m for m in self.memberships if m[0] > snapshot.index]
+        self.memberships = [(snapshot.index, snapshot.membership), *later]
+
+    def adopt_snapshot(self, snapshot: Snapshot) -> None:
+        """Begin anew after a snapshot from elsewhere, without any entry."""
+        self.snapshot = snapshot
+        self.entries = []
+        self.base_index = snapshot.index
+        self.base_term = snapshot.term
+        self.memberships = [(snapshot.index, snapshot.membership)]
+
+    def conflict_at(self, index: int) -> tuple[int, int]:
+        """Return the term at an index and the first index of that term."""
+        term = self.term_at(index)
+        if term is None:
+            return 0, self.last_index + 1
+        first = index
+        while first - 1 > self.base_index and self.term_at(first - 1) == term:
+            first -= 1
+        return term, first
+
+    def last_index_of(self, term: int, most: int) -> int | None:
+        """Return the last index, up to a bound, whose entry has a term."""
+        for index in range(min(most, self.last_index), self.base_index - 1, -1):
+            found = self.term_at(index)
+            if found == term:
+                return index
+            if found < term:
+                return None
+        return None
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
@@ -0,0 +1,130 @@
+"""Change the membership one replica at a time."""
+
+from cowslipshelf_core.internal.agreement.events import (
+    AddReplica,
+    MembershipChange,
+    MembershipProposed,
+    RemoveReplica,
+)
+from cowslipshelf_core.internal.agreement.messages import ProposalRefusal
+from cowslipshelf_core.internal.agreement.progress import PeerProgress
+from cowslipshelf_core.internal.agreement.records import (
+    EntryKind,
+    Membership,
+    ReplicaId,
+    encode_membership,
+)
+from cowslipshelf_core.internal.agreement.state import ReplicaState
+
+
+def membership_proposed(state: ReplicaState, event: MembershipProposed) -> None:
+    """Put a change into the log, or refuse it with the reason."""
+    proposed = change_membership(state.membership, event.change)
+    if proposed is None:
+        state.refuse(event.proposal_id, ProposalRefusal.BAD_MEMBERSHIP)
+    elif not is_ready_for(state, proposed):
+        state.refuse(event.proposal_id, ProposalRefusal.MEMBERSHIP_BUSY)
+    else:
+        put_in_force(state, proposed, event.proposal_id, event.at)
+
+
+def change_membership(
+    current: Membership, change: MembershipChange
+) -> Membership | None:
+    """Return the membership after a change, or nothing where it makes no sense."""
+    match change:
+        case AddReplica(replica_id):
+            if replica_id in current.replicas:
+                return None
+            others = without(current, replica_id.instance)
+            proposed = others._replace(learners=(*others.learners, replica_id))
+        case RemoveReplica(replica_id):
+            if replica_id not in current.replicas:
+                return None
+            proposed = without(current, replica_id.instance)
+    return proposed if proposed.voters else None
+
+
+def without(membership: Membership, instance: str) -> Membership:
+    """Leave out the replica of an instance, whatever its folder."""
+    return Membership(
+        tuple(r for r in membership.voters if r.instance != instance),
+        tuple(r for r in membership.learners if r.instance != instance),
+    )
+
+
+def is_ready_for(state: ReplicaState, proposed: Membership) -> bool:
+    """Tell whether the change before is whole and the next one can commit.
+
+    Two changes under way at once could each be committed by a quorum that shares
+    no voter with the other's. And a voter removed while too few of the others
+    have caught up would leave the committed entries on less than a quorum.
+    """
+    waiting = set(state.membership.learners) & set(proposed.learners)
+    if waiting or not is_settled(state):
+        return False
+    needed = state.log.membership_index
+    caught_up = {state.replica_id}
+    for peer, progress in state.leadership.peers.items():
+        if progress.match_index >= needed and is_heard(state, progress):
+            caught_up.add(peer)
+    return proposed.is_quorum(caught_up)
+
+
+def is_settled(state: ReplicaState) -> bool:
+    """Tell whether this term and the membership in force are both committed."""
+    needed = max(state.leadership.start_index, state.log.membership_index)
+    return state.commit_index >= needed
+
+
+def is_heard(state: ReplicaState, progress: PeerProgress) -> bool:
+    """Tell whether a replica has answered within the lease."""
+    heard = progress.heard_at
+    return heard is not None and state.now - heard <= state.config.lease_seconds
+
+
+def put_in_force(
+    state: ReplicaState, membership: Membership, proposal_id: str, at: float
+) -> None:
+    """Append a membership, which counts from here on, committed or not."""
+    entry = state.append_own(
+        EntryKind.MEMBERSHIP, encode_membership(membership), proposal_id, at
+    )
+    leadership = state.leadership
+    if proposal_id:
+        leadership.proposals[entry.index] = proposal_id
+    followers = [r for r in membership.replicas if r != state.replica_id]
+    leadership.peers = {
+        peer: leadership.peers.get(peer) or PeerProgress(entry.index)
+        for peer in followers
+    }
+
+
+def promote_learner(state: ReplicaState) -> None:
+    """Give a learner its vote once it holds everything committed, synced."""
+    if not state.membership.learners or not is_settled(state):
+        return
+    for learner in state.membership.learners:
+        progress = state.leadership.peers[learner]
+        if is_heard(state, progress) and progress.match_index >= state.commit_index:
+            put_in_force(state, promoted(state.membership, learner), "", 0.0)
+            return
+
+
+def promoted(membership: Membership, learner: ReplicaId) -> Membership:
+    """Move a learner to the voters."""
+    learners = tuple(r for r in membership.learners if r != learner)
+    return Membership((*membership.voters, learner), learners)
+
+
+def admit_newcomer(state: ReplicaState, newcomer: ReplicaId) -> None:
+    """Take in an empty replica that the settings know, when its turn comes.
+
+    It asks again and again, so a request that comes while another change is
+    under way is let go; the next one finds the way free.
+    """
+    if newcomer.instance not in state.config.replica_instances:
+        return
+    proposed = change_membership(state.membership, AddReplica(newcomer))
+    if proposed is not None and is_ready_for(state, proposed):
+        put_in_force(state, proposed, "", 0.0)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -0,0 +1,201 @@
+"""Hold the state that the parts of a replica share, and their common steps."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from cowslipshelf_core.identifiers import InstanceId
+from cowslipshelf_core.internal.agreement.config import ReplicaConfig
+from cowslipshelf_core.internal.agreement.effects import (
+    Committed,
+    Effect,
+    Persist,
+    ProposalRefused,
+    ReadFailed,
+    Role,
+    RoleChanged,
+    SendTo,
+    SnapshotWanted,
+)
+from cowslipshelf_core.internal.agreement.log import ReplicaLog
+from cowslipshelf_core.internal.agreement.messages import (
+    ProposalRefusal,
+    ReplicaMessage,
+)
+from cowslipshelf_core.internal.agreement.progress import Leadership
+from cowslipshelf_core.internal.agreement.records import (
+    Entry,
+    EntryKind,
+    HardState,
+    Membership,
+    ReplicaId,
+)
+
+
+@dataclass(slots=True)
+class Campaign:
+    """Count the votes of one election or pre-vote."""
+
+    pre_vote: bool
+    term: int
+    transfer: bool = False
+    granted: set[ReplicaId] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class IncomingSnapshot:
+    """Collect the chunks of a snapshot from the leader."""
+
+    index: int
+    term: int
+    data: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(slots=True)
+class ReplicaState:
+    """Be the whole state of a replica."""
+
+    config: ReplicaConfig
+    replica_id: ReplicaId
+    log: ReplicaLog
+    hard_state: HardState
+    commit_index: int
+    role: Role = Role.FOLLOWER
+    leader: InstanceId | None = None
+    failure: str = ""
+    reported: tuple[Role, int, InstanceId | None] | None = None
+    now: float = 0.0
+    """Time that has passed since the first event, as far as the clock showed it."""
+    clock: float | None = None
+    random: Random | None = None
+    effects: list[Effect] = field(default_factory=list)
+    election_due: float | None = None
+    leader_heard_at: float | None = None
+    campaign: Campaign | None = None
+    leadership: Leadership | None = None
+    incoming: IncomingSnapshot | None = None
+    snapshot_wanted: bool = False
+    join_due: float | None = None
+    empty_peers: dict[InstanceId, ReplicaId] = field(default_factory=dict)
+    """Replicas that told this start of this empty folder that theirs is empty."""
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def membership(self) -> Membership:
+        """Return the membership in force."""
+        return self.log.membership
+
+    def advance_clock(self, clock: float) -> None:
+        """Let time pass, but never backwards.
+
+        A clock that jumped backwards would leave timers and leases far in the
+        future: no election, and a cut-off leader that keeps believing in itself.
+        """
+        if self.clock is not None:
+            self.now += max(0.0, clock - self.clock)
+        self.clock = clock
+
+    def send(self, peer: ReplicaId, kind: type[ReplicaMessage], **fields) -> None:
+        """Send a message under the current term."""
+        self.send_at(self.term, peer, kind, **fields)
+
+    def send_at(
+        self, term: int, peer: ReplicaId, kind: type[ReplicaMessage], **fields
+    ) -> None:
+        """Send a message under a given term."""
+        message = kind(
+            sender_folder=self.replica_id.folder,
+            recipient_folder=peer.folder,
+            cluster=self.hard_state.cluster,
+            term=term,
+            **fields,
+        )
+        self.effects.append(SendTo(peer.instance, message))
+
+    def save_hard_state(self, **changes) -> None:
+        """Change the hard state, durably before anything is answered."""
+        self.hard_state = self.hard_state._replace(**changes)
+        self.effects.append(Persist(hard_state=self.hard_state))
+
+    def append_own(
+        self, kind: EntryKind, payload: bytes, proposal_id: str, at: float
+    ) -> Entry:
+        """Append an entry of the own term as its leader.
+
+        The leader's clock may be behind that of an earlier leader; states that
+        count time by the entries would then see it run backwards, so the time of
+        the entry before is the least that an entry can carry.
+        """
+        entry = Entry(
+            self.log.last_index + 1,
+            self.term,
+            max(at, self.log.last_at),
+            kind,
+            payload,
+            proposal_id,
+        )
+        self.log.append((entry,))
+        self.effects.append(Persist(entries=(entry,)))
+        return entry
+
+    def commit_up_to(self, index: int) -> None:
+        """Commit entries in order, up to an index that is held."""
+        first = self.commit_index + 1
+        for committed in range(first, index + 1):
+            entry = self.log.entry_at(committed)
+            self.effects.append(Committed(committed, entry))
+            self.commit_index = committed
+            self.settle_proposal(committed)
+        self.want_snapshot()
+
+    def settle_proposal(self, index: int) -> None:
+        """Forget a proposal whose outcome is known by its commit."""
+        if self.leadership is not None:
+            self.leadership.proposals.pop(index, None)
+
+    def want_snapshot(self) -> None:
+        """Ask for a snapshot once enough entries follow the last one."""
+        grown = self.commit_index - self.log.snapshot_index
+        if self.snapshot_wanted or grown < self.config.snapshot_after_entries:
+            return
+        self.snapshot_wanted = True
+        self.effects.append(SnapshotWanted(self.commit_index))
+
+    def refuse(self, proposal_id: str, reason: ProposalRefusal) -> None:
+        """Refuse a proposal."""
+        self.effects.append(ProposalRefused(proposal_id, reason, self.leader))
+
+    def become(self, role: Role, leader: InstanceId | None) -> None:
+        """Take a role, and report it where anything about it is new."""
+        self.role = role
+        self.leader = leader
+        if self.reported != (role, self.term, leader):
+            self.reported = (role, self.term, leader)
+            self.effects.append(RoleChanged(role, self.term, leader))
+
+    def become_follower(self, term: int, leader: InstanceId | None) -> None:
+        """Follow in a term that is the current one or a later one."""
+        if term > self.term:
+            self.save_hard_state(term=term, voted_for=None)
+        leadership = self.leadership
+        self.campaign = None
+        self.leadership = None
+        self.become(Role.FOLLOWER, leader)
+        if leadership is not None:
+            self.give_up(leadership)
+            self.restart_election_timer()
+
+    def give_up(self, leadership: Leadership) -> None:
+        """Tell proposers and readers that this replica leads no more."""
+        for proposal_id in leadership.proposals.values():
+            self.refuse(proposal_id, ProposalRefusal.OUTCOME_UNKNOWN)
+        for read in leadership.reads:
+            self.effects.append(ReadFailed(read.read_id, self.leader))
+
+    def restart_election_timer(self) -> None:
+        """Wait for a random time before standing for election."""
+        shortest = self.config.election_seconds
+        self.election_due = self.now + self.random.uniform(shortest, 2 * shortest)
