Add durable storage for a replica

A record carries the length of the file that was synced when it was written, so that damage in the middle is told from a torn tail: cutting damage off as if it were torn would take back what was promised.

--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the modules behind the public ones."""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the parts of a replica's durable storage."""
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/storage/files.py
@@ -0,0 +1,65 @@
+"""Write small files so that a crash leaves the old or the new content."""
+
+import fcntl
+import os
+from pathlib import Path
+
+from cowslipshelf_platform.internal.storage.errors import StorageError
+from cowslipshelf_platform.internal.storage.framing import frame, scan
+
+TEMPORARY_SUFFIX = ".tmp"
+FILE_MODE = 0o600
+
+
+def sync_folder(folder: Path) -> None:
+    """Make the names in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all of the data; a full disk may take only a part at first."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(descriptor, view) :]
+
+
+def replace_file(path: Path, payload: bytes) -> None:
+    """Put a file of one record in place, durably, old or new but never mixed."""
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, FILE_MODE)
+    try:
+        write_all(descriptor, frame(payload))
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def read_file(path: Path) -> bytes:
+    """Read a file of one record, or raise `StorageError` for damage."""
+    data = path.read_bytes()
+    found = scan(data)
+    if len(found.records) != 1 or found.end != len(data):
+        raise StorageError.corrupt(path, "the checksum does not match", found.end)
+    return found.records[0].payload
+
+
+def lock_folder(path: Path) -> int:
+    """Lock a folder by a file in it; the lock ends with this process.
+
+    Two processes that append to one log, as after a restart that left the old one
+    alive, would both believe in what the other has overwritten.
+    """
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        os.close(descriptor)
+        detail = "another process uses this data folder"
+        raise StorageError("lock", path, detail) from error
+    return descriptor
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/storage/segments.py
@@ -0,0 +1,220 @@
+"""Keep the log in segments: files that are appended to and dropped whole."""
+
+import os
+from array import array
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+from cowslipshelf_core.agreement import Entry
+from cowslipshelf_platform.internal.storage.errors import StorageError
+from cowslipshelf_platform.internal.storage.files import (
+    FILE_MODE,
+    sync_folder,
+    write_all,
+)
+from cowslipshelf_platform.internal.storage.framing import frame, scan
+
+SEGMENT_PATTERN = "log-*"
+SEGMENT_NAME = "log-{first_index:020d}"
+
+ENTRY_ENCODER = msgspec.msgpack.Encoder()
+ENTRY_DECODER = msgspec.msgpack.Decoder(Entry)
+
+
+@dataclass(slots=True)
+class Segment:
+    """Be one file of the log."""
+
+    path: Path
+    first_index: int
+    size: int = 0
+    synced: int = 0
+    offsets: array = field(default_factory=lambda: array("Q"))
+    """Offset of each entry, so that the log can be cut before it."""
+
+    @property
+    def next_index(self) -> int:
+        """Return the index after the last entry."""
+        return self.first_index + len(self.offsets)
+
+
+class SegmentedLog:
+    """Append entries, cut the end off and drop the beginning."""
+
+    def __init__(self, folder: Path, segment_bytes: int) -> None:
+        self.folder = folder
+        self.segment_bytes = segment_bytes
+        self.segments: list[Segment] = []
+        self.descriptor: int | None = None
+        self.pending = bytearray()
+
+    def load(self, snapshot_index: int) -> tuple[Entry, ...]:
+        """Read all entries; a torn tail is cut, damage raises `StorageError`."""
+        paths = sorted(self.folder.glob(SEGMENT_PATTERN))
+        if not paths:
+            raise StorageError.corrupt(self.folder, "the log is missing")
+        entries: list[Entry] = []
+        for path in self.drop_covered(paths, snapshot_index):
+            found = self.load_segment(path, is_last=path == paths[-1])
+            expected = self.segments[-1].next_index if self.segments else None
+            first_index = first_index_of(path)
+            if expected is not None and first_index != expected:
+                raise StorageError.corrupt(path, f"entry {expected} is missing")
+            segment = Segment(path, first_index)
+            self.segments.append(segment)
+            for offset, end, entry in found:
+                if entry.index != segment.next_index:
+                    detail = f"entry {entry.index} stands for {segment.next_index}"
+                    raise StorageError.corrupt(path, detail, offset)
+                segment.offsets.append(offset)
+                segment.size = segment.synced = end
+                entries.append(entry)
+        if self.segments[0].first_index > snapshot_index + 1:
+            detail = f"the entries from {snapshot_index + 1} on are missing"
+            raise StorageError.corrupt(self.segments[0].path, detail)
+        self.open_last()
+        self.cut_torn_tail()
+        return tuple(entries)
+
+    def drop_covered(self, paths: list[Path], snapshot_index: int) -> list[Path]:
+        """Remove what a reset was about to remove when the process ended."""
+        covering = self.folder / SEGMENT_NAME.format(first_index=snapshot_index + 1)
+        if covering not in paths:
+            return paths
+        start = paths.index(covering)
+        for path in paths[:start]:
+            path.unlink()
+        if start:
+            sync_folder(self.folder)
+        return paths[start:]
+
+    def load_segment(self, path: Path, is_last: bool) -> list[tuple[int, int, Entry]]:
+        """Read a segment; only the last one may end in a torn record."""
+        data = path.read_bytes()
+        found = scan(data)
+        if found.corrupt or (found.end < len(data) and not is_last):
+            detail = "a record that was synced is damaged"
+            raise StorageError.corrupt(path, detail, found.end)
+        ends = [record.offset for record in found.records[1:]] + [found.end]
+        return [
+            (record.offset, end, decode_entry(path, record.offset, record.payload))
+            for record, end in zip(found.records, ends, strict=False)
+        ]
+
+    def cut_torn_tail(self) -> None:
+        """Cut off what the last crash left unsynced."""
+        segment = self.segments[-1]
+        if os.fstat(self.descriptor).st_size > segment.size:
+            os.ftruncate(self.descriptor, segment.size)
+        # What was read may still be in the page cache only, if the last process
+        # ended between write and sync; from here on it counts as held.
+        os.fsync(self.descriptor)
+
+    def create(self, first_index: int) -> None:
+        """Begin a new segment, durably."""
+        path = self.folder / SEGMENT_NAME.format(first_index=first_index)
+        self.segments.append(Segment(path, first_index))
+        self.open_last(os.O_TRUNC)
+        os.fsync(self.descriptor)
+        sync_folder(self.folder)
+
+    def open_last(self, flags: int = 0) -> None:
+        """Open the last segment for appending."""
+        self.close()
+        flags |= os.O_RDWR | os.O_CREAT | os.O_APPEND
+        self.descriptor = os.open(self.segments[-1].path, flags, FILE_MODE)
+
+    def close(self) -> None:
+        """Close the segment that is open."""
+        if self.descriptor is not None:
+            os.close(self.descriptor)
+            self.descriptor = None
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Append entries; they reach the file by `flush` and the disk by `sync`."""
+        for entry in entries:
+            segment = self.segments[-1]
+            if segment.size >= self.segment_bytes:
+                self.sync()
+                self.create(segment.next_index)
+                segment = self.segments[-1]
+            record = frame(ENTRY_ENCODER.encode(entry), segment.synced)
+            segment.offsets.append(segment.size)
+            segment.size += len(record)
+            self.pending += record
+
+    def flush(self) -> None:
+        """Hand what is pending to the operating system."""
+        if self.pending:
+            write_all(self.descriptor, self.pending)
+            self.pending.clear()
+
+    def sync(self) -> None:
+        """Make everything appended durable."""
+        self.flush()
+        segment = self.segments[-1]
+        if segment.synced < segment.size:
+            os.fdatasync(self.descriptor)
+            segment.synced = segment.size
+
+    def truncate_from(self, index: int) -> None:
+        """Cut off an entry and all after it, the newest file first.
+
+        The cut is synced before anything is appended: otherwise a crash could
+        leave new bytes before old ones, which would look like damage.
+        """
+        self.flush()
+        while len(self.segments) > 1 and self.segments[-1].first_index >= index:
+            self.segments.pop().path.unlink()
+            self.open_last()
+        segment = self.segments[-1]
+        position = index - segment.first_index
+        if position < len(segment.offsets):
+            segment.size = segment.offsets[position]
+            del segment.offsets[position:]
+        segment.synced = min(segment.synced, segment.size)
+        os.ftruncate(self.descriptor, segment.size)
+        os.fsync(self.descriptor)
+        sync_folder(self.folder)
+
+    def drop_before(self, index: int) -> None:
+        """Remove the segments whose entries all come before an index."""
+        dropped = False
+        while len(self.segments) > 1 and self.segments[1].first_index <= index:
+            self.segments.pop(0).path.unlink()
+            dropped = True
+        if dropped:
+            sync_folder(self.folder)
+
+    def reset(self, first_index: int) -> None:
+        """Drop the whole log and begin anew after a snapshot that covers it.
+
+        The newest files go first, so that a crash leaves a prefix of the old log;
+        `load` sees by the snapshot that it is void.
+        """
+        self.truncate_from(self.segments[0].first_index)
+        oldest = self.segments.pop()
+        if oldest.first_index == first_index:
+            self.segments.append(oldest)
+            return
+        self.create(first_index)
+        oldest.path.unlink()
+        sync_folder(self.folder)
+
+
+def first_index_of(path: Path) -> int:
+    """Read the first index from a segment's name."""
+    try:
+        return int(path.name.removeprefix(SEGMENT_PATTERN.rstrip("*")))
+    except ValueError as error:
+        raise StorageError("load", path, "this is no segment of the log") from error
+
+
+def decode_entry(path: Path, offset: int, payload: bytes) -> Entry:
+    """Read an entry whose checksum was right."""
+    try:
+        return ENTRY_DECODER.decode(payload)
+    except msgspec.DecodeError as error:
+        raise StorageError.corrupt(path, f"no entry: {error}", offset) from error
