--- a/packages/core/src/cowslipshelf_core/internal/__init__.py
+++ b/packages/core/src/cowslipshelf_core/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the modules behind the public ones."""
+"""Keep what no other package imports directly."""
--- a/packages/platform/src/cowslipshelf_platform/internal/__init__.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the modules behind the public ones."""
+"""Hold what the public modules of the package re-export."""
