--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the public modules of the package export."""
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -0,0 +1,145 @@
+"""Write one answer to one caller, as it comes."""
+
+import socket
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from cowslipshelf_callers.errors import CallerGoneError
+from cowslipshelf_callers.internal.refusal_response import event_of, response_to
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import RequestId
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "x-request-id",
+    }
+)
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
+EVENT_STREAM = "text/event-stream"
+LINE_BREAKS = frozenset("\r\n")
+"""A header that holds one could forge others."""
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+@dataclass(slots=True)
+class AnswerWriter:
+    """Send head, pieces and end over a caller's socket, each at once.
+
+    Nothing is queued: a caller that stops reading holds up its own thread, until the
+    kernel's buffer is full and the time for one piece has passed.
+    """
+
+    socket: socket.socket
+    peer: str
+    request_id: RequestId
+    write_seconds: float
+    method: str
+    takes_chunks: bool
+    """False for HTTP/1.0, where the end of the connection ends the body."""
+    keeps_connection: bool
+    head_sent: bool = False
+    ended: bool = False
+    is_event_stream: bool = False
+    has_body: bool = True
+
+    def head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+        """Send the status line and the headers."""
+        kept = [
+            (name, value)
+            for name, value in headers
+            if name.lower() not in HOP_BY_HOP and not LINE_BREAKS.intersection(value)
+        ]
+        self.is_event_stream = any(
+            name.lower() == "content-type" and value.startswith(EVENT_STREAM)
+            for name, value in kept
+        )
+        self.has_body = self.method != "HEAD" and status not in STATUSES_WITHOUT_BODY
+        if self.has_body and self.takes_chunks:
+            kept.append(("Transfer-Encoding", "chunked"))
+        if self.has_body and not self.takes_chunks:
+            self.keeps_connection = False
+        self.send_head(status, kept)
+
+    def chunk(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if not data or not self.has_body:
+            return
+        if self.takes_chunks:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.send("answer", data)
+
+    def end(self) -> None:
+        """End a whole answer."""
+        self.ended = True
+        if self.has_body and self.takes_chunks:
+            self.send("end", LAST_CHUNK)
+
+    def refusal(self, refusal: Refusal, head_sent: bool) -> None:
+        """Send a refusal, in place of the answer or inside the one that began.
+
+        A body of events ends with an event that says what happened. Other bodies have
+        no place for that: they are cut, which every HTTP client reports as an error.
+        """
+        self.ended = True
+        if not head_sent and not self.head_sent:
+            self.send_refusal(refusal)
+            return
+        self.keeps_connection = False
+        if self.is_event_stream:
+            self.chunk(event_of(refusal, self.request_id))
+            self.end()
+
+    def send_refusal(self, refusal: Refusal, status: int | None = None) -> None:
+        """Send a refusal that is the whole answer; its reason gives the status."""
+        response = response_to(refusal, self.request_id)
+        headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+        body = b"" if self.method == "HEAD" else response.body
+        self.ended = True
+        self.send_head(status or response.status, headers, body)
+
+    def send_head(
+        self, status: int, headers: list[tuple[str, str]], body: bytes = b""
+    ) -> None:
+        """Send the head, and the body that is already known, in one write."""
+        self.head_sent = True
+        lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
+        lines.extend(f"{name}: {value}" for name, value in headers)
+        lines.append(f"X-Request-Id: {self.request_id}")
+        if not self.keeps_connection:
+            lines.append("Connection: close")
+        text = "\r\n".join(lines) + "\r\n\r\n"
+        self.send("head", text.encode("latin-1", "replace") + body)
+
+    def caller_gone(self) -> bool:
+        """Look, without waiting, whether the caller has closed its connection."""
+        try:
+            return self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def send(self, step: str, data: bytes) -> None:
+        """Send bytes within the time that one piece may take."""
+        try:
+            self.socket.settimeout(self.write_seconds)
+            self.socket.sendall(data)
+        except OSError as error:
+            self.keeps_connection = False
+            raise CallerGoneError(step, self.peer, str(error)) from error
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/handler.py
@@ -0,0 +1,17 @@
+"""Say what the server needs from whoever decides about calls."""
+
+from typing import Protocol
+
+from cowslipshelf_callers.internal.answer_writer import AnswerWriter
+from cowslipshelf_callers.internal.call import CallerCall, ServedModel
+from cowslipshelf_core.errors import Refusal
+
+
+class CallersHandler(Protocol):
+    """Answer calls; called from many threads at once, one for each open call."""
+
+    def answer(self, call: CallerCall, writer: AnswerWriter) -> None:
+        """Write the call's one answer, and return when it is ended."""
+
+    def models(self, customer_key: str) -> tuple[ServedModel, ...] | Refusal:
+        """List the models that the customer may use."""
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/http_request.py
@@ -0,0 +1,192 @@
+"""Check one HTTP request, answer it through the handler, or refuse it."""
+
+import logging
+import secrets
+import urllib.parse
+
+from cheroot.errors import MaxSizeExceeded
+from cheroot.server import Gateway, HTTPRequest
+
+from cowslipshelf_callers.errors import BadCallError, CallerGoneError
+from cowslipshelf_callers.internal.answer_writer import AnswerWriter
+from cowslipshelf_callers.internal.models_page import models_answer
+from cowslipshelf_callers.internal.routes import (
+    MODELS_PATH,
+    RequestLine,
+    bad_request,
+    call_of,
+    customer_key_of,
+    route_of,
+)
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import RequestId
+
+LOG = logging.getLogger("cowslipshelf.callers")
+REQUEST_ID_BYTES = 12
+STATUS_TIMEOUT = 408
+CHUNKED = b"chunked"
+STATUSES_OF_SIZE = frozenset({413, 414})
+
+
+def fresh_request_id() -> RequestId:
+    """Draw the id that every hop and the answer carry."""
+    return RequestId(f"req-{secrets.token_hex(REQUEST_ID_BYTES)}")
+
+
+class CallerRequestReader(HTTPRequest):
+    """Parse a request line and headers; refuse in the published error shape."""
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; refuse what two servers could read in two ways."""
+        if not super().read_request_headers():
+            return False
+        length = self.inheaders.get(b"Content-Length")
+        if length is not None and not length.strip().isdigit():
+            self.simple_response("400 Bad Request", "Malformed Content-Length")
+            return False
+        if length is not None and self.chunked_read:
+            self.simple_response(
+                "400 Bad Request", "Content-Length together with chunked encoding"
+            )
+            return False
+        return True
+
+    def simple_response(self, status, msg="") -> None:
+        """Refuse with the JSON that callers get for every other refusal."""
+        number = int(str(status)[:3])
+        self.close_connection = True
+        self.conn.linger = True
+        refusal = _refusal_of_status(number, str(msg) or str(status)[4:])
+        writer = self.writer(fresh_request_id())
+        writer.keeps_connection = False
+        try:
+            writer.send_refusal(refusal, number)
+        except CallerGoneError as error:
+            LOG.debug("callers: %s", error)
+
+    def writer(self, request_id: RequestId) -> AnswerWriter:
+        """Make the writer for this request's one answer."""
+        return AnswerWriter(
+            socket=self.conn.socket,
+            peer=f"{self.conn.remote_addr}:{self.conn.remote_port}",
+            request_id=request_id,
+            write_seconds=self.server.config.write_seconds,
+            method=getattr(self, "method", b"GET").decode("latin-1"),
+            takes_chunks=self.response_protocol == "HTTP/1.1",
+            keeps_connection=not self.close_connection,
+        )
+
+
+def _refusal_of_status(status: int, detail: str) -> Refusal:
+    reason = RefusalReason.BAD_REQUEST
+    if status in STATUSES_OF_SIZE:
+        reason = RefusalReason.TOO_LARGE
+    if status == STATUS_TIMEOUT:
+        reason = RefusalReason.DEADLINE_PASSED
+        detail = "the request was not sent whole in time"
+    return Refusal(RefusalCode.NOT_RUN, reason, "parse", detail=detail)
+
+
+class CallersGateway(Gateway):
+    """Answer one parsed request."""
+
+    req: CallerRequestReader
+
+    def respond(self) -> None:
+        """Answer, and decide whether the connection can carry another call."""
+        request = self.req
+        request.sent_headers = True
+        if not request.server.may_keep_connections():
+            request.close_connection = True
+        writer = request.writer(fresh_request_id())
+        try:
+            self.answer(writer)
+        except CallerGoneError as error:
+            LOG.info("callers: %s", error)
+        except BadCallError as error:
+            self.refuse(writer, error.refusal)
+        request.close_connection = not writer.keeps_connection
+        request.chunked_write = False
+
+    def refuse(self, writer: AnswerWriter, refusal: Refusal) -> None:
+        """Refuse a call that was not given to the handler; its rest stays unread."""
+        writer.keeps_connection = False
+        self.req.conn.linger = True
+        try:
+            writer.refusal(refusal, False)
+        except CallerGoneError as error:
+            LOG.info("callers: %s", error)
+
+    def answer(self, writer: AnswerWriter) -> None:
+        """Parse the call and give it to the handler."""
+        line = self.request_line(writer.peer)
+        key = customer_key_of(line.headers)
+        if line.path == MODELS_PATH and line.method == "GET":
+            self.read_body()
+            models_answer(self.req.server.handler.models(key), writer)
+            return
+        route = route_of(line)
+        body = self.read_body()
+        call = call_of(line, route, writer.request_id, body)
+        self.run_handler(call, writer)
+
+    def run_handler(self, call, writer: AnswerWriter) -> None:
+        """Run the handler; whatever it does, the caller gets one explicit end."""
+        try:
+            self.req.server.handler.answer(call, writer)
+        except CallerGoneError:
+            raise
+        except Exception:
+            LOG.exception("callers: handler failed for %s", writer.request_id)
+        if writer.ended:
+            return
+        # A handler that ends without an answer would look to the caller like a
+        # quiet end of a whole one.
+        refusal = Refusal(
+            RefusalCode.OUTCOME_UNKNOWN,
+            RefusalReason.UPSTREAM_FAILED,
+            "answer",
+            detail="the answer was not ended",
+        )
+        writer.refusal(refusal, writer.head_sent)
+
+    def request_line(self, peer: str) -> RequestLine:
+        """Give the request line and headers as text."""
+        request = self.req
+        uri = urllib.parse.urlsplit(request.uri.decode("latin-1"))
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in request.inheaders.items()
+        }
+        method = request.method.decode("latin-1")
+        return RequestLine(method, uri.path, uri.query, headers, peer)
+
+    def read_body(self) -> bytes:
+        """Read the whole body, within the limits of size and time."""
+        request = self.req
+        if not request.chunked_read:
+            return self.read_known_length()
+        try:
+            return request.rfile.read()
+        except MaxSizeExceeded as error:
+            raise _too_large(self.req.server.config.most_body_bytes) from error
+        except (ValueError, EOFError) as error:
+            raise bad_request(f"malformed chunked body: {error}") from error
+
+    def read_known_length(self) -> bytes:
+        """Read as many bytes as were announced."""
+        length = int(self.req.inheaders.get(b"Content-Length", b"0"))
+        if not length:
+            return b""
+        body = self.req.conn.rfile.read(length)
+        if len(body) < length:
+            peer = f"{self.req.conn.remote_addr}:{self.req.conn.remote_port}"
+            raise CallerGoneError("body", peer, "closed before the body was whole")
+        return body
+
+
+def _too_large(limit: int) -> BadCallError:
+    detail = f"a body may have {limit} bytes"
+    return BadCallError(
+        Refusal(RefusalCode.NOT_RUN, RefusalReason.TOO_LARGE, "parse", detail=detail)
+    )
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/model_call.py
@@ -0,0 +1,159 @@
+"""Read what routing needs from the body of a model call.
+
+Only the needed fields are decoded; the body goes to the engine as it came.
+"""
+
+from hashlib import blake2b
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from cowslipshelf_callers.errors import BadCallError
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import ModelName
+
+BYTES_PER_TOKEN = 4
+"""Common estimate for text; the engine counts exactly."""
+DEFAULT_OUTPUT_TOKENS = 256
+PREFIX_BYTES = 2048
+"""How much of a prompt tells which cached prefix it may share."""
+HASH_BYTES = 8
+
+PositiveCount = Annotated[int, msgspec.Meta(ge=1, le=16_777_216)]
+ModelField = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+
+
+class ContentPart(msgspec.Struct):
+    """Be a part of a message; parts other than text count nothing."""
+
+    text: str = ""
+
+
+class ChatMessage(msgspec.Struct):
+    """Be one message of a conversation."""
+
+    role: str
+    content: str | list[ContentPart] | None = None
+
+
+class ModelCallBody(msgspec.Struct):
+    """Hold the fields that both model calls share."""
+
+    model: ModelField
+    stream: bool | None = None
+    max_tokens: PositiveCount | None = None
+    max_completion_tokens: PositiveCount | None = None
+    n: PositiveCount | None = None
+
+
+class ChatBody(ModelCallBody, kw_only=True):
+    """Be the body of a chat completion."""
+
+    messages: Annotated[list[ChatMessage], msgspec.Meta(min_length=1)]
+
+
+class CompletionBody(ModelCallBody, kw_only=True):
+    """Be the body of a completion; a prompt is text, texts or lists of token ids."""
+
+    prompt: str | list[str | int | list[int]]
+
+
+class ModelCallFacts(NamedTuple):
+    """Be what routing needs to know of a model call."""
+
+    model: ModelName
+    streamed: bool
+    prompt_tokens: int
+    most_output_tokens: int
+    prefix_hash: int
+
+
+CHAT_DECODER = msgspec.json.Decoder(ChatBody)
+COMPLETION_DECODER = msgspec.json.Decoder(CompletionBody)
+
+
+def read_chat(body: bytes) -> ModelCallFacts:
+    """Read a chat completion's body."""
+    decoded = _decode(CHAT_DECODER, body)
+    texts = [text for message in decoded.messages for text in _texts(message)]
+    return _facts(decoded, tokens_of_texts(texts), hash_of_texts(texts))
+
+
+def read_completion(body: bytes) -> ModelCallFacts:
+    """Read a completion's body."""
+    decoded = _decode(COMPLETION_DECODER, body)
+    prompt = decoded.prompt
+    if isinstance(prompt, str):
+        prompt = [prompt]
+    texts = [item for item in prompt if isinstance(item, str)]
+    ids = _token_ids(prompt)
+    tokens = tokens_of_texts(texts) + len(ids)
+    if ids and not texts:
+        texts = [" ".join(map(str, ids[:PREFIX_BYTES]))]
+    return _facts(decoded, tokens, hash_of_texts(texts))
+
+
+def _texts(message: ChatMessage) -> list[str]:
+    match message.content:
+        case str() as text:
+            return [text]
+        case None:
+            return []
+        case parts:
+            return [part.text for part in parts]
+
+
+def _token_ids(prompt: list[str | int | list[int]]) -> list[int]:
+    ids: list[int] = []
+    for item in prompt:
+        match item:
+            case int():
+                ids.append(item)
+            case list():
+                ids.extend(item)
+    return ids
+
+
+def tokens_of_texts(texts: list[str]) -> int:
+    """Estimate the tokens of all texts together."""
+    size = sum(_byte_length(text) for text in texts)
+    return -(-size // BYTES_PER_TOKEN)
+
+
+def _byte_length(text: str) -> int:
+    return len(text) if text.isascii() else len(text.encode())
+
+
+def hash_of_texts(texts: list[str]) -> int:
+    """Hash the start of the prompt; the same on every instance and after restarts."""
+    start = b""
+    for text in texts:
+        if len(start) >= PREFIX_BYTES:
+            break
+        start += text[:PREFIX_BYTES].encode()
+    if not start:
+        return 0
+    digest = blake2b(start[:PREFIX_BYTES], digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
+def _facts(body: ModelCallBody, tokens: int, prefix_hash: int) -> ModelCallFacts:
+    most = body.max_completion_tokens or body.max_tokens or DEFAULT_OUTPUT_TOKENS
+    return ModelCallFacts(
+        model=ModelName(body.model),
+        streamed=bool(body.stream),
+        prompt_tokens=tokens,
+        most_output_tokens=most * (body.n or 1),
+        prefix_hash=prefix_hash,
+    )
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes) -> ModelCallBody:
+    """Decode, or say at which byte or in which field the body is wrong."""
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        refusal = Refusal(
+            RefusalCode.NOT_RUN, RefusalReason.BAD_REQUEST, "parse", detail=str(error)
+        )
+        raise BadCallError(refusal) from error
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/models_page.py
@@ -0,0 +1,39 @@
+"""List the models that a customer may use, in the published shape."""
+
+import msgspec
+
+from cowslipshelf_callers.internal.answer_writer import AnswerWriter
+from cowslipshelf_callers.internal.call import ServedModel
+from cowslipshelf_core.errors import Refusal
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+OK = 200
+
+
+class ListedModel(msgspec.Struct, frozen=True):
+    """Be one model of the list; `owned_by` names its service."""
+
+    id: str
+    owned_by: str
+    object: str = "model"
+    created: int = 0
+
+
+class ModelList(msgspec.Struct, frozen=True):
+    """Be the list as the published interface gives it."""
+
+    data: tuple[ListedModel, ...]
+    object: str = "list"
+
+
+def models_answer(
+    models: tuple[ServedModel, ...] | Refusal, writer: AnswerWriter
+) -> None:
+    """Write the list, or the refusal to list."""
+    if isinstance(models, Refusal):
+        writer.refusal(models, False)
+        return
+    listed = tuple(ListedModel(entry.model, entry.service) for entry in models)
+    writer.head(OK, JSON_HEADERS)
+    writer.chunk(msgspec.json.encode(ModelList(listed)))
+    writer.end()
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
@@ -0,0 +1,146 @@
+"""Put refusals into the published error shape, with a status by their reason."""
+
+import math
+from typing import NamedTuple
+
+import msgspec
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import RequestId
+
+LEAST_RETRY_AFTER_SECONDS = 1.0
+
+STATUS_BY_REASON = {
+    RefusalReason.BUSY: 503,
+    RefusalReason.OVERLOADED: 503,
+    RefusalReason.LEAVING: 503,
+    RefusalReason.STALE_CONFIGURATION: 503,
+    RefusalReason.WRONG_EPOCH: 503,
+    RefusalReason.TOMBSTONED: 503,
+    RefusalReason.DUPLICATE_ATTEMPT: 503,
+    RefusalReason.DEADLINE_PASSED: 504,
+    RefusalReason.CANNOT_FINISH_IN_TIME: 503,
+    RefusalReason.TOO_LARGE: 413,
+    RefusalReason.NO_UPSTREAM: 503,
+    RefusalReason.UNKNOWN_MODEL: 404,
+    RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.NOT_ALLOWED: 403,
+    RefusalReason.BAD_KEY: 401,
+    RefusalReason.BAD_REQUEST: 400,
+    RefusalReason.CUSTOMER_LIMIT: 429,
+    RefusalReason.NOT_READY: 503,
+    RefusalReason.NO_QUORUM: 503,
+    RefusalReason.STILL_RUNNING: 409,
+    RefusalReason.KEY_REUSED: 422,
+    RefusalReason.UPSTREAM_FAILED: 502,
+    RefusalReason.CONNECTION_LOST: 502,
+    RefusalReason.CANCELLED: 503,
+}
+
+STATUSES_THAT_INVITE_A_RETRY = frozenset({429, 503})
+BAD_GATEWAY = 502
+
+TYPE_BY_STATUS = {
+    401: "authentication_error",
+    403: "permission_error",
+    409: "conflict_error",
+    429: "rate_limit_error",
+}
+FIRST_SERVER_ERROR = 500
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Be the error object of the published shape."""
+
+    message: str
+    type: str
+    code: str
+    reason: str
+    step: str
+    request_id: str
+    retry_after_seconds: float | None = None
+
+
+class ErrorDocument(msgspec.Struct, frozen=True):
+    """Wrap the error object as the published shape does."""
+
+    error: ErrorBody
+
+
+class RefusalResponse(NamedTuple):
+    """Be a refusal as it goes over HTTP."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+def status_of(refusal: Refusal) -> int:
+    """Choose the HTTP status; only "not run" invites a retry by its status."""
+    status = STATUS_BY_REASON[refusal.reason]
+    if refusal.code is RefusalCode.NOT_RUN:
+        return status
+    if status in STATUSES_THAT_INVITE_A_RETRY:
+        return BAD_GATEWAY
+    return status
+
+
+def response_to(refusal: Refusal, request_id: RequestId) -> RefusalResponse:
+    """Write a refusal that comes in place of an answer."""
+    status = status_of(refusal)
+    seconds = refusal.retry_after_seconds
+    if status in STATUSES_THAT_INVITE_A_RETRY:
+        seconds = max(seconds or 0.0, LEAST_RETRY_AFTER_SECONDS)
+    headers = [("Content-Type", "application/json")]
+    if seconds is not None:
+        whole = math.ceil(max(seconds, LEAST_RETRY_AFTER_SECONDS))
+        headers.append(("Retry-After", str(whole)))
+    if _must_not_be_repeated(refusal):
+        # Published clients repeat most error statuses unless told not to.
+        headers.append(("X-Should-Retry", "false"))
+    body = msgspec.json.encode(_document(refusal, status, request_id, seconds))
+    return RefusalResponse(status, tuple(headers), body)
+
+
+def event_of(refusal: Refusal, request_id: RequestId) -> bytes:
+    """Write a refusal as an event of a stream that already began."""
+    status = status_of(refusal)
+    seconds = refusal.retry_after_seconds
+    body = msgspec.json.encode(_document(refusal, status, request_id, seconds))
+    return b"data: " + body + b"\n\n"
+
+
+def _must_not_be_repeated(refusal: Refusal) -> bool:
+    return (
+        refusal.code is RefusalCode.OUTCOME_UNKNOWN
+        and refusal.reason is not RefusalReason.STILL_RUNNING
+    )
+
+
+def _document(
+    refusal: Refusal, status: int, request_id: RequestId, seconds: float | None
+) -> ErrorDocument:
+    default = (
+        "server_error" if status >= FIRST_SERVER_ERROR else "invalid_request_error"
+    )
+    return ErrorDocument(
+        ErrorBody(
+            message=_message(refusal),
+            type=TYPE_BY_STATUS.get(status, default),
+            code=refusal.code.value,
+            reason=refusal.reason.value,
+            step=refusal.step,
+            request_id=request_id,
+            retry_after_seconds=seconds,
+        )
+    )
+
+
+def _message(refusal: Refusal) -> str:
+    claims = {
+        RefusalCode.NOT_RUN: "The request did not run",
+        RefusalCode.OUTCOME_UNKNOWN: "The request may have run",
+        RefusalCode.FAILED: "The request did not finish",
+    }
+    why = refusal.detail or refusal.reason.value.replace("_", " ")
+    return f"{claims[refusal.code]}: {why}."
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/routes.py
@@ -0,0 +1,194 @@
+"""Turn a request line, headers and a body into a call."""
+
+import re
+from collections.abc import Callable, Mapping
+from hashlib import blake2b
+from typing import NamedTuple
+
+from cowslipshelf_callers.errors import BadCallError
+from cowslipshelf_callers.internal.answer_writer import EVENT_STREAM, HOP_BY_HOP
+from cowslipshelf_callers.internal.call import CallerCall
+from cowslipshelf_callers.internal.model_call import (
+    ModelCallFacts,
+    read_chat,
+    read_completion,
+)
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import ModelName, RequestId, ServiceName
+
+MODELS_PATH = "/v1/models"
+DIGEST_BYTES = 16
+MOST_KEY_LENGTH = 255
+MOST_DEADLINE_SECONDS = 86_400.0
+BEARER = "bearer "
+
+READERS: dict[str, Callable[[bytes], ModelCallFacts]] = {
+    "/v1/chat/completions": read_chat,
+    "/v1/completions": read_completion,
+}
+SERVICE_PATH = re.compile(r"/services/([A-Za-z0-9][A-Za-z0-9._-]{0,127})(/[^?]*)?")
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+DOT_SEGMENTS = frozenset({".", "..", "%2e", "%2e%2e", ".%2e", "%2e."})
+
+NOT_PASSED_ON = HOP_BY_HOP | {
+    "authorization",
+    "host",
+    "expect",
+    "x-service",
+    "x-deadline-seconds",
+}
+
+
+class RequestLine(NamedTuple):
+    """Be a request as HTTP gives it, before its body is read."""
+
+    method: str
+    path: str
+    query: str
+    headers: Mapping[str, str]
+    """Names in lower case."""
+    peer: str
+
+
+def bad_request(detail: str) -> BadCallError:
+    """Refuse a call that is wrong in itself."""
+    return BadCallError(
+        Refusal(RefusalCode.NOT_RUN, RefusalReason.BAD_REQUEST, "parse", detail=detail)
+    )
+
+
+def customer_key_of(headers: Mapping[str, str]) -> str:
+    """Take the customer's key from its header."""
+    value = headers.get("authorization", "")
+    key = value[len(BEARER) :].strip()
+    if not value.lower().startswith(BEARER) or not key:
+        detail = "send the key as 'Authorization: Bearer KEY'"
+        raise BadCallError(
+            Refusal(RefusalCode.NOT_RUN, RefusalReason.BAD_KEY, "parse", detail=detail)
+        )
+    return key
+
+
+class Route(NamedTuple):
+    """Tell where a path leads."""
+
+    service: ServiceName | None
+    path: str
+    reader: Callable[[bytes], ModelCallFacts] | None
+    """Reads a model call's body; None for a plain service."""
+
+
+def route_of(line: RequestLine) -> Route:
+    """Find what a path and method name, or refuse them."""
+    reader = READERS.get(line.path)
+    if reader is not None:
+        _require_post(line)
+        return Route(_named_service(line), line.path, reader)
+    match = SERVICE_PATH.fullmatch(line.path)
+    if match is None:
+        detail = f"no such path: {line.path[:200]}"
+        raise BadCallError(
+            Refusal(
+                RefusalCode.NOT_RUN,
+                RefusalReason.UNKNOWN_SERVICE,
+                "parse",
+                detail=detail,
+            )
+        )
+    path = match[2] or "/"
+    if any(part.lower() in DOT_SEGMENTS for part in path.split("/")):
+        raise bad_request("a path must not have '.' or '..' segments")
+    reader = READERS.get(path) if line.method == "POST" else None
+    return Route(ServiceName(match[1]), path, reader)
+
+
+def _require_post(line: RequestLine) -> None:
+    if line.method != "POST":
+        raise bad_request(f"{line.path} takes POST, not {line.method}")
+
+
+def _named_service(line: RequestLine) -> ServiceName | None:
+    name = line.headers.get("x-service")
+    if name is None:
+        return None
+    if NAME.fullmatch(name) is None:
+        raise bad_request("X-Service is not the name of a service")
+    return ServiceName(name)
+
+
+def deadline_of(headers: Mapping[str, str]) -> float | None:
+    """Read the caller's deadline, in seconds from now."""
+    text = headers.get("x-deadline-seconds")
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0.0 < seconds <= MOST_DEADLINE_SECONDS:
+        raise bad_request(
+            f"X-Deadline-Seconds must be above 0 and at most {MOST_DEADLINE_SECONDS:g}"
+        )
+    return seconds
+
+
+def idempotency_key_of(headers: Mapping[str, str]) -> str | None:
+    """Read the key that makes resending safe.
+
+    An empty key is refused: the caller believes itself protected and would not be.
+    """
+    key = headers.get("idempotency-key")
+    if key is None:
+        return None
+    if not 0 < len(key) <= MOST_KEY_LENGTH or not key.isprintable():
+        raise bad_request(
+            f"Idempotency-Key must have 1 to {MOST_KEY_LENGTH} printable characters"
+        )
+    return key
+
+
+def call_of(line: RequestLine, route: Route, request_id: RequestId, body: bytes):
+    """Build the call from its checked parts."""
+    facts = _facts_of(line, route, body)
+    path = f"{route.path}?{line.query}" if line.query else route.path
+    return CallerCall(
+        request_id=request_id,
+        customer_key=customer_key_of(line.headers),
+        service=route.service,
+        kind="plain" if route.reader is None else "model",
+        model=facts.model,
+        method=line.method,
+        path=path,
+        headers=_passed_on(line.headers),
+        body=body,
+        body_digest=_digest(line.method, path, body),
+        streamed=facts.streamed,
+        prompt_tokens=facts.prompt_tokens,
+        most_output_tokens=facts.most_output_tokens,
+        prefix_hash=facts.prefix_hash,
+        idempotency_key=idempotency_key_of(line.headers),
+        deadline_seconds=deadline_of(line.headers),
+        peer=line.peer,
+    )
+
+
+def _facts_of(line: RequestLine, route: Route, body: bytes) -> ModelCallFacts:
+    if route.reader is not None:
+        return route.reader(body)
+    streamed = EVENT_STREAM in line.headers.get("accept", "")
+    return ModelCallFacts(ModelName(""), streamed, 0, 0, 0)
+
+
+def _passed_on(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    named = {part.strip().lower() for part in headers.get("connection", "").split(",")}
+    return tuple(
+        (name, value)
+        for name, value in headers.items()
+        if name not in NOT_PASSED_ON and name not in named
+    )
+
+
+def _digest(method: str, path: str, body: bytes) -> str:
+    digest = blake2b(f"{method} {path}\n".encode(), digest_size=DIGEST_BYTES)
+    digest.update(body)
+    return digest.hexdigest()
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/server.py
@@ -0,0 +1,150 @@
+"""Serve callers over HTTP."""
+
+import logging
+import socket
+import threading
+from queue import Full
+
+from cheroot.server import HTTPServer
+
+from cowslipshelf_callers.internal.answer_writer import AnswerWriter
+from cowslipshelf_callers.internal.connection import CallerConnection
+from cowslipshelf_callers.internal.handler import CallersHandler
+from cowslipshelf_callers.internal.http_request import (
+    CallerRequestReader,
+    CallersGateway,
+    fresh_request_id,
+)
+from cowslipshelf_callers.internal.server_config import CallersServerConfig
+from cowslipshelf_callers.internal.thread_pool import CallThreadPool
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+
+LOG = logging.getLogger("cowslipshelf.callers")
+LISTEN_BACKLOG = 1024
+EXPIRY_INTERVAL_SECONDS = 0.2
+MOST_READ_AWAY_BYTES = 65_536
+
+
+class CallerConnectionClass(CallerConnection):
+    """Parse requests with our limits."""
+
+    RequestHandlerClass = CallerRequestReader
+
+
+class CallersHttpServer(HTTPServer):
+    """Be the library's server with limits on everything that callers can hold."""
+
+    ConnectionClass = CallerConnectionClass
+
+    def __init__(self, config: CallersServerConfig, handler: CallersHandler) -> None:
+        host, _, port = config.listen_address.rpartition(":")
+        super().__init__((host.strip("[]"), int(port)), CallersGateway)
+        self.config = config
+        self.handler = handler
+        self.draining = False
+        self.requests = CallThreadPool(
+            self, config.least_threads, config.most_open_calls
+        )
+        self.request_queue_size = LISTEN_BACKLOG
+        self.timeout = config.idle_seconds
+        self.expiration_interval = EXPIRY_INTERVAL_SECONDS
+        self.max_request_header_size = config.most_header_bytes
+        self.max_request_body_size = config.most_body_bytes
+        self.keep_alive_conn_limit = config.most_idle_connections
+
+    def may_keep_connections(self) -> bool:
+        """Tell whether a connection may wait for another call."""
+        return not self.draining and self.can_add_keepalive_connection
+
+    def process_conn(self, conn: CallerConnection) -> None:
+        """Let a new connection wait without a thread; answer one that has a call."""
+        if not conn.was_put_to_wait:
+            conn.was_put_to_wait = True
+            if self.can_add_keepalive_connection:
+                self.put_conn(conn)
+                return
+        try:
+            self.requests.put(conn)
+        except Full:
+            self.refuse_at_once(conn)
+
+    def refuse_at_once(self, conn: CallerConnection) -> None:
+        """Refuse a call above the limit, without waiting for the caller."""
+        refusal = Refusal(
+            RefusalCode.NOT_RUN,
+            RefusalReason.OVERLOADED,
+            "accept",
+            detail="too many open calls",
+            retry_after_seconds=1.0,
+        )
+        writer = AnswerWriter(
+            socket=conn.socket,
+            peer=f"{conn.remote_addr}:{conn.remote_port}",
+            request_id=fresh_request_id(),
+            write_seconds=0.0,
+            method="GET",
+            takes_chunks=True,
+            keeps_connection=False,
+        )
+        try:
+            conn.socket.settimeout(0.0)
+            # Bytes left unread would reset the connection and take the refusal along.
+            conn.socket.recv(MOST_READ_AWAY_BYTES)
+            writer.refusal(refusal, False)
+        except Exception as error:
+            LOG.info("callers: refusal was not sent: %s", error)
+        conn.close()
+
+    def error_log(self, msg="", level=logging.INFO, traceback=False) -> None:
+        """Log what the library has to say."""
+        LOG.log(level, "callers: %s", msg, exc_info=traceback)
+
+
+class CallersServer:
+    """Serve callers on one address, with a thread for each open call."""
+
+    def __init__(self, server: CallersHttpServer) -> None:
+        self.server = server
+        self.thread: threading.Thread | None = None
+
+    @classmethod
+    def from_config(
+        cls, config: CallersServerConfig, handler: CallersHandler
+    ) -> "CallersServer":
+        """Prepare to serve; nothing is bound before `start`."""
+        return cls(CallersHttpServer(config, handler))
+
+    def start(self) -> None:
+        """Bind the address and serve in threads of its own.
+
+        Raises OSError where the address can't be bound.
+        """
+        self.server.prepare()
+        self.thread = threading.Thread(
+            target=self.server.serve, name="callers", daemon=True
+        )
+        self.thread.start()
+
+    @property
+    def address(self) -> str:
+        """Give the bound IP:port."""
+        host, port = self.server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def open_calls(self) -> int:
+        """Count the calls that are being answered."""
+        return self.server.requests.open_calls()
+
+    def drain(self) -> None:
+        """Take no new connection and keep none for another call; open calls go on."""
+        self.server.draining = True
+        listening: socket.socket = self.server.socket
+        listening.shutdown(socket.SHUT_RD)
+
+    def stop(self, grace_seconds: float) -> None:
+        """Wait for open calls at most the given time, then cut them."""
+        self.server.draining = True
+        self.server.shutdown_timeout = grace_seconds
+        self.server.stop()
+        if self.thread is not None:
+            self.thread.join()
--- /dev/null
+++ b/packages/callers/src/cowslipshelf_callers/internal/server_config.py
@@ -0,0 +1,27 @@
+"""Bound what callers may cost."""
+
+from typing import NamedTuple
+
+MEBIBYTE = 1_048_576
+
+
+class CallersServerConfig(NamedTuple):
+    """Say where callers are served, and their limits."""
+
+    listen_address: str
+    """IP:port; port zero takes a free one."""
+    most_open_calls: int = 512
+    """Calls at a time, one thread each; more are refused at once."""
+    least_threads: int = 4
+    most_idle_connections: int = 2048
+    """Connections that wait for a call without a thread."""
+    most_header_bytes: int = 32_768
+    most_body_bytes: int = 16 * MEBIBYTE
+    idle_seconds: float = 60.0
+    """How long a connection may wait for its next call."""
+    request_seconds: float = 30.0
+    """Time in which a call has to be sent whole, from its first byte."""
+    write_seconds: float = 10.0
+    """Time in which the caller has to take each piece of its answer."""
+    send_buffer_bytes: int = 131_072
+    """What the kernel holds for a caller that does not read."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/chosen_upstream.py
@@ -0,0 +1,19 @@
+"""Name the upstream that a router chose for one attempt."""
+
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import AttemptId, Epoch, UpstreamId
+
+
+class ChosenUpstream(NamedTuple):
+    """Tell where one attempt of a request is to be handed over."""
+
+    attempt_id: AttemptId
+    """The fresh id that the asker passed in; it names this attempt for good."""
+    upstream_id: UpstreamId
+    epoch: Epoch
+    """Start of the sidecar that was meant; another start refuses the attempt."""
+    attempts_address: str
+    """IP:port where the sidecar takes attempts over HTTP."""
+    priority: int
+    """Lower is served first."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Keep what no other package imports directly."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
@@ -0,0 +1,176 @@
+"""Win, wait for or take over the right to run under an idempotency key.
+
+The claim is committed before the first hand-over and names the placed attempt, its
+sidecar and that sidecar's epoch: whoever finds the key held can ask that sidecar to
+revoke the attempt, without hearing from the entry instance that placed it.
+"""
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.internal.requests.claims import claim_asked, claim_moved
+from cowslipshelf_core.internal.requests.effects import (
+    AskClaim,
+    MoveClaim,
+    Note,
+    RequestEffect,
+    Revoke,
+)
+from cowslipshelf_core.internal.requests.ending import refuse, replay
+from cowslipshelf_core.internal.requests.events import (
+    ClaimAnswered,
+    ClaimUnavailable,
+    RevokeAnswered,
+)
+from cowslipshelf_core.internal.requests.feedback import AttemptOutcome
+from cowslipshelf_core.internal.requests.handing_over import WHOLE_STEP, hand_over
+from cowslipshelf_core.internal.requests.retrying import wait
+from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
+from cowslipshelf_core.messages import ClaimGranted, ClaimHeld, ClaimRefused, NeverRan
+
+
+def claim_or_hand_over(
+    state: RequestState, attempt: OpenAttempt, now: float
+) -> list[RequestEffect]:
+    """Hand over at once, unless a claim has to be asked or moved first."""
+    if not state.request.has_key():
+        return hand_over(state, attempt, now)
+    if state.claim_attempt is not None:
+        return move(state, attempt, state.claim_attempt)
+    state.phase = Phase.CLAIMING
+    asked = claim_asked(state.request, attempt.chosen, state.left(now))
+    return [AskClaim(asked)]
+
+
+def move(
+    state: RequestState, attempt: OpenAttempt, from_attempt: AttemptId
+) -> list[RequestEffect]:
+    """Compare and set the claim's attempt; the old one was promised never to run."""
+    state.phase = Phase.MOVING_CLAIM
+    return [MoveClaim(claim_moved(state.request, from_attempt, attempt.chosen))]
+
+
+def claim_answered(
+    state: RequestState, attempt: OpenAttempt, event: ClaimAnswered, now: float
+) -> list[RequestEffect]:
+    """Run where the claim is ours; else answer for whoever holds it."""
+    match event.answer:
+        case ClaimGranted(attempt_id):
+            if not state.is_open(attempt_id):
+                return state.drop()
+            return _granted(state, attempt, now)
+        case ClaimRefused(reason):
+            return _claim_refused(state, reason)
+        case ClaimHeld() as held:
+            return _claim_held(state, attempt, held, event.owner_gone, now)
+
+
+def _granted(
+    state: RequestState, attempt: OpenAttempt, now: float
+) -> list[RequestEffect]:
+    state.claim_attempt = attempt.chosen.attempt_id
+    return hand_over(state, attempt, now)
+
+
+def _claim_refused(state: RequestState, reason: str) -> list[RequestEffect]:
+    if state.phase is Phase.MOVING_CLAIM:
+        # Another request moved the key first and answers for it from now on.
+        state.claim_attempt = None
+        return _still_running(state, reason)
+    refusal = Refusal(
+        RefusalCode.NOT_RUN, RefusalReason.KEY_REUSED, "claim", detail=reason
+    )
+    return refuse(state, refusal)
+
+
+def _claim_held(
+    state: RequestState,
+    attempt: OpenAttempt,
+    held: ClaimHeld,
+    owner_gone: bool,
+    now: float,
+) -> list[RequestEffect]:
+    if held.answer is not None:
+        state.claim_attempt = None
+        return replay(state, held.answer)
+    if state.is_open(held.attempt_id) and held.refusal is None:
+        # Our own command, committed twice: the first commit granted it, and nobody
+        # else can have taken it over, since that would have changed the attempt.
+        return _granted(state, attempt, now)
+    if state.phase is Phase.MOVING_CLAIM:
+        state.claim_attempt = None
+        return _still_running(state, "another request took the key over")
+    if held.refusal is not None:
+        return _held_refusal(state, attempt, held, held.refusal)
+    if not held.deadline_passed and not owner_gone:
+        return _still_running(state, f"request {held.request_id} runs")
+    state.held = held
+    return revoke_held(state, held)
+
+
+def _held_refusal(
+    state: RequestState, attempt: OpenAttempt, held: ClaimHeld, refusal: Refusal
+) -> list[RequestEffect]:
+    """Run after a stored "not run", which is a promise; repeat any other refusal."""
+    if refusal.code is RefusalCode.NOT_RUN:
+        return move(state, attempt, held.attempt_id)
+    return refuse(state, refusal)
+
+
+def _still_running(state: RequestState, detail: str) -> list[RequestEffect]:
+    # The code speaks of the caller's operation, which the key names: "not run" would
+    # be true of this resend alone, and invite a new key and so a second run.
+    refusal = Refusal(
+        RefusalCode.OUTCOME_UNKNOWN,
+        RefusalReason.STILL_RUNNING,
+        "claim",
+        detail=detail,
+        retry_after_seconds=state.config.still_running_retry_seconds,
+    )
+    return refuse(state, refusal)
+
+
+def revoke_held(state: RequestState, held: ClaimHeld) -> list[RequestEffect]:
+    """Ask the holder's sidecar to promise that the holder's attempt never runs."""
+    state.held_revokes += 1
+    state.phase = Phase.REVOKING_HELD
+    note = Note(f"key is held by request {held.request_id}, which has ended")
+    return [note, Revoke("", held.attempt_id, held.sidecar_epoch, held.upstream_id)]
+
+
+def held_revoke_answered(
+    state: RequestState,
+    attempt: OpenAttempt,
+    held: ClaimHeld,
+    event: RevokeAnswered,
+    now: float,
+) -> list[RequestEffect]:
+    """Take the key over after a promise; else its outcome is unknown, said at once."""
+    match event.answer:
+        case NeverRan(attempt_id) if attempt_id == held.attempt_id:
+            return move(state, attempt, held.attempt_id)
+        case None if state.held_revokes < state.config.most_revokes:
+            doublings = state.held_revokes - 1
+            return wait(state, Phase.WAITING_TO_REVOKE_HELD, doublings, WHOLE_STEP, now)
+        case _:
+            refusal = Refusal(
+                RefusalCode.OUTCOME_UNKNOWN,
+                RefusalReason.CONNECTION_LOST,
+                "revoke",
+                held.upstream_id,
+                f"request {held.request_id} under this key may have run",
+            )
+            return refuse(state, refusal)
+
+
+def claim_unavailable(
+    state: RequestState, event: ClaimUnavailable
+) -> list[RequestEffect]:
+    """Refuse with "not run" where the claim could not be committed in time.
+
+    This is true although the command may yet be committed: only this request would
+    hand over under its attempt, it does so only after the grant, and it ends here. A
+    later resend is a request of its own; it finds the claim of an attempt that no
+    sidecar has seen, has it revoked and runs under a new one.
+    """
+    refusal = event.refusal._replace(code=state.code())
+    return refuse(state, refusal, AttemptOutcome.NEVER_RAN)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claims.py
@@ -0,0 +1,61 @@
+"""Write the claim commands of a request."""
+
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.internal.requests.caller_request import CallerRequest
+from cowslipshelf_core.messages import (
+    ClaimAsked,
+    ClaimFinished,
+    ClaimMoved,
+    StoredAnswer,
+)
+
+
+def claim_asked(
+    request: CallerRequest, chosen: ChosenUpstream, deadline_seconds: float
+) -> ClaimAsked:
+    """Claim the key for a placed attempt, so that others know whom to ask."""
+    return ClaimAsked(
+        customer=request.customer,
+        key=request.idempotency_key or "",
+        request_id=request.request_id,
+        attempt_id=chosen.attempt_id,
+        upstream_id=chosen.upstream_id,
+        sidecar_epoch=chosen.epoch,
+        owner=request.owner,
+        body_digest=request.body_digest,
+        deadline_seconds=deadline_seconds,
+    )
+
+
+def claim_moved(
+    request: CallerRequest, from_attempt: AttemptId, chosen: ChosenUpstream
+) -> ClaimMoved:
+    """Move the key from an attempt that will never run to a placed one."""
+    return ClaimMoved(
+        customer=request.customer,
+        key=request.idempotency_key or "",
+        request_id=request.request_id,
+        from_attempt=from_attempt,
+        to_attempt=chosen.attempt_id,
+        upstream_id=chosen.upstream_id,
+        sidecar_epoch=chosen.epoch,
+        owner=request.owner,
+    )
+
+
+def claim_finished(
+    request: CallerRequest,
+    attempt_id: AttemptId,
+    outcome: StoredAnswer | Refusal | None,
+) -> ClaimFinished:
+    """Store the outcome under the key."""
+    return ClaimFinished(
+        customer=request.customer,
+        key=request.idempotency_key or "",
+        request_id=request.request_id,
+        attempt_id=attempt_id,
+        answer=outcome if isinstance(outcome, StoredAnswer) else None,
+        refusal=outcome if isinstance(outcome, Refusal) else None,
+    )
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/requests/ending.py
@@ -0,0 +1,130 @@
+"""End a request: exactly one final effect, then what is left to clean up."""
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.internal.requests.claims import claim_finished
+from cowslipshelf_core.internal.requests.effects import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerRefusal,
+    Cancel,
+    FinishClaim,
+    Note,
+    Report,
+    RequestEffect,
+)
+from cowslipshelf_core.internal.requests.feedback import AttemptEnded, AttemptOutcome
+from cowslipshelf_core.internal.requests.state import Phase, RequestState
+from cowslipshelf_core.messages import ClaimGranted, StoredAnswer
+
+REPLAYED_HEADER = ("Idempotent-Replayed", "true")
+
+
+def close_attempt(state: RequestState, outcome: AttemptOutcome) -> list[RequestEffect]:
+    """Give up the open attempt, if any; cancel it where it may be running."""
+    attempt = state.attempt
+    if attempt is None:
+        return []
+    state.attempt = None
+    chosen = attempt.chosen
+    effects: list[RequestEffect] = []
+    if (
+        chosen.attempt_id in state.may_have_run
+        and outcome is not AttemptOutcome.FINISHED
+    ):
+        effects.append(Cancel(chosen.attempts_address, chosen.attempt_id))
+    if not attempt.handed_over:
+        outcome = AttemptOutcome.NEVER_RAN
+    effects.append(Report(AttemptEnded(chosen.attempt_id, outcome)))
+    return effects
+
+
+def end_whole(state: RequestState) -> list[RequestEffect]:
+    """End a whole answer; it is stored for resends before the caller has its end.
+
+    An answer that the caller has whole and that a resend can't get would look lost
+    to a caller which died between the two, so storing comes first.
+    """
+    delivery = state.delivery
+    stored = _store(state, delivery.stored_answer())
+    # A held-back answer is small: it is stored before its first byte is given.
+    rest = delivery.pass_on()
+    answer = [*stored, *rest] if not delivery.streamed else [*rest, *stored]
+    if state.caller_gone:
+        answer = stored
+    closing = close_attempt(state, AttemptOutcome.FINISHED)
+    state.phase = Phase.ENDED
+    return [*answer, AnswerEnd(), *closing]
+
+
+def refuse(
+    state: RequestState,
+    refusal: Refusal,
+    outcome: AttemptOutcome = AttemptOutcome.FAILED,
+) -> list[RequestEffect]:
+    """End with a refusal, given at once; storing and clean-up come after it."""
+    stored = _store(state, refusal)
+    closing = close_attempt(state, outcome)
+    state.phase = Phase.ENDED
+    answer = AnswerRefusal(refusal, state.delivery.head_sent)
+    note = Note(f"refused {refusal.code} {refusal.reason} at {refusal.step}")
+    return [answer, note, *closing, *stored]
+
+
+def refuse_for(
+    state: RequestState,
+    reason: RefusalReason,
+    step: str,
+    detail: str = "",
+    outcome: AttemptOutcome = AttemptOutcome.FAILED,
+) -> list[RequestEffect]:
+    """End with a refusal of our own, claiming no more than is known."""
+    attempt = state.attempt
+    peer = attempt.chosen.upstream_id if attempt is not None else ""
+    return refuse(state, Refusal(state.code(), reason, step, peer, detail), outcome)
+
+
+def replay(state: RequestState, answer: StoredAnswer) -> list[RequestEffect]:
+    """Give the answer that an earlier request under the key got."""
+    closing = close_attempt(state, AttemptOutcome.NEVER_RAN)
+    state.phase = Phase.ENDED
+    if not answer.whole:
+        detail = f"ran whole with status {answer.status}; answer too large to store"
+        refusal = Refusal(
+            RefusalCode.OUTCOME_UNKNOWN,
+            RefusalReason.TOO_LARGE,
+            "replay",
+            detail=detail,
+        )
+        return [AnswerRefusal(refusal, False), *closing]
+    return [
+        AnswerHead(answer.status, (*answer.headers, REPLAYED_HEADER)),
+        *([AnswerChunk(answer.body)] if answer.body else []),
+        AnswerEnd(),
+        *closing,
+    ]
+
+
+def finish_late_grant(
+    state: RequestState, granted: ClaimGranted
+) -> list[RequestEffect]:
+    """Give back a claim that was granted after its request had ended.
+
+    Its attempt was never handed over, as no hand-over precedes the grant; without
+    this a resend would be told "still running" until the deadline.
+    """
+    if granted.attempt_id not in state.placed or state.claim_attempt is not None:
+        return state.drop()
+    state.claim_attempt = granted.attempt_id
+    refusal = Refusal(RefusalCode.NOT_RUN, RefusalReason.CANCELLED, "claim")
+    return _store(state, refusal)
+
+
+def _store(
+    state: RequestState, outcome: StoredAnswer | Refusal | None
+) -> list[RequestEffect]:
+    holder: AttemptId | None = state.claim_attempt
+    if holder is None:
+        return []
+    return [FinishClaim(claim_finished(state.request, holder, outcome))]
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -0,0 +1,170 @@
+"""Hand an attempt to a sidecar, and find out what came of it."""
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.internal.requests.effects import (
+    Note,
+    Report,
+    RequestEffect,
+    Resume,
+    Revoke,
+    SendHandOver,
+)
+from cowslipshelf_core.internal.requests.ending import refuse_for
+from cowslipshelf_core.internal.requests.events import (
+    HandOverAnswered,
+    HandOverLost,
+    RevokeAnswered,
+)
+from cowslipshelf_core.internal.requests.feedback import (
+    AttemptOutcome,
+    HandOverAccepted,
+    HandOverRefused,
+)
+from cowslipshelf_core.internal.requests.retrying import (
+    is_truly_not_run,
+    try_elsewhere,
+    wait,
+)
+from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
+from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.upstream import HandOver
+
+WHOLE_STEP = 1.0
+
+
+def hand_over(state: RequestState, attempt: OpenAttempt, now: float) -> list:
+    """Send the open attempt; from here on it may run."""
+    chosen = attempt.chosen
+    attempt.handed_over = True
+    attempt.handed_over_at = now
+    state.hand_overs += 1
+    state.may_have_run.add(chosen.attempt_id)
+    state.phase = Phase.HANDING_OVER
+    note = Note(f"attempt {chosen.attempt_id} goes to {chosen.upstream_id}")
+    return [note, SendHandOver(chosen.attempts_address, _message(state, attempt, now))]
+
+
+def _message(state: RequestState, attempt: OpenAttempt, now: float) -> HandOver:
+    request = state.request
+    chosen = attempt.chosen
+    return HandOver(
+        request_id=request.request_id,
+        attempt_id=chosen.attempt_id,
+        owner=request.owner,
+        upstream_id=chosen.upstream_id,
+        sidecar_epoch=chosen.epoch,
+        configuration_version=request.configuration_version,
+        customer=request.customer,
+        service=request.service,
+        model=request.model,
+        non_idempotent=request.is_non_idempotent(),
+        deadline_seconds=state.left(now),
+        prompt_tokens=request.prompt_tokens,
+        most_output_tokens=request.most_output_tokens,
+        priority=chosen.priority,
+        prefix_hash=request.prefix_hash,
+        method=request.method,
+        path=request.path,
+        headers=request.headers,
+        body=request.body,
+        delivered_tokens=state.delivery.passed_tokens,
+    )
+
+
+def hand_over_answered(
+    state: RequestState, attempt: OpenAttempt, event: HandOverAnswered
+) -> list[RequestEffect]:
+    """Read the stream, or go elsewhere after a true refusal."""
+    if event.refused is None:
+        state.phase = Phase.STREAMING
+        return [Report(HandOverAccepted(event.attempt_id))]
+    report = Report(HandOverRefused(event.attempt_id, event.refused.load))
+    return [report, *_refused(state, attempt, event.refused)]
+
+
+def _refused(
+    state: RequestState, attempt: OpenAttempt, refused: AttemptRefused
+) -> list[RequestEffect]:
+    if not is_truly_not_run(refused.refusal):
+        return _uncertain(state, attempt, refused.refusal)
+    state.may_have_run.discard(attempt.chosen.attempt_id)
+    return try_elsewhere(state, refused.refusal, AttemptOutcome.NEVER_RAN)
+
+
+def hand_over_lost(
+    state: RequestState, attempt: OpenAttempt, event: HandOverLost
+) -> list[RequestEffect]:
+    """Go elsewhere, but where the attempt must not run twice revoke it first.
+
+    An attempt whose connection was never made was not sent, and a hand-over is sent
+    once only: it can't arrive later.
+    """
+    peer = attempt.chosen.upstream_id
+    refusal = Refusal(
+        state.code(), RefusalReason.CONNECTION_LOST, "hand over", peer, "no answer"
+    )
+    if not event.may_have_arrived:
+        state.may_have_run.discard(attempt.chosen.attempt_id)
+        return try_elsewhere(
+            state, refusal._replace(code=state.code()), AttemptOutcome.FAILED
+        )
+    return _uncertain(state, attempt, refusal)
+
+
+def _uncertain(
+    state: RequestState, attempt: OpenAttempt, refusal: Refusal
+) -> list[RequestEffect]:
+    if not state.request.is_non_idempotent():
+        return try_elsewhere(state, refusal, AttemptOutcome.FAILED)
+    state.last_refusal = refusal
+    return revoke(state, attempt)
+
+
+def revoke(state: RequestState, attempt: OpenAttempt) -> list[RequestEffect]:
+    """Ask the sidecar to promise that the open attempt never runs."""
+    chosen = attempt.chosen
+    attempt.revokes += 1
+    state.phase = Phase.REVOKING
+    return [
+        Revoke(
+            chosen.attempts_address,
+            chosen.attempt_id,
+            chosen.epoch,
+            chosen.upstream_id,
+        )
+    ]
+
+
+def revoke_answered(
+    state: RequestState, attempt: OpenAttempt, event: RevokeAnswered, now: float
+) -> list[RequestEffect]:
+    """Move after a promise, read on where the attempt runs, or give up at once."""
+    match event.answer:
+        case NeverRan(attempt_id) if attempt_id == event.attempt_id:
+            return _revoked(state, attempt)
+        case MayHaveRun(known=True):
+            return resume(state, attempt)
+        case None if attempt.revokes < state.config.most_revokes:
+            doublings = attempt.revokes - 1
+            return wait(state, Phase.WAITING_TO_REVOKE, doublings, WHOLE_STEP, now)
+        case _:
+            # A sidecar that restarted will never know; nor does waiting help with
+            # one that can't be reached. The caller learns it now, not at its deadline.
+            return refuse_for(state, RefusalReason.CONNECTION_LOST, "revoke")
+
+
+def _revoked(state: RequestState, attempt: OpenAttempt) -> list[RequestEffect]:
+    state.may_have_run.discard(attempt.chosen.attempt_id)
+    last = state.last_refusal or Refusal(
+        RefusalCode.NOT_RUN, RefusalReason.CONNECTION_LOST, "hand over"
+    )
+    refusal = last._replace(code=state.code())
+    return try_elsewhere(state, refusal, AttemptOutcome.FAILED)
+
+
+def resume(state: RequestState, attempt: OpenAttempt) -> list[RequestEffect]:
+    """Ask the same sidecar for the frames behind the last one taken."""
+    chosen = attempt.chosen
+    attempt.resumes += 1
+    state.phase = Phase.RESUMING
+    return [Resume(chosen.attempts_address, chosen.attempt_id, attempt.sequence)]
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/requests/placing.py
@@ -0,0 +1,48 @@
+"""Ask for an upstream, and take the one that was chosen."""
+
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
+from cowslipshelf_core.errors import Refusal, RefusalReason
+from cowslipshelf_core.internal.requests.claiming import claim_or_hand_over
+from cowslipshelf_core.internal.requests.effects import (
+    ChoosePlacement,
+    Report,
+    RequestEffect,
+)
+from cowslipshelf_core.internal.requests.ending import refuse
+from cowslipshelf_core.internal.requests.feedback import AttemptEnded, AttemptOutcome
+from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
+
+
+def choose_placement(state: RequestState, now: float) -> list[RequestEffect]:
+    """Ask the router, leaving out the upstreams that were tried."""
+    state.phase = Phase.PLACING
+    return [ChoosePlacement(frozenset(state.excluded), state.left(now))]
+
+
+def placed(
+    state: RequestState, chosen: ChosenUpstream, now: float
+) -> list[RequestEffect]:
+    """Open the attempt; an id that was seen before is a crossed or doubled answer."""
+    if chosen.attempt_id in state.placed:
+        return state.drop()
+    state.placed.add(chosen.attempt_id)
+    state.attempt = OpenAttempt(chosen)
+    return claim_or_hand_over(state, state.attempt, now)
+
+
+def release_unused(state: RequestState, chosen: ChosenUpstream) -> list[RequestEffect]:
+    """Tell the router that a choice came when nobody waited for it."""
+    state.drop()
+    if chosen.attempt_id in state.placed:
+        return []
+    state.placed.add(chosen.attempt_id)
+    return [Report(AttemptEnded(chosen.attempt_id, AttemptOutcome.NEVER_RAN))]
+
+
+def placement_refused(state: RequestState, refusal: Refusal) -> list[RequestEffect]:
+    """End with the router's refusal, or with the sidecars' that left it no choice."""
+    last = state.last_refusal
+    if last is not None and refusal.reason is RefusalReason.NO_UPSTREAM:
+        retry_after = last.retry_after_seconds or refusal.retry_after_seconds
+        refusal = last._replace(retry_after_seconds=retry_after)
+    return refuse(state, refusal._replace(code=state.code()))
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
@@ -0,0 +1,98 @@
+"""Decide whether a request may try again, and when."""
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.internal.requests.effects import (
+    AskRetryBudget,
+    Note,
+    RequestEffect,
+    Wait,
+)
+from cowslipshelf_core.internal.requests.ending import (
+    close_attempt,
+    refuse,
+    refuse_for,
+)
+from cowslipshelf_core.internal.requests.events import RetryAnswered
+from cowslipshelf_core.internal.requests.feedback import AttemptOutcome
+from cowslipshelf_core.internal.requests.state import Phase, RequestState
+
+REASONS_THAT_FOLLOW_THE_REQUEST = frozenset(
+    {
+        RefusalReason.DEADLINE_PASSED,
+        RefusalReason.NOT_ALLOWED,
+        RefusalReason.BAD_KEY,
+        RefusalReason.BAD_REQUEST,
+        RefusalReason.CUSTOMER_LIMIT,
+        RefusalReason.KEY_REUSED,
+    }
+)
+"""No other upstream would answer these otherwise."""
+
+
+def is_truly_not_run(refusal: Refusal) -> bool:
+    """Tell whether a sidecar's refusal promises that the attempt never runs.
+
+    A duplicate is refused because its first copy was taken: that one may be running.
+    """
+    return (
+        refusal.code is RefusalCode.NOT_RUN
+        and refusal.reason is not RefusalReason.DUPLICATE_ATTEMPT
+    )
+
+
+def try_elsewhere(
+    state: RequestState, refusal: Refusal, outcome: AttemptOutcome
+) -> list[RequestEffect]:
+    """Close the open attempt and ask for a retry on another upstream."""
+    state.last_refusal = refusal
+    attempt = state.attempt
+    if attempt is not None:
+        state.excluded.add(attempt.chosen.upstream_id)
+    effects = close_attempt(state, outcome)
+    if not _may_try_again(state, refusal):
+        return [*effects, *end_with_last_refusal(state)]
+    state.delivery.start_again()
+    state.phase = Phase.ASKING_BUDGET
+    note = Note(f"trying elsewhere after {refusal.reason} at {refusal.step}")
+    return [*effects, note, AskRetryBudget()]
+
+
+def _may_try_again(state: RequestState, refusal: Refusal) -> bool:
+    if state.caller_gone or refusal.reason in REASONS_THAT_FOLLOW_THE_REQUEST:
+        return False
+    if state.request.is_non_idempotent() and state.may_have_run:
+        return False
+    return (
+        state.hand_overs < state.config.most_attempts
+        and state.delivery.can_start_again()
+    )
+
+
+def retry_answered(
+    state: RequestState, event: RetryAnswered, now: float
+) -> list[RequestEffect]:
+    """Wait before the next placement, or end where the budget is spent."""
+    if not event.allowed:
+        return [Note("retry budget is spent"), *end_with_last_refusal(state)]
+    return wait(state, Phase.WAITING_TO_PLACE, state.hand_overs - 1, event.jitter, now)
+
+
+def wait(
+    state: RequestState, phase: Phase, doublings: int, share: float, now: float
+) -> list[RequestEffect]:
+    """Back off exponentially, by the given share of the step, within the deadline."""
+    config = state.config
+    step = min(
+        config.backoff_cap_seconds,
+        config.backoff_base_seconds * 2.0 ** max(0, doublings),
+    )
+    state.phase = phase
+    return [Wait(min(step * share, state.left(now)))]
+
+
+def end_with_last_refusal(state: RequestState) -> list[RequestEffect]:
+    """End with the reason for which the last attempt was given up."""
+    last = state.last_refusal
+    if last is None:
+        return refuse_for(state, RefusalReason.NO_UPSTREAM, "place")
+    return refuse(state, last._replace(code=state.code()))
