Place by least predicted harm, with bounded fair queues and outliers

Cause: the thin router sent every request to the upstream that last reported the fewest running, so entries herd and short prompts wait behind long ones. The choice now samples a few upstreams, predicts own time to first token and delay to others, keeps a long set in a shared order, queues each class by start-time fair queueing within predicted seconds, and sets slow upstreams aside under a cap. benchmarks/policy_*.py is a deterministic event loop with a fake engine, three entries and lagged reports.

--- /dev/null
+++ b/benchmarks/policy_baselines.py
@@ -0,0 +1,118 @@
+"""Replace only the choice of the upstream, by what other routers do."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId, UpstreamId
+from cowslipshelf_core.routing import (
+    AttemptEnded,
+    ChosenUpstream,
+    HandOverRefused,
+    LoadUpdated,
+    PlacementAnswered,
+    PlacementAsked,
+    PlacementExplanation,
+    RouterEvent,
+    UpstreamAvailable,
+    UpstreamUnavailable,
+)
+
+
+@dataclass
+class Baseline:
+    """Know the upstreams and what this entry has outstanding at each."""
+
+    upstreams: dict[UpstreamId, UpstreamAvailable] = field(default_factory=dict)
+    outstanding: dict[AttemptId, UpstreamId] = field(default_factory=dict)
+    turn: int = 0
+
+    def pick(
+        self, candidates: list[UpstreamAvailable], random: Random
+    ) -> UpstreamAvailable:
+        """Choose one of the candidates."""
+        raise NotImplementedError
+
+    def handle(
+        self, event: RouterEvent, now: float, random: Random
+    ) -> list[PlacementAnswered]:
+        """Take in one event and return the answer that is due."""
+        del now
+        match event:
+            case UpstreamAvailable(description=description):
+                self.upstreams[description.upstream_id] = event
+            case UpstreamUnavailable(upstream_id=upstream_id):
+                self.upstreams.pop(upstream_id, None)
+            case LoadUpdated(upstream_id=upstream_id, epoch=epoch, load=load):
+                if upstream_id in self.upstreams:
+                    description = self.upstreams[upstream_id].description
+                    self.upstreams[upstream_id] = UpstreamAvailable(
+                        description, epoch, load
+                    )
+            case HandOverRefused(attempt_id=attempt_id):
+                self.outstanding.pop(attempt_id, None)
+            case AttemptEnded(attempt_id=attempt_id):
+                self.outstanding.pop(attempt_id, None)
+            case PlacementAsked():
+                return [self.place(event, random)]
+        return []
+
+    def place(self, asked: PlacementAsked, random: Random) -> PlacementAnswered:
+        """Answer with the pick, or say that every upstream was tried."""
+        facts = asked.facts
+        candidates = [u for i, u in self.upstreams.items() if i not in asked.excluded]
+        explanation = PlacementExplanation(
+            facts.request_id, facts.attempt_id, None, (), 0.0, ""
+        )
+        if not candidates:
+            busy = Refusal(RefusalCode.NOT_RUN, RefusalReason.BUSY, "placement")
+            return PlacementAnswered(asked.ask_id, busy, explanation)
+        chosen = self.pick(candidates, random)
+        description = chosen.description
+        self.outstanding[facts.attempt_id] = description.upstream_id
+        answer = ChosenUpstream(
+            facts.attempt_id,
+            description.upstream_id,
+            chosen.epoch,
+            description.attempts_address,
+            0,
+        )
+        return PlacementAnswered(asked.ask_id, answer, explanation)
+
+
+class RoundRobin(Baseline):
+    """Take the upstreams in turn."""
+
+    def pick(
+        self, candidates: list[UpstreamAvailable], random: Random
+    ) -> UpstreamAvailable:
+        """Choose the next in turn."""
+        del random
+        self.turn += 1
+        return candidates[self.turn % len(candidates)]
+
+
+class LeastOutstanding(Baseline):
+    """Take the upstream with the fewest of this entry's requests open."""
+
+    def pick(
+        self, candidates: list[UpstreamAvailable], random: Random
+    ) -> UpstreamAvailable:
+        """Choose the fewest outstanding; ties are drawn."""
+        counts = dict.fromkeys(self.upstreams, 0)
+        for upstream_id in self.outstanding.values():
+            counts[upstream_id] = counts.get(upstream_id, 0) + 1
+        return min(
+            candidates,
+            key=lambda u: (counts[u.description.upstream_id], random.random()),
+        )
+
+
+class LeastReported(Baseline):
+    """Take the upstream that reports the fewest running: this router's first version."""
+
+    def pick(
+        self, candidates: list[UpstreamAvailable], random: Random
+    ) -> UpstreamAvailable:
+        """Choose the fewest reported; ties are drawn."""
+        return min(candidates, key=lambda u: (u.load.running, random.random()))
--- /dev/null
+++ b/benchmarks/policy_measures.py
@@ -0,0 +1,112 @@
+"""Turn what came of the requests of one run into figures."""
+
+from math import ceil
+from typing import TypedDict
+
+from policy_engine import alone_seconds
+from policy_run import DAY_START, Progress, Scenario
+
+WARM_UP_SHARE = 0.15
+BUCKETS = (
+    ("1k-8k", 0, 8_000),
+    ("8k-32k", 8_000, 32_000),
+    ("32k-100k", 32_000, 100_000),
+    ("over 100k", 100_000, 10_000_000),
+)
+SHORT, LONG = BUCKETS[0][0], BUCKETS[-1][0]
+
+
+class BucketFigures(TypedDict):
+    """Be the figures of one range of prompt lengths; times in seconds."""
+
+    requests: int
+    ttft_p50: float
+    ttft_p95: float
+    ttft_p99: float
+    slowdown_p50: float
+    slowdown_p95: float
+    in_time_share: float
+
+
+class Figures(TypedDict):
+    """Be the figures of one run."""
+
+    requests: int
+    in_time_share: float
+    refused: int
+    late: int
+    goodput_per_second: float
+    """Worth answered whole in time, by the second of the run."""
+    answered_per_second: float
+    small_customers_short_p95: float
+    """Short requests' p95 time to first token for the seven small customers."""
+    buckets: dict[str, BucketFigures]
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile; without values it is not a number."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    return ordered[max(0, ceil(share * len(ordered)) - 1)]
+
+
+def bucket_figures(progress: list[Progress]) -> BucketFigures:
+    """Return the figures of the requests in one bucket.
+
+    A request that never had a first token counts as one that took its whole deadline,
+    or a policy would look fast by failing; an admission's refusal at once does not.
+    """
+    times, slowdowns = [], []
+    for p in progress:
+        if p.first_token_at is not None:
+            seconds = p.first_token_at - DAY_START - p.request.at
+        elif p.refusal == "late":
+            seconds = p.request.deadline_seconds
+        else:
+            continue
+        times.append(seconds)
+        slowdowns.append(seconds / alone_seconds(p.request.prompt_tokens))
+    in_time = sum(p.finished_at is not None for p in progress)
+    return BucketFigures(
+        requests=len(progress),
+        ttft_p50=quantile(times, 0.5),
+        ttft_p95=quantile(times, 0.95),
+        ttft_p99=quantile(times, 0.99),
+        slowdown_p50=quantile(slowdowns, 0.5),
+        slowdown_p95=quantile(slowdowns, 0.95),
+        in_time_share=in_time / max(1, len(progress)),
+    )
+
+
+def figures(scenario: Scenario, progress: list[Progress]) -> Figures:
+    """Return the figures of one run, without its warm-up."""
+    begin = WARM_UP_SHARE * scenario.seconds
+    counted = [p for p in progress if p.request.at >= begin]
+    answered = [p for p in counted if p.finished_at is not None]
+    worth = sum(
+        scenario.shape.long_prompt_weight if p.request.is_long else 1.0
+        for p in answered
+    )
+    measured_seconds = scenario.seconds - begin
+    small = [
+        p for p in counted if p.request.customer not in LARGE and p.request.is_short
+    ]
+    return Figures(
+        requests=len(counted),
+        in_time_share=len(answered) / max(1, len(counted)),
+        refused=sum(p.refusal not in ("", "late") for p in counted),
+        late=sum(p.refusal == "late" for p in counted),
+        goodput_per_second=worth / measured_seconds,
+        answered_per_second=len(answered) / measured_seconds,
+        small_customers_short_p95=bucket_figures(small)["ttft_p95"],
+        buckets={
+            name: bucket_figures(
+                [p for p in counted if least < p.request.prompt_tokens <= most]
+            )
+            for name, least, most in BUCKETS
+        },
+    )
+
+
+LARGE = ("customer-0", "customer-1", "customer-2")
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/cost.py
@@ -0,0 +1,148 @@
+"""Predict what a request costs on an upstream, itself and others."""
+
+from typing import NamedTuple
+
+from cowslipshelf_core.internal.routing.events import PlacementFacts, Prediction
+from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
+from cowslipshelf_core.internal.routing.upstream_view import UpstreamView
+
+
+class Backlog(NamedTuple):
+    """Be the prefill work believed to be waiting at an upstream."""
+
+    seconds: float
+    waiting: int
+    """Attempts before their first token."""
+
+
+class RequestCost(NamedTuple):
+    """Be what a request needs, apart from where it goes."""
+
+    facts: PlacementFacts
+    prompt_class: PromptClass
+    long_prompt_weight: float
+    expected_output_tokens: float
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that have to be reserved."""
+        return self.facts.prompt_tokens + self.facts.most_output_tokens
+
+    @property
+    def worth(self) -> float:
+        """Return the worth of answering in time."""
+        if self.prompt_class is PromptClass.LONG:
+            return self.long_prompt_weight
+        return 1.0
+
+
+def prefill_seconds(
+    config: RouterConfig, view: UpstreamView, facts: PlacementFacts
+) -> float:
+    """Predict the prefill of a prompt alone on an upstream, in seconds."""
+    if view.description.kind == "plain":
+        return config.cost.plain_call_seconds
+    load = view.load
+    linear = load.prefill_seconds_per_token or config.cost.prefill_seconds_per_token
+    squared = (
+        load.prefill_seconds_per_token_squared
+        if load.prefill_seconds_per_token
+        else config.cost.prefill_seconds_per_token_squared
+    )
+    cached = 0
+    if facts.prefix_hash and facts.prefix_hash in load.hot_prefixes:
+        cached = min(config.cost.cached_prefix_tokens, facts.prompt_tokens // 2)
+    tokens = facts.prompt_tokens
+    return linear * (tokens - cached) + squared * (tokens**2 - cached**2)
+
+
+def decode_seconds(
+    config: RouterConfig, view: UpstreamView, output_tokens: float
+) -> float:
+    """Predict the time from first to last token, in seconds."""
+    if view.description.kind == "plain":
+        return 0.0
+    per_token = (
+        view.load.decode_seconds_per_token or config.cost.decode_seconds_per_token
+    )
+    return per_token * output_tokens
+
+
+def backlog(config: RouterConfig, view: UpstreamView, now: float) -> Backlog:
+    """Return the prefill work waiting now: the report, worked off since, plus ours."""
+    load = view.load
+    linear = load.prefill_seconds_per_token or config.cost.prefill_seconds_per_token
+    reported = load.prefill_tokens * linear
+    since_report = now - view.load_at
+    waiting = max(0, load.running - load.decoding)
+    seconds = max(0.0, reported - since_report)
+    if seconds == 0.0:
+        waiting = 0
+    for attempt in view.unreported(config.cost):
+        if attempt.first_token_at is None:
+            seconds += max(0.0, attempt.prefill_seconds - (now - attempt.placed_at))
+            waiting += 1
+    return Backlog(seconds, waiting)
+
+
+def predict(
+    config: RouterConfig,
+    view: UpstreamView,
+    request: RequestCost,
+    takes_long_prompts: bool,
+    now: float,
+) -> Prediction:
+    """Predict times and harm of placing a request on an upstream now."""
+    own = prefill_seconds(config, view, request.facts)
+    if view.description.kind == "plain":
+        running = view.load.running + len(view.unreported(config.cost))
+        ahead = running * own
+        behind = 0.0
+    else:
+        ahead, behind = split_backlog(config, backlog(config, view, now), own)
+    slowness = view.slowness.factor
+    wait = ahead * slowness
+    prefill = own * slowness
+    decode = decode_seconds(config, view, request.expected_output_tokens) * max(
+        1.0, slowness
+    )
+    delayed = behind + config.cost.decode_delay_share * view.load.decoding
+    to_others = prefill * delayed
+    harm = request.worth * (wait + prefill) + to_others
+    harm += spill_harm(config, request, takes_long_prompts, prefill)
+    if view.description.data_centre != config.data_centre:
+        harm += config.other_data_centre_seconds
+    harm /= view.ramp(config.outliers, now)
+    return Prediction(wait, prefill, decode, to_others, harm)
+
+
+def split_backlog(
+    config: RouterConfig, work: Backlog, own_seconds: float
+) -> tuple[float, float]:
+    """Return the seconds ahead of a request and the number of attempts behind it.
+
+    Reports give no list of what waits. Priorities let a request pass those with much
+    more prefill than its own, but for the chunk that runs: ahead of it is at most its
+    own prefill time for each that waits, and at most all there is.
+    """
+    if work.waiting == 0 or work.seconds <= 0.0:
+        return 0.0, 0.0
+    chunk = config.cost.chunk_tokens * config.cost.prefill_seconds_per_token
+    ahead = min(work.seconds, work.waiting * own_seconds + chunk / 2)
+    behind = work.waiting * (1.0 - ahead / work.seconds)
+    return ahead, behind
+
+
+def spill_harm(
+    config: RouterConfig,
+    request: RequestCost,
+    takes_long_prompts: bool,
+    prefill: float,
+) -> float:
+    """Return the harm of using an upstream that another class is meant to have."""
+    is_long = request.prompt_class is PromptClass.LONG
+    if is_long == takes_long_prompts:
+        return 0.0
+    if is_long:
+        return config.long_set.long_spill_share * prefill
+    return config.long_set.short_spill_seconds
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/fair_queue.py
@@ -0,0 +1,146 @@
+"""Queue requests of one class so that customers share by weight."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from cowslipshelf_core.identifiers import CustomerName
+from cowslipshelf_core.internal.routing.cost import RequestCost
+from cowslipshelf_core.internal.routing.events import PlacementAsked
+
+
+@dataclass(slots=True)
+class WaitingAsk:
+    """Be one question that waits for an upstream."""
+
+    asked: PlacementAsked
+    cost: RequestCost
+    asked_at: float
+    deadline_at: float
+    engine_seconds: float
+    """Predicted prefill alone on a typical upstream."""
+    decode_seconds: float
+    weight: float
+    start_tag: float = 0.0
+
+    @property
+    def customer(self) -> CustomerName:
+        """Return whose request it is."""
+        return self.cost.facts.customer
+
+    @property
+    def worth_per_second(self) -> float:
+        """Return what an engine second spent on it brings."""
+        return self.cost.worth / max(self.engine_seconds, 1e-9)
+
+    def latest_start(self) -> float:
+        """Return when it must start at the latest to be answered whole in time."""
+        return self.deadline_at - self.engine_seconds - self.decode_seconds
+
+
+@dataclass(slots=True)
+class Flow:
+    """Be the waiting requests of one customer."""
+
+    waiting: deque[WaitingAsk] = field(default_factory=deque)
+    finish_tag: float = 0.0
+    seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class FairQueue:
+    """Order requests by start-time fair queueing over predicted engine seconds.
+
+    A customer that uses nothing lends its share to the others and builds up no claim.
+    One that sends a burst moves only its own start tags into the future.
+    """
+
+    flows: dict[CustomerName, Flow] = field(default_factory=dict)
+    virtual_time: float = 0.0
+    seconds: float = 0.0
+
+    def __len__(self) -> int:
+        return sum(len(flow.waiting) for flow in self.flows.values())
+
+    def charge(self, customer: CustomerName, seconds: float, weight: float) -> float:
+        """Charge a customer for work and return the work's start tag."""
+        flow = self.flows.setdefault(customer, Flow())
+        start = max(self.virtual_time, flow.finish_tag)
+        flow.finish_tag = start + seconds / weight
+        return start
+
+    def charge_at_once(
+        self, customer: CustomerName, seconds: float, weight: float
+    ) -> None:
+        """Charge for work that did not have to wait."""
+        start = self.charge(customer, seconds, weight)
+        self.virtual_time = max(self.virtual_time, start)
+
+    def push(self, ask: WaitingAsk) -> None:
+        """Add a request at the end of its customer's flow."""
+        ask.start_tag = self.charge(ask.customer, ask.engine_seconds, ask.weight)
+        flow = self.flows[ask.customer]
+        flow.waiting.append(ask)
+        flow.seconds += ask.engine_seconds
+        self.seconds += ask.engine_seconds
+
+    def heads(self, most: int) -> list[WaitingAsk]:
+        """Return the first request of the customers that are served next."""
+        firsts = [flow.waiting[0] for flow in self.flows.values() if flow.waiting]
+        firsts.sort(key=lambda ask: ask.start_tag)
+        return firsts[:most]
+
+    def remove(self, ask: WaitingAsk, served: bool) -> None:
+        """Take a request out; one that was served moves the virtual time on."""
+        flow = self.flows[ask.customer]
+        flow.waiting.remove(ask)
+        flow.seconds -= ask.engine_seconds
+        self.seconds -= ask.engine_seconds
+        if served:
+            self.virtual_time = max(self.virtual_time, ask.start_tag)
+        else:
+            flow.finish_tag -= ask.engine_seconds / ask.weight
+        if not any(flow.waiting for flow in self.flows.values()):
+            self.seconds = 0.0
+        if not flow.waiting:
+            flow.seconds = 0.0
+
+    def waiting(self) -> list[WaitingAsk]:
+        """Return all that wait."""
+        return [ask for flow in self.flows.values() for ask in flow.waiting]
+
+    def forget_idle(self) -> None:
+        """Drop customers that wait for nothing and whose claims are level."""
+        self.flows = {
+            customer: flow
+            for customer, flow in self.flows.items()
+            if flow.waiting or flow.finish_tag > self.virtual_time
+        }
+
+    def seconds_ahead_of(
+        self, customer: CustomerName, weight: float, weights: dict[CustomerName, float]
+    ) -> float:
+        """Return the work served before a new request of a customer, in seconds."""
+        flow = self.flows.get(customer)
+        own = flow.seconds if flow else 0.0
+        others = sum(
+            weights.get(name, 1.0)
+            for name, other in self.flows.items()
+            if other.waiting and name != customer
+        )
+        return min(self.seconds, own * (weight + others) / weight)
+
+    def victim(self, weights: dict[CustomerName, float]) -> WaitingAsk:
+        """Return the request to give up first when the queue is too long.
+
+        Of the customers that have queued no less than their share, the request that
+        is worth least per engine second goes; a customer below its share loses none.
+        """
+        active = {name: flow for name, flow in self.flows.items() if flow.waiting}
+        total = sum(weights.get(name, 1.0) for name in active)
+        over = [
+            ask
+            for name, flow in active.items()
+            if flow.seconds * total >= self.seconds * weights.get(name, 1.0) * 0.999
+            for ask in flow.waiting
+        ]
+        return min(over, key=lambda ask: (ask.worth_per_second, -ask.start_tag))
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
@@ -0,0 +1,136 @@
+"""Keep the upstreams in groups that serve the same requests."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.directory_events import UpstreamAvailable
+from cowslipshelf_core.identifiers import Epoch, ModelName, ServiceName, UpstreamId
+from cowslipshelf_core.internal.routing.long_set import LongDemand, ranked
+from cowslipshelf_core.internal.routing.settings import RouterConfig
+from cowslipshelf_core.internal.routing.upstream_view import UpstreamView
+from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
+
+LEAST_CAPACITY_SHARE = 0.05
+NO_MODEL = ModelName("")
+
+
+class GroupKey(NamedTuple):
+    """Name the upstreams that serve one model for one service."""
+
+    service: ServiceName
+    model: ModelName
+    """Empty for a plain service."""
+
+
+@dataclass(slots=True)
+class Group:
+    """Be the upstreams that may be chosen for the same requests, in shared order."""
+
+    demand: LongDemand
+    members: list[UpstreamView] = field(default_factory=list)
+    """All that take new work, those that take long prompts first at the front."""
+    long_set: list[UpstreamView] = field(default_factory=list)
+    others: list[UpstreamView] = field(default_factory=list)
+    largest_memory: int = 0
+    """Tokens that fit the largest upstream; zero where there is no limit."""
+    capacity: float = 1.0
+    """Engine seconds that this entry may expect to be done in each second."""
+
+    def split(self) -> None:
+        """Set apart as many upstreams for long prompts as demand asks for."""
+        size = self.demand.resize(len(self.members))
+        if size != len(self.long_set) or self.others != self.members[size:]:
+            self.long_set = self.members[:size]
+            self.others = self.members[size:]
+
+    def measure_capacity(self) -> None:
+        """Estimate this entry's part of the group from its part of what runs there."""
+        ours = sum(len(view.attempts) for view in self.members)
+        reported = sum(view.load.running for view in self.members)
+        share = ours / max(ours, reported) if ours else 1.0
+        self.capacity = max(share, LEAST_CAPACITY_SHARE) * max(1, len(self.members))
+
+
+@dataclass(slots=True)
+class Fleet:
+    """Know every available upstream and the groups that requests choose from."""
+
+    config: RouterConfig
+    configuration: FleetConfiguration = field(default_factory=FleetConfiguration)
+    views: dict[UpstreamId, UpstreamView] = field(default_factory=dict)
+    groups: dict[GroupKey, Group] = field(default_factory=dict)
+
+    def add(self, event: UpstreamAvailable, now: float) -> None:
+        """Take in an upstream, or news of a known one."""
+        upstream_id = event.description.upstream_id
+        known = self.views.get(upstream_id)
+        if known is not None and known.epoch == event.epoch:
+            before = known.description
+            known.description = event.description
+            known.take_load(event.load, now)
+            if before != event.description:
+                self.rebuild_groups_of(before)
+                self.rebuild_groups_of(event.description)
+            return
+        view = UpstreamView(event.description, event.epoch, event.load, now, now)
+        if known is not None:
+            view.times_set_aside = known.times_set_aside
+            self.views[upstream_id] = view
+            self.rebuild_groups_of(known.description)
+        self.views[upstream_id] = view
+        self.rebuild_groups_of(event.description)
+
+    def remove(self, upstream_id: UpstreamId) -> UpstreamView | None:
+        """Forget an upstream that must not be given new work."""
+        view = self.views.pop(upstream_id, None)
+        if view is not None:
+            self.rebuild_groups_of(view.description)
+        return view
+
+    def take_load(
+        self, upstream_id: UpstreamId, epoch: Epoch, load: LoadReport, now: float
+    ) -> None:
+        """Take in a report, unless it is of another start than the known one."""
+        view = self.views.get(upstream_id)
+        if view is not None and view.epoch == epoch:
+            view.take_load(load, now)
+
+    def apply_configuration(self, configuration: FleetConfiguration) -> None:
+        """Put a configuration in force; an older one than that in force is ignored."""
+        if configuration.version < self.configuration.version:
+            return
+        self.configuration = configuration
+        for key in list(self.groups):
+            self.rebuild(key)
+
+    def rebuild_groups_of(self, description: UpstreamDescription) -> None:
+        """Bring the groups that an upstream may be in up to date."""
+        for key in keys_of(description):
+            self.rebuild(key)
+
+    def rebuild(self, key: GroupKey) -> None:
+        """Bring one group up to date with upstreams, draining and outliers."""
+        group = self.groups.get(key)
+        if group is None:
+            group = self.groups[key] = Group(LongDemand(self.config.long_set))
+        takes_work = [
+            upstream_id
+            for upstream_id, view in self.views.items()
+            if key in keys_of(view.description)
+            and view.set_aside_until is None
+            and upstream_id not in self.configuration.draining
+        ]
+        order = ranked(self.configuration.version, takes_work)
+        group.members = [self.views[upstream_id] for upstream_id in order]
+        limits = [view.memory_limit() for view in group.members]
+        group.largest_memory = max(limits, default=0)
+        group.split()
+        group.measure_capacity()
+
+
+def keys_of(description: UpstreamDescription) -> tuple[GroupKey, ...]:
+    """Return the groups that an upstream belongs to."""
+    if description.kind == "plain":
+        return (GroupKey(description.service, NO_MODEL),)
+    return tuple(GroupKey(description.service, model) for model in description.models)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -0,0 +1,105 @@
+"""Choose the upstream where a request does the least predicted harm."""
+
+from random import Random
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_core.internal.routing.cost import RequestCost, predict
+from cowslipshelf_core.internal.routing.events import ConsideredUpstream, Prediction
+from cowslipshelf_core.internal.routing.fleet import Group
+from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
+from cowslipshelf_core.internal.routing.upstream_view import UpstreamView
+
+MILLISECONDS = 1_000
+
+
+class Candidate(NamedTuple):
+    """Be one upstream that a choice looks at."""
+
+    view: UpstreamView
+    prediction: Prediction
+    may_take: bool
+
+
+class Choice(NamedTuple):
+    """Be the outcome of a choice; no view where none may take the request now."""
+
+    chosen: Candidate | None
+    considered: tuple[ConsideredUpstream, ...]
+
+
+def sample(
+    config: RouterConfig, group: Group, random: Random
+) -> list[tuple[UpstreamView, bool]]:
+    """Draw the upstreams to look at, from the set for the request and from the other.
+
+    Looking at a few drawn ones only keeps entries that act on the same report from
+    all choosing the same upstream, and costs the same however many there are.
+    """
+    drawn = []
+    for takes_long, members in ((True, group.long_set), (False, group.others)):
+        count = min(config.sampled_choices, len(members))
+        drawn += [(view, takes_long) for view in random.sample(members, count)]
+    random.shuffle(drawn)
+    return drawn
+
+
+def choose(
+    config: RouterConfig,
+    drawn: list[tuple[UpstreamView, bool]],
+    request: RequestCost,
+    excluded: frozenset[UpstreamId],
+    now: float,
+) -> Choice:
+    """Choose the least harm among those drawn that may take the request now."""
+    limits = config.limits_of(request.prompt_class)
+    candidates = []
+    considered = []
+    for view, takes_long in drawn:
+        if view.description.upstream_id in excluded:
+            continue
+        prediction = predict(config, view, request, takes_long, now)
+        fits = fits_memory(config, view, request)
+        may_take = (
+            fits and prediction.wait_seconds <= limits.most_wait_at_upstream_seconds
+        )
+        candidates.append(Candidate(view, prediction, may_take))
+        considered.append(
+            ConsideredUpstream(
+                view.description.upstream_id, prediction, fits, takes_long
+            )
+        )
+    able = [candidate for candidate in candidates if candidate.may_take]
+    chosen = min(able, key=lambda c: c.prediction.harm, default=None)
+    return Choice(chosen, tuple(considered))
+
+
+def fits_memory(config: RouterConfig, view: UpstreamView, request: RequestCost) -> bool:
+    """Return whether prompt and output are believed to fit beside what is reserved."""
+    if view.memory_limit() == 0:
+        return True
+    free = view.free_memory(view.unreported(config.cost))
+    return request.memory_tokens <= free
+
+
+def priority_of(
+    config: RouterConfig,
+    request: RequestCost,
+    prediction: Prediction,
+    queued_seconds: float,
+    deadline_seconds: float,
+) -> int:
+    """Return the slack of an attempt in milliseconds; lower is served first.
+
+    Slack grows with the request's own prefill, so short ones pass long ones. It is a
+    time after which later arrivals no longer pass, so long ones are not starved.
+    """
+    slack = (
+        config.least_slack_seconds
+        + config.slack_per_prefill_second * prediction.prefill_seconds
+    )
+    if request.prompt_class is PromptClass.LONG:
+        slack /= max(request.long_prompt_weight, 1.0)
+    left = deadline_seconds - queued_seconds - prediction.total_seconds
+    slack = min(slack - queued_seconds, left)
+    return int(max(slack, 0.0) * MILLISECONDS)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
@@ -0,0 +1,102 @@
+"""Word the refusals of the router; all of them are true: nothing has run."""
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_core.internal.routing.cost import RequestCost
+from cowslipshelf_core.internal.routing.events import PlacementFacts
+from cowslipshelf_core.internal.routing.fleet import Group
+
+STEP = "placement"
+
+
+def not_run(
+    reason: RefusalReason, detail: str, retry_after_seconds: float | None = None
+) -> Refusal:
+    """Build a refusal of a request that was given to no upstream."""
+    return Refusal(
+        RefusalCode.NOT_RUN,
+        reason,
+        STEP,
+        detail=detail,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
+def impossible(
+    group: Group | None,
+    request: RequestCost,
+    excluded: frozenset[UpstreamId],
+    retry_after_seconds: float,
+) -> Refusal | None:
+    """Return why no upstream of a group can take a request however long it waits."""
+    facts = request.facts
+    if group is None or not group.members:
+        wanted = f"model {facts.model} for " if facts.model else ""
+        return not_run(
+            RefusalReason.NO_UPSTREAM,
+            f"no upstream takes {wanted}service {facts.service} now",
+            retry_after_seconds,
+        )
+    if 0 < group.largest_memory < request.memory_tokens:
+        return too_large(group, request)
+    if excluded and all(v.description.upstream_id in excluded for v in group.members):
+        return not_run(
+            RefusalReason.NO_UPSTREAM,
+            f"all {len(group.members)} upstreams of service {facts.service} were tried",
+            retry_after_seconds,
+        )
+    return None
+
+
+def too_large(group: Group, request: RequestCost) -> Refusal:
+    """Refuse a request that fits no single upstream; coming back does not help."""
+    facts = request.facts
+    return not_run(
+        RefusalReason.TOO_LARGE,
+        f"{facts.prompt_tokens} prompt and up to {facts.most_output_tokens} output "
+        f"tokens need {request.memory_tokens} tokens of memory; the largest upstream "
+        f"of service {facts.service} has {group.largest_memory}, and one prompt is "
+        "not spread over several",
+    )
+
+
+def past_deadline() -> Refusal:
+    """Refuse a request whose deadline is over."""
+    return not_run(RefusalReason.DEADLINE_PASSED, "no time was left to place it")
+
+
+def too_slow(least_seconds: float, facts: PlacementFacts) -> Refusal:
+    """Refuse a request that an idle upstream would finish too late."""
+    return not_run(
+        RefusalReason.CANNOT_FINISH_IN_TIME,
+        f"needs {least_seconds:.1f} s on an idle upstream, "
+        f"and {facts.deadline_seconds:.1f} s are left",
+    )
+
+
+def too_late(wait_seconds: float, retry_after_seconds: float) -> Refusal:
+    """Refuse a request that the queue would let through too late."""
+    return not_run(
+        RefusalReason.CANNOT_FINISH_IN_TIME,
+        f"would wait {wait_seconds:.1f} s and then not finish in time",
+        retry_after_seconds,
+    )
+
+
+def shed(retry_after_seconds: float) -> Refusal:
+    """Refuse a request because the queue is full and others are worth more."""
+    return not_run(
+        RefusalReason.OVERLOADED,
+        "the queue is full; of those over their customer's share this one is worth "
+        "least for each engine second",
+        retry_after_seconds,
+    )
+
+
+def customer_limit(most: int, retry_after_seconds: float) -> Refusal:
+    """Refuse a request of a customer that runs as many as it may."""
+    return not_run(
+        RefusalReason.CUSTOMER_LIMIT,
+        f"the customer already runs {most} requests here, which is its limit",
+        retry_after_seconds,
+    )
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -1,108 +1,396 @@
-"""Choose an upstream for each request."""
+"""Answer where each request goes: the decider that daemons drive."""
 
 from dataclasses import dataclass, field
 from random import Random
 
-from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.configuration import Customer, Service
 from cowslipshelf_core.directory_events import (
     LoadUpdated,
     UpstreamAvailable,
     UpstreamUnavailable,
 )
-from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
-from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import (
+    AttemptId,
+    CustomerName,
+    ServiceName,
+    UpstreamId,
+)
+from cowslipshelf_core.internal.routing import outliers, refusals
+from cowslipshelf_core.internal.routing.attempts import AttemptLedger
+from cowslipshelf_core.internal.routing.cost import (
+    RequestCost,
+    decode_seconds,
+    prefill_seconds,
+)
 from cowslipshelf_core.internal.routing.events import (
+    AttemptEnded,
     ChosenUpstream,
     ConfigurationApplied,
+    ConsideredUpstream,
+    FirstTokenSeen,
+    HandOverAccepted,
+    HandOverRefused,
     PlacementAnswered,
     PlacementAsked,
     PlacementExplanation,
+    PlacementFacts,
+    PlacementWithdrawn,
     RouterEvent,
+    TickElapsed,
+)
+from cowslipshelf_core.internal.routing.fair_queue import WaitingAsk
+from cowslipshelf_core.internal.routing.fleet import Fleet, Group, GroupKey, keys_of
+from cowslipshelf_core.internal.routing.placement import (
+    Candidate,
+    choose,
+    priority_of,
+    sample,
 )
-from cowslipshelf_core.internal.routing.settings import RouterConfig
+from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
+from cowslipshelf_core.internal.routing.upstream_view import (
+    PlacedAttempt,
+    UpstreamView,
+)
+from cowslipshelf_core.internal.routing.waiting_room import (
+    QueueKey,
+    WaitingRoom,
+    queue_key,
+)
+from cowslipshelf_core.upstream import LoadReport
 
-STEP = "placement"
-RETRY_AFTER_SECONDS = 1.0
+REVIEW_SECONDS = 1.0
 
 
-@dataclass
+@dataclass(slots=True)
 class Router:
-    """Choose the upstream with the fewest running attempts."""
+    """Place requests where they do least harm, or queue or refuse them."""
 
     config: RouterConfig
-    configuration: FleetConfiguration = field(default_factory=FleetConfiguration)
-    upstreams: dict[UpstreamId, UpstreamAvailable] = field(default_factory=dict)
+    fleet: Fleet
+    ledger: AttemptLedger
+    room: WaitingRoom
+    customers: dict[CustomerName, Customer] = field(default_factory=dict)
+    weights: dict[CustomerName, float] = field(default_factory=dict)
+    services: dict[ServiceName, Service] = field(default_factory=dict)
+    reviewed_at: float = float("-inf")
 
     @classmethod
     def from_config(cls, config: RouterConfig) -> "Router":
         """Build a router that knows no upstream yet."""
-        return cls(config)
+        fleet = Fleet(config)
+        return cls(config, fleet, AttemptLedger(fleet), WaitingRoom(config))
 
     def handle(
         self, event: RouterEvent, now: float, random: Random
     ) -> list[PlacementAnswered]:
         """Take in one event and return the answers that are due."""
-        del now
+        answers = [self.give_up_late(ask, now) for ask in self.room.hopeless(now)]
         match event:
+            case PlacementAsked():
+                answers += self.ask(event, now, random)
+            case PlacementWithdrawn(ask_id=ask_id):
+                waiting = self.room.asks.get(ask_id)
+                if waiting is not None:
+                    self.room.remove(waiting, served=False)
             case UpstreamAvailable(description=description):
-                self.upstreams[description.upstream_id] = event
+                self.fleet.add(event, now)
+                answers += self.after_change(now)
+                answers += self.serve_upstream(description.upstream_id, now)
             case UpstreamUnavailable(upstream_id=upstream_id):
-                self.upstreams.pop(upstream_id, None)
+                self.fleet.remove(upstream_id)
+                answers += self.after_change(now)
             case LoadUpdated(upstream_id=upstream_id, epoch=epoch, load=load):
-                known = self.upstreams.get(upstream_id)
-                if known is not None and known.epoch == epoch:
-                    self.upstreams[upstream_id] = UpstreamAvailable(
-                        known.description, epoch, load
-                    )
+                self.fleet.take_load(upstream_id, epoch, load, now)
+                answers += self.serve_upstream(upstream_id, now)
             case ConfigurationApplied(configuration=configuration):
-                self.configuration = configuration
-            case PlacementAsked():
-                return [self.place(event, random)]
-            case _:
+                self.fleet.apply_configuration(configuration)
+                self.read_configuration()
+                answers += self.after_change(now)
+            case HandOverAccepted():
                 pass
-        return []
+            case HandOverRefused(attempt_id=attempt_id, load=load):
+                self.refused(attempt_id, load, now)
+            case FirstTokenSeen(attempt_id=attempt_id, seconds=seconds):
+                self.ledger.first_token(attempt_id, seconds, now)
+            case AttemptEnded(attempt_id=attempt_id, outcome=outcome):
+                ended = self.ledger.finish(attempt_id, outcome, now)
+                if ended is not None:
+                    answers += self.serve_upstream(ended.upstream_id, now)
+            case TickElapsed():
+                answers += self.tick(now, random)
+        return answers
+
+    def read_configuration(self) -> None:
+        """Index the configuration in force."""
+        configuration = self.fleet.configuration
+        self.customers = {c.name: c for c in configuration.customers}
+        self.weights = {c.name: float(c.weight) for c in configuration.customers}
+        self.services = {s.name: s for s in configuration.services}
+
+    def refused(self, attempt_id: AttemptId, load: LoadReport, now: float) -> None:
+        """Believe the sidecar that refused, whatever was predicted."""
+        attempt = self.ledger.end(attempt_id)
+        view = self.fleet.views.get(attempt.upstream_id) if attempt else None
+        if view is not None:
+            view.take_load(load, now)
+
+    def tick(self, now: float, random: Random) -> list[PlacementAnswered]:
+        """Do what is due by time."""
+        if now - self.reviewed_at >= REVIEW_SECONDS:
+            self.reviewed_at = now
+            self.ledger.forget_lost(now)
+            outliers.review(self.fleet, now)
+            self.room.forget_idle()
+        answers = []
+        for key, group in self.fleet.groups.items():
+            group.measure_capacity()
+            group.split()
+            answers += self.serve_group(key, group, now, random)
+        return answers
+
+    # Questions as they come in.
 
-    def place(self, asked: PlacementAsked, random: Random) -> PlacementAnswered:
-        """Answer with the upstream that runs the fewest attempts."""
+    def ask(
+        self, asked: PlacementAsked, now: float, random: Random
+    ) -> list[PlacementAnswered]:
+        """Place a request, or refuse it, or let it wait."""
+        facts = asked.facts
+        cost = self.cost_of(facts)
+        key = GroupKey(facts.service, facts.model)
+        group = self.fleet.groups.get(key)
+        refusal = self.refuse_at_once(asked, cost, group)
+        if refusal is not None or group is None:
+            return [answer_refusal(asked, refusal)]
+        ask = self.estimate(asked, cost, group, now)
+        group.demand.add(ask.engine_seconds, cost.prompt_class is PromptClass.LONG, now)
+        if ask.latest_start() <= now:
+            least = ask.engine_seconds + ask.decode_seconds
+            return [answer_refusal(asked, refusals.too_slow(least, facts))]
+        queue = self.room.queue(QueueKey(key, cost.prompt_class))
+        if not queue.seconds:
+            drawn = sample(self.config, group, random)
+            placed = self.try_place(ask, drawn, now)
+            if placed is not None:
+                queue.charge_at_once(ask.customer, ask.engine_seconds, ask.weight)
+                return [placed]
+        return self.wait_or_refuse(ask, group, now)
+
+    def refuse_at_once(
+        self, asked: PlacementAsked, cost: RequestCost, group: Group | None
+    ) -> Refusal | None:
+        """Return why a request has no chance, whatever the load."""
         facts = asked.facts
-        candidates = [
-            upstream
-            for upstream_id, upstream in self.upstreams.items()
-            if upstream.description.service == facts.service
-            and upstream_id not in asked.excluded
-            and upstream_id not in self.configuration.draining
+        retry_after = self.config.least_retry_after_seconds
+        if facts.deadline_seconds <= 0.0:
+            return refusals.past_deadline()
+        customer = self.customers.get(facts.customer)
+        if customer is not None:
+            name = customer.name
+            running = self.ledger.running[name] + self.room.waiting_of[name]
+            if running >= customer.most_concurrent:
+                return refusals.customer_limit(customer.most_concurrent, retry_after)
+        return refusals.impossible(group, cost, asked.excluded, retry_after)
+
+    def cost_of(self, facts: PlacementFacts) -> RequestCost:
+        """Return what a request needs, wherever it goes."""
+        service = self.services.get(facts.service)
+        return RequestCost(
+            facts,
+            self.config.class_of(facts.prompt_tokens),
+            service.long_prompt_weight if service else 1.0,
+            self.ledger.expected_output(facts.service, facts.most_output_tokens),
+        )
+
+    def estimate(
+        self, asked: PlacementAsked, cost: RequestCost, group: Group, now: float
+    ) -> WaitingAsk:
+        """Predict what a request needs on a typical upstream of its group."""
+        view = group.members[-1]
+        return WaitingAsk(
+            asked,
+            cost,
+            asked_at=now,
+            deadline_at=now + asked.facts.deadline_seconds,
+            engine_seconds=prefill_seconds(self.config, view, asked.facts),
+            decode_seconds=decode_seconds(
+                self.config, view, cost.expected_output_tokens
+            ),
+            weight=self.weights.get(asked.facts.customer, 1.0),
+        )
+
+    def wait_or_refuse(
+        self, ask: WaitingAsk, group: Group, now: float
+    ) -> list[PlacementAnswered]:
+        """Queue a request, unless it would come out too late; keep the bound."""
+        key = queue_key(ask)
+        queue = self.room.queue(key)
+        ahead = queue.seconds_ahead_of(ask.customer, ask.weight, self.weights)
+        wait = ahead / group.capacity
+        if now + wait > ask.latest_start():
+            refusal = refusals.too_late(wait, self.retry_after(key.group))
+            return [answer_refusal(ask.asked, refusal)]
+        self.room.push(ask)
+        given_up = self.room.overfull(key, group.capacity, self.weights)
+        return [
+            answer_refusal(
+                victim.asked,
+                refusals.shed(self.retry_after(key.group)),
+                now - victim.asked_at,
+            )
+            for victim in given_up
         ]
-        if not candidates:
-            refusal = Refusal(
-                RefusalCode.NOT_RUN,
-                RefusalReason.NO_UPSTREAM,
-                STEP,
-                retry_after_seconds=RETRY_AFTER_SECONDS,
+
+    def retry_after(self, key: GroupKey) -> float:
+        """Predict when a refused request would find room, in seconds."""
+        group = self.fleet.groups.get(key)
+        drain = self.room.drain_seconds(key, group.capacity) if group else 0.0
+        return max(self.config.least_retry_after_seconds, drain)
+
+    # Questions that wait.
+
+    def give_up_late(self, ask: WaitingAsk, now: float) -> PlacementAnswered:
+        """Refuse a waiting request as soon as it can't finish in time."""
+        self.room.remove(ask, served=False)
+        waited = now - ask.asked_at
+        refusal = refusals.too_late(waited, self.retry_after(queue_key(ask).group))
+        return answer_refusal(ask.asked, refusal, waited)
+
+    def after_change(self, now: float) -> list[PlacementAnswered]:
+        """Refuse what waits and has no chance since upstreams or settings changed."""
+        answers = []
+        for ask in list(self.room.asks.values()):
+            key = queue_key(ask)
+            refusal = refusals.impossible(
+                self.fleet.groups.get(key.group),
+                ask.cost,
+                ask.asked.excluded,
+                self.config.least_retry_after_seconds,
             )
-            return PlacementAnswered(
-                asked.ask_id,
-                refusal,
-                PlacementExplanation(
-                    facts.request_id, facts.attempt_id, None, (), 0.0, "no upstream"
-                ),
+            if refusal is not None:
+                self.room.remove(ask, served=False)
+                answers.append(answer_refusal(ask.asked, refusal, now - ask.asked_at))
+        return answers
+
+    def serve_upstream(
+        self, upstream_id: UpstreamId, now: float
+    ) -> list[PlacementAnswered]:
+        """Give work that waits to an upstream that may have room now."""
+        view = self.fleet.views.get(upstream_id)
+        if view is None or not self.room.asks:
+            return []
+        answers = []
+        for key in keys_of(view.description):
+            group = self.fleet.groups[key]
+            if view not in group.members:
+                continue
+            drawn = [(view, view in group.long_set)]
+            for queue in self.room.waiting_for(key):
+                answers += self.serve_queue(queue, now, lambda drawn=drawn: drawn)
+        return answers
+
+    def serve_group(
+        self, key: GroupKey, group: Group, now: float, random: Random
+    ) -> list[PlacementAnswered]:
+        """Give work that waits to any upstream of a group."""
+        answers = []
+        for queue in self.room.waiting_for(key):
+            answers += self.serve_queue(
+                queue, now, lambda: sample(self.config, group, random)
             )
-        chosen = min(candidates, key=lambda u: (u.load.running, random.random()))
-        description = chosen.description
+        return answers
+
+    def serve_queue(self, key: QueueKey, now: float, draw) -> list[PlacementAnswered]:
+        """Place requests from the heads of a queue until none can be placed."""
+        queue = self.room.queues[key]
+        answers = []
+        placed_one = True
+        while placed_one:
+            placed_one = False
+            for ask in queue.heads(self.config.heads_tried):
+                placed = self.try_place(ask, draw(), now)
+                if placed is not None:
+                    self.room.remove(ask, served=True)
+                    answers.append(placed)
+                    placed_one = True
+                    break
+        return answers
+
+    # Placing.
+
+    def try_place(
+        self, ask: WaitingAsk, drawn: list[tuple[UpstreamView, bool]], now: float
+    ) -> PlacementAnswered | None:
+        """Place a request on the best of the upstreams drawn, if any may take it."""
+        choice = choose(self.config, drawn, ask.cost, ask.asked.excluded, now)
+        if choice.chosen is None:
+            return None
+        queued = now - ask.asked_at
+        self.ledger.place(self.attempt_of(ask, choice.chosen, now))
+        return self.answer_chosen(ask, choice.chosen, choice.considered, queued)
+
+    def attempt_of(
+        self, ask: WaitingAsk, chosen: Candidate, now: float
+    ) -> PlacedAttempt:
+        """Record what was placed and what was expected of it."""
+        facts = ask.cost.facts
+        prediction = chosen.prediction
+        slowness = chosen.view.slowness.factor
+        return PlacedAttempt(
+            facts.attempt_id,
+            chosen.view.description.upstream_id,
+            facts.customer,
+            ask.cost.prompt_class,
+            placed_at=now,
+            forget_at=ask.deadline_at + self.config.forgotten_after_deadline_seconds,
+            prefill_seconds=prediction.prefill_seconds / slowness,
+            prompt_tokens=facts.prompt_tokens,
+            memory_tokens=ask.cost.memory_tokens,
+            most_output_tokens=facts.most_output_tokens,
+            predicted_first_token_seconds=prediction.first_token_seconds / slowness,
+        )
+
+    def answer_chosen(
+        self,
+        ask: WaitingAsk,
+        chosen: Candidate,
+        considered: tuple[ConsideredUpstream, ...],
+        queued: float,
+    ) -> PlacementAnswered:
+        """Answer with the chosen upstream and the reasons."""
+        facts = ask.cost.facts
+        view = chosen.view
+        priority = priority_of(
+            self.config, ask.cost, chosen.prediction, queued, facts.deadline_seconds
+        )
+        upstream_id = view.description.upstream_id
+        explanation = PlacementExplanation(
+            facts.request_id,
+            facts.attempt_id,
+            upstream_id,
+            considered,
+            queued,
+            f"least predicted harm of {len(considered)} looked at",
+        )
         return PlacementAnswered(
-            asked.ask_id,
+            ask.asked.ask_id,
             ChosenUpstream(
                 facts.attempt_id,
-                description.upstream_id,
-                chosen.epoch,
-                description.attempts_address,
-                facts.prompt_tokens,
-            ),
-            PlacementExplanation(
-                facts.request_id,
-                facts.attempt_id,
-                description.upstream_id,
-                (),
-                0.0,
-                "fewest running attempts",
+                upstream_id,
+                view.epoch,
+                view.description.attempts_address,
+                priority,
             ),
+            explanation,
         )
+
+
+def answer_refusal(
+    asked: PlacementAsked, refusal: Refusal, queued: float = 0.0
+) -> PlacementAnswered:
+    """Answer with a refusal and the reasons."""
+    facts = asked.facts
+    explanation = PlacementExplanation(
+        facts.request_id, facts.attempt_id, None, (), queued, refusal.detail
+    )
+    return PlacementAnswered(asked.ask_id, refusal, explanation)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
@@ -0,0 +1,108 @@
+"""Keep what this router believes about one upstream."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from statistics import median
+
+from cowslipshelf_core.identifiers import AttemptId, CustomerName, Epoch, UpstreamId
+from cowslipshelf_core.internal.routing.settings import (
+    CostConfig,
+    OutlierConfig,
+    PromptClass,
+)
+from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
+
+RATIOS_KEPT = 9
+SMALLEST_RATIO = 0.1
+LARGEST_RATIO = 100.0
+RATIO_FLOOR_SECONDS = 0.1
+"""Added to both times, so that fixed delays of short requests do not look slow."""
+
+
+@dataclass(slots=True)
+class PlacedAttempt:
+    """Be one attempt that this router placed and that has not ended."""
+
+    attempt_id: AttemptId
+    upstream_id: UpstreamId
+    customer: CustomerName
+    prompt_class: PromptClass
+    placed_at: float
+    forget_at: float
+    prefill_seconds: float
+    prompt_tokens: int
+    memory_tokens: int
+    most_output_tokens: int
+    predicted_first_token_seconds: float
+    first_token_at: float | None = None
+    counted_overdue: bool = False
+
+
+@dataclass(slots=True)
+class SlownessEstimate:
+    """Estimate how much slower an upstream is than predicted.
+
+    The median of the last few ratios ignores a few outliers whatever their size.
+    """
+
+    ratios: deque[float] = field(default_factory=lambda: deque(maxlen=RATIOS_KEPT))
+    factor: float = 1.0
+
+    def add(self, observed_seconds: float, predicted_seconds: float) -> None:
+        """Take in one observed time beside the one that was predicted."""
+        ratio = (observed_seconds + RATIO_FLOOR_SECONDS) / (
+            predicted_seconds + RATIO_FLOOR_SECONDS
+        )
+        self.ratios.append(min(max(ratio, SMALLEST_RATIO), LARGEST_RATIO))
+        self.factor = median(self.ratios)
+
+
+@dataclass(slots=True)
+class UpstreamView:
+    """Be one available upstream: its last report and our hand-overs since."""
+
+    description: UpstreamDescription
+    epoch: Epoch
+    load: LoadReport
+    load_at: float
+    available_since: float
+    attempts: dict[AttemptId, PlacedAttempt] = field(default_factory=dict)
+    slowness: SlownessEstimate = field(default_factory=SlownessEstimate)
+    set_aside_until: float | None = None
+    times_set_aside: int = 0
+
+    def take_load(self, load: LoadReport, now: float) -> None:
+        """Replace the report, unless a newer one is known."""
+        if load.sequence >= self.load.sequence:
+            self.load = load
+            self.load_at = now
+
+    def unreported(self, cost: CostConfig) -> list[PlacedAttempt]:
+        """Return our attempts that the last report can't have counted.
+
+        A report describes a moment before it arrived. An attempt placed after that
+        moment is added on top, or every entry would send its next request there too.
+        """
+        since = self.load_at - cost.report_lag_seconds
+        recent = []
+        for attempt in reversed(self.attempts.values()):
+            if attempt.placed_at < since:
+                break
+            recent.append(attempt)
+        return recent
+
+    def memory_limit(self) -> int:
+        """Return the tokens that fit the upstream; zero where it has no such limit."""
+        return self.load.memory_tokens or self.description.memory_tokens
+
+    def free_memory(self, unreported: list[PlacedAttempt]) -> int:
+        """Return the tokens believed free; meaningless without a memory limit."""
+        ours = sum(attempt.memory_tokens for attempt in unreported)
+        return self.memory_limit() - self.load.reserved_tokens - ours
+
+    def ramp(self, config: OutlierConfig, now: float) -> float:
+        """Return the share of its speed that a new upstream is credited with."""
+        age = now - self.available_since
+        if age >= config.slow_start_seconds:
+            return 1.0
+        return max(config.slow_start_floor, age / config.slow_start_seconds)
