Add the deciders for sidecars, upstream leases and the configuration view

Cause: the daemon is wired against these three interfaces.

Changes to the settled interfaces, each the smallest that keeps a promise: - HandOver.load_sequence: the sidecar's LoadReport.sequence on which the choice was based (taken at placement, not at sending). A sidecar can only keep a bounded number of tombstones. What it forgets raises a watermark, and older hand-overs are refused by it; no clock is needed. Without it a confirmed answer to an earlier start of a process could make the next start servable. - A doubled hand-over whose other copy may run is refused with outcome_unknown / duplicate_attempt; not_run would be untrue. - SidecarState: effects EndAttempt (ends the frames of an accepted attempt) and ForgetAttempt (its frames may be dropped); a hand-over is accepted unless RefuseAttempt comes back.

Seen: the modules import and one hand-over cycle runs; property tests follow.

--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/configuration_view.py
@@ -0,0 +1,31 @@
+"""Decide which configuration is in force in a process, and whether it may serve."""
+
+from cowslipshelf_core.internal.configuration_view.events import (
+    AskForConfiguration,
+    BecameServable,
+    ConfigurationConflict,
+    ConfigurationViewEffect,
+    ConfigurationViewEvent,
+    PutInForce,
+    SnapshotArrived,
+    TickElapsed,
+    VersionSeen,
+)
+from cowslipshelf_core.internal.configuration_view.view import (
+    ConfigurationView,
+    ConfigurationViewConfig,
+)
+
+__all__ = [
+    "AskForConfiguration",
+    "BecameServable",
+    "ConfigurationConflict",
+    "ConfigurationView",
+    "ConfigurationViewConfig",
+    "ConfigurationViewEffect",
+    "ConfigurationViewEvent",
+    "PutInForce",
+    "SnapshotArrived",
+    "TickElapsed",
+    "VersionSeen",
+]
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what only the public modules of this package import."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/configuration_view/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which configuration is in force in a process."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which announced upstreams may be given work."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/attempts.py
@@ -0,0 +1,255 @@
+"""Carry accepted attempts from their arrival to their end."""
+
+from bisect import insort
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from typing import Self
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.internal.sidecar.attempt import (
+    PREFILL_PHASES,
+    Attempt,
+    AttemptPhase,
+    tokens_needed,
+)
+from cowslipshelf_core.internal.sidecar.config import SidecarConfig
+from cowslipshelf_core.internal.sidecar.costs import CostEstimator, HotPrefixes
+from cowslipshelf_core.internal.sidecar.effects import (
+    CancelAtUpstream,
+    EndAttempt,
+    ForgetAttempt,
+    SidecarEffect,
+    StartAttempt,
+)
+from cowslipshelf_core.internal.sidecar.memory import MemoryLedger
+from cowslipshelf_core.internal.sidecar.spent import Fate, SpentAttempts
+from cowslipshelf_core.upstream import HandOver
+
+WAIT_STEP = "wait at sidecar"
+RUN_STEP = "run at upstream"
+
+
+@dataclass
+class AttemptTable:
+    """Hold the attempts that are alive at one upstream.
+
+    An attempt leaves WAITING once: it is either started or becomes a tombstone. Both
+    happen here and nowhere else, so a promise that it never ran can't cross its start.
+    """
+
+    config: SidecarConfig
+    spent: SpentAttempts
+    memory: MemoryLedger
+    costs: CostEstimator = field(default_factory=CostEstimator)
+    hot_prefixes: HotPrefixes = field(default_factory=HotPrefixes)
+    alive: dict[AttemptId, Attempt] = field(default_factory=dict)
+    waiting: list[Attempt] = field(default_factory=list)
+    """Attempts in the phase WAITING, in the order in which they want to start."""
+    prefilling: set[AttemptId] = field(default_factory=set)
+    finished: dict[AttemptId, float] = field(default_factory=dict)
+    """Attempts whose frames can be read, with the time until when."""
+
+    @classmethod
+    def from_config(cls, config: SidecarConfig) -> Self:
+        """Start with no memory of any earlier start."""
+        return cls(config, SpentAttempts(config.most_spent), MemoryLedger(config))
+
+    @property
+    def started_count(self) -> int:
+        """Return the number of attempts that the upstream was given and still has."""
+        return len(self.alive) - len(self.waiting)
+
+    @property
+    def waiting_tokens(self) -> int:
+        """Return the memory that waiting attempts will ask for."""
+        return sum(tokens_needed(attempt.hand_over) for attempt in self.waiting)
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the prompt tokens accepted and not yet prefilled."""
+        return sum(
+            attempt.hand_over.prompt_tokens
+            for attempt in self.alive.values()
+            if attempt.phase in PREFILL_PHASES
+        )
+
+    @property
+    def decoding_count(self) -> int:
+        """Return the number of attempts past their first token."""
+        return sum(
+            attempt.phase is AttemptPhase.DECODING for attempt in self.alive.values()
+        )
+
+    def accept(self, hand_over: HandOver, now: float) -> None:
+        """Take an attempt that was not refused."""
+        longest = self.config.longest_deadline_seconds
+        attempt = Attempt.from_hand_over(hand_over, now, longest)
+        self.alive[attempt.attempt_id] = attempt
+        insort(self.waiting, attempt, key=lambda each: each.waiting_rank)
+
+    def start_ready(self, now: float) -> list[SidecarEffect]:
+        """Start what fits, in rank order.
+
+        Small attempts may pass a large one that does not fit yet, but not for long:
+        under a steady stream of small ones the memory for the large one would never
+        come free, and it would wait until its deadline.
+        """
+        effects: list[SidecarEffect] = []
+        for attempt in tuple(self.waiting):
+            if self.started_count >= self.config.most_running:
+                break
+            if self._fits_now(attempt.hand_over):
+                effects.append(self._start(attempt, now))
+            elif now - attempt.arrived_at >= self.config.bypass_seconds:
+                break
+        return effects
+
+    def _fits_now(self, hand_over: HandOver) -> bool:
+        return not self.memory.is_bounded or self.memory.fits(tokens_needed(hand_over))
+
+    def _start(self, attempt: Attempt, now: float) -> StartAttempt:
+        self.waiting.remove(attempt)
+        self.memory.reserve(attempt.attempt_id, tokens_needed(attempt.hand_over))
+        attempt.phase = AttemptPhase.HANDED_OVER
+        attempt.started_at = now
+        attempt.found_prefix = attempt.hand_over.prefix_hash in self.hot_prefixes
+        self._note_overlap(attempt)
+        return StartAttempt(attempt.hand_over)
+
+    def _note_overlap(self, attempt: Attempt) -> None:
+        attempt.overlapped = bool(self.prefilling)
+        for other_id in self.prefilling:
+            self.alive[other_id].overlapped = True
+        self.prefilling.add(attempt.attempt_id)
+
+    def note_accepted(self, attempt_id: AttemptId) -> None:
+        """Note that the upstream took an attempt."""
+        attempt = self.alive.get(attempt_id)
+        if attempt is not None and attempt.phase is AttemptPhase.HANDED_OVER:
+            attempt.phase = AttemptPhase.ACCEPTED
+
+    def note_first_token(self, attempt_id: AttemptId, now: float) -> None:
+        """Note that a prompt is prefilled."""
+        attempt = self.alive.get(attempt_id)
+        if attempt is None or attempt_id not in self.prefilling:
+            return
+        self.prefilling.discard(attempt_id)
+        attempt.phase = AttemptPhase.DECODING
+        attempt.first_token_at = now
+        self.costs.note_first_token(attempt, now)
+        self.hot_prefixes.note(attempt.hand_over.prefix_hash)
+
+    def finish(
+        self, attempt_id: AttemptId, whole: bool, output_tokens: int, now: float
+    ) -> list[SidecarEffect]:
+        """End an attempt that the upstream has ended."""
+        attempt = self.alive.get(attempt_id)
+        if attempt is None or attempt.waits:
+            return []
+        if whole and attempt.phase is AttemptPhase.DECODING:
+            self.costs.note_decode(now - attempt.first_token_at, output_tokens)
+        return self._end_started(attempt, now)
+
+    def _end_started(self, attempt: Attempt, now: float) -> list[SidecarEffect]:
+        attempt_id = attempt.attempt_id
+        del self.alive[attempt_id]
+        self.prefilling.discard(attempt_id)
+        self.memory.free(attempt_id)
+        sequence = attempt.hand_over.load_sequence
+        self.spent.remember(attempt_id, Fate.MAY_HAVE_RUN, sequence)
+        kept_until = now + self.config.answer_kept_seconds
+        if attempt.hand_over.non_idempotent:
+            kept_until = max(kept_until, attempt.deadline_at)
+        self.finished[attempt_id] = kept_until
+        if len(self.finished) <= self.config.most_finished:
+            return []
+        oldest = next(iter(self.finished))
+        del self.finished[oldest]
+        return [ForgetAttempt(oldest)]
+
+    def tombstone_waiting(self, attempt: Attempt) -> None:
+        """Make sure that a waiting attempt never starts."""
+        self.waiting.remove(attempt)
+        del self.alive[attempt.attempt_id]
+        sequence = attempt.hand_over.load_sequence
+        self.spent.remember(attempt.attempt_id, Fate.NEVER_RAN, sequence)
+
+    def give_up(
+        self, attempt: Attempt, reason: RefusalReason, now: float
+    ) -> list[SidecarEffect]:
+        """End an attempt whose answer is wanted no more or can't come in time."""
+        if attempt.waits:
+            self.tombstone_waiting(attempt)
+            refusal = self._refusal(RefusalCode.NOT_RUN, reason, WAIT_STEP)
+            return [EndAttempt(attempt.attempt_id, refusal)]
+        if attempt.phase is AttemptPhase.CANCELLING:
+            return []
+        self.prefilling.discard(attempt.attempt_id)
+        attempt.phase = AttemptPhase.CANCELLING
+        attempt.cancelled_at = now
+        attempt.cancel_sent_at = now
+        refusal = self._refusal(RefusalCode.FAILED, reason, RUN_STEP)
+        return [
+            CancelAtUpstream(attempt.attempt_id),
+            EndAttempt(attempt.attempt_id, refusal),
+        ]
+
+    def _refusal(self, code: RefusalCode, reason: RefusalReason, step: str) -> Refusal:
+        return Refusal(code, reason, step, self.config.description.upstream_id)
+
+    def settle_cancelled(
+        self, held: Collection[AttemptId], now: float
+    ) -> list[SidecarEffect]:
+        """End cancelled attempts that the engine no longer holds.
+
+        An inventory read before the engine knew of the attempt does not show it either;
+        so one that comes right after the cancel proves nothing.
+        """
+        oldest = now - self.config.cancel_settle_seconds
+        gone = [
+            attempt
+            for attempt in self._cancelling()
+            if attempt.cancelled_at <= oldest and attempt.attempt_id not in held
+        ]
+        return self._end_all(gone, now)
+
+    def tick(self, now: float) -> list[SidecarEffect]:
+        """Enforce deadlines, repeat cancels and forget what nobody can ask for."""
+        effects: list[SidecarEffect] = []
+        for attempt in tuple(self.alive.values()):
+            if now >= attempt.deadline_at:
+                effects += self.give_up(attempt, RefusalReason.DEADLINE_PASSED, now)
+        effects += self._repeat_cancels(now)
+        effects += self._forget_finished(now)
+        return effects
+
+    def _cancelling(self) -> list[Attempt]:
+        return [
+            attempt
+            for attempt in self.alive.values()
+            if attempt.phase is AttemptPhase.CANCELLING
+        ]
+
+    def _repeat_cancels(self, now: float) -> list[SidecarEffect]:
+        """Send cancels again, and stop counting on an upstream that never answers."""
+        limit = now - self.config.cancel_limit_seconds
+        effects: list[SidecarEffect] = []
+        for attempt in self._cancelling():
+            if attempt.cancelled_at <= limit:
+                effects += self._end_started(attempt, now)
+            elif now - attempt.cancel_sent_at >= self.config.cancel_repeat_seconds:
+                attempt.cancel_sent_at = now
+                effects.append(CancelAtUpstream(attempt.attempt_id))
+        return effects
+
+    def _end_all(self, attempts: list[Attempt], now: float) -> list[SidecarEffect]:
+        return [
+            effect for attempt in attempts for effect in self._end_started(attempt, now)
+        ]
+
+    def _forget_finished(self, now: float) -> list[SidecarEffect]:
+        over = [name for name, until in self.finished.items() if until <= now]
+        for name in over:
+            del self.finished[name]
+        return [ForgetAttempt(name) for name in over]
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -77,6 +77,8 @@
     """Ask for the configuration in force by somebody who has an older one."""
 
     have_version: ConfigurationVersion
+    question: str = ""
+    """Names a question for a quorum's word; the answer repeats it."""
 
 
 class ConfigurationSnapshot(Message, frozen=True):
@@ -85,6 +87,8 @@
     configuration: FleetConfiguration
     confirmed_by_quorum: bool
     """Whether a quorum confirmed it after the question that it answers."""
+    question: str = ""
+    """Repeats `FetchConfiguration.question`."""
 
 
 # Requests that must run at most once; commands to the replicated state.
--- a/packages/core/src/cowslipshelf_core/upstream.py
+++ b/packages/core/src/cowslipshelf_core/upstream.py
@@ -79,3 +79,9 @@
     body: bytes
     delivered_tokens: int = 0
     """Output tokens that the caller already has from an earlier attempt."""
+    load_sequence: int = 0
+    """`LoadReport.sequence` of this sidecar on which the entry's choice was based.
+
+    It dates the choice by the sidecar's own count, so that a copy too old to be told
+    from a revoked or finished attempt is refused, whatever the clocks say.
+    """
