--- a/packages/standins/src/cowslipshelf_standins/internal/prompts.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/prompts.py
@@ -35,7 +35,7 @@
     messages: list[ChatMessage] | None = None
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
-    stream: bool = False
+    stream: bool | None = None
 
 
 class Prompt(NamedTuple):
@@ -72,7 +72,7 @@
         model=request.model,
         tokens=tokens,
         most_output_tokens=most_output,
-        stream=request.stream,
+        stream=bool(request.stream),
         chat=chat,
         seed=int.from_bytes(seed),
         block_hashes=hash_blocks(content, TOKENS_PER_BLOCK * bytes_per_token),
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
@@ -88,9 +88,8 @@
         parser = EventParser()
         for data in self.response.stream(READ_BYTES, decode_content=False):
             for event in parser.feed(data):
-                if not self.is_new(event):
-                    continue
-                yield self.piece_of(event)
+                if self.is_new(event):
+                    yield self.piece_of(event)
                 if event.data == DONE:
                     return
         raise self.lost("the stream ended before its final marker")
--- a/packages/weightstore/src/cowslipshelf_weightstore/internal/client.py
+++ b/packages/weightstore/src/cowslipshelf_weightstore/internal/client.py
@@ -60,12 +60,11 @@
     def __init__(self, config: WeightStoreClientConfig) -> None:
         self.config = config
         host, _, port = config.address.rpartition(":")
+        timeout = Timeout(connect=config.connect_seconds, read=config.silence_seconds)
         self.pool = HTTPConnectionPool(
             host,
             int(port),
-            timeout=Timeout(
-                connect=config.connect_seconds, read=config.silence_seconds
-            ),
+            timeout=timeout,
             retries=False,
         )
 
