Give upstream errors one base and orders the control state's words

The daemon catches whatever goes wrong towards its upstream in one place, so lost and refused calls now share UpstreamError. Orders carry the kind, the argument and the fencing number as the control state grants them, which spares a translation. Resuming an attempt that the engine has forgotten now raises: its JSON error would else have gone on to the caller as a piece of the answer.

--- a/packages/standins/src/cowslipshelf_standins/internal/engine_http.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/engine_http.py
@@ -138,7 +138,7 @@
     def order(self, order: OrderBody) -> None:
         """Carry an order out, or refuse it as old."""
         accepted = self.engine.order(order)
-        newest = self.engine.orders.newest_fencing_number
+        newest = self.engine.orders.newest_fencing
         self.answer_json(200 if accepted else 409, OrderAnswer(accepted, newest))
 
     def answer_whole(self, attempt: Attempt) -> None:
--- a/packages/standins/src/cowslipshelf_standins/internal/orders.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/orders.py
@@ -4,25 +4,24 @@
 
 import msgspec
 
-OrderKind = Literal["load_model", "load_adapter", "unload_model", "change_role"]
+OrderKind = Literal["load_model", "load_adapter", "load_version", "change_role"]
 
 
 class OrderBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Be an order to load or unload something, or to change role."""
+    """Be an order to load something or to change role."""
 
     order_id: str
     kind: OrderKind
-    fencing_number: int
-    name: str
-    """Model, adapter or role."""
-    version: str = ""
+    argument: str
+    """`name@version` for loads, a role for `change_role`."""
+    fencing: int
 
 
 class OrderAnswer(msgspec.Struct, frozen=True):
     """Answer an order; a refused one names the newest number seen."""
 
     accepted: bool
-    newest_fencing_number: int
+    newest_fencing: int
 
 
 class EngineState(msgspec.Struct, frozen=True):
@@ -31,7 +30,7 @@
     role: str
     models: tuple[tuple[str, str], ...]
     adapters: tuple[tuple[str, str], ...]
-    newest_fencing_number: int
+    newest_fencing: int
     orders_run: tuple[OrderBody, ...]
 
 
@@ -41,30 +40,28 @@
     def __init__(self, models: tuple[str, ...], checks_fencing: bool) -> None:
         self.checks_fencing = checks_fencing
         self.role = "both"
-        self.models = dict.fromkeys(models, "")
+        self.models = dict(map(name_and_version, models))
         self.adapters: dict[str, str] = {}
-        self.newest_fencing_number = 0
+        self.newest_fencing = 0
         self.orders_run: list[OrderBody] = []
 
     def accepts(self, order: OrderBody) -> bool:
         """Say whether an order may run; engines that don't check run all."""
-        if self.checks_fencing and order.fencing_number < self.newest_fencing_number:
+        if self.checks_fencing and order.fencing < self.newest_fencing:
             return False
-        newest = max(self.newest_fencing_number, order.fencing_number)
-        self.newest_fencing_number = newest
+        self.newest_fencing = max(self.newest_fencing, order.fencing)
         return True
 
     def run(self, order: OrderBody) -> None:
         """Carry an accepted order out."""
+        name, version = name_and_version(order.argument)
         match order.kind:
-            case "load_model":
-                self.models[order.name] = order.version
-            case "unload_model":
-                self.models.pop(order.name, None)
+            case "load_model" | "load_version":
+                self.models[name] = version
             case "load_adapter":
-                self.adapters[order.name] = order.version
+                self.adapters[name] = version
             case "change_role":
-                self.role = order.name
+                self.role = order.argument
         self.orders_run.append(order)
 
     def state(self) -> EngineState:
@@ -73,6 +70,12 @@
             role=self.role,
             models=tuple(self.models.items()),
             adapters=tuple(self.adapters.items()),
-            newest_fencing_number=self.newest_fencing_number,
+            newest_fencing=self.newest_fencing,
             orders_run=tuple(self.orders_run),
         )
+
+
+def name_and_version(argument: str) -> tuple[str, str]:
+    """Split `name@version`; the version may be missing."""
+    name, _, version = argument.partition("@")
+    return name, version
--- a/packages/upstreams/src/cowslipshelf_upstreams/__init__.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/__init__.py
@@ -1,6 +1,7 @@
 """Speak to model engines and plain services."""
 
 from cowslipshelf_upstreams.errors import (
+    UpstreamError,
     UpstreamFailedError,
     UpstreamLostError,
     UpstreamRefusedError,
@@ -37,6 +38,7 @@
     "PlainClient",
     "PlainClientConfig",
     "PromptPart",
+    "UpstreamError",
     "UpstreamFailedError",
     "UpstreamLostError",
     "UpstreamPiece",
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
@@ -99,15 +99,24 @@
     def resume(
         self, attempt_id: AttemptId, after: int, delivered_tokens: int | None = None
     ) -> UpstreamStream:
-        """Go on with a stream after the event with this sequence number."""
+        """Go on with a stream after the event with this sequence number.
+
+        Raise `UpstreamLostError` where the engine holds no such attempt any more.
+        """
         request = UpstreamRequest(
             step="resume",
             method="GET",
             path=f"/v1/attempts/{attempt_id}/events",
             headers=(("Last-Event-ID", str(after)),),
         )
+        peer = self.connections.peer
         response = self.connections.open(request, self.config.silence_seconds)
-        return UpstreamStream(response, self.connections.peer, after, delivered_tokens)
+        stream = UpstreamStream(response, peer, after, delivered_tokens)
+        if stream.is_event_stream:
+            return stream
+        stream.close()
+        detail = f"status {stream.status}: the attempt can't be resumed"
+        raise UpstreamLostError(request.step, peer, detail)
 
     def cancel(self, attempt_id: AttemptId) -> bool:
         """Cancel an attempt; false where the engine doesn't know it any more."""
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_documents.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_documents.py
@@ -4,10 +4,9 @@
 
 import msgspec
 
+from cowslipshelf_core.control import OrderKind
 from cowslipshelf_core.identifiers import AttemptId, FencingNumber
 
-OrderKind = Literal["load_model", "load_adapter", "unload_model", "change_role"]
-
 
 class HeldAttempt(msgspec.Struct, frozen=True):
     """Be an attempt that the engine knows, with the memory it holds."""
@@ -51,21 +50,20 @@
 
 
 class EngineOrder(msgspec.Struct, frozen=True):
-    """Order an engine to load or unload something, or to change role."""
+    """Order an engine to load something or to change role."""
 
     order_id: str
     kind: OrderKind
-    fencing_number: FencingNumber
-    name: str
-    """Model, adapter or role."""
-    version: str = ""
+    argument: str
+    """`name@version` for loads, a role for `change_role`."""
+    fencing: FencingNumber
 
 
 class OrderResult(msgspec.Struct, frozen=True):
     """Answer an order; a refused one carries an old fencing number."""
 
     accepted: bool
-    newest_fencing_number: FencingNumber
+    newest_fencing: FencingNumber
 
 
 class KvPart(msgspec.Struct, frozen=True):
