Let the router, the directory and the requests share their event types

Cause: the choice, the feedback and the directory's events stood twice, once on each side of the interface, and a match on one class never sees the other. Each now has one module that both sides import.

--- a/examples/local_fleet.py
+++ b/examples/local_fleet.py
@@ -219,7 +219,9 @@
         """Wait until every running entry is ready."""
         for name in self.entry_names:
             if self.is_running(name):
-                wait_until(lambda name=name: self.is_ready(name), f"readiness of {name}")
+                wait_until(
+                    lambda name=name: self.is_ready(name), f"readiness of {name}"
+                )
 
     def is_running(self, name: str) -> bool:
         """Tell whether a process was started and has not ended."""
--- a/packages/core/src/cowslipshelf_core/directory.py
+++ b/packages/core/src/cowslipshelf_core/directory.py
@@ -1,5 +1,11 @@
 """Decide which announced upstreams may be given work."""
 
+from cowslipshelf_core.directory_events import (
+    LoadUpdated,
+    UnavailableReason,
+    UpstreamAvailable,
+    UpstreamUnavailable,
+)
 from cowslipshelf_core.internal.directory.config import DirectoryConfig
 from cowslipshelf_core.internal.directory.directory import Directory
 from cowslipshelf_core.internal.directory.events import (
@@ -7,16 +13,12 @@
     DirectoryEffect,
     DirectoryEvent,
     DrainingChanged,
-    LoadUpdated,
     MassLossBegan,
     MassLossEnded,
     ObserversChanged,
     SuspectArrived,
     TellEntries,
     TickElapsed,
-    UnavailableReason,
-    UpstreamAvailable,
-    UpstreamUnavailable,
     WithdrawArrived,
 )
 
--- a/packages/core/src/cowslipshelf_core/internal/directory/directory.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/directory.py
@@ -4,6 +4,12 @@
 from dataclasses import dataclass, field
 from typing import Self
 
+from cowslipshelf_core.directory_events import (
+    LoadUpdated,
+    UnavailableReason,
+    UpstreamAvailable,
+    UpstreamUnavailable,
+)
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.internal.directory.config import DirectoryConfig
 from cowslipshelf_core.internal.directory.events import (
@@ -11,16 +17,12 @@
     DirectoryEffect,
     DirectoryEvent,
     DrainingChanged,
-    LoadUpdated,
     MassLossBegan,
     MassLossEnded,
     ObserversChanged,
     SuspectArrived,
     TellEntries,
     TickElapsed,
-    UnavailableReason,
-    UpstreamAvailable,
-    UpstreamUnavailable,
     WithdrawArrived,
 )
 from cowslipshelf_core.internal.directory.record import (
--- a/packages/core/src/cowslipshelf_core/internal/directory/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/events.py
@@ -1,11 +1,14 @@
 """Define what the directory is told, and what it tells."""
 
 from dataclasses import dataclass
-from enum import StrEnum
 
-from cowslipshelf_core.identifiers import Epoch, InstanceId, UpstreamId
+from cowslipshelf_core.directory_events import (
+    LoadUpdated,
+    UpstreamAvailable,
+    UpstreamUnavailable,
+)
+from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.messages import Announce, Suspect, Withdraw
-from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,49 +64,6 @@
 )
 
 
-class UnavailableReason(StrEnum):
-    """Name why an upstream gets no new work."""
-
-    SUSPECTED = "suspected"
-    """Silent here; it is back in use with its next announcement."""
-    REMOVED = "removed"
-    """Silent for good, or withdrawn."""
-    RESTARTED = "restarted"
-    """Its sidecar started anew: attempts at the earlier start are lost."""
-    LEAVING = "leaving"
-    DRAINING = "draining"
-    HELD_BACK = "held_back"
-    """Back again, but it comes and goes too often, or many come back at once."""
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamAvailable:
-    """Say that an upstream may be given work, under this start of its sidecar."""
-
-    description: UpstreamDescription
-    epoch: Epoch
-    load: LoadReport
-    doubtful: bool = False
-    """Silent, and kept only because most upstreams fell silent together."""
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamUnavailable:
-    """Say that an upstream must not be given new work."""
-
-    upstream_id: UpstreamId
-    reason: UnavailableReason
-
-
-@dataclass(frozen=True, slots=True)
-class LoadUpdated:
-    """Carry a newer load report of an available upstream."""
-
-    upstream_id: UpstreamId
-    epoch: Epoch
-    load: LoadReport
-
-
 @dataclass(frozen=True, slots=True)
 class TellEntries:
     """Send a suspicion to all other entry instances."""
--- a/packages/core/src/cowslipshelf_core/internal/directory/record.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/record.py
@@ -4,9 +4,9 @@
 from enum import Enum, auto
 from typing import NamedTuple, Self
 
+from cowslipshelf_core.directory_events import UnavailableReason
 from cowslipshelf_core.identifiers import Epoch, InstanceId
 from cowslipshelf_core.internal.directory.config import DirectoryConfig
-from cowslipshelf_core.internal.directory.events import UnavailableReason
 from cowslipshelf_core.messages import Announce
 from cowslipshelf_core.upstream import UpstreamDescription
 
--- a/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
@@ -21,11 +21,11 @@
     ClaimUnavailable,
     RevokeAnswered,
 )
-from cowslipshelf_core.internal.requests.feedback import AttemptOutcome
 from cowslipshelf_core.internal.requests.handing_over import WHOLE_STEP, hand_over
 from cowslipshelf_core.internal.requests.retrying import wait
 from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
 from cowslipshelf_core.messages import ClaimGranted, ClaimHeld, ClaimRefused, NeverRan
+from cowslipshelf_core.placement_feedback import AttemptOutcome
 
 
 def claim_or_hand_over(
--- a/packages/core/src/cowslipshelf_core/internal/requests/effects.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/effects.py
@@ -4,8 +4,8 @@
 
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import AttemptId, Epoch, UpstreamId
-from cowslipshelf_core.internal.requests.feedback import RouterFeedback
 from cowslipshelf_core.messages import ClaimAsked, ClaimFinished, ClaimMoved
+from cowslipshelf_core.placement_feedback import RouterFeedback
 from cowslipshelf_core.upstream import HandOver
 
 
--- a/packages/core/src/cowslipshelf_core/internal/requests/ending.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/ending.py
@@ -14,9 +14,9 @@
     Report,
     RequestEffect,
 )
-from cowslipshelf_core.internal.requests.feedback import AttemptEnded, AttemptOutcome
 from cowslipshelf_core.internal.requests.state import Phase, RequestState
 from cowslipshelf_core.messages import ClaimGranted, StoredAnswer
+from cowslipshelf_core.placement_feedback import AttemptEnded, AttemptOutcome
 
 REPLAYED_HEADER = ("Idempotent-Replayed", "true")
 
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -15,11 +15,6 @@
     HandOverLost,
     RevokeAnswered,
 )
-from cowslipshelf_core.internal.requests.feedback import (
-    AttemptOutcome,
-    HandOverAccepted,
-    HandOverRefused,
-)
 from cowslipshelf_core.internal.requests.retrying import (
     is_truly_not_run,
     try_elsewhere,
@@ -27,6 +22,11 @@
 )
 from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.placement_feedback import (
+    AttemptOutcome,
+    HandOverAccepted,
+    HandOverRefused,
+)
 from cowslipshelf_core.upstream import HandOver
 
 WHOLE_STEP = 1.0
--- a/packages/core/src/cowslipshelf_core/internal/requests/machine.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/machine.py
@@ -43,7 +43,6 @@
     StreamLost,
     WaitElapsed,
 )
-from cowslipshelf_core.internal.requests.feedback import AttemptOutcome
 from cowslipshelf_core.internal.requests.handing_over import (
     hand_over_answered,
     hand_over_lost,
@@ -65,6 +64,7 @@
     stream_lost,
 )
 from cowslipshelf_core.messages import ClaimGranted
+from cowslipshelf_core.placement_feedback import AttemptOutcome
 
 CLAIM_PHASES = frozenset({Phase.CLAIMING, Phase.MOVING_CLAIM})
 
--- a/packages/core/src/cowslipshelf_core/internal/requests/placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/placing.py
@@ -9,8 +9,8 @@
     RequestEffect,
 )
 from cowslipshelf_core.internal.requests.ending import refuse
-from cowslipshelf_core.internal.requests.feedback import AttemptEnded, AttemptOutcome
 from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
+from cowslipshelf_core.placement_feedback import AttemptEnded, AttemptOutcome
 
 
 def choose_placement(state: RequestState, now: float) -> list[RequestEffect]:
--- a/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
@@ -13,8 +13,8 @@
     refuse_for,
 )
 from cowslipshelf_core.internal.requests.events import RetryAnswered
-from cowslipshelf_core.internal.requests.feedback import AttemptOutcome
 from cowslipshelf_core.internal.requests.state import Phase, RequestState
+from cowslipshelf_core.placement_feedback import AttemptOutcome
 
 REASONS_THAT_FOLLOW_THE_REQUEST = frozenset(
     {
--- a/packages/core/src/cowslipshelf_core/internal/requests/streaming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/streaming.py
@@ -3,7 +3,6 @@
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.internal.requests.effects import Note, Report, RequestEffect
 from cowslipshelf_core.internal.requests.ending import end_whole, refuse, refuse_for
-from cowslipshelf_core.internal.requests.feedback import AttemptOutcome, FirstTokenSeen
 from cowslipshelf_core.internal.requests.handing_over import WHOLE_STEP, resume
 from cowslipshelf_core.internal.requests.retrying import (
     is_truly_not_run,
@@ -18,6 +17,7 @@
     StreamHead,
     StreamHeartbeat,
 )
+from cowslipshelf_core.placement_feedback import AttemptOutcome, FirstTokenSeen
 
 
 def frame_arrived(
--- a/packages/core/src/cowslipshelf_core/internal/routing/attempts.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/attempts.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 
 from cowslipshelf_core.identifiers import AttemptId, CustomerName, ServiceName
-from cowslipshelf_core.internal.routing.events import AttemptOutcome
 from cowslipshelf_core.internal.routing.fleet import Fleet
 from cowslipshelf_core.internal.routing.upstream_view import PlacedAttempt
+from cowslipshelf_core.placement_feedback import AttemptOutcome
 
 OUTPUT_SMOOTHING = 0.05
 
--- a/packages/core/src/cowslipshelf_core/internal/routing/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/events.py
@@ -1,9 +1,9 @@
 """Define what the router is told, what it answers, and how it explains itself."""
 
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import NamedTuple, NewType
 
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.directory_events import (
     LoadUpdated,
@@ -14,13 +14,17 @@
 from cowslipshelf_core.identifiers import (
     AttemptId,
     CustomerName,
-    Epoch,
     ModelName,
     RequestId,
     ServiceName,
     UpstreamId,
 )
-from cowslipshelf_core.upstream import LoadReport
+from cowslipshelf_core.placement_feedback import (
+    AttemptEnded,
+    FirstTokenSeen,
+    HandOverAccepted,
+    HandOverRefused,
+)
 
 AskId = NewType("AskId", str)
 """Names one question for a placement; unique within a process."""
@@ -43,21 +47,6 @@
     """Time left of the caller's deadline when the question is put."""
 
 
-class ChosenUpstream(NamedTuple):
-    """Tell where an attempt goes."""
-
-    attempt_id: AttemptId
-    upstream_id: UpstreamId
-    epoch: Epoch
-    attempts_address: str
-    priority: int
-    """Milliseconds of slack from the hand-over on; lower is served first.
-
-    Entries have no common clock. A sidecar adds its own at arrival, so that waiting
-    attempts age against later ones.
-    """
-
-
 class Prediction(NamedTuple):
     """Be what a placement is expected to cost, in seconds."""
 
@@ -100,15 +89,6 @@
     reason: str
 
 
-class AttemptOutcome(StrEnum):
-    """Name how an attempt ended, as far as the entry knows."""
-
-    FINISHED = "finished"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-    NEVER_RAN = "never_ran"
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationApplied:
     """Say that a configuration is now in force in this process."""
@@ -132,40 +112,6 @@
     ask_id: AskId
 
 
-@dataclass(frozen=True, slots=True)
-class HandOverAccepted:
-    """Say that a sidecar took an attempt."""
-
-    attempt_id: AttemptId
-
-
-@dataclass(frozen=True, slots=True)
-class HandOverRefused:
-    """Say that a sidecar refused an attempt, and how full its upstream is.
-
-    It ends the attempt: no `AttemptEnded` needs to follow.
-    """
-
-    attempt_id: AttemptId
-    load: LoadReport
-
-
-@dataclass(frozen=True, slots=True)
-class FirstTokenSeen:
-    """Report the time from the placement to the first token, in seconds."""
-
-    attempt_id: AttemptId
-    seconds: float
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptEnded:
-    """Say that an attempt takes no more of its upstream."""
-
-    attempt_id: AttemptId
-    outcome: AttemptOutcome
-
-
 @dataclass(frozen=True, slots=True)
 class TickElapsed:
     """Say that time has passed; sent several times a second."""
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.configuration import Customer, Service
 from cowslipshelf_core.directory_events import (
     LoadUpdated,
@@ -24,13 +25,8 @@
     prefill_seconds,
 )
 from cowslipshelf_core.internal.routing.events import (
-    AttemptEnded,
-    ChosenUpstream,
     ConfigurationApplied,
     ConsideredUpstream,
-    FirstTokenSeen,
-    HandOverAccepted,
-    HandOverRefused,
     PlacementAnswered,
     PlacementAsked,
     PlacementExplanation,
@@ -57,6 +53,12 @@
     WaitingRoom,
     queue_key,
 )
+from cowslipshelf_core.placement_feedback import (
+    AttemptEnded,
+    FirstTokenSeen,
+    HandOverAccepted,
+    HandOverRefused,
+)
 from cowslipshelf_core.upstream import LoadReport
 
 REVIEW_SECONDS = 1.0
--- a/packages/core/src/cowslipshelf_core/requests.py
+++ b/packages/core/src/cowslipshelf_core/requests.py
@@ -43,7 +43,12 @@
     StreamLost,
     WaitElapsed,
 )
-from cowslipshelf_core.internal.requests.feedback import (
+from cowslipshelf_core.internal.requests.machine import RequestMachine
+from cowslipshelf_core.internal.requests.retry_budget import (
+    RetryBudget,
+    RetryBudgetConfig,
+)
+from cowslipshelf_core.placement_feedback import (
     AttemptEnded,
     AttemptOutcome,
     FirstTokenSeen,
@@ -51,11 +56,6 @@
     HandOverRefused,
     RouterFeedback,
 )
-from cowslipshelf_core.internal.requests.machine import RequestMachine
-from cowslipshelf_core.internal.requests.retry_budget import (
-    RetryBudget,
-    RetryBudgetConfig,
-)
 
 __all__ = [
     "AnswerChunk",
--- a/packages/core/src/cowslipshelf_core/routing.py
+++ b/packages/core/src/cowslipshelf_core/routing.py
@@ -1,5 +1,6 @@
 """Choose upstreams: cost, placement, admission, shares and outliers."""
 
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.directory_events import (
     LoadUpdated,
     UpstreamAvailable,
@@ -7,14 +8,8 @@
 )
 from cowslipshelf_core.internal.routing.events import (
     AskId,
-    AttemptEnded,
-    AttemptOutcome,
-    ChosenUpstream,
     ConfigurationApplied,
     ConsideredUpstream,
-    FirstTokenSeen,
-    HandOverAccepted,
-    HandOverRefused,
     PlacementAnswered,
     PlacementAsked,
     PlacementExplanation,
@@ -26,6 +21,13 @@
 )
 from cowslipshelf_core.internal.routing.router import Router
 from cowslipshelf_core.internal.routing.settings import RouterConfig
+from cowslipshelf_core.placement_feedback import (
+    AttemptEnded,
+    AttemptOutcome,
+    FirstTokenSeen,
+    HandOverAccepted,
+    HandOverRefused,
+)
 
 __all__ = [
     "AskId",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
@@ -3,6 +3,7 @@
 import time
 from typing import Any, NamedTuple
 
+from cowslipshelf_platform.logs import part_logger
 from pykka import ActorRef, ThreadingActor
 
 from cowslipshelf_core.configuration_view import (
@@ -20,7 +21,6 @@
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.logs import part_logger
 
 LOG = part_logger("configuration")
 
@@ -75,7 +75,9 @@
                     self.in_force.servable = True
                     LOG.info("servable", version=self.view.in_force.version)
                 case ConfigurationConflict(version, address):
-                    LOG.error("two contents of one version", version=version, peer=address)
+                    LOG.error(
+                        "two contents of one version", version=version, peer=address
+                    )
 
     def answer(self, question: FetchConfiguration, address: str) -> None:
         """Answer with what is in force here, which no quorum has confirmed just now."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -5,12 +5,11 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from queue import Empty, SimpleQueue
 from typing import NamedTuple
 
 from cowslipshelf_callers import AnswerWriter, CallerGoneError
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
-from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import AttemptId, Epoch, InstanceId, UpstreamId
 from cowslipshelf_core.messages import (
     AttemptRefused,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -3,6 +3,8 @@
 import threading
 from typing import NamedTuple
 
+from pykka import ActorRef
+
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
@@ -19,7 +21,6 @@
     UpstreamLostError,
     UpstreamStream,
 )
-from pykka import ActorRef
 
 STEP = "run_at_upstream"
 MOST_RESUMES = 3
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -5,6 +5,9 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
+from cowslipshelf_platform.logs import part_logger
+from pykka import ThreadingActor
+
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
     BecameServable,
@@ -63,9 +66,7 @@
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Mailbox, Received
-from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings
-from pykka import ThreadingActor
 
 LOG = part_logger("sidecar")
 
@@ -260,7 +261,9 @@
                     LOG.info("servable", version=self.view.in_force.version)
                     self.announce(now)
                 case ConfigurationConflict(version, address):
-                    LOG.error("two contents of one version", version=version, peer=address)
+                    LOG.error(
+                        "two contents of one version", version=version, peer=address
+                    )
 
     def tick(self, now: float) -> None:
         """Look at what is due."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -3,15 +3,16 @@
 import threading
 from queue import SimpleQueue
 
+from cowslipshelf_platform.logs import part_logger
+from pykka import ActorDeadError, ActorRef
+
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
-from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_upstreams import (
     EngineClient,
     UpstreamLostError,
     UpstreamRefusedError,
 )
-from pykka import ActorDeadError, ActorRef
 
 LOG = part_logger("upstream")
 
@@ -69,5 +70,7 @@
             return
         self.inventory_due.clear()
         inventory = self.engine.inventory()
-        held = tuple(HeldMemory(item.attempt_id, item.tokens) for item in inventory.held)
+        held = tuple(
+            HeldMemory(item.attempt_id, item.tokens) for item in inventory.held
+        )
         self.sidecar.tell(InventoryRead(held))
