--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/control_gateway.py
@@ -0,0 +1,130 @@
+"""Bring commands to the replicated state and wait for their outcomes."""
+
+import random
+import time
+import uuid
+from queue import Empty, SimpleQueue
+from typing import Any, NamedTuple
+
+from pykka import ActorDeadError, ActorRef, ThreadingActor
+
+from cowslipshelf_core.agreement import (
+    LeaderSeen,
+    ProposalAnswered,
+    ProposalClient,
+    ProposalClientEvent,
+    ProposalFailed,
+    ProposalResult,
+    ProposalResultArrived,
+    SendTo,
+    SubmitAsked,
+    TickElapsed,
+)
+from cowslipshelf_core.control import (
+    ControlCommand,
+    ControlOutcome,
+    decode_outcome,
+    encode_command,
+)
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_daemon.internal.entry.post import Delivered, Post
+from cowslipshelf_daemon.internal.ticker import Tick
+
+STEP = "ask_control_state"
+LONGEST_WAIT_SECONDS = 10.0
+REPLY_MARGIN_SECONDS = 1.0
+RETRY_AFTER_SECONDS = 1.0
+
+
+class CommandAsked(NamedTuple):
+    """Ask for a command to be committed, with the place for its outcome."""
+
+    submit: SubmitAsked
+    reply: "SimpleQueue[ControlOutcome | Refusal]"
+
+
+class GatewayActor(ThreadingActor):
+    """Send commands to the leader, whichever replica that is."""
+
+    def __init__(self, client: ProposalClient, post: Post) -> None:
+        super().__init__()
+        self.client = client
+        self.post = post
+        self.random = random.Random()
+        self.replies: dict[str, SimpleQueue[ControlOutcome | Refusal]] = {}
+
+    def on_receive(self, message: Any) -> None:
+        """Turn one message into an event for the decider."""
+        match message:
+            case Tick():
+                self.handle(TickElapsed())
+            case CommandAsked(submit=submit, reply=reply):
+                self.replies[submit.proposal_id] = reply
+                self.handle(submit)
+            case Delivered(sender=sender, message=ProposalResult() as result):
+                self.handle(ProposalResultArrived(sender, result))
+            case LeaderSeen():
+                self.handle(message)
+
+    def handle(self, event: ProposalClientEvent) -> None:
+        """Give the decider an event and carry out what it says."""
+        for effect in self.client.handle(event, time.monotonic(), self.random):
+            match effect:
+                case SendTo(instance, message):
+                    self.post.send_to_instance(instance, message)
+                case ProposalAnswered(proposal_id, _, outcome):
+                    self.answer(proposal_id, decode_outcome(outcome))
+                case ProposalFailed():
+                    self.answer(effect.proposal_id, refusal_of(effect))
+
+    def answer(self, proposal_id: str, outcome: ControlOutcome | Refusal) -> None:
+        """Hand an outcome to whoever waits for it."""
+        reply = self.replies.pop(proposal_id, None)
+        if reply is not None:
+            reply.put(outcome)
+
+
+def refusal_of(failed: ProposalFailed) -> Refusal:
+    """Describe a command that got no outcome in time."""
+    code = (
+        RefusalCode.OUTCOME_UNKNOWN if failed.may_take_effect else RefusalCode.NOT_RUN
+    )
+    detail = failed.last_refusal or "no replica answered"
+    return Refusal(
+        code,
+        RefusalReason.NO_QUORUM,
+        STEP,
+        failed.last_asked or "",
+        detail,
+        RETRY_AFTER_SECONDS,
+    )
+
+
+class ControlGateway:
+    """Offer the replicated state to any thread."""
+
+    def __init__(self, actor: ActorRef) -> None:
+        self.actor = actor
+
+    def ask(self, command: ControlCommand, seconds: float) -> ControlOutcome | Refusal:
+        """Commit a command and wait for its outcome.
+
+        The wait is bounded below the caller's own patience, so that without a quorum
+        the refusal comes at once rather than at the caller's deadline.
+        """
+        patience = min(seconds, LONGEST_WAIT_SECONDS)
+        reply: SimpleQueue[ControlOutcome | Refusal] = SimpleQueue()
+        submit = SubmitAsked(
+            uuid.uuid4().hex, encode_command(command), time.monotonic() + patience
+        )
+        try:
+            self.actor.tell(CommandAsked(submit, reply))
+            return reply.get(timeout=max(0.0, patience) + REPLY_MARGIN_SECONDS)
+        except (ActorDeadError, Empty):
+            return Refusal(
+                RefusalCode.OUTCOME_UNKNOWN,
+                RefusalReason.NO_QUORUM,
+                STEP,
+                detail="the control state did not answer in time",
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
@@ -0,0 +1,56 @@
+"""Sort the messages that arrive at an entry to the actors they are for."""
+
+from typing import NamedTuple
+
+from pykka import ActorRef
+
+from cowslipshelf_core.agreement import ProposalResult
+from cowslipshelf_core.configuration_view import VersionSeen
+from cowslipshelf_core.messages import (
+    Announce,
+    ConfigurationSnapshot,
+    EntryAlive,
+    FetchConfiguration,
+    Suspect,
+    Withdraw,
+)
+from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
+from cowslipshelf_daemon.internal.entry.post import Delivered
+from cowslipshelf_fleet import Received
+
+
+class Dispatch(NamedTuple):
+    """Know the actors of one entry."""
+
+    routing: ActorRef
+    configuration: ActorRef
+    gateway: ActorRef
+    replica: ActorRef | None
+    in_force: ConfigurationInForce
+
+    def receive(self, received: Received) -> None:
+        """Take a message from another process; runs on the mailbox's thread."""
+        version = received.configuration_version
+        if version > self.in_force.index.configuration.version:
+            seen = VersionSeen(received.sender_address, version)
+            self.configuration.tell(seen)
+        match received.message:
+            case Announce() | Withdraw() | Suspect() | EntryAlive():
+                self.routing.tell(received)
+            case message:
+                delivered = Delivered(
+                    received.sender, received.sender_address, message
+                )
+                self.deliver(delivered)
+
+    def deliver(self, delivered: Delivered) -> None:
+        """Take a message for an actor, from this process or another."""
+        match delivered.message:
+            case ConfigurationSnapshot():
+                self.configuration.tell(delivered)
+            case ProposalResult():
+                self.gateway.tell(delivered)
+            case FetchConfiguration() if self.replica is None:
+                self.configuration.tell(delivered)
+            case _ if self.replica is not None:
+                self.replica.tell(delivered)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
@@ -3,9 +3,6 @@
 import threading
 import time
 from collections import OrderedDict
-from typing import Any
-
-import msgspec
 
 from cowslipshelf_core.identifiers import RequestId
 from cowslipshelf_core.requests import CallerRequest
@@ -50,31 +47,38 @@
         self.outcome = outcome
         self.seconds = time.monotonic() - self.begun
 
-    def document(self) -> dict[str, Any]:
-        """Return the record in the shape that operators read."""
-        return {
-            "request_id": self.request.request_id,
-            "customer": self.request.customer,
-            "service": self.request.service,
-            "model": self.request.model,
-            "prompt_tokens": self.request.prompt_tokens,
-            "started_at": self.started_at,
-            "outcome": self.outcome,
-            "chunks": self.chunks,
-            "first_chunk_seconds": self.first_chunk_seconds,
-            "seconds": self.seconds,
-            "placements": [explain(placement) for placement in self.placements],
-            "notes": list(self.notes),
-        }
-
-
-def explain(placement: PlacementExplanation) -> dict[str, Any]:
-    """Return a placement with the names of its fields."""
+    def lines(self) -> tuple[str, ...]:
+        """Tell in lines of text what happened, the oldest first."""
+        request = self.request
+        what = f"{request.prompt_tokens} prompt tokens for {request.model or 'a call'}"
+        head = f"customer {request.customer}, service {request.service}, {what}"
+        placements = [
+            line for placement in self.placements for line in placement_lines(placement)
+        ]
+        return (head, *placements, *self.notes, self.last_line())
+
+    def last_line(self) -> str:
+        """Tell how the request ended, or that it runs."""
+        first = self.first_chunk_seconds
+        waited = "nothing written yet" if first is None else f"first after {first:.3f} s"
+        took = "" if self.seconds is None else f" in {self.seconds:.3f} s"
+        return f"{self.outcome}{took}: {self.chunks} pieces, {waited}"
+
+
+def placement_lines(placement: PlacementExplanation) -> list[str]:
+    """Tell where an attempt went, what was expected there and what else there was."""
+    where = placement.chosen or "nowhere"
+    head = (
+        f"attempt {placement.attempt_id} placed on {where} after "
+        f"{placement.queued_seconds:.3f} s in the queue: {placement.reason}"
+    )
     considered = [
-        entry._asdict() | {"prediction": entry.prediction._asdict()}
+        f"  considered {entry.upstream_id}: first token in "
+        f"{entry.prediction.first_token_seconds:.3f} s, delay to others "
+        f"{entry.prediction.delay_to_others_seconds:.3f} s, fits: {entry.fits}"
         for entry in placement.considered
     ]
-    return msgspec.to_builtins(placement._asdict() | {"considered": considered})
+    return [head, *considered]
 
 
 class RequestRecords:
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -0,0 +1,288 @@
+"""Answer operators from what this entry knows and the replicated state."""
+
+import threading
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from queue import Empty, SimpleQueue
+from typing import Any, NamedTuple
+
+from pykka import ActorDeadError, ActorRef
+
+from cowslipshelf_core.agreement import ReplicaStatus
+from cowslipshelf_core.control import (
+    AuditRecord,
+    ConfirmDocument,
+    ConfirmPlan,
+    ControlCommand,
+    ControlOutcome,
+    ControlState,
+    OrderGranted,
+    PlanConfirmed,
+    PlanDocument,
+    PlanOutdated,
+    PlanRecorded,
+    PlanRefused,
+    PlanUnknown,
+    relevant_upstreams,
+)
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import ChangeId, OperatorName, PlanId, RequestId
+from cowslipshelf_daemon.internal.entry.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
+from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
+from cowslipshelf_daemon.internal.entry.replica_actor import ControlStateAsked, leads
+from cowslipshelf_daemon.internal.entry.routing_actor import FleetStatus
+from cowslipshelf_operators import (
+    ExplainAnswer,
+    ExplainKind,
+    HealthAnswer,
+    InstanceStatus,
+    StateAnswer,
+    UpstreamStatus,
+    order_status,
+)
+from cowslipshelf_operators.errors import HandlerError
+from cowslipshelf_platform.settings import DaemonSettings
+
+COMMAND_SECONDS = 8.0
+READ_SECONDS = 5.0
+
+
+class OperatorsParts(NamedTuple):
+    """Be what the operators' handler works with."""
+
+    settings: DaemonSettings
+    in_force: ConfigurationInForce
+    status: FleetStatus
+    records: RequestRecords
+    gateway: ControlGateway
+    replica: ActorRef | None
+
+
+class ControlView(NamedTuple):
+    """Be what the local replica tells about the control state."""
+
+    replica: ReplicaStatus
+    open_orders: tuple[OrderGranted, ...]
+    configuration_version: int
+
+
+class EntryOperatorsHandler:
+    """Serve the operators of one entry."""
+
+    def __init__(self, parts: OperatorsParts) -> None:
+        self.parts = parts
+        self.draining = threading.Event()
+
+    def plan(
+        self, operator: OperatorName, document: PlanDocument
+    ) -> PlanRecorded | PlanOutdated | PlanRefused:
+        """Record a plan through the replicated state."""
+        descriptions = tuple(
+            status.description for status in self.parts.status.upstreams.values()
+        )
+        change = document.to_change()
+        configuration = self.parts.in_force.index.configuration
+        upstreams = relevant_upstreams(change, configuration, descriptions)
+        return self.ask("record plan", document.to_command(operator, upstreams))
+
+    def confirm(
+        self, operator: OperatorName, plan_id: PlanId, document: ConfirmDocument
+    ) -> PlanConfirmed | PlanOutdated | PlanUnknown | PlanRefused:
+        """Put a plan in force through the replicated state."""
+        command = ConfirmPlan(plan_id, operator, document.change_id)
+        return self.ask("confirm plan", command)
+
+    def ask(self, step: str, command: ControlCommand) -> ControlOutcome:
+        """Commit a command, or say what is known of it."""
+        outcome = self.parts.gateway.ask(command, COMMAND_SECONDS)
+        if not isinstance(outcome, Refusal):
+            return outcome
+        detail = f"{outcome.code}: {outcome.detail}; send the same change id again"
+        raise HandlerError(
+            step,
+            outcome.peer or "replicas",
+            detail,
+            code=outcome.reason,
+            retry_after_seconds=outcome.retry_after_seconds,
+        )
+
+    def state(self) -> StateAnswer:
+        """Describe the fleet as this process knows it."""
+        index = self.parts.in_force.index
+        view = self.control_view()
+        return StateAnswer(
+            configuration=index.configuration,
+            answered_by=self.parts.settings.instance,
+            instances=self.instances(view),
+            upstreams=self.upstreams(),
+            open_orders=() if view is None else orders_of(view),
+            notes=self.notes(view),
+        )
+
+    def control_view(self) -> ControlView | None:
+        """Read the local replica, where there is one."""
+        if self.parts.replica is None:
+            return None
+        return self.read("read state", view_of)
+
+    def read(
+        self, step: str, read: Callable[[ControlState, ReplicaStatus], Any]
+    ) -> Any:
+        """Read something from the local replica's state."""
+        if self.parts.replica is None:
+            holders = [
+                entry.instance for entry in self.parts.settings.entries if entry.replica
+            ]
+            detail = f"no replica here; ask one of {', '.join(holders)}"
+            raise HandlerError(step, "replica", detail, status=HTTPStatus.NOT_FOUND)
+        reply: SimpleQueue[Any] = SimpleQueue()
+        try:
+            self.parts.replica.tell(ControlStateAsked(read, reply))
+            return reply.get(timeout=READ_SECONDS)
+        except (ActorDeadError, Empty) as error:
+            raise HandlerError(step, "replica", "no answer in time") from error
+
+    def instances(self, view: ControlView | None) -> tuple[InstanceStatus, ...]:
+        """Describe this entry, the others it hears, and the sidecars."""
+        leader = None if view is None else view.replica.leader
+        entries = [
+            InstanceStatus(
+                instance,
+                entry.data_centre,
+                "entry",
+                entry.configuration_version,
+                entry.in_force_since,
+                entry.holds_replica,
+                instance == leader,
+            )
+            for instance, entry in self.parts.status.entries.items()
+        ]
+        sidecars = [
+            InstanceStatus(
+                f"{upstream_id} (sidecar)",
+                status.description.data_centre,
+                "sidecar",
+                status.configuration_version,
+                status.version_since,
+            )
+            for upstream_id, status in self.parts.status.upstreams.items()
+        ]
+        return (self.own_status(view), *entries, *sidecars)
+
+    def own_status(self, view: ControlView | None) -> InstanceStatus:
+        """Describe this entry."""
+        index = self.parts.in_force.index
+        settings = self.parts.settings
+        return InstanceStatus(
+            settings.instance,
+            settings.data_centre,
+            settings.role,
+            index.configuration.version,
+            index.since,
+            view is not None,
+            view is not None and leads(view.replica),
+        )
+
+    def upstreams(self) -> tuple[UpstreamStatus, ...]:
+        """Describe the upstreams that were heard lately."""
+        draining = self.parts.in_force.index.configuration.draining
+        lease = self.parts.settings.timings.lease_seconds
+        at = time.time()
+        return tuple(
+            UpstreamStatus(
+                upstream_id,
+                status.description.data_centre,
+                status.description.service,
+                status.epoch,
+                at - status.heard_at < lease and not status.leaving,
+                upstream_id in draining or status.leaving,
+                status.running,
+                status.reserved_tokens,
+                status.description.memory_tokens,
+                detail=f"heard {at - status.heard_at:.1f} s ago",
+            )
+            for upstream_id, status in self.parts.status.upstreams.items()
+        )
+
+    def notes(self, view: ControlView | None) -> tuple[str, ...]:
+        """Say what an operator should know."""
+        if view is None:
+            return ("this entry holds no replica",)
+        if view.replica.failure:
+            return (f"the replica's disk failed: {view.replica.failure}",)
+        if view.replica.leader is None:
+            return ("no leader is known: changes are refused until a quorum is back",)
+        return ()
+
+    def audit(self, since_index: int, limit: int) -> tuple[AuditRecord, ...]:
+        """Read the audit trail."""
+        return self.read("read audit", lambda state, _: state.audit(since_index, limit))
+
+    def explain(self, kind: ExplainKind, name: str) -> ExplainAnswer | None:
+        """Tell what happened to a request, an upstream or a change."""
+        match kind:
+            case "request":
+                record = self.parts.records.find(RequestId(name))
+                lines = () if record is None else record.lines()
+            case "upstream":
+                lines = self.upstream_lines(name)
+            case "change":
+                lines = self.change_lines(ChangeId(name))
+        return ExplainAnswer(kind, name, lines) if lines else None
+
+    def upstream_lines(self, name: str) -> tuple[str, ...]:
+        """Tell what is known of an upstream."""
+        known = [status for status in self.upstreams() if status.upstream_id == name]
+        return tuple(
+            f"{field}: {getattr(status, field)}"
+            for status in known
+            for field in status.__struct_fields__
+        )
+
+    def change_lines(self, change_id: ChangeId) -> tuple[str, ...]:
+        """Tell what became of a change."""
+        explained = self.read(
+            "explain change", lambda state, _: state.explain_change(change_id)
+        )
+        if explained is None:
+            return ()
+        answer = type(explained.first_answer).__name__
+        first = f"asked by {explained.operator}; first answer {answer}"
+        records = (
+            f"log index {record.index}: {record.action}, version "
+            f"{record.version_before} to {record.version_after}: {record.detail}"
+            for record in explained.audit
+        )
+        return (first, *records)
+
+    def health(self) -> HealthAnswer:
+        """Tell whether the process works at all."""
+        view = self.control_view()
+        if view is not None and view.replica.failure:
+            return HealthAnswer(False, (view.replica.failure,))
+        return HealthAnswer(True)
+
+    def ready(self) -> HealthAnswer:
+        """Tell whether the process should get callers."""
+        if self.draining.is_set():
+            return HealthAnswer(False, ("shutting down",))
+        if not self.parts.in_force.servable:
+            return HealthAnswer(False, ("no quorum has confirmed a configuration",))
+        return HealthAnswer(True)
+
+    def metrics_text(self) -> str:
+        """Write the metrics in the Prometheus text format."""
+        return ""
+
+
+def view_of(state: ControlState, replica: ReplicaStatus) -> ControlView:
+    """Read what operators see of the control state."""
+    version = state.configuration.version
+    return ControlView(replica, state.open_orders(), version)
+
+
+def orders_of(view: ControlView) -> tuple[Any, ...]:
+    """Describe the open orders."""
+    return tuple(order_status(order) for order in view.open_orders)
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -0,0 +1,248 @@
+"""Own one replica of the control state: its decider, its disk, what it applies."""
+
+import random
+import time
+from collections.abc import Callable
+from queue import SimpleQueue
+from typing import Any, NamedTuple
+
+from pykka import ActorRef, ThreadingActor
+
+from cowslipshelf_core.agreement import (
+    CommandProposed,
+    Committed,
+    DiskFailed,
+    Effect,
+    Entry,
+    EntryKind,
+    Event,
+    InstallState,
+    LeaderSeen,
+    PeerMessageArrived,
+    Persist,
+    ProposalRefused,
+    ProposalResult,
+    Propose,
+    ReadAsked,
+    ReadConfirmed,
+    ReadFailed,
+    Replica,
+    ReplicaStatus,
+    Role,
+    RoleChanged,
+    SaveSnapshot,
+    SendTo,
+    SnapshotTaken,
+    SnapshotWanted,
+    TickElapsed,
+    TransferLeadership,
+)
+from cowslipshelf_core.control import (
+    ControlCodecError,
+    ControlState,
+    decode_command,
+    encode_outcome,
+)
+from cowslipshelf_core.identifiers import InstanceId
+from cowslipshelf_core.messages import ConfigurationSnapshot, FetchConfiguration
+from cowslipshelf_daemon.internal.entry.post import Delivered, Post
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_platform.storage import ReplicaStorage, StorageError
+
+LOG = part_logger("replica")
+
+MOST_EVENTS_PER_SYNC = 512
+MOST_READS_WAITING = 4096
+
+
+class ControlStateAsked(NamedTuple):
+    """Ask for something that only the replicated state knows."""
+
+    read: Callable[[ControlState, ReplicaStatus], Any]
+    reply: "SimpleQueue[Any]"
+
+
+class ReplicaParts(NamedTuple):
+    """Be what the replica's actor works with."""
+
+    replica: Replica
+    storage: ReplicaStorage
+    state: ControlState
+    post: Post
+    configuration: ActorRef
+    gateway: ActorRef
+
+
+class ReplicaActor(ThreadingActor):
+    """Take part in the agreement; the only owner of the data folder.
+
+    Whatever waits in the inbox is handled as one batch, with one sync for all of it:
+    group commit. Nothing that a batch decides leaves this actor before the sync, so
+    that no answer or vote can be forgotten by a crash after it was given.
+    """
+
+    def __init__(self, parts: ReplicaParts) -> None:
+        super().__init__()
+        self.replica = parts.replica
+        self.storage = parts.storage
+        self.state = parts.state
+        self.post = parts.post
+        self.configuration = parts.configuration
+        self.gateway = parts.gateway
+        self.random = random.Random()
+        self.events: list[Event] = []
+        self.proposers: dict[str, InstanceId] = {}
+        self.reads: dict[str, Delivered] = {}
+        self.reads_asked = 0
+
+    def on_start(self) -> None:
+        """Put the configuration of the stored snapshot before this process."""
+        self.publish_configuration()
+
+    def on_receive(self, message: Any) -> None:
+        """Collect events as long as more are waiting, then handle them together."""
+        match message:
+            case Tick():
+                self.events.append(TickElapsed())
+            case Delivered():
+                self.receive(message)
+            case TransferLeadership():
+                self.events.append(message)
+            case ControlStateAsked(read=read, reply=reply):
+                reply.put(read(self.state, self.replica.status()))
+        waiting = not self.actor_inbox.empty()
+        if not waiting or len(self.events) >= MOST_EVENTS_PER_SYNC:
+            self.handle_events()
+
+    def receive(self, delivered: Delivered) -> None:
+        """Turn a message from an instance into an event."""
+        match delivered.message:
+            case Propose(proposal_id=proposal_id, command=command):
+                self.proposers[proposal_id] = delivered.sender
+                self.events.append(CommandProposed(proposal_id, command, time.time()))
+            case FetchConfiguration(question=question) if question:
+                self.ask_read(delivered)
+            case FetchConfiguration():
+                self.answer_configuration(delivered, confirmed=False)
+            case message:
+                self.events.append(PeerMessageArrived(delivered.sender, message))
+
+    def ask_read(self, delivered: Delivered) -> None:
+        """Have a quorum confirm what the asker is told."""
+        if len(self.reads) >= MOST_READS_WAITING:
+            return
+        self.reads_asked += 1
+        read_id = f"read-{self.reads_asked}"
+        self.reads[read_id] = delivered
+        self.events.append(ReadAsked(read_id))
+
+    def handle_events(self) -> None:
+        """Handle what was collected, make it durable, and only then act on it."""
+        events, self.events = self.events, []
+        now = time.monotonic()
+        effects = self.replica.handle_batch(events, now, self.random)
+        if self.make_durable(effects):
+            for effect in effects:
+                self.perform(effect)
+
+    def make_durable(self, effects: list[Effect]) -> bool:
+        """Write and sync; a failed disk ends this replica's part in the agreement.
+
+        What follows from unsynced bytes is dropped with them: had it been sent, a
+        vote or an answer would stand on what a restart does not find.
+        """
+        writes = [
+            effect for effect in effects if isinstance(effect, Persist | SaveSnapshot)
+        ]
+        if not writes:
+            return True
+        try:
+            self.storage.write(writes)
+            self.storage.sync()
+        except StorageError as error:
+            LOG.error("disk failed", error=str(error))
+            failed = DiskFailed(str(error))
+            self.replica.handle_batch((failed,), time.monotonic(), self.random)
+            return False
+        return True
+
+    def perform(self, effect: Effect) -> None:
+        """Carry out one effect that is safe to carry out."""
+        match effect:
+            case SendTo(instance, message):
+                self.post.send_to_instance(instance, message)
+            case Committed(index, entry):
+                self.apply(index, entry)
+            case InstallState(state, index):
+                LOG.info("state installed", index=index)
+                self.state = ControlState.from_snapshot(state)
+                self.publish_configuration()
+            case SnapshotWanted(index):
+                taken = SnapshotTaken(index, self.state.to_snapshot())
+                self.events.append(taken)
+            case ProposalRefused(proposal_id, reason, leader):
+                refused = ProposalResult(proposal_id, 0, b"", reason, leader)
+                self.answer_proposer(refused)
+            case ReadConfirmed(read_id):
+                self.answer_read(read_id, confirmed=True)
+            case ReadFailed(read_id):
+                self.answer_read(read_id, confirmed=False)
+            case RoleChanged(role, term, leader):
+                LOG.info("role changed", role=role, term=term, leader=leader)
+                self.gateway.tell(LeaderSeen(leader))
+
+    def apply(self, index: int, entry: Entry) -> None:
+        """Apply a committed command and answer whoever proposed it here."""
+        if entry.kind is not EntryKind.COMMAND:
+            return
+        try:
+            command = decode_command(entry.payload)
+        except ControlCodecError as error:
+            # Every replica finds the same bytes and skips them alike.
+            LOG.error("command not understood", index=index, error=str(error))
+            return
+        before = self.state.configuration.version
+        outcome = self.state.apply(command, index, entry.at)
+        if self.state.configuration.version != before:
+            self.publish_configuration()
+        if entry.proposal_id in self.proposers:
+            encoded = encode_outcome(outcome)
+            self.answer_proposer(ProposalResult(entry.proposal_id, index, encoded))
+
+    def answer_proposer(self, result: ProposalResult) -> None:
+        """Send a result to the instance that proposed through this replica."""
+        proposer = self.proposers.pop(result.proposal_id, None)
+        if proposer is not None:
+            self.post.send_to_instance(proposer, result)
+
+    def answer_read(self, read_id: str, confirmed: bool) -> None:
+        """Answer a question for the configuration."""
+        asked = self.reads.pop(read_id, None)
+        if asked is not None:
+            self.answer_configuration(asked, confirmed)
+
+    def answer_configuration(self, asked: Delivered, confirmed: bool) -> None:
+        """Send the configuration as it is applied here."""
+        snapshot = ConfigurationSnapshot(
+            self.state.configuration, confirmed, asked.message.question
+        )
+        self.post.send(asked.sender_address, snapshot)
+
+    def publish_configuration(self) -> None:
+        """Put the applied configuration before this process's view."""
+        snapshot = ConfigurationSnapshot(
+            self.state.configuration, confirmed_by_quorum=False
+        )
+        self.configuration.tell(
+            Delivered(self.post.instance, self.post.address, snapshot)
+        )
+
+    def on_stop(self) -> None:
+        """Let go of the data folder."""
+        self.storage.close()
+
+
+def leads(status: ReplicaStatus) -> bool:
+    """Tell whether a replica is the leader."""
+    return status.role is Role.LEADER
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from cowslipshelf_callers import AnswerWriter, CallerGoneError
@@ -18,6 +18,8 @@
     ClaimRefused,
     Frame,
     Message,
+    StreamEnd,
+    StreamHeartbeat,
 )
 from cowslipshelf_core.requests import (
     AnswerChunk,
@@ -81,12 +83,12 @@
     def request_started(self, now: float) -> None:
         """Count a first attempt."""
         with self.lock:
-            self.budget.request_started(now)
+            self.budget.count_first_attempt(now)
 
     def allows(self, now: float) -> bool:
         """Spend a retry where there is one to spend."""
         with self.lock:
-            return self.budget.take(now)
+            return self.budget.try_retry(now)
 
 
 class DriverServices(NamedTuple):
@@ -117,17 +119,19 @@
         self.services = services
         self.record = record
         self.effects: deque[RequestEffect] = deque()
+        self.gone = False
         self.stream: AttemptStream | None = None
+        self.frames: Iterator[Frame] = iter(())
         self.streaming: AttemptId | None = None
         self.deadline_at = time.monotonic() + request.deadline_seconds
-        self.ended = False
 
     def run(self) -> None:
         """Drive the request to its one final answer."""
         self.services.retry_budget.request_started(time.monotonic())
         self.handle(Started())
         try:
-            while not self.ended:
+            # What follows the final answer, such as a cancel, is carried out as well.
+            while self.effects or not self.machine.has_ended():
                 self.step()
         finally:
             self.close_stream()
@@ -248,6 +252,7 @@
     def open_stream(self, stream: AttemptStream, attempt_id: AttemptId) -> None:
         """Begin to read an attempt's frames."""
         self.stream = stream
+        self.frames = iter(stream)
         self.streaming = attempt_id
 
     def close_stream(self) -> None:
@@ -257,31 +262,47 @@
         self.stream = None
 
     def read_stream(self) -> None:
-        """Take the next frame; the stream's silence limit bounds the wait."""
-        frame: Frame | None = None
+        """Take the next frame; heartbeats bound the wait, and show the deadline."""
         try:
-            frame = self.stream.next_frame(self.seconds_left())
+            frame = next(self.frames)
         except StreamLostError as error:
             self.record.note(str(error))
             self.close_stream()
             self.handle(StreamLost(self.streaming))
             return
-        if frame is None:
-            self.handle(DeadlinePassed())
-        else:
-            self.handle(FrameArrived(frame, self.streaming))
+        match frame:
+            case _ if self.seconds_left() <= 0:
+                self.handle(DeadlinePassed())
+            case StreamHeartbeat():
+                self.look_for_caller()
+            case StreamEnd():
+                self.close_stream()
+                self.handle(FrameArrived(frame, self.streaming))
+            case _:
+                self.handle(FrameArrived(frame, self.streaming))
+
+    def look_for_caller(self) -> None:
+        """Notice a caller that went away while there was nothing to write."""
+        if not self.gone and self.writer.caller_gone():
+            self.caller_has_gone("closed its connection")
+
+    def caller_has_gone(self, detail: str) -> None:
+        """Tell the decider, once; work that must run once goes on without a caller."""
+        self.record.note(f"caller gone: {detail}")
+        if not self.gone:
+            self.gone = True
+            self.handle(CallerGone())
 
     def answer(
         self, effect: AnswerHead | AnswerChunk | AnswerEnd | AnswerRefusal
     ) -> None:
         """Write to the caller; one that has gone does not end the request."""
-        self.ended = isinstance(effect, AnswerEnd | AnswerRefusal)
+        if self.gone and not isinstance(effect, AnswerEnd | AnswerRefusal):
+            return
         try:
             self.write(effect)
         except CallerGoneError as error:
-            self.record.note(str(error))
-            if not self.ended:
-                self.handle(CallerGone())
+            self.caller_has_gone(str(error))
 
     def write(
         self, effect: AnswerHead | AnswerChunk | AnswerEnd | AnswerRefusal
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -52,12 +52,17 @@
     server: AttemptsServer
     ticker: Ticker
     left: threading.Event
+    view_of_state: SidecarState
 
     def leave(self) -> bool:
         """Finish what runs and go; return whether all of it finished in time."""
         self.actor.tell(LeaveAsked(self.left.set))
         return self.left.wait(self.settings.timings.shutdown_seconds)
 
+    def running_work(self) -> int:
+        """Return how many attempts run."""
+        return self.view_of_state.load_report().running
+
     def stop(self) -> None:
         """End every thread and socket."""
         self.ticker.stop()
@@ -96,7 +101,9 @@
     mailbox.start()
     server.start()
     ticker.start()
-    return SidecarRole(settings, actor, mailbox, server, ticker, threading.Event())
+    return SidecarRole(
+        settings, actor, mailbox, server, ticker, threading.Event(), parts.state
+    )
 
 
 def make_view(settings: DaemonSettings, epoch: Epoch) -> ConfigurationView:
