Mend founding, removal and joining after a crash

A seeded walk over in-memory clusters found three ways in which a cluster or a replica waited for ever, none in which it lost or doubled an entry: - a founder that crashed between noting the cluster and syncing its first entry; - a removed voter that alone held its own removal: the rest got no vote from it, its log being longer, and it did not stand itself; - a newcomer that had joined a cluster by a refused append and was then forgotten.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
@@ -7,6 +7,19 @@
 from cowslipshelf_core.internal.agreement.state import Campaign, ReplicaState
 
 
+def may_lead(state: ReplicaState) -> bool:
+    """Tell whether this replica stands for election.
+
+    A voter whose removal is not known to be committed still does, on behalf of
+    the voters that stay: it may be the only one that holds the removal. They would
+    get no vote from it, its log being longer, and without it no quorum.
+    """
+    if state.replica_id in state.membership.voters:
+        return True
+    uncommitted = state.commit_index < state.log.membership_index
+    return uncommitted and state.replica_id in state.log.membership_before.voters
+
+
 def campaign_when_due(state: ReplicaState) -> None:
     """Stand for election, as a voter, after too long a silence."""
     if state.election_due is None:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/founding.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/founding.py
@@ -17,7 +17,13 @@
 
 
 def is_empty(state: ReplicaState) -> bool:
-    """Tell whether this data folder belongs to no cluster yet."""
+    """Tell whether this data folder belongs to no cluster yet.
+
+    A founder whose process ended before its first entry was synced has noted the
+    cluster, but nobody has heard of it; taken as founded, it would wait for ever.
+    """
+    if state.hard_state.cluster == state.replica_id.folder:
+        return state.log.last_index == 0
     return not state.hard_state.cluster
 
 
@@ -28,7 +34,8 @@
         return
     state.join_due = state.now + state.config.join_seconds
     own = state.replica_id
-    asked = JoinAsked(own.folder, state.hard_state.cluster)
+    cluster = "" if is_empty(state) else state.hard_state.cluster
+    asked = JoinAsked(own.folder, cluster)
     for instance in state.config.replica_instances:
         if instance != own.instance:
             state.effects.append(SendTo(instance, asked))
@@ -39,12 +46,12 @@
 def may_ask(state: ReplicaState) -> bool:
     """Tell whether this replica is a newcomer rather than one that was removed.
 
-    A newcomer that holds some entries may have been forgotten, when the leader
-    that took it in was lost before the change was committed; it asks again. One
-    whose instance is in no membership that it knows was removed by operators.
+    A newcomer may have been forgotten, with or without some entries, when the
+    leader that took it in was lost before the change was committed; it asks again.
+    One whose instance is in no membership that it knows was removed by operators.
     """
     instances = {replica.instance for replica in state.membership.replicas}
-    return is_empty(state) or state.replica_id.instance in instances
+    return not instances or state.replica_id.instance in instances
 
 
 def join_asked(state: ReplicaState, sender: InstanceId, message: JoinAsked) -> None:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/log.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/log.py
@@ -64,13 +64,23 @@
         """Return the membership in force: the last one appended, committed or not."""
         return self.memberships[-1][1] if self.memberships else Membership()
 
+    @property
+    def membership_before(self) -> Membership:
+        """Return the membership that the one in force has changed."""
+        return self.memberships[-2][1] if len(self.memberships) > 1 else Membership()
+
     @property
     def membership_index(self) -> int:
         """Return the index of the membership in force."""
         return self.memberships[-1][0] if self.memberships else 0
 
     def term_at(self, index: int) -> int | None:
-        """Return the term of an entry, or nothing where it isn't held."""
+        """Return the term of an entry, or nothing where it isn't held.
+
+        Before the first entry stands index zero of term zero, in every log.
+        """
+        if index == 0:
+            return 0
         if index == self.base_index:
             return self.base_term
         if self.base_index < index <= self.last_index:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
@@ -166,7 +166,7 @@
         state = self.state
         if state.leadership is not None:
             leading.lead_on(state)
-        elif state.replica_id in state.membership.voters:
+        elif elections.may_lead(state):
             elections.campaign_when_due(state)
         elif not elections.follows_a_leader(state):
             founding.ask_when_due(state)
@@ -194,13 +194,16 @@
         """Tell whether a message is for this folder and from this cluster.
 
         An empty folder joins the cluster that first asks something binding of it,
-        for good: a message of another cluster can then do no harm here.
+        for good: a message of another cluster can then do no harm here. A pre-vote
+        binds nobody, and an empty folder answers it without a cluster.
         """
         state = self.state
         if message.recipient_folder != state.replica_id.folder:
             return False
         if not founding.is_empty(state):
-            return message.cluster == state.hard_state.cluster
+            return message.cluster == state.hard_state.cluster or (
+                isinstance(message, VoteAnswered) and message.pre_vote
+            )
         match message:
             case VoteAsked(pre_vote=True):
                 return True
@@ -232,7 +235,7 @@
             case _ if message.term < state.term:
                 return
             case TimeoutNow():
-                if state.replica_id in state.membership.voters:
+                if elections.may_lead(state):
                     elections.campaign(state, pre_vote=False, transfer=True)
             case EntriesAppended() | AppendRefused() | SnapshotReceived():
                 self.hear_follower(peer, message)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
@@ -3,8 +3,6 @@
 import time
 from typing import Any, NamedTuple
 
-from pykka import ActorRef, ThreadingActor
-
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
     BecameServable,
@@ -16,11 +14,13 @@
     TickElapsed,
     VersionSeen,
 )
+from cowslipshelf_platform.logs import part_logger
+from pykka import ActorRef, ThreadingActor
+
 from cowslipshelf_core.messages import ConfigurationSnapshot, FetchConfiguration
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.logs import part_logger
 
 LOG = part_logger("configuration")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 import msgspec
+from cowslipshelf_core.requests import CallerRequest
 
 from cowslipshelf_core.identifiers import RequestId
-from cowslipshelf_core.requests import CallerRequest
 from cowslipshelf_core.routing import PlacementExplanation
 
 MOST_RECORDS = 2048
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -5,21 +5,9 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from queue import Empty, SimpleQueue
 from typing import NamedTuple
 
-from cowslipshelf_callers import AnswerWriter, CallerGoneError
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
-from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
-from cowslipshelf_core.identifiers import AttemptId, Epoch, InstanceId, UpstreamId
-from cowslipshelf_core.messages import (
-    AttemptRefused,
-    ClaimGranted,
-    ClaimHeld,
-    ClaimRefused,
-    Frame,
-    Message,
-)
 from cowslipshelf_core.requests import (
     AnswerChunk,
     AnswerEnd,
@@ -58,6 +46,18 @@
     Wait,
     WaitElapsed,
 )
+
+from cowslipshelf_callers import AnswerWriter, CallerGoneError
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId, Epoch, InstanceId, UpstreamId
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimRefused,
+    Frame,
+    Message,
+)
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.entry.control_gateway import ControlGateway
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -5,9 +5,6 @@
 from queue import Empty, SimpleQueue
 from typing import Any, NamedTuple
 
-from pykka import ActorDeadError, ActorRef, ThreadingActor
-
-from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.directory import (
     AnnounceArrived,
     Directory,
@@ -24,6 +21,11 @@
     WithdrawArrived,
 )
 from cowslipshelf_core.directory import TickElapsed as DirectoryTick
+from cowslipshelf_core.requests import CallerRequest, RouterFeedback
+from cowslipshelf_platform.logs import part_logger
+from pykka import ActorDeadError, ActorRef, ThreadingActor
+
+from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.identifiers import (
     AttemptId,
     ConfigurationVersion,
@@ -37,7 +39,6 @@
     Suspect,
     Withdraw,
 )
-from cowslipshelf_core.requests import CallerRequest, RouterFeedback
 from cowslipshelf_core.routing import (
     AskId,
     ConfigurationApplied,
@@ -54,7 +55,6 @@
 from cowslipshelf_daemon.internal.entry.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Received
-from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings
 
 LOG = part_logger("routing")
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -3,14 +3,16 @@
 import threading
 from typing import NamedTuple
 
-from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
-from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
 from cowslipshelf_core.sidecar import (
     FirstTokenArrived,
     UpstreamAccepted,
     UpstreamFinished,
 )
+from pykka import ActorRef
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_fleet import FrameBuffer
 from cowslipshelf_upstreams import (
@@ -19,7 +21,6 @@
     UpstreamLostError,
     UpstreamStream,
 )
-from pykka import ActorRef
 
 STEP = "run_at_upstream"
 MOST_RESUMES = 3
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
@@ -3,14 +3,15 @@
 from queue import Empty, SimpleQueue
 from typing import NamedTuple
 
+from cowslipshelf_core.sidecar import CancelArrived, RevokeArrived
+from pykka import ActorDeadError, ActorRef
+
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId, Epoch
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
-from cowslipshelf_core.sidecar import CancelArrived, RevokeArrived
 from cowslipshelf_core.upstream import HandOver, LoadReport
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_fleet import FrameBuffer
-from pykka import ActorDeadError, ActorRef
 
 ANSWER_SECONDS = 5.0
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -16,17 +16,6 @@
     VersionSeen,
 )
 from cowslipshelf_core.configuration_view import TickElapsed as ViewTickElapsed
-from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
-from cowslipshelf_core.messages import (
-    Announce,
-    AnnounceAnswer,
-    ConfigurationSnapshot,
-    MayHaveRun,
-    NeverRan,
-    StreamEnd,
-    Withdraw,
-)
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
     CancelArrived,
@@ -50,6 +39,20 @@
     UpstreamAccepted,
     UpstreamFinished,
 )
+from cowslipshelf_platform.logs import part_logger
+from pykka import ThreadingActor
+
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
+from cowslipshelf_core.messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    MayHaveRun,
+    NeverRan,
+    StreamEnd,
+    Withdraw,
+)
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_daemon.internal.sidecar.attempt_runner import (
@@ -63,9 +66,7 @@
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Mailbox, Received
-from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings
-from pykka import ThreadingActor
 
 LOG = part_logger("sidecar")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -3,12 +3,13 @@
 import threading
 from queue import SimpleQueue
 
-from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
 from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_upstreams import EngineClient, UpstreamError
 from pykka import ActorDeadError, ActorRef
 
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_upstreams import EngineClient, UpstreamError
+
 LOG = part_logger("upstream")
 
 INVENTORY_SECONDS = 1.0
--- /dev/null
+++ b/tests/common/agreement_cluster.py
@@ -0,0 +1,443 @@
+"""Run replicas in memory, over a network and disks that fail on demand."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+from typing import NamedTuple
+
+import msgspec
+
+from cowslipshelf_core.agreement import (
+    AgreementMessage,
+    CommandProposed,
+    Committed,
+    DiskFailed,
+    Effect,
+    Entry,
+    EntryKind,
+    Event,
+    InstallState,
+    MembershipChange,
+    MembershipProposed,
+    PeerMessageArrived,
+    Persist,
+    ProposalRefusal,
+    ProposalRefused,
+    ReadAsked,
+    ReadConfirmed,
+    ReadFailed,
+    Replica,
+    ReplicaConfig,
+    ReplicaId,
+    Role,
+    RoleChanged,
+    SaveSnapshot,
+    SendTo,
+    SnapshotTaken,
+    SnapshotWanted,
+    StoredState,
+    TickElapsed,
+    TransferLeadership,
+)
+from cowslipshelf_core.identifiers import InstanceId
+
+MOST_MESSAGES_IN_FLIGHT = 400
+SETTLE_ROUNDS = 400
+SETTLE_TICK_SECONDS = 0.05
+
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder(AgreementMessage)
+
+
+class CrashPoint(Enum):
+    """Say when, in the handling of a batch, a process ends."""
+
+    BEFORE_SYNC = "before sync"
+    """Some of what the batch wrote is lost, and nobody has heard of any."""
+    AFTER_SYNC = "after sync"
+    """All is durable, and nobody has heard of it."""
+    AMID_EFFECTS = "amid effects"
+    """All is durable, and only the first effects were performed."""
+
+
+class Crash(NamedTuple):
+    """Say when a process ends and how much it still does."""
+
+    point: CrashPoint
+    survivors: int = 0
+    """Writes that reach the disk, or effects that are performed."""
+
+
+class InFlight(NamedTuple):
+    """Be a message on its way."""
+
+    sender: InstanceId
+    recipient: InstanceId
+    data: bytes
+
+
+class MemoryDisk:
+    """Hold what is synced, and what is written and may be lost."""
+
+    def __init__(self, instance: InstanceId, folder: str) -> None:
+        self.stored = StoredState(ReplicaId(instance, folder))
+        self.unsynced: list[Persist | SaveSnapshot] = []
+
+    def load(self) -> StoredState:
+        return self.stored
+
+    def write(self, effects: Sequence[Persist | SaveSnapshot]) -> None:
+        for effect in effects:
+            if isinstance(effect, Persist):
+                self.unsynced += [Persist(entries=(e,)) for e in effect.entries]
+                if effect.truncate_from is not None:
+                    cut = len(self.unsynced) - len(effect.entries)
+                    cutting = Persist(truncate_from=effect.truncate_from)
+                    self.unsynced.insert(cut, cutting)
+                if effect.hard_state is not None:
+                    self.store(Persist(hard_state=effect.hard_state))
+            else:
+                self.unsynced.append(effect)
+
+    def sync(self) -> None:
+        for effect in self.unsynced:
+            self.store(effect)
+        self.unsynced.clear()
+
+    def lose_unsynced(self, survivors: int) -> None:
+        self.unsynced = self.unsynced[:survivors]
+        self.sync()
+
+    def store(self, effect: Persist | SaveSnapshot) -> None:
+        stored = self.stored
+        if isinstance(effect, SaveSnapshot):
+            kept = () if effect.discard_log else stored.entries
+            kept = tuple(e for e in kept if e.index >= effect.keep_from)
+            self.stored = stored._replace(snapshot=effect.snapshot, entries=kept)
+            return
+        entries = stored.entries
+        if effect.truncate_from is not None:
+            entries = tuple(e for e in entries if e.index < effect.truncate_from)
+        self.stored = stored._replace(
+            hard_state=effect.hard_state or stored.hard_state,
+            entries=entries + effect.entries,
+        )
+
+
+@dataclass
+class Node:
+    """Be one instance: its disk, its replica while it runs, and what it applied."""
+
+    instance: InstanceId
+    disk: MemoryDisk
+    replica: Replica | None = None
+    applied_index: int = 0
+    commands: list[str] = field(default_factory=list)
+    """Proposal ids of the commands in the state machine, in order."""
+    clock: float = 0.0
+
+    @property
+    def running(self) -> bool:
+        return self.replica is not None
+
+    @property
+    def leads(self) -> bool:
+        return self.running and self.replica.status().role is Role.LEADER
+
+
+@dataclass(repr=False)
+class Cluster:
+    """Drive replicas step by step, and check after each what must always hold."""
+
+    config: ReplicaConfig
+    random: Random
+    make_disk: Callable[[InstanceId, str], MemoryDisk] = MemoryDisk
+    nodes: dict[InstanceId, Node] = field(default_factory=dict)
+    network: list[InFlight] = field(default_factory=list)
+    isolated: set[InstanceId] = field(default_factory=set)
+    committed: dict[int, Entry] = field(default_factory=dict)
+    leaders: dict[int, ReplicaId] = field(default_factory=dict)
+    acknowledged: dict[str, int] = field(default_factory=dict)
+    refused: dict[str, ProposalRefusal] = field(default_factory=dict)
+    reads: dict[str, int] = field(default_factory=dict)
+    """Least index that each read asked for must see."""
+    confirmed_reads: dict[str, int] = field(default_factory=dict)
+    failed_reads: set[str] = field(default_factory=set)
+    proposed: int = 0
+    folders: int = 0
+
+    @classmethod
+    def of_size(cls, size: int, seed: int = 0, **settings) -> "Cluster":
+        """Start a cluster of empty replicas."""
+        instances = tuple(InstanceId(f"entry-{n}") for n in range(size))
+        make_disk = settings.pop("make_disk", MemoryDisk)
+        config = ReplicaConfig(replica_instances=instances, **settings)
+        cluster = cls(config, Random(seed), make_disk)
+        for instance in instances:
+            disk = cluster.new_disk(instance)
+            cluster.nodes[instance] = Node(instance, disk)
+            cluster.restart(instance)
+        return cluster
+
+    def new_disk(self, instance: InstanceId) -> MemoryDisk:
+        self.folders += 1
+        return self.make_disk(instance, f"folder-{self.folders}")
+
+    # What may happen to the cluster.
+
+    def propose(self, instance: InstanceId, crash: Crash | None = None) -> str:
+        """Propose a fresh command at an instance; return its id."""
+        self.proposed += 1
+        proposal_id = f"proposal-{self.proposed}"
+        at = self.nodes[instance].clock
+        event = CommandProposed(proposal_id, proposal_id.encode(), at)
+        self.step(instance, [event], crash)
+        return proposal_id
+
+    def read(self, instance: InstanceId) -> str:
+        """Ask for a linearizable read; return its id."""
+        read_id = f"read-{len(self.reads)}"
+        self.reads[read_id] = max(self.acknowledged.values(), default=0)
+        self.step(instance, [ReadAsked(read_id)])
+        return read_id
+
+    def change(self, instance: InstanceId, change: MembershipChange) -> str:
+        """Propose a membership change; return its id."""
+        self.proposed += 1
+        proposal_id = f"change-{self.proposed}"
+        self.step(instance, [MembershipProposed(proposal_id, change, 0.0)])
+        return proposal_id
+
+    def transfer(self, instance: InstanceId) -> None:
+        """Ask a leader to hand over."""
+        self.step(instance, [TransferLeadership()])
+
+    def fail_disk(self, instance: InstanceId) -> None:
+        """Let an instance find that its disk takes no more writes."""
+        self.step(instance, [DiskFailed("no space left")])
+
+    def deliver(
+        self, position: int = 0, keep: bool = False, crash: Crash | None = None
+    ) -> None:
+        """Deliver a message from the network, and leave a copy there if asked."""
+        item = self.network[position] if keep else self.network.pop(position)
+        if {item.sender, item.recipient} & self.isolated:
+            return
+        message = DECODER.decode(item.data)
+        self.step(item.recipient, [PeerMessageArrived(item.sender, message)], crash)
+
+    def deliver_all(self) -> None:
+        """Deliver every message that is on its way now, in order."""
+        waiting, self.network = self.network, []
+        for item in waiting:
+            self.network.insert(0, item)
+            self.deliver(0)
+
+    def drop(self, position: int) -> None:
+        """Lose a message."""
+        del self.network[position]
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass for every running instance."""
+        for node in self.nodes.values():
+            node.clock += seconds
+            self.step(node.instance, [TickElapsed()])
+
+    def jump(self, instance: InstanceId, seconds: float) -> None:
+        """Let one clock jump, forwards or backwards."""
+        self.nodes[instance].clock += seconds
+
+    def crash(self, instance: InstanceId) -> None:
+        """End a process between two batches."""
+        self.nodes[instance].replica = None
+
+    def restart(self, instance: InstanceId) -> None:
+        """Start an instance from its disk."""
+        node = self.nodes[instance]
+        stored = node.disk.load()
+        node.replica = Replica.from_config(self.config, stored)
+        node.applied_index = 0
+        node.commands = []
+        if stored.snapshot is not None:
+            self.install(node, stored.snapshot.state, stored.snapshot.index)
+
+    def wipe(self, instance: InstanceId) -> None:
+        """End a process and replace its disk by an empty one."""
+        self.crash(instance)
+        self.nodes[instance].disk = self.new_disk(instance)
+
+    def isolate(self, instance: InstanceId) -> None:
+        """Cut an instance off; what is on its way to or from it gets lost."""
+        self.isolated.add(instance)
+
+    def heal(self) -> None:
+        """End every cut."""
+        self.isolated.clear()
+
+    def run(self, rounds: int, seconds: float = SETTLE_TICK_SECONDS) -> None:
+        """Let time pass and every message arrive."""
+        for _ in range(rounds):
+            self.tick(seconds)
+            self.deliver_all()
+
+    def run_until(self, condition: Callable[[], bool]) -> None:
+        """Run until a condition holds; fail where it never does."""
+        for _ in range(SETTLE_ROUNDS):
+            if condition():
+                return
+            self.run(1)
+        statuses = [n.replica.status() for n in self.nodes.values() if n.running]
+        raise AssertionError(f"{condition.__name__} not reached: {statuses}")
+
+    def settle(self) -> None:
+        """Repair everything, and run until all replicas agree and have their vote."""
+        self.heal()
+        for node in self.nodes.values():
+            if not node.running:
+                self.restart(node.instance)
+        self.run_until(self.is_settled)
+        self.check_whole()
+
+    # What can be seen.
+
+    def leader(self) -> Node | None:
+        """Return the leader of the highest term that runs and isn't cut off."""
+        leaders = [
+            node
+            for node in self.nodes.values()
+            if node.leads and node.instance not in self.isolated
+        ]
+        return max(leaders, key=lambda n: n.replica.status().term, default=None)
+
+    def is_settled(self) -> bool:
+        """Tell whether a leader has brought every replica of its membership along."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        status = leader.replica.status()
+        behind = any(entries for _, entries in status.behind)
+        whole = status.commit_index == status.last_index and not behind
+        applied = {
+            self.nodes[replica.instance].applied_index
+            for replica in status.membership.voters
+        }
+        known = {node.disk.load().replica_id for node in self.nodes.values()}
+        current = set(status.membership.voters) <= known
+        learning = status.membership.learners
+        return whole and current and not learning and applied == {status.last_index}
+
+    def can_wipe(self, instance: InstanceId) -> bool:
+        """Tell whether every other replica has its vote and all that is committed."""
+        last = max(self.committed, default=0)
+        logs = {n.disk.load().replica_id: n for n in self.nodes.values()}
+        memberships = set()
+        for node in logs.values():
+            if not node.running:
+                return False
+            status = node.replica.status()
+            if status.last_index < last or status.commit_index < 1:
+                return False
+            memberships.add(status.membership)
+        if len(memberships) != 1:
+            return False
+        voters = set(memberships.pop().voters)
+        return voters <= set(logs) and len(voters) > 2
+
+    # How a batch is performed, and what is checked.
+
+    def step(
+        self, instance: InstanceId, events: Sequence[Event], crash: Crash | None = None
+    ) -> None:
+        """Let an instance handle a batch, as the actor of the daemon does."""
+        node = self.nodes[instance]
+        if not node.running:
+            return
+        effects = node.replica.handle_batch(events, node.clock, self.random)
+        durable = [e for e in effects if isinstance(e, Persist | SaveSnapshot)]
+        others = [e for e in effects if not isinstance(e, Persist | SaveSnapshot)]
+        node.disk.write(durable)
+        if crash is not None and crash.point is CrashPoint.BEFORE_SYNC:
+            node.disk.lose_unsynced(crash.survivors)
+            self.crash(instance)
+            return
+        node.disk.sync()
+        if crash is not None:
+            amid = crash.point is CrashPoint.AMID_EFFECTS
+            others = others[: crash.survivors] if amid else []
+        for effect in others:
+            self.perform(node, effect)
+        if crash is not None:
+            self.crash(instance)
+
+    def perform(self, node: Node, effect: Effect) -> None:
+        match effect:
+            case SendTo(recipient, message):
+                item = InFlight(node.instance, recipient, ENCODER.encode(message))
+                self.network.append(item)
+                del self.network[:-MOST_MESSAGES_IN_FLIGHT]
+            case Committed(index, entry):
+                self.apply(node, index, entry)
+            case InstallState(state, index):
+                assert index > node.applied_index
+                self.install(node, state, index)
+            case SnapshotWanted(index):
+                assert index == node.applied_index
+                state = ENCODER.encode(node.commands)
+                self.step(node.instance, [SnapshotTaken(index, state)])
+            case ProposalRefused(proposal_id, reason, _):
+                assert proposal_id not in self.acknowledged
+                self.refused[proposal_id] = reason
+            case ReadConfirmed(read_id, index):
+                self.confirm_read(node, read_id, index)
+            case ReadFailed(read_id, _):
+                self.failed_reads.add(read_id)
+            case RoleChanged(role, term, _):
+                if role is Role.LEADER:
+                    own = node.disk.load().replica_id
+                    other = self.leaders.setdefault(term, own)
+                    assert other == own, f"{own} and {other} lead in term {term}"
+
+    def apply(self, node: Node, index: int, entry: Entry) -> None:
+        assert index == entry.index == node.applied_index + 1
+        new = index not in self.committed
+        assert not (new and node.instance in self.isolated and len(self.nodes) > 1)
+        known = self.committed.setdefault(index, entry)
+        assert known == entry, f"two values at {index}: {known}, {entry}"
+        if index > 1 and index - 1 in self.committed:
+            assert entry.at >= self.committed[index - 1].at
+        node.applied_index = index
+        if entry.kind is EntryKind.COMMAND:
+            node.commands.append(entry.proposal_id)
+        if node.leads and self.refused.get(entry.proposal_id) is None:
+            self.acknowledged[entry.proposal_id] = index
+
+    def install(self, node: Node, state: bytes, index: int) -> None:
+        node.commands = msgspec.msgpack.decode(state, type=list[str])
+        node.applied_index = index
+        expected = [
+            self.committed[i].proposal_id
+            for i in range(1, index + 1)
+            if self.committed[i].kind is EntryKind.COMMAND
+        ]
+        assert node.commands == expected
+
+    def confirm_read(self, node: Node, read_id: str, index: int) -> None:
+        assert node.instance not in self.isolated or len(self.nodes) == 1
+        assert self.reads[read_id] <= index <= node.applied_index
+        self.confirmed_reads[read_id] = index
+
+    def check_whole(self) -> None:
+        """Check that nothing acknowledged is lost and nothing refused took effect."""
+        for proposal_id, index in self.acknowledged.items():
+            assert self.committed[index].proposal_id == proposal_id
+        committed = {entry.proposal_id for entry in self.committed.values()}
+        for proposal_id, reason in self.refused.items():
+            if reason is not ProposalRefusal.OUTCOME_UNKNOWN:
+                assert proposal_id not in committed
+        last = max(self.committed, default=0)
+        leader = self.leader()
+        assert leader.applied_index >= last
+        assert set(self.acknowledged) - {""} <= {
+            e.proposal_id for e in self.committed.values()
+        }
