--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -19,17 +19,6 @@
     VersionSeen,
 )
 from cowslipshelf_core.configuration_view import TickElapsed as ViewTickElapsed
-from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
-from cowslipshelf_core.messages import (
-    Announce,
-    AnnounceAnswer,
-    ConfigurationSnapshot,
-    MayHaveRun,
-    NeverRan,
-    StreamEnd,
-    Withdraw,
-)
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
     CancelArrived,
@@ -53,6 +42,20 @@
     UpstreamAccepted,
     UpstreamFinished,
 )
+from cowslipshelf_platform.logs import part_logger
+from pykka import ThreadingActor
+
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
+from cowslipshelf_core.messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    MayHaveRun,
+    NeverRan,
+    StreamEnd,
+    Withdraw,
+)
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_daemon.internal.sidecar.attempt_runner import (
