--- a/packages/fleet/src/cowslipshelf_fleet/internal/link.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/link.py
@@ -130,9 +130,19 @@
         """Note that the peer lives: a pause before the next dial is cut short."""
         self.dial_at = min(self.dial_at, now)
 
+    def end_of_use(self) -> float:
+        """Return when the peer can be forgotten, if nothing more is sent to it.
+
+        After the own use the link stays until the peer has stopped pinging, which
+        it does within the silence deadline of the last ping that asked for it. Let
+        go earlier, and the peer's last pings would go unanswered.
+        """
+        last_pings = self.silence_seconds + 2 * self.heartbeat_seconds
+        return max(self.needed_until + last_pings, self.asked_until)
+
     def tick(self, now: float, random: Random) -> list[LinkEffect]:
         """Return what is to be done now."""
-        if now >= self.needed_until and now >= self.asked_until:
+        if now >= self.end_of_use():
             return [ForgetPeer()]
         if not self.dialled:
             return [DialAnew()] if now >= self.dial_at else []
--- a/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -202,6 +202,10 @@
         if known is not None:
             known.heard(message)
         match message:
+            case MailboxPing(answering=True) if known is None:
+                # Two peers with nothing to say would otherwise take turns in making
+                # each other known again, and heartbeats would go on for ever.
+                pass
             case MailboxPing():
                 self.peer_at(envelope.sender_address).answer(message)
             case MailboxPong():
--- /dev/null
+++ b/tests/common/polling.py
@@ -0,0 +1,15 @@
+"""Wait for conditions, within limits so wide that no verdict hangs on them."""
+
+from collections.abc import Callable
+from time import monotonic, sleep
+
+WIDE_SECONDS = 30.0
+PAUSE_SECONDS = 0.01
+
+
+def wait_for(condition: Callable[[], object], seconds: float = WIDE_SECONDS) -> None:
+    """Return once the condition holds; fail where it never does."""
+    end = monotonic() + seconds
+    while not condition():
+        assert monotonic() < end, "the condition never held"
+        sleep(PAUSE_SECONDS)
