Keep a link only until the peer's last pings are answered

With messages delayed by up to a heartbeat, the property that a working connection is never closed failed at uses=[True]: the side that had used the link outlived the other one's by too much, and its own last pings went unanswered.

--- a/packages/fleet/src/cowslipshelf_fleet/internal/link.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/link.py
@@ -135,9 +135,10 @@
 
         After the own use the link stays until the peer has stopped pinging, which
         it does within the silence deadline of the last ping that asked for it. Let
-        go earlier, and the peer's last pings would go unanswered.
+        go earlier, and the peer's last pings would go unanswered; stay much longer,
+        and the own last pings would. Either would close a connection that works.
         """
-        last_pings = self.silence_seconds + 2 * self.heartbeat_seconds
+        last_pings = self.silence_seconds + self.heartbeat_seconds
         return max(self.needed_until + last_pings, self.asked_until)
 
     def tick(self, now: float, random: Random) -> list[LinkEffect]:
--- a/tests/cover/fleet/test_links.py
+++ b/tests/cover/fleet/test_links.py
@@ -20,6 +20,7 @@
 SILENCE_SECONDS = 3.0
 IDLE_SECONDS = 10.0
 WINDOW_BYTES = 1000
+DELAYS = st.tuples(st.integers(0, 4), st.integers(0, 4))
 MANY = settings(derandomize=True, deadline=None, max_examples=200)
 
 
@@ -39,7 +40,9 @@
     """Run one side of a pair of links, as a mailbox would."""
 
     link: PeerLink
+    delay_ticks: int = 0
     outbox: list = field(default_factory=list)
+    inbox: list = field(default_factory=list)
     closed: int = 0
     forgotten: bool = False
 
@@ -72,9 +75,12 @@
                 self.link.heard_pong(message, now)
 
 
-def run_pair(uses: list[bool], ticks: int, delivers: bool) -> tuple[Side, Side]:
+def run_pair(
+    uses: list[bool], ticks: int, delivers: bool, delays: tuple[int, int] = (0, 0)
+) -> tuple[Side, Side]:
     """Tick two sides; the first uses its link at the first ticks, as listed."""
-    random, sides = Random(0), (Side(new_link()), Side(new_link()))
+    random = Random(0)
+    sides = (Side(new_link(), delays[0]), Side(new_link(), delays[1]))
     for tick in range(ticks):
         now = tick * TICK_SECONDS
         if tick < len(uses) and uses[tick]:
@@ -83,27 +89,29 @@
             sides[0].link.use(now)
         for side, other in (sides, sides[::-1]):
             side.tick(now, random)
-            outgoing, side.outbox = side.outbox, []
-            for message in outgoing if delivers else ():
-                other.take(message, now)
+            while side.inbox and side.inbox[0][0] <= tick:
+                side.take(side.inbox.pop(0)[1], now)
+            due = tick + other.delay_ticks
+            other.inbox += [(due, message) for message in side.outbox if delivers]
+            side.outbox = []
     return sides
 
 
 @MANY
-@given(st.lists(st.booleans(), max_size=200))
-def test_a_connection_that_delivers_is_never_closed(uses):
-    first, second = run_pair(uses, 200, delivers=True)
+@given(st.lists(st.booleans(), max_size=200), DELAYS)
+def test_a_connection_that_delivers_is_never_closed(uses, delays):
+    first, second = run_pair(uses, 200, delivers=True, delays=delays)
     assert first.closed == second.closed == 0
 
 
 @MANY
-@given(st.lists(st.booleans(), max_size=100))
-@example([True])
-def test_two_unused_peers_let_go_of_each_other(uses):
+@given(st.lists(st.booleans(), max_size=100), DELAYS)
+@example([True], (0, 0))
+def test_two_unused_peers_let_go_of_each_other(uses, delays):
     """Heartbeats must end: each side's answers could keep the other one awake."""
     last_use = IDLE_SECONDS + 4 * SILENCE_SECONDS
     ticks = len(uses) + int(last_use / TICK_SECONDS)
-    first, second = run_pair(uses, ticks, delivers=True)
+    first, second = run_pair(uses, ticks, delivers=True, delays=delays)
     assert first.forgotten and second.forgotten
 
 
