--- a/packages/core/src/cowslipshelf_core/internal/routing/cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/cost.py
@@ -143,6 +143,10 @@
     is_long = request.prompt_class is PromptClass.LONG
     if is_long == takes_long_prompts:
         return 0.0
-    if is_long:
-        return config.long_set.long_spill_share * prefill
-    return config.long_set.short_spill_seconds
+    match request.prompt_class:
+        case PromptClass.LONG:
+            return config.long_set.long_spill_share * prefill
+        case PromptClass.MEDIUM:
+            return config.long_set.medium_spill_share * prefill
+        case PromptClass.SHORT:
+            return config.long_set.short_spill_seconds
--- a/packages/core/src/cowslipshelf_core/internal/routing/placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -98,6 +98,7 @@
         config.least_slack_seconds
         + config.slack_per_prefill_second * prediction.prefill_seconds
     )
+    slack = min(slack, config.most_slack_seconds)
     if request.prompt_class is PromptClass.LONG:
         slack /= max(request.long_prompt_weight, 1.0)
     left = deadline_seconds - queued_seconds - prediction.total_seconds
--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -70,6 +70,8 @@
     """A smaller fleet sets none apart."""
     short_spill_seconds: float = 0.05
     """Harm added where a short prompt takes an upstream set apart."""
+    medium_spill_share: float = 0.5
+    """The same for a medium prompt, per second of its prefill."""
     long_spill_share: float = 0.25
     """Harm added where a long prompt takes another one, per second of its prefill."""
 
@@ -92,6 +94,8 @@
     slack_per_prefill_second: float = 4.0
     """Slack that priority gives a request for each second of its own prefill."""
     least_slack_seconds: float = 0.1
+    most_slack_seconds: float = 10.0
+    """After this long no later arrival passes, whatever its length."""
     heads_tried: int = 3
     """Customers whose first waiting request is tried each time; bounds the work."""
     least_retry_after_seconds: float = 1.0
