Give heartbeats to the reader of an attempt's frames

Cause: the stream swallowed heartbeats, so a reader of an attempt that produces nothing would have looked at its deadline only after the next frame.

--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempt_stream.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempt_stream.py
@@ -6,7 +6,7 @@
 from urllib3 import BaseHTTPResponse
 from urllib3.exceptions import HTTPError
 
-from cowslipshelf_core.messages import Frame, StreamEnd, StreamHeartbeat
+from cowslipshelf_core.messages import Frame, StreamEnd
 from cowslipshelf_fleet.errors import FrameError, StreamLostError
 from cowslipshelf_fleet.internal.frame_codec import FrameDecoder
 
@@ -14,9 +14,9 @@
 
 
 class AttemptStream:
-    """Iterate over an attempt's frames, heartbeats left out, up to the last one.
+    """Iterate over an attempt's frames up to the last one, heartbeats included.
 
-    Raise `StreamLostError` where the connection is cut or silent before that.
+    Heartbeats let the reader look at its deadline while nothing else comes. Raise `StreamLostError` where the connection is cut or silent before that.
     """
 
     def __init__(self, response: BaseHTTPResponse, peer: str) -> None:
@@ -30,8 +30,6 @@
         try:
             for piece in self.response.stream():
                 for frame in decoder.decode(piece):
-                    if isinstance(frame, StreamHeartbeat):
-                        continue
                     if isinstance(frame, StreamEnd):
                         self.end()
                     yield frame
