--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
@@ -0,0 +1,103 @@
+"""Keep what happened to recent requests, for `explain`."""
+
+import threading
+import time
+from collections import OrderedDict
+
+from cowslipshelf_core.identifiers import RequestId
+from cowslipshelf_core.requests import CallerRequest
+from cowslipshelf_core.routing import PlacementExplanation
+
+MOST_RECORDS = 2048
+MOST_NOTES = 64
+
+
+class RequestRecord:
+    """Collect what happened to one request; written by its own thread."""
+
+    def __init__(self, request: CallerRequest) -> None:
+        self.request = request
+        self.started_at = time.time()
+        self.begun = time.monotonic()
+        self.notes: list[str] = []
+        self.placements: list[PlacementExplanation] = []
+        self.chunks = 0
+        self.first_chunk_seconds: float | None = None
+        self.seconds: float | None = None
+        self.outcome = "running"
+
+    def note(self, text: str) -> None:
+        """Add a line, as long as there is room."""
+        if len(self.notes) < MOST_NOTES:
+            self.notes.append(f"{time.monotonic() - self.begun:.3f} s: {text}")
+
+    def placed(self, explanation: PlacementExplanation) -> None:
+        """Keep why an upstream was chosen."""
+        if len(self.placements) < MOST_NOTES:
+            self.placements.append(explanation)
+
+    def chunk_written(self) -> None:
+        """Count a piece of the answer."""
+        self.chunks += 1
+        if self.first_chunk_seconds is None:
+            self.first_chunk_seconds = time.monotonic() - self.begun
+
+    def end(self, outcome: str) -> None:
+        """Keep how the request ended."""
+        self.outcome = outcome
+        self.seconds = time.monotonic() - self.begun
+
+    def lines(self) -> tuple[str, ...]:
+        """Tell in lines of text what happened, the oldest first."""
+        request = self.request
+        what = f"{request.prompt_tokens} prompt tokens for {request.model or 'a call'}"
+        head = f"customer {request.customer}, service {request.service}, {what}"
+        placements = [
+            line for placement in self.placements for line in placement_lines(placement)
+        ]
+        return (head, *placements, *self.notes, self.last_line())
+
+    def last_line(self) -> str:
+        """Tell how the request ended, or that it runs."""
+        first = self.first_chunk_seconds
+        waited = "nothing written yet" if first is None else f"first after {first:.3f} s"
+        took = "" if self.seconds is None else f" in {self.seconds:.3f} s"
+        return f"{self.outcome}{took}: {self.chunks} pieces, {waited}"
+
+
+def placement_lines(placement: PlacementExplanation) -> list[str]:
+    """Tell where an attempt went, what was expected there and what else there was."""
+    where = placement.chosen or "nowhere"
+    head = (
+        f"attempt {placement.attempt_id} placed on {where} after "
+        f"{placement.queued_seconds:.3f} s in the queue: {placement.reason}"
+    )
+    considered = [
+        f"  considered {entry.upstream_id}: first token in "
+        f"{entry.prediction.first_token_seconds:.3f} s, delay to others "
+        f"{entry.prediction.delay_to_others_seconds:.3f} s, fits: {entry.fits}"
+        for entry in placement.considered
+    ]
+    return [head, *considered]
+
+
+class RequestRecords:
+    """Keep the newest records; safe between threads."""
+
+    def __init__(self) -> None:
+        self.records: OrderedDict[RequestId, RequestRecord] = OrderedDict()
+        self.lock = threading.Lock()
+
+    def begin(self, request: CallerRequest) -> RequestRecord:
+        """Begin the record of a request; the oldest goes where there are too many."""
+        record = RequestRecord(request)
+        with self.lock:
+            self.records[request.request_id] = record
+            if len(self.records) > MOST_RECORDS:
+                self.records.popitem(last=False)
+        return record
+
+    def find(self, request_id: RequestId) -> RequestRecord | None:
+        """Return the record of a request that this entry carried lately."""
+        with self.lock:
+            return self.records.get(request_id)
