--- /dev/null
+++ b/packages/standins/src/cowslipshelf_standins/internal/engine.py
@@ -0,0 +1,245 @@
+"""Run attempts on one scheduler thread and keep what they generated."""
+
+from collections import OrderedDict
+from threading import Condition, Thread
+from time import monotonic, sleep
+
+from cowslipshelf_standins.internal.attempts import Attempt, AttemptState
+from cowslipshelf_standins.internal.batching import Batch, Progress, is_done
+from cowslipshelf_standins.internal.configuration import EngineConfig
+from cowslipshelf_standins.internal.engine_documents import (
+    HeldAttempt,
+    Inventory,
+    StartOptions,
+)
+from cowslipshelf_standins.internal.faults import FaultSwitch
+from cowslipshelf_standins.internal.http_serving import BadRequestError
+from cowslipshelf_standins.internal.kv_parts import KvExport, KvPart, KvParts
+from cowslipshelf_standins.internal.load import EngineLoad, LaggedLoad
+from cowslipshelf_standins.internal.orders import OrderBody, OrderBook
+from cowslipshelf_standins.internal.prefix_cache import CacheEvents, PrefixCache
+from cowslipshelf_standins.internal.prompts import TOKENS_PER_BLOCK, Prompt
+
+MOST_ENDED_IDS = 20_000
+MOST_LATENESS_SECONDS = 0.25
+
+
+class Engine:
+    """Be one model engine; `changed` guards all of its state."""
+
+    def __init__(self, config: EngineConfig, switch: FaultSwitch) -> None:
+        self.config = config
+        self.switch = switch
+        self.changed = Condition()
+        self.attempts: dict[str, Attempt] = {}
+        self.ended_ids: OrderedDict[str, None] = OrderedDict()
+        self.arrivals = 0
+        self.stopped = False
+        self.orders = OrderBook(config.models, config.checks_fencing)
+        self.kv_parts = KvParts()
+        empty = EngineLoad(memory_tokens=config.memory_tokens)
+        self.load = LaggedLoad(config.load_lag_seconds, empty)
+        self.cache = PrefixCache(
+            config.cache_tokens,
+            config.cache_event_delay_seconds,
+            config.cache_event_loss,
+            config.seed,
+        )
+        self.batch = Batch(config, self.cache)
+
+    def start(self) -> Thread:
+        """Run the scheduler on a thread of its own."""
+        thread = Thread(target=self.run, daemon=True)
+        thread.start()
+        return thread
+
+    def run(self) -> None:
+        """Run steps for as long as there is work, and sleep while there is none."""
+        due = monotonic()
+        while True:
+            with self.changed:
+                self.changed.wait_for(lambda: self.stopped or self.batch.has_work())
+                if self.stopped:
+                    return
+                seconds, progress = self.batch.run_tick(self.scale())
+            due = max(due, monotonic() - MOST_LATENESS_SECONDS) + seconds
+            sleep(max(0.0, due - monotonic()))
+            self.switch.wait_while_frozen()
+            with self.changed:
+                self.deliver(progress)
+
+    def scale(self) -> float:
+        """Return the real seconds for one second of the engine."""
+        return self.config.time_scale * self.switch.faults.slow_factor
+
+    def stop(self) -> None:
+        """End the scheduler and every attempt."""
+        with self.changed:
+            self.stopped = True
+            self.changed.notify_all()
+        for attempt_id in list(self.attempts):
+            self.cancel(attempt_id)
+
+    def deliver(self, progress: Progress) -> None:
+        """Make a tick's tokens readable and end the attempts that are done."""
+        now = monotonic()
+        for attempt, generated in progress.items():
+            if attempt.ended:
+                continue
+            if attempt.state is AttemptState.PREFILLING:
+                self.cache_prompt(attempt, now)
+            if attempt.is_part or is_done(attempt, generated):
+                self.finish(attempt, generated, now)
+            else:
+                attempt.publish(AttemptState.DECODING, generated)
+        self.record_load()
+
+    def cache_prompt(self, attempt: Attempt, now: float) -> None:
+        """Cache the blocks of a prefilled prompt that are all here."""
+        if attempt.range_start or attempt.elsewhere_tokens:
+            return
+        blocks = attempt.range_end // TOKENS_PER_BLOCK
+        hashes = attempt.prompt.block_hashes[:blocks]
+        self.cache.store(hashes, attempt.attempt_id, now)
+
+    def finish(self, attempt: Attempt, generated: int, now: float) -> None:
+        """End an attempt whole; a part keeps its memory until it is deleted."""
+        attempt.ended_at = now
+        if not attempt.is_part:
+            self.batch.free(attempt)
+        attempt.publish(AttemptState.FINISHED, generated)
+
+    def submit(self, prompt: Prompt, options: StartOptions) -> Attempt:
+        """Take an attempt in, or raise `BadRequestError`."""
+        with self.changed:
+            self.forget_expired()
+            self.check_start(prompt, options)
+            attempt = self.new_attempt(prompt, options)
+            if attempt.needed_tokens > self.config.memory_tokens:
+                raise BadRequestError(400, "context_length_exceeded", "never fits")
+            if self.batch.queue_is_full_for(attempt):
+                raise BadRequestError(503, "overloaded", "the queue is full")
+            self.attempts[attempt.attempt_id] = attempt
+            self.batch.waiting.append(attempt)
+            self.record_load()
+            self.changed.notify_all()
+            return attempt
+
+    def check_start(self, prompt: Prompt, options: StartOptions) -> None:
+        """Refuse a start that repeats an attempt or asks for what is not there."""
+        attempt_id = options.attempt_id
+        if attempt_id in self.attempts or attempt_id in self.ended_ids:
+            raise BadRequestError(409, "duplicate_attempt", f"{attempt_id} is known")
+        if self.config.models and prompt.model not in self.orders.models:
+            raise BadRequestError(404, "model_not_found", f"no model {prompt.model}")
+        if not 0 <= options.resume_from < prompt.most_output_tokens:
+            raise BadRequestError(400, "bad_request", "nothing is left to resume")
+
+    def new_attempt(self, prompt: Prompt, options: StartOptions) -> Attempt:
+        """Make the record of an attempt."""
+        start = options.range_start
+        end = prompt.tokens if options.range_end is None else options.range_end
+        if not 0 <= start < end <= prompt.tokens:
+            raise BadRequestError(400, "bad_request", "the token range is empty")
+        elsewhere = self.kv_parts.tokens_elsewhere(
+            options.kv_handles, prompt.seed, start, end
+        )
+        self.arrivals += 1
+        return Attempt(
+            attempt_id=options.attempt_id,
+            completion_id=options.completion_id,
+            prompt=prompt,
+            priority=options.priority,
+            resume_from=options.resume_from,
+            range_start=start,
+            range_end=end,
+            elsewhere_tokens=elsewhere,
+            arrival=self.arrivals,
+            generated=options.resume_from,
+        )
+
+    def cancel(self, attempt_id: str) -> bool:
+        """Cancel or forget an attempt and free its memory; say if it was known."""
+        with self.changed:
+            attempt = self.attempts.get(attempt_id)
+            if attempt is None:
+                return False
+            self.forget(attempt)
+            if not attempt.ended:
+                attempt.publish(AttemptState.CANCELLED, attempt.generated)
+            self.record_load()
+            return True
+
+    def forget(self, attempt: Attempt) -> None:
+        """Drop an attempt, but keep its id so that a late copy is refused."""
+        del self.attempts[attempt.attempt_id]
+        self.batch.remove(attempt)
+        self.ended_ids[attempt.attempt_id] = None
+        if len(self.ended_ids) > MOST_ENDED_IDS:
+            self.ended_ids.popitem(last=False)
+
+    def forget_expired(self) -> None:
+        """Drop answers that nobody has deleted in the retention time."""
+        oldest = monotonic() - self.config.retention_seconds
+        for attempt in list(self.attempts.values()):
+            if attempt.ended and attempt.ended_at < oldest:
+                self.forget(attempt)
+
+    def inventory(self) -> Inventory:
+        """List every attempt with the memory it holds."""
+        with self.changed:
+            self.forget_expired()
+            held = [
+                HeldAttempt(a.attempt_id, a.reserved_tokens, a.state.value)
+                for a in self.attempts.values()
+            ]
+        return Inventory(tuple(held))
+
+    def record_load(self) -> None:
+        """Note the load of this moment for those who ask later."""
+        batch = self.batch
+        started = sum(a.prefill_end - a.position for a in batch.prefilling)
+        waiting = sum(a.prefill_end for a in batch.waiting)
+        load = EngineLoad(
+            running=len(batch.prefilling) + len(batch.decoding),
+            decoding=len(batch.decoding),
+            queued=len(batch.waiting),
+            prefill_tokens=started + waiting,
+            reserved_tokens=batch.reserved_tokens,
+            memory_tokens=self.config.memory_tokens,
+        )
+        self.load.record(load, monotonic())
+
+    def read_load(self) -> EngineLoad:
+        """Return the load as it was one lag ago."""
+        with self.changed:
+            return self.load.read(monotonic())
+
+    def cache_events(self, after: int) -> CacheEvents:
+        """Return the cache events after a sequence number that may be shown."""
+        with self.changed:
+            return self.cache.events_after(after, monotonic())
+
+    def export(self, wanted: KvExport, handle: str) -> KvPart:
+        """Return a reference to KV cache that a prefilled attempt holds."""
+        with self.changed:
+            attempt = self.attempts.get(wanted.attempt_id)
+            if attempt is None or not attempt.reserved_tokens:
+                raise BadRequestError(404, "unknown_attempt", "it holds no KV cache")
+            start, end = wanted.from_token, wanted.to_token
+            if not attempt.range_start <= start < end <= attempt.range_end:
+                raise BadRequestError(400, "bad_request", "the range is not held here")
+            if attempt.position < end:
+                raise BadRequestError(409, "not_prefilled", "the range is not ready")
+            return KvPart(handle, attempt.prompt.seed, start, end)
+
+    def order(self, order: OrderBody) -> bool:
+        """Carry an order out, or refuse an old number where numbers are checked."""
+        with self.changed:
+            if not self.orders.accepts(order):
+                return False
+        if order.kind.startswith("load"):
+            sleep(self.config.load_order_seconds * self.scale())
+        with self.changed:
+            self.orders.run(order)
+        return True
