Add the operators' command line and the load tool

Cause: operators need to check settings, plan, confirm, read and drain without writing HTTP by hand, and to put a repeatable load on a fleet.

Reads that only some instances can answer ask each in turn. check also compares several files with each other. The load tool is open-loop: drawing, reading of answers and statistics are free of I/O.

--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the program is made of."""
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/changing.py
@@ -0,0 +1,135 @@
+"""Plan and confirm changes."""
+
+import json
+from collections.abc import Iterator
+from uuid import uuid4
+
+import msgspec
+
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_cli.internal.commands import AskPlan, Confirm, Drain
+from cowslipshelf_cli.internal.failures import CommandFailedError
+from cowslipshelf_cli.internal.surroundings import Fleet, Surroundings, read_text
+from cowslipshelf_cli.internal.writing import Writer, table
+from cowslipshelf_core.control import ChangeDocument, FieldChange, Plan, PlanDocument
+from cowslipshelf_core.identifiers import ChangeId, PlanId, UpstreamId
+from cowslipshelf_operators import ConfirmedAnswer, OutdatedAnswer, PlanAnswer
+
+CHANGE_HEAD = ("what", "name", "field", "before", "after")
+CHANGE_ID_DIGITS = 8
+
+
+def ask_plan(
+    command: AskPlan, fleet: Fleet, surroundings: Surroundings, writer: Writer
+) -> ExitCode:
+    """Ask for a plan and show it."""
+    document = read_plan_document(command, surroundings)
+    return show_plan_answer(fleet.any_instance.plan(document), writer)
+
+
+def read_plan_document(command: AskPlan, surroundings: Surroundings) -> PlanDocument:
+    """Read a change from its file; options replace what the file says."""
+    next_step = "mend the file; `cowslipshelf plan --help` says what it holds"
+    try:
+        written = json.loads(read_text(command.file, surroundings))
+        if not isinstance(written, dict):
+            raise ValueError("an object is needed")
+        if command.change_id is not None:
+            written["change_id"] = command.change_id
+        if command.based_on is not None:
+            written["based_on"] = command.based_on
+        return msgspec.convert(written, PlanDocument)
+    except (ValueError, RecursionError) as error:
+        message = f"{command.file}: {error}"
+        raise CommandFailedError(ExitCode.USAGE, message, next_step) from error
+
+
+def confirm(command: Confirm, fleet: Fleet, writer: Writer) -> ExitCode:
+    """Put a plan in force."""
+    change_id = None if command.change_id is None else ChangeId(command.change_id)
+    answer = fleet.any_instance.confirm(PlanId(command.plan), change_id)
+    return show_confirmation(answer, writer)
+
+
+def drain(command: Drain, fleet: Fleet, writer: Writer) -> ExitCode:
+    """Plan to drain an upstream, and confirm that where it was asked for."""
+    upstream = (UpstreamId(command.upstream),)
+    version = fleet.any_instance.state().configuration.version
+    verb = "undrain" if command.undo else "drain"
+    change = ChangeDocument(**{verb: upstream})
+    change_id = ChangeId(f"{verb}-{uuid4().hex[:CHANGE_ID_DIGITS]}")
+    answer = fleet.any_instance.plan(PlanDocument(change_id, version, change=change))
+    if not command.yes or isinstance(answer, OutdatedAnswer):
+        return show_plan_answer(answer, writer)
+    confirmed = fleet.any_instance.confirm(answer.plan.plan_id, change_id)
+    return show_confirmation(confirmed, writer)
+
+
+def show_plan_answer(answer: PlanAnswer | OutdatedAnswer, writer: Writer) -> ExitCode:
+    """Show a plan, or that another change came first."""
+    match answer:
+        case PlanAnswer(plan=plan):
+            writer.show(answer, plan_lines(plan))
+            return ExitCode.DONE
+        case OutdatedAnswer():
+            writer.show(answer, outdated_lines(answer))
+            return ExitCode.OUTDATED_PLAN
+
+
+def show_confirmation(
+    answer: ConfirmedAnswer | OutdatedAnswer, writer: Writer
+) -> ExitCode:
+    """Show what a confirmation did, or that another change came first."""
+    match answer:
+        case ConfirmedAnswer():
+            writer.show(answer, confirmed_lines(answer))
+            return ExitCode.DONE
+        case OutdatedAnswer():
+            writer.show(answer, outdated_lines(answer))
+            return ExitCode.OUTDATED_PLAN
+
+
+def plan_lines(plan: Plan) -> Iterator[str]:
+    """Describe what a plan does and leaves undone, and how to confirm it."""
+    yield f"plan {plan.plan_id} of change {plan.change_id}, on version {plan.based_on}"
+    yield from table(CHANGE_HEAD, map(change_row, plan.changes))
+    if not plan.changes:
+        yield "changes nothing"
+    for order in plan.orders:
+        yield f"order: {order.kind} {order.argument} at {order.upstream_id}"
+    for touched in plan.touches:
+        yield f"touches {touched.kind} {touched.name}: {touched.effect}"
+    for left in plan.not_done:
+        yield f"not done: {left.what}: {left.why}"
+    yield f"next: cowslipshelf confirm {plan.plan_id}"
+
+
+def change_row(change: FieldChange) -> tuple[str, ...]:
+    """Describe the change of one field."""
+    before, after = change.before, change.after
+    return (
+        change.kind,
+        change.name,
+        change.field,
+        "-" if before is None else before,
+        "-" if after is None else after,
+    )
+
+
+def confirmed_lines(answer: ConfirmedAnswer) -> Iterator[str]:
+    """Describe what a confirmation did."""
+    version = answer.configuration_version
+    yield f"change {answer.change_id} is accepted as version {version}"
+    for order in answer.opened:
+        yield f"order {order.order_id}: {order.kind} at {order.upstream_id}"
+    yield "next: cowslipshelf status shows where it is in force"
+
+
+def outdated_lines(answer: OutdatedAnswer) -> Iterator[str]:
+    """Describe the change that came first and the fresh plan."""
+    yield f"another change came first: version {answer.newer_version} is accepted"
+    yield from (f"reason: {reason}" for reason in answer.reasons)
+    if answer.fresh_plan is None:
+        yield "next: look at `cowslipshelf status` and plan anew"
+        return
+    yield from plan_lines(answer.fresh_plan)
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/checking.py
@@ -0,0 +1,35 @@
+"""Check settings files, each by itself and together."""
+
+from collections.abc import Sequence
+
+from result import Err, Ok
+
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_cli.internal.writing import Writer
+from cowslipshelf_platform.settings import (
+    LoadedSettings,
+    SettingsProblem,
+    fleet_problems,
+    load_settings,
+)
+
+
+def check(files: Sequence[str], writer: Writer) -> ExitCode:
+    """Check files and print every problem in them."""
+    problems: list[SettingsProblem] = []
+    sound: list[LoadedSettings] = []
+    for file in files:
+        match load_settings(file):
+            case Ok(settings):
+                sound.append(LoadedSettings(file, settings))
+            case Err(found):
+                problems += found
+    problems += fleet_problems(sound)
+    document = {
+        "files": list(files),
+        "problems": [problem._asdict() for problem in problems],
+    }
+    lines = [str(problem) for problem in problems]
+    lines.append(f"{len(files)} file(s), {len(problems)} problem(s)")
+    writer.show(document, lines)
+    return ExitCode.BAD_SETTINGS if problems else ExitCode.DONE
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/failures.py
@@ -0,0 +1,45 @@
+"""Tell why a command ended without doing what was asked, and what to do next."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_operators.errors import AnsweredError, ClientError
+
+NEXT_STEPS = {
+    "bad_key": "set COWSLIPSHELF_OPERATOR_KEY or --key-file to an operator's key",
+    "unknown_plan": "ask for a plan again with `cowslipshelf plan FILE`",
+    "unknown_name": "check the name with `cowslipshelf status` or `cowslipshelf audit`",
+    "refused": "mend what the reasons name, and plan again under a new change id",
+}
+DEFAULT_NEXT_STEP = "see the message; `cowslipshelf status` shows the fleet"
+
+
+class CommandFailure(NamedTuple):
+    """Be the end of a command that did not do what was asked."""
+
+    exit_code: ExitCode
+    message: str
+    next_step: str
+
+
+class CommandFailedError(Exception):
+    """Carry a failure to where it is printed."""
+
+    def __init__(self, exit_code: ExitCode, message: str, next_step: str) -> None:
+        super().__init__(message)
+        self.failure = CommandFailure(exit_code, message, next_step)
+
+
+def failure_of(error: ClientError) -> CommandFailure:
+    """Describe an error of the operators' client."""
+    if not isinstance(error, AnsweredError):
+        next_step = "check --entry, COWSLIPSHELF_ENTRIES and the network, then resend"
+        return CommandFailure(ExitCode.UNREACHABLE, str(error), next_step)
+    if error.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        wait = error.retry_after_seconds
+        when = "shortly" if wait is None else f"in {wait:g} s"
+        next_step = f"send the same command again {when}; that is safe"
+        return CommandFailure(ExitCode.UNREACHABLE, str(error), next_step)
+    next_step = NEXT_STEPS.get(error.code, DEFAULT_NEXT_STEP)
+    return CommandFailure(ExitCode.REFUSED, str(error), next_step)
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""Send a seeded load and time the answers."""
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/open_loop.py
@@ -0,0 +1,57 @@
+"""Send requests at their planned times, however slow the answers are."""
+
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import Future, ThreadPoolExecutor
+from threading import BoundedSemaphore
+from typing import NamedTuple
+
+from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
+from cowslipshelf_cli.internal.load.shape import Arrival
+from cowslipshelf_platform.clock import SYSTEM_CLOCK
+
+Send = Callable[[Arrival, float], Outcome]
+"""Send one request whose planned time is given on the monotonic clock."""
+
+
+class Pace(NamedTuple):
+    """Be the clock that a load follows."""
+
+    now: Callable[[], float] = SYSTEM_CLOCK.monotonic
+    wait: Callable[[float], object] = time.sleep
+
+
+def run_open_loop(
+    arrivals: Iterable[Arrival], send: Send, most_concurrent: int, pace: Pace
+) -> list[Outcome]:
+    """Send every arrival at its time, and return all outcomes in their order.
+
+    A closed loop, which waits for answers, would send less just when the fleet is
+    slow, and hide it. So an arrival that finds too many requests open is given up
+    and counted; the ones behind it keep their times.
+    """
+    slots = BoundedSemaphore(most_concurrent)
+    begun = pace.now()
+    found: list[Future[Outcome] | Outcome] = []
+    with ThreadPoolExecutor(most_concurrent, thread_name_prefix="load") as threads:
+        for arrival in arrivals:
+            planned = begun + arrival.at_seconds
+            ahead = planned - pace.now()
+            if ahead > 0:
+                pace.wait(ahead)
+            late = max(0.0, pace.now() - planned)
+            if not slots.acquire(blocking=False):
+                found.append(Outcome(arrival, Ending.NOT_SENT, late_seconds=late))
+                continue
+            found.append(threads.submit(send_one, send, arrival, planned, late, slots))
+    return [each if isinstance(each, Outcome) else each.result() for each in found]
+
+
+def send_one(
+    send: Send, arrival: Arrival, planned: float, late: float, slots: BoundedSemaphore
+) -> Outcome:
+    """Send one request and give its slot back, whatever happens."""
+    try:
+        return send(arrival, planned)._replace(late_seconds=late)
+    finally:
+        slots.release()
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/surroundings.py
@@ -0,0 +1,143 @@
+"""Name what a command takes from the world around it, so that tests can replace it."""
+
+import os
+import sys
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import NamedTuple, Protocol, TextIO
+
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_cli.internal.commands import Program
+from cowslipshelf_cli.internal.failures import CommandFailedError
+from cowslipshelf_core.control import PlanDocument
+from cowslipshelf_core.identifiers import ChangeId, PlanId
+from cowslipshelf_operators import (
+    AuditAnswer,
+    ConfirmedAnswer,
+    ExplainAnswer,
+    ExplainKind,
+    OperatorsClient,
+    OperatorsClientConfig,
+    OutdatedAnswer,
+    PlanAnswer,
+    StateAnswer,
+)
+from cowslipshelf_platform.settings import AddressError, parse_address
+
+ENTRIES_VARIABLE = "COWSLIPSHELF_ENTRIES"
+KEY_VARIABLE = "COWSLIPSHELF_OPERATOR_KEY"
+
+
+class OperatorsApi(Protocol):
+    """Be what commands ask of entry instances."""
+
+    def plan(self, document: PlanDocument) -> PlanAnswer | OutdatedAnswer:
+        """Ask for a plan."""
+
+    def confirm(
+        self, plan_id: PlanId, change_id: ChangeId | None = None
+    ) -> ConfirmedAnswer | OutdatedAnswer:
+        """Put a plan in force."""
+
+    def state(self) -> StateAnswer:
+        """Describe the fleet."""
+
+    def audit(self, since_index: int, limit: int) -> AuditAnswer:
+        """Read a page of the audit trail."""
+
+    def explain(self, kind: ExplainKind, name: str) -> ExplainAnswer:
+        """Tell what happened to something."""
+
+
+class Surroundings(NamedTuple):
+    """Be the environment, the streams and the way to the fleet."""
+
+    environment: Mapping[str, str]
+    input: TextIO
+    output: TextIO
+    errors: TextIO
+    connect: Callable[[OperatorsClientConfig], OperatorsApi]
+
+    @classmethod
+    def from_process(cls) -> "Surroundings":
+        """Take those of this process."""
+        return cls(
+            os.environ,
+            sys.stdin,
+            sys.stdout,
+            sys.stderr,
+            OperatorsClient.from_config,
+        )
+
+
+class Fleet(NamedTuple):
+    """Be the way to a fleet: through any instance, and to each alone."""
+
+    any_instance: OperatorsApi
+    each_instance: tuple[OperatorsApi, ...]
+
+
+def connect(program: Program, surroundings: Surroundings) -> Fleet:
+    """Find out which instances to ask with which key."""
+    addresses = entry_addresses(program, surroundings)
+    key = operator_key(program, surroundings)
+    config = OperatorsClientConfig(addresses, key)
+    each = tuple(
+        surroundings.connect(config._replace(addresses=(address,)))
+        for address in addresses
+    )
+    return Fleet(surroundings.connect(config), each)
+
+
+def entry_addresses(program: Program, surroundings: Surroundings) -> tuple[str, ...]:
+    """Read the addresses of entry instances from the options or the environment."""
+    from_environment = surroundings.environment.get(ENTRIES_VARIABLE, "")
+    given = program.entry or from_environment.replace(",", " ").split()
+    if not given:
+        raise CommandFailedError(
+            ExitCode.USAGE,
+            "no entry instance is named",
+            f"give --entry IP:PORT or set {ENTRIES_VARIABLE}=IP:PORT,IP:PORT",
+        )
+    for address in given:
+        check_address(address)
+    return tuple(given)
+
+
+def check_address(address: str) -> None:
+    """Refuse a text that is no IP:PORT."""
+    try:
+        parse_address(address)
+    except AddressError as error:
+        raise CommandFailedError(
+            ExitCode.USAGE, f"found {address!r}, {error}", "give it as IP:PORT"
+        ) from error
+
+
+def operator_key(program: Program, surroundings: Surroundings) -> str:
+    """Read the operator's key from a file or the environment.
+
+    It is no option, as every user of a machine can read the options of processes.
+    """
+    if program.key_file is not None:
+        key = read_text(program.key_file, surroundings).strip()
+    else:
+        key = surroundings.environment.get(KEY_VARIABLE, "")
+    if key and key.isascii() and key.isprintable() and " " not in key:
+        return key
+    found = "something that is no key" if key else "no operator's key"
+    raise CommandFailedError(
+        ExitCode.USAGE, f"found {found}", f"set {KEY_VARIABLE} or give --key-file FILE"
+    )
+
+
+def read_text(file: str, surroundings: Surroundings) -> str:
+    """Read a file, or standard input where it is named '-'."""
+    try:
+        if file == "-":
+            return surroundings.input.read()
+        return Path(file).read_text(encoding="utf-8")
+    except (OSError, ValueError) as error:
+        raise CommandFailedError(
+            ExitCode.USAGE, f"cannot read {file}: {error}", "name a readable text file"
+        ) from error
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/program.py
@@ -0,0 +1,72 @@
+"""Be the program `cowslipshelf`."""
+
+import sys
+from collections.abc import Sequence
+
+import cappa
+
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_cli.internal.changing import ask_plan, confirm, drain
+from cowslipshelf_cli.internal.checking import check
+from cowslipshelf_cli.internal.commands import (
+    AskPlan,
+    Audit,
+    Check,
+    Confirm,
+    Drain,
+    Explain,
+    Load,
+    Program,
+    Status,
+)
+from cowslipshelf_cli.internal.failures import CommandFailedError, failure_of
+from cowslipshelf_cli.internal.load.command import run_load
+from cowslipshelf_cli.internal.reading import explain, show_audit, show_status
+from cowslipshelf_cli.internal.surroundings import Surroundings, connect
+from cowslipshelf_cli.internal.writing import Writer
+from cowslipshelf_operators.errors import ClientError
+
+
+def main() -> None:
+    """Run the command line of this process and exit."""
+    sys.exit(run(sys.argv[1:], Surroundings.from_process()))
+
+
+def run(arguments: Sequence[str], surroundings: Surroundings) -> ExitCode:
+    """Run one command line; usage errors and help exit by themselves."""
+    program = cappa.parse(Program, argv=list(arguments), completion=False)
+    writer = Writer(surroundings.output, surroundings.errors, program.json)
+    try:
+        return run_command(program, surroundings, writer)
+    except CommandFailedError as error:
+        failure = error.failure
+    except ClientError as error:
+        failure = failure_of(error)
+    writer.fail(failure)
+    return failure.exit_code
+
+
+def run_command(
+    program: Program, surroundings: Surroundings, writer: Writer
+) -> ExitCode:
+    """Run a parsed command."""
+    match program.command:
+        case Check(settings=files):
+            return check(files, writer)
+        case Load() as command:
+            return run_load(command, surroundings, writer)
+    fleet = connect(program, surroundings)
+    match program.command:
+        case AskPlan() as command:
+            return ask_plan(command, fleet, surroundings, writer)
+        case Confirm() as command:
+            return confirm(command, fleet, writer)
+        case Drain() as command:
+            return drain(command, fleet, writer)
+        case Status():
+            return show_status(fleet, writer)
+        case Explain() as command:
+            return explain(command, fleet, writer)
+        case Audit() as command:
+            return show_audit(command, fleet, writer)
+    raise AssertionError(f"no such command: {program.command}")
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/rules.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/rules.py
@@ -161,16 +161,9 @@
 
 def addresses_in_use(settings: DaemonSettings) -> list[AddressInUse]:
     """List the addresses that the settings give out, this instance's own first."""
-    own: dict[str, str] = {"mailbox_address": settings.mailbox_address}
-    if settings.entry is not None:
-        own["entry.callers_address"] = settings.entry.callers_address
-        own["entry.operators_address"] = settings.entry.operators_address
-    if settings.sidecar is not None:
-        own["sidecar.attempts_address"] = settings.sidecar.attempts_address
-        own["sidecar.upstream.address"] = settings.sidecar.upstream.address
     listed = [
         AddressInUse(settings.instance, field, address)
-        for field, address in own.items()
+        for field, address in own_addresses(settings).items()
     ]
     for index, entry in enumerate(settings.entries):
         if entry.instance != settings.instance:
@@ -179,6 +172,18 @@
     return listed
 
 
+def own_addresses(settings: DaemonSettings) -> dict[str, str]:
+    """List the addresses that the instance itself uses, by field."""
+    own = {"mailbox_address": settings.mailbox_address}
+    if settings.entry is not None:
+        own["entry.callers_address"] = settings.entry.callers_address
+        own["entry.operators_address"] = settings.entry.operators_address
+    if settings.sidecar is not None:
+        own["sidecar.attempts_address"] = settings.sidecar.attempts_address
+        own["sidecar.upstream.address"] = settings.sidecar.upstream.address
+    return own
+
+
 def timing_rules(timings: TimingSettings) -> Iterator[RuleBroken]:
     """Yield times that contradict each other."""
     for longer, shorter in LONGER_THAN:
--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/together.py
@@ -0,0 +1,109 @@
+"""Check that the settings of several daemons fit each other."""
+
+from collections.abc import Iterator, Sequence
+from itertools import combinations
+from typing import NamedTuple
+
+from cowslipshelf_platform.internal.settings.addresses import parse_address
+from cowslipshelf_platform.internal.settings.documents import DaemonSettings
+from cowslipshelf_platform.internal.settings.problems import SettingsProblem
+from cowslipshelf_platform.internal.settings.rules import own_addresses
+
+UPSTREAM_ADDRESS = "sidecar.upstream.address"
+
+
+class LoadedSettings(NamedTuple):
+    """Be sound settings and the file that they are from."""
+
+    file: str
+    settings: DaemonSettings
+
+    def problem(self, field: str, found: str, allowed: str) -> SettingsProblem:
+        """Describe a problem of this file."""
+        return SettingsProblem(self.file, field, found, allowed)
+
+
+def fleet_problems(loaded: Sequence[LoadedSettings]) -> list[SettingsProblem]:
+    """List what keeps the daemons of these files from being one fleet."""
+    return [
+        problem
+        for first, second in combinations(loaded, 2)
+        for problem in pair_problems(first, second)
+    ]
+
+
+def pair_problems(
+    first: LoadedSettings, second: LoadedSettings
+) -> Iterator[SettingsProblem]:
+    """Yield what two files say differently, or claim both."""
+    one, other = first.settings, second.settings
+    if one.instance == other.instance:
+        allowed = f"a name of its own; {first.file} has this one"
+        yield second.problem("instance", f'"{other.instance}"', allowed)
+    if one.cluster_key != other.cluster_key:
+        found = "another key, which is not shown"
+        yield second.problem("cluster_key", found, f"the key in {first.file}")
+    if set(one.data_centres) != set(other.data_centres):
+        found, allowed = ", ".join(other.data_centres), ", ".join(one.data_centres)
+        yield second.problem("data_centres", found, f"{allowed}, as in {first.file}")
+    yield from shared_addresses(first, second)
+    yield from shared_upstream(first, second)
+    yield from wrong_mentions(first, second)
+    yield from wrong_mentions(second, first)
+
+
+def shared_addresses(
+    first: LoadedSettings, second: LoadedSettings
+) -> Iterator[SettingsProblem]:
+    """Yield addresses that both files give out."""
+    for field, address in reachable_addresses(second.settings).items():
+        for taken_field, taken in reachable_addresses(first.settings).items():
+            if parse_address(address) == parse_address(taken):
+                allowed = f"an address of its own; {first.file} has it by {taken_field}"
+                yield second.problem(field, f'"{address}"', allowed)
+
+
+def reachable_addresses(settings: DaemonSettings) -> dict[str, str]:
+    """List the addresses that mean the same wherever they are read."""
+    found = {}
+    for field, address in own_addresses(settings).items():
+        ip = parse_address(address).ip
+        # Each sidecar has its upstream beside it, on its own machine's loopback.
+        local = ip.is_loopback and field == UPSTREAM_ADDRESS
+        if not (ip.is_unspecified or local):
+            found[field] = address
+    return found
+
+
+def shared_upstream(
+    first: LoadedSettings, second: LoadedSettings
+) -> Iterator[SettingsProblem]:
+    """Yield an upstream that two sidecars both claim."""
+    one, other = first.settings.sidecar, second.settings.sidecar
+    if one is None or other is None:
+        return
+    name = other.upstream.upstream_id
+    if one.upstream.upstream_id == name:
+        allowed = f"an upstream of its own; {first.file} has this one"
+        yield second.problem("sidecar.upstream.upstream_id", f'"{name}"', allowed)
+
+
+def wrong_mentions(
+    told: LoadedSettings, mentioning: LoadedSettings
+) -> Iterator[SettingsProblem]:
+    """Yield what one file lists of an entry otherwise than that entry's own file."""
+    own = told.settings
+    for index, entry in enumerate(mentioning.settings.entries):
+        if entry.instance != own.instance or own.entry is None:
+            continue
+        truths = {
+            "mailbox_address": own.mailbox_address,
+            "data_centre": own.data_centre,
+            "replica": own.entry.data_folder is not None,
+        }
+        for name, truth in truths.items():
+            found = getattr(entry, name)
+            if found != truth:
+                field = f"entries[{index}].{name}"
+                allowed = f"{truth}, as {told.file} says"
+                yield mentioning.problem(field, str(found), allowed)
--- a/packages/platform/src/cowslipshelf_platform/settings.py
+++ b/packages/platform/src/cowslipshelf_platform/settings.py
@@ -21,6 +21,10 @@
     load_settings,
 )
 from cowslipshelf_platform.internal.settings.problems import SettingsProblem
+from cowslipshelf_platform.internal.settings.together import (
+    LoadedSettings,
+    fleet_problems,
+)
 
 __all__ = [
     "AddressError",
@@ -28,6 +32,7 @@
     "EntryAddress",
     "EntrySettings",
     "LimitSettings",
+    "LoadedSettings",
     "LogSettings",
     "NetworkAddress",
     "Role",
@@ -36,6 +41,7 @@
     "TimingSettings",
     "UpstreamSettings",
     "decode_settings",
+    "fleet_problems",
     "load_settings",
     "parse_address",
 ]
