--- a/examples/local_fleet.py
+++ b/examples/local_fleet.py
@@ -23,6 +23,7 @@
 POLL_SECONDS = 0.05
 PATIENCE_SECONDS = 60.0
 GRACE_SECONDS = 40.0
+REFUSED_STATUSES = (400, 422)
 
 
 class FleetError(Exception):
@@ -215,13 +216,16 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    def wait_ready(self) -> None:
-        """Wait until every running entry is ready."""
-        for name in self.entry_names:
-            if self.is_running(name):
-                wait_until(
-                    lambda name=name: self.is_ready(name), f"readiness of {name}"
-                )
+    def wait_ready(self, names: Sequence[str] | None = None) -> None:
+        """Wait until entries are ready; all of them where none are named."""
+        for name in names or self.entry_names:
+            wait_until(lambda name=name: self.check_ready(name), f"ready {name}")
+
+    def check_ready(self, name: str) -> bool:
+        """Tell whether an entry is ready, or raise where its process has ended."""
+        if not self.is_running(name):
+            raise FleetError(f"{name} has ended; see {self.folder / name}.log")
+        return self.is_ready(name)
 
     def is_running(self, name: str) -> bool:
         """Tell whether a process was started and has not ended."""
@@ -257,14 +261,13 @@
         based_on = state["configuration"]["version"]
         document = {"change_id": change_id, "based_on": based_on, "change": change}
         status, plan = self.operator_call(name, "POST", "/v1/plans", document)
-        if status == 400:
+        if status in REFUSED_STATUSES:
             raise FleetError(f"plan {change_id} refused: {plan}")
         if status != 200:
             return None
-        path = f"/v1/plans/{plan['plan_id']}/confirm"
-        status, answer = self.operator_call(
-            name, "POST", path, {"change_id": f"{change_id}-confirm"}
-        )
+        path = f"/v1/plans/{plan['plan']['plan_id']}/confirm"
+        confirm = {"change_id": change_id}
+        status, answer = self.operator_call(name, "POST", path, confirm)
         return answer if status == 200 else None
 
     def send_signal(self, name: str, number: signal.Signals) -> None:
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
@@ -0,0 +1,32 @@
+"""Be the base of every actor: a failure ends the process, never just the actor."""
+
+import os
+import traceback
+from types import TracebackType
+
+from cowslipshelf_platform.logs import part_logger
+from pykka import ThreadingActor
+
+LOG = part_logger("actor")
+
+EXIT_ACTOR_FAILED = 70
+
+
+class DaemonActor(ThreadingActor):
+    """Own one part of a daemon's state."""
+
+    def on_failure(
+        self,
+        exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        traceback_: TracebackType | None,
+    ) -> None:
+        """End the process at once.
+
+        An actor that has died leaves a process that accepts connections and answers
+        nothing. Whoever watches processes sees an ended one and starts it again, and
+        every part of the system is made to survive that.
+        """
+        lines = traceback.format_exception(exception_type, exception_value, traceback_)
+        LOG.error("Actor failed.", actor=type(self).__name__, trace="".join(lines))
+        os._exit(EXIT_ACTOR_FAILED)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -62,12 +62,8 @@
 )
 from cowslipshelf_daemon.internal.ticker import Ticker
 from cowslipshelf_daemon.internal.wire import MailboxMessage
-from cowslipshelf_fleet import (
-    AttemptsClient,
-    AttemptsClientConfig,
-    Mailbox,
-    MailboxConfig,
-)
+from cowslipshelf_fleet.attempts import AttemptsClient, AttemptsClientConfig
+from cowslipshelf_fleet.mailbox import Mailbox, MailboxConfig
 from cowslipshelf_operators import OperatorKey, OperatorsServer, OperatorsServerConfig
 from cowslipshelf_platform.settings import DaemonSettings
 from cowslipshelf_platform.storage import ReplicaStorage, ReplicaStorageConfig
@@ -75,6 +71,7 @@
 HEARTBEATS_PER_ELECTION = 5
 HAND_OVER_LEADERSHIP_SECONDS = 1.0
 OPERATOR = "operator"
+STOP_SECONDS = 2.0
 
 
 class StartError(Exception):
@@ -132,7 +129,7 @@
 
     def stop(self) -> None:
         """End every thread and socket."""
-        self.callers.stop()
+        self.callers.stop(STOP_SECONDS)
         self.operators.stop()
         self.ticker.stop()
         self.mailbox.stop()
@@ -164,9 +161,8 @@
     actors = start_actors(parts)
     dispatch = Dispatch(*actors, parts.in_force)
     mailbox = make_mailbox(parts, dispatch)
-    parts.post.mailbox = mailbox
-    parts.post.deliver_here = dispatch.deliver
     mailbox.start()
+    parts.post.attach(mailbox, dispatch.deliver)
     ticker = Ticker(actors.running(), settings.timings.tick_seconds)
     ticker.start()
     gateway = ControlGateway(actors.gateway)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/callers_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/callers_handler.py
@@ -225,5 +225,3 @@
 def new_attempt_id() -> AttemptId:
     """Return a fresh attempt id."""
     return AttemptId(uuid.uuid4().hex)
-
-
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
@@ -4,7 +4,7 @@
 from typing import Any, NamedTuple
 
 from cowslipshelf_platform.logs import part_logger
-from pykka import ActorRef, ThreadingActor
+from pykka import ActorRef
 
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
@@ -18,6 +18,7 @@
     VersionSeen,
 )
 from cowslipshelf_core.messages import ConfigurationSnapshot, FetchConfiguration
+from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
@@ -36,7 +37,7 @@
     routing: ActorRef
 
 
-class ConfigurationActor(ThreadingActor):
+class ConfigurationActor(DaemonActor):
     """Put newer configurations in force in this process, and never older ones."""
 
     def __init__(self, parts: ConfigurationParts) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/control_gateway.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/control_gateway.py
@@ -6,7 +6,7 @@
 from queue import Empty, SimpleQueue
 from typing import Any, NamedTuple
 
-from pykka import ActorDeadError, ActorRef, ThreadingActor
+from pykka import ActorDeadError, ActorRef
 
 from cowslipshelf_core.agreement import (
     LeaderSeen,
@@ -27,6 +27,7 @@
     encode_command,
 )
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
 
@@ -43,7 +44,7 @@
     reply: "SimpleQueue[ControlOutcome | Refusal]"
 
 
-class GatewayActor(ThreadingActor):
+class GatewayActor(DaemonActor):
     """Send commands to the leader, whichever replica that is."""
 
     def __init__(self, client: ProposalClient, post: Post) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
@@ -16,7 +16,7 @@
 )
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Delivered
-from cowslipshelf_fleet import Received
+from cowslipshelf_fleet.mailbox import Received
 
 
 class Dispatch(NamedTuple):
@@ -38,9 +38,7 @@
             case Announce() | Withdraw() | Suspect() | EntryAlive():
                 self.routing.tell(received)
             case message:
-                delivered = Delivered(
-                    received.sender, received.sender_address, message
-                )
+                delivered = Delivered(received.sender, received.sender_address, message)
                 self.deliver(delivered)
 
     def deliver(self, delivered: Delivered) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
@@ -60,7 +60,9 @@
     def last_line(self) -> str:
         """Tell how the request ended, or that it runs."""
         first = self.first_chunk_seconds
-        waited = "nothing written yet" if first is None else f"first after {first:.3f} s"
+        waited = (
+            "nothing written yet" if first is None else f"first after {first:.3f} s"
+        )
         took = "" if self.seconds is None else f" in {self.seconds:.3f} s"
         return f"{self.outcome}{took}: {self.chunks} pieces, {waited}"
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/post.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/post.py
@@ -6,7 +6,7 @@
 
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.messages import Message
-from cowslipshelf_fleet import Mailbox
+from cowslipshelf_fleet.mailbox import Mailbox
 
 
 class Delivered(NamedTuple):
@@ -28,6 +28,13 @@
         self.lock = threading.Lock()
         self.addresses: dict[InstanceId, str] = {instance: address}
 
+    def attach(
+        self, mailbox: Mailbox, deliver_here: Callable[[Delivered], None]
+    ) -> None:
+        """Begin to deliver; what was sent before is lost, as any message may be."""
+        self.deliver_here = deliver_here
+        self.mailbox = mailbox
+
     def learn(self, instance: InstanceId, address: str) -> None:
         """Remember where an entry instance is."""
         with self.lock:
@@ -47,6 +54,8 @@
 
     def send(self, address: str, message: Message) -> None:
         """Send to an address, without the network where it is this process's own."""
+        if self.mailbox is None:
+            return
         if address == self.address:
             self.deliver_here(Delivered(self.instance, address, message))
         else:
@@ -56,4 +65,4 @@
         """Send to every other entry instance."""
         for instance, address in self.entries():
             if instance != self.instance:
-                self.mailbox.send(address, message)
+                self.send(address, message)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -6,7 +6,8 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
-from pykka import ActorRef, ThreadingActor
+from cowslipshelf_platform.logs import part_logger
+from pykka import ActorRef
 
 from cowslipshelf_core.agreement import (
     CommandProposed,
@@ -45,9 +46,9 @@
 )
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.messages import ConfigurationSnapshot, FetchConfiguration
+from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.storage import ReplicaStorage, StorageError
 
 LOG = part_logger("replica")
@@ -74,7 +75,7 @@
     gateway: ActorRef
 
 
-class ReplicaActor(ThreadingActor):
+class ReplicaActor(DaemonActor):
     """Take part in the agreement; the only owner of the data folder.
 
     Whatever waits in the inbox is handled as one batch, with one sync for all of it:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from cowslipshelf_platform.logs import part_logger
-from pykka import ActorDeadError, ActorRef, ThreadingActor
+from pykka import ActorDeadError, ActorRef
 
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.directory import (
@@ -51,10 +51,11 @@
 )
 from cowslipshelf_core.routing import TickElapsed as RouterTick
 from cowslipshelf_core.upstream import UpstreamDescription
+from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_fleet import Received
+from cowslipshelf_fleet.mailbox import Received
 from cowslipshelf_platform.settings import DaemonSettings
 
 LOG = part_logger("routing")
@@ -210,7 +211,7 @@
     post: Post
 
 
-class RoutingActor(ThreadingActor):
+class RoutingActor(DaemonActor):
     """Decide where attempts go; the only owner of that state."""
 
     def __init__(self, parts: RoutingParts) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -6,7 +6,6 @@
 from typing import Any, NamedTuple
 
 from cowslipshelf_platform.logs import part_logger
-from pykka import ThreadingActor
 
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
@@ -19,6 +18,17 @@
     VersionSeen,
 )
 from cowslipshelf_core.configuration_view import TickElapsed as ViewTickElapsed
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
+from cowslipshelf_core.messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    MayHaveRun,
+    NeverRan,
+    StreamEnd,
+    Withdraw,
+)
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
     CancelArrived,
@@ -42,21 +52,8 @@
     UpstreamAccepted,
     UpstreamFinished,
 )
-from cowslipshelf_platform.logs import part_logger
-from pykka import ThreadingActor
-
-from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
-from cowslipshelf_core.messages import (
-    Announce,
-    AnnounceAnswer,
-    ConfigurationSnapshot,
-    MayHaveRun,
-    NeverRan,
-    StreamEnd,
-    Withdraw,
-)
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
+from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_daemon.internal.sidecar.attempt_runner import (
     AttemptRunner,
@@ -68,7 +65,7 @@
 )
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_fleet import Mailbox, Received
+from cowslipshelf_fleet.mailbox import Mailbox, Received
 from cowslipshelf_platform.settings import DaemonSettings
 
 LOG = part_logger("sidecar")
@@ -102,7 +99,7 @@
     attempts: AttemptLog
 
 
-class SidecarActor(ThreadingActor):
+class SidecarActor(DaemonActor):
     """Decide about one upstream's attempts; the only owner of that state."""
 
     def __init__(self, parts: SidecarParts) -> None:
