Open one connection a hand-over and refuse heads that were cut

Cutting an answer at every byte found two faults. A connection that closes within a head passes for the head's end in the standard library: a 204, or a length read half, would have been taken for whole. And the pool rewrites targets (a lone % became %25), which changes a caller's path silently.

Hand-overs now open a connection of their own without a pool, which sends the target as it is, and the head must end with an empty line. Closing a stream shuts the socket down, so that a blocked reader wakes.

Seen to fail without their guard: the cut head, the missing final marker, a gap and a repeat in event numbers, a body without length, a streamed error, the shutdown on close, the may-have-arrived flag, forged attempt headers.

--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/connections.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/connections.py
@@ -1,12 +1,16 @@
 """Open connections to one upstream and name what goes wrong on them."""
 
+import socket
+from contextlib import suppress
+from http.client import HTTPException
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
-from urllib3 import HTTPConnectionPool, HTTPHeaderDict, HTTPResponse, Timeout
-from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+from urllib3 import BaseHTTPResponse, HTTPConnectionPool, HTTPHeaderDict, Timeout
+from urllib3.exceptions import HTTPError
 
 from cowslipshelf_upstreams.errors import UpstreamLostError, UpstreamRefusedError
+from cowslipshelf_upstreams.internal.whole_heads import WholeHeadConnection
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -40,6 +44,22 @@
     body: bytes = b""
 
 
+class OpenAnswer(NamedTuple):
+    """Be an answer whose head has come, and the connection that carries its body."""
+
+    response: BaseHTTPResponse
+    connection: WholeHeadConnection
+    sock: socket.socket
+
+    def close(self) -> None:
+        """Close the connection, from any thread; a blocked read ends at once."""
+        # The peer may have closed it already, which is what is wanted.
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.response.close()
+        self.connection.close()
+
+
 class Connections:
     """Reach one upstream by HTTP, without retries of its own."""
 
@@ -53,57 +73,88 @@
 
     def new_pool(self, size: int) -> HTTPConnectionPool:
         """Return a pool of connections to the upstream."""
-        return HTTPConnectionPool(
+        pool = HTTPConnectionPool(
             self.host, self.port, maxsize=size, block=False, retries=False
         )
+        pool.ConnectionCls = WholeHeadConnection
+        return pool
 
-    def open(self, request: UpstreamRequest, read_seconds: float) -> HTTPResponse:
+    def open(self, request: UpstreamRequest, read_seconds: float) -> OpenAnswer:
         """Send a request on a connection of its own and wait for the answer's head.
 
         A pooled connection may have gone silent unnoticed, and a request lost on it
         may have arrived for all that the sender knows. On a new one, an upstream that
-        can't be reached shows while connecting, when surely nothing has arrived.
+        can't be reached shows while connecting, when surely nothing has arrived. The
+        target is sent as it is, which a pool would not do.
         """
-        return self.send(self.new_pool(1), request, read_seconds)
-
-    def ask(self, request: UpstreamRequest, read_seconds: float) -> bytes:
-        """Send a request that may be repeated; return the body of its answer."""
-        response = self.send(self.pool, request, read_seconds)
+        connection = self.connect()
+        connection.timeout = read_seconds
+        try:
+            self.send(connection, request)
+            sock = connection.sock
+            return OpenAnswer(connection.getresponse(), connection, sock)
+        except (HTTPError, HTTPException, OSError) as error:
+            connection.close()
+            raise self.lost(request.step, error) from error
+        except UpstreamLostError:
+            connection.close()
+            raise
+
+    def connect(self) -> WholeHeadConnection:
+        """Return a new connection to the upstream."""
+        connection = WholeHeadConnection(
+            self.host, self.port, timeout=self.connect_seconds
+        )
         try:
-            body = response.read(decode_content=False)
+            connection.connect()
         except (HTTPError, OSError) as error:
-            self.drop_idle()
-            raise UpstreamLostError(request.step, self.peer, str(error)) from error
-        finally:
-            response.release_conn()
-        if response.status >= FIRST_ERROR_STATUS:
-            detail = body[:MOST_DETAIL_BYTES].decode(errors="replace")
-            raise UpstreamRefusedError(request.step, self.peer, response.status, detail)
-        return body
+            connection.close()
+            raise self.lost("connect", error, may_have_arrived=False) from error
+        return connection
 
-    def send(
-        self, pool: HTTPConnectionPool, request: UpstreamRequest, read_seconds: float
-    ) -> HTTPResponse:
-        """Send a request over a pool, once, and wait for the answer's head."""
+    def send(self, connection: WholeHeadConnection, request: UpstreamRequest) -> None:
+        """Send a request; an upstream may answer before it has read it all."""
         try:
-            return pool.urlopen(
+            connection.request(
+                request.method,
+                request.path,
+                body=request.body or None,
+                headers=HTTPHeaderDict(request.headers),
+                preload_content=False,
+                decode_content=False,
+            )
+        except ValueError as error:
+            # Names and values are checked before the first byte is sent.
+            raise self.lost(request.step, error, may_have_arrived=False) from error
+        except BrokenPipeError:
+            return
+
+    def ask(self, request: UpstreamRequest, read_seconds: float) -> bytes:
+        """Send a request that may be repeated; return the body of its answer."""
+        try:
+            response = self.pool.request(
                 request.method,
                 request.path,
                 body=request.body or None,
                 headers=HTTPHeaderDict(request.headers),
                 timeout=Timeout(connect=self.connect_seconds, read=read_seconds),
                 redirect=False,
-                retries=False,
-                preload_content=False,
                 decode_content=False,
             )
-        except (NewConnectionError, ConnectTimeoutError) as error:
-            raise UpstreamLostError(
-                "connect", self.peer, str(error), may_have_arrived=False
-            ) from error
         except (HTTPError, OSError) as error:
             self.drop_idle()
-            raise UpstreamLostError(request.step, self.peer, str(error)) from error
+            raise self.lost(request.step, error) from error
+        if response.status >= FIRST_ERROR_STATUS:
+            detail = response.data[:MOST_DETAIL_BYTES].decode(errors="replace")
+            raise UpstreamRefusedError(request.step, self.peer, response.status, detail)
+        return response.data
+
+    def lost(
+        self, step: str, error: Exception, may_have_arrived: bool = True
+    ) -> UpstreamLostError:
+        """Return the error that names what went wrong, where and with whom."""
+        detail = str(error) or type(error).__name__
+        return UpstreamLostError(step, self.peer, detail, may_have_arrived)
 
     def drop_idle(self) -> None:
         """Close idle connections: what silenced one has probably silenced all."""
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
@@ -1,20 +1,23 @@
 """Read the answer of an upstream piece by piece, and tell whether it is whole."""
 
 from collections.abc import Iterator
-from contextlib import suppress
 from typing import NamedTuple
 
 import msgspec
-from urllib3 import HTTPResponse
 from urllib3.exceptions import HTTPError
 
 from cowslipshelf_upstreams.errors import UpstreamFailedError, UpstreamLostError
-from cowslipshelf_upstreams.internal.connections import Headers, end_to_end
+from cowslipshelf_upstreams.internal.connections import (
+    Headers,
+    OpenAnswer,
+    end_to_end,
+)
 from cowslipshelf_upstreams.internal.event_parser import EventParser, ServerSentEvent
 
 STREAM_STEP = "stream"
 EVENT_STREAM = "text/event-stream"
 DONE = b"[DONE]"
+NO_ERROR = (b"", b"null")
 READ_BYTES = 65_536
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -38,7 +41,7 @@
     """Be what matters to us of a chunk in the published shape."""
 
     usage: ChunkUsage | None = None
-    error: msgspec.Raw | None = None
+    error: msgspec.Raw = msgspec.Raw()
     choices: tuple[msgspec.Raw, ...] = ()
 
 
@@ -50,20 +53,20 @@
 
     def __init__(
         self,
-        response: HTTPResponse,
+        answer: OpenAnswer,
         peer: str,
         after: int = 0,
         delivered_tokens: int | None = 0,
     ) -> None:
-        self.response = response
+        self.answer = answer
+        self.response = answer.response
         self.peer = peer
-        self.status = response.status
+        self.status = answer.response.status
         self.sequence = after
         self.delivered_tokens = delivered_tokens
         """Output tokens before the next event; None where nobody knows."""
-        self.is_event_stream = response.headers.get("Content-Type", "").startswith(
-            EVENT_STREAM
-        )
+        content_type = self.response.headers.get("Content-Type", "")
+        self.is_event_stream = content_type.startswith(EVENT_STREAM)
 
     @property
     def headers(self) -> Headers:
@@ -116,7 +119,7 @@
             chunk = CHUNK_DECODER.decode(data)
         except msgspec.MsgspecError as error:
             raise self.lost(f"malformed event: {error}") from error
-        if chunk.error is not None:
+        if bytes(chunk.error) not in NO_ERROR:
             detail = bytes(chunk.error).decode(errors="replace")
             raise UpstreamFailedError(STREAM_STEP, self.peer, detail)
         if chunk.usage is None:
@@ -150,7 +153,4 @@
 
     def close(self) -> None:
         """Give the answer up, from any thread; a blocked read ends at once."""
-        # The connection may be closed already, which is what is wanted.
-        with suppress(OSError, ValueError, RuntimeError):
-            self.response.shutdown()
-        self.response.close()
+        self.answer.close()
--- /dev/null
+++ b/tests/cover/upstreams/test_engine_client.py
@@ -0,0 +1,214 @@
+"""Check what the engine client makes of an engine that fails."""
+
+import socket
+from threading import Event, Thread
+
+import msgspec
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from common.upstreams import (
+    client_of,
+    completion,
+    running_engine,
+    scripted_peer,
+    steady,
+)
+from cowslipshelf_standins.engine import Faults
+from cowslipshelf_upstreams import (
+    UpstreamFailedError,
+    UpstreamLostError,
+    UpstreamPiece,
+)
+
+SILENCE_SECONDS = 0.1
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(number: int, text: str) -> bytes:
+    choices = [{"index": 0, "text": text}]
+    usage = {"completion_tokens": number}
+    body = msgspec.json.encode({"choices": choices, "usage": usage})
+    return chunk(b"id: %d\ndata: %b\n\n" % (number, body))
+
+
+DONE = chunk(b"id: 3\ndata: [DONE]\n\n")
+ANSWER = HEAD + event(1, "gate ") + event(2, "note") + DONE
+
+
+def collect(address: str) -> tuple[list[UpstreamPiece], UpstreamLostError | None]:
+    """Return the pieces of an answer, and the error that ended it if one did."""
+    pieces: list[UpstreamPiece] = []
+    try:
+        for piece in client_of(address, SILENCE_SECONDS).start(completion()):
+            pieces.append(piece)
+    except UpstreamLostError as error:
+        return pieces, error
+    return pieces, None
+
+
+@steady
+@given(cut=st.integers(0, len(ANSWER)))
+@example(cut=len(ANSWER) - len(DONE))
+@example(cut=len(ANSWER))
+def test_an_answer_cut_at_any_byte_never_looks_whole(cut: int) -> None:
+    """An engine dies in mid-answer and the kernel closes its connection.
+
+    Without a check for the final marker the caller would take the part for the
+    whole.
+    """
+    with scripted_peer(lambda peer: peer.sendall(ANSWER[:cut])) as address:
+        pieces, error = collect(address)
+        assert (error is None) == (cut == len(ANSWER))
+        assert [piece.sequence for piece in pieces] == list(range(1, len(pieces) + 1))
+        if error is not None:
+            assert error.peer == address
+            assert error.may_have_arrived
+
+
+@pytest.mark.parametrize("sent", [b"", HEAD, HEAD + event(1, "gate")])
+def test_a_silent_connection_is_given_up_at_every_step(sent: bytes) -> None:
+    """Something between the ends has lost track of an open connection."""
+    release = Event()
+
+    def hold(peer: socket.socket) -> None:
+        peer.sendall(sent)
+        release.wait(30.0)
+
+    with scripted_peer(hold) as address:
+        pieces, error = collect(address)
+        release.set()
+    assert error is not None
+    assert error.step == ("stream" if sent else "start")
+    assert error.may_have_arrived
+    assert len(pieces) == sent.count(b"data:")
+
+
+def test_a_frozen_engine_is_silent_and_a_busy_one_is_not() -> None:
+    with running_engine() as server:
+        # A prefill of many silence limits; the comments show that the engine lives.
+        client = client_of(server.address, silence_seconds=0.3)
+        server.switch.set(Faults(slow_factor=40_000.0))
+        pieces = list(client.start(completion(max_tokens=1)))
+        assert len(pieces) == 2
+        server.switch.set(Faults(freeze=True))
+        with pytest.raises(UpstreamLostError):
+            client.start(completion(attempt_id="frozen"))
+        with pytest.raises(UpstreamLostError):
+            client.inventory()
+        server.switch.set(Faults())
+        assert client.inventory() is not None
+
+
+@steady
+@given(numbers=st.lists(st.integers(1, 4), max_size=6))
+def test_events_are_taken_once_each_and_a_gap_ends_the_answer(numbers) -> None:
+    """A resumed stream repeats events, or a proxy loses one."""
+    wire = HEAD + b"".join(event(number, f"{number}") for number in numbers)
+    with scripted_peer(lambda peer: peer.sendall(wire)) as address:
+        pieces, error = collect(address)
+    expected = 0
+    for number in numbers:
+        if number > expected + 1:
+            break
+        expected = max(expected, number)
+    assert [piece.sequence for piece in pieces] == list(range(1, expected + 1))
+    assert sum(piece.tokens for piece in pieces) == expected
+    assert error is not None
+
+
+@pytest.mark.parametrize(
+    "wire",
+    [
+        chunk(b"id: 1\ndata: {broken\n\n") + DONE,
+        chunk(b"id: x\ndata: {}\n\n") + DONE,
+        chunk(b"data: 7\n\n") + DONE,
+        b"0\r\n\r\n",
+        chunk(b"id: 1\ndata: [DONE]\n") + b"0\r\n\r\n",
+    ],
+)
+def test_a_malformed_or_unmarked_stream_ends_with_an_error(wire: bytes) -> None:
+    with scripted_peer(lambda peer: peer.sendall(HEAD + wire)) as address:
+        pieces, error = collect(address)
+    assert pieces == []
+    assert error is not None
+    assert error.step == "stream"
+
+
+def test_an_error_that_the_engine_streams_is_told_apart() -> None:
+    data = b'id: 1\ndata: {"error": {"message": "out of memory"}}\n\n'
+    with scripted_peer(lambda p: p.sendall(HEAD + chunk(data) + DONE)) as address:
+        _, error = collect(address)
+    assert isinstance(error, UpstreamFailedError)
+    assert "out of memory" in error.detail
+
+
+def test_an_unreachable_engine_surely_has_not_got_the_request() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        host, port = listener.getsockname()
+    _, error = collect(f"{host}:{port}")
+    assert error is not None
+    assert (error.step, error.may_have_arrived) == ("connect", False)
+
+
+def test_an_answer_without_length_or_chunks_is_not_taken_for_whole() -> None:
+    """A service ends its answer by closing; a cut would look the same."""
+    wire = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npaid 5"
+    with scripted_peer(lambda peer: peer.sendall(wire)) as address:
+        _, error = collect(address)
+    assert error is not None
+
+
+def test_closing_a_stream_wakes_its_blocked_reader() -> None:
+    release = Event()
+
+    def hold(peer: socket.socket) -> None:
+        peer.sendall(HEAD + event(1, "gate"))
+        release.wait(60.0)
+
+    with scripted_peer(hold) as address:
+        stream = client_of(address, silence_seconds=60.0).start(completion())
+        errors = []
+        first_seen = Event()
+
+        def read() -> None:
+            try:
+                for _ in stream:
+                    first_seen.set()
+            except UpstreamLostError as error:
+                errors.append(error)
+
+        reader = Thread(target=read, daemon=True)
+        reader.start()
+        assert first_seen.wait(10.0)
+        Thread(target=stream.close, daemon=True).start()
+        reader.join(10.0)
+        still_blocked = reader.is_alive()
+        release.set()
+        assert not still_blocked
+        assert len(errors) == 1
+
+
+def test_a_caller_cannot_speak_in_the_name_of_another_attempt() -> None:
+    """A caller sets the headers that steer an engine."""
+    with running_engine() as server:
+        client = client_of(server.address)
+        forged = (
+            ("X-Attempt-Id", "victim"),
+            ("x-priority", "-9"),
+            ("X-Resume-From", "3"),
+            ("Content-Length", "1"),
+            ("Transfer-Encoding", "chunked"),
+        )
+        pieces = list(client.start(completion(max_tokens=4, headers=forged)))
+        assert sum(piece.tokens for piece in pieces) == 4
+        attempt = server.engine.attempts["attempt"]
+        assert (attempt.priority, list(server.engine.attempts)) == (0, ["attempt"])
