Take weights for whole only with a length

Weights whose connection closed within the head ended with the connection and passed for empty or short ones.

--- a/packages/weightstore/src/cowslipshelf_weightstore/internal/client.py
+++ b/packages/weightstore/src/cowslipshelf_weightstore/internal/client.py
@@ -5,7 +5,7 @@
 from urllib.parse import quote
 
 from urllib3 import HTTPConnectionPool, HTTPResponse, Timeout
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ProtocolError
 
 from cowslipshelf_core.identifiers import ModelName
 from cowslipshelf_weightstore.errors import WeightStoreLostError
@@ -110,6 +110,10 @@
 
 def read_weights(response: HTTPResponse) -> WeightsLoaded:
     """Read weights piece by piece; they are larger than a process's memory."""
+    # A connection that closes within the head leaves no length, or part of one; the
+    # weights would end with the connection, and nobody would know whether too early.
+    if not response.headers.get("Content-Length", "").isdecimal():
+        raise ProtocolError("the weights have no length")
     digest = sha256()
     size = 0
     for piece in response.stream(READ_BYTES, decode_content=False):
