Prove the stand-in's answers, memory, order and cache by properties

Over HTTP: answers are whole however often they are cut and resumed, another engine continues them, a prompt of two and a half engines runs over three, a known attempt never starts again, old fencing numbers are refused where checked.

--- /dev/null
+++ b/tests/cover/standins/test_engine_answers.py
@@ -0,0 +1,221 @@
+"""Check the engine stand-in's answers over HTTP."""
+
+from itertools import count
+
+import msgspec
+import pytest
+import urllib3
+from hypothesis import given
+from hypothesis import strategies as st
+
+from common.upstreams import (
+    FAST_ENGINE,
+    client_of,
+    completion,
+    running_engine,
+    steady,
+    text_of,
+)
+from cowslipshelf_standins.engine import Faults
+from cowslipshelf_upstreams import (
+    EngineClient,
+    EngineOrder,
+    PromptPart,
+    UpstreamLostError,
+    UpstreamRefusedError,
+)
+
+ATTEMPT_NUMBERS = count()
+HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
+
+
+@pytest.fixture(scope="module")
+def engine():
+    with running_engine() as server:
+        yield server
+
+
+@pytest.fixture(scope="module")
+def other_engine():
+    with running_engine() as server:
+        yield server
+
+
+def fresh_id() -> str:
+    return f"attempt-{next(ATTEMPT_NUMBERS)}"
+
+
+def whole_text(client: EngineClient, prompt: str, tokens: int, chat: bool) -> str:
+    """Return the answer as an uncut, unstreamed request gets it."""
+    asked = completion(prompt, tokens, chat=chat, stream=False, attempt_id=fresh_id())
+    answer = msgspec.json.decode(b"".join(p.data for p in client.start(asked)))
+    assert answer["usage"]["completion_tokens"] == tokens
+    return text_of(msgspec.json.encode(answer))
+
+
+@steady
+@given(
+    prompt=st.text(min_size=1, max_size=40),
+    tokens=st.integers(1, 30),
+    chat=st.booleans(),
+    cuts=st.lists(st.integers(1, 5), max_size=4),
+)
+def test_cut_and_resumed_streams_give_the_whole_answer(
+    engine, prompt, tokens, chat, cuts
+):
+    """A connection to an engine is cut again and again in mid-answer.
+
+    The sidecar resumes after the last event it got. The caller must see each token
+    once, in order, and the end only at the end.
+    """
+    client = client_of(engine.address)
+    asked = completion(prompt, tokens, chat=chat, attempt_id=fresh_id())
+    stream = None
+    pieces = []
+    for drop_after in [*cuts, None]:
+        engine.switch.set(Faults(drop_after_events=drop_after))
+        if stream is None:
+            stream = client.start(asked)
+        else:
+            got = sum(piece.tokens for piece in pieces)
+            stream = client.resume(asked.attempt_id, pieces[-1].sequence, got)
+        try:
+            pieces.extend(stream)
+            break
+        except UpstreamLostError as error:
+            assert (error.step, error.peer) == ("stream", engine.address)
+    assert [piece.sequence for piece in pieces] == list(range(1, len(pieces) + 1))
+    assert sum(piece.tokens for piece in pieces) == tokens
+    assert pieces[-1].data == b"data: [DONE]\n\n"
+    text = "".join(text_of(piece.data) for piece in pieces)
+    engine.switch.set(Faults())
+    assert text == whole_text(client, prompt, tokens, chat)
+
+
+@steady
+@given(
+    prompt=st.text(min_size=1, max_size=40),
+    tokens=st.integers(2, 20),
+    chat=st.booleans(),
+    data=st.data(),
+)
+def test_another_engine_continues_an_answer(
+    engine, other_engine, prompt, tokens, chat, data
+):
+    """An engine dies in mid-answer and the request goes on elsewhere."""
+    delivered = data.draw(st.integers(1, tokens - 1))
+    first, second = client_of(engine.address), client_of(other_engine.address)
+    text = whole_text(first, prompt, tokens, chat)
+    asked = completion(prompt, tokens, chat=chat, attempt_id=fresh_id())
+    pieces = list(second.start(asked._replace(delivered_tokens=delivered)))
+    rest = "".join(text_of(piece.data) for piece in pieces)
+    assert sum(piece.tokens for piece in pieces) == tokens - delivered
+    head = text.removesuffix(rest)
+    assert len(head.split()) == delivered
+    assert head + rest == text
+
+
+def test_a_lost_reader_leaves_the_memory_held_until_a_delete() -> None:
+    """A sidecar dies and takes its connection along.
+
+    The engine goes on generating for nobody and its memory stays taken; only a
+    cancel frees it. This is the leak that the sidecar's inventory must find.
+    """
+    slow = FAST_ENGINE._replace(decode_seconds_per_token=5.0)
+    with running_engine(slow) as server:
+        client = client_of(server.address)
+        stream = client.start(completion(max_tokens=100_000))
+        next(iter(stream))
+        stream.close()
+        held = client.inventory().held
+        assert [item.tokens > 100_000 for item in held] == [True]
+        server.switch.set(Faults(lose_cancel=True))
+        assert client.cancel("attempt")
+        assert client.inventory().held[0].tokens > 100_000
+        server.switch.set(Faults())
+        assert client.cancel("attempt")
+        assert client.inventory().held == ()
+        assert not client.cancel("attempt")
+
+
+def test_a_known_attempt_never_starts_again(engine) -> None:
+    """A copy of a start comes late, even after the attempt was deleted."""
+    client = client_of(engine.address)
+    asked = completion(attempt_id="once")
+    list(client.start(asked))
+    assert client.start(asked).status == 409
+    client.cancel("once")
+    assert client.start(asked).status == 409
+
+
+def test_a_cancelled_attempt_ends_its_stream_without_the_final_marker() -> None:
+    slow = FAST_ENGINE._replace(decode_seconds_per_token=5.0)
+    with running_engine(slow) as server:
+        client = client_of(server.address)
+        stream = iter(client.start(completion(max_tokens=100_000)))
+        next(stream)
+        client.cancel("attempt")
+        with pytest.raises(UpstreamLostError):
+            list(stream)
+        with pytest.raises(UpstreamLostError):
+            client.resume("attempt", 1)
+
+
+def test_a_prompt_larger_than_an_engine_runs_over_three(other_engine) -> None:
+    """A campaign ledger needs two and a half times one engine's memory."""
+    small = FAST_ENGINE._replace(memory_tokens=1_100)
+    prompt = "ledger " * 1_430
+    asked = completion(prompt, 20, stream=True)
+    tokens = -(-len(prompt) // 4)
+    cuts = (0, 1_000, 2_000)
+    with (
+        running_engine(small) as first,
+        running_engine(small) as second,
+        running_engine(small) as last,
+    ):
+        clients = [client_of(s.address) for s in (first, second, last)]
+        assert clients[2].start(asked).status == 400
+        parts = []
+        for client, start, end in zip(clients, cuts, cuts[1:], strict=False):
+            client.import_kv(tuple(parts))
+            handles = tuple(part.handle for part in parts)
+            list(client.start(asked, PromptPart(start, end, handles)))
+            parts.append(client.export_kv("attempt", start, end))
+            assert client.inventory().held[0].tokens == end - start
+        clients[2].import_kv(tuple(parts))
+        handles = tuple(part.handle for part in parts)
+        pieces = list(clients[2].start(asked, PromptPart(kv_handles=handles)))
+        usage = msgspec.json.decode(pieces[-2].data[6:])["usage"]
+        assert usage["prompt_tokens"] == tokens
+        text = "".join(text_of(piece.data) for piece in pieces)
+        assert text == whole_text(client_of(other_engine.address), prompt, 20, False)
+        for client in clients:
+            client.cancel("attempt")
+            assert client.inventory().held == ()
+        with pytest.raises(UpstreamRefusedError):
+            clients[0].export_kv("attempt", 0, 1_000)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_orders_run_once_each_and_old_ones_only_where_unchecked(checks) -> None:
+    """Two control instances give orders; the isolated one carries an old number."""
+    with running_engine(FAST_ENGINE._replace(checks_fencing=checks)) as server:
+        client = client_of(server.address)
+        newer = client.give_order(EngineOrder("b", "load_model", "small@2", 9))
+        older = client.give_order(EngineOrder("a", "load_model", "small@1", 4))
+        assert (newer.accepted, older.accepted) == (True, not checks)
+        assert older.newest_fencing == 9
+        state = HTTP.request("GET", f"http://{server.address}/v1/orders").json()
+        assert state["models"] == [["small", "2" if checks else "1"]]
+
+
+@steady
+@given(body=st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
+def test_malformed_requests_get_an_error_and_leave_nothing(engine, body) -> None:
+    before = client_of(engine.address).inventory()
+    for path in ("completions", "chat/completions", "orders", "kv/import"):
+        url = f"http://{engine.address}/v1/{path}"
+        answer = HTTP.request("POST", url, body=body)
+        assert answer.status == 400
+        assert answer.json()["error"]["code"] == "bad_request"
+    assert client_of(engine.address).inventory() == before
