--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -5,6 +5,9 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
+from cowslipshelf_platform.logs import part_logger
+from pykka import ThreadingActor
+
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
     BecameServable,
@@ -16,17 +19,6 @@
     VersionSeen,
 )
 from cowslipshelf_core.configuration_view import TickElapsed as ViewTickElapsed
-from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
-from cowslipshelf_core.messages import (
-    Announce,
-    AnnounceAnswer,
-    ConfigurationSnapshot,
-    MayHaveRun,
-    NeverRan,
-    StreamEnd,
-    Withdraw,
-)
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
     CancelArrived,
@@ -50,6 +42,20 @@
     UpstreamAccepted,
     UpstreamFinished,
 )
+from cowslipshelf_platform.logs import part_logger
+from pykka import ThreadingActor
+
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import AttemptId, ConfigurationVersion, Epoch
+from cowslipshelf_core.messages import (
+    Announce,
+    AnnounceAnswer,
+    ConfigurationSnapshot,
+    MayHaveRun,
+    NeverRan,
+    StreamEnd,
+    Withdraw,
+)
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_daemon.internal.sidecar.attempt_runner import (
@@ -63,9 +69,7 @@
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Mailbox, Received
-from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings
-from pykka import ThreadingActor
 
 LOG = part_logger("sidecar")
 
@@ -78,6 +82,15 @@
     on_left: Callable[[], None]
 
 
+class PeersAttached(NamedTuple):
+    """Hand over the peers, which need the actor's address to be made."""
+
+    mailbox: Mailbox
+    services: AttemptServices
+    keeper: UpstreamKeeper | None
+    """None for a plain service, which cannot be asked what it holds."""
+
+
 class SidecarParts(NamedTuple):
     """Be what the sidecar's actor works with."""
 
@@ -111,23 +124,19 @@
         self.next_announcement = 0.0
         self.next_decider_tick = 0.0
 
-    def attach(
-        self, mailbox: Mailbox, services: AttemptServices, keeper: UpstreamKeeper
-    ) -> None:
-        """Take over the peers, which need this actor's address to be made."""
-        self.mailbox = mailbox
-        self.services = services
-        self.keeper = keeper
-
     def on_receive(self, message: Any) -> None:
         """Turn one message into an event for a decider."""
         now = time.monotonic()
         match message:
             case Tick():
                 self.tick(now)
+            case PeersAttached(mailbox=mailbox, services=services, keeper=keeper):
+                self.mailbox = mailbox
+                self.services = services
+                self.keeper = keeper
             case HandOverAsked(hand_over=hand_over, reply=reply):
                 self.decide_hand_over(hand_over, reply, now)
-            case RevokeAsked(event=event, reply=reply):
+            case RevokeAsked():
                 self.decide_revoke(message, now)
             case Received():
                 self.receive(message, now)
@@ -218,7 +227,8 @@
         runner = self.runners.get(attempt_id)
         if runner is not None:
             runner.cancel()
-        self.keeper.cancel(attempt_id)
+        if self.keeper is not None:
+            self.keeper.cancel(attempt_id)
 
     def left_for_good(self) -> None:
         """Say farewell to the entries and let the program end."""
@@ -254,7 +264,9 @@
                     LOG.info("servable", version=self.view.in_force.version)
                     self.announce(now)
                 case ConfigurationConflict(version, address):
-                    LOG.error("two contents of one version", version=version, peer=address)
+                    LOG.error(
+                        "two contents of one version", version=version, peer=address
+                    )
 
     def tick(self, now: float) -> None:
         """Look at what is due."""
@@ -262,7 +274,8 @@
             self.next_decider_tick = now + DECIDER_TICK_SECONDS
             self.decide(TickElapsed(), now)
             self.look_at_configuration(ViewTickElapsed(), now)
-            self.keeper.look(now)
+            if self.keeper is not None:
+                self.keeper.look(now)
         if self.view.servable and now >= self.next_announcement:
             self.announce(now)
 
