--- a/tests/cover/standins/test_engine_state.py
+++ b/tests/cover/standins/test_engine_state.py
@@ -11,6 +11,7 @@
 from cowslipshelf_standins.internal.engine_documents import StartOptions
 from cowslipshelf_standins.internal.faults import FaultSwitch
 from cowslipshelf_standins.internal.http_serving import BadRequestError
+from cowslipshelf_standins.internal.kv_parts import merged_length
 from cowslipshelf_standins.internal.orders import OrderBody, OrderBook
 from cowslipshelf_standins.internal.prefix_cache import PrefixCache
 from cowslipshelf_standins.internal.prompts import Prompt
@@ -84,9 +85,13 @@
     @rule(data=st.data())
     def delete_between_tick_and_delivery(self, data: st.DataObject) -> None:
         _, progress = self.engine.batch.run_tick(1.0)
-        if self.engine.attempts:
-            self.engine.cancel(data.draw(st.sampled_from(sorted(self.engine.attempts))))
+        deleted = data.draw(st.sampled_from([None, *self.engine.attempts.values()]))
+        if deleted is not None:
+            self.engine.cancel(deleted.attempt_id)
+            state, generated = deleted.state, deleted.generated
         self.engine.deliver(progress)
+        if deleted is not None:
+            assert (deleted.state, deleted.generated) == (state, generated)
 
     @invariant()
     def memory_is_what_attempts_hold(self) -> None:
@@ -167,6 +172,13 @@
         newest = max(newest, number)
 
 
+@steady
+@given(ranges=st.lists(st.tuples(st.integers(0, 30), st.integers(0, 30))))
+def test_tokens_held_twice_elsewhere_count_once(ranges) -> None:
+    covered = set().union(*(range(start, end) for start, end in ranges))
+    assert merged_length(sorted(ranges)) == len(covered)
+
+
 @steady
 @given(
     prompts=st.lists(st.lists(st.integers(0, 3), max_size=6), max_size=12),
