Prove hand-overs, resumes and frames under cuts and silence

Seen: an answer cut inside its head is taken for a stream by the HTTP client, and then counts as lost; the property on may_have_arrived says so.

--- a/packages/fleet/src/cowslipshelf_fleet/errors.py
+++ b/packages/fleet/src/cowslipshelf_fleet/errors.py
@@ -21,6 +21,10 @@
     """Tell that bytes are not the frames of a stream."""
 
 
+class FrameOrderError(ValueError):
+    """Tell that a writer broke the order of a stream's frames."""
+
+
 class HandOverFailed(NamedTuple):
     """Tell that a hand-over got no answer, and whether it may have arrived."""
 
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempt_stream.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempt_stream.py
@@ -1,6 +1,8 @@
 """Read the frames of one attempt from an HTTP response."""
 
 from collections.abc import Iterator
+from contextlib import suppress
+from socket import SHUT_RDWR
 from time import monotonic
 
 from urllib3 import BaseHTTPResponse
@@ -22,44 +24,50 @@
     def __init__(self, response: BaseHTTPResponse, peer: str) -> None:
         self.response = response
         self.connection = response.connection
+        self.socket = self.connection.sock
+        self.pieces = response.stream()
         self.peer = peer
+        self.reading = False
         self.ended = False
 
     def __iter__(self) -> Iterator[Frame]:
+        self.reading = True
         decoder = FrameDecoder()
         try:
-            for piece in self.response.stream():
+            for piece in self.pieces:
                 for frame in decoder.decode(piece):
                     if isinstance(frame, StreamHeartbeat):
                         continue
-                    if isinstance(frame, StreamEnd):
-                        self.end()
+                    self.ended = isinstance(frame, StreamEnd)
                     yield frame
                 if self.ended:
+                    self.keep_connection()
                     return
         except (HTTPError, OSError, FrameError) as error:
-            raise self.lost(str(error)) from error
+            raise StreamLostError(STEP, self.peer, str(error)) from error
         finally:
-            self.close()
-        raise self.lost("ended before its last frame")
-
-    def end(self) -> None:
-        """Read the response's own end, so that its connection can be used again."""
-        self.ended = True
-
-    def lost(self, detail: str) -> StreamLostError:
-        """Return the error to raise."""
-        return StreamLostError(STEP, self.peer, detail)
-
-    def close(self) -> None:
-        """Give up the stream; an unfinished one closes its connection."""
-        if not self.ended:
             self.response.close()
-            return
+        raise StreamLostError(STEP, self.peer, "ended before its last frame")
+
+    def keep_connection(self) -> None:
+        """Read the end of the response, so that its connection is used again."""
         try:
-            self.response.drain_conn()
-        except (HTTPError, OSError):
-            self.response.close()
+            for _ in self.pieces:
+                raise FrameError("a frame after the last one")
+        except (HTTPError, OSError, FrameError):
             return
         self.connection.last_heard = monotonic()
         self.response.release_conn()
+
+    def close(self) -> None:
+        """Give the stream up; may be called while another thread reads it.
+
+        That thread may wait in the socket, where closing the file below it would
+        not wake it. Shutting the connection down does, and the thread cleans up.
+        """
+        if self.ended:
+            return
+        with suppress(OSError):
+            self.socket.shutdown(SHUT_RDWR)
+        if not self.reading:
+            self.response.close()
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
@@ -1,6 +1,8 @@
 """Answer one HTTP request about attempts."""
 
 from http import HTTPStatus
+from select import POLLRDHUP, poll
+from socket import socket
 
 import msgspec
 from cheroot.server import Gateway
@@ -10,6 +12,7 @@
 from cowslipshelf_fleet.internal.attempts_protocol import (
     CONTENT_TYPE,
     STATUS_DONE,
+    STATUS_GONE,
     STATUS_MALFORMED,
     STATUS_REFUSED,
     STATUS_STREAM,
@@ -74,7 +77,15 @@
                 self.answer(STATUS_UNKNOWN)
 
     def hand_over(self, body: bytes) -> None:
-        """Hand the attempt to the handler, once."""
+        """Hand the attempt to the handler, once, unless nobody waits for it.
+
+        A request may wait here for a free thread until its entry gave it up and
+        closed the connection. Run then, it would be work for nobody.
+        """
+        if has_hung_up(self.req.conn.socket):
+            self.req.close_connection = True
+            self.answer(STATUS_GONE)
+            return
         outcome = self.req.server.handler.hand_over(hand_over_decoder.decode(body))
         if isinstance(outcome, AttemptRefused):
             self.answer(STATUS_REFUSED, encoder.encode(outcome))
@@ -112,3 +123,10 @@
         phrase = HTTPStatus(status).phrase
         self.req.status = f"{status} {phrase}".encode()
         self.req.outheaders.append((b"Content-Type", CONTENT_TYPE.encode()))
+
+
+def has_hung_up(peer: socket) -> bool:
+    """Tell whether the other side has closed its end."""
+    poller = poll()
+    poller.register(peer, POLLRDHUP)
+    return bool(poller.poll(0))
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
@@ -22,6 +22,7 @@
 STATUS_WRONG_TAG = 403
 STATUS_UNKNOWN = 404
 STATUS_REFUSED = 409
+STATUS_GONE = 410
 
 encoder = msgspec.msgpack.Encoder()
 hand_over_decoder = msgspec.msgpack.Decoder(HandOver)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
@@ -1,10 +1,11 @@
 """Serve a sidecar's attempts to entries over HTTP."""
 
 import logging
+from socket import IPPROTO_TCP, TCP_USER_TIMEOUT, socket
 from threading import Event, Thread
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
-from cheroot.server import HTTPServer
+from cheroot.server import HTTPConnection, HTTPServer
 
 from cowslipshelf_core.identifiers import AttemptId, Epoch
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
@@ -60,9 +61,23 @@
         """Cancel an attempt, if there is one."""
 
 
+class EntryConnection(HTTPConnection):
+    """Let the kernel end a connection whose peer acknowledges nothing.
+
+    An entry that vanished without closing leaves a stream whose heartbeats go into
+    the kernel's buffer: by default it would hold its thread for a quarter of an hour.
+    """
+
+    def __init__(self, server: HTTPServer, sock: socket, *more: Any) -> None:
+        milliseconds = int(server.timeout * 1000)
+        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, milliseconds)
+        super().__init__(server, sock, *more)
+
+
 class AttemptsServer(HTTPServer):
     """Take hand-overs and stream the frames of attempts."""
 
+    ConnectionClass = EntryConnection
     keep_alive_conn_limit = None
     expiration_interval = SELECT_SECONDS
     max_request_header_size = MOST_HEADER_BYTES
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -4,16 +4,13 @@
 from time import monotonic
 
 from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_fleet.errors import FrameOrderError
 
 MOST_BUFFERED_BYTES = 16 * 1024 * 1024
 FRAME_OVERHEAD_BYTES = 128
 """Memory of a frame besides its data, so that many empty frames are bounded too."""
 
 
-class FrameOrderError(ValueError):
-    """Tell that a writer broke the order of frames."""
-
-
 class FrameBuffer:
     """Hold all frames of an attempt until it is forgotten; safe between threads.
 
--- a/packages/fleet/src/cowslipshelf_fleet/internal/fresh_connections.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/fresh_connections.py
@@ -6,6 +6,8 @@
 from urllib3.connection import HTTPConnection
 
 MOST_IDLE_SECONDS = 2.0
+SEND_SECONDS = 30.0
+"""Longest time for sending one request's body."""
 
 
 class FreshConnection(HTTPConnection):
@@ -24,6 +26,11 @@
     last_heard = 0.0
     """When the peer's last bytes were read, in monotonic seconds."""
 
+    def connect(self) -> None:
+        """Connect; then give a large body more time than connecting may take."""
+        super().connect()
+        self.sock.settimeout(SEND_SECONDS)
+
     @property
     def is_connected(self) -> bool:
         """Tell whether the connection may carry another request."""
--- a/packages/fleet/src/cowslipshelf_fleet/internal/link.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/link.py
@@ -65,6 +65,7 @@
     failures: int = 0
     """Connections in a row that were closed without a single pong."""
     sent_bytes: int = 0
+    """Bytes of messages, pings and pongs left out, on the present connection."""
     answered_bytes: int = 0
     pinged_bytes: int = 0
 
@@ -92,6 +93,10 @@
         unpinged = self.sent_bytes - self.pinged_bytes
         return unpinged * PINGS_PER_WINDOW >= self.most_unanswered_bytes
 
+    def has_unanswered(self) -> bool:
+        """Tell whether bytes were sent here that no pong has vouched for."""
+        return self.dialled and self.sent_bytes > self.answered_bytes
+
     def dial(self, now: float) -> None:
         """Begin a new connection."""
         self.connection += 1
--- a/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from random import Random, SystemRandom
 from threading import Event, Lock, Thread
-from time import monotonic
+from time import monotonic, sleep
 from typing import Any, NamedTuple
 
 import pynng
@@ -30,6 +30,7 @@
 
 TICKS_PER_HEARTBEAT = 4
 RECEIVED_QUEUE_MESSAGES = 256
+FLUSH_PAUSE_SECONDS = 0.005
 RECEIVE_LIMIT_FACTOR = 2
 """The library closes connections that send more; less is counted as oversized."""
 
@@ -52,6 +53,8 @@
     most_message_bytes: int = 4 * 1024 * 1024
     most_unanswered_bytes: int = 8 * 1024 * 1024
     """Bytes that may wait for one peer, in memory or on their way."""
+    flush_seconds: float = 0.5
+    """Longest wait, on stopping, for what was sent to arrive."""
 
 
 class Received(NamedTuple):
@@ -134,7 +137,12 @@
         self.peer_at(address).send(data)
 
     def stop(self) -> None:
-        """Stop receiving and close every connection."""
+        """Let what was sent arrive, within a short time, and close everything.
+
+        Closing a connection drops what still waits on it, and the last messages
+        matter: a sidecar that has left says so in its last one.
+        """
+        self.flush()
         self.stopping.set()
         if self.listener is not None:
             self.listener.close()
@@ -146,6 +154,16 @@
         for peer in peers:
             peer.close()
 
+    def flush(self) -> None:
+        """Wait until the peers have answered for all bytes sent, or for too long."""
+        with self.lock:
+            peers = list(self.peers.values())
+        for peer in peers:
+            peer.ask_for_answer()
+        end = monotonic() + self.config.flush_seconds
+        while any(map(Peer.has_unanswered, peers)) and monotonic() < end:
+            sleep(FLUSH_PAUSE_SECONDS)
+
     def encode(self, message: Message) -> bytes:
         """Put the message into an envelope, with the version in force right now."""
         envelope = Envelope(
--- a/packages/fleet/src/cowslipshelf_fleet/internal/peer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/peer.py
@@ -18,7 +18,8 @@
     SendPing,
 )
 
-QUEUED_MESSAGES = 256
+QUEUED_MESSAGES = 4096
+"""Far more than a burst; what may wait is bounded in bytes first."""
 LEAST_REDIAL_MILLISECONDS = 50
 MOST_REDIAL_MILLISECONDS = 1000
 
@@ -56,6 +57,7 @@
             if not self.link.admits(len(data)) or not self.push(data):
                 self.counters.add(CountedEvent.NO_ROOM)
                 return
+            self.link.sent(len(data))
             ping = self.link.next_ping(now) if self.link.wants_early_ping() else None
         self.counters.add_message(CountedEvent.SENT, CountedEvent.SENT_BYTES, len(data))
         if ping is not None:
@@ -101,6 +103,19 @@
                     self.counters.add(CountedEvent.IDLE)
                     self.forgotten = True
 
+    def ask_for_answer(self) -> None:
+        """Ping, where bytes were sent that no pong has vouched for."""
+        with self.lock:
+            if not self.link.has_unanswered():
+                return
+            ping = self.link.next_ping(monotonic())
+        self.send_own(ping)
+
+    def has_unanswered(self) -> bool:
+        """Tell whether bytes were sent that no pong has vouched for."""
+        with self.lock:
+            return self.link.has_unanswered()
+
     def close(self) -> None:
         """Close the socket; outside the lock, as closing waits for the library."""
         with self.lock:
@@ -129,5 +144,4 @@
             self.socket.send(data, block=False)
         except (pynng.TryAgain, pynng.Closed):
             return False
-        self.link.sent(len(data))
         return True
--- /dev/null
+++ b/tests/common/fleet_attempts.py
@@ -0,0 +1,128 @@
+"""Serve scripted attempts over a real server."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from threading import Thread
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId, Epoch
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    Frame,
+    MayHaveRun,
+    NeverRan,
+    StreamChunk,
+    StreamEnd,
+    StreamHead,
+)
+from cowslipshelf_core.upstream import HandOver, LoadReport
+from cowslipshelf_fleet import (
+    AttemptsClient,
+    AttemptsClientConfig,
+    AttemptsServer,
+    AttemptsServerConfig,
+    FrameBuffer,
+)
+
+CLUSTER_KEY = b"cluster key"
+EPOCH = Epoch("epoch of the sidecar")
+LOWEST_PRIORITY = 9
+HEARTBEAT_SECONDS = 0.05
+SILENCE_SECONDS = 2.0
+"""For clients that wait for a silence which the test brings about."""
+PATIENT_SECONDS = 20.0
+
+
+def hand_over_of(attempt: str, body: bytes = b"body", priority: int = 0) -> HandOver:
+    """Return a hand-over of which only some fields matter here."""
+    return HandOver(
+        request_id="request",
+        attempt_id=attempt,
+        owner="entry",
+        upstream_id="upstream",
+        sidecar_epoch=EPOCH,
+        configuration_version=1,
+        customer="customer",
+        service="service",
+        model="model",
+        non_idempotent=False,
+        deadline_seconds=60.0,
+        prompt_tokens=1,
+        most_output_tokens=1,
+        priority=priority,
+        prefix_hash=0,
+        method="POST",
+        path="/",
+        headers=(),
+        body=body,
+    )
+
+
+def frames_of(pieces: list[bytes]) -> list[Frame]:
+    """Return a whole stream with one chunk for each piece."""
+    chunks = [StreamChunk(n, piece) for n, piece in enumerate(pieces, start=1)]
+    return [StreamHead(200, ()), *chunks, StreamEnd(len(pieces))]
+
+
+class ScriptedHandler:
+    """Answer every attempt with the same frames, written while they are read."""
+
+    def __init__(self) -> None:
+        self.script: list[Frame] = []
+        self.handed_over: list[HandOver] = []
+        self.cancelled: list[AttemptId] = []
+        self.buffers: dict[AttemptId, FrameBuffer] = {}
+
+    def hand_over(self, hand_over: HandOver) -> AttemptRefused | FrameBuffer:
+        """Take the attempt, unless it has the lowest priority."""
+        self.handed_over.append(hand_over)
+        if hand_over.priority == LOWEST_PRIORITY:
+            refusal = Refusal(RefusalCode.NOT_RUN, RefusalReason.BUSY, "hand over")
+            return AttemptRefused(refusal, LoadReport(running=3))
+        buffer = self.buffers[hand_over.attempt_id] = FrameBuffer()
+        Thread(target=self.write, args=(buffer, self.script), daemon=True).start()
+        return buffer
+
+    def write(self, buffer: FrameBuffer, script: list[Frame]) -> None:
+        """Write the script, as a runner would from its own thread."""
+        for frame in script:
+            buffer.append(frame)
+
+    def frames(self, attempt_id: AttemptId) -> FrameBuffer | None:
+        """Return the frames of a known attempt."""
+        return self.buffers.get(attempt_id)
+
+    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+        """Promise nothing for known attempts and other starts."""
+        if attempt_id in self.buffers or epoch != EPOCH:
+            return MayHaveRun(attempt_id, known=epoch == EPOCH)
+        return NeverRan(attempt_id)
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Note the attempt."""
+        self.cancelled.append(attempt_id)
+
+
+@contextmanager
+def serving(
+    handler: ScriptedHandler, stalled_seconds: float = PATIENT_SECONDS
+) -> Iterator[AttemptsServer]:
+    """Run a server of the handler's attempts."""
+    config = AttemptsServerConfig(
+        "127.0.0.1:0", CLUSTER_KEY, HEARTBEAT_SECONDS, stalled_seconds
+    )
+    server = AttemptsServer.from_config(config, handler)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def client(
+    silence_seconds: float = PATIENT_SECONDS, cluster_key: bytes = CLUSTER_KEY
+) -> AttemptsClient:
+    """Return a client of any server."""
+    return AttemptsClient.from_config(
+        AttemptsClientConfig(PATIENT_SECONDS, silence_seconds, cluster_key)
+    )
--- /dev/null
+++ b/tests/cover/fleet/test_attempts.py
@@ -0,0 +1,333 @@
+"""Attempts over HTTP, with failures between client and server."""
+
+import socket
+from threading import Thread
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from common.fleet_attempts import (
+    EPOCH,
+    LOWEST_PRIORITY,
+    SILENCE_SECONDS,
+    ScriptedHandler,
+    client,
+    frames_of,
+    hand_over_of,
+    serving,
+)
+from common.forwarder import CutLimits, Forwarder
+from common.polling import wait_for
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    Frame,
+    MayHaveRun,
+    NeverRan,
+    StreamChunk,
+    StreamEnd,
+    StreamHead,
+    StreamHeartbeat,
+)
+from cowslipshelf_fleet import (
+    AttemptsClient,
+    AttemptStream,
+    FrameBuffer,
+    FrameDecoder,
+    HandOverFailed,
+    StreamLostError,
+)
+from cowslipshelf_fleet.internal import fresh_connections
+from cowslipshelf_fleet.internal.attempts_protocol import (
+    CancelRequest,
+    FramesRequest,
+    HandOverRequest,
+    RevokeRequest,
+    encoder,
+    parse_request,
+    target_of,
+)
+
+FEW = settings(derandomize=True, deadline=None, max_examples=25)
+
+
+def read_until_lost(stream: AttemptStream, frames: list[Frame]) -> bool:
+    """Collect frames; tell whether the stream was lost."""
+    try:
+        frames.extend(stream)
+    except StreamLostError:
+        return True
+    return False
+
+
+def chunks(frames: list[Frame]) -> list[StreamChunk]:
+    return [frame for frame in frames if isinstance(frame, StreamChunk)]
+
+
+@pytest.fixture(scope="module")
+def handler():
+    return ScriptedHandler()
+
+
+@pytest.fixture(scope="module")
+def server(handler):
+    with serving(handler) as running:
+        yield running
+
+
+@FEW
+@given(
+    st.text(min_size=1, max_size=8),
+    st.integers(0, 2**63),
+)
+def test_every_request_is_understood_as_it_was_meant(attempt, after):
+    for method, request in (
+        ("POST", HandOverRequest()),
+        ("GET", FramesRequest(attempt, after)),
+        ("POST", RevokeRequest(attempt)),
+        ("DELETE", CancelRequest(attempt)),
+    ):
+        assert parse_request(method, target_of(request)) == request
+
+
+def test_every_answer_of_the_sidecar_reaches_the_entry(server, handler):
+    handler.script = frames_of([b"a", b"b"])
+    entry = client()
+    assert list(entry.hand_over(server.address, hand_over_of("1"))) == handler.script
+    refused = entry.hand_over(server.address, hand_over_of("2", b"", LOWEST_PRIORITY))
+    assert isinstance(refused, AttemptRefused)
+    assert refused.load.running == 3
+    assert entry.revoke(server.address, "1", EPOCH) == MayHaveRun("1", known=True)
+    assert entry.revoke(server.address, "3", EPOCH) == NeverRan("3")
+    assert entry.cancel(server.address, "1")
+    assert handler.cancelled == ["1"]
+    assert list(entry.resume(server.address, "1", 2)) == [StreamEnd(2)]
+    assert entry.resume(server.address, "unknown", 0) is None
+
+
+def test_whoever_lacks_the_cluster_key_reaches_nothing(server, handler):
+    stranger = client(cluster_key=b"other key" * 100)
+    before = len(handler.handed_over), len(handler.cancelled)
+    failed = stranger.hand_over(server.address, hand_over_of("stranger"))
+    assert isinstance(failed, HandOverFailed)
+    assert stranger.resume(server.address, "1", 0) is None
+    assert stranger.revoke(server.address, "1", EPOCH) is None
+    assert not stranger.cancel(server.address, "1")
+    assert before == (len(handler.handed_over), len(handler.cancelled))
+
+
+@FEW
+@given(
+    st.lists(st.binary(min_size=1, max_size=300), max_size=12),
+    st.lists(st.integers(200, 1500), max_size=6),
+)
+def test_a_stream_cut_anywhere_is_resumed_exactly(server, handler, pieces, cuts):
+    """The caller must get every byte of its answer once, in order.
+
+    The connection is cut in mid-answer, again and again, each time after another
+    number of bytes; the entry resumes after the last chunk that it has whole.
+    """
+    handler.script = frames_of(pieces)
+    entry, frames = client(), []
+    with Forwarder(server.address) as forwarder:
+        handler.buffers.clear()
+        stream = entry.hand_over(server.address, hand_over_of("cut"))
+        for cut in cuts:
+            stream.close()
+            forwarder.limits = CutLimits(after_target_bytes=cut)
+            stream = entry.resume(forwarder.address, "cut", len(chunks(frames)))
+            if stream is not None and not read_until_lost(stream, frames):
+                break
+        last = entry.resume(server.address, "cut", len(chunks(frames)))
+        assert not read_until_lost(last, frames)
+    assert chunks(frames) == chunks(handler.script)
+
+
+def test_a_stream_gone_silent_is_lost_in_time_and_resumed(server, handler):
+    """The caller's answer stops for good in the middle, and no error shows.
+
+    The connection goes silent after the first chunk; heartbeats stop with it. The
+    entry notices by their absence, and reads on over a new connection.
+    """
+    entry, frames, buffer = client(SILENCE_SECONDS), [], FrameBuffer()
+    handler.script = []
+    with Forwarder(server.address) as forwarder:
+        stream = entry.hand_over(forwarder.address, hand_over_of("silent"))
+        buffer = handler.buffers["silent"]
+        buffer.append(StreamHead(200, ()))
+        buffer.append(StreamChunk(1, b"first"))
+        with pytest.raises(StreamLostError) as lost:
+            for frame in stream:
+                frames.append(frame)
+                if isinstance(frame, StreamChunk):
+                    forwarder.silence_existing()
+                    buffer.append(StreamChunk(2, b"second"))
+                    buffer.append(StreamEnd(2))
+        assert (lost.value.step, lost.value.peer) == ("frames", forwarder.address)
+        resumed = entry.resume(forwarder.address, "silent", len(chunks(frames)))
+        assert not read_until_lost(resumed, frames)
+    assert b"".join(chunk.data for chunk in chunks(frames)) == b"firstsecond"
+
+
+def test_heartbeats_fill_an_idle_stream_and_reach_no_reader(server, handler):
+    """A long prompt's answer begins late; its connection must not count as lost.
+
+    Nothing is written for several heartbeats; whoever reads the response's bytes
+    sees them arrive, and whoever reads the stream sees only the answer.
+    """
+    handler.script = []
+    stream = client().hand_over(server.address, hand_over_of("idle"))
+    decoder, beats = FrameDecoder(), []
+    while len(beats) < 3:
+        beats += decoder.decode(next(stream.pieces))
+    assert set(map(type, beats)) == {StreamHeartbeat}
+    answer = frames_of([b"late"])
+    handler.write(handler.buffers["idle"], answer)
+    assert list(stream) == answer
+
+
+@settings(derandomize=True, deadline=None, max_examples=30)
+@given(st.integers(0, 900), st.integers(0, 30))
+def test_a_failed_hand_over_tells_whether_it_may_have_arrived(
+    server, handler, caller_bytes, target_bytes
+):
+    """A second run of a payment line follows from a wrong "it did not arrive".
+
+    The connection is cut after any number of the request's or the answer's bytes.
+    Whatever the sidecar saw, the entry must have been told that it may have.
+    """
+    handler.script = frames_of([b"a"])
+    handler.handed_over.clear()
+    with Forwarder(server.address) as forwarder:
+        forwarder.limits = CutLimits(caller_bytes, target_bytes)
+        outcome = client().hand_over(forwarder.address, hand_over_of("once"))
+        match outcome:
+            case HandOverFailed():
+                assert outcome.may_have_arrived
+            case AttemptStream():
+                assert handler.handed_over
+                assert read_until_lost(outcome, [])
+            case _:
+                pytest.fail(f"an answer that the sidecar never gave: {outcome}")
+    assert len(handler.handed_over) <= 1
+
+
+def test_a_hand_over_without_a_connection_did_not_arrive():
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = "{}:{}".format(*taken.getsockname())
+    outcome = client().hand_over(address, hand_over_of("nowhere"))
+    assert isinstance(outcome, HandOverFailed)
+    assert not outcome.may_have_arrived
+
+
+def kept_connection(entry: AttemptsClient, address: str) -> None:
+    """Leave one connection in the pool."""
+    assert entry.cancel(address, "any")
+
+
+def test_a_kept_connection_that_the_peer_closed_is_not_used(server, handler):
+    """A request that may run only once must not be risked on a dead connection."""
+    handler.script = frames_of([b"a"])
+    entry = client()
+    with Forwarder(server.address) as forwarder:
+        kept_connection(entry, forwarder.address)
+        forwarder.cut_existing()
+        outcome = entry.hand_over(forwarder.address, hand_over_of("fresh"))
+        assert list(outcome) == handler.script
+        assert len(forwarder.connections) == 2
+
+
+def test_a_kept_connection_is_not_used_after_a_pause(server, handler, monkeypatch):
+    """A pooled connection goes silent while nobody uses it, and no error shows.
+
+    The next hand-over sent on it would go nowhere, and its outcome be unknown.
+    """
+    monkeypatch.setattr(fresh_connections, "MOST_IDLE_SECONDS", 0.0)
+    handler.script = frames_of([b"a"])
+    entry = client(SILENCE_SECONDS)
+    with Forwarder(server.address) as forwarder:
+        kept_connection(entry, forwarder.address)
+        forwarder.silence_existing()
+        outcome = entry.hand_over(forwarder.address, hand_over_of("after pause"))
+        assert list(outcome) == handler.script
+
+
+def test_connections_are_kept_after_whole_streams(server, handler):
+    handler.script = frames_of([b"a"])
+    entry = client()
+    with Forwarder(server.address) as forwarder:
+        for number in range(5):
+            list(entry.hand_over(forwarder.address, hand_over_of(f"kept {number}")))
+        assert len(forwarder.connections) == 1
+
+
+def test_a_client_that_stops_reading_costs_no_thread():
+    """A frozen entry would hold a thread for each of its streams.
+
+    It asks for a long answer and reads nothing; the server's sends wait. They give
+    up in time, and the frames can still be had over a new connection.
+    """
+    handler = ScriptedHandler()
+    handler.script = frames_of([bytes(500_000)] * 20)
+    with serving(handler, stalled_seconds=0.2) as server:
+        entry = client()
+        stream = entry.hand_over(server.address, hand_over_of("stalled"))
+        wait_for(lambda: not busy_threads(server))
+        frames = []
+        assert read_until_lost(stream, frames)
+        resumed = entry.resume(server.address, "stalled", len(chunks(frames)))
+        assert not read_until_lost(resumed, frames)
+        assert chunks(frames) == chunks(handler.script)
+
+
+def busy_threads(server) -> int:
+    return sum(worker.conn is not None for worker in server.requests._threads)
+
+
+def test_a_hand_over_that_nobody_waits_for_is_not_run():
+    """An entry gave up while its request waited; its retry runs elsewhere.
+
+    The request sits in the server's queue, whole, when its connection is closed.
+    Started then, it would take an engine's time for an answer that nobody reads.
+    """
+    handler = ScriptedHandler()
+    handler.script = frames_of([b"a"])
+    with serving(handler) as server:
+        body = encoder.encode(hand_over_of("late"))
+        tag = server.tagger.tag(b"POST", b"/v1/attempts", body).hex()
+        head = (
+            f"POST /v1/attempts HTTP/1.1\r\nHost: sidecar\r\nConnection: close\r\n"
+            f"X-Cowslipshelf-Tag: {tag}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        with socket.create_connection(server.bind_addr) as gone:
+            gone.sendall(head.encode() + body)
+            gone.shutdown(socket.SHUT_WR)
+            assert b"410 Gone" in gone.recv(65536)
+    assert not handler.handed_over
+
+
+def test_many_streams_run_at_once():
+    """Every stream holds a thread; the threads must grow with the streams."""
+    handler = ScriptedHandler()
+    with serving(handler) as server:
+        entry = client()
+        names = [f"{number}" for number in range(100)]
+        streams = [entry.hand_over(server.address, hand_over_of(n)) for n in names]
+        for name in names:
+            handler.write(handler.buffers[name], frames_of([name.encode()]))
+        for name, stream in zip(names, streams, strict=True):
+            assert list(stream) == frames_of([name.encode()])
+
+
+def test_a_stream_is_closed_from_another_thread():
+    """A cancelled request must not wait for its sidecar's next frame."""
+    handler = ScriptedHandler()
+    with serving(handler) as server:
+        stream = client().hand_over(server.address, hand_over_of("closed"))
+        lost = []
+        reader = Thread(target=lambda: lost.append(read_until_lost(stream, [])))
+        reader.start()
+        wait_for(lambda: stream.reading)
+        stream.close()
+        reader.join(timeout=30.0)
+        assert lost == [True]
--- /dev/null
+++ b/tests/cover/fleet/test_frames.py
@@ -0,0 +1,123 @@
+"""Properties of frames: their encoding, and the buffers that keep them."""
+
+from threading import Thread
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from common.fleet_attempts import frames_of
+from common.type_strategies import values_of
+from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_fleet import (
+    FrameBuffer,
+    FrameDecoder,
+    FrameError,
+    FrameOrderError,
+    encode_frame,
+)
+
+MANY = settings(derandomize=True, deadline=None, max_examples=200)
+PIECES = st.lists(st.binary(max_size=20), max_size=12)
+
+
+def split(data: bytes, cuts: list[int]) -> list[bytes]:
+    bounds = [0, *sorted(cut % (len(data) + 1) for cut in cuts), len(data)]
+    return [data[start:end] for start, end in zip(bounds, bounds[1:], strict=False)]
+
+
+@MANY
+@given(st.lists(values_of(Frame), max_size=8), st.lists(st.integers(0, 10**6)))
+def test_frames_arrive_whole_however_their_bytes_are_cut(frames, cuts):
+    decoder = FrameDecoder()
+    data = b"".join(map(encode_frame, frames))
+    arrived = [f for piece in split(data, cuts) for f in decoder.decode(piece)]
+    assert arrived == frames
+
+
+@MANY
+@given(st.lists(st.binary(max_size=60), max_size=6))
+def test_arbitrary_bytes_give_frames_or_a_frame_error(pieces):
+    decoder = FrameDecoder()
+    try:
+        for piece in pieces:
+            decoder.decode(piece)
+    except FrameError:
+        return
+    assert len(decoder.rest) <= sum(map(len, pieces))
+
+
+@MANY
+@given(PIECES, st.integers(0, 15))
+def test_a_reader_gets_exactly_what_follows_a_chunk(pieces, after):
+    frames = frames_of(pieces)
+    buffer = FrameBuffer()
+    for frame in frames:
+        assert buffer.append(frame)
+    after = min(after, len(pieces))
+    expected = frames[after + 1 :] if after else frames
+    assert buffer.read_after(after, timeout=0.0) == expected
+
+
+@MANY
+@given(st.lists(values_of(Frame), max_size=8))
+def test_a_buffer_holds_only_streams_in_order(frames):
+    """Whatever a faulty writer does, no reader sees chunks missing or doubled."""
+    buffer = FrameBuffer()
+    for frame in frames:
+        try:
+            buffer.append(frame)
+        except FrameOrderError:
+            continue
+    kept = buffer.read_after(0, timeout=0.0)
+    chunks = [frame for frame in kept if isinstance(frame, StreamChunk)]
+    assert [chunk.sequence for chunk in chunks] == list(range(1, len(chunks) + 1))
+    assert all(not isinstance(frame, StreamHead) for frame in kept[1:])
+    assert all(frame.last_sequence == len(chunks) for frame in kept if is_end(frame))
+    assert all(not is_end(frame) for frame in kept[:-1])
+
+
+def is_end(frame: Frame) -> bool:
+    return isinstance(frame, StreamEnd)
+
+
+@MANY
+@given(st.lists(st.integers(0, 400), min_size=1, max_size=50))
+def test_a_buffer_is_bounded_and_always_takes_the_end(sizes):
+    buffer = FrameBuffer(most_bytes=2000)
+    last = 0
+    for size in sizes:
+        if buffer.append(StreamChunk(last + 1, bytes(size))):
+            last += 1
+    assert buffer.bytes <= 2000
+    assert buffer.append(StreamEnd(last))
+
+
+@pytest.mark.parametrize("frames", [[StreamHead(200, ())], []])
+def test_a_waiting_reader_wakes_for_the_next_frame_and_for_closing(frames):
+    buffer, read = FrameBuffer(), []
+    reader = Thread(target=lambda: read.append(buffer.read_after(0, timeout=600.0)))
+    reader.start()
+    for frame in frames:
+        buffer.append(frame)
+    if not frames:
+        buffer.close()
+    reader.join(timeout=30.0)
+    assert read == [frames]
+
+
+def test_a_replaced_reader_gets_nothing_more():
+    """Two responses must not share an attempt: each resume would hold a thread."""
+    buffer = FrameBuffer()
+    first = buffer.take_over()
+    second = buffer.take_over()
+    buffer.append(StreamHead(200, ()))
+    assert buffer.ended_for(0, first)
+    assert buffer.read_from(0, 0.0, first) == []
+    assert buffer.read_from(0, 0.0, second) == [StreamHead(200, ())]
+
+
+@pytest.mark.parametrize("bad", [b"\xff\xff\xff\xff", b"\x00\x00\x00\x01\xc1"])
+def test_bytes_that_are_no_frame_are_an_error(bad):
+    with pytest.raises(FrameError):
+        FrameDecoder().decode(bad)
--- a/tests/cover/fleet/test_mailbox.py
+++ b/tests/cover/fleet/test_mailbox.py
@@ -5,7 +5,7 @@
 from common.forwarder import Forwarder
 from common.polling import wait_for
 from cowslipshelf_core.messages import Withdraw
-from cowslipshelf_fleet.mailbox import Mailbox, MailboxConfig
+from cowslipshelf_fleet import Mailbox, MailboxConfig
 
 HEARTBEAT_SECONDS = 0.05
 SILENCE_SECONDS = 0.4
@@ -104,6 +104,21 @@
         sender.stop()
 
 
+def test_what_was_sent_before_stopping_arrives():
+    """A sidecar that leaves says so last; its entries must not wait for its lease.
+
+    Closing a connection drops what still waits on it.
+    """
+    received = []
+    receiver = started("b", received)
+    sender = started("a", [], flush_seconds=60.0)
+    for number in range(100):
+        sender.send(receiver.address, Withdraw(f"{number}", "e"))
+    sender.stop()
+    wait_for(lambda: len(received) == 100)
+    receiver.stop()
+
+
 def test_an_idle_peer_is_forgotten_on_both_sides():
     received = []
     sender = started("a", [], idle_seconds=0.1)
