--- /dev/null
+++ b/tests/cover/agreement/test_leadership.py
@@ -0,0 +1,135 @@
+"""Check who leads, and what a leader without followers may still do."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from common.agreement_cluster import Cluster
+from cowslipshelf_core.agreement import ProposalRefusal, Role
+
+
+def settled_cluster(size: int = 3, seed: int = 0, **settings) -> Cluster:
+    cluster = Cluster.of_size(size, seed, **settings)
+    cluster.run_until(cluster.is_settled)
+    return cluster
+
+
+@pytest.mark.parametrize("size", [3, 5])
+def test_an_isolated_leader_neither_commits_nor_confirms_and_says_so(size):
+    """Operators see two leaders, and one of them accepts changes that vanish.
+
+    A partition cuts the leader off; it goes on taking proposals and reads. The
+    others elect a new leader and commit. The old one must have answered nothing,
+    must refuse with `no_quorum` once its lease is over, and must drop its entries
+    when the partition heals.
+    """
+    cluster = settled_cluster(size)
+    old = cluster.leader().instance
+    cluster.isolate(old)
+    lost = cluster.propose(old)
+    read = cluster.read(old)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    cluster.run(20)
+    assert cluster.nodes[old].replica.status().role is not Role.LEADER
+    assert cluster.refused[lost] is ProposalRefusal.OUTCOME_UNKNOWN
+    assert read in cluster.failed_reads
+    assert cluster.refused[cluster.propose(old)] is ProposalRefusal.NO_QUORUM
+    kept = cluster.propose(cluster.leader().instance)
+    cluster.run_until(lambda: kept in cluster.acknowledged)
+    cluster.settle()
+    assert lost not in cluster.nodes[old].commands
+    assert kept in cluster.nodes[old].commands
+
+
+def test_a_leader_that_was_frozen_refuses_the_first_proposal_after_it_wakes():
+    """A change is accepted by a process that was stopped for a minute.
+
+    The process of the leader is frozen, the others elect a new one, and it wakes
+    with a proposal and a read in its queue, before any tick or message.
+    """
+    cluster = settled_cluster()
+    old = cluster.leader().instance
+    cluster.jump(old, 60.0)
+    assert cluster.refused[cluster.propose(old)] is ProposalRefusal.NO_QUORUM
+    assert cluster.read(old) in cluster.failed_reads
+
+
+@given(seed=st.integers(0, 10_000), rounds=st.integers(1, 200))
+@settings(max_examples=15, deadline=None, derandomize=True)
+def test_a_replica_that_comes_back_deposes_nobody(seed, rounds):
+    """Every end of a partition costs a second without a leader.
+
+    A follower that is cut off stands for election again and again; with a grown
+    term it would depose the leader that the others follow.
+    """
+    cluster = settled_cluster(seed=seed)
+    leader = cluster.leader().instance
+    term = cluster.leader().replica.status().term
+    cut_off = next(i for i in cluster.nodes if i != leader)
+    cluster.isolate(cut_off)
+    cluster.run(rounds)
+    cluster.heal()
+    cluster.run(40)
+    status = cluster.nodes[cut_off].replica.status()
+    assert (status.leader, status.term) == (leader, term)
+
+
+@given(seed=st.integers(0, 10_000), waiting=st.integers(0, 5))
+@settings(max_examples=15, deadline=None, derandomize=True)
+def test_a_leader_that_shuts_down_hands_over_at_once(seed, waiting):
+    """Each planned restart of the leader stops changes for an election timeout.
+
+    The leader hands over before it exits: proposals accepted so far are committed,
+    and the successor leads without any silence before it.
+    """
+    cluster = settled_cluster(seed=seed)
+    old = cluster.leader().instance
+    accepted = [cluster.propose(old) for _ in range(waiting)]
+    cluster.transfer(old)
+    assert cluster.refused[cluster.propose(old)] is ProposalRefusal.TRANSFERRING
+    for _ in range(10):
+        cluster.deliver_all()
+    cluster.run(3)
+    successor = cluster.leader()
+    assert successor.instance != old
+    cluster.run(10)
+    assert successor.commands == accepted
+
+
+def test_a_replica_with_a_failed_disk_gives_no_vote_and_says_why():
+    """A replica promises what its disk can't keep, and forgets it at its restart.
+
+    The disk of a follower fails; then the leader is lost. The third replica must
+    not become leader by the vote of the failed one.
+    """
+    cluster = settled_cluster()
+    leader = cluster.leader().instance
+    failed, other = (i for i in sorted(cluster.nodes) if i != leader)
+    cluster.fail_disk(failed)
+    cluster.crash(leader)
+    cluster.run(100)
+    assert cluster.nodes[failed].replica.status().failure == "no space left"
+    assert not cluster.nodes[other].leads
+    refused = cluster.refused[cluster.propose(failed)]
+    assert refused is ProposalRefusal.DISK_FAILED
+    cluster.settle()
+
+
+@given(seed=st.integers(0, 10_000))
+@settings(max_examples=15, deadline=None, derandomize=True)
+def test_the_time_of_entries_never_falls(seed):
+    """A deadline that had passed is open again after a change of leader.
+
+    The next leader's clock is behind; the cluster compares the times of entries
+    whenever one is applied.
+    """
+    cluster = settled_cluster(seed=seed)
+    first = cluster.leader().instance
+    cluster.jump(first, 1000.0)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    cluster.propose(cluster.leader().instance)
+    cluster.run(20)
+    cluster.crash(first)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    late = cluster.propose(cluster.leader().instance)
+    cluster.run_until(lambda: late in cluster.acknowledged)
--- /dev/null
+++ b/tests/cover/agreement/test_membership.py
@@ -0,0 +1,221 @@
+"""Check how replicas come, go and are lost."""
+
+import pytest
+
+from common.agreement_cluster import Cluster, Crash, CrashPoint
+from cowslipshelf_core.agreement import (
+    AddReplica,
+    JoinAnswered,
+    PeerMessageArrived,
+    ProposalRefusal,
+    RemoveReplica,
+    force_members,
+)
+
+
+def settled_cluster(size: int = 3, **settings) -> Cluster:
+    cluster = Cluster.of_size(size, **settings)
+    cluster.run_until(cluster.is_settled)
+    return cluster
+
+
+def followers(cluster: Cluster) -> list[str]:
+    leader = cluster.leader().instance
+    return [instance for instance in sorted(cluster.nodes) if instance != leader]
+
+
+def replica_of(cluster: Cluster, instance: str):
+    return cluster.nodes[instance].disk.load().replica_id
+
+
+def acknowledge(cluster: Cluster) -> str:
+    proposal = cluster.propose(cluster.leader().instance)
+    cluster.run_until(lambda: proposal in cluster.acknowledged)
+    return proposal
+
+
+def test_a_wiped_disk_never_votes_under_its_old_name():
+    """An accepted change is gone after a disk was replaced.
+
+    The change is on the leader and on one follower, the other one was cut off.
+    The follower's disk is wiped and the leader is lost. The wiped one must not
+    help the third, which misses the change, to become leader.
+    """
+    cluster = settled_cluster()
+    leader = cluster.leader().instance
+    wiped, behind = followers(cluster)
+    cluster.isolate(behind)
+    accepted = acknowledge(cluster)
+    cluster.wipe(wiped)
+    cluster.restart(wiped)
+    cluster.crash(leader)
+    cluster.heal()
+    cluster.run(100)
+    assert cluster.leader() is None
+    cluster.settle()
+    assert accepted in cluster.nodes[behind].commands
+
+
+@pytest.mark.parametrize("size", [3, 5])
+def test_a_second_loss_right_after_a_repair_is_survived(size):
+    """Changes are refused for good although only one disk at a time was lost.
+
+    A wiped replica joins again; as soon as it has its vote back, another one is
+    wiped, the leader among them, and so on for every replica.
+    """
+    cluster = settled_cluster(size)
+    for lost in sorted(cluster.nodes):
+        accepted = acknowledge(cluster)
+        cluster.wipe(lost)
+        cluster.restart(lost)
+        cluster.run_until(cluster.is_settled)
+        assert accepted in cluster.nodes[lost].commands
+    cluster.settle()
+
+
+def test_a_second_change_waits_until_the_first_is_whole():
+    """Two repairs at once leave a quorum that has seen none of the changes.
+
+    A replica is wiped and joins as a learner that gets no entries; another
+    removal is asked for meanwhile. It is refused with the reason, and accepted
+    once the learner has its vote.
+    """
+    cluster = settled_cluster(5)
+    leader = cluster.leader().instance
+    joining, leaving, *_ = followers(cluster)
+    cluster.wipe(joining)
+    cluster.change(leader, AddReplica(replica_of(cluster, joining)))
+    cluster.run(5)
+    removal = RemoveReplica(replica_of(cluster, leaving))
+    refused = cluster.change(leader, removal)
+    assert cluster.refused[refused] is ProposalRefusal.MEMBERSHIP_BUSY
+    cluster.restart(joining)
+    cluster.run_until(cluster.is_settled)
+    accepted = cluster.change(cluster.leader().instance, removal)
+    assert accepted not in cluster.refused
+    cluster.run_until(cluster.is_settled)
+    members = cluster.leader().replica.status().membership.replicas
+    assert replica_of(cluster, leaving) not in members
+
+
+def test_a_late_answer_to_a_wiped_disk_founds_no_second_cluster():
+    """Two clusters exist side by side, each with a leader.
+
+    While the cluster was founded, every replica told the first one that it was
+    empty. The first one's disk is wiped, and late copies of those answers reach
+    the new disk, which would believe that it has to found a cluster.
+    """
+    cluster = settled_cluster()
+    first, *others = sorted(cluster.nodes)
+    old_folder = replica_of(cluster, first).folder
+    cluster.wipe(first)
+    cluster.restart(first)
+    for other in others:
+        folder = replica_of(cluster, other).folder
+        late = JoinAnswered(folder, old_folder)
+        cluster.step(first, [PeerMessageArrived(other, late)])
+    assert cluster.nodes[first].replica.status().last_index == 0
+    cluster.settle()
+
+
+def test_a_founder_that_crashed_before_its_sync_founds_again():
+    """A new fleet never gets a leader.
+
+    The first replica noted that it founds the cluster and ended before its first
+    entry was synced. Found by a seeded walk.
+    """
+    cluster = Cluster.of_size(3)
+    founder = sorted(cluster.nodes)[0]
+    cluster.tick(0.1)
+    while cluster.nodes[founder].running:
+        positions = [m.recipient == founder for m in cluster.network]
+        position = positions.index(True) if any(positions) else 0
+        answers = cluster.nodes[founder].replica.state.empty_peers
+        last_answer = any(positions) and len(answers) == 1
+        crash = Crash(CrashPoint.BEFORE_SYNC) if last_answer else None
+        cluster.deliver(position, crash=crash)
+    cluster.settle()
+
+
+def test_a_voter_that_alone_holds_its_removal_leads_the_others_on():
+    """Changes are refused for good after one replica was taken out.
+
+    The leader of two removes itself and crashes before anybody else has the
+    entry. The other needs its vote but has the shorter log; so the removed one
+    must stand for election, although it is no voter by its own log. Found by a
+    seeded walk.
+    """
+    cluster = settled_cluster()
+    first_removed = followers(cluster)[0]
+    removal = RemoveReplica(replica_of(cluster, first_removed))
+    cluster.change(cluster.leader().instance, removal)
+    cluster.run_until(cluster.is_settled)
+    leader = cluster.leader().instance
+    cluster.change(leader, RemoveReplica(replica_of(cluster, leader)))
+    cluster.crash(leader)
+    cluster.network.clear()
+    cluster.restart(leader)
+    cluster.run_until(cluster.is_settled)
+    status = cluster.leader().replica.status()
+    assert [voter.instance for voter in status.membership.voters] == [
+        instance
+        for instance in sorted(cluster.nodes)
+        if instance not in (first_removed, leader)
+    ]
+
+
+def test_a_newcomer_that_was_forgotten_asks_again():
+    """A repaired replica stays out of the cluster for good.
+
+    The leader takes the wiped replica in and is lost before anybody else has the
+    change; the newcomer has joined the cluster by a message that brought it no
+    entry. The next leader knows nothing of it. Found by a seeded walk.
+    """
+    cluster = settled_cluster()
+    leader = cluster.leader().instance
+    wiped, other = followers(cluster)
+    cluster.wipe(wiped)
+    cluster.restart(wiped)
+    cluster.isolate(other)
+    cluster.run_until(lambda: cluster.nodes[wiped].replica.state.hard_state.cluster)
+    cluster.crash(leader)
+    cluster.settle()
+
+
+def test_operators_go_on_from_one_replica_after_the_loss_of_a_quorum():
+    """Two of three disks are lost, and every change is refused.
+
+    The operator makes the last replica the only member of a new cluster. It goes
+    on from its log; an old replica that turns out to be alive is refused, and
+    joins again once it is wiped.
+    """
+    cluster = settled_cluster()
+    accepted = acknowledge(cluster)
+    cluster.run_until(cluster.is_settled)
+    kept, stale, lost = sorted(cluster.nodes)
+    for instance in cluster.nodes:
+        cluster.crash(instance)
+    disk = cluster.nodes[kept].disk
+    forced = force_members(disk.load(), "cluster-2", "operator-1", 50.0)
+    assert "lost" in forced.warning
+    disk.write([forced.persist])
+    disk.sync()
+    cluster.network.clear()
+    cluster.restart(kept)
+    cluster.restart(stale)
+    cluster.run_until(lambda: cluster.leader() is not None)
+    after = acknowledge(cluster)
+    cluster.run(40)
+    assert cluster.leader().instance == kept
+    assert after not in cluster.nodes[stale].commands
+    for others, instance in enumerate((stale, lost), start=1):
+        cluster.wipe(instance)
+        cluster.restart(instance)
+        leading = cluster.leader().replica
+        cluster.run_until(lambda n=others, r=leading: len(r.status().behind) == n)
+        cluster.run_until(cluster.is_settled)
+    members = cluster.leader().replica.status().membership.voters
+    assert {member.instance for member in members} == set(cluster.nodes)
+    assert cluster.nodes[lost].commands == [accepted, after]
+    audited = {entry.proposal_id for entry in cluster.committed.values()}
+    assert "forced-members:operator-1" in audited
