--- /dev/null
+++ b/tests/cover/agreement/test_votes.py
@@ -0,0 +1,120 @@
+"""Check single votes and commits, message by message."""
+
+from random import Random
+
+from common.agreement_cluster import Cluster
+from cowslipshelf_core.agreement import (
+    Committed,
+    EntriesAppended,
+    Entry,
+    EntryKind,
+    HardState,
+    Membership,
+    PeerMessageArrived,
+    Persist,
+    Replica,
+    ReplicaConfig,
+    ReplicaId,
+    SendTo,
+    StoredState,
+    TickElapsed,
+    VoteAnswered,
+    VoteAsked,
+)
+from cowslipshelf_core.internal.agreement.records import encode_membership
+
+FIRST, SECOND, THIRD = (ReplicaId(f"entry-{n}", f"folder-{n}") for n in range(3))
+CLUSTER = "cluster-1"
+FOUNDING = Entry(
+    index=1,
+    term=1,
+    at=0.0,
+    kind=EntryKind.MEMBERSHIP,
+    payload=encode_membership(Membership((FIRST, SECOND, THIRD))),
+)
+CONFIG = ReplicaConfig((FIRST.instance, SECOND.instance, THIRD.instance))
+RANDOM = Random(0)
+
+
+def stored(term: int, *entries: Entry) -> StoredState:
+    hard_state = HardState(term, None, CLUSTER)
+    return StoredState(FIRST, hard_state, None, (FOUNDING, *entries))
+
+
+def hand(replica: Replica, sender: ReplicaId, kind: type, term: int, **fields):
+    message = kind(
+        sender_folder=sender.folder,
+        recipient_folder=FIRST.folder,
+        cluster=CLUSTER,
+        term=term,
+        **fields,
+    )
+    event = PeerMessageArrived(sender.instance, message)
+    return replica.handle(event, 100.0, RANDOM)
+
+
+def ask_vote(replica: Replica, candidate: ReplicaId):
+    fields = {"last_index": 1, "last_term": 1, "pre_vote": False}
+    effects = hand(replica, candidate, VoteAsked, 2, **fields)
+    answers = [e.message for e in effects if isinstance(e, SendTo)]
+    saved = [e.hard_state for e in effects if isinstance(e, Persist) and e.hard_state]
+    return answers[-1].granted, saved
+
+
+def test_a_vote_outlives_a_restart():
+    """Two leaders hold the same term, and two values stand at one index.
+
+    A replica votes for one candidate, is restarted, and is asked by another in
+    the same term; what it does depends on what it had synced before it answered.
+    """
+    granted, saved = ask_vote(Replica.from_config(CONFIG, stored(1)), SECOND)
+    assert granted
+    restarted = stored(1)._replace(hard_state=saved[-1])
+    granted, _ = ask_vote(Replica.from_config(CONFIG, restarted), THIRD)
+    assert not granted
+    granted, _ = ask_vote(Replica.from_config(CONFIG, restarted), SECOND)
+    assert granted
+
+
+def test_an_entry_of_an_older_term_is_not_committed_by_counting():
+    """An acknowledged change is overwritten by a later leader.
+
+    A leader finds that a quorum holds an entry of an older term. Another replica
+    with a later term in its log could still be elected and overwrite it, until an
+    entry of the leader's own term is on a quorum too.
+    """
+    old = Entry(2, 2, 0.0, EntryKind.COMMAND, b"old", "old")
+    replica = Replica.from_config(CONFIG, stored(3, old))
+    replica.handle(TickElapsed(), 98.0, RANDOM)
+    replica.handle(TickElapsed(), 100.0, RANDOM)
+    for pre_vote in (True, False):
+        fields = {"granted": True, "pre_vote": pre_vote}
+        hand(replica, SECOND, VoteAnswered, 4, **fields)
+    counted = hand(replica, SECOND, EntriesAppended, 4, match_index=2, read_round=0)
+    assert not [e for e in counted if isinstance(e, Committed)]
+    own = hand(replica, SECOND, EntriesAppended, 4, match_index=3, read_round=0)
+    assert [e.index for e in own if isinstance(e, Committed)] == [1, 2, 3]
+
+
+def test_a_replica_that_cannot_hear_the_leader_deposes_nobody():
+    """The fleet changes its leader every second although most replicas are well.
+
+    Messages from the leader to one follower get lost, the other way they arrive.
+    The follower stands for election again and again; the third replica hears the
+    leader and must not help to depose it.
+    """
+    cluster = Cluster.of_size(3)
+    cluster.run_until(cluster.is_settled)
+    leader = cluster.leader().instance
+    term = cluster.leader().replica.status().term
+    deaf = min(instance for instance in cluster.nodes if instance != leader)
+    for _ in range(100):
+        cluster.tick(0.05)
+        cluster.network = [
+            item
+            for item in cluster.network
+            if (item.sender, item.recipient) != (leader, deaf)
+        ]
+        cluster.deliver_all()
+    status = cluster.nodes[leader].replica.status()
+    assert (status.leader, status.term) == (leader, term)
