--- a/packages/core/src/cowslipshelf_core/internal/routing/placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -76,9 +76,12 @@
 
 def fits_memory(config: RouterConfig, view: UpstreamView, request: RequestCost) -> bool:
     """Return whether prompt and output are believed to fit beside what is reserved."""
-    if view.memory_limit() == 0:
+    limit = view.memory_limit()
+    if limit == 0:
         return True
     free = view.free_memory(view.unreported(config.cost))
+    if request.prompt_class is PromptClass.MEDIUM:
+        free -= int(limit * config.short_memory_share)
     return request.memory_tokens <= free
 
 
