Let priority slack reach forty seconds

A long prompt whose slack has run out shuts out short ones on its engine until its prefill ends; at ten seconds that was nearly every long prompt.

--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -96,7 +96,7 @@
     slack_per_prefill_second: float = 4.0
     """Slack that priority gives a request for each second of its own prefill."""
     least_slack_seconds: float = 0.1
-    most_slack_seconds: float = 10.0
+    most_slack_seconds: float = 40.0
     """After this long no later arrival passes, whatever its length."""
     heads_tried: int = 3
     """Customers whose first waiting request is tried each time; bounds the work."""
