Refuse at once under overload what is worth least per engine second

A group's least admitted worth rises while queues are over half their bound and falls below a quarter; customers within their share are spared. A placement that would end past the deadline is no longer made. Ruled out: acting at three tenths of the bound, which refused 84 requests at 1.0.

--- a/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
@@ -8,6 +8,7 @@
 from cowslipshelf_core.identifiers import Epoch, ModelName, ServiceName, UpstreamId
 from cowslipshelf_core.internal.routing.long_set import LongDemand, ranked
 from cowslipshelf_core.internal.routing.settings import RouterConfig
+from cowslipshelf_core.internal.routing.shedding import Shedding
 from cowslipshelf_core.internal.routing.upstream_view import UpstreamView
 from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
 
@@ -28,6 +29,7 @@
     """Be the upstreams that may be chosen for the same requests, in shared order."""
 
     demand: LongDemand
+    shedding: Shedding
     members: list[UpstreamView] = field(default_factory=list)
     """All that take new work, those that take long prompts first at the front."""
     long_set: list[UpstreamView] = field(default_factory=list)
@@ -113,7 +115,9 @@
         """Bring one group up to date with upstreams, draining and outliers."""
         group = self.groups.get(key)
         if group is None:
-            group = self.groups[key] = Group(LongDemand(self.config.long_set))
+            group = self.groups[key] = Group(
+                LongDemand(self.config.long_set), Shedding(self.config.shedding)
+            )
         takes_work = [
             upstream_id
             for upstream_id, view in self.views.items()
--- a/packages/core/src/cowslipshelf_core/internal/routing/placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -49,6 +49,7 @@
     drawn: list[tuple[UpstreamView, bool]],
     request: RequestCost,
     excluded: frozenset[UpstreamId],
+    seconds_left: float,
     now: float,
 ) -> Choice:
     """Choose the least harm among those drawn that may take the request now."""
@@ -60,9 +61,9 @@
             continue
         prediction = predict(config, view, request, takes_long, now)
         fits = fits_memory(config, view, request)
-        may_take = (
-            fits and prediction.wait_seconds <= limits.most_wait_at_upstream_seconds
-        )
+        in_time = prediction.total_seconds <= seconds_left
+        short_wait = prediction.wait_seconds <= limits.most_wait_at_upstream_seconds
+        may_take = fits and in_time and short_wait
         candidates.append(Candidate(view, prediction, may_take))
         considered.append(
             ConsideredUpstream(
--- a/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
@@ -87,7 +87,7 @@
     """Refuse a request because the queue is full and others are worth more."""
     return not_run(
         RefusalReason.OVERLOADED,
-        "the queue is full; of those over their customer's share this one is worth "
+        "too much is asked for; of the work over its customer's share this is worth "
         "least for each engine second",
         retry_after_seconds,
     )
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -142,10 +142,13 @@
             self.ledger.forget_lost(now)
             outliers.review(self.fleet, now)
             self.room.forget_idle()
+            for group in self.fleet.groups.values():
+                group.shedding.forget_idle(now)
         answers = []
         for key, group in self.fleet.groups.items():
             group.measure_capacity()
             group.split()
+            group.shedding.adjust(self.room.pressure(key, group.capacity), now)
             answers += self.serve_group(key, group, now, random)
         return answers
 
@@ -164,6 +167,11 @@
             return [answer_refusal(asked, refusal)]
         ask = self.estimate(asked, cost, group, now)
         group.demand.add(ask.engine_seconds, cost.prompt_class is PromptClass.LONG, now)
+        group.shedding.count(ask.customer, ask.engine_seconds, now)
+        if group.shedding.refuses(
+            ask.customer, ask.worth_per_second, group.capacity, self.weights, now
+        ):
+            return [answer_refusal(asked, refusals.shed(self.retry_after(key)))]
         if ask.latest_start() <= now:
             least = ask.engine_seconds + ask.decode_seconds
             return [answer_refusal(asked, refusals.too_slow(least, facts))]
@@ -322,7 +330,8 @@
         self, ask: WaitingAsk, drawn: list[tuple[UpstreamView, bool]], now: float
     ) -> PlacementAnswered | None:
         """Place a request on the best of the upstreams drawn, if any may take it."""
-        choice = choose(self.config, drawn, ask.cost, ask.asked.excluded, now)
+        left = ask.deadline_at - now
+        choice = choose(self.config, drawn, ask.cost, ask.asked.excluded, left, now)
         if choice.chosen is None:
             return None
         queued = now - ask.asked_at
--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -76,6 +76,21 @@
     """Harm added where a long prompt takes another one, per second of its prefill."""
 
 
+class SheddingConfig(NamedTuple):
+    """Set how admission follows overload; worth is for each engine second."""
+
+    high_pressure: float = 0.5
+    """Length of the fullest queue against its bound above which more is refused."""
+    low_pressure: float = 0.25
+    rise_per_second: float = 0.2
+    fall_per_second: float = 0.1
+    lowest_worth: float = 0.04
+    highest_worth: float = 2.0
+    """Work that is worth more than this is left to the bounds of the queues."""
+    memory_seconds: float = 30.0
+    forgotten_seconds: float = 0.001
+
+
 class RouterConfig(NamedTuple):
     """Be everything that tunes the router; times in seconds, sizes in tokens."""
 
@@ -106,6 +121,7 @@
     cost: CostConfig = CostConfig()
     outliers: OutlierConfig = OutlierConfig()
     long_set: LongSetConfig = LongSetConfig()
+    shedding: SheddingConfig = SheddingConfig()
 
     def class_of(self, prompt_tokens: int) -> PromptClass:
         """Return the class that a prompt of this length is in."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routing/shedding.py
@@ -0,0 +1,87 @@
+"""Refuse under overload what is worth least for each engine second."""
+
+from dataclasses import dataclass, field
+from math import exp
+
+from cowslipshelf_core.identifiers import CustomerName
+from cowslipshelf_core.internal.routing.settings import SheddingConfig
+
+
+@dataclass(slots=True)
+class Usage:
+    """Be a customer's demand, averaged over the last while."""
+
+    seconds: float = 0.0
+    updated_at: float = 0.0
+
+    def decay(self, now: float, memory_seconds: float) -> None:
+        """Let what is past count less."""
+        self.seconds *= exp(-max(0.0, now - self.updated_at) / memory_seconds)
+        self.updated_at = now
+
+
+@dataclass(slots=True)
+class Shedding:
+    """Keep the least worth per engine second that a group still admits.
+
+    It rises while queues are long and falls once they are short. Work that brings
+    little is then refused as it comes, before it has waited or taken memory, and
+    goodput does not fall with offered load.
+    """
+
+    config: SheddingConfig
+    least_worth: float = 0.0
+    updated_at: float = 0.0
+    usage: dict[CustomerName, Usage] = field(default_factory=dict)
+
+    def count(self, customer: CustomerName, seconds: float, now: float) -> None:
+        """Count the predicted work that a customer asks for."""
+        usage = self.usage.setdefault(customer, Usage(updated_at=now))
+        usage.decay(now, self.config.memory_seconds)
+        usage.seconds += seconds
+
+    def adjust(self, pressure: float, now: float) -> None:
+        """Follow the queues; pressure is their length against their bounds."""
+        passed = max(0.0, now - self.updated_at)
+        self.updated_at = now
+        if pressure > self.config.high_pressure:
+            start = max(self.least_worth, self.config.lowest_worth)
+            risen = start * exp(self.config.rise_per_second * passed)
+            self.least_worth = min(risen, self.config.highest_worth)
+        elif pressure < self.config.low_pressure:
+            self.least_worth *= exp(-self.config.fall_per_second * passed)
+            if self.least_worth < self.config.lowest_worth:
+                self.least_worth = 0.0
+
+    def refuses(
+        self,
+        customer: CustomerName,
+        worth_per_second: float,
+        capacity: float,
+        weights: dict[CustomerName, float],
+        now: float,
+    ) -> bool:
+        """Return whether a request is worth too little now.
+
+        A customer whose demand is within its share of the capacity is spared: another
+        one's burst must not cost it anything.
+        """
+        if worth_per_second >= self.least_worth:
+            return False
+        usage = self.usage.get(customer)
+        if usage is None:
+            return False
+        usage.decay(now, self.config.memory_seconds)
+        total = sum(weights.get(name, 1.0) for name in self.usage)
+        share = capacity * weights.get(customer, 1.0) / total
+        return usage.seconds / self.config.memory_seconds > share
+
+    def forget_idle(self, now: float) -> None:
+        """Drop customers that have long asked for nothing."""
+        for usage in self.usage.values():
+            usage.decay(now, self.config.memory_seconds)
+        self.usage = {
+            name: usage
+            for name, usage in self.usage.items()
+            if usage.seconds > self.config.forgotten_seconds
+        }
--- a/packages/core/src/cowslipshelf_core/internal/routing/waiting_room.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/waiting_room.py
@@ -89,6 +89,15 @@
             given_up.append(victim)
         return given_up
 
+    def pressure(self, key: GroupKey, capacity: float) -> float:
+        """Return the length of a group's fullest queue against its bound."""
+        lengths = (
+            self.queues[k].seconds
+            / (self.config.limits_of(k.prompt_class).most_queued_seconds * capacity)
+            for k in self.waiting_for(key)
+        )
+        return max(lengths, default=0.0)
+
     def drain_seconds(self, key: GroupKey, capacity: float) -> float:
         """Predict how long what waits for a group keeps it busy."""
         work = sum(self.queues[k].seconds for k in self.waiting_for(key))
