Let slack shrink with the deadline only, not with time queued

Cause: under overload every medium prompt had queued longer than its slack, so it reached the engine at priority zero and short ones waited behind all of them. What is left of the deadline still raises it in time.

--- a/packages/core/src/cowslipshelf_core/internal/routing/placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -106,5 +106,5 @@
     if request.prompt_class is PromptClass.LONG:
         slack /= max(request.long_prompt_weight, 1.0)
     left = deadline_seconds - queued_seconds - prediction.total_seconds
-    slack = min(slack - queued_seconds, left)
+    slack = min(slack, left)
     return int(max(slack, 0.0) * MILLISECONDS)
