--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -3,12 +3,17 @@
 import threading
 from queue import SimpleQueue
 
-from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
 from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_upstreams import EngineClient, UpstreamError
 from pykka import ActorDeadError, ActorRef
 
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
+from cowslipshelf_upstreams import (
+    EngineClient,
+    UpstreamLostError,
+    UpstreamRefusedError,
+)
+
 LOG = part_logger("upstream")
 
 INVENTORY_SECONDS = 1.0
@@ -51,7 +56,7 @@
             attempt_id = self.work.get()
             try:
                 self.do(attempt_id)
-            except UpstreamError as error:
+            except (UpstreamLostError, UpstreamRefusedError) as error:
                 # A lost cancel is not repeated here: the inventory shows what the
                 # engine still holds, and the decider asks for it again.
                 LOG.warning("upstream call failed", error=str(error))
@@ -65,5 +70,7 @@
             return
         self.inventory_due.clear()
         inventory = self.engine.inventory()
-        held = tuple(HeldMemory(item.attempt_id, item.tokens) for item in inventory.held)
+        held = tuple(
+            HeldMemory(item.attempt_id, item.tokens) for item in inventory.held
+        )
         self.sidecar.tell(InventoryRead(held))
