--- a/packages/core/src/cowslipshelf_core/internal/routing/placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -49,6 +49,7 @@
     drawn: list[tuple[UpstreamView, bool]],
     request: RequestCost,
     excluded: frozenset[UpstreamId],
+    seconds_left: float,
     now: float,
 ) -> Choice:
     """Choose the least harm among those drawn that may take the request now."""
@@ -60,9 +61,9 @@
             continue
         prediction = predict(config, view, request, takes_long, now)
         fits = fits_memory(config, view, request)
-        may_take = (
-            fits and prediction.wait_seconds <= limits.most_wait_at_upstream_seconds
-        )
+        in_time = prediction.total_seconds <= seconds_left
+        short_wait = prediction.wait_seconds <= limits.most_wait_at_upstream_seconds
+        may_take = fits and in_time and short_wait
         candidates.append(Candidate(view, prediction, may_take))
         considered.append(
             ConsideredUpstream(
@@ -76,9 +77,12 @@
 
 def fits_memory(config: RouterConfig, view: UpstreamView, request: RequestCost) -> bool:
     """Return whether prompt and output are believed to fit beside what is reserved."""
-    if view.memory_limit() == 0:
+    limit = view.memory_limit()
+    if limit == 0:
         return True
     free = view.free_memory(view.unreported(config.cost))
+    if request.prompt_class is PromptClass.MEDIUM:
+        free -= int(limit * config.short_memory_share)
     return request.memory_tokens <= free
 
 
@@ -102,5 +106,5 @@
     if request.prompt_class is PromptClass.LONG:
         slack /= max(request.long_prompt_weight, 1.0)
     left = deadline_seconds - queued_seconds - prediction.total_seconds
-    slack = min(slack - queued_seconds, left)
+    slack = min(slack, left)
     return int(max(slack, 0.0) * MILLISECONDS)
