--- a/tests/cover/upstreams/test_engine_client.py
+++ b/tests/cover/upstreams/test_engine_client.py
@@ -172,10 +172,10 @@
 
     def hold(peer: socket.socket) -> None:
         peer.sendall(HEAD + event(1, "gate"))
-        release.wait(30.0)
+        release.wait(60.0)
 
     with scripted_peer(hold) as address:
-        stream = client_of(address, silence_seconds=30.0).start(completion())
+        stream = client_of(address, silence_seconds=60.0).start(completion())
         errors = []
         first_seen = Event()
 
@@ -189,10 +189,11 @@
         reader = Thread(target=read, daemon=True)
         reader.start()
         assert first_seen.wait(10.0)
-        stream.close()
+        Thread(target=stream.close, daemon=True).start()
         reader.join(10.0)
+        still_blocked = reader.is_alive()
         release.set()
-        assert not reader.is_alive()
+        assert not still_blocked
         assert len(errors) == 1
 
 
