--- a/packages/cli/src/cowslipshelf_cli/internal/checking.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/checking.py
@@ -31,5 +31,7 @@
     }
     lines = [str(problem) for problem in problems]
     lines.append(f"{len(files)} file(s), {len(problems)} problem(s)")
+    if problems:
+        lines.append("next: mend these; docs/SETTINGS.md says what each field allows")
     writer.show(document, lines)
     return ExitCode.BAD_SETTINGS if problems else ExitCode.DONE
--- a/packages/cli/src/cowslipshelf_cli/internal/load/report.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/report.py
@@ -68,6 +68,8 @@
     yield f"breaks: {counts_text(figures.breaks)}"
     yield f"whole within the deadline: {figures.in_time_share:.1%}"
     yield f"sent late by the tool itself: {figures.late_arrivals}"
+    if figures.breaks:
+        yield "next: look in the logs of the entries for what the breaks name"
 
 
 def quantiles_row(name: str, quantiles: Quantiles) -> tuple[str, ...]:
--- /dev/null
+++ b/tests/cover/cli/test_commands.py
@@ -0,0 +1,271 @@
+"""Check the command line against a real operators' server with a control state."""
+
+import io
+import json
+import socket
+from collections.abc import Sequence
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import cappa
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from common.operators import CUSTOMER_KEY, OPERATOR_KEY, StateHandler, serving
+from common.settings import CLUSTER_KEY, entry_document, sidecar_document
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_cli.internal.surroundings import Surroundings
+from cowslipshelf_cli.internal.writing import one_line
+from cowslipshelf_cli.program import run
+from cowslipshelf_operators import OperatorsClient
+from cowslipshelf_operators.errors import HandlerError
+
+CHANGE = {
+    "put_models": [{"name": "ledger-1", "version": "1"}],
+    "put_services": [{"name": "scribe", "kind": "model", "models": ["ledger-1"]}],
+    "put_customers": [
+        {"name": "front-desk", "key": CUSTOMER_KEY, "services": ["scribe"]}
+    ],
+}
+NO_LISTENER = socket.socket()
+NO_LISTENER.bind(("127.0.0.1", 0))
+NOBODY = f"127.0.0.1:{NO_LISTENER.getsockname()[1]}"
+"""Bound for as long as the tests run, so nobody else can listen there."""
+
+
+class Ran(NamedTuple):
+    """Be how one command line ended."""
+
+    code: ExitCode
+    output: str
+    errors: str
+
+    @property
+    def json(self) -> Any:
+        return json.loads(self.output)
+
+
+def command_line(
+    *arguments: str,
+    entries: Sequence[str] = (),
+    key: str = OPERATOR_KEY,
+    given_input: object = None,
+) -> Ran:
+    output, errors = io.StringIO(), io.StringIO()
+    environment = {
+        "COWSLIPSHELF_ENTRIES": ",".join(entries),
+        "COWSLIPSHELF_OPERATOR_KEY": key,
+    }
+    surroundings = Surroundings(
+        environment,
+        io.StringIO(json.dumps(given_input)),
+        output,
+        errors,
+        OperatorsClient.from_config,
+    )
+    code = run(arguments, surroundings)
+    ran = Ran(code, output.getvalue(), errors.getvalue())
+    for secret in (OPERATOR_KEY, CUSTOMER_KEY, CLUSTER_KEY):
+        assert secret not in ran.output + ran.errors
+    is_document = "--json" in arguments and bool(ran.output)
+    if code is not ExitCode.DONE and not is_document:
+        assert "next" in ran.output + ran.errors, "an error says what to do next"
+    return ran
+
+
+def change(change_id: str, based_on: int = 0, **fields: object) -> dict[str, object]:
+    return {"change_id": change_id, "based_on": based_on, "change": fields or CHANGE}
+
+
+def test_a_change_goes_from_plan_to_audit() -> None:
+    with serving(StateHandler()) as server:
+        entries = (NOBODY, server.address)
+
+        def line(*arguments: str, given_input: object = None) -> Ran:
+            return command_line(*arguments, entries=entries, given_input=given_input)
+
+        planned = line("plan", "-", given_input=change("c-1"))
+        again = line("plan", "-", "--json", given_input=change("c-1"))
+        plan_id = again.json["plan"]["plan_id"]
+        assert planned.code is again.code is ExitCode.DONE
+        assert f"next: cowslipshelf confirm {plan_id}" in planned.output
+        assert "version 0," in line("status").output, "a plan alone changes nothing"
+        confirmed = line("confirm", plan_id, "--json")
+        assert confirmed.code is ExitCode.DONE
+        assert line("confirm", plan_id, "--json").json == confirmed.json
+        status = line("status", "--json").json
+        assert status["configuration"]["version"] == 1
+        assert line("explain", "change", "c-1").code is ExitCode.DONE
+        assert "c-1" in line("audit").output
+        assert "for more" in line("audit", "--limit", "1").output
+
+
+def test_the_second_of_two_equal_changes_gets_a_fresh_plan_to_confirm() -> None:
+    """Two operators change the same version; both are told that it worked.
+
+    The second confirmation is taken on top of the first, unseen by its operator.
+    """
+    with serving(StateHandler()) as server:
+
+        def line(*arguments: str, given_input: object = None) -> Ran:
+            return command_line(
+                *arguments, entries=[server.address], given_input=given_input
+            )
+
+        plans = [
+            line("plan", "-", "--json", given_input=change(name)).json["plan"]
+            for name in ("c-1", "c-2")
+        ]
+        model = {"name": "ledger-2", "version": "1"}
+        late = line(
+            "plan", "-", "--json", given_input=change("c-3", put_models=[model])
+        )
+        assert line("confirm", plans[0]["plan_id"]).code is ExitCode.DONE
+        second = line("confirm", late.json["plan"]["plan_id"], "--json")
+        assert second.code is ExitCode.OUTDATED_PLAN
+        fresh = second.json["fresh_plan"]["plan_id"]
+        assert line("confirm", fresh).code is ExitCode.DONE
+        stale = line("plan", "-", "--based-on", "0", given_input=change("c-4"))
+        assert stale.code is ExitCode.OUTDATED_PLAN
+
+
+def test_drain_shows_its_plan_and_acts_only_when_told_to() -> None:
+    handler = StateHandler()
+    with serving(handler) as server:
+
+        def draining(*arguments: str) -> tuple[str, ...]:
+            ran = command_line(*arguments, entries=[server.address])
+            assert ran.code is ExitCode.DONE
+            return handler.state_machine.configuration.draining
+
+        assert draining("drain", "runner-1") == ()
+        assert draining("drain", "runner-1", "--yes") == ("runner-1",)
+        assert draining("drain", "runner-1", "--undo") == ("runner-1",)
+        assert draining("drain", "runner-1", "--undo", "--yes") == ()
+
+
+def test_what_one_entry_does_not_know_the_next_one_is_asked() -> None:
+    """An operator is told that a request never was, though it ran.
+
+    A request is known only to the entry that served it, and another one was asked.
+    """
+    knowing, ignorant = StateHandler(), StateHandler()
+    with ExitStack() as stack:
+        servers = [stack.enter_context(serving(each)) for each in (ignorant, knowing)]
+        addresses = [server.address for server in servers]
+        command_line("plan", "-", entries=addresses[1:], given_input=change("c-1"))
+        found = command_line("explain", "change", "c-1", entries=addresses)
+        assert found.code is ExitCode.DONE
+        nowhere = command_line("explain", "change", "c-2", entries=addresses)
+        assert nowhere.code is ExitCode.REFUSED
+        unsure = command_line("explain", "change", "c-2", entries=[*addresses, NOBODY])
+        assert unsure.code is ExitCode.UNREACHABLE, "somebody could not be asked"
+        assert "not known to those that answered" in unsure.errors
+
+
+def test_refusals_end_with_their_codes(tmp_path: Path) -> None:
+    handler = StateHandler()
+    with serving(handler) as server:
+        there = [server.address]
+        wrong_key = command_line("status", entries=there, key="another-key")
+        unknown_plan = command_line("confirm", "nosuch", entries=there)
+        unknown_service = change("c-1", put_services=[{"name": "s", "kind": "odd"}])
+        malformed = command_line(
+            "plan", "-", entries=there, given_input=unknown_service
+        )
+        missing = change("c-1", put_customers=[CHANGE["put_customers"][0]])
+        refused = command_line("plan", "-", entries=there, given_input=missing)
+        handler.failure = HandlerError("commit", "replicas", "no quorum")
+        unready = command_line("plan", "-", entries=there, given_input=change("c-1"))
+    assert wrong_key.code is unknown_plan.code is refused.code is ExitCode.REFUSED
+    assert malformed.code is ExitCode.USAGE
+    assert unready.code is ExitCode.UNREACHABLE
+    assert command_line("status", entries=[NOBODY]).code is ExitCode.UNREACHABLE
+    assert command_line("status").code is ExitCode.USAGE
+    assert command_line("status", entries=["host:1"]).code is ExitCode.USAGE
+    assert command_line("status", entries=[NOBODY], key="").code is ExitCode.USAGE
+    no_file = str(tmp_path / "none")
+    assert command_line("plan", no_file, entries=[NOBODY]).code is ExitCode.USAGE
+    failure = json.loads(command_line("status", "--json").errors)["error"]
+    assert failure["exit_code"] == ExitCode.USAGE
+
+
+@pytest.mark.parametrize("arguments", [[], ["nosuch"], ["confirm"], ["audit", "x"]])
+def test_wrong_usage_ends_with_code_two(arguments: list[str]) -> None:
+    with pytest.raises(cappa.Exit) as ended:
+        command_line(*arguments)
+    assert ended.value.code == ExitCode.USAGE
+
+
+def test_check_names_the_problems_of_all_files(tmp_path: Path) -> None:
+    documents = {"a": entry_document(), "b": sidecar_document()}
+    documents["c"] = sidecar_document() | {"cluster_key": "another-key-of-16"}
+    documents["d"] = entry_document() | {"role": "nobody"}
+    files = {name: tmp_path / f"{name}.json" for name in documents}
+    for name, document in documents.items():
+        files[name].write_text(json.dumps(document))
+    sound = command_line("check", str(files["a"]), str(files["b"]))
+    assert sound.code is ExitCode.DONE
+    ran = command_line("check", "--json", *map(str, files.values()))
+    assert ran.code is ExitCode.BAD_SETTINGS
+    named = {(problem["file"], problem["field"]) for problem in ran.json["problems"]}
+    c, d = str(files["c"]), str(files["d"])
+    assert {(c, "instance"), (c, "cluster_key"), (c, "mailbox_address")} <= named
+    assert {(c, "sidecar.upstream.upstream_id"), (d, "role")} <= named
+    assert {file for file, _ in named} == {c, d}
+
+
+def test_an_entry_that_others_list_wrongly_is_named(tmp_path: Path) -> None:
+    """A sidecar announces itself to nobody and gets no work.
+
+    Its settings list an entry under an address that the entry has since left.
+    """
+    entry, sidecar = entry_document(), sidecar_document()
+    entry["mailbox_address"] = "10.0.0.9:7000"
+    entry["entries"][0]["mailbox_address"] = "10.0.0.9:7000"
+    files = [tmp_path / "entry.json", tmp_path / "sidecar.json"]
+    for file, document in zip(files, (entry, sidecar), strict=True):
+        file.write_text(json.dumps(document))
+    ran = command_line("check", "--json", *map(str, files))
+    (problem,) = ran.json["problems"]
+    assert problem["file"] == str(files[1])
+    assert problem["field"] == "entries[0].mailbox_address"
+
+
+LOAD = ("load", "--callers", NOBODY, "--model", "m", "--seconds", "0.2")
+
+
+def test_a_load_without_answers_says_so(tmp_path: Path) -> None:
+    customers, figures = tmp_path / "customers.json", tmp_path / "figures.json"
+    customers.write_text(json.dumps([{"name": "c", "key": CUSTOMER_KEY}]))
+    options = ("--customers", str(customers), "--rate", "50", "--calibrate", "1")
+    ran = command_line(*LOAD, *options, "--json", "--output", str(figures))
+    assert ran.code is ExitCode.NOT_WHOLE
+    assert json.loads(figures.read_text()) == ran.json
+    endings = ran.json["figures"]["endings"]
+    assert endings == {"unreachable": ran.json["figures"]["planned"]}
+    assert ran.json["figures"]["short_slowdown"] is None
+    command_line(*LOAD, *options)
+
+
+@pytest.mark.parametrize(
+    "customers",
+    [
+        [],
+        {},
+        [{"name": "c"}],
+        [{"name": "c", "key": "line\nbreak"}],
+        [{"name": "c", "key": CUSTOMER_KEY}] * 2,
+        [{"name": "c", "key": CUSTOMER_KEY, "share": -1}],
+    ],
+)
+def test_wrong_customers_of_a_load_are_refused(customers: object) -> None:
+    ran = command_line(*LOAD, "--customers", "-", given_input=customers)
+    assert ran.code is ExitCode.USAGE
+
+
+@given(st.text())
+def test_text_from_peers_cannot_steer_the_terminal(text: str) -> None:
+    assert one_line(text).isprintable()
