Look at a caller's connection without waiting on its timeout

Cause: a socket with a timeout waits for readability even with MSG_DONTWAIT and raises, and the raise was taken for a closed connection: every request that was silent for the write timeout was cancelled. Seen as a long prompt refused after 30 s in the example. Ruled out: the engine (it went on prefilling) and the deadline (120 s). The look now asks select first.

--- a/examples/first_fleet.py
+++ b/examples/first_fleet.py
@@ -110,7 +110,7 @@
     """Ask a plain stand-in how many calls it ran."""
     address = fleet.upstream_addresses[name]
     response = fleet.http.request("GET", f"http://{address}/_calls")
-    return len(json.loads(response.data)["calls"])
+    return len(json.loads(response.data))
 
 
 def show_audit(fleet: LocalFleet) -> None:
--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -1,5 +1,6 @@
 """Write one answer to one caller, as it comes."""
 
+import select
 import socket
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -120,12 +121,15 @@
         self.send("head", text.encode("latin-1", "replace") + body)
 
     def caller_gone(self) -> bool:
-        """Look, without waiting, whether the caller has closed its connection."""
+        """Look, without waiting, whether the caller has closed its connection.
+
+        A socket with a timeout waits for it even where a flag asks it not to, and
+        then reports a quiet caller as gone. So it is read only once it is readable.
+        """
         try:
-            return self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
+            readable, _, _ = select.select([self.socket], [], [], 0)
+            return bool(readable) and self.socket.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
             return True
 
     def send(self, step: str, data: bytes) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
@@ -4,9 +4,10 @@
 import traceback
 from types import TracebackType
 
-from cowslipshelf_platform.logs import part_logger
 from pykka import ThreadingActor
 
+from cowslipshelf_platform.logs import part_logger
+
 LOG = part_logger("actor")
 
 EXIT_ACTOR_FAILED = 70
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -62,8 +62,12 @@
 )
 from cowslipshelf_daemon.internal.ticker import Ticker
 from cowslipshelf_daemon.internal.wire import MailboxMessage
-from cowslipshelf_fleet.attempts import AttemptsClient, AttemptsClientConfig
-from cowslipshelf_fleet.mailbox import Mailbox, MailboxConfig
+from cowslipshelf_fleet import (
+    AttemptsClient,
+    AttemptsClientConfig,
+    Mailbox,
+    MailboxConfig,
+)
 from cowslipshelf_operators import OperatorKey, OperatorsServer, OperatorsServerConfig
 from cowslipshelf_platform.settings import DaemonSettings
 from cowslipshelf_platform.storage import ReplicaStorage, ReplicaStorageConfig
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
@@ -3,7 +3,6 @@
 import time
 from typing import Any, NamedTuple
 
-from cowslipshelf_platform.logs import part_logger
 from pykka import ActorRef
 
 from cowslipshelf_core.configuration_view import (
@@ -22,6 +21,7 @@
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_platform.logs import part_logger
 
 LOG = part_logger("configuration")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -83,8 +83,7 @@
             status.description for status in self.parts.status.upstreams.values()
         )
         change = document.to_change()
-        configuration = self.parts.in_force.index.configuration
-        upstreams = relevant_upstreams(change, configuration, descriptions)
+        upstreams = relevant_upstreams(change, descriptions)
         return self.ask("record plan", document.to_command(operator, upstreams))
 
     def confirm(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/post.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/post.py
@@ -6,7 +6,7 @@
 
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.messages import Message
-from cowslipshelf_fleet.mailbox import Mailbox
+from cowslipshelf_fleet import Mailbox
 
 
 class Delivered(NamedTuple):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -6,7 +6,6 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
-from cowslipshelf_platform.logs import part_logger
 from pykka import ActorRef
 
 from cowslipshelf_core.agreement import (
@@ -49,6 +48,7 @@
 from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.storage import ReplicaStorage, StorageError
 
 LOG = part_logger("replica")
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -5,7 +5,6 @@
 from queue import Empty, SimpleQueue
 from typing import Any, NamedTuple
 
-from cowslipshelf_platform.logs import part_logger
 from pykka import ActorDeadError, ActorRef
 
 from cowslipshelf_core.configuration import FleetConfiguration
@@ -55,7 +54,8 @@
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_fleet.mailbox import Received
+from cowslipshelf_fleet import Received
+from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings
 
 LOG = part_logger("routing")
--- a/packages/daemon/src/cowslipshelf_daemon/internal/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/running.py
@@ -2,16 +2,15 @@
 
 import threading
 
-from cowslipshelf_platform.logs import configure_logs, part_logger
-from cowslipshelf_platform.signals import ShutdownSignals
-
 from cowslipshelf_daemon.internal.entry.assembly import (
     EntryRole,
     StartError,
     start_entry,
 )
 from cowslipshelf_daemon.internal.sidecar.assembly import SidecarRole, start_sidecar
+from cowslipshelf_platform.logs import configure_logs, part_logger
 from cowslipshelf_platform.settings import DaemonSettings
+from cowslipshelf_platform.signals import ShutdownSignals
 
 LOG = part_logger("daemon")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -27,8 +27,13 @@
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Ticker
 from cowslipshelf_daemon.internal.wire import MailboxMessage
-from cowslipshelf_fleet.attempts import AttemptsServer, AttemptsServerConfig
-from cowslipshelf_fleet.mailbox import Mailbox, MailboxConfig, Received
+from cowslipshelf_fleet import (
+    AttemptsServer,
+    AttemptsServerConfig,
+    Mailbox,
+    MailboxConfig,
+    Received,
+)
 from cowslipshelf_platform.settings import DaemonSettings, UpstreamSettings
 from cowslipshelf_upstreams import (
     EngineClient,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -14,7 +14,7 @@
     UpstreamFinished,
 )
 from cowslipshelf_core.upstream import HandOver
-from cowslipshelf_fleet.frames import FrameBuffer
+from cowslipshelf_fleet import FrameBuffer
 from cowslipshelf_upstreams import (
     EngineClient,
     PlainClient,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
@@ -11,7 +11,7 @@
 from cowslipshelf_core.sidecar import CancelArrived, RevokeArrived
 from cowslipshelf_core.upstream import HandOver, LoadReport
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
-from cowslipshelf_fleet.frames import FrameBuffer
+from cowslipshelf_fleet import FrameBuffer
 
 ANSWER_SECONDS = 5.0
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -5,8 +5,6 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
-from cowslipshelf_platform.logs import part_logger
-
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
     BecameServable,
@@ -65,7 +63,8 @@
 )
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_fleet.mailbox import Mailbox, Received
+from cowslipshelf_fleet import Mailbox, Received
+from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings
 
 LOG = part_logger("sidecar")
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -3,11 +3,11 @@
 import threading
 from queue import SimpleQueue
 
-from cowslipshelf_platform.logs import part_logger
 from pykka import ActorDeadError, ActorRef
 
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
+from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_upstreams import (
     EngineClient,
     UpstreamLostError,
