Write the stand-in's events from one thread for all engines of a process

Benchmarks drive some forty engines and hundreds of streams on one machine, and a thread woken for each event cost several times the write itself; one scheduler thread for each engine lost its time waiting for the interpreter's lock after each send. Now one loop runs every engine and writes fresh events to the sockets without blocking; a connection's own thread only writes comments and what a slow reader has left.

--- a/packages/standins/src/cowslipshelf_standins/internal/engine.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/engine.py
@@ -1,7 +1,8 @@
-"""Run attempts on one scheduler thread and keep what they generated."""
+"""Run attempts tick by tick and keep what they generated."""
 
 from collections import OrderedDict
-from threading import Condition, Thread
+from collections.abc import Iterable
+from threading import Lock
 from time import monotonic, sleep
 
 from cowslipshelf_standins.internal.attempts import Attempt, AttemptState
@@ -12,6 +13,7 @@
     Inventory,
     StartOptions,
 )
+from cowslipshelf_standins.internal.engine_loop import EngineLoop
 from cowslipshelf_standins.internal.faults import FaultSwitch
 from cowslipshelf_standins.internal.http_serving import BadRequestError
 from cowslipshelf_standins.internal.kv_parts import KvExport, KvPart, KvParts
@@ -22,15 +24,19 @@
 
 MOST_ENDED_IDS = 20_000
 MOST_LATENESS_SECONDS = 0.25
+FROZEN_POLL_SECONDS = 0.02
 
 
 class Engine:
     """Be one model engine; `changed` guards all of its state."""
 
-    def __init__(self, config: EngineConfig, switch: FaultSwitch) -> None:
+    def __init__(
+        self, config: EngineConfig, switch: FaultSwitch, loop: EngineLoop
+    ) -> None:
         self.config = config
         self.switch = switch
-        self.changed = Condition()
+        self.loop = loop
+        self.changed = Lock()
         self.attempts: dict[str, Attempt] = {}
         self.ended_ids: OrderedDict[str, None] = OrderedDict()
         self.arrivals = 0
@@ -46,27 +52,30 @@
             config.seed,
         )
         self.batch = Batch(config, self.cache)
+        self.scheduled = False
+        self.due = 0.0
+        self.under_way: Progress = {}
 
-    def start(self) -> Thread:
-        """Run the scheduler on a thread of its own."""
-        thread = Thread(target=self.run, daemon=True)
-        thread.start()
-        return thread
-
-    def run(self) -> None:
-        """Run steps for as long as there is work, and sleep while there is none."""
-        due = monotonic()
-        while True:
-            with self.changed:
-                self.changed.wait_for(lambda: self.stopped or self.batch.has_work())
-                if self.stopped:
-                    return
-                seconds, progress = self.batch.run_tick(self.scale())
-            due = max(due, monotonic() - MOST_LATENESS_SECONDS) + seconds
-            sleep(max(0.0, due - monotonic()))
-            self.switch.wait_while_frozen()
-            with self.changed:
-                self.deliver(progress)
+    def advance(self, now: float) -> float | None:
+        """Deliver the tick that has passed and begin the next, if there is work."""
+        if self.switch.faults.freeze:
+            return now + FROZEN_POLL_SECONDS
+        passed = self.under_way
+        with self.changed:
+            self.deliver(passed)
+            seconds, self.under_way = self.batch.run_tick(self.scale())
+            self.scheduled = bool(self.under_way) or self.batch.has_work()
+            going_on = self.scheduled and not self.stopped
+        push_to_readers(passed)
+        self.due = max(self.due, now - MOST_LATENESS_SECONDS) + seconds
+        return self.due if going_on else None
+
+    def schedule(self) -> None:
+        """Have the loop run this engine, if it does not yet."""
+        if not self.scheduled:
+            self.scheduled = True
+            self.due = monotonic()
+            self.loop.schedule(self, self.due)
 
     def scale(self) -> float:
         """Return the real seconds for one second of the engine."""
@@ -74,9 +83,7 @@
 
     def stop(self) -> None:
         """End the scheduler and every attempt."""
-        with self.changed:
-            self.stopped = True
-            self.changed.notify_all()
+        self.stopped = True
         for attempt_id in list(self.attempts):
             self.cancel(attempt_id)
 
@@ -122,7 +129,7 @@
             self.attempts[attempt.attempt_id] = attempt
             self.batch.waiting.append(attempt)
             self.record_load()
-            self.changed.notify_all()
+            self.schedule()
             return attempt
 
     def check_start(self, prompt: Prompt, options: StartOptions) -> None:
@@ -168,7 +175,8 @@
             if not attempt.ended:
                 attempt.publish(AttemptState.CANCELLED, attempt.generated)
             self.record_load()
-            return True
+        push_to_readers((attempt,))
+        return True
 
     def forget(self, attempt: Attempt) -> None:
         """Drop an attempt, but keep its id so that a late copy is refused."""
@@ -243,3 +251,10 @@
         with self.changed:
             self.orders.run(order)
         return True
+
+
+def push_to_readers(attempts: Iterable[Attempt]) -> None:
+    """Hand fresh events to whoever reads them; none may block the engine."""
+    for attempt in attempts:
+        for reader in tuple(attempt.readers):
+            reader.push()
--- a/packages/standins/src/cowslipshelf_standins/internal/engine_http.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/engine_http.py
@@ -1,6 +1,6 @@
 """Serve an engine over HTTP."""
 
-from collections.abc import Iterator
+from functools import cache
 from typing import Self
 from urllib.parse import parse_qs
 from uuid import uuid4
@@ -16,12 +16,9 @@
     ModelList,
     StartOptions,
 )
-from cowslipshelf_standins.internal.event_stream import (
-    DONE_EVENT,
-    KEEP_ALIVE_COMMENT,
-    answer_event,
-    whole_answer,
-)
+from cowslipshelf_standins.internal.engine_loop import EngineLoop
+from cowslipshelf_standins.internal.event_stream import whole_answer
+from cowslipshelf_standins.internal.event_writer import EventWriter, StreamCutError
 from cowslipshelf_standins.internal.faults import FaultSwitch
 from cowslipshelf_standins.internal.http_serving import (
     BadRequestError,
@@ -38,10 +35,6 @@
 )
 
 
-class StreamDroppedError(OSError):
-    """Cut a connection on purpose, as a fault."""
-
-
 class EngineHandler(StandInHandler):
     """Answer the engine's paths."""
 
@@ -143,70 +136,49 @@
 
     def answer_whole(self, attempt: Attempt) -> None:
         """Answer with the whole output once it is there."""
-        while not attempt.ended:
-            attempt.read_after(len(attempt.event_ends), self.keep_alive_seconds)
-        if attempt.read_after(0, 0.0).cancelled:
-            raise StreamDroppedError("the attempt was cancelled")
+        attempt.all_done.wait()
+        if attempt.state is AttemptState.CANCELLED:
+            raise StreamCutError("the attempt was cancelled")
         self.answer_bytes(
             200, whole_answer(attempt), (("Content-Type", "application/json"),)
         )
 
-    @property
-    def keep_alive_seconds(self) -> float:
-        """Return after how long a quiet stream sends a comment."""
-        return self.engine.config.keep_alive_seconds
-
     def stream(self, attempt: Attempt, after: int) -> None:
         """Stream events after a sequence number; cut the stream if cancelled."""
-        switch = self.server.switch
         self.begin_stream(EVENT_STREAM_HEADERS)
-        sent = 0
-        for event in self.events(attempt, after):
-            switch.wait_while_frozen()
-            most = switch.faults.drop_after_events
-            if most is not None and sent >= most and event != KEEP_ALIVE_COMMENT:
-                raise StreamDroppedError("dropped as a fault")
-            self.write_chunk(event)
-            sent += event != KEEP_ALIVE_COMMENT
-        self.end_stream()
-
-    def events(self, attempt: Attempt, after: int) -> Iterator[bytes]:
-        """Yield an attempt's events, and comments while there is none."""
-        sequence = after
-        while True:
-            progress = attempt.read_after(sequence, self.keep_alive_seconds)
-            for _ in progress.ends:
-                sequence += 1
-                yield answer_event(attempt, sequence)
-            if progress.cancelled:
-                raise StreamDroppedError("the attempt was cancelled")
-            if progress.finished:
-                break
-            if not progress.ends:
-                yield KEEP_ALIVE_COMMENT
-        yield DONE_EVENT % (len(attempt.event_ends) + 1)
+        writer = EventWriter(self.connection, attempt, after, self.server.switch)
+        attempt.readers.append(writer)
+        try:
+            writer.run(self.engine.config.keep_alive_seconds)
+        finally:
+            attempt.readers.remove(writer)
 
 
 class EngineServer(StandInServer):
     """Be one engine stand-in that listens."""
 
-    def __init__(self, listen_address: str, config: EngineConfig) -> None:
+    def __init__(
+        self, listen_address: str, config: EngineConfig, loop: EngineLoop
+    ) -> None:
         super().__init__(listen_address, EngineHandler, FaultSwitch())
-        self.engine = Engine(config, self.switch)
+        self.engine = Engine(config, self.switch, loop)
 
     @classmethod
     def from_config(
         cls, config: EngineConfig, listen_address: str = "127.0.0.1:0"
     ) -> Self:
-        """Make an engine that listens but does not run yet."""
-        return cls(listen_address, config)
-
-    def start(self) -> Self:
-        """Run the engine and serve it."""
-        self.engine.start()
-        return super().start()
+        """Make an engine that listens but does not serve yet."""
+        return cls(listen_address, config, process_loop())
 
     def stop(self) -> None:
         """Stop serving and end the engine."""
         super().stop()
         self.engine.stop()
+
+
+@cache
+def process_loop() -> EngineLoop:
+    """Return the loop that all engines of this process share."""
+    loop = EngineLoop()
+    loop.start()
+    return loop
--- a/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -153,16 +153,6 @@
         self.end_headers()
         self.wfile.flush()
 
-    def write_chunk(self, data: bytes) -> None:
-        """Send one chunk at once."""
-        self.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
-        self.wfile.flush()
-
-    def end_stream(self) -> None:
-        """Send the marker that ends a chunked answer."""
-        self.wfile.write(b"0\r\n\r\n")
-        self.wfile.flush()
-
 
 class StandInServer(ThreadingHTTPServer):
     """Be one listening stand-in inside this process."""
--- a/tests/cover/standins/test_engine_state.py
+++ b/tests/cover/standins/test_engine_state.py
@@ -9,6 +9,7 @@
 from cowslipshelf_standins.internal.attempts import AttemptState
 from cowslipshelf_standins.internal.engine import Engine
 from cowslipshelf_standins.internal.engine_documents import StartOptions
+from cowslipshelf_standins.internal.engine_loop import EngineLoop
 from cowslipshelf_standins.internal.faults import FaultSwitch
 from cowslipshelf_standins.internal.http_serving import BadRequestError
 from cowslipshelf_standins.internal.kv_parts import merged_length
@@ -39,7 +40,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.engine = Engine(SMALL_ENGINE, FaultSwitch())
+        self.engine = Engine(SMALL_ENGINE, FaultSwitch(), EngineLoop())
         self.submitted: dict[str, int] = {}
 
     @rule(
@@ -124,7 +125,9 @@
     )
 )
 def test_first_tokens_come_in_order_of_priority_then_arrival(prompts) -> None:
-    engine = Engine(SMALL_ENGINE._replace(memory_tokens=10_000), FaultSwitch())
+    engine = Engine(
+        SMALL_ENGINE._replace(memory_tokens=10_000), FaultSwitch(), EngineLoop()
+    )
     for number, (tokens, priority) in enumerate(prompts):
         engine.submit(prompt_of(tokens, 2), options_of(f"{number}", priority))
     first_tokens: list[str] = []
@@ -153,7 +156,7 @@
         prefill_seconds_per_token_squared=quadratic,
         tick_seconds=1e9,
     )
-    engine = Engine(config, FaultSwitch())
+    engine = Engine(config, FaultSwitch(), EngineLoop())
     engine.submit(prompt_of(tokens, 1), options_of("only"))
     seconds, progress = engine.batch.run_tick(1.0)
     expected = linear * tokens + quadratic * tokens * tokens
