Write frames to the socket itself, and measure messages and streams

The server spent more on the HTTP library's pure-Python writer than on encoding and sending. Ruled out: coalescing frames in time, as a stream's frames are 44 ms apart and waiting would delay tokens; the client's parser, at 6 us a frame when the bytes are already there (trial).

--- /dev/null
+++ b/benchmarks/fleet_mailboxes.py
@@ -0,0 +1,114 @@
+"""Measure mailboxes: messages by size, and what an idle peer costs."""
+
+import sys
+from time import monotonic, process_time, sleep
+
+from fleet_partner import answer_questions, partner
+
+from cowslipshelf_core.messages import Withdraw
+from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
+
+HEARTBEAT_SECONDS = 1.0
+SILENCE_SECONDS = 5.0
+SETTLE_SECONDS = 2.0
+IN_FLIGHT_BYTES = 4_000_000
+MICROSECONDS = 1e6
+
+
+def started(name: str) -> Mailbox:
+    """Start a mailbox that counts what it gets."""
+    config = MailboxConfig(
+        instance=name,
+        epoch=name,
+        listen_address="127.0.0.1:0",
+        cluster_key=b"benchmark",
+        heartbeat_seconds=HEARTBEAT_SECONDS,
+        silence_seconds=SILENCE_SECONDS,
+        message_types=Withdraw,
+        idle_seconds=600.0,
+    )
+    mailbox = Mailbox.from_config(config, ignore, lambda: 1)
+    mailbox.start()
+    return mailbox
+
+
+def ignore(_: Received) -> None:
+    """Do nothing with a message; the mailbox has counted it."""
+
+
+def measure_messages(size: int, seconds: float) -> dict[str, object]:
+    """Send messages of one size as fast as the receiver takes them."""
+    message = Withdraw("u" * size, "e")
+    with partner(__file__, "1") as other:
+        address = other.ask("addresses")["addresses"][0]
+        sender = started("sender")
+        sender.send(address, message)
+        sleep(SETTLE_SECONDS)
+        before, cpu, began = other.ask("state"), process_time(), monotonic()
+        sent_before = sender.counters
+        while monotonic() - began < seconds:
+            send_within_window(sender, address, message)
+        cpu, took, after = process_time() - cpu, monotonic() - began, other.ask("state")
+        counters = sender.counters
+        sender.stop()
+    sent = counters.sent - sent_before.sent
+    got = after["received"] - before["received"]
+    return {
+        "message_bytes": size,
+        "messages_per_second": round(got / took),
+        "sender_cpu_microseconds": round(cpu / sent * MICROSECONDS, 1),
+        "receiver_cpu_microseconds": round(
+            (after["cpu"] - before["cpu"]) / got * MICROSECONDS, 1
+        ),
+        "envelope_bytes": round((counters.sent_bytes - sent_before.sent_bytes) / sent),
+        "dropped": counters.dropped_no_room - sent_before.dropped_no_room,
+    }
+
+
+def send_within_window(sender: Mailbox, address: str, message: Withdraw) -> None:
+    """Send one message, or wait a little where too much is on its way."""
+    link = sender.peer_at(address).link
+    if link.sent_bytes - link.answered_bytes > IN_FLIGHT_BYTES:
+        sleep(0.0005)
+        return
+    sender.send(address, message)
+
+
+def measure_idle_peers(count: int, seconds: float) -> dict[str, object]:
+    """Keep connections to many peers that have nothing to say."""
+    with partner(__file__, str(max(count, 1))) as other:
+        addresses = other.ask("addresses")["addresses"][:count]
+        sender = started("sender")
+        for address in addresses:
+            sender.send(address, Withdraw("u", "e"))
+        sleep(SETTLE_SECONDS)
+        cpu, before = process_time(), sender.counters
+        sleep(seconds)
+        cpu, after = process_time() - cpu, sender.counters
+        sender.stop()
+    heartbeats = after.received - before.received
+    received_bytes = after.received_bytes - before.received_bytes
+    return {
+        "peers": count,
+        "heartbeat_seconds": HEARTBEAT_SECONDS,
+        "cpu_share_of_a_core": round(cpu / seconds, 5),
+        "heartbeats_received_per_second": round(heartbeats / seconds, 1),
+        "envelope_bytes_per_heartbeat": round(received_bytes / max(heartbeats, 1), 1),
+        "silent_connections": after.connections_silent,
+    }
+
+
+def main() -> None:
+    """Be the partner: a number of mailboxes that receive."""
+    mailboxes = [started(f"receiver {number}") for number in range(int(sys.argv[1]))]
+
+    def state() -> dict[str, object]:
+        received = sum(mailbox.counters.received for mailbox in mailboxes)
+        return {"received": received, "cpu": process_time()}
+
+    addresses = [mailbox.address for mailbox in mailboxes]
+    answer_questions({"addresses": lambda: {"addresses": addresses}, "state": state})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/fleet_streams.py
@@ -0,0 +1,157 @@
+"""Measure streamed frames: processor time per frame on both sides."""
+
+from threading import Thread
+from time import monotonic, process_time, sleep
+
+from fleet_partner import answer_questions, partner
+
+from cowslipshelf_core.messages import AttemptRefused, StreamChunk, StreamEnd
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_fleet import (
+    AttemptsClient,
+    AttemptsClientConfig,
+    AttemptsServer,
+    AttemptsServerConfig,
+    AttemptStream,
+    FrameBuffer,
+)
+
+KEY = b"benchmark"
+TOKEN_SECONDS = 0.044
+CHUNK = b"data: " + b"x" * 180 + b"\n\n"
+SETTLE_SECONDS = 1.0
+MICROSECONDS = 1e6
+
+
+class SteadyHandler:
+    """Write a frame to every stream, one token interval after the other."""
+
+    def __init__(self) -> None:
+        self.buffers: list[FrameBuffer] = []
+        self.written = 0
+        self.stopping = False
+        self.writing = Thread(target=self.write_all, daemon=True)
+        self.writing.start()
+
+    def hand_over(self, _: HandOver) -> AttemptRefused | FrameBuffer:
+        """Begin one more stream."""
+        buffer = FrameBuffer()
+        self.buffers.append(buffer)
+        return buffer
+
+    def write_all(self) -> None:
+        """Write frames; streams take turns within the interval."""
+        while not self.stopping:
+            began = monotonic()
+            streams = list(self.buffers)
+            for number, buffer in enumerate(streams, start=1):
+                buffer.append(StreamChunk(buffer.last_sequence + 1, CHUNK, 1))
+                self.written += 1
+                due = began + TOKEN_SECONDS * number / len(streams)
+                sleep(max(due - monotonic(), 0.0))
+            sleep(0.0 if streams else TOKEN_SECONDS)
+
+    def end_all(self) -> dict[str, object]:
+        """End every stream whole."""
+        self.stopping = True
+        self.writing.join()
+        for buffer in self.buffers:
+            buffer.append(StreamEnd(buffer.last_sequence))
+        return {}
+
+    def state(self) -> dict[str, object]:
+        """Tell how much was written, and at which cost."""
+        return {"written": self.written, "cpu": process_time()}
+
+
+class CountingReader:
+    """Read one stream and count its chunks."""
+
+    def __init__(self, stream: AttemptStream) -> None:
+        self.stream = stream
+        self.chunks = 0
+        self.thread = Thread(target=self.read, daemon=True)
+        self.thread.start()
+
+    def read(self) -> None:
+        """Count until the stream ends."""
+        for frame in self.stream:
+            self.chunks += isinstance(frame, StreamChunk)
+
+
+def measure_streams(count: int, seconds: float) -> dict[str, object]:
+    """Read a number of streams at the pace of token generation."""
+    client = AttemptsClient.from_config(AttemptsClientConfig(5.0, 30.0, KEY))
+    with partner(__file__) as other:
+        address = other.ask("address")["address"]
+        readers = [
+            CountingReader(client.hand_over(address, hand_over(number)))
+            for number in range(count)
+        ]
+        sleep(SETTLE_SECONDS)
+        before, read, cpu = other.ask("state"), total(readers), process_time()
+        sleep(seconds)
+        read, cpu = total(readers) - read, process_time() - cpu
+        after = other.ask("state")
+        other.ask("end")
+        for reader in readers:
+            reader.thread.join()
+    written = after["written"] - before["written"]
+    return {
+        "streams": count,
+        "frames_per_second": round(read / seconds),
+        "client_cpu_microseconds_per_frame": round(cpu / read * MICROSECONDS, 1),
+        "server_cpu_microseconds_per_frame": round(
+            (after["cpu"] - before["cpu"]) / written * MICROSECONDS, 1
+        ),
+    }
+
+
+def total(readers: list[CountingReader]) -> int:
+    """Return how many chunks were read."""
+    return sum(reader.chunks for reader in readers)
+
+
+def hand_over(number: int) -> HandOver:
+    """Return a small request."""
+    return HandOver(
+        request_id=f"request {number}",
+        attempt_id=f"attempt {number}",
+        owner="entry",
+        upstream_id="upstream",
+        sidecar_epoch="epoch",
+        configuration_version=1,
+        customer="customer",
+        service="service",
+        model="model",
+        non_idempotent=False,
+        deadline_seconds=60.0,
+        prompt_tokens=1,
+        most_output_tokens=1,
+        priority=0,
+        prefix_hash=0,
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"{}",
+    )
+
+
+def main() -> None:
+    """Be the partner: a server of steady streams."""
+    handler = SteadyHandler()
+    config = AttemptsServerConfig("127.0.0.1:0", KEY, heartbeat_seconds=1.0)
+    server = AttemptsServer.from_config(config, handler)
+    server.start()
+    answer_questions(
+        {
+            "address": lambda: {"address": server.address},
+            "state": handler.state,
+            "end": handler.end_all,
+        }
+    )
+    server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
@@ -103,13 +103,24 @@
         position = buffer.position_after(after)
         self.begin(STATUS_STREAM)
         self.req.ensure_headers_sent()
-        while not buffer.ended_for(position, reader):
-            if server.stopping.is_set():
-                self.req.close_connection = True
-                break
+        while not server.stopping.is_set():
             frames = buffer.read_from(position, server.config.heartbeat_seconds, reader)
-            position += len(frames)
-            self.req.write(encode_frames(frames) if frames else HEARTBEAT)
+            if frames:
+                self.write_chunk(encode_frames(frames))
+                position += len(frames)
+            elif buffer.ended_for(position, reader):
+                return
+            else:
+                self.write_chunk(HEARTBEAT)
+        self.req.close_connection = True
+
+    def write_chunk(self, data: bytes) -> None:
+        """Write one chunk of the body to the socket itself.
+
+        The library's buffer is emptied by each of its writes, so there is nothing
+        to overtake, and it costs more processor time than encoding and sending.
+        """
+        self.req.conn.socket.sendall(b"%x\r\n%b\r\n" % (len(data), data))
 
     def answer(self, status: int, body: bytes = b"") -> None:
         """Write a whole answer."""
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -7,6 +7,8 @@
 from cowslipshelf_fleet.errors import FrameOrderError
 
 MOST_BUFFERED_BYTES = 16 * 1024 * 1024
+MOST_FRAMES_READ = 256
+"""Frames read at once, so that a resume doesn't copy a whole answer in one piece."""
 FRAME_OVERHEAD_BYTES = 128
 """Memory of a frame besides its data, so that many empty frames are bounded too."""
 
@@ -50,7 +52,7 @@
             return True
 
     def read_after(self, sequence: int, timeout: float) -> list[Frame]:
-        """Return the frames after a chunk, waiting up to `timeout` seconds for one.
+        """Return the next frames after a chunk; wait `timeout` seconds for one.
 
         Sequence zero stands for the beginning, the head included: whoever has
         seen the head and no chunk gets the head again.
@@ -85,7 +87,9 @@
                 if left <= 0:
                     return []
                 self.changed.wait(left)
-            return self.frames[position:] if reader == self.reader else []
+            if reader != self.reader:
+                return []
+            return self.frames[position : position + MOST_FRAMES_READ]
 
     def must_wait(self, position: int, reader: int) -> bool:
         """Tell whether a reader at the position has to wait for something."""
