Refuse hostile and careless calls with one clear error each

Found by the tests: looking whether a caller has left waited for the socket's timeout, as a timed socket polls before it receives, whatever the flags; closing the listening socket under the server made it spin; and the library's reader of chunked bodies has no bound on a size line, and keeps the trailers for the next call. The body reader is our own now, the look does not wait, and listening ends after what the kernel has accepted is taken.

Stories for the request machine, each seen to fail with its guard taken out: stored answers, stored refusals, a late grant, a caller that leaves, a continuation with another status, a choice delivered twice.

--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -122,7 +122,8 @@
     def caller_gone(self) -> bool:
         """Look, without waiting, whether the caller has closed its connection."""
         try:
-            return self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+            self.socket.settimeout(0.0)
+            return self.socket.recv(1, socket.MSG_PEEK) == b""
         except BlockingIOError:
             return False
         except OSError:
--- a/packages/callers/src/cowslipshelf_callers/internal/http_request.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/http_request.py
@@ -4,11 +4,11 @@
 import secrets
 import urllib.parse
 
-from cheroot.errors import MaxSizeExceeded
 from cheroot.server import Gateway, HTTPRequest
 
 from cowslipshelf_callers.errors import BadCallError, CallerGoneError
 from cowslipshelf_callers.internal.answer_writer import AnswerWriter
+from cowslipshelf_callers.internal.chunked_body import read_chunked
 from cowslipshelf_callers.internal.models_page import models_answer
 from cowslipshelf_callers.internal.routes import (
     MODELS_PATH,
@@ -42,7 +42,7 @@
             return False
         length = self.inheaders.get(b"Content-Length")
         if length is not None and not length.strip().isdigit():
-            self.simple_response("400 Bad Request", "Malformed Content-Length")
+            self.simple_response("400 Bad Request", "malformed Content-Length")
             return False
         if length is not None and self.chunked_read:
             self.simple_response(
@@ -56,7 +56,7 @@
         number = int(str(status)[:3])
         self.close_connection = True
         self.conn.linger = True
-        refusal = _refusal_of_status(number, str(msg) or str(status)[4:])
+        refusal = _refusal_of_status(number, str(msg).rstrip(".") or str(status)[4:])
         writer = self.writer(fresh_request_id())
         writer.keeps_connection = False
         try:
@@ -167,10 +167,10 @@
         if not request.chunked_read:
             return self.read_known_length()
         try:
-            return request.rfile.read()
-        except MaxSizeExceeded as error:
-            raise _too_large(self.req.server.config.most_body_bytes) from error
-        except (ValueError, EOFError) as error:
+            return read_chunked(
+                request.conn.rfile, request.server.max_request_body_size
+            )
+        except ValueError as error:
             raise bad_request(f"malformed chunked body: {error}") from error
 
     def read_known_length(self) -> bytes:
@@ -183,10 +183,3 @@
             peer = f"{self.req.conn.remote_addr}:{self.req.conn.remote_port}"
             raise CallerGoneError("body", peer, "closed before the body was whole")
         return body
-
-
-def _too_large(limit: int) -> BadCallError:
-    detail = f"a body may have {limit} bytes"
-    return BadCallError(
-        Refusal(RefusalCode.NOT_RUN, RefusalReason.TOO_LARGE, "parse", detail=detail)
-    )
--- a/packages/callers/src/cowslipshelf_callers/internal/server.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/server.py
@@ -1,7 +1,6 @@
 """Serve callers over HTTP."""
 
 import logging
-import socket
 import threading
 from queue import Full
 
@@ -56,6 +55,24 @@
         """Tell whether a connection may wait for another call."""
         return not self.draining and self.can_add_keepalive_connection
 
+    def stop_listening(self) -> None:
+        """Close the listening socket, after taking what the kernel accepted.
+
+        A connection that still waits in the kernel may carry a call already; closing
+        would reset it, and a graceful shutdown cuts no call.
+        """
+        listening = self.socket
+        if listening is None:
+            return
+        # There is no public way to stop listening without stopping to serve.
+        manager = self._connections
+        manager._selector.unregister(listening.fileno())
+        listening.settimeout(0.0)
+        while (waiting := manager._from_server_socket(listening)) is not None:
+            self.process_conn(waiting)
+        self.socket = None
+        listening.close()
+
     def process_conn(self, conn: CallerConnection) -> None:
         """Let a new connection wait without a thread; answer one that has a call."""
         if not conn.was_put_to_wait:
@@ -138,8 +155,7 @@
     def drain(self) -> None:
         """Take no new connection and keep none for another call; open calls go on."""
         self.server.draining = True
-        listening: socket.socket = self.server.socket
-        listening.shutdown(socket.SHUT_RD)
+        self.server.stop_listening()
 
     def stop(self, grace_seconds: float) -> None:
         """Wait for open calls at most the given time, then cut them."""
--- a/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
@@ -60,8 +60,6 @@
 def _may_try_again(state: RequestState, refusal: Refusal) -> bool:
     if state.caller_gone or refusal.reason in REASONS_THAT_FOLLOW_THE_REQUEST:
         return False
-    if state.request.is_non_idempotent() and state.may_have_run:
-        return False
     return (
         state.hand_overs < state.config.most_attempts
         and state.delivery.can_start_again()
--- /dev/null
+++ b/tests/common/callers_http.py
@@ -0,0 +1,98 @@
+"""Call a server over plain sockets, so that a test can misbehave."""
+
+import json
+import socket
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+from cowslipshelf_callers import CallersServer, CallersServerConfig, ServedModel
+from cowslipshelf_core.errors import Refusal
+
+PATIENCE_SECONDS = 20.0
+SSE = (("Content-Type", "text/event-stream"),)
+
+
+@dataclass
+class RecordingHandler:
+    """Give each call the same pieces, and keep what came."""
+
+    pieces: tuple[bytes, ...] = (b"data: 1\n\n", b"data: [DONE]\n\n")
+    headers: tuple[tuple[str, str], ...] = SSE
+    refusal: Refusal | None = None
+    calls: list = field(default_factory=list)
+
+    def answer(self, call, writer) -> None:
+        """Write the pieces, then the end or the refusal."""
+        self.calls.append(call)
+        if self.pieces or self.refusal is None:
+            writer.head(200, self.headers)
+        for piece in self.pieces:
+            writer.chunk(piece)
+        if self.refusal is None:
+            writer.end()
+        else:
+            writer.refusal(self.refusal, bool(self.pieces))
+
+    def models(self, customer_key: str) -> tuple[ServedModel, ...]:
+        """List one model."""
+        return (ServedModel(f"model-of-{customer_key}", "scribe"),)
+
+
+@contextmanager
+def running_server(handler, **limits):
+    """Serve on a free port until the block ends."""
+    config = CallersServerConfig("127.0.0.1:0")._replace(**limits)
+    server = CallersServer.from_config(config, handler)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop(grace_seconds=2.0)
+
+
+@dataclass
+class Reply:
+    """Hold a reply as it was read to its end."""
+
+    status: int
+    headers: dict[str, str]
+    raw_body: bytes
+
+    @property
+    def error(self) -> dict:
+        """Give the error object of a refusal."""
+        return json.loads(self.raw_body)["error"]
+
+
+def connect(server: CallersServer) -> socket.socket:
+    """Open a connection that gives up after a long time."""
+    host, port = server.address.split(":")
+    return socket.create_connection((host, int(port)), timeout=PATIENCE_SECONDS)
+
+
+def request_bytes(method: str, path: str, body: bytes = b"", **headers: str) -> bytes:
+    """Write a request that closes its connection after the reply."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: x", "Connection: close"]
+    named = {"authorization": "Bearer key", **headers}
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in named.items()]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def read_reply(connection: socket.socket) -> Reply:
+    """Read to the end of the connection."""
+    data = b""
+    while piece := connection.recv(65_536):
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+    return Reply(int(lines[0].split()[1]), headers, body)
+
+
+def ask(server: CallersServer, data: bytes) -> Reply:
+    """Send bytes and read the reply."""
+    with connect(server) as connection:
+        connection.sendall(data)
+        return read_reply(connection)
--- /dev/null
+++ b/tests/cover/requests/test_request_stories.py
@@ -0,0 +1,247 @@
+"""Tell the failures that a request has to come through, one by one."""
+
+from common.requests_harness import RequestsHarness, Step
+from common.requests_world import WHOLE_ANSWER
+from cowslipshelf_core.errors import RefusalCode, RefusalReason
+from cowslipshelf_core.messages import StreamHead
+from cowslipshelf_core.requests import (
+    AnswerEnd,
+    AskClaim,
+    Cancel,
+    ChoosePlacement,
+    ClaimAnswered,
+    FrameArrived,
+    Placed,
+    Revoke,
+    SendHandOver,
+    Wait,
+)
+
+FINE = Step()
+LOST_AFTER_ARRIVAL = Step(loss="answer")
+BUSY = Step(busy=True)
+NO_BUDGET = Step(loss="question")
+NOT_RESUMED = Step(loss="question")
+CUT = Step(spoil="cut")
+
+
+def is_whole(driven) -> bool:
+    ended = isinstance(driven.finals[0], AnswerEnd)
+    return ended and b"".join(driven.answer) == WHOLE_ANSWER
+
+
+def refusal_of(driven):
+    return driven.finals[0].refusal
+
+
+def test_a_resend_gets_the_stored_answer():
+    """A clerk's payment line is answered, the answer is lost, and she sends it again.
+
+    The second request reaches another entry instance. It must show the first answer;
+    running again would pay twice.
+    """
+    harness = RequestsHarness()
+    for _ in range(2):
+        driven = harness.begin(idempotency_key="k")
+        harness.run(driven)
+        assert is_whole(driven)
+    assert len(harness.world.ran) == 1
+
+
+def test_an_unknown_outcome_is_told_at_once_and_never_run_again():
+    """A sidecar takes a payment line, dies before it answers, and comes back empty.
+
+    Asked to revoke, it can't know. The caller is told so long before its deadline,
+    and a resend is told the same.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin(idempotency_key="k")
+    for step in (FINE, FINE, LOST_AFTER_ARRIVAL):
+        harness.step(driven, step)
+    for sidecar in harness.world.sidecars.values():
+        sidecar.restart()
+    harness.run(driven)
+    assert harness.now < driven.machine.deadline() - 5
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    for each in (driven, resent):
+        assert refusal_of(each).code is RefusalCode.OUTCOME_UNKNOWN
+    assert len(harness.world.ran) == 1
+
+
+def test_an_unreachable_sidecar_is_asked_a_bounded_number_of_times():
+    """A hand-over gets no answer and the sidecar's machine has gone silent.
+
+    The request must not wait for it until its deadline: the caller could do nothing
+    meanwhile. A few questions, then "outcome unknown".
+    """
+    harness = RequestsHarness()
+    driven = harness.begin(service_is_idempotent=False)
+    harness.run(driven, FINE, Step(loss="late"), *[Step(loss="question")] * 9)
+    revokes = [e for e in driven.effects if isinstance(e, Revoke)]
+    assert 1 < len(revokes) <= 5
+    assert refusal_of(driven).code is RefusalCode.OUTCOME_UNKNOWN
+    assert harness.now < driven.machine.deadline() - 5
+
+
+def test_a_resend_after_not_run_runs():
+    """Every upstream is busy, the caller is told "not run" and sends again later.
+
+    The key was claimed by the first request. If that claim stayed, the caller could
+    never run its request under the key it must keep.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin(idempotency_key="k")
+    harness.run(driven, FINE, FINE, BUSY, NO_BUDGET)
+    assert refusal_of(driven).code is RefusalCode.NOT_RUN
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    assert is_whole(resent)
+
+
+def test_the_key_of_a_dead_entry_is_taken_over_when_its_attempt_never_ran():
+    """An entry instance claims a key and is killed before it hands over.
+
+    The resend finds the key held by a dead owner. The sidecar named in the claim
+    promises never to run that attempt, so the resend runs, once.
+    """
+    harness = RequestsHarness()
+    killed = harness.begin(idempotency_key="k")
+    harness.step(killed, FINE)
+    harness.step(killed, FINE)
+    assert isinstance(killed.question, SendHandOver)
+    killed.dead = True
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    assert is_whole(resent)
+    late = killed.question.hand_over
+    assert harness.world.arrive(late, False, 1) is not None
+
+
+def test_a_resend_while_the_first_runs_is_told_when_to_ask_again():
+    """A caller loses patience and resends while its first request still runs."""
+    harness = RequestsHarness()
+    running = harness.begin(idempotency_key="k")
+    for _ in range(5):
+        harness.step(running, FINE)
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    refusal = refusal_of(resent)
+    assert refusal.reason is RefusalReason.STILL_RUNNING
+    assert refusal.code is not RefusalCode.NOT_RUN
+    assert refusal.retry_after_seconds > 0
+    harness.run(running)
+    assert is_whole(running)
+
+
+def test_a_claim_granted_after_its_caller_left_is_given_back():
+    """A caller leaves while its claim is being committed, and comes back at once.
+
+    Nobody will hand over under the granted claim. Left open, it would answer "still
+    running" to every resend until the first deadline.
+    """
+    harness = RequestsHarness()
+    left = harness.begin(idempotency_key="k")
+    harness.step(left, FINE)
+    asked = left.question
+    assert isinstance(asked, AskClaim)
+    harness.caller_goes(left)
+    granted = harness.world.claims.ask(asked.claim, harness.now)
+    harness.feed(left, ClaimAnswered(granted))
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    assert is_whole(resent)
+
+
+def test_work_that_runs_once_outlives_its_caller():
+    """A lorry gate's connection drops while its sampling verdict is being written.
+
+    Cancelling would lose the verdict, and a second run could give another. The first
+    run goes on, and the resend gets its answer.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin(idempotency_key="k")
+    for _ in range(5):
+        harness.step(driven, FINE)
+    harness.caller_goes(driven)
+    assert not driven.finals
+    harness.run(driven)
+    assert not [e for e in driven.effects if isinstance(e, Cancel)]
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    assert is_whole(resent)
+
+
+def test_repeatable_work_ends_with_its_caller():
+    """A caller closes its connection in the middle of a long summary.
+
+    Nobody will read the rest, so the engine is freed at once.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin()
+    for _ in range(5):
+        harness.step(driven, FINE)
+    harness.caller_goes(driven)
+    assert [e for e in driven.effects if isinstance(e, Cancel)]
+    assert len(driven.finals) == 1
+
+
+def test_an_error_page_is_no_continuation():
+    """An engine dies in mid-stream and the next one answers with an error page.
+
+    The caller's stream has begun with status 200. The page must not be spliced into
+    it; a third engine continues instead.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin()
+    for step in (
+        FINE,
+        FINE,
+        FINE,
+        FINE,
+        FINE,
+        CUT,
+        NOT_RESUMED,
+        FINE,
+        FINE,
+        FINE,
+        FINE,
+    ):
+        harness.step(driven, step)
+    assert len(driven.sent) == 2
+    attempt = driven.reading_attempt
+    harness.feed(driven, FrameArrived(StreamHead(500, ()), attempt))
+    harness.run(driven)
+    assert len(driven.sent) == 3
+    assert is_whole(driven)
+
+
+def test_a_choice_that_arrives_twice_opens_one_attempt():
+    """The router's answer to the first question is delivered again after a refusal.
+
+    Taking it for the answer to the second question would hand the same attempt over
+    twice, which its sidecar can't tell from a late copy.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin()
+    harness.step(driven, FINE)
+    first = driven.events[-1]
+    assert isinstance(first, Placed)
+    for step in (BUSY, FINE, FINE):
+        harness.step(driven, step)
+    assert isinstance(driven.question, ChoosePlacement)
+    assert driven.machine.handle(first, harness.now) == []
+    harness.run(driven)
+    assert is_whole(driven)
+
+
+def test_backoff_grows_and_keeps_within_the_deadline():
+    """Busy upstreams must not be asked again in step with everybody else."""
+    harness = RequestsHarness()
+    driven = harness.begin()
+    harness.run(driven, *[FINE, BUSY, FINE, FINE] * 4)
+    waits = [e.seconds for e in driven.effects if isinstance(e, Wait)]
+    assert len(waits) > 1
+    assert waits == sorted(waits)
+    assert waits[0] < waits[-1] < driven.request.deadline_seconds
+    assert refusal_of(driven).code is RefusalCode.NOT_RUN
