--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/directory.py
@@ -0,0 +1,43 @@
+"""Decide which announced upstreams may be given work."""
+
+from cowslipshelf_core.directory_events import (
+    LoadUpdated,
+    UnavailableReason,
+    UpstreamAvailable,
+    UpstreamUnavailable,
+)
+from cowslipshelf_core.internal.directory.config import DirectoryConfig
+from cowslipshelf_core.internal.directory.directory import Directory
+from cowslipshelf_core.internal.directory.events import (
+    AnnounceArrived,
+    DirectoryEffect,
+    DirectoryEvent,
+    DrainingChanged,
+    MassLossBegan,
+    MassLossEnded,
+    ObserversChanged,
+    SuspectArrived,
+    TellEntries,
+    TickElapsed,
+    WithdrawArrived,
+)
+
+__all__ = [
+    "AnnounceArrived",
+    "Directory",
+    "DirectoryConfig",
+    "DirectoryEffect",
+    "DirectoryEvent",
+    "DrainingChanged",
+    "LoadUpdated",
+    "MassLossBegan",
+    "MassLossEnded",
+    "ObserversChanged",
+    "SuspectArrived",
+    "TellEntries",
+    "TickElapsed",
+    "UnavailableReason",
+    "UpstreamAvailable",
+    "UpstreamUnavailable",
+    "WithdrawArrived",
+]
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -0,0 +1,177 @@
+"""Run one attempt at the upstream and keep its frames."""
+
+import threading
+from typing import NamedTuple
+
+from pykka import ActorRef
+
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.sidecar import (
+    FirstTokenArrived,
+    UpstreamAccepted,
+    UpstreamFinished,
+)
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_fleet.frames import FrameBuffer
+from cowslipshelf_upstreams import (
+    EngineClient,
+    PlainClient,
+    UpstreamLostError,
+    UpstreamStream,
+)
+
+STEP = "run_at_upstream"
+MOST_RESUMES = 3
+OK = 200
+SERVER_ERROR = 500
+
+
+class AttemptServices(NamedTuple):
+    """Be what every attempt of one sidecar uses."""
+
+    client: EngineClient | PlainClient
+    sidecar: ActorRef
+    peer: str
+
+
+class AttemptRunner:
+    """Own the upstream's stream of one attempt, on a thread of its own."""
+
+    def __init__(
+        self, hand_over: HandOver, buffer: FrameBuffer, services: AttemptServices
+    ) -> None:
+        self.hand_over = hand_over
+        self.buffer = buffer
+        self.services = services
+        self.cancelled = threading.Event()
+        self.last_sequence = 0
+        self.first_token_seen = False
+        self.overflowed = False
+
+    def start(self) -> None:
+        """Begin to run the attempt."""
+        name = f"attempt-{self.hand_over.attempt_id}"
+        threading.Thread(target=self.run, name=name, daemon=True).start()
+
+    def cancel(self) -> None:
+        """Stop taking pieces; the engine is told by the sidecar's actor."""
+        self.cancelled.set()
+
+    def run(self) -> None:
+        """Run the attempt to its end and write the final frame, whatever happens."""
+        refusal = self.run_with_resumes()
+        self.buffer.append(StreamEnd(self.last_sequence, refusal))
+        whole = refusal is None
+        self.services.sidecar.tell(UpstreamFinished(self.attempt_id, whole))
+
+    @property
+    def attempt_id(self) -> AttemptId:
+        """Return the attempt that this runs."""
+        return self.hand_over.attempt_id
+
+    def run_with_resumes(self) -> Refusal | None:
+        """Take the whole stream, resuming it at the engine where it was cut."""
+        detail = ""
+        try:
+            stream = self.open_stream()
+        except UpstreamLostError as error:
+            return self.failed_start(error)
+        if stream.status >= SERVER_ERROR and self.is_engine():
+            return self.failure(f"the engine answered with status {stream.status}")
+        self.buffer.append(StreamHead(stream.status, tuple(stream.headers)))
+        for _ in range(MOST_RESUMES + 1):
+            try:
+                self.copy(stream)
+                return self.ending()
+            except UpstreamLostError as error:
+                detail = str(error)
+            if self.cancelled.is_set():
+                return self.cancellation()
+            # A cut connection says nothing of the attempt at the engine, which keeps
+            # running it: asking for the rest costs no second run.
+            resumed = self.resume_stream()
+            if resumed is None:
+                break
+            stream = resumed
+        return self.failure(detail)
+
+    def open_stream(self) -> UpstreamStream:
+        """Hand the request to the upstream, once."""
+        match self.services.client:
+            case EngineClient() as engine:
+                stream = engine.start(self.hand_over)
+            case PlainClient() as plain:
+                stream = plain.call(self.hand_over)
+        self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
+        return stream
+
+    def is_engine(self) -> bool:
+        """Tell whether the upstream is a model engine."""
+        return isinstance(self.services.client, EngineClient)
+
+    def resume_stream(self) -> UpstreamStream | None:
+        """Ask the engine for what comes after the last piece."""
+        match self.services.client:
+            case EngineClient() as engine:
+                return self.resume_at(engine)
+            case PlainClient():
+                return None
+
+    def resume_at(self, engine: EngineClient) -> UpstreamStream | None:
+        """Resume at an engine; None where it cannot be had."""
+        try:
+            stream = engine.resume(self.attempt_id, self.last_sequence)
+        except UpstreamLostError:
+            return None
+        return stream if stream.status == OK else None
+
+    def copy(self, stream: UpstreamStream) -> None:
+        """Copy pieces into frames until the stream's end marker."""
+        for piece in stream:
+            if self.cancelled.is_set():
+                return
+            if not self.first_token_seen:
+                self.first_token_seen = True
+                self.services.sidecar.tell(FirstTokenArrived(self.attempt_id))
+            chunk = StreamChunk(piece.sequence, piece.data, piece.tokens)
+            if not self.buffer.append(chunk):
+                self.overflowed = True
+                return
+            self.last_sequence = piece.sequence
+
+    def ending(self) -> Refusal | None:
+        """Return why the answer ended before its end marker, if it did."""
+        if self.cancelled.is_set():
+            return self.cancellation()
+        if self.overflowed:
+            return self.failure("the answer is too large to keep for a resume")
+        return None
+
+    def failed_start(self, error: UpstreamLostError) -> Refusal:
+        """Describe an attempt whose start got no answer.
+
+        Where no byte can have reached the upstream the attempt never ran, and since
+        this is its only start it never will: only then is "not run" true.
+        """
+        refusal = self.failure(str(error))
+        if error.may_have_arrived:
+            return refusal
+        return refusal._replace(code=RefusalCode.NOT_RUN)
+
+    def failure(self, detail: str) -> Refusal:
+        """Describe an attempt that was handed over and did not finish."""
+        return Refusal(
+            RefusalCode.FAILED,
+            RefusalReason.UPSTREAM_FAILED,
+            STEP,
+            self.services.peer,
+            detail,
+        )
+
+    def cancellation(self) -> Refusal:
+        """Describe an attempt that was cancelled after it was handed over."""
+        return Refusal(
+            RefusalCode.FAILED, RefusalReason.CANCELLED, STEP, self.services.peer
+        )
