--- a/packages/core/src/cowslipshelf_core/internal/directory/directory.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/directory.py
@@ -29,6 +29,7 @@
     Shown,
     UpstreamRecord,
 )
+from cowslipshelf_core.internal.standstill import StandstillWatch
 from cowslipshelf_core.messages import Announce, Suspect, Withdraw
 
 
@@ -37,18 +38,18 @@
     """Tell the router which upstreams may be given work, as one entry sees them."""
 
     config: DirectoryConfig
+    watch: StandstillWatch
     records: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
     draining: frozenset[UpstreamId] = frozenset()
     others: frozenset[InstanceId] = frozenset()
     in_mass_loss: bool = False
     anyone_heard: bool = False
-    ticked_at: float | None = None
     next_rejoin_at: float = float("-inf")
 
     @classmethod
     def from_config(cls, config: DirectoryConfig) -> Self:
         """Start knowing no upstream."""
-        return cls(config)
+        return cls(config, StandstillWatch(config.freeze_seconds))
 
     def handle(self, event: DirectoryEvent, now: float) -> list[DirectoryEffect]:
         """Take in one event at `now` (monotonic seconds)."""
@@ -125,7 +126,10 @@
         )
 
     def _tick(self, now: float) -> list[DirectoryEffect]:
-        self._allow_for_own_freeze(now)
+        standstill = self.watch.tick(now)
+        # See StandstillWatch: else the whole fleet would seem to have fallen silent.
+        if standstill:
+            self._prolong_leases(standstill, now)
         self._drop_forgotten(now)
         self._end_leases(now)
         effects = self._judge_mass_loss(now)
@@ -135,18 +139,9 @@
         effects += self._tell_suspicions(now)
         return effects
 
-    def _allow_for_own_freeze(self, now: float) -> None:
-        """Prolong the leases by the time for which this process stood still.
-
-        After a freeze the first tick may come before the announcements that waited
-        meanwhile; every lease would seem to have ended, and the fleet to be lost.
-        """
-        if self.ticked_at is not None:
-            gap = now - self.ticked_at
-            if gap > self.config.freeze_seconds:
-                for record in self.records.values():
-                    record.heard_at = min(now, record.heard_at + gap)
-        self.ticked_at = now
+    def _prolong_leases(self, seconds: float, now: float) -> None:
+        for record in self.records.values():
+            record.heard_at = min(now, record.heard_at + seconds)
 
     def _drop_forgotten(self, now: float) -> None:
         oldest = now - self.config.flap_forgotten_seconds
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
@@ -63,7 +63,7 @@
         return cls(
             config,
             AttemptTable.from_config(config),
-            OwnerLeases(config),
+            OwnerLeases.from_config(config),
             OrderGate(config),
         )
 
