--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -120,9 +120,14 @@
         self.send("head", text.encode("latin-1", "replace") + body)
 
     def caller_gone(self) -> bool:
-        """Look, without waiting, whether the caller has closed its connection."""
+        """Look, without waiting, whether the caller has closed its connection.
+
+        A socket with a timeout waits for it even where a flag asks it not to, and
+        then reports a quiet caller as gone. So the timeout is put to zero first.
+        """
         try:
-            return self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+            self.socket.settimeout(0.0)
+            return self.socket.recv(1, socket.MSG_PEEK) == b""
         except BlockingIOError:
             return False
         except OSError:
