--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -76,6 +76,21 @@
     """Harm added where a long prompt takes another one, per second of its prefill."""
 
 
+class SheddingConfig(NamedTuple):
+    """Set how admission follows overload; worth is for each engine second."""
+
+    high_pressure: float = 0.5
+    """Length of the fullest queue against its bound above which more is refused."""
+    low_pressure: float = 0.25
+    rise_per_second: float = 0.2
+    fall_per_second: float = 0.1
+    lowest_worth: float = 0.04
+    highest_worth: float = 2.0
+    """Work that is worth more than this is left to the bounds of the queues."""
+    memory_seconds: float = 30.0
+    forgotten_seconds: float = 0.001
+
+
 class RouterConfig(NamedTuple):
     """Be everything that tunes the router; times in seconds, sizes in tokens."""
 
@@ -91,10 +106,12 @@
     limits_medium: ClassLimits = ClassLimits(1.5, 10.0)
     limits_long: ClassLimits = ClassLimits(10.0, 40.0)
     """Each wait bound is above the former, so that no class shuts out a longer one."""
+    short_memory_share: float = 0.08
+    """Memory of an upstream that medium prompts leave free for short ones."""
     slack_per_prefill_second: float = 4.0
     """Slack that priority gives a request for each second of its own prefill."""
     least_slack_seconds: float = 0.1
-    most_slack_seconds: float = 10.0
+    most_slack_seconds: float = 40.0
     """After this long no later arrival passes, whatever its length."""
     heads_tried: int = 3
     """Customers whose first waiting request is tried each time; bounds the work."""
@@ -104,6 +121,7 @@
     cost: CostConfig = CostConfig()
     outliers: OutlierConfig = OutlierConfig()
     long_set: LongSetConfig = LongSetConfig()
+    shedding: SheddingConfig = SheddingConfig()
 
     def class_of(self, prompt_tokens: int) -> PromptClass:
         """Return the class that a prompt of this length is in."""
