--- a/tests/cover/storage/test_replica_storage.py
+++ b/tests/cover/storage/test_replica_storage.py
@@ -21,6 +21,7 @@
     SaveSnapshot,
     Snapshot,
 )
+from cowslipshelf_platform.internal.storage.segments import SegmentedLog
 from cowslipshelf_platform.storage import (
     ReplicaStorage,
     ReplicaStorageConfig,
@@ -289,38 +290,52 @@
     storage.close()
 
 
-@pytest.mark.parametrize("before", ["unlink", "create"])
 def test_a_crash_while_a_snapshot_replaces_the_log_is_finished_at_the_start(
-    tmp_path, monkeypatch, before
+    tmp_path, monkeypatch
 ):
     """A replica that took over a snapshot can't start, or starts with old entries.
 
     The snapshot is in place and the process ends before the log that contradicts
-    it is dropped, at one of the steps of dropping it.
+    it is dropped: before any one of the files is removed, or the new one made.
     """
-    write_synced(tmp_path, entries_from(1, [b"old"] * 12), 3, SMALL_SEGMENT)
-    storage = opened(tmp_path)
-    identity = storage.load().unwrap().replica_id
-    snapshot = Snapshot(10, 7, 1.0, Membership((ReplicaId("a", "b"),)), b"new")
 
     class CrashedError(Exception):
         pass
 
-    def crash(*arguments):
-        raise CrashedError
-
-    with monkeypatch.context() as patch:
-        if before == "unlink":
-            patch.setattr(Path, "unlink", crash)
-        else:
-            patch.setattr(type(storage.log), "create", crash)
-        with pytest.raises(CrashedError):
-            storage.write([SaveSnapshot(snapshot, 11, discard_log=True)])
-    storage.close()
-    for _ in range(2):
-        stored = load(tmp_path).unwrap()
-        assert (stored.replica_id, stored.snapshot) == (identity, snapshot)
-        assert stored.entries == ()
-    write_after = entries_from(11, [b"new"], 7)
-    write_synced(tmp_path, write_after, 1, SMALL_SEGMENT)
-    assert load(tmp_path).unwrap().entries == write_after
+    def crashing(call, allowed):
+        def counted(*arguments, **options):
+            nonlocal allowed
+            allowed -= 1
+            if allowed < 0:
+                raise CrashedError
+            return call(*arguments, **options)
+
+        return counted
+
+    def crash_at(folder: Path, kind: type, name: str, allowed: int) -> bool:
+        write_synced(folder, entries_from(1, [b"old" * 50] * 12), 3, SMALL_SEGMENT)
+        storage = opened(folder)
+        identity = storage.load().unwrap().replica_id
+        snapshot = Snapshot(10, 7, 1.0, Membership((ReplicaId("a", "b"),)), b"new")
+        crashed = False
+        with monkeypatch.context() as patch:
+            patch.setattr(kind, name, crashing(getattr(kind, name), allowed))
+            try:
+                storage.write([SaveSnapshot(snapshot, 11, discard_log=True)])
+            except CrashedError:
+                crashed = True
+        storage.close()
+        for _ in range(2):
+            stored = load(folder).unwrap()
+            assert (stored.replica_id, stored.snapshot) == (identity, snapshot)
+            assert stored.entries == ()
+        new = entries_from(11, [b"new"], 7)
+        write_synced(folder, new, 1, SMALL_SEGMENT)
+        assert load(folder).unwrap().entries == new
+        return crashed
+
+    assert crash_at(tmp_path / "create", SegmentedLog, "create", 0)
+    removals = 0
+    while crash_at(tmp_path / f"unlink-{removals}", Path, "unlink", removals):
+        removals += 1
+    assert removals >= 3
