--- a/packages/platform/src/cowslipshelf_platform/internal/storage/segments.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/storage/segments.py
@@ -56,12 +56,13 @@
         if not paths:
             raise StorageError.corrupt(self.folder, "the log is missing")
         entries: list[Entry] = []
-        for path in self.drop_covered(paths, snapshot_index):
+        for path in paths:
             found = self.load_segment(path, is_last=path == paths[-1])
-            expected = self.segments[-1].next_index if self.segments else None
             first_index = first_index_of(path)
-            if expected is not None and first_index != expected:
-                raise StorageError.corrupt(path, f"entry {expected} is missing")
+            expected = self.segments[-1].next_index if self.segments else first_index
+            if first_index != expected:
+                self.finish_reset(path, snapshot_index)
+                entries.clear()
             segment = Segment(path, first_index)
             self.segments.append(segment)
             for offset, end, entry in found:
@@ -78,17 +79,20 @@
         self.cut_torn_tail()
         return tuple(entries)
 
-    def drop_covered(self, paths: list[Path], snapshot_index: int) -> list[Path]:
-        """Remove what a reset was about to remove when the process ended."""
-        covering = self.folder / SEGMENT_NAME.format(first_index=snapshot_index + 1)
-        if covering not in paths:
-            return paths
-        start = paths.index(covering)
-        for path in paths[:start]:
-            path.unlink()
-        if start:
-            sync_folder(self.folder)
-        return paths[start:]
+    def finish_reset(self, path: Path, snapshot_index: int) -> None:
+        """Remove what a reset was about to remove when the process ended.
+
+        It leaves a gap before the new segment, which begins after the snapshot.
+        Without the gap, a segment that begins there may be an old one, and what
+        comes before it tells whether it contradicts the snapshot.
+        """
+        if first_index_of(path) != snapshot_index + 1:
+            detail = f"entry {self.segments[-1].next_index} is missing"
+            raise StorageError.corrupt(path, detail)
+        for covered in self.segments:
+            covered.path.unlink()
+        self.segments.clear()
+        sync_folder(self.folder)
 
     def load_segment(self, path: Path, is_last: bool) -> list[tuple[int, int, Entry]]:
         """Read a segment; only the last one may end in a torn record."""
