Check the router by properties; trust slowness only from five samples

Causes found by them: a single late first token made an upstream look slow, no further request went there and so nothing put it right; the bound of a queue was not kept when the capacity fell between two requests. Ratios now count from five samples on and for a minute; bounds are kept at each tick and change.

--- a/packages/core/src/cowslipshelf_core/internal/routing/attempts.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/attempts.py
@@ -52,7 +52,7 @@
         attempt.first_token_at = now
         view = self.fleet.views.get(attempt.upstream_id)
         if view is not None and attempt_id in view.attempts:
-            view.slowness.add(seconds, attempt.predicted_first_token_seconds)
+            view.slowness.add(seconds, attempt.predicted_first_token_seconds, now)
 
     def finish(
         self, attempt_id: AttemptId, outcome: AttemptOutcome, now: float
--- a/packages/core/src/cowslipshelf_core/internal/routing/outliers.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/outliers.py
@@ -26,7 +26,7 @@
         predicted = attempt.predicted_first_token_seconds
         if waited > 1.0 + config.slower_than_peers * predicted:
             attempt.counted_overdue = True
-            view.slowness.add(waited, predicted)
+            view.slowness.add(waited, predicted, now)
 
 
 def review(fleet: Fleet, now: float) -> None:
@@ -34,6 +34,7 @@
     changed = set()
     for view in fleet.views.values():
         note_overdue(view, fleet.config.outliers, now)
+        view.slowness.drop_old(now)
         if view.set_aside_until is not None and now >= view.set_aside_until:
             take_back(view, now)
             changed.add(view.description.upstream_id)
@@ -81,7 +82,6 @@
         view
         for view in peers
         if view.set_aside_until is None
-        and len(view.slowness.ratios) >= config.least_samples
         and view.slowness.factor > config.slower_than_peers * usual
     ]
     slow.sort(key=lambda view: view.slowness.factor, reverse=True)
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -152,6 +152,8 @@
             group.split()
             group.shedding.adjust(self.room.pressure(key, group.capacity), now)
             answers += self.serve_group(key, group, now, random)
+            for queue in self.room.waiting_for(key):
+                answers += self.shed_overfull(queue, now)
         return answers
 
     # Questions as they come in.
@@ -241,6 +243,11 @@
             refusal = refusals.too_late(wait, self.retry_after(key.group))
             return [answer_refusal(ask.asked, refusal)]
         self.room.push(ask)
+        return self.shed_overfull(key, now)
+
+    def shed_overfull(self, key: QueueKey, now: float) -> list[PlacementAnswered]:
+        """Refuse what makes a queue longer than its bound."""
+        group = self.fleet.groups[key.group]
         given_up = self.room.overfull(key, group.capacity, self.weights)
         return [
             answer_refusal(
@@ -280,6 +287,8 @@
             if refusal is not None:
                 self.room.remove(ask, served=False)
                 answers.append(answer_refusal(ask.asked, refusal, now - ask.asked_at))
+        for key in list(self.room.queues):
+            answers += self.shed_overfull(key, now)
         return answers
 
     def serve_upstream(
--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -46,7 +46,6 @@
 class OutlierConfig(NamedTuple):
     """Set when an upstream counts as slower than its peers, and what follows."""
 
-    least_samples: int = 5
     slower_than_peers: float = 4.0
     """Ratio of its observed over predicted first-token time to the median of all."""
     most_set_aside_share: float = 0.2
--- a/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from statistics import median
+from typing import NamedTuple
 
 from cowslipshelf_core.identifiers import AttemptId, CustomerName, Epoch, UpstreamId
 from cowslipshelf_core.internal.routing.settings import (
@@ -13,6 +14,8 @@
 from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
 
 RATIOS_KEPT = 9
+LEAST_RATIOS = 5
+RATIO_KEPT_SECONDS = 60.0
 SMALLEST_RATIO = 0.1
 LARGEST_RATIO = 100.0
 RATIO_FLOOR_SECONDS = 0.1
@@ -38,23 +41,51 @@
     counted_overdue: bool = False
 
 
+class Ratio(NamedTuple):
+    """Be one observed time over the predicted one."""
+
+    seen_at: float
+    factor: float
+
+
 @dataclass(slots=True)
 class SlownessEstimate:
     """Estimate how much slower an upstream is than predicted.
 
-    The median of the last few ratios ignores a few outliers whatever their size.
+    The median of the last few ratios ignores a few outliers whatever their size. Until
+    there are enough it claims nothing: a single late answer would otherwise keep
+    further requests away, and with them the answers that would put it right. For the
+    same reason ratios are dropped when they are old.
     """
 
-    ratios: deque[float] = field(default_factory=lambda: deque(maxlen=RATIOS_KEPT))
+    ratios: deque[Ratio] = field(default_factory=lambda: deque(maxlen=RATIOS_KEPT))
     factor: float = 1.0
 
-    def add(self, observed_seconds: float, predicted_seconds: float) -> None:
+    def add(
+        self, observed_seconds: float, predicted_seconds: float, now: float
+    ) -> None:
         """Take in one observed time beside the one that was predicted."""
         ratio = (observed_seconds + RATIO_FLOOR_SECONDS) / (
             predicted_seconds + RATIO_FLOOR_SECONDS
         )
-        self.ratios.append(min(max(ratio, SMALLEST_RATIO), LARGEST_RATIO))
-        self.factor = median(self.ratios)
+        bounded = min(max(ratio, SMALLEST_RATIO), LARGEST_RATIO)
+        self.ratios.append(Ratio(now, bounded))
+        self.estimate()
+
+    def drop_old(self, now: float) -> None:
+        """Forget what was observed long ago."""
+        if not self.ratios or self.ratios[0].seen_at + RATIO_KEPT_SECONDS > now:
+            return
+        while self.ratios and self.ratios[0].seen_at + RATIO_KEPT_SECONDS <= now:
+            self.ratios.popleft()
+        self.estimate()
+
+    def estimate(self) -> None:
+        """Bring the factor up to date."""
+        if len(self.ratios) < LEAST_RATIOS:
+            self.factor = 1.0
+            return
+        self.factor = median(ratio.factor for ratio in self.ratios)
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/tests/cover/routing/test_outliers.py
@@ -0,0 +1,131 @@
+"""Check that slow upstreams are set aside, under a cap, and tried again."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from common.routing import PROPERTY, START, asked, available, chosen, configured
+from cowslipshelf_core.routing import (
+    AttemptEnded,
+    AttemptOutcome,
+    FirstTokenSeen,
+    Router,
+    RouterConfig,
+    TickElapsed,
+)
+
+OUTLIERS = RouterConfig().outliers
+
+
+def serve(router, random, now, slow, numbers, factor=10.0) -> list[str]:
+    """Run requests to their first token, slow ones late; return where they went."""
+    placed = []
+    for number in numbers:
+        for answered in router.handle(asked(number), now, random):
+            (name,) = chosen([answered])
+            placed.append(name)
+            prediction = next(
+                c.prediction
+                for c in answered.explanation.considered
+                if c.upstream_id == name
+            )
+            view = router.fleet.views[name]
+            seconds = prediction.first_token_seconds / view.slowness.factor
+            seconds = (seconds + 0.1) * (factor if name in slow else 1.0) - 0.1
+            attempt = answered.answer.attempt_id
+            router.handle(FirstTokenSeen(attempt, seconds), now, random)
+            ended = AttemptEnded(attempt, AttemptOutcome.FINISHED)
+            router.handle(ended, now, random)
+    return placed
+
+
+def started(upstreams: int) -> tuple[Router, Random]:
+    router, random = Router.from_config(RouterConfig()), Random(1)
+    router.handle(configured(), START, random)
+    for number in range(upstreams):
+        router.handle(available(f"upstream-{number}"), START, random)
+    return router, random
+
+
+def set_aside(router: Router) -> set[str]:
+    return {
+        name
+        for name, view in router.fleet.views.items()
+        if view.set_aside_until is not None
+    }
+
+
+@PROPERTY
+@given(st.integers(5, 20))
+def test_an_upstream_ten_times_slower_is_set_aside_and_tried_again(upstreams):
+    """An engine's clock is throttled; it reports the same slopes and stays available.
+
+    Every request that goes there waits ten times as long as predicted. Only the first
+    tokens show it, against those of its peers.
+    """
+    router, random = started(upstreams)
+    slow = {"upstream-0"}
+    serve(router, random, START, slow, range(40 * upstreams))
+    router.handle(TickElapsed(), START + 2.0, random)
+    assert set_aside(router) == slow
+    after = range(10_000, 10_000 + 5 * upstreams)
+    assert "upstream-0" not in serve(router, random, START + 3.0, slow, after)
+    back = START + 2.0 + OUTLIERS.set_aside_seconds + 1.0
+    router.handle(TickElapsed(), back, random)
+    assert not set_aside(router)
+    healthy = range(20_000, 20_000 + 40 * upstreams)
+    later = back + OUTLIERS.slow_start_seconds
+    assert "upstream-0" in serve(router, random, later, set(), healthy)
+
+
+@PROPERTY
+@given(st.integers(3, 20), st.data())
+def test_no_more_than_the_cap_is_set_aside_however_many_are_slow(upstreams, data):
+    router, random = started(upstreams)
+    names = [f"upstream-{number}" for number in range(upstreams)]
+    slow = data.draw(st.sets(st.sampled_from(names)))
+    for turn in range(4):
+        numbers = range(turn * 1_000, turn * 1_000 + 20 * upstreams)
+        serve(router, random, START + turn * 2.0, slow, numbers)
+        router.handle(TickElapsed(), START + turn * 2.0 + 1.5, random)
+        assert set_aside(router) <= slow
+        assert len(set_aside(router)) <= max(1, upstreams // 5)
+        assert chosen(router.handle(asked(90_000 + turn), START + turn, random))
+
+
+@PROPERTY
+@given(st.integers(4, 12), st.lists(st.floats(5.0, 500.0), min_size=1, max_size=4))
+def test_a_few_late_first_tokens_set_nothing_aside(upstreams, late):
+    router, random = started(upstreams)
+    serve(router, random, START, set(), range(40 * upstreams))
+    for number, seconds in enumerate(late):
+        (answered,) = router.handle(asked(50_000 + number), START, random)
+        attempt = answered.answer.attempt_id
+        router.handle(FirstTokenSeen(attempt, seconds), START, random)
+    router.handle(TickElapsed(), START + 1.5, random)
+    assert not set_aside(router)
+
+
+def test_an_upstream_that_never_answers_is_set_aside_too():
+    """An engine takes requests and gives no first token at all.
+
+    There is nothing to compare, so it would stay in use until its lease ends, which
+    never comes since its sidecar is well. Overdue attempts count as samples.
+    """
+    router, random = started(5)
+    stuck = set()
+    now = START
+    for number in range(200):
+        now += 0.1
+        (answered,) = router.handle(asked(number), now, random)
+        (name,) = chosen([answered])
+        attempt = answered.answer.attempt_id
+        if name == "upstream-0":
+            stuck.add(attempt)
+            continue
+        router.handle(FirstTokenSeen(attempt, 0.1), now, random)
+        router.handle(AttemptEnded(attempt, AttemptOutcome.FINISHED), now, random)
+        router.handle(TickElapsed(), now, random)
+    assert set_aside(router) == {"upstream-0"}
+    assert len(stuck) < 30
--- /dev/null
+++ b/tests/cover/routing/test_placement.py
@@ -0,0 +1,190 @@
+"""Check where requests go: no herd, no stale belief, an agreed long set."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from common.routing import (
+    PROPERTY,
+    START,
+    asked,
+    available,
+    chosen,
+    configured,
+    load,
+    refusals,
+)
+from cowslipshelf_core.errors import RefusalReason
+from cowslipshelf_core.internal.routing.fleet import GroupKey
+from cowslipshelf_core.routing import (
+    AttemptEnded,
+    AttemptOutcome,
+    HandOverRefused,
+    LoadUpdated,
+    Router,
+    RouterConfig,
+    TickElapsed,
+)
+
+COUNTS = st.integers(4, 40)
+
+
+def started(upstreams: int, seed: int = 1, version: int = 1) -> tuple[Router, Random]:
+    router = Router.from_config(RouterConfig())
+    random = Random(seed)
+    router.handle(configured(version), START, random)
+    order = list(range(upstreams))
+    Random(seed).shuffle(order)
+    for number in order:
+        router.handle(available(f"upstream-{number}"), START, random)
+    return router, random
+
+
+def long_set(router: Router) -> list[str]:
+    (group,) = router.fleet.groups.values()
+    return [view.description.upstream_id for view in group.long_set]
+
+
+@PROPERTY
+@given(st.integers(6, 24), st.integers(2, 4))
+def test_entries_that_act_on_the_same_report_do_not_herd(upstreams, entries):
+    """All entries hold a report in which one upstream is idle and the rest are busy.
+
+    Requests come in faster than reports. If each entry took the best one on paper, all
+    would go to the idle upstream; it would be the slowest a moment later.
+    """
+    counts = Counter()
+    for entry in range(entries):
+        router, random = started(upstreams, seed=entry)
+        for number in range(1, upstreams):
+            busy = load(2, running=1, prefill_tokens=8_000)
+            router.handle(LoadUpdated(f"upstream-{number}", "1", busy), START, random)
+        for number in range(2 * upstreams):
+            question = asked(number, prompt_tokens=8_000)
+            counts.update(chosen(router.handle(question, START + 0.01, random)))
+    assert sum(counts.values()) >= 1.5 * upstreams * entries
+    assert max(counts.values()) <= 4 * entries + 2
+
+
+@PROPERTY
+@given(COUNTS, st.integers(1, 5), st.lists(st.booleans(), min_size=30, max_size=60))
+def test_entries_agree_on_the_upstreams_for_long_prompts(upstreams, version, mix):
+    """Entries hear of the upstreams in different orders and never talk of this.
+
+    If each drew its own, every upstream would have long prompts from some entry, and
+    no short prompt would find one without.
+    """
+    sets = []
+    for entry in range(3):
+        router, random = started(upstreams, entry, version)
+        for number, is_long in enumerate(mix[entry:]):
+            prompt = 300_000 if is_long else 20_000
+            router.handle(asked(number, prompt), START, random)
+        router.handle(TickElapsed(), START + 0.1, random)
+        sets.append(long_set(router))
+    smallest = min(sets, key=len)
+    assert all(names[: len(smallest)] == smallest for names in sets)
+    assert all(len(names) <= max(1, upstreams // 2) for names in sets)
+    assert max(map(len, sets)) - len(smallest) <= 1 + upstreams // 8
+
+
+@PROPERTY
+@given(st.integers(8, 40), st.integers(0, 1_000))
+def test_short_prompts_keep_off_busy_upstreams_for_long_ones(upstreams, seed):
+    router, random = started(upstreams, seed)
+    for number in range(6):
+        router.handle(asked(number, 300_000), START, random)
+        router.handle(asked(100 + number, 20_000), START, random)
+    for attempt in list(router.ledger.attempts):
+        ended = AttemptEnded(attempt, AttemptOutcome.FINISHED)
+        router.handle(ended, START + 0.5, random)
+    router.handle(TickElapsed(), START + 1.0, random)
+    names = long_set(router)
+    assert names
+    for name in names:
+        working = load(2, running=1, prefill_tokens=300_000)
+        router.handle(LoadUpdated(name, "1", working), START + 1.0, random)
+    placed = []
+    for number in range(upstreams - len(names)):
+        question = asked(1_000 + number)
+        placed += chosen(router.handle(question, START + 1.0, random))
+    assert not set(placed) & set(names)
+
+
+@PROPERTY
+@given(st.integers(1, 12), st.integers(0, 1_000))
+def test_a_sidecar_that_refuses_has_the_last_word(upstreams, seed):
+    router, random = started(upstreams, seed)
+    (first,) = chosen(router.handle(asked(1), START, random))
+    full = load(9, running=40, decoding=40, reserved_tokens=479_999)
+    router.handle(HandOverRefused("attempt-1", full), START + 0.01, random)
+    for number in range(2, 40):
+        answers = router.handle(asked(number), START + 0.02, random)
+        assert first not in chosen(answers)
+    overtaken = LoadUpdated(first, "1", load(8))
+    router.handle(overtaken, START + 0.03, random)
+    assert first not in chosen(router.handle(asked(50), START + 0.03, random))
+
+
+@PROPERTY
+@given(st.integers(480_001, 2_000_000), st.integers(1, 5))
+def test_a_prompt_larger_than_any_upstream_is_refused_at_once(prompt, upstreams):
+    router, random = started(upstreams)
+    (refusal,) = refusals(router.handle(asked(1, prompt), START, random))
+    assert refusal.reason is RefusalReason.TOO_LARGE
+    assert refusal.retry_after_seconds is None
+    assert "480000" in refusal.detail
+
+
+@PROPERTY
+@given(st.floats(0.1, 200.0), st.sampled_from([2_000, 90_000, 400_000]))
+def test_what_cannot_finish_in_time_is_refused_at_once(deadline, prompt):
+    router, random = started(3)
+    least = 25e-6 * prompt + 3e-11 * prompt**2
+    answers = router.handle(asked(1, prompt, deadline=deadline), START, random)
+    if deadline < least:
+        (refusal,) = refusals(answers)
+        assert refusal.reason is RefusalReason.CANNOT_FINISH_IN_TIME
+    if deadline > 2 * least + 20.0:
+        assert chosen(answers)
+
+
+@pytest.mark.parametrize("upstreams", [3, 30])
+def test_a_placement_is_explained(upstreams):
+    router, random = started(upstreams)
+    (answered,) = router.handle(asked(1), START, random)
+    explanation = answered.explanation
+    by_name = {c.upstream_id: c for c in explanation.considered}
+    best = by_name[explanation.chosen].prediction
+    assert best.first_token_seconds > 0.0
+    assert best.harm == min(c.prediction.harm for c in explanation.considered)
+    assert explanation.request_id == "request-1"
+
+
+def test_a_returned_upstream_is_not_rushed():
+    """An upstream comes back empty while its peers have some work waiting.
+
+    On paper it is by far the best, so every request of every entry would go to it at
+    once; its caches and its batch are cold.
+    """
+    router, random = started(4)
+    later = START + 60.0
+    for number in range(4):
+        some = load(2, running=3, decoding=2, prefill_tokens=16_000)
+        router.handle(LoadUpdated(f"upstream-{number}", "1", some), later, random)
+    router.handle(available("upstream-9"), later, random)
+    placed = Counter()
+    for number in range(40):
+        placed.update(chosen(router.handle(asked(number), later, random)))
+    assert placed["upstream-9"] <= 16
+
+
+def test_groups_know_models():
+    router, random = started(2)
+    router.handle(available("upstream-7", models=("other",)), START, random)
+    assert GroupKey("assist-llm", "other") in router.fleet.groups
+    answers = router.handle(asked(1, model="other"), START, random)
+    assert chosen(answers) == ["upstream-7"]
