Send an answer's head with its first piece, and each piece by one system call

A socket with a timeout polls before each send, and setting the timeout is a call of its own: three system calls for a piece. The socket now returns at once, and only a caller that reads slowly is waited for, with the same limit as before.

benchmarks/callers.py measures this path.

--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -50,9 +50,12 @@
     ended: bool = False
     is_event_stream: bool = False
     has_body: bool = True
+    held_back: bytes = b""
+    """The head, until there is something to send it with."""
+    waits_never: bool = False
 
     def head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
-        """Send the status line and the headers."""
+        """Begin the answer; the head goes out together with what follows it."""
         kept = [
             (name, value)
             for name, value in headers
@@ -67,7 +70,7 @@
             kept.append(("Transfer-Encoding", "chunked"))
         if self.has_body and not self.takes_chunks:
             self.keeps_connection = False
-        self.send_head(status, kept)
+        self.held_back = self.head_bytes(status, kept)
 
     def chunk(self, data: bytes) -> None:
         """Send a piece of the body."""
@@ -80,8 +83,9 @@
     def end(self) -> None:
         """End a whole answer."""
         self.ended = True
-        if self.has_body and self.takes_chunks:
-            self.send("end", LAST_CHUNK)
+        last = LAST_CHUNK if self.has_body and self.takes_chunks else b""
+        if last or self.held_back:
+            self.send("end", last)
 
     def refusal(self, refusal: Refusal, head_sent: bool) -> None:
         """Send a refusal, in place of the answer or inside the one that began.
@@ -97,6 +101,8 @@
         if self.is_event_stream:
             self.chunk(event_of(refusal, self.request_id))
             self.end()
+        elif self.held_back:
+            self.send("answer", b"")
 
     def send_refusal(self, refusal: Refusal, status: int | None = None) -> None:
         """Send a refusal that is the whole answer; its reason gives the status."""
@@ -104,12 +110,11 @@
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
         body = b"" if self.method == "HEAD" else response.body
         self.ended = True
-        self.send_head(status or response.status, headers, body)
+        head = self.head_bytes(status or response.status, headers)
+        self.send("refusal", head + body)
 
-    def send_head(
-        self, status: int, headers: list[tuple[str, str]], body: bytes = b""
-    ) -> None:
-        """Send the head, and the body that is already known, in one write."""
+    def head_bytes(self, status: int, headers: list[tuple[str, str]]) -> bytes:
+        """Write the status line and the headers."""
         self.head_sent = True
         lines = [f"HTTP/1.1 {status} {_phrase(status)}"]
         lines.extend(f"{name}: {value}" for name, value in headers)
@@ -117,12 +122,12 @@
         if not self.keeps_connection:
             lines.append("Connection: close")
         text = "\r\n".join(lines) + "\r\n\r\n"
-        self.send("head", text.encode("latin-1", "replace") + body)
+        return text.encode("latin-1", "replace")
 
     def caller_gone(self) -> bool:
         """Look, without waiting, whether the caller has closed its connection."""
         try:
-            self.socket.settimeout(0.0)
+            self.stop_waiting()
             return self.socket.recv(1, socket.MSG_PEEK) == b""
         except BlockingIOError:
             return False
@@ -130,14 +135,38 @@
             return True
 
     def send(self, step: str, data: bytes) -> None:
-        """Send bytes within the time that one piece may take."""
+        """Send bytes, after what was held back, within the time for one piece."""
+        if self.held_back:
+            data = self.held_back + data
+            self.held_back = b""
         try:
-            self.socket.settimeout(self.write_seconds)
-            self.socket.sendall(data)
+            self.stop_waiting()
+            sent = self.send_some(data)
+            if sent < len(data):
+                self.send_slowly(data[sent:])
         except OSError as error:
             self.keeps_connection = False
             raise CallerGoneError(step, self.peer, str(error)) from error
 
+    def stop_waiting(self) -> None:
+        """Let the socket return at once; a timed one costs two more system calls."""
+        if not self.waits_never:
+            self.socket.settimeout(0.0)
+            self.waits_never = True
+
+    def send_some(self, data: bytes) -> int:
+        """Send what the kernel's buffer takes now; nearly always that is all."""
+        try:
+            return self.socket.send(data)
+        except BlockingIOError:
+            return 0
+
+    def send_slowly(self, data: bytes) -> None:
+        """Wait for a caller that reads slowly, but for one piece's time at most."""
+        self.waits_never = False
+        self.socket.settimeout(self.write_seconds)
+        self.socket.sendall(data)
+
 
 def _phrase(status: int) -> str:
     try:
--- a/packages/callers/src/cowslipshelf_callers/internal/server.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/server.py
@@ -104,7 +104,7 @@
             keeps_connection=False,
         )
         try:
-            conn.socket.settimeout(0.0)
+            writer.stop_waiting()
             # Bytes left unread would reset the connection and take the refusal along.
             conn.socket.recv(MOST_READ_AWAY_BYTES)
             writer.refusal(refusal, False)
