End a half-sent body with 408, and a fault of ours with an explicit end

Seen failing first: a body that stops in the middle closed its connection without a word, since the head of the answer counted as sent from the start; a handler's own TimeoutError would have been told as the caller's. Only reading the body gives 408 now. A body nested too deep for the decoder is a bad request, not a fault of ours.

--- a/packages/callers/src/cowslipshelf_callers/errors.py
+++ b/packages/callers/src/cowslipshelf_callers/errors.py
@@ -16,6 +16,8 @@
 class BadCallError(Exception):
     """Say what is wrong with a call, as the refusal that its caller gets."""
 
-    def __init__(self, refusal: Refusal) -> None:
+    def __init__(self, refusal: Refusal, status: int | None = None) -> None:
         super().__init__(f"{refusal.step}: {refusal.detail}")
         self.refusal = refusal
+        self.status = status
+        """HTTP status where the refusal's reason does not give it."""
--- a/packages/callers/src/cowslipshelf_callers/internal/http_request.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/http_request.py
@@ -24,7 +24,13 @@
 LOG = logging.getLogger("cowslipshelf.callers")
 REQUEST_ID_BYTES = 12
 STATUS_TIMEOUT = 408
-CHUNKED = b"chunked"
+NOT_ENDED = Refusal(
+    RefusalCode.OUTCOME_UNKNOWN,
+    RefusalReason.UPSTREAM_FAILED,
+    "answer",
+    detail="the answer was not ended",
+)
+"""What a caller gets where an answer would have ended quietly, as a whole one does."""
 STATUSES_OF_SIZE = frozenset({413, 414})
 
 
@@ -99,23 +105,37 @@
         if not request.server.may_keep_connections():
             request.close_connection = True
         writer = request.writer(fresh_request_id())
+        self.answer_or_refuse(writer)
+        request.close_connection = not writer.keeps_connection
+        request.chunked_write = False
+
+    def answer_or_refuse(self, writer: AnswerWriter) -> None:
+        """Answer; whatever happens, the caller gets one explicit end."""
         try:
             self.answer(writer)
         except CallerGoneError as error:
+            writer.keeps_connection = False
             LOG.info("callers: %s", error)
+            return
         except BadCallError as error:
-            self.refuse(writer, error.refusal)
-        request.close_connection = not writer.keeps_connection
-        request.chunked_write = False
+            self.refuse(writer, error)
+            return
+        except Exception:
+            LOG.exception("callers: %s failed", writer.request_id)
+        if not writer.ended:
+            self.refuse(writer, BadCallError(NOT_ENDED))
 
-    def refuse(self, writer: AnswerWriter, refusal: Refusal) -> None:
-        """Refuse a call that was not given to the handler; its rest stays unread."""
+    def refuse(self, writer: AnswerWriter, error: BadCallError) -> None:
+        """Refuse a call; what the caller still sends stays unread."""
         writer.keeps_connection = False
         self.req.conn.linger = True
         try:
-            writer.refusal(refusal, False)
-        except CallerGoneError as error:
-            LOG.info("callers: %s", error)
+            if error.status is None:
+                writer.refusal(error.refusal, writer.head_sent)
+            else:
+                writer.send_refusal(error.refusal, error.status)
+        except CallerGoneError as gone:
+            LOG.info("callers: %s", gone)
 
     def answer(self, writer: AnswerWriter) -> None:
         """Parse the call and give it to the handler."""
@@ -128,27 +148,7 @@
         route = route_of(line)
         body = self.read_body()
         call = call_of(line, route, writer.request_id, body)
-        self.run_handler(call, writer)
-
-    def run_handler(self, call, writer: AnswerWriter) -> None:
-        """Run the handler; whatever it does, the caller gets one explicit end."""
-        try:
-            self.req.server.handler.answer(call, writer)
-        except CallerGoneError:
-            raise
-        except Exception:
-            LOG.exception("callers: handler failed for %s", writer.request_id)
-        if writer.ended:
-            return
-        # A handler that ends without an answer would look to the caller like a
-        # quiet end of a whole one.
-        refusal = Refusal(
-            RefusalCode.OUTCOME_UNKNOWN,
-            RefusalReason.UPSTREAM_FAILED,
-            "answer",
-            detail="the answer was not ended",
-        )
-        writer.refusal(refusal, writer.head_sent)
+        self.req.server.handler.answer(call, writer)
 
     def request_line(self, peer: str) -> RequestLine:
         """Give the request line and headers as text."""
@@ -164,12 +164,14 @@
     def read_body(self) -> bytes:
         """Read the whole body, within the limits of size and time."""
         request = self.req
-        if not request.chunked_read:
-            return self.read_known_length()
+        limit = request.server.config.most_body_bytes
         try:
-            return read_chunked(
-                request.conn.rfile, request.server.max_request_body_size
-            )
+            if not request.chunked_read:
+                return self.read_known_length()
+            return read_chunked(request.conn.rfile, limit)
+        except TimeoutError as error:
+            refusal = _refusal_of_status(STATUS_TIMEOUT, "")
+            raise BadCallError(refusal, STATUS_TIMEOUT) from error
         except ValueError as error:
             raise bad_request(f"malformed chunked body: {error}") from error
 
--- a/packages/callers/src/cowslipshelf_callers/internal/model_call.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/model_call.py
@@ -152,7 +152,7 @@
     """Decode, or say at which byte or in which field the body is wrong."""
     try:
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         refusal = Refusal(
             RefusalCode.NOT_RUN, RefusalReason.BAD_REQUEST, "parse", detail=str(error)
         )
--- a/tests/cover/callers/test_callers_server.py
+++ b/tests/cover/callers/test_callers_server.py
@@ -87,6 +87,7 @@
         (request_bytes("POST", CHAT, b'{"model": "m", }'), 400, "byte 15"),
         (request_bytes("POST", CHAT, b'{"model": 7}'), 400, "$.model"),
         (request_bytes("POST", CHAT, b'{"model": "m"}'), 400, "messages"),
+        (request_bytes("POST", CHAT, b'{"x":' + b"[" * 4000), 400, "depth"),
         (request_bytes("POST", CHAT, b"{}", x_deadline_seconds="-1"), 400, "model"),
         (request_bytes("POST", CHAT, CHAT_BODY, x_deadline_seconds="x"), 400, "above"),
         (request_bytes("POST", CHAT, CHAT_BODY, idempotency_key=""), 400, "Idempot"),
@@ -203,14 +204,22 @@
         assert not reply.raw_body.endswith(b"0\r\n\r\n")
 
 
-def test_a_half_sent_request_is_ended_though_bytes_keep_coming():
+@pytest.mark.parametrize(
+    "begun",
+    [
+        b"POST /v1/completions HTTP/1.1\r\nX-Slow: ",
+        request_bytes("POST", CHAT, content_length="4000000"),
+        request_bytes("POST", CHAT, transfer_encoding="chunked") + b"fffff\r\n",
+    ],
+)
+def test_a_half_sent_request_is_ended_though_bytes_keep_coming(begun):
     """A broken client sends one byte now and then, each before a read would time out.
 
     With a timeout for each read alone it would hold its thread for ever.
     """
     with running_server(RecordingHandler(), request_seconds=0.3) as server:
         with connect(server) as connection:
-            connection.sendall(b"POST /v1/completions HTTP/1.1\r\nX-Slow: ")
+            connection.sendall(begun)
             stop = threading.Event()
             trickle = threading.Thread(target=_trickle, args=(connection, stop))
             trickle.start()
@@ -333,3 +342,52 @@
             connect(server)
         handler.let_go.set()
         assert read_reply(connection).status == 200
+
+
+class BrokenHandler(RecordingHandler):
+    """Fail after the pieces, as a programming error would."""
+
+    def answer(self, _call, writer) -> None:
+        for piece in self.pieces:
+            writer.head(200, self.headers)
+            writer.chunk(piece)
+        raise TimeoutError("a fault of ours")
+
+
+@pytest.mark.parametrize("pieces", [(), (b"data: 1\n\n",)])
+def test_a_fault_of_ours_is_told_as_an_unknown_outcome(pieces):
+    """Our own code fails on a call, before or after its answer has begun.
+
+    The caller must not take a quiet end for a whole answer, nor our fault for its own.
+    """
+    with running_server(BrokenHandler(pieces)) as server:
+        reply = ask(server, request_bytes("POST", CHAT, CHAT_BODY))
+    assert reply.status == (200 if pieces else 502)
+    assert b'"code":"outcome_unknown"' in reply.raw_body
+
+
+def test_a_connection_carries_call_after_call(shared):
+    """A client keeps its connection, as published clients do.
+
+    What it sent with one call must never be taken for a part of the next.
+    """
+    server, handler = shared
+    before = len(handler.calls)
+    kept = request_bytes("POST", CHAT, CHAT_BODY, connection="keep-alive")
+    chunked = request_bytes(
+        "PUT", "/services/s/x", connection="keep-alive", transfer_encoding="chunked"
+    )
+    with connect(server) as connection:
+        connection.sendall(kept.replace(b"Connection: close\r\n", b""))
+        connection.sendall(chunked.replace(b"Connection: close\r\n", b""))
+        connection.sendall(b"3\r\nabc\r\n0\r\nX-Trailer: y\r\n\r\n")
+        connection.sendall(request_bytes("GET", "/services/s/last"))
+        read_reply(connection)
+    bodies = [call.body for call in handler.calls[before:]]
+    assert bodies == [CHAT_BODY, b"abc", b""]
+
+
+def test_a_head_request_gets_no_body(shared):
+    server, _ = shared
+    reply = ask(server, request_bytes("HEAD", "/services/s/x"))
+    assert (reply.status, reply.raw_body) == (200, b"")
