--- a/packages/core/src/cowslipshelf_core/internal/control/claims.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/claims.py
@@ -109,11 +109,11 @@
             return "key_too_long"
         if not 0 < asked.deadline_seconds <= MOST_CLAIM_DEADLINE_SECONDS:
             return "bad_deadline"
+        if self.counts[asked.customer] >= MOST_CLAIMS_PER_CUSTOMER:
+            return "customer_claims_full"
         if len(self.records) >= MOST_CLAIMS:
             # Making room by forgetting a key would let its resend run again.
             return "claims_full"
-        if self.counts[asked.customer] >= MOST_CLAIMS_PER_CUSTOMER:
-            return "customer_claims_full"
         return ""
 
     def move(self, moved: ClaimMoved, at: float) -> ClaimGranted | ClaimRefused:
--- a/packages/core/src/cowslipshelf_core/internal/control/limits.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/limits.py
@@ -10,7 +10,7 @@
 MOST_AUDIT_DETAIL = 300
 """Characters of free text in one audit record."""
 
-MOST_CLAIMS = 200_000
+MOST_CLAIMS = 65_536
 MOST_CLAIMS_PER_CUSTOMER = MOST_CLAIMS // 2
 """One customer cannot fill the table for all the others."""
 CLAIM_GRACE_SECONDS = 30.0
@@ -23,7 +23,7 @@
 MOST_CLAIM_RECORD_BYTES = 2_048
 MOST_STORED_ANSWER_BYTES = 64 * 1024
 """A larger answer is remembered by its status alone."""
-MOST_STORED_ANSWERS_BYTES = 48 * 1024 * 1024
+MOST_STORED_ANSWERS_BYTES = 16 * 1024 * 1024
 """Above it the oldest bodies are dropped; their keys stay claimed."""
 
 MOST_ORDER_SLOTS = 16_384
--- /dev/null
+++ b/tests/cover/control/test_bounds.py
@@ -0,0 +1,158 @@
+"""Check that nothing grows without end, and what goes first where something must."""
+
+import pytest
+
+from common.control import START
+from cowslipshelf_core.configuration import Model, WeightStoreLimits
+from cowslipshelf_core.control import (
+    AskLoadGrant,
+    Change,
+    CloseOrder,
+    ConfirmPlan,
+    ControlState,
+    LoadGranted,
+    LoadGrantRefused,
+    OrderRefused,
+    PlanRecorded,
+    PlanUnknown,
+    RecordPlan,
+    RequestOrder,
+)
+from cowslipshelf_core.internal.control import claims as claims_module
+from cowslipshelf_core.internal.control import orders as orders_module
+from cowslipshelf_core.internal.control.limits import (
+    MOST_CLAIM_KEY_BYTES,
+    MOST_STORED_ANSWER_BYTES,
+)
+from cowslipshelf_core.messages import (
+    ClaimAsked,
+    ClaimFinished,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimRefused,
+    StoredAnswer,
+)
+
+
+def claim(state: ControlState, key: str, customer: str = "north") -> object:
+    asked = ClaimAsked(customer, key, key, key, "u", "e", "o", "d", 10.0)
+    return state.apply(asked, state.applied_index + 1, START)
+
+
+def finish(state: ControlState, key: str, body: bytes) -> object:
+    answer = StoredAnswer(201, (), body, whole=True)
+    finished = ClaimFinished("north", key, key, key, answer, None)
+    return state.apply(finished, state.applied_index + 1, START)
+
+
+def test_a_full_table_refuses_new_keys_rather_than_forget_old_ones(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A customer claims keys until the table is full, then resends its first one.
+
+    Were the oldest key dropped to make room, its resend would run a second time.
+    """
+    monkeypatch.setattr(claims_module, "MOST_CLAIMS", 4)
+    monkeypatch.setattr(claims_module, "MOST_CLAIMS_PER_CUSTOMER", 3)
+    state = ControlState()
+    for key in ("a", "b", "c"):
+        assert isinstance(claim(state, key), ClaimGranted)
+    assert claim(state, "d") == ClaimRefused("customer_claims_full")
+    assert isinstance(claim(state, "d", "south"), ClaimGranted)
+    assert claim(state, "e", "south") == ClaimRefused("claims_full")
+    finish(state, "a", b"paid")
+    state = ControlState.from_snapshot(state.to_snapshot())
+    assert claim(state, "a").answer.body == b"paid"
+    assert claim(state, "f") == ClaimRefused("customer_claims_full")
+
+
+def test_bodies_go_before_keys() -> None:
+    """More answers are stored than fit; the first caller resends its key.
+
+    It must learn that its request ran and how it ended, and never run it again.
+    """
+    state = ControlState()
+    state.claims.answers.most_bytes = 2_500
+    for key in ("a", "b", "c"):
+        claim(state, key)
+        assert finish(state, key, b"x" * 1_000).answer.whole
+    for replica in (state, ControlState.from_snapshot(state.to_snapshot())):
+        held = claim(replica, "a")
+        assert isinstance(held, ClaimHeld)
+        assert held.answer == StoredAnswer(201, (), b"", whole=False)
+        assert claim(replica, "c").answer.body == b"x" * 1_000
+    claim(state, "large")
+    held = finish(state, "large", b"x" * (MOST_STORED_ANSWER_BYTES + 1))
+    assert held.answer == StoredAnswer(201, (), b"", whole=False)
+    long_key = "k" * (MOST_CLAIM_KEY_BYTES + 1)
+    assert claim(state, long_key) == ClaimRefused("key_too_long")
+
+
+def test_the_oldest_changes_and_plans_go_first() -> None:
+    state = ControlState()
+    state.changes.changes.most_records = 2
+    state.changes.pending.most_records = 2
+    commands = [
+        RecordPlan(name, "rita", 0, Change(put_models=(Model("wide", name),)))
+        for name in ("one", "two", "three")
+    ]
+    plans = [
+        state.apply(command, index, START).plan
+        for index, command in enumerate(commands, start=1)
+    ]
+    oldest = ConfirmPlan(plans[0].plan_id, "rita")
+    assert state.apply(oldest, 4, START) == PlanUnknown(plans[0].plan_id)
+    assert state.apply(commands[2], 5, START) == PlanRecorded(plans[2])
+    assert state.explain_change("one") is None
+    assert state.explain_change("three").first_answer == PlanRecorded(plans[2])
+
+
+def test_a_dropped_slot_never_lets_a_fencing_number_go_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An upstream had orders long ago, and its idle slot made room for another's.
+
+    Its sidecar restarts and asks for the current number: were it told one below its
+    last order's, an isolated control instance's order would be let through.
+    """
+    monkeypatch.setattr(orders_module, "MOST_ORDER_SLOTS", 2)
+    state = ControlState()
+    for index, upstream in enumerate(("up-1", "up-2"), start=1):
+        order = RequestOrder(upstream, "rita", upstream, "change_role", "decode")
+        state.apply(order, index, START)
+    third = RequestOrder("up-3", "rita", "up-3", "change_role", "decode")
+    assert isinstance(state.apply(third, 3, START), OrderRefused)
+    state.apply(CloseOrder("up-2", "up-2", 2, True), 4, START)
+    state.apply(third, 5, START)
+    for replica in (state, ControlState.from_snapshot(state.to_snapshot())):
+        assert replica.current_fencing("up-2") >= 2
+        assert replica.current_fencing("up-3") == 5
+
+
+def test_a_higher_rate_does_not_count_for_the_time_before_it() -> None:
+    """An operator raises the weight store's rate after a quiet minute.
+
+    The minute before was earned at the old rate; counted at the new one, the fleet
+    would load more at once than either rate allows.
+    """
+    state = ControlState()
+    slow = WeightStoreLimits(tokens_per_second=0.01, burst_tokens=10)
+    fast = WeightStoreLimits(tokens_per_second=10.0, burst_tokens=10)
+    set_limits(state, slow, START)
+    assert isinstance(ask(state, "first", 4, START), LoadGranted)
+    set_limits(state, fast, START + 60.0)
+    assert isinstance(ask(state, "second", 4, START + 60.0), LoadGrantRefused)
+    assert isinstance(ask(state, "second", 4, START + 61.0), LoadGranted)
+
+
+def set_limits(state: ControlState, limits: WeightStoreLimits, at: float) -> None:
+    index = state.applied_index + 1
+    version = state.configuration.version
+    change = Change(weight_store=limits)
+    plan = state.apply(RecordPlan(f"c{index}", "rita", version, change), index, at)
+    state.apply(ConfirmPlan(plan.plan.plan_id, "rita"), index + 1, at)
+
+
+def ask(state: ControlState, grant_id: str, tokens: int, at: float) -> object:
+    command = AskLoadGrant(grant_id, "instance", "up-1", tokens, 90.0)
+    return state.apply(command, state.applied_index + 1, at)
