Bring late copies after a revocation into the sidecar's machine

Cause: three guards could be taken out unseen (watermark of tombstones, its date, the tombstone of a waiting attempt): random rules seldom met them. One rule now revokes, fills the memory of ended attempts, then delivers the late copy. Seen to fail without each of the three.

--- a/tests/cover/sidecar/test_promises.py
+++ b/tests/cover/sidecar/test_promises.py
@@ -112,6 +112,17 @@
         sequence = posted.load_sequence if knows_sequence else 0
         self.take(RevokeArrived(posted.attempt_id, posted.sidecar_epoch, sequence))
 
+    @precondition(lambda self: self.posted)
+    @rule(index=indexes, others=st.integers(0, 3))
+    def revoke_and_deliver_a_late_copy(self, index, others):
+        posted = self.any_posted(index)
+        self.take(RevokeArrived(posted.attempt_id, posted.sidecar_epoch))
+        for other in range(others):
+            self.announce()
+            name = f"{posted.attempt_id}-{other}-{self.seen_sequence}"
+            self.take(RevokeArrived(name, f"start-{self.starts}"))
+        self.deliver(posted)
+
     @precondition(lambda self: self.known)
     @rule(index=indexes)
     def cancel(self, index):
