--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -10,7 +10,9 @@
     CustomerName,
     DataCentre,
     Epoch,
+    FencingNumber,
     InstanceId,
+    OrderId,
     RequestId,
     UpstreamId,
 )
@@ -91,6 +93,34 @@
     """Repeats `FetchConfiguration.question`."""
 
 
+# Orders to upstreams, between the leader and sidecars.
+
+
+class OrderSent(Message, frozen=True):
+    """Bring an open order to the sidecar of its upstream; sent until it is closed."""
+
+    order_id: OrderId
+    upstream_id: UpstreamId
+    kind: str
+    argument: str
+    fencing: FencingNumber
+
+
+class FencingAsked(Message, frozen=True):
+    """Ask a replica for an upstream's newest fencing number, as a quorum has it."""
+
+    upstream_id: UpstreamId
+    question: str
+
+
+class FencingAnswered(Message, frozen=True):
+    """Answer with the newest fencing number, confirmed by a quorum."""
+
+    upstream_id: UpstreamId
+    question: str
+    fencing: FencingNumber
+
+
 # Requests that must run at most once; commands to the replicated state.
 
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/control_gateway.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
@@ -28,7 +28,7 @@
 )
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_daemon.internal.actor import DaemonActor
-from cowslipshelf_daemon.internal.entry.post import Delivered, Post
+from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
 
 STEP = "ask_control_state"
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -26,6 +26,10 @@
 from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch, InstanceId
 from cowslipshelf_core.requests import RequestConfig, RetryBudget, RetryBudgetConfig
 from cowslipshelf_core.routing import Router, RouterConfig
+from cowslipshelf_daemon.internal.control_gateway import (
+    ControlGateway,
+    GatewayActor,
+)
 from cowslipshelf_daemon.internal.entry.callers_handler import (
     EntryCallersHandler,
     new_attempt_id,
@@ -34,10 +38,6 @@
     ConfigurationActor,
     ConfigurationParts,
 )
-from cowslipshelf_daemon.internal.entry.control_gateway import (
-    ControlGateway,
-    GatewayActor,
-)
 from cowslipshelf_daemon.internal.entry.dispatch import Dispatch
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
@@ -45,7 +45,10 @@
     EntryOperatorsHandler,
     OperatorsParts,
 )
-from cowslipshelf_daemon.internal.entry.post import Post
+from cowslipshelf_daemon.internal.entry.order_courier import (
+    OrderCourier,
+    OrderCourierParts,
+)
 from cowslipshelf_daemon.internal.entry.replica_actor import (
     ReplicaActor,
     ReplicaParts,
@@ -60,6 +63,7 @@
     RoutingDesk,
     RoutingParts,
 )
+from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.ticker import Ticker
 from cowslipshelf_daemon.internal.wire import MailboxMessage
 from cowslipshelf_fleet import (
@@ -94,6 +98,7 @@
     configuration: ActorRef
     gateway: ActorRef
     replica: ActorRef | None
+    courier: ActorRef | None
 
     def running(self) -> tuple[ActorRef, ...]:
         """Return those that there are."""
@@ -163,7 +168,13 @@
         RequestRecords(),
     )
     actors = start_actors(parts)
-    dispatch = Dispatch(*actors, parts.in_force)
+    dispatch = Dispatch(
+        actors.routing,
+        actors.configuration,
+        actors.gateway,
+        actors.replica,
+        parts.in_force,
+    )
     mailbox = make_mailbox(parts, dispatch)
     mailbox.start()
     parts.post.attach(mailbox, dispatch.deliver)
@@ -224,10 +235,11 @@
     )
     client = ProposalClient.from_config(ProposalClientConfig(replicas))
     gateway = GatewayActor.start(client, parts.post)
-    replica = None
-    if settings.entry.data_folder is not None:
-        replica = start_replica(parts, configuration, gateway)
-    return EntryActors(routing, configuration, gateway, replica)
+    if settings.entry.data_folder is None:
+        return EntryActors(routing, configuration, gateway, None, None)
+    replica = start_replica(parts, configuration, gateway)
+    courier = OrderCourier.start(OrderCourierParts(replica, parts.status, parts.post))
+    return EntryActors(routing, configuration, gateway, replica, courier)
 
 
 def replica_instances(settings: DaemonSettings) -> tuple[InstanceId, ...]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
@@ -15,7 +15,7 @@
     Withdraw,
 )
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
-from cowslipshelf_daemon.internal.entry.post import Delivered
+from cowslipshelf_daemon.internal.post import Delivered
 from cowslipshelf_fleet import Received
 
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -28,7 +28,7 @@
 )
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import ChangeId, OperatorName, PlanId, RequestId
-from cowslipshelf_daemon.internal.entry.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.control_gateway import ControlGateway
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.replica_actor import ControlStateAsked, leads
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -44,9 +44,14 @@
     encode_outcome,
 )
 from cowslipshelf_core.identifiers import InstanceId
-from cowslipshelf_core.messages import ConfigurationSnapshot, FetchConfiguration
+from cowslipshelf_core.messages import (
+    ConfigurationSnapshot,
+    FencingAnswered,
+    FencingAsked,
+    FetchConfiguration,
+)
 from cowslipshelf_daemon.internal.actor import DaemonActor
-from cowslipshelf_daemon.internal.entry.post import Delivered, Post
+from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.storage import ReplicaStorage, StorageError
@@ -124,6 +129,8 @@
                 self.events.append(CommandProposed(proposal_id, command, time.time()))
             case FetchConfiguration(question=question) if question:
                 self.ask_read(delivered)
+            case FencingAsked():
+                self.ask_read(delivered)
             case FetchConfiguration():
                 self.answer_configuration(delivered, confirmed=False)
             case message:
@@ -218,10 +225,19 @@
             self.post.send_to_instance(proposer, result)
 
     def answer_read(self, read_id: str, confirmed: bool) -> None:
-        """Answer a question for the configuration."""
+        """Answer a question that a quorum was asked about."""
         asked = self.reads.pop(read_id, None)
-        if asked is not None:
-            self.answer_configuration(asked, confirmed)
+        match asked:
+            case Delivered(message=FetchConfiguration()):
+                self.answer_configuration(asked, confirmed)
+            case Delivered(message=FencingAsked() as question) if confirmed:
+                self.answer_fencing(asked, question)
+
+    def answer_fencing(self, asked: Delivered, question: FencingAsked) -> None:
+        """Send an upstream's newest fencing number, which a quorum has confirmed."""
+        fencing = self.state.current_fencing(question.upstream_id)
+        answer = FencingAnswered(question.upstream_id, question.question, fencing)
+        self.post.send(asked.sender_address, answer)
 
     def answer_configuration(self, asked: Delivered, confirmed: bool) -> None:
         """Send the configuration as it is applied here."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -60,7 +60,7 @@
     WaitElapsed,
 )
 from cowslipshelf_core.upstream import HandOver
-from cowslipshelf_daemon.internal.entry.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.control_gateway import ControlGateway
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
 from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
 from cowslipshelf_fleet import (
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -52,7 +52,7 @@
 from cowslipshelf_core.upstream import UpstreamDescription
 from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
-from cowslipshelf_daemon.internal.entry.post import Post
+from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Received
 from cowslipshelf_platform.logs import part_logger
@@ -68,6 +68,7 @@
     """Tell what an entry knows of one upstream."""
 
     description: UpstreamDescription
+    mailbox_address: str
     epoch: str
     leaving: bool
     reserved_tokens: int
@@ -182,14 +183,16 @@
             if at - entry.heard_at < self.gone_seconds
         )
 
-    def note_announcement(self, announce: Announce, version: ConfigurationVersion):
+    def note_announcement(self, announce: Announce, received: Received) -> None:
         """Keep what a sidecar said, and since when it has its configuration."""
         at = time.time()
+        version = received.configuration_version
         upstream_id = announce.description.upstream_id
         before = self.upstreams.get(upstream_id)
         unchanged = before is not None and before.configuration_version == version
         self.upstreams[upstream_id] = UpstreamStatus(
             announce.description,
+            received.sender_address,
             announce.epoch,
             announce.leaving,
             announce.load.reserved_tokens,
@@ -282,8 +285,7 @@
         """Take one message from another process."""
         match received.message:
             case Announce() as announce:
-                version = received.configuration_version
-                self.status.note_announcement(announce, version)
+                self.status.note_announcement(announce, received)
                 self.answer_announcement(announce, received.sender_address)
                 event = AnnounceArrived(
                     announce, received.sender, received.sender_address
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -6,6 +6,11 @@
 
 from pykka import ActorRef
 
+from cowslipshelf_core.agreement import (
+    ProposalClient,
+    ProposalClientConfig,
+    ProposalResult,
+)
 from cowslipshelf_core.configuration_view import (
     ConfigurationView,
     ConfigurationViewConfig,
@@ -13,11 +18,14 @@
 from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch
 from cowslipshelf_core.sidecar import SidecarConfig, SidecarState
 from cowslipshelf_core.upstream import UpstreamDescription
+from cowslipshelf_daemon.internal.control_gateway import ControlGateway, GatewayActor
+from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_daemon.internal.sidecar.attempt_runner import AttemptServices
 from cowslipshelf_daemon.internal.sidecar.attempts_handler import (
     SidecarAttemptsHandler,
 )
+from cowslipshelf_daemon.internal.sidecar.order_runner import OrderServices
 from cowslipshelf_daemon.internal.sidecar.sidecar_actor import (
     LeaveAsked,
     PeersAttached,
@@ -34,6 +42,7 @@
     MailboxConfig,
     Received,
 )
+from cowslipshelf_platform.logs import part_logger
 from cowslipshelf_platform.settings import DaemonSettings, UpstreamSettings
 from cowslipshelf_upstreams import (
     EngineClient,
@@ -42,12 +51,15 @@
     PlainClientConfig,
 )
 
+LOG = part_logger("sidecar")
+
 
 class SidecarRole(NamedTuple):
     """Be a sidecar that runs."""
 
     settings: DaemonSettings
     actor: ActorRef
+    gateway: ActorRef
     mailbox: Mailbox
     server: AttemptsServer
     ticker: Ticker
@@ -69,6 +81,7 @@
         self.server.stop()
         self.mailbox.stop()
         self.actor.stop()
+        self.gateway.stop()
 
 
 class VersionSource:
@@ -88,7 +101,9 @@
     view = make_view(settings, epoch)
     parts = make_parts(settings, epoch, view)
     actor = SidecarActor.start(parts)
-    mailbox = make_mailbox(settings, epoch, view, actor)
+    post = make_post(settings)
+    gateway = GatewayActor.start(make_proposal_client(settings), post)
+    mailbox = make_mailbox(settings, epoch, view, SidecarDispatch(actor, gateway))
     services = AttemptServices(
         make_client(settings.sidecar.upstream),
         actor,
@@ -96,13 +111,22 @@
     )
     keeper = make_keeper(services, actor)
     server = make_server(settings, actor, parts.attempts)
-    ticker = Ticker((actor,), settings.timings.tick_seconds)
-    actor.tell(PeersAttached(mailbox, services, keeper))
+    ticker = Ticker((actor, gateway), settings.timings.tick_seconds)
+    orders = make_order_services(settings, services, gateway, actor)
     mailbox.start()
+    post.attach(mailbox, drop_own_message)
+    actor.tell(PeersAttached(mailbox, services, keeper, orders))
     server.start()
     ticker.start()
     return SidecarRole(
-        settings, actor, mailbox, server, ticker, threading.Event(), parts.state
+        settings,
+        actor,
+        gateway,
+        mailbox,
+        server,
+        ticker,
+        threading.Event(),
+        parts.state,
     )
 
 
@@ -137,14 +161,63 @@
     return SidecarParts(settings, description, epoch, state, view, AttemptLog())
 
 
-def make_mailbox(
-    settings: DaemonSettings, epoch: Epoch, view: ConfigurationView, actor: ActorRef
-) -> Mailbox:
-    """Make the mailbox, whose messages go to the actor."""
+class SidecarDispatch(NamedTuple):
+    """Know the actors of one sidecar."""
+
+    sidecar: ActorRef
+    gateway: ActorRef
+
+    def receive(self, received: Received) -> None:
+        """Take a message from another process; runs on the mailbox's thread."""
+        match received.message:
+            case ProposalResult() as result:
+                sender, address = received.sender, received.sender_address
+                self.gateway.tell(Delivered(sender, address, result))
+            case _:
+                self.sidecar.tell(received)
+
+
+def make_post(settings: DaemonSettings) -> Post:
+    """Make the post, which knows the entries of the settings."""
+    post = Post(settings.instance, settings.mailbox_address)
+    for entry in settings.entries:
+        post.learn(entry.instance, entry.mailbox_address)
+    return post
+
+
+def drop_own_message(delivered: Delivered) -> None:
+    """Take a message to this process itself, which a sidecar never sends."""
+    LOG.warning("message to itself", type=type(delivered.message).__name__)
 
-    def receive(received: Received) -> None:
-        actor.tell(received)
 
+def make_proposal_client(settings: DaemonSettings) -> ProposalClient:
+    """Make the client that brings commands to the replicas."""
+    replicas = tuple(entry.instance for entry in settings.entries if entry.replica)
+    return ProposalClient.from_config(ProposalClientConfig(replicas))
+
+
+def make_order_services(
+    settings: DaemonSettings,
+    services: AttemptServices,
+    gateway: ActorRef,
+    actor: ActorRef,
+) -> OrderServices | None:
+    """Make what orders to an engine need; a plain service takes none."""
+    match services.client:
+        case EngineClient() as engine:
+            control = ControlGateway(gateway)
+            return OrderServices(settings.instance, engine, control, actor)
+        case PlainClient():
+            return None
+
+
+def make_mailbox(
+    settings: DaemonSettings,
+    epoch: Epoch,
+    view: ConfigurationView,
+    dispatch: SidecarDispatch,
+) -> Mailbox:
+    """Make the mailbox, whose messages go to the actors."""
     config = MailboxConfig(
         instance=settings.instance,
         epoch=epoch,
@@ -154,7 +227,7 @@
         silence_seconds=settings.timings.silence_seconds,
         message_types=MailboxMessage,
     )
-    return Mailbox.from_config(config, receive, VersionSource(view))
+    return Mailbox.from_config(config, dispatch.receive, VersionSource(view))
 
 
 def make_client(upstream: UpstreamSettings) -> EngineClient | PlainClient:
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/order_runner.py
@@ -0,0 +1,141 @@
+"""Give one order to the engine, within the weight store's rate, and close it."""
+
+import threading
+import time
+import uuid
+from typing import NamedTuple
+
+from pykka import ActorDeadError, ActorRef
+
+from cowslipshelf_core.control import (
+    AskLoadGrant,
+    CloseOrder,
+    LoadGranted,
+    LoadGrantRefused,
+    OrderClosed,
+    OrderRefused,
+    ReturnLoadGrant,
+)
+from cowslipshelf_core.identifiers import GrantId, InstanceId
+from cowslipshelf_core.messages import OrderSent
+from cowslipshelf_core.sidecar import OrderFinished
+from cowslipshelf_daemon.internal.control_gateway import ControlGateway
+from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_upstreams import (
+    EngineClient,
+    EngineOrder,
+    UpstreamLostError,
+    UpstreamRefusedError,
+)
+
+LOG = part_logger("orders")
+
+COMMAND_SECONDS = 5.0
+PAUSE_SECONDS = 0.5
+ORDER_SECONDS = 600.0
+LOAD_TOKENS = 1
+LOADS = frozenset({"load_model", "load_adapter", "load_version"})
+MOST_CLOSE_TRIES = 20
+
+
+class OrderServices(NamedTuple):
+    """Be what every order of one sidecar uses."""
+
+    instance: InstanceId
+    engine: EngineClient
+    gateway: ControlGateway
+    sidecar: ActorRef
+
+
+class OrderResult(NamedTuple):
+    """Tell how an order ended at the engine."""
+
+    succeeded: bool
+    detail: str
+
+
+class OrderRunner:
+    """Own the carrying out of one order, on a thread of its own."""
+
+    def __init__(self, order: OrderSent, services: OrderServices) -> None:
+        self.order = order
+        self.services = services
+
+    def start(self) -> None:
+        """Begin to carry the order out."""
+        name = f"order-{self.order.order_id}"
+        threading.Thread(target=self.run, name=name, daemon=True).start()
+
+    def run(self) -> None:
+        """Carry the order out, tell the decider, and close it in the log."""
+        result = self.carry_out()
+        LOG.info("order ended", order=self.order.order_id, ok=result.succeeded)
+        try:
+            finished = OrderFinished(self.order.fencing, result.succeeded)
+            self.services.sidecar.tell(finished)
+        except ActorDeadError:
+            return
+        self.close(result)
+
+    def carry_out(self) -> OrderResult:
+        """Give the order to the engine, under a grant where it loads weights."""
+        if self.order.kind not in LOADS:
+            return self.give()
+        grant_id = GrantId(uuid.uuid4().hex)
+        if not self.wait_for_grant(grant_id):
+            return OrderResult(False, "no grant to load weights in time")
+        try:
+            return self.give()
+        finally:
+            returned = ReturnLoadGrant(grant_id, self.services.instance)
+            self.services.gateway.ask(returned, COMMAND_SECONDS)
+
+    def wait_for_grant(self, grant_id: GrantId) -> bool:
+        """Ask for a load grant until there is one; the store's rate is the fleet's."""
+        asked = AskLoadGrant(
+            grant_id,
+            self.services.instance,
+            self.order.upstream_id,
+            LOAD_TOKENS,
+            ORDER_SECONDS,
+        )
+        limit = time.monotonic() + ORDER_SECONDS
+        while time.monotonic() < limit:
+            match self.services.gateway.ask(asked, COMMAND_SECONDS):
+                case LoadGranted():
+                    return True
+                case LoadGrantRefused(retry_after_seconds=seconds):
+                    time.sleep(min(seconds, PAUSE_SECONDS))
+                case _:
+                    time.sleep(PAUSE_SECONDS)
+        return False
+
+    def give(self) -> OrderResult:
+        """Give the order to the engine, once."""
+        order = EngineOrder(
+            self.order.order_id,
+            self.order.kind,
+            self.order.argument,
+            self.order.fencing,
+        )
+        try:
+            result = self.services.engine.give_order(order)
+        except (UpstreamLostError, UpstreamRefusedError) as error:
+            return OrderResult(False, str(error))
+        detail = "" if result.accepted else "the engine knows a newer order"
+        return OrderResult(result.accepted, detail)
+
+    def close(self, result: OrderResult) -> None:
+        """Close the order through the log, trying again while there is no quorum."""
+        closing = CloseOrder(
+            self.order.order_id,
+            self.order.upstream_id,
+            self.order.fencing,
+            result.succeeded,
+            result.detail,
+        )
+        for _ in range(MOST_CLOSE_TRIES):
+            outcome = self.services.gateway.ask(closing, COMMAND_SECONDS)
+            if isinstance(outcome, OrderClosed | OrderRefused):
+                return
+            time.sleep(PAUSE_SECONDS)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -22,25 +22,34 @@
     Announce,
     AnnounceAnswer,
     ConfigurationSnapshot,
+    FencingAnswered,
+    FencingAsked,
     MayHaveRun,
     NeverRan,
+    OrderSent,
     StreamEnd,
     Withdraw,
 )
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
+    AskFencing,
     CancelArrived,
     CancelAtUpstream,
     ConfigurationApplied,
     EndAttempt,
+    FencingConfirmed,
     FirstTokenArrived,
     ForgetAttempt,
+    GiveOrder,
     HandOverArrived,
     InventoryRead,
     LeavingBegun,
     LeftForGood,
+    OrderArrived,
+    OrderFinished,
     OwnerSeen,
     RefuseAttempt,
+    RefuseOrder,
     ReleaseAtUpstream,
     SidecarEffect,
     SidecarEvent,
@@ -61,6 +70,10 @@
     HandOverAsked,
     RevokeAsked,
 )
+from cowslipshelf_daemon.internal.sidecar.order_runner import (
+    OrderRunner,
+    OrderServices,
+)
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Mailbox, Received
@@ -85,6 +98,8 @@
     services: AttemptServices
     keeper: UpstreamKeeper | None
     """None for a plain service, which cannot be asked what it holds."""
+    orders: OrderServices | None
+    """None for a plain service, which takes no orders."""
 
 
 class SidecarParts(NamedTuple):
@@ -112,6 +127,7 @@
         self.mailbox: Mailbox | None = None
         self.services: AttemptServices | None = None
         self.keeper: UpstreamKeeper | None = None
+        self.orders: OrderServices | None = None
         self.entry_addresses = {
             entry.mailbox_address for entry in parts.settings.entries
         }
@@ -126,10 +142,11 @@
         match message:
             case Tick():
                 self.tick(now)
-            case PeersAttached(mailbox=mailbox, services=services, keeper=keeper):
-                self.mailbox = mailbox
-                self.services = services
-                self.keeper = keeper
+            case PeersAttached():
+                self.mailbox = message.mailbox
+                self.services = message.services
+                self.keeper = message.keeper
+                self.orders = message.orders
             case HandOverAsked(hand_over=hand_over, reply=reply):
                 self.decide_hand_over(hand_over, reply, now)
             case RevokeAsked():
@@ -149,6 +166,7 @@
                 | FirstTokenArrived()
                 | CancelArrived()
                 | InventoryRead()
+                | OrderFinished()
             ):
                 self.decide(message, now)
 
@@ -204,6 +222,13 @@
                 self.attempts.forget(attempt_id)
             case LeftForGood():
                 self.left_for_good()
+            case GiveOrder(order):
+                LOG.info("order given", order=order.order_id, fencing=order.fencing)
+                OrderRunner(order, self.orders).start()
+            case RefuseOrder(order, reason, newest):
+                LOG.info("order refused", order=order.order_id, why=reason, new=newest)
+            case AskFencing():
+                self.ask_fencing()
 
     def start_attempt(self, hand_over: HandOver) -> None:
         """Start the thread that runs an attempt at the upstream."""
@@ -226,6 +251,13 @@
         if self.keeper is not None:
             self.keeper.cancel(attempt_id)
 
+    def ask_fencing(self) -> None:
+        """Ask every replica; the one that leads answers with a quorum's word."""
+        question = FencingAsked(self.description.upstream_id, self.epoch)
+        for entry in self.settings.entries:
+            if entry.replica:
+                self.mailbox.send(entry.mailbox_address, question)
+
     def left_for_good(self) -> None:
         """Say farewell to the entries and let the program end."""
         farewell = Withdraw(self.description.upstream_id, self.epoch)
@@ -246,6 +278,13 @@
             case ConfigurationSnapshot() as snapshot:
                 arrived = SnapshotArrived(snapshot, received.sender_address)
                 self.look_at_configuration(arrived, now)
+            case OrderSent() as order if self.orders is not None:
+                self.decide(OrderArrived(order), now)
+            case FencingAnswered(question=question, fencing=fencing):
+                # An answer to a question of an earlier start may be older than an
+                # order that this start's predecessor gave.
+                if question == self.epoch:
+                    self.decide(FencingConfirmed(fencing), now)
 
     def look_at_configuration(self, event: ConfigurationViewEvent, now: float) -> None:
         """Give the configuration's decider an event and carry out what it says."""
