--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -39,6 +39,7 @@
     ConfigurationParts,
 )
 from cowslipshelf_daemon.internal.entry.dispatch import Dispatch
+from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.entry.operators_handler import (
@@ -155,17 +156,20 @@
     status: FleetStatus
     post: Post
     records: RequestRecords
+    metrics: EntryMetrics
 
 
 def start_entry(settings: DaemonSettings) -> EntryRole:
     """Start an entry from its settings, or raise `StartError`."""
+    metrics = EntryMetrics()
     parts = EntryParts(
         settings,
         Epoch(uuid.uuid4().hex),
         ConfigurationInForce(),
         FleetStatus(settings),
         make_post(settings),
-        RequestRecords(),
+        RequestRecords(metrics),
+        metrics,
     )
     actors = start_actors(parts)
     dispatch = Dispatch(
@@ -191,6 +195,9 @@
             parts.records,
             gateway,
             actors.replica,
+            metrics,
+            mailbox,
+            callers_handler.open_requests,
         )
     )
     operators = make_operators_server(settings, operators_handler)
@@ -337,6 +344,7 @@
         attempts,
         SharedRetryBudget(RetryBudget.from_config(RetryBudgetConfig())),
         new_attempt_id,
+        parts.metrics,
     )
     stored = settings.entry.limits.largest_stored_answer_bytes
     config = RequestConfig(stored_answer_bytes=stored)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/callers_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/callers_handler.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import threading
 import uuid
 from typing import NamedTuple
 
@@ -16,6 +15,7 @@
     ConfigurationIndex,
     ConfigurationInForce,
 )
+from cowslipshelf_daemon.internal.entry.open_requests import OpenRequests
 from cowslipshelf_daemon.internal.entry.request_driver import (
     DriverServices,
     RequestDriver,
@@ -25,36 +25,6 @@
 NOT_READY_RETRY_SECONDS = 1.0
 
 
-class OpenRequests:
-    """Count the requests that run, and close the door for a shutdown."""
-
-    def __init__(self) -> None:
-        self.open = 0
-        self.closed = False
-        self.changed = threading.Condition()
-
-    def enter(self) -> bool:
-        """Count a request in, unless the door is closed."""
-        with self.changed:
-            if self.closed:
-                return False
-            self.open += 1
-            return True
-
-    def leave(self) -> None:
-        """Count a request out."""
-        with self.changed:
-            self.open -= 1
-            self.changed.notify_all()
-
-    def close_and_wait(self, seconds: float) -> int:
-        """Let nobody in any more and wait; return how many still run."""
-        with self.changed:
-            self.closed = True
-            self.changed.wait_for(lambda: self.open == 0, seconds)
-            return self.open
-
-
 class AdmittedCall(NamedTuple):
     """Be a call whose customer and service are known and allowed."""
 
@@ -94,6 +64,7 @@
         index = self.in_force.index
         admitted = self.admit(call, index)
         if isinstance(admitted, Refusal):
+            self.services.metrics.admission_refused(admitted)
             writer.refusal(admitted, False)
             return
         request = self.request_of(admitted, index)
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/entry_metrics.py
@@ -0,0 +1,88 @@
+"""Name and count what an entry shows to its operators' monitoring."""
+
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.requests import CallerRequest
+from cowslipshelf_fleet import Mailbox
+from cowslipshelf_platform.metrics import Metrics
+
+REQUESTS = "cowslipshelf_requests_total"
+FIRST_CHUNK = "cowslipshelf_first_chunk_seconds"
+REQUEST = "cowslipshelf_request_seconds"
+ADMISSION_REFUSED = "cowslipshelf_admission_refused_total"
+OPEN_REQUESTS = "cowslipshelf_open_requests"
+RETRIES = "cowslipshelf_retries_total"
+MAILBOX = "cowslipshelf_mailbox_messages"
+CONFIGURATION_VERSION = "cowslipshelf_configuration_version"
+UPSTREAMS = "cowslipshelf_upstreams_heard"
+
+LENGTH_BOUNDS = (2_000, 8_000, 32_000, 100_000, 400_000)
+"""Upper bounds, in prompt tokens, of the buckets by which times are shown."""
+LONGEST_BUCKET = "longer"
+
+HELPS = {
+    REQUESTS: "Requests that ended, by service and outcome.",
+    FIRST_CHUNK: "Time to the first piece of the answer, by prompt length.",
+    REQUEST: "Time to the end of the answer, by prompt length.",
+    ADMISSION_REFUSED: "Calls refused before they were a request, by reason.",
+    OPEN_REQUESTS: "Requests that run now.",
+    RETRIES: "Questions for the retry budget, by its answer.",
+    MAILBOX: "Messages of the mailbox since the start, by what became of them.",
+    CONFIGURATION_VERSION: "Version of the configuration in force here.",
+    UPSTREAMS: "Upstreams heard lately.",
+}
+
+
+def length_bucket(prompt_tokens: int) -> str:
+    """Return the bucket of a prompt's length, as its upper bound."""
+    for bound in LENGTH_BOUNDS:
+        if prompt_tokens <= bound:
+            return str(bound)
+    return LONGEST_BUCKET
+
+
+class EntryMetrics:
+    """Count for one entry, from any thread."""
+
+    def __init__(self) -> None:
+        self.metrics = Metrics()
+        for name, text in HELPS.items():
+            self.metrics.describe(name, text)
+
+    def admission_refused(self, refusal: Refusal) -> None:
+        """Count a call that was refused before it was a request."""
+        self.metrics.count(ADMISSION_REFUSED, reason=refusal.reason)
+
+    def first_chunk(self, request: CallerRequest, seconds: float) -> None:
+        """Record the time to the first piece of an answer."""
+        bucket = length_bucket(request.prompt_tokens)
+        self.metrics.record_seconds(
+            FIRST_CHUNK, seconds, service=request.service, prompt_up_to=bucket
+        )
+
+    def ended(self, request: CallerRequest, outcome: str, seconds: float) -> None:
+        """Count a request's end and record its time."""
+        self.metrics.count(REQUESTS, service=request.service, outcome=outcome)
+        bucket = length_bucket(request.prompt_tokens)
+        self.metrics.record_seconds(
+            REQUEST, seconds, service=request.service, prompt_up_to=bucket
+        )
+
+    def retry(self, allowed: bool) -> None:
+        """Count a question for the retry budget."""
+        self.metrics.count(RETRIES, allowed=str(allowed).lower())
+
+    def mailbox(self, mailbox: Mailbox) -> None:
+        """Show the mailbox's counters as they are now."""
+        for what, number in mailbox.counters._asdict().items():
+            if isinstance(number, int):
+                self.metrics.gauge(MAILBOX, number, what=what)
+
+    def state(self, open_requests: int, version: int, upstreams: int) -> None:
+        """Show what the process holds now."""
+        self.metrics.gauge(OPEN_REQUESTS, open_requests)
+        self.metrics.gauge(CONFIGURATION_VERSION, version)
+        self.metrics.gauge(UPSTREAMS, upstreams)
+
+    def text(self) -> str:
+        """Write everything in the Prometheus text format."""
+        return self.metrics.prometheus_text()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/explanations.py
@@ -7,6 +7,7 @@
 from cowslipshelf_core.identifiers import RequestId
 from cowslipshelf_core.requests import CallerRequest
 from cowslipshelf_core.routing import PlacementExplanation
+from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 
 MOST_RECORDS = 2048
 MOST_NOTES = 64
@@ -15,8 +16,9 @@
 class RequestRecord:
     """Collect what happened to one request; written by its own thread."""
 
-    def __init__(self, request: CallerRequest) -> None:
+    def __init__(self, request: CallerRequest, metrics: EntryMetrics) -> None:
         self.request = request
+        self.metrics = metrics
         self.started_at = time.time()
         self.begun = time.monotonic()
         self.notes: list[str] = []
@@ -41,11 +43,13 @@
         self.chunks += 1
         if self.first_chunk_seconds is None:
             self.first_chunk_seconds = time.monotonic() - self.begun
+            self.metrics.first_chunk(self.request, self.first_chunk_seconds)
 
     def end(self, outcome: str) -> None:
         """Keep how the request ended."""
         self.outcome = outcome
         self.seconds = time.monotonic() - self.begun
+        self.metrics.ended(self.request, outcome, self.seconds)
 
     def lines(self) -> tuple[str, ...]:
         """Tell in lines of text what happened, the oldest first."""
@@ -86,13 +90,14 @@
 class RequestRecords:
     """Keep the newest records; safe between threads."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: EntryMetrics) -> None:
+        self.metrics = metrics
         self.records: OrderedDict[RequestId, RequestRecord] = OrderedDict()
         self.lock = threading.Lock()
 
     def begin(self, request: CallerRequest) -> RequestRecord:
         """Begin the record of a request; the oldest goes where there are too many."""
-        record = RequestRecord(request)
+        record = RequestRecord(request, self.metrics)
         with self.lock:
             self.records[request.request_id] = record
             if len(self.records) > MOST_RECORDS:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -29,10 +29,13 @@
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import ChangeId, OperatorName, PlanId, RequestId
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
+from cowslipshelf_daemon.internal.entry.open_requests import OpenRequests
 from cowslipshelf_daemon.internal.entry.replica_actor import ControlStateAsked, leads
 from cowslipshelf_daemon.internal.entry.routing_actor import FleetStatus
+from cowslipshelf_fleet import Mailbox
 from cowslipshelf_operators import (
     ExplainAnswer,
     ExplainKind,
@@ -58,6 +61,9 @@
     records: RequestRecords
     gateway: ControlGateway
     replica: ActorRef | None
+    metrics: EntryMetrics
+    mailbox: Mailbox
+    open_requests: OpenRequests
 
 
 class ControlView(NamedTuple):
@@ -273,7 +279,12 @@
 
     def metrics_text(self) -> str:
         """Write the metrics in the Prometheus text format."""
-        return ""
+        parts = self.parts
+        version = parts.in_force.index.configuration.version
+        upstreams = len(parts.status.upstreams)
+        parts.metrics.state(parts.open_requests.open, version, upstreams)
+        parts.metrics.mailbox(parts.mailbox)
+        return parts.metrics.text()
 
 
 def view_of(state: ControlState, replica: ReplicaStatus) -> ControlView:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -61,6 +61,7 @@
 )
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
 from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
 from cowslipshelf_fleet import (
@@ -100,6 +101,7 @@
     attempts: AttemptsClient
     retry_budget: SharedRetryBudget
     new_attempt_id: Callable[[], AttemptId]
+    metrics: EntryMetrics
 
 
 class RequestDriver:
@@ -247,6 +249,7 @@
     def ask_retry_budget(self) -> None:
         """Ask whether this process may spend a retry."""
         allowed = self.services.retry_budget.allows(time.monotonic())
+        self.services.metrics.retry(allowed)
         self.handle(RetryAnswered(allowed, random.random()))
 
     def open_stream(self, stream: AttemptStream, attempt_id: AttemptId) -> None:
@@ -318,5 +321,5 @@
                 self.record.end("whole")
                 self.writer.end()
             case AnswerRefusal(refusal, head_sent):
-                self.record.end(f"{refusal.code}: {refusal.reason}")
+                self.record.end(f"{refusal.code}_{refusal.reason}")
                 self.writer.refusal(refusal, head_sent)
