Bound what is held back by the caller's instance, and the wait for a stored answer

A piece without tokens that was passed on only for the bound no longer keeps later pieces from being continued elsewhere. FinishClaim says how long its driver waits: with the quorum lost, a whole answer was to be held to its deadline.

New: an answer cut after any piece goes on at another engine and is whole; seen to fail with pieces that have no tokens passed on at once, with the tokens that were delivered not told, and with the held-back part not forgotten.

--- a/packages/core/src/cowslipshelf_core/internal/requests/delivery.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/delivery.py
@@ -81,15 +81,17 @@
         self.held_size += len(chunk.data)
         self.held_tokens += chunk.tokens
         self.store(chunk.data)
-        if self.held_size > self.held_back_bytes:
-            self.ends_at_token = self.streamed and chunk.tokens > 0
-            return self.pass_on()
-        if not self.streamed:
-            return []
-        if self.continuable and not chunk.tokens:
+        if not self.must_pass_on(chunk):
             return []
+        self.ends_at_token = chunk.tokens > 0
         return self.pass_on()
 
+    def must_pass_on(self, chunk: StreamChunk) -> bool:
+        """Tell whether what is held back goes to the caller with this piece."""
+        if self.held_size > self.held_back_bytes:
+            return True
+        return self.streamed and not (self.continuable and not chunk.tokens)
+
     def store(self, data: bytes) -> None:
         """Keep a copy for resends, as long as the answer is small enough."""
         if not self.keeps_answer:
--- a/packages/core/src/cowslipshelf_core/internal/requests/effects.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/effects.py
@@ -41,6 +41,8 @@
     """
 
     claim: ClaimFinished
+    wait_seconds: float
+    """How long to wait for it; a lost quorum must not hold a whole answer back."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/cowslipshelf_core/internal/requests/ending.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/ending.py
@@ -127,4 +127,5 @@
     holder: AttemptId | None = state.claim_attempt
     if holder is None:
         return []
-    return [FinishClaim(claim_finished(state.request, holder, outcome))]
+    finished = claim_finished(state.request, holder, outcome)
+    return [FinishClaim(finished, state.config.store_answer_seconds)]
--- a/tests/common/requests_harness.py
+++ b/tests/common/requests_harness.py
@@ -71,6 +71,8 @@
 
 
 UPSTREAMS = 6
+DEFAULTS = RequestConfig()
+TIGHT = RequestConfig(stored_answer_bytes=16, held_back_bytes=4)
 LOSSES = ("none", "question", "answer", "late", "doubled")
 SPOILS = ("no", "cut", "skip", "double", "fail")
 
@@ -104,12 +106,12 @@
         self.now = 100.0
         self.driven: list[Driven] = []
 
-    def begin(self, **changes) -> Driven:
+    def begin(self, config: RequestConfig = DEFAULTS, **changes) -> Driven:
         """Start a request with a new id, at an entry of its own."""
         number = len(self.driven)
         request = caller_request(request_id=f"r{number}", owner=f"entry{number}")
         request = request._replace(**changes)
-        driven = Driven(request, RequestMachine.from_config(request, RequestConfig()))
+        driven = Driven(request, RequestMachine.from_config(request, config))
         self.driven.append(driven)
         self.feed(driven, Started())
         return driven
@@ -154,7 +156,7 @@
                 driven.finals.append(effect)
                 driven.question = None
                 driven.reading = []
-            case FinishClaim(claim):
+            case FinishClaim(claim=claim):
                 self.world.claims.finish(claim)
             case Report(event=AttemptEnded(attempt_id=attempt_id)):
                 driven.ended.append(attempt_id)
@@ -341,7 +343,7 @@
 
     def a_request_is_handed_over_a_bounded_number_of_times(self):
         for driven in self.driven:
-            assert len(driven.sent) <= RequestConfig().most_attempts
+            assert len(driven.sent) <= DEFAULTS.most_attempts
             assert len({h.attempt_id for h in driven.sent}) == len(driven.sent)
 
     def finish(self) -> None:
--- a/tests/cover/requests/test_request_machine.py
+++ b/tests/cover/requests/test_request_machine.py
@@ -13,7 +13,15 @@
     rule,
 )
 
-from common.requests_harness import LOSSES, SPOILS, UPSTREAMS, RequestsHarness, Step
+from common.requests_harness import (
+    DEFAULTS,
+    LOSSES,
+    SPOILS,
+    TIGHT,
+    UPSTREAMS,
+    RequestsHarness,
+    Step,
+)
 
 MOST_REQUESTS = 4
 SMALL = st.integers(0, 3)
@@ -37,6 +45,7 @@
 
     @rule(
         target=requests,
+        config=st.sampled_from([DEFAULTS, TIGHT]),
         idempotency_key=st.sampled_from([None, "k"]),
         service_is_idempotent=st.booleans(),
         streamed=st.booleans(),
@@ -101,6 +110,7 @@
 def a_request(random: Random) -> dict:
     """Draw a request; half of them share a key."""
     return {
+        "config": random.choice([DEFAULTS, DEFAULTS, TIGHT]),
         "idempotency_key": random.choice([None, "k"]),
         "service_is_idempotent": random.random() < 0.7,
         "streamed": random.random() < 0.7,
--- a/tests/cover/requests/test_request_stories.py
+++ b/tests/cover/requests/test_request_stories.py
@@ -1,6 +1,8 @@
 """Tell the failures that a request has to come through, one by one."""
 
-from common.requests_harness import RequestsHarness, Step
+import pytest
+
+from common.requests_harness import TIGHT, RequestsHarness, Step
 from common.requests_world import WHOLE_ANSWER
 from cowslipshelf_core.errors import RefusalCode, RefusalReason
 from cowslipshelf_core.messages import StreamHead
@@ -186,6 +188,36 @@
     assert len(driven.finals) == 1
 
 
+@pytest.mark.parametrize("frames_read", range(9))
+@pytest.mark.parametrize("streamed", [True, False])
+def test_an_answer_cut_anywhere_goes_on_at_another_engine(frames_read, streamed):
+    """An engine and its sidecar die after any piece of an answer, also the last.
+
+    The next engine skips the tokens that the caller has and sends whatever has none
+    again. The caller sees every byte once.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin(streamed=streamed)
+    before = [FINE] * (2 + frames_read)
+    harness.run(driven, *before, CUT, NOT_RESUMED)
+    assert len(driven.sent) == 2
+    assert is_whole(driven)
+
+
+@pytest.mark.parametrize("streamed", [True, False])
+def test_what_is_held_back_for_a_retry_is_bounded(streamed):
+    """A plain service sends a huge answer, and a thousand callers ask for it.
+
+    Held back whole, the answers would fill the instance's memory.
+    """
+    harness = RequestsHarness()
+    driven = harness.begin(config=TIGHT, streamed=streamed, kind="plain")
+    for _ in range(5):
+        harness.step(driven, FINE)
+        assert driven.machine.state.delivery.held_size <= TIGHT.held_back_bytes
+    assert driven.answer
+
+
 def test_an_error_page_is_no_continuation():
     """An engine dies in mid-stream and the next one answers with an error page.
 
