--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -125,7 +125,11 @@
         return text.encode("latin-1", "replace")
 
     def caller_gone(self) -> bool:
-        """Look, without waiting, whether the caller has closed its connection."""
+        """Look, without waiting, whether the caller has closed its connection.
+
+        A socket with a timeout waits for it even where a flag asks it not to, and
+        then reports a quiet caller as gone. So the timeout is put to zero first.
+        """
         try:
             self.stop_waiting()
             return self.socket.recv(1, socket.MSG_PEEK) == b""
