Answer truly for a key that the control state gives to nobody else

The control state lets only the holder's request move its key, and nobody once it ended or is past its deadline; a resend that revoked the holder's attempt was told 'still running' for as long as it asked. It now gets the stored refusal, or 'not run' where nobody can run under the key any more. Refused claims have the reason that the control state gives, not always 'key reused', and a caller's deadline may be no longer than a claim takes.

The trial with faults runs against the control state's own table of claims as well as a store that lets anybody take a key over. Both new answers were seen to fail with their condition taken out.

--- a/packages/callers/src/cowslipshelf_callers/internal/routes.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/routes.py
@@ -19,7 +19,7 @@
 MODELS_PATH = "/v1/models"
 DIGEST_BYTES = 16
 MOST_KEY_LENGTH = 255
-MOST_DEADLINE_SECONDS = 86_400.0
+MOST_DEADLINE_SECONDS = 3_600.0
 BEARER = "bearer "
 
 READERS: dict[str, Callable[[bytes], ModelCallFacts]] = {
--- a/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
@@ -15,7 +15,7 @@
     RequestEffect,
     Revoke,
 )
-from cowslipshelf_core.internal.requests.ending import refuse, replay
+from cowslipshelf_core.internal.requests.ending import refuse, refuse_for, replay
 from cowslipshelf_core.internal.requests.events import (
     ClaimAnswered,
     ClaimUnavailable,
@@ -27,6 +27,13 @@
 from cowslipshelf_core.messages import ClaimGranted, ClaimHeld, ClaimRefused, NeverRan
 from cowslipshelf_core.placement_feedback import AttemptOutcome
 
+REASONS_OF_REFUSED_CLAIMS = {
+    "key_reused": RefusalReason.KEY_REUSED,
+    "customer_claims_full": RefusalReason.CUSTOMER_LIMIT,
+    "claims_full": RefusalReason.OVERLOADED,
+}
+"""What the replicated state refuses for; all else is wrong with the request itself."""
+
 
 def claim_or_hand_over(
     state: RequestState, attempt: OpenAttempt, now: float
@@ -68,20 +75,39 @@
     state: RequestState, attempt: OpenAttempt, now: float
 ) -> list[RequestEffect]:
     state.claim_attempt = attempt.chosen.attempt_id
+    state.held = None
     return hand_over(state, attempt, now)
 
 
 def _claim_refused(state: RequestState, reason: str) -> list[RequestEffect]:
     if state.phase is Phase.MOVING_CLAIM:
-        # Another request moved the key first and answers for it from now on.
-        state.claim_attempt = None
-        return _still_running(state, reason)
+        return _move_refused(state, reason)
     refusal = Refusal(
-        RefusalCode.NOT_RUN, RefusalReason.KEY_REUSED, "claim", detail=reason
+        RefusalCode.NOT_RUN,
+        REASONS_OF_REFUSED_CLAIMS.get(reason, RefusalReason.BAD_REQUEST),
+        "claim",
+        detail=reason,
     )
     return refuse(state, refusal)
 
 
+def _move_refused(state: RequestState, reason: str) -> list[RequestEffect]:
+    """Answer for a key that stays with an attempt which will never run.
+
+    Where its holder has ended or is past its deadline, nobody will run under the key
+    any more. A holder that only seems gone may still move the key and run.
+    """
+    state.claim_attempt = None
+    held = state.held
+    if held is None:
+        return _still_running(state, reason)
+    if held.refusal is not None:
+        return refuse(state, held.refusal)
+    if held.deadline_passed:
+        return refuse_for(state, RefusalReason.DEADLINE_PASSED, "claim", reason)
+    return _still_running(state, reason)
+
+
 def _claim_held(
     state: RequestState,
     attempt: OpenAttempt,
@@ -112,6 +138,7 @@
 ) -> list[RequestEffect]:
     """Run after a stored "not run", which is a promise; repeat any other refusal."""
     if refusal.code is RefusalCode.NOT_RUN:
+        state.held = held
         return move(state, attempt, held.attempt_id)
     return refuse(state, refusal)
 
--- a/tests/common/requests_harness.py
+++ b/tests/common/requests_harness.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from common.requests_world import WHOLE_ANSWER, World, caller_request
+from common.requests_world import WHOLE_ANSWER, ClaimStore, World, caller_request
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
-from cowslipshelf_core.messages import StreamChunk, StreamEnd
+from cowslipshelf_core.messages import ClaimHeld, StreamChunk, StreamEnd
 from cowslipshelf_core.requests import (
     AnswerChunk,
     AnswerEnd,
@@ -101,8 +101,10 @@
 class RequestsHarness:
     """Run requests, some under one key, while everything around them fails."""
 
-    def __init__(self) -> None:
+    def __init__(self, claims: ClaimStore | None = None) -> None:
         self.world = World.with_upstreams(UPSTREAMS)
+        if claims is not None:
+            self.world.claims = claims
         self.now = 100.0
         self.driven: list[Driven] = []
 
@@ -157,7 +159,7 @@
                 driven.question = None
                 driven.reading = []
             case FinishClaim(claim=claim):
-                self.world.claims.finish(claim)
+                self.world.claims.finish(claim, self.now)
             case Report(event=AttemptEnded(attempt_id=attempt_id)):
                 driven.ended.append(attempt_id)
             case Report() | Note() | Cancel():
@@ -230,7 +232,7 @@
         else:
             answer = claims.move(question.claim, self.now)
         if loss in ("none", "doubled"):
-            owner = claims.holder.owner
+            owner = answer.owner if isinstance(answer, ClaimHeld) else None
             gone = any(d.dead and d.request.owner == owner for d in self.driven)
             return ClaimAnswered(answer, gone)
         return ClaimUnavailable(NO_QUORUM)
--- a/tests/common/requests_world.py
+++ b/tests/common/requests_world.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Protocol
 
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import (
@@ -26,7 +27,6 @@
     ClaimGranted,
     ClaimHeld,
     ClaimMoved,
-    ClaimRefused,
     Frame,
     MayHaveRun,
     NeverRan,
@@ -132,24 +132,35 @@
         self.frames.clear()
 
 
+class ClaimStore(Protocol):
+    """Be the replicated state as far as requests use it."""
+
+    def ask(self, asked: ClaimAsked, at: float):
+        """Grant the key to the first, and tell the others who has it."""
+
+    def move(self, moved: ClaimMoved, at: float):
+        """Compare the attempt and set it."""
+
+    def finish(self, finished: ClaimFinished, at: float):
+        """Store how the open attempt ended."""
+
+
 @dataclass
-class FakeClaimStore:
-    """Be the replicated state of one key; every command that arrives is applied."""
+class PermissiveClaimStore:
+    """Be one key that any request may take over; only a stored answer is final."""
 
     holder: ClaimAsked | None = None
     asked_at: float = 0.0
     finished: ClaimFinished | None = None
 
-    def ask(self, asked: ClaimAsked, now: float):
+    def ask(self, asked: ClaimAsked, at: float):
         """Grant the key to the first, and tell the others who has it."""
         if self.holder is None:
             self.holder = asked
-            self.asked_at = now
+            self.asked_at = at
         if self.holder.attempt_id == asked.attempt_id and self.finished is None:
             return ClaimGranted(asked.attempt_id)
-        if self.holder.body_digest != asked.body_digest:
-            return ClaimRefused("the key belongs to another body")
-        return self.held(now)
+        return self.held(at)
 
     def held(self, now: float) -> ClaimHeld:
         """Tell who holds the key."""
@@ -165,15 +176,15 @@
             refusal=self.finished.refusal if self.finished else None,
         )
 
-    def move(self, moved: ClaimMoved, now: float):
-        """Compare the attempt and set it; only a stored answer is in the way."""
+    def move(self, moved: ClaimMoved, at: float):
+        """Compare the attempt and set it, whoever asks."""
         holder = self.holder
         if holder is None or holder.attempt_id != moved.from_attempt:
-            return ClaimRefused("the attempt is not open")
+            return self.held(at)
         if self.finished and self.finished.answer:
-            return self.held(now)
+            return self.held(at)
         self.finished = None
-        self.asked_at = now
+        self.asked_at = at
         self.holder = ClaimAsked(
             customer=moved.customer,
             key=moved.key,
@@ -187,7 +198,7 @@
         )
         return ClaimGranted(moved.to_attempt)
 
-    def finish(self, finished: ClaimFinished) -> None:
+    def finish(self, finished: ClaimFinished, _at: float) -> None:
         """Store how the open attempt ended, once."""
         holder = self.holder
         if holder and holder.attempt_id == finished.attempt_id and not self.finished:
@@ -199,7 +210,7 @@
     """Hold the truth about everything outside the machines."""
 
     sidecars: dict[UpstreamId, FakeSidecar]
-    claims: FakeClaimStore = field(default_factory=FakeClaimStore)
+    claims: ClaimStore = field(default_factory=PermissiveClaimStore)
     ran: list[HandOver] = field(default_factory=list)
     """Every attempt that has reached an upstream."""
     on_the_way: list[HandOver] = field(default_factory=list)
--- a/tests/cover/requests/test_request_machine.py
+++ b/tests/cover/requests/test_request_machine.py
@@ -22,6 +22,8 @@
     RequestsHarness,
     Step,
 )
+from common.requests_world import PermissiveClaimStore
+from cowslipshelf_core.internal.control.claims import ClaimTable
 
 MOST_REQUESTS = 4
 SMALL = st.integers(0, 3)
@@ -130,7 +132,7 @@
         case 2:
             driven.dead = True
         case 3:
-            harness.time_passes(driven, random.choice([0.1, 2.0, 30.0]))
+            harness.time_passes(driven, random.choice([0.1, 2.0, 60.0]))
         case 4:
             harness.late_hand_over_arrives(random.randrange(3), 1, True)
         case _:
@@ -143,11 +145,13 @@
 def test_whatever_fails_each_caller_gets_one_true_end(seed):
     """Requests and resends of one key run through many more steps than shrink well.
 
-    The seed draws requests, faults and their order, so that runs get as far as a
-    move to a third upstream, which single draws for each step seldom reach.
+    The claims are kept by the control state itself, or by a store that lets any
+    request take a key over; neither may lead to a second run. The seed draws
+    requests, faults and their order, so that runs get as far as a move to a third
+    upstream, which single draws for each step seldom reach.
     """
     random = Random(seed)
-    harness = RequestsHarness()
+    harness = RequestsHarness(random.choice([PermissiveClaimStore, ClaimTable])())
     for _ in range(120):
         if len(harness.driven) < MOST_REQUESTS and random.random() < 0.1:
             harness.begin(**a_request(random))
--- a/tests/cover/requests/test_request_stories.py
+++ b/tests/cover/requests/test_request_stories.py
@@ -5,6 +5,7 @@
 from common.requests_harness import TIGHT, RequestsHarness, Step
 from common.requests_world import WHOLE_ANSWER
 from cowslipshelf_core.errors import RefusalCode, RefusalReason
+from cowslipshelf_core.internal.control.claims import ClaimTable
 from cowslipshelf_core.messages import StreamHead
 from cowslipshelf_core.requests import (
     AnswerEnd,
@@ -218,6 +219,45 @@
     assert driven.answer
 
 
+@pytest.mark.parametrize("seconds", [0.0, 100.0])
+def test_a_key_that_nobody_may_take_over_is_answered_truly(seconds):
+    """An entry dies between claim and hand-over, and the control state keeps its key.
+
+    Its attempt is revoked. While the entry may only seem dead it could still move
+    the key and run; past its deadline nobody can, and "not run" is true.
+    """
+    harness = RequestsHarness(ClaimTable())
+    killed = harness.begin(idempotency_key="k")
+    harness.step(killed, FINE)
+    harness.step(killed, FINE)
+    killed.dead = True
+    harness.now += seconds
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    code = RefusalCode.NOT_RUN if seconds else RefusalCode.OUTCOME_UNKNOWN
+    assert refusal_of(resent).code is code
+    assert not harness.world.ran
+
+
+def test_a_stored_not_run_is_repeated_where_the_key_stays_with_it():
+    """Every upstream was busy, and the control state gives an ended key to nobody."""
+    harness = RequestsHarness(ClaimTable())
+    driven = harness.begin(idempotency_key="k")
+    harness.run(driven, FINE, FINE, BUSY, NO_BUDGET)
+    resent = harness.begin(idempotency_key="k")
+    harness.run(resent)
+    assert refusal_of(resent) == refusal_of(driven)
+
+
+def test_a_key_with_another_body_is_refused():
+    """A client uses one key for two payment lines; the second must not look paid."""
+    harness = RequestsHarness(ClaimTable())
+    harness.run(harness.begin(idempotency_key="k"))
+    other = harness.begin(idempotency_key="k", body_digest="other")
+    harness.run(other)
+    assert refusal_of(other).reason is RefusalReason.KEY_REUSED
+
+
 def test_an_error_page_is_no_continuation():
     """An engine dies in mid-stream and the next one answers with an error page.
 
