Fetch whole answers from engines as streams

A whole answer is silent until it is ready, so a frozen engine showed only at the caller's deadline, a cut connection lost all of it, and the sidecar took the attempt for unprefilled to its very end. Keeping the connection busy with blanks was ruled out: engines don't.

The client now asks for a stream and puts the whole answer together, which comes as an empty piece at the first token and one piece at the end; resuming goes on where the engine's events stopped. Requests with fields that make an answer more than the sum of its texts (n, tools, logprobs) pass as they are, silent as before.

A property compares with the engine's own whole answer under any cuts; it found tokens counted short after a resume, kept as an example. Seen to fail without the guard: a frozen engine noticed before the deadline, refused answers that left an assembly behind, unusual requests rewritten. The test of a busy engine judged by too short a prefill before; it now counts the comments that a busy engine sends.

--- /dev/null
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/assembly.py
@@ -0,0 +1,153 @@
+"""Put a whole answer together from an engine's stream.
+
+A whole answer is silent until it is ready, so a dead engine would show only at the
+deadline, and a cut answer could not be resumed. Asked for a stream instead, a living
+engine is never silent for long, and what has come before a cut is kept.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from cowslipshelf_upstreams.internal.connections import Headers, OpenAnswer
+from cowslipshelf_upstreams.internal.stream import (
+    DONE_PIECE,
+    UpstreamPiece,
+    UpstreamStream,
+)
+
+ASSEMBLED_FIELDS = frozenset(
+    (
+        "frequency_penalty",
+        "max_completion_tokens",
+        "max_tokens",
+        "messages",
+        "model",
+        "presence_penalty",
+        "prompt",
+        "seed",
+        "stop",
+        "stream",
+        "temperature",
+        "top_p",
+        "user",
+    )
+)
+"""Fields of a request that leave a whole answer the sum of its chunks' texts."""
+
+STREAM_FIELDS = {
+    "stream": msgspec.Raw(b"true"),
+    "stream_options": msgspec.Raw(b'{"include_usage":true}'),
+}
+TEXT_FIELDS = frozenset(("content", "reasoning_content", "refusal", "text"))
+CHUNK_SUFFIX = ".chunk"
+JSON_TYPE = "application/json"
+
+# Chunks may carry fields that the published shape doesn't name; all are kept.
+JsonObject = dict[str, Any]
+
+
+class ChoicesError(ValueError):
+    """Report a chunk that answers in another shape than was asked for."""
+
+
+@dataclass(slots=True)
+class AnswerAssembly:
+    """Hold what has come of a whole answer, over all its connections."""
+
+    sequence: int = 0
+    tokens: int = 0
+    first_piece_tokens: int = 0
+    """Tokens that the piece at the first token told of."""
+    answer: JsonObject = field(default_factory=dict)
+    choice: JsonObject = field(default_factory=dict)
+
+    def take(self, piece: UpstreamPiece) -> None:
+        """Add the next piece of the stream."""
+        self.sequence = piece.sequence
+        self.tokens += piece.tokens
+        if piece.data == DONE_PIECE:
+            return
+        chunk = msgspec.json.decode(piece.data.removeprefix(b"data: "))
+        choices = chunk.pop("choices", [])
+        merge(self.answer, chunk)
+        if len(choices) > 1:
+            raise ChoicesError("one choice was asked for")
+        for choice in choices:
+            message = choice.pop("delta", None)
+            if message is not None:
+                merge(self.choice.setdefault("message", {}), message)
+            merge(self.choice, choice)
+
+    def whole(self) -> bytes:
+        """Return the answer, once all of its stream has come."""
+        kind = str(self.answer.get("object", "")).removesuffix(CHUNK_SUFFIX)
+        whole = self.answer | {"object": kind, "choices": [self.choice]}
+        return msgspec.json.encode(whole)
+
+
+def merge(whole: JsonObject, part: JsonObject) -> None:
+    """Append the texts of a part and take over its other fields."""
+    for name, value in part.items():
+        if name in TEXT_FIELDS and isinstance(value, str):
+            whole[name] = (whole.get(name) or "") + value
+        elif value is not None or name not in whole:
+            whole[name] = value
+
+
+class AssembledStream(UpstreamStream):
+    """Give a whole answer as two pieces: an empty one at its first token, and all."""
+
+    def __init__(
+        self,
+        answer: OpenAnswer,
+        peer: str,
+        assembly: AnswerAssembly,
+        pieces_given: int,
+        on_whole: Callable[[], object],
+    ) -> None:
+        super().__init__(answer, peer, assembly.sequence, assembly.tokens)
+        self.assembly = assembly
+        self.pieces_given = pieces_given
+        self.on_whole = on_whole
+
+    @property
+    def headers(self) -> Headers:
+        """Return the headers of a whole answer."""
+        rest = (pair for pair in super().headers if pair[0].lower() != "content-type")
+        return (*rest, ("Content-Type", JSON_TYPE))
+
+    def read_events(self) -> Iterator[UpstreamPiece]:
+        """Yield an empty piece at the first token, and the whole answer at the end."""
+        for piece in super().read_events():
+            self.assembly.take(piece)
+            if self.assembly.tokens and not self.pieces_given:
+                yield self.next_piece(b"")
+        yield self.next_piece(self.assembly.whole())
+        self.on_whole()
+
+    def next_piece(self, data: bytes) -> UpstreamPiece:
+        """Return the next piece, with the tokens that came since the last."""
+        given = self.assembly.first_piece_tokens if self.pieces_given else 0
+        tokens = self.assembly.tokens - given
+        self.assembly.first_piece_tokens = self.assembly.tokens
+        self.pieces_given += 1
+        return UpstreamPiece(self.pieces_given, data, tokens)
+
+
+def body_asking_for_a_stream(body: bytes) -> bytes | None:
+    """Return a request for a whole answer as one for a stream of the same.
+
+    None where the request wants a stream anyway, or something whose chunks don't
+    simply add up.
+    """
+    try:
+        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+    except msgspec.MsgspecError:
+        return None
+    wants_stream = bytes(fields.get("stream", b"false")) == b"true"
+    if wants_stream or not ASSEMBLED_FIELDS.issuperset(fields):
+        return None
+    return msgspec.json.encode(fields | STREAM_FIELDS)
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
@@ -7,10 +7,16 @@
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_upstreams.errors import UpstreamLostError, UpstreamRefusedError
+from cowslipshelf_upstreams.internal.assembly import (
+    AnswerAssembly,
+    AssembledStream,
+    body_asking_for_a_stream,
+)
 from cowslipshelf_upstreams.internal.connections import (
     CONTROL_POOL_SIZE,
     Connections,
     Headers,
+    OpenAnswer,
     UpstreamRequest,
     end_to_end,
 )
@@ -28,6 +34,7 @@
 from cowslipshelf_upstreams.internal.stream import UpstreamStream
 
 WHOLE_PROMPT = PromptPart()
+OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
 OWN_HEADERS = frozenset(
@@ -71,6 +78,7 @@
         self.connections = Connections(
             config.base_url, config.connect_seconds, CONTROL_POOL_SIZE
         )
+        self.assemblies: dict[AttemptId, AnswerAssembly] = {}
 
     @classmethod
     def from_config(cls, config: EngineClientConfig) -> Self:
@@ -80,7 +88,10 @@
     def start(
         self, hand_over: HandOver, part: PromptPart = WHOLE_PROMPT
     ) -> UpstreamStream:
-        """Start an attempt, once; raise `UpstreamLostError` if no answer begins."""
+        """Start an attempt, once; raise `UpstreamLostError` if no answer begins.
+
+        Most whole answers are fetched as a stream and put together here.
+        """
         request = UpstreamRequest(
             step="start",
             method=hand_over.method,
@@ -88,13 +99,47 @@
             headers=start_headers(hand_over, part),
             body=hand_over.body,
         )
+        streamed_body = body_asking_for_a_stream(hand_over.body)
+        if streamed_body is not None:
+            request = request._replace(body=streamed_body)
+            return self.start_assembly(hand_over.attempt_id, request)
         wait = self.config.silence_seconds
         if not wants_stream(hand_over.body):
-            # A whole answer is silent until it is ready.
+            # Such a whole answer is silent until it is ready.
             wait = max(wait, hand_over.deadline_seconds)
-        response = self.connections.open(request, wait)
+        answer = self.connections.open(request, wait)
         delivered = hand_over.delivered_tokens
-        return UpstreamStream(response, self.connections.peer, 0, delivered)
+        return UpstreamStream(answer, self.connections.peer, 0, delivered)
+
+    def start_assembly(
+        self, attempt_id: AttemptId, request: UpstreamRequest
+    ) -> UpstreamStream:
+        """Start an attempt whose stream is put together to a whole answer."""
+        self.assemblies[attempt_id] = AnswerAssembly()
+        try:
+            answer = self.connections.open(request, self.config.silence_seconds)
+        except UpstreamLostError as error:
+            if not error.may_have_arrived:
+                del self.assemblies[attempt_id]
+            raise
+        stream = UpstreamStream(answer, self.connections.peer)
+        if stream.is_event_stream:
+            return self.assembled(attempt_id, answer, 0)
+        # The engine refused, or answered whole after all.
+        del self.assemblies[attempt_id]
+        return stream
+
+    def assembled(
+        self, attempt_id: AttemptId, answer: OpenAnswer, after: int
+    ) -> UpstreamStream:
+        """Return a stream that goes on with an answer's assembly."""
+        return AssembledStream(
+            answer,
+            self.connections.peer,
+            self.assemblies[attempt_id],
+            after,
+            on_whole=lambda: self.assemblies.pop(attempt_id, None),
+        )
 
     def resume(
         self, attempt_id: AttemptId, after: int, delivered_tokens: int | None = None
@@ -103,23 +148,28 @@
 
         Raise `UpstreamLostError` where the engine holds no such attempt any more.
         """
+        assembly = self.assemblies.get(attempt_id)
+        last_event = after if assembly is None else assembly.sequence
         request = UpstreamRequest(
             step="resume",
             method="GET",
             path=f"/v1/attempts/{attempt_id}/events",
-            headers=(("Last-Event-ID", str(after)),),
+            headers=(("Last-Event-ID", str(last_event)),),
         )
+        answer = self.connections.open(request, self.config.silence_seconds)
         peer = self.connections.peer
-        response = self.connections.open(request, self.config.silence_seconds)
-        stream = UpstreamStream(response, peer, after, delivered_tokens)
-        if stream.is_event_stream:
-            return stream
-        stream.close()
-        detail = f"status {stream.status}: the attempt can't be resumed"
-        raise UpstreamLostError(request.step, peer, detail)
+        status = answer.response.status
+        if status != OK:
+            answer.close()
+            detail = f"status {status}: the attempt can't be resumed"
+            raise UpstreamLostError(request.step, peer, detail)
+        if assembly is not None:
+            return self.assembled(attempt_id, answer, after)
+        return UpstreamStream(answer, peer, after, delivered_tokens)
 
     def cancel(self, attempt_id: AttemptId) -> bool:
         """Cancel an attempt; false where the engine doesn't know it any more."""
+        self.assemblies.pop(attempt_id, None)
         path = f"/v1/attempts/{attempt_id}"
         try:
             self.ask(UpstreamRequest("cancel", "DELETE", path))
@@ -151,7 +201,7 @@
         response = self.connections.open(request, self.config.order_seconds)
         stream = UpstreamStream(response, self.connections.peer)
         answer = b"".join(piece.data for piece in stream)
-        if stream.status not in (200, CONFLICT):
+        if stream.status not in (OK, CONFLICT):
             detail = answer.decode(errors="replace")
             peer = self.connections.peer
             raise UpstreamRefusedError("order", peer, stream.status, detail)
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
@@ -17,6 +17,7 @@
 STREAM_STEP = "stream"
 EVENT_STREAM = "text/event-stream"
 DONE = b"[DONE]"
+DONE_PIECE = b"data: [DONE]\n\n"
 NO_ERROR = (b"", b"null")
 READ_BYTES = 65_536
 BODILESS_STATUSES = frozenset((204, 304))
--- a/tests/cover/standins/test_engine_answers.py
+++ b/tests/cover/standins/test_engine_answers.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 import urllib3
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from common.upstreams import (
@@ -16,9 +16,9 @@
     steady,
     text_of,
 )
+from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_standins.engine import Faults
 from cowslipshelf_upstreams import (
-    EngineClient,
     EngineOrder,
     PromptPart,
     UpstreamLostError,
@@ -45,12 +45,19 @@
     return f"attempt-{next(ATTEMPT_NUMBERS)}"
 
 
-def whole_text(client: EngineClient, prompt: str, tokens: int, chat: bool) -> str:
+def whole_answer(address: str, asked: HandOver) -> bytes:
     """Return the answer as an uncut, unstreamed request gets it."""
-    asked = completion(prompt, tokens, chat=chat, stream=False, attempt_id=fresh_id())
-    answer = msgspec.json.decode(b"".join(p.data for p in client.start(asked)))
-    assert answer["usage"]["completion_tokens"] == tokens
-    return text_of(msgspec.json.encode(answer))
+    url = f"http://{address}{asked.path}"
+    headers = {"X-Request-Id": asked.request_id}
+    return HTTP.request("POST", url, body=asked.body, headers=headers).data
+
+
+def whole_text(address: str, prompt: str, tokens: int, chat: bool) -> str:
+    """Return the text of an uncut, unstreamed answer."""
+    asked = completion(prompt, tokens, chat=chat, stream=False)
+    answer = whole_answer(address, asked)
+    assert msgspec.json.decode(answer)["usage"]["completion_tokens"] == tokens
+    return text_of(answer)
 
 
 @steady
@@ -89,7 +96,53 @@
     assert pieces[-1].data == b"data: [DONE]\n\n"
     text = "".join(text_of(piece.data) for piece in pieces)
     engine.switch.set(Faults())
-    assert text == whole_text(client, prompt, tokens, chat)
+    assert text == whole_text(engine.address, prompt, tokens, chat)
+
+
+@steady
+@given(
+    prompt=st.text(min_size=1, max_size=40),
+    tokens=st.integers(1, 30),
+    chat=st.booleans(),
+    cuts=st.lists(st.integers(1, 5), max_size=4),
+)
+@example(prompt="0", tokens=2, chat=False, cuts=[2, 1])
+def test_whole_answers_are_the_engines_own_however_often_cut(
+    engine, prompt, tokens, chat, cuts
+):
+    """A caller wants its answer whole, and the engine's connection is cut.
+
+    The client fetches it as a stream, so that it can resume; the caller must get what
+    the engine would have given it whole.
+    """
+    client = client_of(engine.address)
+    asked = completion(prompt, tokens, chat=chat, stream=False, attempt_id=fresh_id())
+    faults = [Faults(drop_after_events=cut) for cut in cuts] + [Faults()]
+    engine.switch.set(faults[0])
+    stream = client.start(asked)
+    assert ("Content-Type", "application/json") in stream.headers
+    pieces = []
+    for next_faults in [*faults[1:], Faults()]:
+        try:
+            pieces.extend(stream)
+            break
+        except UpstreamLostError:
+            engine.switch.set(next_faults)
+            stream = client.resume(asked.attempt_id, len(pieces))
+    engine.switch.set(Faults())
+    assert [piece.sequence for piece in pieces] == [1, 2]
+    assert (pieces[0].data, sum(p.tokens for p in pieces)) == (b"", tokens)
+    answer = msgspec.json.decode(pieces[1].data)
+    assert answer == msgspec.json.decode(whole_answer(engine.address, asked))
+    assert client.assemblies == {}
+
+
+@pytest.mark.parametrize("extra", [{"n": 1}, {"logprobs": 2}, {"tools": []}])
+def test_a_whole_answer_of_unusual_shape_passes_as_it_is(engine, extra) -> None:
+    asked = completion(stream=False, attempt_id=fresh_id())
+    body = msgspec.json.encode(msgspec.json.decode(asked.body) | extra)
+    pieces = list(client_of(engine.address).start(asked._replace(body=body)))
+    assert b"".join(p.data for p in pieces) == whole_answer(engine.address, asked)
 
 
 @steady
@@ -104,8 +157,8 @@
 ):
     """An engine dies in mid-answer and the request goes on elsewhere."""
     delivered = data.draw(st.integers(1, tokens - 1))
-    first, second = client_of(engine.address), client_of(other_engine.address)
-    text = whole_text(first, prompt, tokens, chat)
+    second = client_of(other_engine.address)
+    text = whole_text(engine.address, prompt, tokens, chat)
     asked = completion(prompt, tokens, chat=chat, attempt_id=fresh_id())
     pieces = list(second.start(asked._replace(delivered_tokens=delivered)))
     rest = "".join(text_of(piece.data) for piece in pieces)
@@ -138,6 +191,15 @@
         assert not client.cancel("attempt")
 
 
+def test_refused_whole_answers_leave_nothing_behind(engine) -> None:
+    client = client_of(engine.address)
+    asked = completion(stream=False, max_tokens=10**9, attempt_id=fresh_id())
+    stream = client.start(asked)
+    assert stream.status == 400
+    assert b"context_length_exceeded" in b"".join(piece.data for piece in stream)
+    assert client.assemblies == {}
+
+
 def test_a_known_attempt_never_starts_again(engine) -> None:
     """A copy of a start comes late, even after the attempt was deleted."""
     client = client_of(engine.address)
@@ -188,7 +250,7 @@
         usage = msgspec.json.decode(pieces[-2].data[6:])["usage"]
         assert usage["prompt_tokens"] == tokens
         text = "".join(text_of(piece.data) for piece in pieces)
-        assert text == whole_text(client_of(other_engine.address), prompt, 20, False)
+        assert text == whole_text(other_engine.address, prompt, 20, False)
         for client in clients:
             client.cancel("attempt")
             assert client.inventory().held == ()
--- a/tests/cover/upstreams/test_engine_client.py
+++ b/tests/cover/upstreams/test_engine_client.py
@@ -93,19 +93,47 @@
 
 
 def test_a_frozen_engine_is_silent_and_a_busy_one_is_not() -> None:
+    """An engine says nothing: it prefills a decade of letters, or it is dead."""
     with running_engine() as server:
-        # A prefill of many silence limits; the comments show that the engine lives.
-        client = client_of(server.address, silence_seconds=0.3)
-        server.switch.set(Faults(slow_factor=40_000.0))
-        pieces = list(client.start(completion(max_tokens=1)))
-        assert len(pieces) == 2
+        client = client_of(server.address, SILENCE_SECONDS)
+        patient = client_of(server.address, silence_seconds=20.0)
+        server.switch.set(Faults(slow_factor=1e9))
+        stream = patient.start(completion())
+        # What a busy engine sends while it has no token keeps the reader waiting.
+        for comment, _ in zip(stream.response.read_chunked(), range(3), strict=False):
+            assert comment == b": keep-alive\n\n"
+        stream.close()
         server.switch.set(Faults(freeze=True))
         with pytest.raises(UpstreamLostError):
             client.start(completion(attempt_id="frozen"))
         with pytest.raises(UpstreamLostError):
             client.inventory()
         server.switch.set(Faults())
-        assert client.inventory() is not None
+        held = {item.attempt_id for item in patient.inventory().held}
+        assert "attempt" in held
+
+
+def test_a_frozen_engine_shows_long_before_the_deadline_of_a_whole_answer() -> None:
+    """An engine freezes while a caller waits for a whole answer within the hour.
+
+    Such an answer has nothing to say until it is ready; asked for in one piece, its
+    silence would mean nothing and the caller would wait for the hour.
+    """
+    errors = []
+    with running_engine() as server:
+        server.switch.set(Faults(freeze=True))
+
+        def ask() -> None:
+            try:
+                asked = completion(stream=False, deadline_seconds=3_600.0)
+                client_of(server.address, SILENCE_SECONDS).start(asked)
+            except UpstreamLostError as error:
+                errors.append(error)
+
+        asking = Thread(target=ask, daemon=True)
+        asking.start()
+        asking.join(20.0)
+    assert len(errors) == 1
 
 
 @steady
