--- a/tests/cover/standins/test_engine_answers.py
+++ b/tests/cover/standins/test_engine_answers.py
@@ -26,6 +26,12 @@
 )
 
 ATTEMPT_NUMBERS = count()
+CUT_ANSWERS = {
+    "prompt": st.text(min_size=1, max_size=40),
+    "tokens": st.integers(1, 30),
+    "chat": st.booleans(),
+    "cuts": st.lists(st.integers(1, 5), max_size=4),
+}
 HTTP = urllib3.PoolManager(retries=False, timeout=10.0)
 
 
@@ -61,12 +67,7 @@
 
 
 @steady
-@given(
-    prompt=st.text(min_size=1, max_size=40),
-    tokens=st.integers(1, 30),
-    chat=st.booleans(),
-    cuts=st.lists(st.integers(1, 5), max_size=4),
-)
+@given(**CUT_ANSWERS)
 def test_cut_and_resumed_streams_give_the_whole_answer(
     engine, prompt, tokens, chat, cuts
 ):
@@ -100,12 +101,7 @@
 
 
 @steady
-@given(
-    prompt=st.text(min_size=1, max_size=40),
-    tokens=st.integers(1, 30),
-    chat=st.booleans(),
-    cuts=st.lists(st.integers(1, 5), max_size=4),
-)
+@given(**CUT_ANSWERS)
 @example(prompt="0", tokens=2, chat=False, cuts=[2, 1])
 def test_whole_answers_are_the_engines_own_however_often_cut(
     engine, prompt, tokens, chat, cuts
