--- a/packages/core/src/cowslipshelf_core/internal/control/bounded.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/bounded.py
@@ -2,14 +2,6 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NamedTuple
-
-
-class KeptRecord(NamedTuple):
-    """Be one encoded record under its key."""
-
-    key: str
-    data: bytes
 
 
 @dataclass
@@ -56,11 +48,7 @@
             len(self.records) > self.most_records or self.held_bytes > self.most_bytes
         )
 
-    def to_records(self) -> tuple[KeptRecord, ...]:
-        """List all records, the oldest first."""
-        return tuple(KeptRecord(key, data) for key, data in self.records.items())
-
-    def restore(self, kept: Iterable[KeptRecord]) -> None:
+    def restore(self, records: dict[str, bytes]) -> None:
         """Take over the records of a snapshot."""
-        for record in kept:
-            self.put(record.key, record.data)
+        self.records = records
+        self.held_bytes = sum(len(data) for data in records.values())
--- a/packages/core/src/cowslipshelf_core/internal/control/claim_records.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/claim_records.py
@@ -32,7 +32,8 @@
     upstream_id: UpstreamId
     sidecar_epoch: Epoch
     owner: InstanceId
-    body_digest: str
+    body_digest: bytes
+    """A digest of the asker's digest: a quarter of its size."""
     deadline_at: float
     retired: tuple[AttemptId, ...] = ()
     """Attempts that the claim was moved away from; none is ever opened again."""
@@ -49,7 +50,12 @@
 def claim_key(customer: CustomerName, key: str) -> str:
     """Name a customer's key by a digest of fixed size."""
     data = msgspec.msgpack.encode((customer, key))
-    return hashlib.blake2b(data, digest_size=CLAIM_DIGEST_BYTES).hexdigest()
+    return short_digest(data).hex()
+
+
+def short_digest(data: bytes) -> bytes:
+    """Digest bytes to the size that claims are told apart by."""
+    return hashlib.blake2b(data, digest_size=CLAIM_DIGEST_BYTES).digest()
 
 
 def is_past(record: ClaimRecord, at: float) -> bool:
--- a/packages/core/src/cowslipshelf_core/internal/control/claims.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/claims.py
@@ -1,7 +1,6 @@
 """Keep the claims of requests that run at most once."""
 
 from collections import Counter
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -9,13 +8,14 @@
 from cowslipshelf_core.identifiers import (
     CustomerName,
 )
-from cowslipshelf_core.internal.control.bounded import BoundedRecords, KeptRecord
+from cowslipshelf_core.internal.control.bounded import BoundedRecords
 from cowslipshelf_core.internal.control.claim_records import (
     ANSWER_DECODER,
     RECORD_DECODER,
     ClaimRecord,
     claim_key,
     is_past,
+    short_digest,
     trim_answer,
     was_moved,
 )
@@ -70,7 +70,7 @@
         record = self.find(key)
         if record is None:
             return self.open_claim(key, asked, at)
-        if record.body_digest != asked.body_digest:
+        if record.body_digest != short_digest(asked.body_digest.encode()):
             return ClaimRefused("key_reused")
         same = (asked.request_id, asked.attempt_id) == (
             record.request_id,
@@ -95,7 +95,7 @@
             upstream_id=asked.upstream_id,
             sidecar_epoch=asked.sidecar_epoch,
             owner=asked.owner,
-            body_digest=asked.body_digest,
+            body_digest=short_digest(asked.body_digest.encode()),
             deadline_at=at + asked.deadline_seconds,
         )
         if not self.keep(key, record):
@@ -241,15 +241,9 @@
         if not self.counts[record.customer]:
             del self.counts[record.customer]
 
-    def to_records(self) -> tuple[KeptRecord, ...]:
-        """List all claims, the oldest first."""
-        return tuple(KeptRecord(key, data) for key, data in self.records.items())
-
-    def restore(
-        self, records: Iterable[KeptRecord], answers: Iterable[KeptRecord]
-    ) -> None:
+    def restore(self, records: dict[str, bytes], answers: dict[str, bytes]) -> None:
         """Take over the claims and answers of a snapshot."""
-        for key, data in records:
-            self.records[key] = data
+        self.records = records
+        for key, data in records.items():
             self.index_claim(key, RECORD_DECODER.decode(data))
         self.answers.restore(answers)
--- a/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
@@ -5,7 +5,6 @@
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.identifiers import FencingNumber
 from cowslipshelf_core.internal.control.audit import AuditRecord
-from cowslipshelf_core.internal.control.bounded import KeptRecord
 from cowslipshelf_core.internal.control.errors import ControlCodecError
 from cowslipshelf_core.internal.control.grants import OpenGrant
 from cowslipshelf_core.internal.control.orders import OrderSlot
@@ -15,17 +14,21 @@
 
 
 class ControlSnapshot(Message, frozen=True):
-    """Be the whole control state; equal states give equal bytes."""
+    """Be the whole control state; equal states give equal bytes.
+
+    Tables go in as the maps that they are, in their order: an object for each of a
+    hundred thousand records would stop the replica for most of a second.
+    """
 
     format_version: int
     applied_index: int
     clock: float
     configuration: FleetConfiguration
-    changes: tuple[KeptRecord, ...]
-    pending: tuple[KeptRecord, ...]
-    confirmations: tuple[KeptRecord, ...]
-    claims: tuple[KeptRecord, ...]
-    answers: tuple[KeptRecord, ...]
+    changes: dict[str, bytes]
+    pending: dict[str, bytes]
+    confirmations: dict[str, bytes]
+    claims: dict[str, bytes]
+    answers: dict[str, bytes]
     late_finishes: int
     order_slots: tuple[OrderSlot, ...]
     dropped_fencing: FencingNumber
--- a/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
@@ -73,7 +73,7 @@
 
     def take_load(self, load: LoadReport, now: float) -> None:
         """Replace the report, unless a newer one is known."""
-        if True:
+        if load.sequence >= self.load.sequence:
             self.load = load
             self.load_at = now
 
