Test the guards that no test had failed without

Each guard was taken out in turn and the tests run; five were missed: the vote of a learner that holds too little, a removal that would leave no quorum, a change before the first commit of a term, timers after a clock was set back, and messages of another cluster. Each has a test now that fails without it.

--- a/tests/cover/agreement/test_leadership.py
+++ b/tests/cover/agreement/test_leadership.py
@@ -115,6 +115,19 @@
     cluster.settle()
 
 
+def test_clocks_that_jump_back_delay_no_election():
+    """After clocks were set back by an hour, a lost leader is replaced an hour late.
+
+    Timers that were set by the old time lie far in the future.
+    """
+    cluster = settled_cluster()
+    for instance in cluster.nodes:
+        cluster.jump(instance, -3600.0)
+    cluster.run(1)
+    cluster.crash(cluster.leader().instance)
+    cluster.run_until(lambda: cluster.leader() is not None)
+
+
 @given(seed=st.integers(0, 10_000))
 @settings(max_examples=15, deadline=None, derandomize=True)
 def test_the_time_of_entries_never_falls(seed):
--- a/tests/cover/agreement/test_membership.py
+++ b/tests/cover/agreement/test_membership.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from common.agreement_cluster import Cluster, Crash, CrashPoint
+from common.agreement_cluster import DECODER, Cluster, Crash, CrashPoint
 from cowslipshelf_core.agreement import (
     AddReplica,
     JoinAnswered,
@@ -98,6 +98,46 @@
     assert replica_of(cluster, leaving) not in members
 
 
+def test_a_healthy_replica_is_not_removed_while_another_is_down():
+    """Taking out one of three replicas stops all changes.
+
+    One replica is cut off when the operator removes another: the removal would
+    leave a quorum that can't be reached, and is refused with the reason.
+    """
+    cluster = settled_cluster()
+    down, healthy = followers(cluster)
+    cluster.isolate(down)
+    cluster.run(15)
+    removal = RemoveReplica(replica_of(cluster, healthy))
+    refused = cluster.change(cluster.leader().instance, removal)
+    assert cluster.refused[refused] is ProposalRefusal.MEMBERSHIP_BUSY
+    acknowledge(cluster)
+
+
+def test_a_learner_gets_its_vote_only_when_it_holds_everything():
+    """After one more loss, accepted changes are on too few disks.
+
+    A wiped replica hears the leader, but the entries that it misses get lost on
+    the way; its vote must wait for them.
+    """
+    cluster = settled_cluster()
+    wiped = followers(cluster)[0]
+    cluster.wipe(wiped)
+    cluster.restart(wiped)
+    for _ in range(100):
+        cluster.tick(0.05)
+        cluster.network = [
+            item
+            for item in cluster.network
+            if item.recipient != wiped
+            or not getattr(DECODER.decode(item.data), "entries", ())
+        ]
+        cluster.deliver_all()
+    members = cluster.leader().replica.status().membership
+    assert members.learners == (replica_of(cluster, wiped),)
+    cluster.settle()
+
+
 def test_a_late_answer_to_a_wiped_disk_founds_no_second_cluster():
     """Two clusters exist side by side, each with a leader.
 
@@ -205,8 +245,11 @@
     cluster.restart(stale)
     cluster.run_until(lambda: cluster.leader() is not None)
     after = acknowledge(cluster)
+    old = replica_of(cluster, stale)
+    cluster.change(kept, AddReplica(old))
     cluster.run(40)
     assert cluster.leader().instance == kept
+    assert old not in cluster.leader().replica.status().membership.voters
     assert after not in cluster.nodes[stale].commands
     for others, instance in enumerate((stale, lost), start=1):
         cluster.wipe(instance)
--- a/tests/cover/agreement/test_votes.py
+++ b/tests/cover/agreement/test_votes.py
@@ -76,6 +76,33 @@
     assert granted
 
 
+def elected(entry: Entry) -> Replica:
+    """Return the leader of term 4, with an older entry and its own no-op."""
+    replica = Replica.from_config(CONFIG, stored(3, entry))
+    replica.handle(TickElapsed(), 98.0, RANDOM)
+    replica.handle(TickElapsed(), 100.0, RANDOM)
+    for pre_vote in (True, False):
+        fields = {"granted": True, "pre_vote": pre_vote}
+        hand(replica, SECOND, VoteAnswered, 4, **fields)
+    return replica
+
+
+def test_a_new_leader_changes_no_membership_before_its_first_commit():
+    """Two leaders commit by quorums that share no replica.
+
+    A leader finds a change of the membership in its log that may not be committed
+    and makes the next one after it; another leader does so without the first.
+    """
+    learner = ReplicaId("entry-3", "folder-3")
+    joining = encode_membership(Membership((FIRST, SECOND, THIRD), (learner,)))
+    replica = elected(Entry(2, 2, 0.0, EntryKind.MEMBERSHIP, joining))
+    fields = {"match_index": 3, "read_round": 0}
+    hand(replica, learner, EntriesAppended, 4, **fields)
+    assert replica.status().membership.learners == (learner,)
+    hand(replica, SECOND, EntriesAppended, 4, **fields)
+    assert replica.status().membership.voters[-1] == learner
+
+
 def test_an_entry_of_an_older_term_is_not_committed_by_counting():
     """An acknowledged change is overwritten by a later leader.
 
@@ -83,13 +110,7 @@
     with a later term in its log could still be elected and overwrite it, until an
     entry of the leader's own term is on a quorum too.
     """
-    old = Entry(2, 2, 0.0, EntryKind.COMMAND, b"old", "old")
-    replica = Replica.from_config(CONFIG, stored(3, old))
-    replica.handle(TickElapsed(), 98.0, RANDOM)
-    replica.handle(TickElapsed(), 100.0, RANDOM)
-    for pre_vote in (True, False):
-        fields = {"granted": True, "pre_vote": pre_vote}
-        hand(replica, SECOND, VoteAnswered, 4, **fields)
+    replica = elected(Entry(2, 2, 0.0, EntryKind.COMMAND, b"old", "old"))
     counted = hand(replica, SECOND, EntriesAppended, 4, match_index=2, read_round=0)
     assert not [e for e in counted if isinstance(e, Committed)]
     own = hand(replica, SECOND, EntriesAppended, 4, match_index=3, read_round=0)
