--- a/tests/cover/agreement/test_votes.py
+++ b/tests/cover/agreement/test_votes.py
@@ -5,6 +5,7 @@
 from common.agreement_cluster import Cluster
 from cowslipshelf_core.agreement import (
     AppendEntries,
+    CommandProposed,
     Committed,
     EntriesAppended,
     Entry,
@@ -142,6 +143,31 @@
     assert replica.status().membership.voters == (FIRST, SECOND, THIRD)
 
 
+def test_a_leader_by_itself_tells_nothing_that_its_crash_could_take_back():
+    """A replica that joined has applied a change that the leader never had.
+
+    A single voter commits what it appends at once, and sends entries beside its
+    sync. What goes out before the sync must neither use a term that is not synced
+    yet nor call an entry committed that is not.
+    """
+    joining = encode_membership(Membership((FIRST,), (SECOND,)))
+    alone = FOUNDING._replace(payload=joining)
+    start = StoredState(FIRST, HardState(1, None, CLUSTER), None, (alone,))
+    replica = Replica.from_config(CONFIG, start)
+    replica.handle(TickElapsed(), 0.0, RANDOM)
+    began = replica.handle(TickElapsed(), 3.0, RANDOM)
+    assert [e for e in began if isinstance(e, SendTo)]
+    assert not [e for e in began if isinstance(e, SendTo) and e.before_sync]
+    probed = EntriesAppended(SECOND.folder, FIRST.folder, CLUSTER, 2, 2, 0)
+    arrived = PeerMessageArrived(SECOND.instance, probed)
+    proposed = CommandProposed("p", b"", 0.0)
+    effects = replica.handle_batch([arrived, proposed], 3.1, RANDOM)
+    assert [e.index for e in effects if isinstance(e, Committed)] == [3]
+    early = [e.message for e in effects if isinstance(e, SendTo) and e.before_sync]
+    assert [m.entries[-1].index for m in early if m.entries] == [3]
+    assert max(m.commit_index for m in early) == 2
+
+
 def test_a_replica_that_cannot_hear_the_leader_deposes_nobody():
     """The fleet changes its leader every second although most replicas are well.
 
