Refuse to drain what nobody has heard, and document exit codes

Change: drain asks that the upstream was heard; such a load ends as refused; an interrupted command ends with 130 and a closed pipe without a traceback; the help lists the exit codes from one table. Ruled out: refusing in the control state, as draining before an upstream comes is a sound plan.

Seen: without the check the misspelt name is in the draining list and its test fails.

--- a/packages/cli/src/cowslipshelf_cli/exit_codes.py
+++ b/packages/cli/src/cowslipshelf_cli/exit_codes.py
@@ -8,15 +8,28 @@
 
     DONE = 0
     FAULT = 1
-    """A fault of the program itself."""
     USAGE = 2
-    """The command line, or a file that it names, is wrong."""
     REFUSED = 3
-    """An instance answered, and refused."""
     OUTDATED_PLAN = 4
-    """Another change came first; a fresh plan waits where there can be one."""
     UNREACHABLE = 5
-    """No instance answered, or none is ready; the same command may be sent again."""
     BAD_SETTINGS = 6
     NOT_WHOLE = 7
-    """The load tool saw answers that were cut, or requests without any answer."""
+    INTERRUPTED = 130
+
+
+MEANINGS = {
+    ExitCode.DONE: "done",
+    ExitCode.FAULT: "fault of the program itself",
+    ExitCode.USAGE: "wrong command line, or a file that it names",
+    ExitCode.REFUSED: "an instance answered and refused",
+    ExitCode.OUTDATED_PLAN: "another change came first; a fresh plan is shown",
+    ExitCode.UNREACHABLE: "no instance answered or was ready; send it again",
+    ExitCode.BAD_SETTINGS: "settings with problems",
+    ExitCode.NOT_WHOLE: "answers that were cut, or requests without any (load)",
+    ExitCode.INTERRUPTED: "interrupted",
+}
+
+
+def meanings_text() -> str:
+    """Write all exit codes and their meanings in one sentence."""
+    return "; ".join(f"{code.value} {meaning}" for code, meaning in MEANINGS.items())
--- a/packages/cli/src/cowslipshelf_cli/internal/changing.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/changing.py
@@ -13,7 +13,12 @@
 from cowslipshelf_cli.internal.writing import Writer, table
 from cowslipshelf_core.control import ChangeDocument, FieldChange, Plan, PlanDocument
 from cowslipshelf_core.identifiers import ChangeId, PlanId, UpstreamId
-from cowslipshelf_operators import ConfirmedAnswer, OutdatedAnswer, PlanAnswer
+from cowslipshelf_operators import (
+    ConfirmedAnswer,
+    OutdatedAnswer,
+    PlanAnswer,
+    StateAnswer,
+)
 
 CHANGE_HEAD = ("what", "name", "field", "before", "after")
 CHANGE_ID_DIGITS = 8
@@ -54,7 +59,9 @@
 def drain(command: Drain, fleet: Fleet, writer: Writer) -> ExitCode:
     """Plan to drain an upstream, and confirm that where it was asked for."""
     upstream = (UpstreamId(command.upstream),)
-    version = fleet.any_instance.state().configuration.version
+    state = fleet.any_instance.state()
+    check_known(command.upstream, state)
+    version = state.configuration.version
     verb = "undrain" if command.undo else "drain"
     change = ChangeDocument(**{verb: upstream})
     change_id = ChangeId(f"{verb}-{uuid4().hex[:CHANGE_ID_DIGITS]}")
@@ -65,6 +72,20 @@
     return show_confirmation(confirmed, writer)
 
 
+def check_known(upstream: str, state: StateAnswer) -> None:
+    """Refuse an upstream that nobody has heard.
+
+    A misspelt name would be accepted, and the upstream that was meant, thought to be
+    drained, would be stopped with its requests.
+    """
+    heard = [each.upstream_id for each in state.upstreams]
+    if upstream in heard or upstream in state.configuration.draining:
+        return
+    message = f"{state.answered_by} has heard no upstream {upstream!r}"
+    known = f"it has heard: {', '.join(sorted(heard)) or 'none'}"
+    raise CommandFailedError(ExitCode.REFUSED, message, known)
+
+
 def show_plan_answer(answer: PlanAnswer | OutdatedAnswer, writer: Writer) -> ExitCode:
     """Show a plan, or that another change came first."""
     match answer:
--- a/packages/cli/src/cowslipshelf_cli/internal/commands.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/commands.py
@@ -5,6 +5,8 @@
 
 import cappa
 
+from cowslipshelf_cli.exit_codes import meanings_text
+
 DEFAULT_AUDIT_RECORDS = 50
 
 CHECK_EXAMPLES = """\
@@ -54,6 +56,9 @@
     cowslipshelf drain runner-1          (shows the plan)
     cowslipshelf drain runner-1 --yes    (confirms it as well)
     cowslipshelf drain runner-1 --undo --yes
+
+An upstream that nobody has heard is refused, as its name is most likely misspelt; to
+drain one that is yet to come, use `cowslipshelf plan`.
 """
 LOAD_EXAMPLES = """\
 Examples:
@@ -212,8 +217,7 @@
     description=(
         "Changes are planned first and take effect when they are confirmed. The "
         "operator's key is read from COWSLIPSHELF_OPERATOR_KEY or --key-file. Exit "
-        "codes: 0 done, 1 fault of the program, 2 wrong usage, 3 refused, 4 outdated "
-        "plan, 5 no instance reachable, 6 bad settings, 7 answers not whole (load)."
+        f"codes: {meanings_text()}."
     ),
 )
 @dataclass
--- a/packages/cli/src/cowslipshelf_cli/internal/load/command.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/command.py
@@ -32,7 +32,7 @@
 )
 from cowslipshelf_cli.internal.writing import Writer, json_text
 
-BROKEN_ENDINGS = (Ending.CUT, Ending.UNREACHABLE)
+BROKEN_ENDINGS = frozenset({Ending.CUT, Ending.UNREACHABLE})
 
 
 class LoadCustomer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,8 +66,16 @@
     if command.output is not None:
         write_figures(command.output, json_text(document))
     writer.show(document, figures_lines(figures))
-    broken = any(each.ending in BROKEN_ENDINGS for each in outcomes)
-    return ExitCode.NOT_WHOLE if broken else ExitCode.DONE
+    return exit_code({each.ending for each in outcomes})
+
+
+def exit_code(endings: set[Ending]) -> ExitCode:
+    """Judge a load; under overload refusals are right, but not of everything."""
+    if endings & BROKEN_ENDINGS:
+        return ExitCode.NOT_WHOLE
+    if Ending.REFUSED in endings and Ending.WHOLE not in endings:
+        return ExitCode.REFUSED
+    return ExitCode.DONE
 
 
 def read_customers(
--- a/packages/cli/src/cowslipshelf_cli/internal/load/report.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/report.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Any
 
+from cowslipshelf_cli.internal.load.outcome import Ending
 from cowslipshelf_cli.internal.load.shape import LoadShape
 from cowslipshelf_cli.internal.load.statistics import (
     LoadFigures,
@@ -68,6 +69,8 @@
     yield f"breaks: {counts_text(figures.breaks)}"
     yield f"whole within the deadline: {figures.in_time_share:.1%}"
     yield f"sent late by the tool itself: {figures.late_arrivals}"
+    if figures.refusals and Ending.WHOLE not in figures.endings:
+        yield "next: mend what the refusals name, such as the keys or the model"
     if figures.breaks:
         yield "next: look in the logs of the entries for what the breaks name"
 
--- a/packages/cli/src/cowslipshelf_cli/program.py
+++ b/packages/cli/src/cowslipshelf_cli/program.py
@@ -1,5 +1,6 @@
 """Be the program `cowslipshelf`."""
 
+import os
 import sys
 from collections.abc import Sequence
 
@@ -29,7 +30,17 @@
 
 def main() -> None:
     """Run the command line of this process and exit."""
-    sys.exit(run(sys.argv[1:], Surroundings.from_process()))
+    try:
+        code = run(sys.argv[1:], Surroundings.from_process())
+        sys.stdout.flush()
+    except KeyboardInterrupt:
+        code = ExitCode.INTERRUPTED
+    except BrokenPipeError:
+        # The reader, such as `head`, has gone. Without a new standard output the
+        # interpreter would fail once more at its end and print a traceback.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.FAULT
+    sys.exit(code)
 
 
 def run(arguments: Sequence[str], surroundings: Surroundings) -> ExitCode:
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import re
 import socket
 from collections.abc import Sequence
 from contextlib import ExitStack
@@ -9,6 +10,7 @@
 from typing import Any, NamedTuple
 
 import cappa
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,7 +21,7 @@
 from cowslipshelf_cli.internal.surroundings import Surroundings
 from cowslipshelf_cli.internal.writing import one_line
 from cowslipshelf_cli.program import run
-from cowslipshelf_operators import OperatorsClient
+from cowslipshelf_operators import OperatorsClient, StateAnswer, UpstreamStatus
 from cowslipshelf_operators.errors import HandlerError
 
 CHANGE = {
@@ -29,6 +31,7 @@
         {"name": "front-desk", "key": CUSTOMER_KEY, "services": ["scribe"]}
     ],
 }
+ROOT = Path(__file__).parents[3]
 NO_LISTENER = socket.socket()
 NO_LISTENER.bind(("127.0.0.1", 0))
 NOBODY = f"127.0.0.1:{NO_LISTENER.getsockname()[1]}"
@@ -131,8 +134,17 @@
         assert stale.code is ExitCode.OUTDATED_PLAN
 
 
+class HearingHandler(StateHandler):
+    """Be an entry that hears one upstream."""
+
+    def state(self) -> StateAnswer:
+        names = ("runner-1", "maadi", "scribe", "epoch-1")
+        heard = UpstreamStatus(*names, True, False, 0, 0, 400_000)
+        return msgspec.structs.replace(super().state(), upstreams=(heard,))
+
+
 def test_drain_shows_its_plan_and_acts_only_when_told_to() -> None:
-    handler = StateHandler()
+    handler = HearingHandler()
     with serving(handler) as server:
 
         def draining(*arguments: str) -> tuple[str, ...]:
@@ -146,6 +158,18 @@
         assert draining("drain", "runner-1", "--undo", "--yes") == ()
 
 
+def test_a_misspelt_upstream_is_not_drained() -> None:
+    """An engine is stopped with its requests, though it was drained before.
+
+    The operator drained `runer-1`; that was accepted, as it might be yet to come.
+    """
+    handler = StateHandler()
+    with serving(handler) as server:
+        ran = command_line("drain", "runer-1", "--yes", entries=[server.address])
+    assert ran.code is ExitCode.REFUSED
+    assert handler.state_machine.configuration.draining == ()
+
+
 def test_what_one_entry_does_not_know_the_next_one_is_asked() -> None:
     """An operator is told that a request never was, though it ran.
 
@@ -199,6 +223,15 @@
     assert ended.value.code == ExitCode.USAGE
 
 
+def test_the_help_names_every_exit_code(capsys: pytest.CaptureFixture) -> None:
+    with pytest.raises(cappa.Exit) as ended:
+        command_line("--help")
+    assert ended.value.code == ExitCode.DONE
+    shown = " ".join(capsys.readouterr().out.split())
+    for code in ExitCode:
+        assert re.search(rf"[:;] {code.value} [a-z]", shown), code
+
+
 def test_check_names_the_problems_of_all_files(tmp_path: Path) -> None:
     documents = {"a": entry_document(), "b": sidecar_document()}
     documents["c"] = sidecar_document() | {"cluster_key": "another-key-of-16"}
@@ -217,6 +250,12 @@
     assert {file for file, _ in named} == {c, d}
 
 
+def test_the_examples_fit_together() -> None:
+    examples = sorted((ROOT / "examples" / "settings").glob("*.json"))
+    assert len(examples) == 2
+    assert command_line("check", *map(str, examples)).code is ExitCode.DONE
+
+
 def test_an_entry_that_others_list_wrongly_is_named(tmp_path: Path) -> None:
     """A sidecar announces itself to nobody and gets no work.
 
