Close streams whose connection is already detached, and fit heartbeats

A response that announces the end of its connection, or a head cut short, leaves the stream without a socket of its own; closing it raised AttributeError (the property on cut hand-overs failed so when it also closes what it got). The HTTP library's own shutdown is used now.

Heartbeats are sent at least three times within the silence deadline, as settings allow two, and a working connection would then be closed at times. Fewer connections are kept, since only fresh ones are used again.

--- a/benchmarks/fleet_partner.py
+++ b/benchmarks/fleet_partner.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from pathlib import Path
 
 
 class Partner:
@@ -33,6 +34,14 @@
         process.stdin.close()
 
 
+def resident_kilobytes() -> int:
+    """Return the memory that this process holds, as the kernel counts it."""
+    for line in Path("/proc/self/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    raise RuntimeError("no VmRSS in /proc/self/status")
+
+
 def answer_questions(answers: dict[str, Callable[[], dict]]) -> None:
     """Answer questions from the input until it ends; the partner's main loop."""
     for line in sys.stdin:
--- a/benchmarks/fleet_streams.py
+++ b/benchmarks/fleet_streams.py
@@ -3,7 +3,7 @@
 from threading import Thread
 from time import monotonic, process_time, sleep
 
-from fleet_partner import answer_questions, partner
+from fleet_partner import answer_questions, partner, resident_kilobytes
 
 from cowslipshelf_core.messages import AttemptRefused, StreamChunk, StreamEnd
 from cowslipshelf_core.upstream import HandOver
@@ -61,7 +61,11 @@
 
     def state(self) -> dict[str, object]:
         """Tell how much was written, and at which cost."""
-        return {"written": self.written, "cpu": process_time()}
+        return {
+            "written": self.written,
+            "cpu": process_time(),
+            "memory": resident_kilobytes(),
+        }
 
 
 class CountingReader:
@@ -84,11 +88,13 @@
     client = AttemptsClient.from_config(AttemptsClientConfig(5.0, 30.0, KEY))
     with partner(__file__) as other:
         address = other.ask("address")["address"]
+        own_memory, memory = resident_kilobytes(), other.ask("state")["memory"]
         readers = [
             CountingReader(client.hand_over(address, hand_over(number)))
             for number in range(count)
         ]
         sleep(SETTLE_SECONDS)
+        own_memory = resident_kilobytes() - own_memory
         before, read, cpu = other.ask("state"), total(readers), process_time()
         sleep(seconds)
         read, cpu = total(readers) - read, process_time() - cpu
@@ -99,6 +105,8 @@
     written = after["written"] - before["written"]
     return {
         "streams": count,
+        "client_kilobytes_per_stream": round(own_memory / count, 1),
+        "server_kilobytes_per_stream": round((before["memory"] - memory) / count, 1),
         "frames_per_second": round(read / seconds),
         "client_cpu_microseconds_per_frame": round(cpu / read * MICROSECONDS, 1),
         "server_cpu_microseconds_per_frame": round(
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempt_stream.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempt_stream.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 from contextlib import suppress
-from socket import SHUT_RDWR
 from time import monotonic
 
 from urllib3 import BaseHTTPResponse
@@ -25,7 +24,6 @@
     def __init__(self, response: BaseHTTPResponse, peer: str) -> None:
         self.response = response
         self.connection = response.connection
-        self.socket = self.connection.sock
         self.pieces = response.stream()
         self.peer = peer
         self.reading = False
@@ -50,12 +48,12 @@
 
     def keep_connection(self) -> None:
         """Read the end of the response, so that its connection is used again."""
+        self.connection.last_heard = monotonic()
         try:
             for _ in self.pieces:
                 raise FrameError("a frame after the last one")
         except (HTTPError, OSError, FrameError):
             return
-        self.connection.last_heard = monotonic()
         self.response.release_conn()
 
     def close(self) -> None:
@@ -66,7 +64,8 @@
         """
         if self.ended:
             return
-        with suppress(OSError):
-            self.socket.shutdown(SHUT_RDWR)
+        # The other errors say that there is no connection left to shut down.
+        with suppress(OSError, RuntimeError, ValueError):
+            self.response.shutdown()
         if not self.reading:
             self.response.close()
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
@@ -34,7 +34,9 @@
 from cowslipshelf_fleet.internal.fresh_connections import FreshConnectionPool
 
 MOST_POOLS = 512
-MOST_KEPT_CONNECTIONS = 16
+MOST_KEPT_CONNECTIONS = 8
+"""Kept for each sidecar; only fresh ones are used again, so few are of use, and one
+that the sidecar has closed meanwhile holds a file descriptor until its turn."""
 
 HAND_OVER_STEP = "hand over"
 
@@ -162,7 +164,6 @@
     """Read a short answer and give its connection back."""
     connection = response.connection
     content = response.read()
-    if connection is not None:
-        connection.last_heard = monotonic()
+    connection.last_heard = monotonic()
     response.release_conn()
     return content
--- a/packages/fleet/src/cowslipshelf_fleet/internal/counters.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/counters.py
@@ -14,6 +14,7 @@
     sent: int = 0
     sent_bytes: int = 0
     received: int = 0
+    """Messages accepted, heartbeats among them."""
     received_bytes: int = 0
     dropped_not_connected: int = 0
     """Not sent, as the peer's connection waits to be dialled anew."""
--- a/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -29,6 +29,8 @@
 logger = logging.getLogger(__name__)
 
 TICKS_PER_HEARTBEAT = 4
+LEAST_HEARTBEATS = 3
+"""Heartbeats that must fit into the silence deadline."""
 RECEIVED_QUEUE_MESSAGES = 256
 FLUSH_PAUSE_SECONDS = 0.005
 RECEIVE_LIMIT_FACTOR = 2
@@ -106,6 +108,16 @@
         """
         return cls(config, receive, configuration_version)
 
+    @property
+    def heartbeat_seconds(self) -> float:
+        """Return the time between heartbeats, short enough for the silence deadline.
+
+        An answer may take an interval and a round trip to be told; with only two
+        intervals to the deadline, connections that work would be closed at times.
+        """
+        longest = self.config.silence_seconds / LEAST_HEARTBEATS
+        return min(self.config.heartbeat_seconds, longest)
+
     @property
     def counters(self) -> MailboxCounters:
         """Return what was sent, received and dropped so far."""
@@ -191,7 +203,7 @@
         """Make a peer that is dialled when the first message is sent to it."""
         now = monotonic()
         link = PeerLink(
-            heartbeat_seconds=self.config.heartbeat_seconds,
+            heartbeat_seconds=self.heartbeat_seconds,
             silence_seconds=self.config.silence_seconds,
             idle_seconds=self.config.idle_seconds,
             most_unanswered_bytes=self.config.most_unanswered_bytes,
@@ -256,7 +268,7 @@
 
     def tick_all(self) -> None:
         """Keep the connections' heartbeats; the work of the timer thread."""
-        interval = self.config.heartbeat_seconds / TICKS_PER_HEARTBEAT
+        interval = self.heartbeat_seconds / TICKS_PER_HEARTBEAT
         while not self.stopping.wait(interval):
             with self.lock:
                 peers = list(self.peers.values())
--- a/tests/cover/fleet/test_attempts.py
+++ b/tests/cover/fleet/test_attempts.py
@@ -215,6 +215,7 @@
             case AttemptStream():
                 assert handler.handed_over
                 assert read_until_lost(outcome, [])
+                outcome.close()
             case _:
                 pytest.fail(f"an answer that the sidecar never gave: {outcome}")
     assert len(handler.handed_over) <= 1
--- a/tests/cover/fleet/test_envelopes.py
+++ b/tests/cover/fleet/test_envelopes.py
@@ -134,3 +134,15 @@
         mailbox.take(mailbox.codec.encode(envelope))
     assert len(received) == 2
     assert mailbox.counters.receiver_failures == 2
+
+
+@FEW
+@given(st.floats(0.05, 60.0), st.floats(0.1, 600.0))
+def test_heartbeats_fit_into_the_silence_deadline(heartbeat, silence):
+    """Settings allow two intervals in it, which is too few for an answer to be told."""
+    mailbox = quiet_mailbox([])
+    mailbox.config = mailbox.config._replace(
+        heartbeat_seconds=heartbeat, silence_seconds=silence
+    )
+    assert mailbox.heartbeat_seconds <= heartbeat
+    assert 3 * mailbox.heartbeat_seconds <= silence * 1.001
