--- a/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
@@ -103,10 +103,11 @@
     times_set_aside: int = 0
 
     def take_load(self, load: LoadReport, now: float) -> None:
-        """Replace the report, unless a newer one is known."""
-        if load.sequence >= self.load.sequence:
-            self.load = load
-            self.load_at = now
+        """Replace the report; one that a newer report has overtaken is ignored."""
+        if load.sequence < self.load.sequence:
+            return
+        self.load = load
+        self.load_at = now
 
     def unreported(self, cost: CostConfig) -> list[PlacedAttempt]:
         """Return our attempts that the last report can't have counted.
