--- a/tests/cover/requests/test_retry_budget.py
+++ b/tests/cover/requests/test_retry_budget.py
@@ -1,6 +1,6 @@
 """Check that retries cannot multiply load."""
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cowslipshelf_core.requests import RetryBudget, RetryBudgetConfig
@@ -16,26 +16,40 @@
         max_size=40,
     ),
 )
+@example(
+    ratio=0.0,
+    least=1,
+    steps=[
+        (0.0, 0, 1),
+        (3.0, 0, 0),
+        (3.0, 0, 0),
+        (3.0, 0, 0),
+        (2.0, 1, 0),
+        (-1.0, 0, 1),
+    ],
+)
 @settings(deadline=None, derandomize=True)
 def test_retries_stay_below_their_share_of_any_window(ratio, least, steps):
     """Upstreams fail, and each request wants another attempt just as capacity shrinks.
 
     Wherever a window is laid, it holds no more retries than the ratio of the first
-    attempts in it allows, plus the few that are always allowed.
+    attempts in it allows, plus the few that are always allowed. Where a reading of the
+    clock is behind an earlier one, the earlier one still holds: time seen never shrinks.
     """
     budget = RetryBudget.from_config(RetryBudgetConfig(ratio, WINDOW, least))
-    now = 1000.0
+    now = seen = 1000.0
     firsts: list[float] = []
     retries: list[float] = []
     for seconds, asked_first, asked_retries in steps:
         now = max(now + seconds, 1000.0)
+        seen = max(seen, now)
         for _ in range(asked_first):
             budget.count_first_attempt(now)
-            firsts.append(now)
+            firsts.append(seen)
         for _ in range(asked_retries):
             if budget.try_retry(now):
-                retries.append(now)
-                begin = now - WINDOW
+                retries.append(seen)
+                begin = seen - WINDOW
                 first_count = sum(begin <= at for at in firsts)
                 retry_count = sum(begin <= at for at in retries)
                 assert retry_count <= least + ratio * first_count
