--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -217,9 +217,11 @@
             return ("this entry holds no replica",)
         if view.replica.failure:
             return (f"the replica's disk failed: {view.replica.failure}",)
+        members = replica_notes(view.replica)
         if view.replica.leader is None:
-            return ("no leader is known: changes are refused until a quorum is back",)
-        return ()
+            no_leader = "no leader is known: changes are refused until a quorum is back"
+            return (no_leader, *members)
+        return members
 
     def audit(self, since_index: int, limit: int) -> tuple[AuditRecord, ...]:
         """Read the audit trail."""
@@ -293,6 +295,17 @@
     return ControlView(replica, state.open_orders(), version)
 
 
+def replica_notes(replica: ReplicaStatus) -> tuple[str, ...]:
+    """Tell who holds a replica, and what the local one has."""
+    membership = replica.membership
+    voters = tuple(f"voter {one.instance} {one.folder}" for one in membership.voters)
+    learners = tuple(
+        f"learner {one.instance} {one.folder}: catching up"
+        for one in membership.learners
+    )
+    return (f"log committed up to {replica.commit_index}", *voters, *learners)
+
+
 def orders_of(view: ControlView) -> tuple[Any, ...]:
     """Describe the open orders."""
     return tuple(order_status(order) for order in view.open_orders)
