--- /dev/null
+++ b/tests/common/steady.py
@@ -0,0 +1,5 @@
+"""Make properties give the same verdict every time, also on a busy machine."""
+
+from hypothesis import settings
+
+STEADY = settings(deadline=None, derandomize=True)
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -17,6 +17,7 @@
 
 from common.operators import CUSTOMER_KEY, OPERATOR_KEY, StateHandler, serving
 from common.settings import CLUSTER_KEY, entry_document, sidecar_document
+from common.steady import STEADY
 from cowslipshelf_cli.exit_codes import ExitCode
 from cowslipshelf_cli.internal.surroundings import Surroundings
 from cowslipshelf_cli.internal.writing import one_line
@@ -305,6 +306,7 @@
     assert ran.code is ExitCode.USAGE
 
 
+@STEADY
 @given(st.text())
 def test_text_from_peers_cannot_steer_the_terminal(text: str) -> None:
     assert one_line(text).isprintable()
--- a/tests/cover/cli/test_load_sending.py
+++ b/tests/cover/cli/test_load_sending.py
@@ -11,6 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from common.steady import STEADY
 from cowslipshelf_cli.internal.load.open_loop import Pace, run_open_loop
 from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
 from cowslipshelf_cli.internal.load.sending import Sender, SenderConfig
@@ -34,6 +35,7 @@
         self.seconds += seconds
 
 
+@STEADY
 @given(st.lists(st.floats(0, 100), max_size=20), st.integers(1, 5))
 def test_slow_answers_never_delay_later_arrivals(times, most_concurrent) -> None:
     """A load test says that all is well while callers wait.
--- a/tests/cover/platform/test_logs.py
+++ b/tests/cover/platform/test_logs.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from common.settings import CLUSTER_KEY, entry_document
+from common.steady import STEADY
 from cowslipshelf_platform.logs import configure_logs, part_logger
 from cowslipshelf_platform.settings import LogSettings, decode_settings
 
@@ -51,6 +52,7 @@
 )
 
 
+@STEADY
 @given(st.sampled_from(FORMATS), PLACES, SECRET_FIELDS, st.text())
 def test_a_secret_never_reaches_a_line(log_format, place, name, sentence) -> None:
     """A customer's key stands in the log that many may read.
@@ -90,6 +92,7 @@
 )
 
 
+@STEADY
 @given(st.text(), st.dictionaries(st.from_regex(r"[a-d]\Z", fullmatch=True), VALUES))
 def test_any_value_becomes_one_json_line_with_the_prefix(sentence, fields) -> None:
     stream = io.StringIO()
