--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/load.py
@@ -0,0 +1,40 @@
+"""Offer the load tool to measurements: drawing, sending and summing up."""
+
+from cowslipshelf_cli.internal.load.open_loop import Pace, run_open_loop
+from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
+from cowslipshelf_cli.internal.load.sending import Sender, SenderConfig
+from cowslipshelf_cli.internal.load.shape import (
+    Arrival,
+    CustomerShare,
+    LoadShape,
+    LoadShapeError,
+    check_shape,
+    draw_arrivals,
+)
+from cowslipshelf_cli.internal.load.statistics import (
+    FiguresConfig,
+    LoadFigures,
+    Quantiles,
+    UnloadedTime,
+    sum_up,
+)
+
+__all__ = [
+    "Arrival",
+    "CustomerShare",
+    "Ending",
+    "FiguresConfig",
+    "LoadFigures",
+    "LoadShape",
+    "LoadShapeError",
+    "Outcome",
+    "Pace",
+    "Quantiles",
+    "Sender",
+    "SenderConfig",
+    "UnloadedTime",
+    "check_shape",
+    "draw_arrivals",
+    "run_open_loop",
+    "sum_up",
+]
--- a/tests/cover/cli/test_load_drawing.py
+++ b/tests/cover/cli/test_load_drawing.py
@@ -9,7 +9,7 @@
 
 from common.steady import STEADY
 from cowslipshelf_cli.internal.load.prompt import PIECE_BYTES, CompletionPrompt
-from cowslipshelf_cli.internal.load.shape import (
+from cowslipshelf_cli.load import (
     CustomerShare,
     LoadShape,
     LoadShapeError,
--- a/tests/cover/cli/test_load_figures.py
+++ b/tests/cover/cli/test_load_figures.py
@@ -9,10 +9,11 @@
 
 from common.steady import STEADY
 from cowslipshelf_cli.internal.load.answer_reader import AnswerReader
-from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
-from cowslipshelf_cli.internal.load.shape import Arrival
-from cowslipshelf_cli.internal.load.statistics import (
+from cowslipshelf_cli.load import (
+    Arrival,
+    Ending,
     FiguresConfig,
+    Outcome,
     Quantiles,
     UnloadedTime,
     sum_up,
--- a/tests/cover/cli/test_load_sending.py
+++ b/tests/cover/cli/test_load_sending.py
@@ -12,10 +12,15 @@
 from hypothesis import strategies as st
 
 from common.steady import STEADY
-from cowslipshelf_cli.internal.load.open_loop import Pace, run_open_loop
-from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
-from cowslipshelf_cli.internal.load.sending import Sender, SenderConfig
-from cowslipshelf_cli.internal.load.shape import Arrival
+from cowslipshelf_cli.load import (
+    Arrival,
+    Ending,
+    Outcome,
+    Pace,
+    Sender,
+    SenderConfig,
+    run_open_loop,
+)
 
 KEY = "a-key-of-a-customer"
 TOKEN = b'data: {"choices": [{"text": "x"}]}\n\n'
