--- a/tests/common/requests_harness.py
+++ b/tests/common/requests_harness.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from common.requests_world import WHOLE_ANSWER, World, caller_request
+from common.requests_world import WHOLE_ANSWER, ClaimStore, World, caller_request
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
-from cowslipshelf_core.messages import StreamChunk, StreamEnd
+from cowslipshelf_core.messages import ClaimHeld, StreamChunk, StreamEnd
 from cowslipshelf_core.requests import (
     AnswerChunk,
     AnswerEnd,
@@ -71,6 +71,8 @@
 
 
 UPSTREAMS = 6
+DEFAULTS = RequestConfig()
+TIGHT = RequestConfig(stored_answer_bytes=16, held_back_bytes=4)
 LOSSES = ("none", "question", "answer", "late", "doubled")
 SPOILS = ("no", "cut", "skip", "double", "fail")
 
@@ -99,17 +101,19 @@
 class RequestsHarness:
     """Run requests, some under one key, while everything around them fails."""
 
-    def __init__(self) -> None:
+    def __init__(self, claims: ClaimStore | None = None) -> None:
         self.world = World.with_upstreams(UPSTREAMS)
+        if claims is not None:
+            self.world.claims = claims
         self.now = 100.0
         self.driven: list[Driven] = []
 
-    def begin(self, **changes) -> Driven:
+    def begin(self, config: RequestConfig = DEFAULTS, **changes) -> Driven:
         """Start a request with a new id, at an entry of its own."""
         number = len(self.driven)
         request = caller_request(request_id=f"r{number}", owner=f"entry{number}")
         request = request._replace(**changes)
-        driven = Driven(request, RequestMachine.from_config(request, RequestConfig()))
+        driven = Driven(request, RequestMachine.from_config(request, config))
         self.driven.append(driven)
         self.feed(driven, Started())
         return driven
@@ -154,8 +158,8 @@
                 driven.finals.append(effect)
                 driven.question = None
                 driven.reading = []
-            case FinishClaim(claim):
-                self.world.claims.finish(claim)
+            case FinishClaim(claim=claim):
+                self.world.claims.finish(claim, self.now)
             case Report(event=AttemptEnded(attempt_id=attempt_id)):
                 driven.ended.append(attempt_id)
             case Report() | Note() | Cancel():
@@ -228,7 +232,7 @@
         else:
             answer = claims.move(question.claim, self.now)
         if loss in ("none", "doubled"):
-            owner = claims.holder.owner
+            owner = answer.owner if isinstance(answer, ClaimHeld) else None
             gone = any(d.dead and d.request.owner == owner for d in self.driven)
             return ClaimAnswered(answer, gone)
         return ClaimUnavailable(NO_QUORUM)
@@ -341,7 +345,7 @@
 
     def a_request_is_handed_over_a_bounded_number_of_times(self):
         for driven in self.driven:
-            assert len(driven.sent) <= RequestConfig().most_attempts
+            assert len(driven.sent) <= DEFAULTS.most_attempts
             assert len({h.attempt_id for h in driven.sent}) == len(driven.sent)
 
     def finish(self) -> None:
