Keep the example fleet's ports, and let a daemon that cannot start end

Cause: a port known to have been free was given to an outgoing connection before the process it was meant for took it; and a daemon whose mailbox found its address taken lived on in the actors it had started. Ports are now held by a bound socket that never listens, and actors run on daemon threads.

--- a/examples/local_fleet.py
+++ b/examples/local_fleet.py
@@ -42,11 +42,30 @@
     options: tuple[str, ...] = ()
 
 
-def free_address() -> str:
-    """Return an address whose port the kernel has just given out."""
-    with socket.socket() as listener:
-        listener.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{listener.getsockname()[1]}"
+class ReservedAddresses:
+    """Keep ports that the kernel gave out from being given out again.
+
+    A port that is merely known to have been free is soon given to some outgoing
+    connection, and the process that it was meant for fails to start. A socket that is
+    bound and never listens keeps the port, and lets a listener have it beside itself.
+    """
+
+    def __init__(self) -> None:
+        self.holders: list[socket.socket] = []
+
+    def reserve(self) -> str:
+        """Return an address that only a listener can take from now on."""
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((LOOPBACK, 0))
+        self.holders.append(holder)
+        return f"{LOOPBACK}:{holder.getsockname()[1]}"
+
+    def release(self) -> None:
+        """Let go of every port."""
+        for holder in self.holders:
+            holder.close()
+        self.holders.clear()
 
 
 def wait_until(condition: Callable[[], Any], what: str) -> Any:
@@ -71,6 +90,8 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, Path] = {}
         self.upstream_addresses: dict[str, str] = {}
+        self.reserved = ReservedAddresses()
+        free_address = self.reserved.reserve
         self.entry_names = tuple(f"entry-{index + 1}" for index in range(entries))
         self.mailboxes = {name: free_address() for name in self.entry_names}
         self.callers = {name: free_address() for name in self.entry_names}
@@ -135,7 +156,9 @@
 
     def start_standin(self, upstream: Upstream) -> None:
         """Start, or start again, the stand-in of one upstream."""
-        address = self.upstream_addresses.setdefault(upstream.name, free_address())
+        address = self.upstream_addresses.setdefault(
+            upstream.name, self.reserved.reserve()
+        )
         role = "engine" if upstream.kind == "model" else "plain"
         command = ["-m", "cowslipshelf_standins", role, "--address", address]
         if role == "engine":
@@ -146,9 +169,9 @@
     def start_sidecar(self, upstream: Upstream) -> None:
         """Start, or start again, the sidecar of one upstream."""
         name = f"{upstream.name}-sidecar"
-        attempts = self.attempts.setdefault(name, free_address())
+        attempts = self.attempts.setdefault(name, self.reserved.reserve())
         index = len(self.attempts)
-        document = self.common_settings(name, index, free_address()) | {
+        document = self.common_settings(name, index, self.reserved.reserve()) | {
             "role": "sidecar",
             "sidecar": {
                 "attempts_address": attempts,
@@ -288,6 +311,7 @@
         upstreams = [name for name in rest if name not in self.entry_names]
         for group in (entries, sidecars, upstreams):
             codes |= self.stop_group(group)
+        self.reserved.release()
         return codes
 
     def stop_group(self, names: Sequence[str]) -> dict[str, int]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
@@ -16,6 +16,9 @@
 class DaemonActor(ThreadingActor):
     """Own one part of a daemon's state."""
 
+    use_daemon_thread = True
+    """A daemon that could not start must end although its first actors run."""
+
     def on_failure(
         self,
         exception_type: type[BaseException] | None,
