--- a/tests/cover/upstreams/test_engine_client.py
+++ b/tests/cover/upstreams/test_engine_client.py
@@ -100,7 +100,7 @@
         server.switch.set(Faults(slow_factor=1e9))
         stream = patient.start(completion())
         # What a busy engine sends while it has no token keeps the reader waiting.
-        for comment, _ in zip(stream.response.read_chunked(), range(3), strict=False):
+        for _, comment in zip(range(3), stream.response.read_chunked(), strict=False):
             assert comment == b": keep-alive\n\n"
         stream.close()
         server.switch.set(Faults(freeze=True))
