--- a/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -96,16 +96,23 @@
     def read_body(self) -> bytes:
         """Return the whole body of the request."""
         if self.headers.get("Transfer-Encoding"):
-            raise BadRequestError(411, "length_required", "send a Content-Length")
-        length = int(self.headers.get("Content-Length") or 0)
+            raise self.unreadable(411, "length_required", "send a Content-Length")
+        text = self.headers.get("Content-Length", "0")
+        if not text.isdecimal():
+            raise self.unreadable(400, "bad_request", "Content-Length is no number")
+        length = int(text)
         if length > MOST_BODY_BYTES:
-            self.close_connection = True
-            raise BadRequestError(413, "too_large", "the body is too large")
+            raise self.unreadable(413, "too_large", "the body is too large")
         body = self.rfile.read(length)
         if len(body) < length:
             raise ConnectionResetError("the body was cut")
         return body
 
+    def unreadable(self, status: int, code: str, message: str) -> BadRequestError:
+        """Return the error for a body left unread; its connection can't go on."""
+        self.close_connection = True
+        return BadRequestError(status, code, message)
+
     def answer_faults(self, body: bytes) -> None:
         """Set the faults in play where a body is given, and show them."""
         if body:
@@ -139,6 +146,9 @@
         for name, value in headers:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
+        if self.close_connection:
+            # Else a client may send its next request into the closing connection.
+            self.send_header("Connection", "close")
         self.end_headers()
         if self.command != "HEAD":
             self.wfile.write(body)
--- a/packages/standins/src/cowslipshelf_standins/internal/prompts.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/prompts.py
@@ -1,18 +1,20 @@
 """Read the published request shapes and count their prompt tokens."""
 
 from hashlib import blake2b
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
 from cowslipshelf_standins.internal.http_serving import BadRequestError
 
 BYTES_PER_TOKEN = 4
-BYTES_PER_TOKEN_ID = 8
+BYTES_PER_TOKEN_ID = 4
 TOKENS_PER_BLOCK = 256
 BLOCK_HASH_BYTES = 8
 DEFAULT_MAX_TOKENS = 16
 
+TokenId = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
+
 
 class ChatPart(msgspec.Struct, frozen=True):
     """Be one part of a chat message with several parts."""
@@ -31,7 +33,7 @@
     """Be the body of a completion request, in the published shape."""
 
     model: str
-    prompt: str | list[int] | None = None
+    prompt: str | list[TokenId] | None = None
     messages: list[ChatMessage] | None = None
     max_tokens: int | None = None
     max_completion_tokens: int | None = None
@@ -90,7 +92,7 @@
         raise BadRequestError(400, "bad_request", "prompt is missing")
     if isinstance(request.prompt, str):
         return request.prompt.encode(), BYTES_PER_TOKEN
-    ids = b"".join(i.to_bytes(BYTES_PER_TOKEN_ID, signed=True) for i in request.prompt)
+    ids = b"".join(i.to_bytes(BYTES_PER_TOKEN_ID) for i in request.prompt)
     return ids, BYTES_PER_TOKEN_ID
 
 
--- a/tests/cover/standins/test_engine_answers.py
+++ b/tests/cover/standins/test_engine_answers.py
@@ -268,12 +268,20 @@
 
 
 @steady
-@given(body=st.binary(max_size=60) | st.text(max_size=60).map(str.encode))
-def test_malformed_requests_get_an_error_and_leave_nothing(engine, body) -> None:
+@given(
+    body=st.binary(max_size=60) | st.text(max_size=60).map(str.encode),
+    length=st.none() | st.sampled_from(["-1", "x", "1e3", ""]),
+)
+@example(body=b'{"model": "m", "prompt": [99999999999999999999]}', length=None)
+@example(body=b'{"model": "m", "prompt": [-1]}', length=None)
+def test_malformed_requests_get_an_error_and_leave_nothing(
+    engine, body, length
+) -> None:
     before = client_of(engine.address).inventory()
+    headers = {} if length is None else {"Content-Length": length}
     for path in ("completions", "chat/completions", "orders", "kv/import"):
         url = f"http://{engine.address}/v1/{path}"
-        answer = HTTP.request("POST", url, body=body)
+        answer = HTTP.request("POST", url, body=body, headers=headers)
         assert answer.status == 400
         assert answer.json()["error"]["code"] == "bad_request"
     assert client_of(engine.address).inventory() == before
--- a/tests/cover/upstreams/test_plain_client.py
+++ b/tests/cover/upstreams/test_plain_client.py
@@ -59,6 +59,11 @@
     assert echo.calls_run()[-1].attempt_id == "attempt"
 
 
+def test_an_answer_to_head_has_no_body_and_is_whole(echo) -> None:
+    stream = client_of(echo.address).call(payment(method="HEAD", body=b""))
+    assert (stream.status, list(stream)) == (200, [])
+
+
 def test_a_call_whose_answer_is_lost_is_not_sent_again(service) -> None:
     """A payment runs, and the connection is cut before its answer.
 
