Let idle stand-ins sleep

Each listener looked twenty times a second whether it should end. It now looks once a second, and stopping wakes it by a connection.

--- a/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -1,8 +1,10 @@
 """Serve HTTP for stand-ins: one thread a connection, JSON, chunked streams."""
 
 import sys
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from math import ceil
+from socket import create_connection
 from threading import Thread
 from typing import Any, Self
 from urllib.parse import urlsplit
@@ -13,6 +15,8 @@
 
 FAULTS_PATH = "/_faults"
 WRITE_BUFFER_BYTES = 65_536
+SHUTDOWN_POLL_SECONDS = 1.0
+"""Rare, so that idle stand-ins cost nothing."""
 MOST_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -187,13 +191,19 @@
 
     def start(self) -> Self:
         """Serve on a thread of its own."""
-        Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+        arguments = (SHUTDOWN_POLL_SECONDS,)
+        Thread(target=self.serve_forever, args=arguments, daemon=True).start()
         return self
 
     def stop(self) -> None:
         """Stop listening and wake whoever a freeze holds."""
         self.switch.set(Faults())
-        self.shutdown()
+        ending = Thread(target=self.shutdown, daemon=True)
+        ending.start()
+        # A connection wakes the listener, which would else look at its next poll only.
+        with suppress(OSError):
+            create_connection(self.server_address[:2]).close()
+        ending.join()
         self.server_close()
 
     def handle_error(self, request: Any, client_address: Any) -> None:
