Tell calls of two services apart, and give silent connections no thread

The digest that tells a resend from another call left out the service: one key used at two services with the same path and body would have got the first one's stored answer. Connections above the limit of waiting ones were given a thread each, so silent ones could take them all; they are refused at once. Both tests fail without the change.

--- a/packages/callers/src/cowslipshelf_callers/internal/call.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/call.py
@@ -24,7 +24,7 @@
     """Headers for the upstream; the customer's key is not among them."""
     body: bytes
     body_digest: str
-    """Hex BLAKE2b of method, path and body."""
+    """Hex BLAKE2b of method, service, path and body."""
     streamed: bool
     prompt_tokens: int
     """Estimated from the prompt's size; zero for a plain service."""
--- a/packages/callers/src/cowslipshelf_callers/internal/routes.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/routes.py
@@ -161,7 +161,7 @@
         path=path,
         headers=_passed_on(line.headers),
         body=body,
-        body_digest=_digest(line.method, path, body),
+        body_digest=_digest(line.method, route.service or "", path, body),
         streamed=facts.streamed,
         prompt_tokens=facts.prompt_tokens,
         most_output_tokens=facts.most_output_tokens,
@@ -188,7 +188,8 @@
     )
 
 
-def _digest(method: str, path: str, body: bytes) -> str:
-    digest = blake2b(f"{method} {path}\n".encode(), digest_size=DIGEST_BYTES)
+def _digest(method: str, service: str, path: str, body: bytes) -> str:
+    """Tell calls apart; two services may have the same path."""
+    digest = blake2b(f"{method} {service} {path}\n".encode(), digest_size=DIGEST_BYTES)
     digest.update(body)
     return digest.hexdigest()
--- a/packages/callers/src/cowslipshelf_callers/internal/server.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/server.py
@@ -6,6 +6,7 @@
 
 from cheroot.server import HTTPServer
 
+from cowslipshelf_callers.errors import CallerGoneError
 from cowslipshelf_callers.internal.answer_writer import AnswerWriter
 from cowslipshelf_callers.internal.connection import CallerConnection
 from cowslipshelf_callers.internal.handler import CallersHandler
@@ -79,7 +80,10 @@
             conn.was_put_to_wait = True
             if self.can_add_keepalive_connection:
                 self.put_conn(conn)
-                return
+            else:
+                # Given a thread, silent connections would take them all.
+                self.refuse_at_once(conn)
+            return
         try:
             self.requests.put(conn)
         except Full:
@@ -104,12 +108,11 @@
             keeps_connection=False,
         )
         try:
-            writer.stop_waiting()
+            writer.refusal(refusal, False)
             # Bytes left unread would reset the connection and take the refusal along.
             conn.socket.recv(MOST_READ_AWAY_BYTES)
-            writer.refusal(refusal, False)
-        except Exception as error:
-            LOG.info("callers: refusal was not sent: %s", error)
+        except (CallerGoneError, OSError) as error:
+            LOG.info("callers: refused a call above the limit: %s", error)
         conn.close()
 
     def error_log(self, msg="", level=logging.INFO, traceback=False) -> None:
--- a/tests/cover/callers/test_callers_server.py
+++ b/tests/cover/callers/test_callers_server.py
@@ -75,6 +75,18 @@
     assert "authorization" not in names
 
 
+def test_one_key_for_two_services_is_not_one_call(shared):
+    """A client uses a key at two services that have the same path.
+
+    Were the calls alike, the second would get the first one's stored answer.
+    """
+    server, handler = shared
+    for service in ("gate", "post"):
+        ask(server, request_bytes("PUT", f"/services/{service}/x", b"1"))
+    one, other = handler.calls[-2:]
+    assert one.body_digest != other.body_digest
+
+
 def test_the_list_of_models_is_the_customers_own(shared):
     server, _ = shared
     reply = ask(server, request_bytes("GET", "/v1/models"))
@@ -320,6 +332,20 @@
                 assert read_reply(connection).status == 200
 
 
+def test_silent_connections_take_no_thread_and_have_a_limit():
+    """A balancer opens many connections ahead of need and says nothing on them."""
+    handler = RecordingHandler()
+    limits = {"most_idle_connections": 3, "most_open_calls": 2, "least_threads": 1}
+    with running_server(handler, **limits) as server:
+        silent = [connect(server) for _ in range(3)]
+        with connect(server) as above:
+            assert read_reply(above).status == 503
+        silent[0].sendall(request_bytes("POST", CHAT, CHAT_BODY))
+        assert read_reply(silent[0]).status == 200
+        for connection in silent:
+            connection.close()
+
+
 def test_a_caller_that_leaves_while_it_waits_is_noticed():
     """A caller closes before the first token; nothing is written that could fail."""
     handler = WaitingHandler()
