Refuse a second length, and a request line that can't be taken apart

A balancer that goes by the first of two lengths would take for a body what began another call here, in another caller's name. A malformed authority in the request line was answered with 500, as a fault of ours. Found by sending arbitrary lines; both tests fail without the change.

--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -106,11 +106,11 @@
 
     def send_refusal(self, refusal: Refusal, status: int | None = None) -> None:
         """Send a refusal that is the whole answer; its reason gives the status."""
-        response = response_to(refusal, self.request_id)
+        response = response_to(refusal, self.request_id, status)
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
         body = b"" if self.method == "HEAD" else response.body
         self.ended = True
-        head = self.head_bytes(status or response.status, headers)
+        head = self.head_bytes(response.status, headers)
         self.send("refusal", head + body)
 
     def head_bytes(self, status: int, headers: list[tuple[str, str]]) -> bytes:
--- a/packages/callers/src/cowslipshelf_callers/internal/http_request.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/http_request.py
@@ -31,6 +31,7 @@
     detail="the answer was not ended",
 )
 """What a caller gets where an answer would have ended quietly, as a whole one does."""
+NEVER_REPEATED = frozenset({b"Content-Length", b"Host", b"Authorization"})
 STATUSES_OF_SIZE = frozenset({413, 414})
 
 
@@ -39,11 +40,34 @@
     return RequestId(f"req-{secrets.token_hex(REQUEST_ID_BYTES)}")
 
 
+class CallHeaders(dict):
+    """Hold the headers of a call; refuse a second length.
+
+    A balancer may go by the first and we by the last: then bytes that it takes for
+    the body of one caller's call would begin another call here.
+    """
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        """Take a header; raises ValueError where its repetition is no list."""
+        if name in self and name in NEVER_REPEATED:
+            raise ValueError(f"repeated header {name.decode()}")
+        super().__setitem__(name, value)
+
+
 class CallerRequestReader(HTTPRequest):
     """Parse a request line and headers; refuse in the published error shape."""
 
+    def read_request_line(self) -> bool:
+        """Read the request line; a malformed one is the caller's fault."""
+        try:
+            return super().read_request_line()
+        except ValueError as error:
+            self.simple_response("400 Bad Request", f"malformed request line: {error}")
+            return False
+
     def read_request_headers(self) -> bool:
         """Read the headers; refuse what two servers could read in two ways."""
+        self.inheaders = CallHeaders()
         if not super().read_request_headers():
             return False
         length = self.inheaders.get(b"Content-Length")
--- a/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
@@ -85,9 +85,11 @@
     return status
 
 
-def response_to(refusal: Refusal, request_id: RequestId) -> RefusalResponse:
-    """Write a refusal that comes in place of an answer."""
-    status = status_of(refusal)
+def response_to(
+    refusal: Refusal, request_id: RequestId, status: int | None = None
+) -> RefusalResponse:
+    """Write a refusal in place of an answer; its reason gives the status if none is."""
+    status = status or status_of(refusal)
     seconds = refusal.retry_after_seconds
     if status in STATUSES_THAT_INVITE_A_RETRY:
         seconds = max(seconds or 0.0, LEAST_RETRY_AFTER_SECONDS)
--- a/tests/cover/callers/test_callers_server.py
+++ b/tests/cover/callers/test_callers_server.py
@@ -5,7 +5,7 @@
 import threading
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from common.callers_http import (
@@ -183,6 +183,46 @@
     assert reply.status == 200 or reply.error["reason"] == "bad_request"
 
 
+LINES = [
+    *(b"GET / HTTP/1.1", b"POST /v1/completions HTTP/1.1", b"GET * HTTP/1.1"),
+    *(
+        b"PUT /services/a/%zz HTTP/1.1",
+        b"get /x HTTP/1.1",
+        b"GET http://[::1/ HTTP/1.1",
+    ),
+    *(b"GET /x HTTP/9.9", b"CONNECT x:1 HTTP/1.1", b"Authorization: Bearer k"),
+    *(b"Content-Length: 3", b"Content-Length: 1_0", b"Content-Length: \xb2", b"X y"),
+    *(b"Transfer-Encoding: chunked", b"Transfer-Encoding: gzip", b"Connection: close"),
+    *(b": x", b" folded", b"Expect: 100-continue", b"X-Service: \xe9", b"", b"0", b"3"),
+]
+
+
+@given(
+    st.lists(st.sampled_from(LINES) | st.binary(max_size=9), min_size=1, max_size=8),
+    st.sampled_from([b"\r\n", b"\n"]),
+)
+@example([b"GET http://[:/ HTTP/1.1", b""], b"\r\n")
+@example([LINES[1], b"Content-Length: 3", b"Content-Length: 3", b"", b"abc"], b"\r\n")
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_no_bytes_look_like_a_fault_of_ours(shared, lines, end):
+    server, _ = shared
+    with connect(server) as connection:
+        connection.sendall(end.join([*lines, b""]))
+        connection.shutdown(socket.SHUT_WR)
+        data = b"".join(iter(lambda: connection.recv(65_536), b""))
+    statuses = {part.split()[0] for part in data.split(b"HTTP/1.1 ")[1:]}
+    faults_of_ours = {b"500", b"502", b"503", b"504"}
+    assert not statuses & faults_of_ours
+    assert not data or b"X-Request-Id: req-" in data
+
+
+def test_two_lengths_are_refused(shared):
+    """A balancer that goes by the first length would see other calls than we do."""
+    server, _ = shared
+    twice = request_bytes("POST", CHAT, CHAT_BODY, content_length="1")
+    assert ask(server, twice).status == 400
+
+
 @given(st.sampled_from(RefusalReason), st.sampled_from(RefusalCode), st.floats(0, 99))
 @settings(max_examples=60, deadline=None, derandomize=True)
 def test_a_refusal_says_the_same_in_status_header_and_body(
