--- a/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
@@ -39,6 +39,8 @@
 
 STATUSES_THAT_INVITE_A_RETRY = frozenset({429, 503})
 BAD_GATEWAY = 502
+TOO_LARGE = 413
+CONFLICT = 409
 
 TYPE_BY_STATUS = {
     401: "authentication_error",
@@ -82,6 +84,9 @@
         return status
     if status in STATUSES_THAT_INVITE_A_RETRY:
         return BAD_GATEWAY
+    if status == TOO_LARGE:
+        # Not the request is too large but its stored answer, which a resend asks for.
+        return CONFLICT
     return status
 
 
--- a/packages/callers/src/cowslipshelf_callers/internal/server_config.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/server_config.py
@@ -10,8 +10,12 @@
 
     listen_address: str
     """IP:port; port zero takes a free one."""
-    most_open_calls: int = 512
-    """Calls at a time, one thread each; more are refused at once."""
+    most_open_calls: int = 1024
+    """Calls at a time, one thread each; more are refused at once.
+
+    At the size that the project aims for, 8,400 requests a second that stream for 16
+    seconds each come to 350 for each of 400 daemons; the rest is for lost daemons.
+    """
     least_threads: int = 4
     most_idle_connections: int = 2048
     """Connections that wait for a call without a thread."""
