--- a/packages/callers/src/cowslipshelf_callers/internal/routes.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/routes.py
@@ -147,7 +147,9 @@
     return key
 
 
-def call_of(line: RequestLine, route: Route, request_id: RequestId, body: bytes):
+def call_of(
+    line: RequestLine, route: Route, request_id: RequestId, body: bytes
+) -> CallerCall:
     """Build the call from its checked parts."""
     facts = _facts_of(line, route, body)
     path = f"{route.path}?{line.query}" if line.query else route.path
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -32,7 +32,9 @@
 WHOLE_STEP = 1.0
 
 
-def hand_over(state: RequestState, attempt: OpenAttempt, now: float) -> list:
+def hand_over(
+    state: RequestState, attempt: OpenAttempt, now: float
+) -> list[RequestEffect]:
     """Send the open attempt; from here on it may run."""
     chosen = attempt.chosen
     attempt.handed_over = True
--- a/packages/core/src/cowslipshelf_core/internal/requests/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/state.py
@@ -11,6 +11,7 @@
     RequestConfig,
 )
 from cowslipshelf_core.internal.requests.delivery import Delivery
+from cowslipshelf_core.internal.requests.effects import RequestEffect
 from cowslipshelf_core.messages import ClaimHeld
 
 
@@ -100,7 +101,7 @@
             return RefusalCode.FAILED
         return RefusalCode.OUTCOME_UNKNOWN
 
-    def drop(self) -> list:
+    def drop(self) -> list[RequestEffect]:
         """Ignore an event that is late, doubled or of another attempt."""
         self.dropped_events += 1
         return []
--- a/tests/common/callers_http.py
+++ b/tests/common/callers_http.py
@@ -9,6 +9,10 @@
 from cowslipshelf_core.errors import Refusal
 
 PATIENCE_SECONDS = 20.0
+CHAT = "/v1/chat/completions"
+CHAT_BODY = (
+    b'{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}'
+)
 SSE = (("Content-Type", "text/event-stream"),)
 
 
