--- a/tests/cover/requests/test_retry_budget.py
+++ b/tests/cover/requests/test_retry_budget.py
@@ -33,8 +33,8 @@
     """Upstreams fail, and each request wants another attempt just as capacity shrinks.
 
     Wherever a window is laid, it holds no more retries than the ratio of the first
-    attempts in it allows, plus the few that are always allowed. Where a reading of the
-    clock is behind an earlier one, the earlier one still holds: time seen never shrinks.
+    attempts in it allows, plus the few that are always allowed. Where a reading of
+    the clock is behind an earlier one, the earlier one holds: time never shrinks.
     """
     budget = RetryBudget.from_config(RetryBudgetConfig(ratio, WINDOW, least))
     now = seen = 1000.0
