--- /dev/null
+++ b/benchmarks/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what each role costs at several sizes, and fit straight lines."""
--- /dev/null
+++ b/benchmarks/slopes/daemons.py
@@ -0,0 +1,118 @@
+"""Measure real daemons as processes: what they spend on each other while idle."""
+
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from common.daemon_fleet import available, leader
+from local_fleet import DATA_CENTRES, LocalFleet, Upstream, wait_until
+
+from slopes.announcers import announced_upstreams
+from slopes.fitting import Experiment, Reading
+from slopes.processes import WINDOW_SECONDS, observe
+
+UPSTREAM_COUNTS = (0, 16, 48, 100)
+ENTRY_COUNTS = (1, 3, 5, 7)
+SETTLE_SECONDS = 2.0
+ENGINE = Upstream("runner-1", "assist-llm", "model", ("ledger-1",))
+SIDECAR = "runner-1-sidecar"
+FIRST_CHANGE = {
+    "put_models": [{"name": "ledger-1", "version": "1"}],
+    "put_services": [{"name": "assist-llm", "kind": "model", "models": ["ledger-1"]}],
+}
+
+
+class MeasuredFleet(LocalFleet):
+    """Be a fleet of any size, in as many data centres as it has entries for."""
+
+    def data_centre(self, index: int) -> str:
+        """Spread instances over the data centres that have entries."""
+        return DATA_CENTRES[index % min(len(self.entry_names), len(DATA_CENTRES))]
+
+    def common_settings(self, name: str, index: int, mailbox: str) -> dict[str, Any]:
+        """Leave out data centres that no instance is in, which settings may not name."""
+        document = super().common_settings(name, index, mailbox)
+        used = {entry["data_centre"] for entry in document["entries"]}
+        return document | {"data_centres": sorted(used)}
+
+
+@contextmanager
+def running_fleet(entries: int, sidecars: bool = True) -> Iterator[LocalFleet]:
+    """Run entries, and one engine with its sidecar, at the settings' own times."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        MeasuredFleet(Path(folder), entries) as fleet,
+    ):
+        for name in fleet.entry_names:
+            fleet.start_entry(name)
+        if sidecars:
+            fleet.start_upstream(ENGINE)
+        fleet.wait_ready()
+        fleet.change("first", FIRST_CHANGE)
+        if sidecars:
+            for name in fleet.entry_names:
+                wait_until(
+                    lambda name=name: available(fleet, name), f"announcement at {name}"
+                )
+        yield fleet
+
+
+def measure_upstreams(upstreams: int, repeats: int) -> list[list[Reading]]:
+    """Have one entry hear a number of sidecars."""
+    with running_fleet(1, sidecars=False) as fleet:
+        entry = fleet.entry_names[0]
+        addresses = [fleet.mailboxes[entry]]
+        with announced_upstreams(upstreams, addresses):
+            wait_until(
+                lambda: len(available(fleet, entry)) == upstreams, "announcements"
+            )
+            time.sleep(SETTLE_SECONDS)
+            return [observe_as(fleet, {entry: "entry"}) for _ in range(repeats)]
+
+
+def measure_entries(entries: int, repeats: int) -> list[list[Reading]]:
+    """Let a number of entries, each with a replica, and one sidecar idle."""
+    with running_fleet(entries) as fleet:
+        time.sleep(SETTLE_SECONDS)
+        leading = leader(fleet)
+        roles = {leading: "leader", SIDECAR: "sidecar"}
+        followers = [name for name in fleet.entry_names if name != leading]
+        # The smallest fleet has none; its only entry then stands in both places.
+        roles |= {followers[0]: "follower"} if followers else {}
+        rounds = [observe_as(fleet, roles) for _ in range(repeats)]
+    if not followers:
+        rounds = [with_followers(readings) for readings in rounds]
+    return rounds
+
+
+def with_followers(readings: list[Reading]) -> list[Reading]:
+    """Let the only entry count as a follower, which it costs no less than."""
+    copies = [
+        reading._replace(quantity=reading.quantity.replace("leader", "follower"))
+        for reading in readings
+        if reading.quantity.startswith("leader")
+    ]
+    return readings + copies
+
+
+def observe_as(fleet: LocalFleet, roles: dict[str, str]) -> list[Reading]:
+    """Observe instances, and name the readings by their roles."""
+    entries = [name for name in roles if name in fleet.entry_names]
+    others = [name for name in roles if name not in fleet.entry_names]
+    readings = observe(fleet, entries, others, WINDOW_SECONDS)
+    return [renamed(reading, roles) for reading in readings]
+
+
+def renamed(reading: Reading, roles: dict[str, str]) -> Reading:
+    """Name a reading by the role of its instance."""
+    instance, what = reading.quantity.split(": ", 1)
+    return reading._replace(quantity=f"{roles[instance]}: {what}")
+
+
+EXPERIMENTS = (
+    Experiment("upstreams", "upstream heard", UPSTREAM_COUNTS, measure_upstreams),
+    Experiment("entries", "entry instance", ENTRY_COUNTS, measure_entries),
+)
--- /dev/null
+++ b/benchmarks/slopes/deciders.py
@@ -0,0 +1,192 @@
+"""Time the decisions alone: no socket, no thread, no disk."""
+
+from collections.abc import Callable
+from random import Random
+from time import process_time
+
+from cowslipshelf_core.directory import (
+    AnnounceArrived,
+    Directory,
+    DirectoryConfig,
+)
+from cowslipshelf_core.directory import TickElapsed as DirectoryTick
+from cowslipshelf_core.directory_events import LoadUpdated, UpstreamAvailable
+from cowslipshelf_core.placement_feedback import (
+    AttemptEnded,
+    AttemptOutcome,
+    FirstTokenSeen,
+    HandOverAccepted,
+)
+from cowslipshelf_core.routing import (
+    AskId,
+    ConfigurationApplied,
+    PlacementAsked,
+    Router,
+    RouterConfig,
+)
+from cowslipshelf_core.routing import TickElapsed as RouterTick
+from cowslipshelf_core.sidecar import ConfigurationApplied as SidecarConfigured
+from cowslipshelf_core.sidecar import (
+    FirstTokenArrived,
+    HandOverArrived,
+    OwnerSeen,
+    SidecarConfig,
+    SidecarState,
+    UpstreamAccepted,
+    UpstreamFinished,
+)
+from cowslipshelf_core.sidecar import TickElapsed as SidecarTick
+from slopes.fitting import Experiment, Reading
+from slopes.samples import (
+    EPOCH,
+    announce,
+    configuration,
+    description,
+    facts,
+    hand_over,
+    load,
+)
+
+MICROSECONDS = 1e6
+LEAST_SECONDS = 0.2
+"""A loop is repeated until it has used so much processor time."""
+OUTPUT_TOKENS = 100
+SECONDS_BETWEEN_REQUESTS = 0.05
+
+
+def microseconds(work: Callable[[int], None]) -> float:
+    """Return the processor time of one call, from many; the argument counts them."""
+    calls = 0
+    began = process_time()
+    while True:
+        work(calls)
+        calls += 1
+        spent = process_time() - began
+        if spent >= LEAST_SECONDS:
+            return spent / calls * MICROSECONDS
+
+
+def repeated(
+    repeats: int, works: dict[str, Callable[[int], None]]
+) -> list[list[Reading]]:
+    """Time each piece of work once in every repeat."""
+    return [
+        [Reading(name, "us", microseconds(work)) for name, work in works.items()]
+        for _ in range(repeats)
+    ]
+
+
+def measure_directory(upstreams: int, repeats: int) -> list[list[Reading]]:
+    """Time an announcement and a tick of an entry that knows many upstreams."""
+    directory = Directory.from_config(DirectoryConfig())
+    sequences = [0] * upstreams
+
+    def take(number: int) -> None:
+        sequences[number] += 1
+        event = AnnounceArrived(announce(number, sequences[number]), "s", "a")
+        directory.handle(event, 0.0)
+
+    for number in range(upstreams):
+        take(number)
+    ready = announce(0, 0)
+
+    def announcement(call: int) -> None:
+        # A report of a later number each time, as a sidecar's next one is.
+        newer = ready.load._replace(sequence=sequences[0] + call + 1)
+        event = AnnounceArrived(
+            type(ready)(ready.description, ready.epoch, 3.0, newer), "s", "a"
+        )
+        directory.handle(event, 0.0)
+
+    def tick(_: int) -> None:
+        directory.handle(DirectoryTick(), 0.0)
+
+    return repeated(repeats, {"announcement": announcement, "tick": tick})
+
+
+def filled_router(upstreams: int) -> Router:
+    """Make a router that knows many upstreams."""
+    router = Router.from_config(RouterConfig())
+    random = Random(1)
+    router.handle(ConfigurationApplied(configuration(1)), 0.0, random)
+    for number in range(upstreams):
+        event = UpstreamAvailable(description(number), EPOCH, load(1))
+        router.handle(event, 0.0, random)
+    return router
+
+
+def measure_router(upstreams: int, repeats: int) -> list[list[Reading]]:
+    """Time a whole placement, a load report and a tick."""
+    router = filled_router(upstreams)
+    random = Random(1)
+    asked = [0]
+
+    def placement(_: int) -> None:
+        asked[0] += 1
+        now = asked[0] * SECONDS_BETWEEN_REQUESTS
+        question = facts(asked[0])
+        attempt_id = question.attempt_id
+        event = PlacementAsked(AskId(attempt_id), question)
+        answers = router.handle(event, now, random)
+        if not answers:
+            raise RuntimeError("a placement was not answered at once")
+        router.handle(HandOverAccepted(attempt_id), now, random)
+        router.handle(FirstTokenSeen(attempt_id, 0.1), now, random)
+        ended = AttemptEnded(attempt_id, AttemptOutcome.FINISHED)
+        router.handle(ended, now, random)
+
+    reports = [1]
+    name = description(0).upstream_id
+
+    def report(_: int) -> None:
+        reports[0] += 1
+        event = LoadUpdated(name, EPOCH, load(reports[0]))
+        router.handle(event, 0.0, random)
+
+    def tick(call: int) -> None:
+        router.handle(RouterTick(), call * 1e-6, random)
+
+    works = {"placement": placement, "load report": report, "tick": tick}
+    return repeated(repeats, works)
+
+
+def measure_sidecar(open_attempts: int, repeats: int) -> list[list[Reading]]:
+    """Time one attempt and a tick beside attempts that stay open."""
+    config = SidecarConfig(description(0), EPOCH, most_running=open_attempts + 16)
+    state = SidecarState.from_config(config)
+    state.handle(SidecarConfigured(configuration(1)), 0.0)
+    numbers = [0]
+
+    def begin() -> str:
+        numbers[0] += 1
+        attempt = hand_over(numbers[0])
+        state.handle(OwnerSeen(attempt.owner), 0.0)
+        state.handle(HandOverArrived(attempt), 0.0)
+        state.handle(UpstreamAccepted(attempt.attempt_id), 0.0)
+        state.handle(FirstTokenArrived(attempt.attempt_id), 0.0)
+        return attempt.attempt_id
+
+    for _ in range(open_attempts):
+        begin()
+
+    def attempt(_: int) -> None:
+        attempt_id = begin()
+        state.handle(UpstreamFinished(attempt_id, True, OUTPUT_TOKENS), 0.0)
+
+    def tick(_: int) -> None:
+        state.handle(SidecarTick(), 0.0)
+
+    def report(_: int) -> None:
+        state.load_report()
+
+    works = {"attempt": attempt, "tick": tick, "load report": report}
+    return repeated(repeats, works)
+
+
+EXPERIMENTS = (
+    Experiment(
+        "directory", "upstream heard", (16, 64, 256, 1_300), measure_directory
+    ),
+    Experiment("router", "upstream heard", (16, 64, 256, 1_300), measure_router),
+    Experiment("sidecar decisions", "open attempt", (1, 50, 300), measure_sidecar),
+)
--- /dev/null
+++ b/benchmarks/slopes/own_path.py
@@ -0,0 +1,182 @@
+"""Measure what entry and sidecar add to asking the engine stand-ins directly."""
+
+import tempfile
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+from common.daemon_fleet import available
+from local_fleet import LocalFleet, Upstream, wait_until
+
+from slopes.daemons import MeasuredFleet
+from slopes.fitting import Experiment, Reading
+from slopes.processes import MEBIBYTE, PERCENT, Usage, pid_of, usage_of
+from slopes.stream_client import StreamClient
+
+STREAM_COUNTS = (1, 50, 300)
+ENGINES = 4
+"""So many that no engine or sidecar reaches its own limit of open attempts."""
+TOKEN_SECONDS = 0.044
+STREAMED_SECONDS = 8.0
+TOKENS = round(STREAMED_SECONDS / TOKEN_SECONDS)
+OPENING_SECONDS = 2.0
+WINDOW_SECONDS = 4.0
+CALLER_KEY = "a-measured-customer-key"
+MODEL = "ledger-1"
+SERVICE = "assist-llm"
+ENTRY = "entry-1"
+MILLISECONDS = 1e3
+MICROSECONDS = 1e6
+SPEED = ("--decode-seconds-per-token", str(TOKEN_SECONDS), "--batch-slow-down", "0")
+UPSTREAMS = tuple(
+    Upstream(f"runner-{n}", SERVICE, "model", (MODEL,), 4_000_000, True, SPEED)
+    for n in range(ENGINES)
+)
+CHANGE = {
+    "put_models": [{"name": MODEL, "version": "1"}],
+    "put_services": [{"name": SERVICE, "kind": "model", "models": [MODEL]}],
+    "put_customers": [
+        {
+            "name": "desk",
+            "key": CALLER_KEY,
+            "services": [SERVICE],
+            "most_concurrent": 2_000,
+        }
+    ],
+}
+
+
+class StreamFigures(NamedTuple):
+    """Be what one run of open streams showed; times in seconds."""
+
+    first_p50: float
+    first_p95: float
+    gap_p50: float
+    gap_p95: float
+    events_per_second: float
+    """While all streams were open."""
+    before: dict[str, Usage]
+    opened: dict[str, Usage]
+    later: dict[str, Usage]
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the value that a share of all values do not exceed."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+@contextmanager
+def streaming_fleet() -> Iterator[LocalFleet]:
+    """Run one entry before several engines."""
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        MeasuredFleet(Path(folder), 1) as fleet,
+    ):
+        fleet.start_entry(ENTRY)
+        for upstream in UPSTREAMS:
+            fleet.start_upstream(upstream)
+        fleet.wait_ready()
+        fleet.change("first", CHANGE)
+        wait_until(lambda: len(available(fleet, ENTRY)) == ENGINES, "announcements")
+        yield fleet
+
+
+def usages(fleet: LocalFleet) -> dict[str, Usage]:
+    """Read the entry and all sidecars."""
+    sidecars = [f"{upstream.name}-sidecar" for upstream in UPSTREAMS]
+    names = (ENTRY, *sidecars)
+    return {name: usage_of(pid_of(fleet, name)) for name in names}
+
+
+def run_streams(
+    fleet: LocalFleet, addresses: list[str], streams: int
+) -> StreamFigures:
+    """Open streams, watch them for a while and read them to their ends."""
+    client = StreamClient(addresses, MODEL, CALLER_KEY)
+    before = usages(fleet)
+    client.start(streams, TOKENS, OPENING_SECONDS / streams)
+    opened, first_events = usages(fleet), client.events()
+    time.sleep(WINDOW_SECONDS)
+    later, last_events = usages(fleet), client.events()
+    seconds = later[ENTRY].at - opened[ENTRY].at
+    client.wait()
+    first, gaps = client.first_seconds(), client.gaps()
+    return StreamFigures(
+        quantile(first, 0.5),
+        quantile(first, 0.95),
+        quantile(gaps, 0.5),
+        quantile(gaps, 0.95),
+        (last_events - first_events) / seconds,
+        before,
+        opened,
+        later,
+    )
+
+
+def measure_streams(streams: int, repeats: int) -> list[list[Reading]]:
+    """Compare streams through the system to streams from the engines alone."""
+    with streaming_fleet() as fleet:
+        engines = [fleet.upstream_addresses[upstream.name] for upstream in UPSTREAMS]
+        # The first run fills pools and caches, which later streams find there.
+        run_streams(fleet, [fleet.callers[ENTRY]], min(streams, ENGINES))
+        rounds = []
+        for _ in range(repeats):
+            direct = run_streams(fleet, engines, streams)
+            through = run_streams(fleet, [fleet.callers[ENTRY]], streams)
+            rounds.append(compared(direct, through, streams))
+    return rounds
+
+
+def compared(
+    direct: StreamFigures, through: StreamFigures, streams: int
+) -> list[Reading]:
+    """Say what the own path added."""
+    readings = []
+    for what in ("first", "gap"):
+        for share in ("p50", "p95"):
+            field = f"{what}_{share}"
+            alone, ours = getattr(direct, field), getattr(through, field)
+            name = f"{'first event' if what == 'first' else 'between events'} {share}"
+            readings += [
+                Reading(f"{name}, engine alone", "ms", alone * MILLISECONDS),
+                Reading(f"{name}, through", "ms", ours * MILLISECONDS),
+                Reading(f"{name}, ratio", "", ours / alone),
+            ]
+    readings += [
+        Reading("events, engine alone", "1/s", direct.events_per_second),
+        Reading("events, through", "1/s", through.events_per_second),
+    ]
+    return readings + process_readings(through, streams)
+
+
+def process_readings(figures: StreamFigures, streams: int) -> list[Reading]:
+    """Say what entry and sidecars used."""
+    sidecars = [name for name in figures.before if name != ENTRY]
+    readings = []
+    for role, names in (("entry", [ENTRY]), ("sidecars", sidecars)):
+        spent = sum(processor_seconds(figures, name) for name in names)
+        seconds = figures.later[ENTRY].at - figures.opened[ENTRY].at
+        events = figures.events_per_second * seconds
+        held = sum(figures.later[name].resident_bytes for name in names)
+        grown = held - sum(figures.before[name].resident_bytes for name in names)
+        readings += [
+            Reading(f"{role}: processor", "% of a core", spent / seconds * PERCENT),
+            Reading(f"{role}: per event", "us", spent / events * MICROSECONDS),
+            Reading(f"{role}: memory", "MiB", held / MEBIBYTE),
+            Reading(f"{role}: memory grown", "KiB a stream", grown / 1024 / streams),
+        ]
+    return readings
+
+
+def processor_seconds(figures: StreamFigures, name: str) -> float:
+    """Return what one process used while all streams were open."""
+    last, first = figures.later[name], figures.opened[name]
+    return last.processor_seconds - first.processor_seconds
+
+
+EXPERIMENTS = (
+    Experiment("own path", "open stream", STREAM_COUNTS, measure_streams),
+)
--- /dev/null
+++ b/benchmarks/slopes/samples.py
@@ -0,0 +1,128 @@
+"""Build what the measurements feed to the decisions."""
+
+from cowslipshelf_core.configuration import Customer, FleetConfiguration, Model, Service
+from cowslipshelf_core.identifiers import (
+    AttemptId,
+    ConfigurationVersion,
+    CustomerName,
+    DataCentre,
+    Epoch,
+    InstanceId,
+    ModelName,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
+from cowslipshelf_core.messages import Announce
+from cowslipshelf_core.routing import PlacementFacts
+from cowslipshelf_core.upstream import HandOver, LoadReport, UpstreamDescription
+
+SERVICE = ServiceName("assist-llm")
+MODEL = ModelName("ledger-1")
+DATA_CENTRE = DataCentre("coruche-hall")
+EPOCH = Epoch("0123456789abcdef0123456789abcdef")
+MEMORY_TOKENS = 400_000
+LEASE_SECONDS = 3.0
+HOT_PREFIXES = 16
+"""As many as a sidecar reports at most; see the sidecar's costs."""
+KEY_HASH_CHARACTERS = 64
+MODELS = 4
+DEADLINE_SECONDS = 120.0
+
+
+def description(number: int, address: str = "10.20.30.40:45678") -> UpstreamDescription:
+    """Describe one of many engines."""
+    return UpstreamDescription(
+        UpstreamId(f"{DATA_CENTRE}-runner-{number:04}"),
+        DATA_CENTRE,
+        SERVICE,
+        "model",
+        (MODEL,),
+        MEMORY_TOKENS,
+        True,
+        address,
+    )
+
+
+def load(sequence: int, hot_prefixes: int = HOT_PREFIXES) -> LoadReport:
+    """Report a busy engine."""
+    return LoadReport(
+        sequence=sequence,
+        running=4,
+        decoding=3,
+        prefill_tokens=2_000,
+        reserved_tokens=50_000,
+        memory_tokens=MEMORY_TOKENS,
+        prefill_seconds_per_token=25e-6,
+        prefill_seconds_per_token_squared=3e-11,
+        decode_seconds_per_token=0.02,
+        hot_prefixes=tuple(
+            (number + 1) * 0x1234567890ABCDE for number in range(hot_prefixes)
+        ),
+    )
+
+
+def announce(number: int, sequence: int, address: str = "10.20.30.40:45678") -> Announce:
+    """Announce one of many engines."""
+    described = description(number, address)
+    return Announce(described, EPOCH, LEASE_SECONDS, load(sequence))
+
+
+def configuration(customers: int, version: int = 1) -> FleetConfiguration:
+    """Configure a number of customers beside four models."""
+    models = tuple(Model(ModelName(f"ledger-{n + 1}"), "1") for n in range(MODELS))
+    names = tuple(model.name for model in models)
+    return FleetConfiguration(
+        ConfigurationVersion(version),
+        tuple(
+            Customer(
+                CustomerName(f"customer-{number:04}"),
+                f"{number:0{KEY_HASH_CHARACTERS}x}",
+                (SERVICE,),
+            )
+            for number in range(customers)
+        ),
+        (Service(SERVICE, "model", names),),
+        models,
+    )
+
+
+def facts(number: int, prompt_tokens: int = 2_000) -> PlacementFacts:
+    """Ask for a place for one request."""
+    return PlacementFacts(
+        RequestId(f"request-{number}"),
+        AttemptId(f"attempt-{number}"),
+        CustomerName("customer-0000"),
+        SERVICE,
+        MODEL,
+        prompt_tokens,
+        200,
+        0,
+        DEADLINE_SECONDS,
+    )
+
+
+def hand_over(number: int) -> HandOver:
+    """Hand over one attempt to the engine of number zero."""
+    return HandOver(
+        RequestId(f"request-{number}"),
+        AttemptId(f"attempt-{number}"),
+        InstanceId("entry-1"),
+        description(0).upstream_id,
+        EPOCH,
+        ConfigurationVersion(1),
+        CustomerName("customer-0000"),
+        SERVICE,
+        MODEL,
+        non_idempotent=False,
+        deadline_seconds=DEADLINE_SECONDS,
+        prompt_tokens=100,
+        most_output_tokens=100,
+        priority=0,
+        prefix_hash=number % 50,
+        method="POST",
+        path="/v1/completions",
+        headers=(),
+        body=b"",
+        load_sequence=1,
+    )
