Measure slopes of every role's costs, and work out a budget from them

Cause: the size that is aimed at can't be run here, so it must be worked out from lines fitted to small runs; nothing measured them.

Change: `make slopes` times the decisions alone and real daemons as processes at several sizes, at least three times each, fits lines to the medians and keeps the spread of the single repeats; `slopes.budget` holds the values at that size against the limits. Ruled out: fitting wall times, since other work shares the machine.

Seen: engines that are asked beside their sidecar have their streams released by it after three seconds, as it must; the comparison therefore asks engines of its own.

--- a/Makefile
+++ b/Makefile
@@ -25,5 +25,9 @@
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
+slopes: $(VENV)/installed
+	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes
+	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes.budget
+
 settings-page: $(VENV)/installed
 	$(BIN)/python -m cowslipshelf_platform.settings_page docs/SETTINGS.md
--- a/benchmarks/slopes/announcers.py
+++ b/benchmarks/slopes/announcers.py
@@ -1,6 +1,6 @@
 """Be many sidecars in one process, which announce themselves and do nothing else.
 
-Run as a process by the measurements: `python -m slopes.announcers COUNT ENTRY...`.
+The measurements run it: `python -m slopes.announcers COUNT TIMES ENTRY...`.
 """
 
 import subprocess
@@ -8,33 +8,38 @@
 import threading
 from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
-
-from local_fleet import CLUSTER_KEY
+from typing import NamedTuple
 
 from cowslipshelf_core.identifiers import NO_CONFIGURATION
 from cowslipshelf_daemon.internal.wire import MailboxMessage
 from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
+from local_fleet import CLUSTER_KEY
 from slopes.samples import announce
 
-ANNOUNCE_SECONDS = 0.5
-"""As the settings have it unless told otherwise."""
-HEARTBEAT_SECONDS = 0.5
-SILENCE_SECONDS = 2.5
+
+class Pace(NamedTuple):
+    """Set the times of sidecars and entries, named as in the settings, in seconds."""
+
+    announce_seconds: float
+    lease_seconds: float
+    heartbeat_seconds: float
+    silence_seconds: float
+    owner_lease_seconds: float
 
 
 def ignore(_: Received) -> None:
     """Take an answer and do nothing with it."""
 
 
-def started_mailbox(number: int) -> Mailbox:
+def started_mailbox(number: int, pace: Pace) -> Mailbox:
     """Start the mailbox of one of the sidecars."""
     config = MailboxConfig(
         instance=f"announced-{number:04}-sidecar",
         epoch=f"{number:032x}",
         listen_address="127.0.0.1:0",
         cluster_key=CLUSTER_KEY.encode(),
-        heartbeat_seconds=HEARTBEAT_SECONDS,
-        silence_seconds=SILENCE_SECONDS,
+        heartbeat_seconds=pace.heartbeat_seconds,
+        silence_seconds=pace.silence_seconds,
         message_types=MailboxMessage,
     )
     mailbox = Mailbox.from_config(config, ignore, lambda: NO_CONFIGURATION)
@@ -43,26 +48,30 @@
 
 
 def announce_all(
-    mailboxes: Sequence[Mailbox], entries: Sequence[str], stopped: threading.Event
+    mailboxes: Sequence[Mailbox],
+    entries: Sequence[str],
+    pace: Pace,
+    stopped: threading.Event,
 ) -> None:
     """Announce one sidecar after the other, evenly over the interval."""
     sequence = 0
     while not stopped.is_set():
         sequence += 1
         for number, mailbox in enumerate(mailboxes):
-            if stopped.wait(ANNOUNCE_SECONDS / len(mailboxes)):
+            if stopped.wait(pace.announce_seconds / len(mailboxes)):
                 return
-            message = announce(number, sequence, mailbox.address)
+            message = announce(number, sequence, pace.lease_seconds)
             for entry in entries:
                 mailbox.send(entry, message)
 
 
 def main() -> None:
     """Announce until the input ends."""
-    count, entries = int(sys.argv[1]), sys.argv[2:]
-    mailboxes = [started_mailbox(number) for number in range(count)]
+    count, times, *entries = sys.argv[1:]
+    pace = Pace(*map(float, times.split(",")))
+    mailboxes = [started_mailbox(number, pace) for number in range(int(count))]
     stopped = threading.Event()
-    arguments = (mailboxes, entries, stopped)
+    arguments = (mailboxes, entries, pace, stopped)
     thread = threading.Thread(target=announce_all, args=arguments)
     if mailboxes:
         thread.start()
@@ -75,9 +84,12 @@
 
 
 @contextmanager
-def announced_upstreams(count: int, entries: Sequence[str]) -> Iterator[None]:
+def announced_upstreams(
+    count: int, entries: Sequence[str], pace: Pace
+) -> Iterator[None]:
     """Run a process of many sidecars for a while."""
-    command = [sys.executable, "-m", "slopes.announcers", str(count), *entries]
+    times = ",".join(map(str, pace))
+    command = [sys.executable, "-m", "slopes.announcers", str(count), times, *entries]
     with subprocess.Popen(command, stdin=subprocess.PIPE) as process:
         try:
             yield
--- /dev/null
+++ b/benchmarks/slopes/calls.py
@@ -0,0 +1,155 @@
+"""Measure what a call costs each process, with and without a claim to run once."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from threading import Thread
+
+import urllib3
+
+from common.daemon_fleet import available, leader
+from local_fleet import LocalFleet, Upstream, wait_until
+from slopes.daemons import running_fleet
+from slopes.fitting import Experiment, Reading
+from slopes.processes import (
+    MEBIBYTE,
+    PERCENT,
+    mailbox_counts,
+    pid_of,
+    usage_of,
+    window,
+)
+
+RATES = (5, 20, 60)
+WINDOW_SECONDS = 4.0
+SETTLE_SECONDS = 1.0
+ENTRIES = 3
+CALLERS = 32
+LEAST_SHARE_WHOLE = 0.9
+CALLER_KEY = "a-measured-customer-key"
+PLAIN = Upstream("gate-1", "gate-app", "plain")
+GATE_SIDECAR = "gate-1-sidecar"
+MILLISECONDS = 1e3
+CHANGE = {
+    "put_services": [{"name": "gate-app", "kind": "plain"}],
+    "put_customers": [
+        {"name": "gate", "key": CALLER_KEY, "services": ["gate-app"]},
+    ],
+}
+
+
+class PacedCalls:
+    """Send calls at an even pace from a few threads, whatever the answers take."""
+
+    def __init__(self, address: str, per_second: int, keys: str) -> None:
+        self.address = address
+        self.per_second = per_second
+        self.keys = keys
+        self.http = urllib3.PoolManager(maxsize=CALLERS, retries=False, timeout=20.0)
+        self.seconds: list[float] = []
+        self.failed: list[int] = []
+        self.stopping = False
+        self.thread = Thread(target=self.run, daemon=True)
+
+    def run(self) -> None:
+        """Send until stopped, then wait for the answers."""
+        with ThreadPoolExecutor(CALLERS) as pool:
+            number = 0
+            due = time.monotonic()
+            while not self.stopping:
+                pool.submit(self.call, number)
+                number += 1
+                due += 1.0 / self.per_second
+                time.sleep(max(0.0, due - time.monotonic()))
+
+    def call(self, number: int) -> None:
+        """Send one call and note how long its whole answer took."""
+        headers = {"Authorization": f"Bearer {CALLER_KEY}"}
+        if self.keys:
+            headers["Idempotency-Key"] = f"{self.keys}-{number}"
+        began = time.monotonic()
+        response = self.http.request(
+            "POST",
+            f"http://{self.address}/services/gate-app/weigh",
+            body=b'{"lorry": 1}',
+            headers=headers,
+        )
+        self.seconds.append(time.monotonic() - began)
+        if response.status != 200:
+            self.failed.append(response.status)
+
+    def stop(self) -> None:
+        """End the calls; raise where too many were refused."""
+        self.stopping = True
+        self.thread.join()
+        whole = len(self.seconds) - len(self.failed)
+        if whole < LEAST_SHARE_WHOLE * len(self.seconds):
+            raise RuntimeError(f"{len(self.failed)} calls failed: {self.failed[:3]}")
+
+
+def measure_plain_calls(per_second: int, repeats: int) -> list[list[Reading]]:
+    """Measure calls that may be repeated."""
+    return measure_calls(per_second, repeats, claimed=False)
+
+
+def measure_claimed_calls(per_second: int, repeats: int) -> list[list[Reading]]:
+    """Measure calls that run at most once."""
+    return measure_calls(per_second, repeats, claimed=True)
+
+
+def measure_calls(per_second: int, repeats: int, claimed: bool) -> list[list[Reading]]:
+    """Send calls to a follower's entry and watch all that take part."""
+    with running_fleet(ENTRIES) as fleet:
+        fleet.start_upstream(PLAIN)
+        fleet.change("gate", CHANGE)
+        for name in fleet.entry_names:
+            wait_until(
+                lambda name=name: len(available(fleet, name)) == 2, "announcements"
+            )
+        leading = leader(fleet)
+        asked, other = [name for name in fleet.entry_names if name != leading]
+        roles = {
+            "entry": asked,
+            "leader": leading,
+            "follower": other,
+            "sidecar": GATE_SIDECAR,
+        }
+        rounds = []
+        for number in range(repeats):
+            keys = f"round-{number}" if claimed else ""
+            calls = PacedCalls(fleet.callers[asked], per_second, keys)
+            rounds.append(call_readings(fleet, roles, calls))
+    return rounds
+
+
+def call_readings(
+    fleet: LocalFleet, roles: dict[str, str], calls: PacedCalls
+) -> list[Reading]:
+    """Watch while calls go through."""
+    calls.thread.start()
+    time.sleep(SETTLE_SECONDS)
+    sent = mailbox_counts(fleet, roles["leader"])
+    before = {role: usage_of(pid_of(fleet, name)) for role, name in roles.items()}
+    time.sleep(WINDOW_SECONDS)
+    after = {role: usage_of(pid_of(fleet, name)) for role, name in roles.items()}
+    grown = mailbox_counts(fleet, roles["leader"])
+    calls.stop()
+    readings = []
+    for role in roles:
+        used = window(before[role], after[role])
+        share = used.processor_seconds / used.seconds * PERCENT
+        memory = used.resident_bytes / MEBIBYTE
+        readings.append(Reading(f"{role}: processor", "% of a core", share))
+        readings.append(Reading(f"{role}: memory", "MiB", memory))
+    out = (grown.sent_bytes - sent.sent_bytes) / WINDOW_SECONDS
+    readings.append(Reading("leader: sent", "B/s", out))
+    ordered = sorted(calls.seconds)
+    for name, share in (("p50", 0.5), ("p95", 0.95)):
+        value = ordered[int(share * len(ordered))] * MILLISECONDS
+        readings.append(Reading(f"whole answer {name}", "ms", value))
+    return readings
+
+
+EXPERIMENTS = (
+    Experiment("plain calls", "call a second", RATES, measure_plain_calls),
+    Experiment("claimed calls", "call a second", RATES, measure_claimed_calls),
+)
--- a/benchmarks/slopes/changes.py
+++ b/benchmarks/slopes/changes.py
@@ -6,7 +6,6 @@
 
 from common.daemon_fleet import leader
 from local_fleet import LocalFleet, wait_until
-
 from slopes.daemons import SIDECAR, running_fleet
 from slopes.fitting import Experiment, Reading
 from slopes.processes import (
@@ -166,6 +165,4 @@
     return len(instances) == ENTRIES + 1 and len(versions) == 1
 
 
-EXPERIMENTS = (
-    Experiment("changes", "customer", CUSTOMER_COUNTS, measure_changes),
-)
+EXPERIMENTS = (Experiment("changes", "customer", CUSTOMER_COUNTS, measure_changes),)
--- a/benchmarks/slopes/control_costs.py
+++ b/benchmarks/slopes/control_costs.py
@@ -27,7 +27,7 @@
     EnvelopeCodec,
     MailboxHeartbeat,
 )
-from slopes.deciders import MICROSECONDS, filled_router, microseconds
+from slopes.deciders import MICROSECONDS, microseconds
 from slopes.fitting import Experiment, Reading
 from slopes.samples import DATA_CENTRE, EPOCH, announce, configuration
 
@@ -113,18 +113,17 @@
 def measure_configuration(customers: int, repeats: int) -> list[list[Reading]]:
     """Time a change, and what a process does to put its configuration in force."""
     state = full_state(customers)
-    router = filled_router(0)
     return [
         [
             Reading("change", "us", change_microseconds(state, customers, f"r{n}")),
-            *configuration_readings(customers, router),
+            *configuration_readings(customers),
             Reading("state snapshot", "B", len(full_state(customers).to_snapshot())),
         ]
         for n in range(repeats)
     ]
 
 
-def configuration_readings(customers: int, router: object) -> list[Reading]:
+def configuration_readings(customers: int) -> list[Reading]:
     """Weigh a configuration message and time each step to its being in force."""
     message = ConfigurationSnapshot(configuration(customers), False)
     view = ConfigurationView.from_config(ConfigurationViewConfig(EPOCH))
--- a/benchmarks/slopes/daemons.py
+++ b/benchmarks/slopes/daemons.py
@@ -9,14 +9,15 @@
 
 from common.daemon_fleet import available, leader
 from local_fleet import DATA_CENTRES, LocalFleet, Upstream, wait_until
-
-from slopes.announcers import announced_upstreams
+from slopes.announcers import Pace, announced_upstreams
 from slopes.fitting import Experiment, Reading
 from slopes.processes import WINDOW_SECONDS, observe
 
 UPSTREAM_COUNTS = (0, 16, 48, 100)
 ENTRY_COUNTS = (1, 3, 5, 7)
 SETTLE_SECONDS = 2.0
+PACE = Pace(0.5, 3.0, 0.5, 2.5, 5.0)
+SLOW_PACE = Pace(3.0, 12.0, 3.0, 10.0, 20.0)
 ENGINE = Upstream("runner-1", "assist-llm", "model", ("ledger-1",))
 SIDECAR = "runner-1-sidecar"
 FIRST_CHANGE = {
@@ -33,18 +34,20 @@
         return DATA_CENTRES[index % min(len(self.entry_names), len(DATA_CENTRES))]
 
     def common_settings(self, name: str, index: int, mailbox: str) -> dict[str, Any]:
-        """Leave out data centres that no instance is in, which settings may not name."""
+        """Leave out data centres without an instance, which settings may not name."""
         document = super().common_settings(name, index, mailbox)
         used = {entry["data_centre"] for entry in document["entries"]}
         return document | {"data_centres": sorted(used)}
 
 
 @contextmanager
-def running_fleet(entries: int, sidecars: bool = True) -> Iterator[LocalFleet]:
+def running_fleet(
+    entries: int, sidecars: bool = True, timings: dict[str, float] | None = None
+) -> Iterator[LocalFleet]:
     """Run entries, and one engine with its sidecar, at the settings' own times."""
     with (
         tempfile.TemporaryDirectory() as folder,
-        MeasuredFleet(Path(folder), entries) as fleet,
+        MeasuredFleet(Path(folder), entries, timings) as fleet,
     ):
         for name in fleet.entry_names:
             fleet.start_entry(name)
@@ -61,11 +64,21 @@
 
 
 def measure_upstreams(upstreams: int, repeats: int) -> list[list[Reading]]:
+    """Have one entry hear a number of sidecars, at the settings' own times."""
+    return measure_hearing(upstreams, repeats, PACE)
+
+
+def measure_slow_upstreams(upstreams: int, repeats: int) -> list[list[Reading]]:
+    """Have one entry hear a number of sidecars at six times the intervals."""
+    return measure_hearing(upstreams, repeats, SLOW_PACE)
+
+
+def measure_hearing(upstreams: int, repeats: int, pace: Pace) -> list[list[Reading]]:
     """Have one entry hear a number of sidecars."""
-    with running_fleet(1, sidecars=False) as fleet:
+    with running_fleet(1, sidecars=False, timings=pace._asdict()) as fleet:
         entry = fleet.entry_names[0]
         addresses = [fleet.mailboxes[entry]]
-        with announced_upstreams(upstreams, addresses):
+        with announced_upstreams(upstreams, addresses, pace):
             wait_until(
                 lambda: len(available(fleet, entry)) == upstreams, "announcements"
             )
@@ -114,5 +127,8 @@
 
 EXPERIMENTS = (
     Experiment("upstreams", "upstream heard", UPSTREAM_COUNTS, measure_upstreams),
+    Experiment(
+        "slow upstreams", "upstream heard", UPSTREAM_COUNTS, measure_slow_upstreams
+    ),
     Experiment("entries", "entry instance", ENTRY_COUNTS, measure_entries),
 )
--- a/benchmarks/slopes/deciders.py
+++ b/benchmarks/slopes/deciders.py
@@ -184,9 +184,7 @@
 
 
 EXPERIMENTS = (
-    Experiment(
-        "directory", "upstream heard", (16, 64, 256, 1_300), measure_directory
-    ),
+    Experiment("directory", "upstream heard", (16, 64, 256, 1_300), measure_directory),
     Experiment("router", "upstream heard", (16, 64, 256, 1_300), measure_router),
     Experiment("sidecar decisions", "open attempt", (1, 50, 300), measure_sidecar),
 )
--- a/benchmarks/slopes/own_path.py
+++ b/benchmarks/slopes/own_path.py
@@ -9,7 +9,6 @@
 
 from common.daemon_fleet import available
 from local_fleet import LocalFleet, Upstream, wait_until
-
 from slopes.daemons import MeasuredFleet
 from slopes.fitting import Experiment, Reading
 from slopes.processes import MEBIBYTE, PERCENT, Usage, pid_of, usage_of
@@ -19,7 +18,7 @@
 ENGINES = 4
 """So many that no engine or sidecar reaches its own limit of open attempts."""
 TOKEN_SECONDS = 0.044
-STREAMED_SECONDS = 8.0
+STREAMED_SECONDS = 7.0
 TOKENS = round(STREAMED_SECONDS / TOKEN_SECONDS)
 OPENING_SECONDS = 2.0
 WINDOW_SECONDS = 4.0
@@ -34,6 +33,8 @@
     Upstream(f"runner-{n}", SERVICE, "model", (MODEL,), 4_000_000, True, SPEED)
     for n in range(ENGINES)
 )
+ALONE = tuple(one._replace(name=f"alone-{one.name}") for one in UPSTREAMS)
+"""Engines without a sidecar, which would end attempts that it did not hand over."""
 CHANGE = {
     "put_models": [{"name": MODEL, "version": "1"}],
     "put_services": [{"name": SERVICE, "kind": "model", "models": [MODEL]}],
@@ -70,7 +71,7 @@
 
 @contextmanager
 def streaming_fleet() -> Iterator[LocalFleet]:
-    """Run one entry before several engines."""
+    """Run one entry before several engines, and as many engines alone."""
     with (
         tempfile.TemporaryDirectory() as folder,
         MeasuredFleet(Path(folder), 1) as fleet,
@@ -78,6 +79,8 @@
         fleet.start_entry(ENTRY)
         for upstream in UPSTREAMS:
             fleet.start_upstream(upstream)
+        for upstream in ALONE:
+            fleet.start_standin(upstream)
         fleet.wait_ready()
         fleet.change("first", CHANGE)
         wait_until(lambda: len(available(fleet, ENTRY)) == ENGINES, "announcements")
@@ -91,9 +94,7 @@
     return {name: usage_of(pid_of(fleet, name)) for name in names}
 
 
-def run_streams(
-    fleet: LocalFleet, addresses: list[str], streams: int
-) -> StreamFigures:
+def run_streams(fleet: LocalFleet, addresses: list[str], streams: int) -> StreamFigures:
     """Open streams, watch them for a while and read them to their ends."""
     client = StreamClient(addresses, MODEL, CALLER_KEY)
     before = usages(fleet)
@@ -119,9 +120,10 @@
 def measure_streams(streams: int, repeats: int) -> list[list[Reading]]:
     """Compare streams through the system to streams from the engines alone."""
     with streaming_fleet() as fleet:
-        engines = [fleet.upstream_addresses[upstream.name] for upstream in UPSTREAMS]
-        # The first run fills pools and caches, which later streams find there.
-        run_streams(fleet, [fleet.callers[ENTRY]], min(streams, ENGINES))
+        engines = [fleet.upstream_addresses[upstream.name] for upstream in ALONE]
+        # The first runs fill pools and caches, which later streams find there.
+        for addresses in (engines, [fleet.callers[ENTRY]]):
+            run_streams(fleet, addresses, min(streams, ENGINES))
         rounds = []
         for _ in range(repeats):
             direct = run_streams(fleet, engines, streams)
@@ -177,6 +179,4 @@
     return last.processor_seconds - first.processor_seconds
 
 
-EXPERIMENTS = (
-    Experiment("own path", "open stream", STREAM_COUNTS, measure_streams),
-)
+EXPERIMENTS = (Experiment("own path", "open stream", STREAM_COUNTS, measure_streams),)
--- a/benchmarks/slopes/processes.py
+++ b/benchmarks/slopes/processes.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from local_fleet import LocalFleet
-
 from slopes.fitting import Reading
 
 PROCESSOR_TIME_FIELDS = slice(11, 13)
--- a/benchmarks/slopes/samples.py
+++ b/benchmarks/slopes/samples.py
@@ -30,7 +30,7 @@
 DEADLINE_SECONDS = 120.0
 
 
-def description(number: int, address: str = "10.20.30.40:45678") -> UpstreamDescription:
+def description(number: int) -> UpstreamDescription:
     """Describe one of many engines."""
     return UpstreamDescription(
         UpstreamId(f"{DATA_CENTRE}-runner-{number:04}"),
@@ -40,7 +40,7 @@
         (MODEL,),
         MEMORY_TOKENS,
         True,
-        address,
+        "10.20.30.40:45678",
     )
 
 
@@ -62,10 +62,11 @@
     )
 
 
-def announce(number: int, sequence: int, address: str = "10.20.30.40:45678") -> Announce:
+def announce(
+    number: int, sequence: int, lease_seconds: float = LEASE_SECONDS
+) -> Announce:
     """Announce one of many engines."""
-    described = description(number, address)
-    return Announce(described, EPOCH, LEASE_SECONDS, load(sequence))
+    return Announce(description(number), EPOCH, lease_seconds, load(sequence))
 
 
 def configuration(customers: int, version: int = 1) -> FleetConfiguration:
--- a/benchmarks/slopes/stream_client.py
+++ b/benchmarks/slopes/stream_client.py
@@ -85,9 +85,9 @@
         """Read until every stream has ended, or nothing has come for long."""
         last_heard = time.monotonic()
         while time.monotonic() - last_heard < LATENESS_SECONDS:
-            if self.to_open and len(self.streams) == self.to_open:
-                if all(stream.done for stream in self.streams):
-                    break
+            all_open = len(self.streams) == self.to_open
+            if all_open and all(stream.done for stream in self.streams):
+                break
             for key, _ in self.selector.select(SELECT_SECONDS):
                 last_heard = time.monotonic()
                 self.read(key.data, last_heard)
