--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -15,7 +15,7 @@
     own_path,
 )
 from slopes.fitting import slopes_of
-from slopes.reporting import RESULTS, Conditions, table, to_json
+from slopes.reporting import RESULTS, Conditions, keep, table
 
 MODULES = (
     deciders,
@@ -40,20 +40,16 @@
     parser.add_argument("--repeats", type=int, default=REPEATS)
     parser.add_argument("--out", type=Path, default=RESULTS)
     arguments = parser.parse_args()
-    load_before = os.getloadavg()
-    slopes = []
     for experiment in EXPERIMENTS:
         if experiment.name not in arguments.only:
             continue
+        load_before = os.getloadavg()
         found = slopes_of(experiment, arguments.repeats)
-        sys.stdout.write(table(found) + "\n\n")
-        sys.stdout.flush()
-        slopes += found
-        # Written after each experiment: an interrupted run keeps what it has.
         conditions = Conditions.from_machine(arguments.repeats, load_before)
-        arguments.out.parent.mkdir(parents=True, exist_ok=True)
-        arguments.out.write_text(to_json(slopes, conditions))
-    sys.stdout.write(f"{conditions}\nwritten to {arguments.out.name}\n")
+        # Written after each experiment: an interrupted run keeps what it has.
+        keep(arguments.out, experiment.name, found, conditions)
+        sys.stdout.write(f"{table(found)}\n{conditions}\n\n")
+        sys.stdout.flush()
 
 
 if __name__ == "__main__":
--- a/benchmarks/slopes/budget.py
+++ b/benchmarks/slopes/budget.py
@@ -82,7 +82,9 @@
 
     def __init__(self, document: dict[str, Any]) -> None:
         self.slopes = {
-            (one["what"], one["quantity"]): one for one in document["slopes"]
+            (what, one["quantity"]): one
+            for what, experiment in document["experiments"].items()
+            for one in experiment["slopes"]
         }
 
     def line(self, what: str, quantity: str) -> Line:
--- a/benchmarks/slopes/fitting.py
+++ b/benchmarks/slopes/fitting.py
@@ -39,7 +39,7 @@
 
     line: Line
     least_slope: float
-    """Smallest slope of a single repeat's line."""
+    """Smallest slope of this line and each single repeat's."""
     greatest_slope: float
     worst_miss: float
     """Largest distance of a median from the line, as a share of the largest median."""
@@ -81,6 +81,7 @@
     line = fit_line(sizes, medians)
     repeats = zip(*(point.values for point in points), strict=True)
     slopes = [fit_line(sizes, values).slope for values in repeats]
+    slopes.append(line.slope)
     largest = max(map(abs, medians))
     misses = [abs(line.at(s) - v) for s, v in zip(sizes, medians, strict=True)]
     worst_miss = max(misses) / largest if largest else 0.0
--- a/benchmarks/slopes/own_path.py
+++ b/benchmarks/slopes/own_path.py
@@ -18,10 +18,11 @@
 ENGINES = 4
 """So many that no engine or sidecar reaches its own limit of open attempts."""
 TOKEN_SECONDS = 0.044
-STREAMED_SECONDS = 7.0
-TOKENS = round(STREAMED_SECONDS / TOKEN_SECONDS)
-OPENING_SECONDS = 2.0
+OPENED_PER_SECOND = 21.0
+"""As many as each of 400 entries opens of 8,400 a second."""
 WINDOW_SECONDS = 4.0
+MARGIN_SECONDS = 1.5
+"""Time for which streams go on past the window in which they are watched."""
 CALLER_KEY = "a-measured-customer-key"
 MODEL = "ledger-1"
 SERVICE = "assist-llm"
@@ -98,7 +99,8 @@
     """Open streams, watch them for a while and read them to their ends."""
     client = StreamClient(addresses, MODEL, CALLER_KEY)
     before = usages(fleet)
-    client.start(streams, TOKENS, OPENING_SECONDS / streams)
+    seconds = streams / OPENED_PER_SECOND + WINDOW_SECONDS + MARGIN_SECONDS
+    client.start(streams, round(seconds / TOKEN_SECONDS), 1.0 / OPENED_PER_SECOND)
     opened, first_events = usages(fleet), client.events()
     time.sleep(WINDOW_SECONDS)
     later, last_events = usages(fleet), client.events()
--- a/benchmarks/slopes/reporting.py
+++ b/benchmarks/slopes/reporting.py
@@ -16,7 +16,7 @@
 
 
 class Conditions(NamedTuple):
-    """Say on what machine, and beside how much else, the slopes were measured."""
+    """Say on what machine, and beside how much else, an experiment was run."""
 
     cores: int
     python: str
@@ -62,7 +62,6 @@
 def as_document(slope: Slope) -> dict[str, object]:
     """Turn a slope into what the JSON file holds."""
     return {
-        "what": slope.experiment,
         "quantity": slope.quantity,
         "unit": slope.unit,
         "per": slope.per,
@@ -76,11 +75,16 @@
     }
 
 
-def to_json(slopes: Sequence[Slope], conditions: Conditions) -> str:
-    """Write everything, for the page and for later comparisons."""
-    document = {
-        "command": "make slopes",
+def keep(
+    path: Path, experiment: str, slopes: Sequence[Slope], conditions: Conditions
+) -> None:
+    """Write one experiment into the results, beside those measured before."""
+    document = {"command": "make slopes", "experiments": {}}
+    if path.exists():
+        document = json.loads(path.read_text())
+    document["experiments"][experiment] = {
         "conditions": conditions._asdict(),
         "slopes": [as_document(slope) for slope in slopes],
     }
-    return json.dumps(document, indent=1) + "\n"
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(document, indent=1) + "\n")
--- a/tests/cover/slopes/test_fitting.py
+++ b/tests/cover/slopes/test_fitting.py
@@ -62,26 +62,21 @@
     each heartbeat received one more was sent.
     """
 
-    def one(what, quantity, slope):
-        return {
-            "what": what,
-            "quantity": quantity,
-            "at_zero": 5.0,
-            "slope": slope,
-            "medians": {"1": slope},
-        }
-
-    measured = Measured(
-        {
-            "slopes": [
-                one("upstreams", "entry: received", 900.0),
-                one("upstreams", "entry: sent", 300.0),
-                one("upstreams", "entry: messages received", 4.0),
-                one("upstreams", "entry: messages sent", 2.0),
-                one("messages", "heartbeat size", 100.0),
-            ]
-        }
-    )
+    def one(quantity, slope):
+        medians = {"1": slope}
+        return {"quantity": quantity, "at_zero": 5, "slope": slope, "medians": medians}
+
+    hearing = [
+        one("entry: received", 900.0),
+        one("entry: sent", 300.0),
+        one("entry: messages received", 4.0),
+        one("entry: messages sent", 2.0),
+    ]
+    experiments = {
+        "upstreams": {"slopes": hearing},
+        "messages": {"slopes": [one("heartbeat size", 100.0)]},
+    }
+    measured = Measured({"experiments": experiments})
     assert hearing_line(measured, "upstreams") == Line(0.0, 1.4)
 
 
