Prove nine faults on real processes; send cancels off the request's thread

Cause: a cancel to a dead sidecar held the request's own thread for the connection's limit before it went on elsewhere; a lost quorum held a whole answer back until its deadline; a sidecar that had confirmed the empty configuration refused the first requests after the first change with not_ready. Ruled out for the last: late announcements (the sidecar was servable). The example's resend was no resend, since it named another base version; it now sends the same document.

--- a/examples/local_fleet.py
+++ b/examples/local_fleet.py
@@ -255,21 +255,34 @@
         process = self.processes.get(name)
         return process is not None and process.poll() is None
 
-    def change(self, change_id: str, change: dict[str, Any]) -> dict[str, Any]:
-        """Plan a change at the first entry that can, and confirm it."""
-        return wait_until(
-            lambda: self.try_change(change_id, change), f"change {change_id}"
-        )
-
-    def try_change(
-        self, change_id: str, change: dict[str, Any]
-    ) -> dict[str, Any] | None:
+    def change(
+        self, change_id: str, change: dict[str, Any], based_on: int | None = None
+    ) -> dict[str, Any]:
+        """Plan a change and confirm it, at whichever entry can.
+
+        A resend must be the same to the letter, the version it is based on included.
+        """
+        if based_on is None:
+            based_on = wait_until(self.read_base, "a configuration")[0]
+        document = {"change_id": change_id, "based_on": based_on, "change": change}
+        return wait_until(lambda: self.try_change(document), f"change {change_id}")
+
+    def read_base(self) -> tuple[int] | None:
+        """Read the newest configuration version that an entry knows."""
+        versions = [
+            self.operator_call(name, "GET", "/v1/state")[1]["configuration"]["version"]
+            for name in self.entry_names
+            if self.is_running(name) and self.is_ready(name)
+        ]
+        return (max(versions),) if versions else None
+
+    def try_change(self, document: dict[str, Any]) -> dict[str, Any] | None:
         """Plan and confirm once; resending either is safe."""
         for name in self.entry_names:
             if not self.is_running(name):
                 continue
             try:
-                answer = self.try_change_at(name, change_id, change)
+                answer = self.try_change_at(name, document)
             except urllib3.exceptions.HTTPError:
                 continue
             if answer is not None:
@@ -277,19 +290,16 @@
         return None
 
     def try_change_at(
-        self, name: str, change_id: str, change: dict[str, Any]
+        self, name: str, document: dict[str, Any]
     ) -> dict[str, Any] | None:
         """Plan and confirm once at one entry."""
-        _, state = self.operator_call(name, "GET", "/v1/state")
-        based_on = state["configuration"]["version"]
-        document = {"change_id": change_id, "based_on": based_on, "change": change}
         status, plan = self.operator_call(name, "POST", "/v1/plans", document)
         if status in REFUSED_STATUSES:
-            raise FleetError(f"plan {change_id} refused: {plan}")
+            raise FleetError(f"plan {document['change_id']} refused: {plan}")
         if status != 200:
             return None
         path = f"/v1/plans/{plan['plan']['plan_id']}/confirm"
-        confirm = {"change_id": change_id}
+        confirm = {"change_id": document["change_id"]}
         status, answer = self.operator_call(name, "POST", path, confirm)
         return answer if status == 200 else None
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -34,6 +34,7 @@
     EntryCallersHandler,
     new_attempt_id,
 )
+from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
 from cowslipshelf_daemon.internal.entry.configuration_actor import (
     ConfigurationActor,
     ConfigurationParts,
@@ -342,6 +343,7 @@
         RoutingDesk(actors.routing, parts.status),
         gateway,
         attempts,
+        CancelDesk(attempts),
         SharedRetryBudget(RetryBudget.from_config(RetryBudgetConfig())),
         new_attempt_id,
         parts.metrics,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -61,6 +61,7 @@
 )
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
 from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
 from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
@@ -99,6 +100,7 @@
     routing: RoutingDesk
     control: ControlGateway
     attempts: AttemptsClient
+    cancels: CancelDesk
     retry_budget: SharedRetryBudget
     new_attempt_id: Callable[[], AttemptId]
     metrics: EntryMetrics
@@ -164,8 +166,8 @@
                 self.choose_placement(effect)
             case AskClaim(claim) | MoveClaim(claim):
                 self.ask_claim(claim)
-            case FinishClaim(claim):
-                self.services.control.ask(claim, self.seconds_left())
+            case FinishClaim(claim, wait_seconds):
+                self.services.control.ask(claim, wait_seconds)
             case SendHandOver(address, hand_over):
                 self.send_hand_over(address, hand_over)
             case Resume(address, attempt_id, after_sequence):
@@ -173,7 +175,7 @@
             case Revoke(address, attempt_id, epoch, upstream_id):
                 self.revoke(address, attempt_id, epoch, upstream_id)
             case Cancel(address, attempt_id):
-                self.services.attempts.cancel(address, attempt_id)
+                self.services.cancels.send(address, attempt_id)
             case AskRetryBudget():
                 self.ask_retry_budget()
             case Wait(seconds):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -14,7 +14,7 @@
     UpstreamFinished,
 )
 from cowslipshelf_core.upstream import HandOver
-from cowslipshelf_fleet import FrameBuffer
+from cowslipshelf_fleet import FrameBuffer, FrameOrderError
 from cowslipshelf_upstreams import (
     EngineClient,
     PlainClient,
@@ -61,7 +61,12 @@
 
     def run(self) -> None:
         """Run the attempt to its end and write the final frame, whatever happens."""
-        refusal = self.run_with_resumes()
+        try:
+            refusal = self.run_with_resumes()
+        except FrameOrderError as error:
+            # An engine that breaks its own numbering must not leave the caller
+            # waiting for an end that nobody writes.
+            refusal = self.failure(str(error))
         self.buffer.append(StreamEnd(self.last_sequence, refusal))
         whole = refusal is None
         self.services.sidecar.tell(UpstreamFinished(self.attempt_id, whole))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -297,6 +297,9 @@
                     self.decide(ConfigurationApplied(configuration), now)
                 case BecameServable():
                     LOG.info("servable", version=self.view.in_force.version)
+                    # Where nothing was accepted yet, no version is put in force; the
+                    # empty one is confirmed all the same, and newer entries know more.
+                    self.decide(ConfigurationApplied(self.view.in_force), now)
                     self.announce(now)
                 case ConfigurationConflict(version, address):
                     LOG.error(
--- a/tests/nocover/daemon/test_faults_on_processes.py
+++ b/tests/nocover/daemon/test_faults_on_processes.py
@@ -58,10 +58,11 @@
     The operator sends the same change again, to another entry. It must learn the
     version that its change got, and the change must not be made a second time.
     """
-    first = fleet.change("weigh", put_weight(3))
+    base = version(fleet, "entry-1")
+    first = fleet.change("weigh", put_weight(3), base)
     killed = leader(fleet)
     fleet.kill(killed)
-    again = fleet.change("weigh", put_weight(3))
+    again = fleet.change("weigh", put_weight(3), base)
     assert again["configuration_version"] == first["configuration_version"]
     for name in other_entries(fleet, killed):
         assert version(fleet, name) == first["configuration_version"]
@@ -94,8 +95,10 @@
 
 
 def change_through(fleet: LocalFleet, name: str, change_id: str, change: dict) -> int:
+    base = version(fleet, name)
+    document = {"change_id": change_id, "based_on": base, "change": change}
     answer = wait_until(
-        lambda: fleet.try_change_at(name, change_id, change), f"change through {name}"
+        lambda: fleet.try_change_at(name, document), f"change through {name}"
     )
     return answer["configuration_version"]
 
