--- /dev/null
+++ b/packages/platform/src/cowslipshelf_platform/internal/storage/recovery.py
@@ -0,0 +1,56 @@
+"""Rewrite a stopped replica's data folder after the loss of a quorum."""
+
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from cowslipshelf_core.agreement import ReplicaId, force_members
+from cowslipshelf_platform.internal.storage.errors import StorageError
+from cowslipshelf_platform.internal.storage.replica_storage import (
+    ReplicaStorage,
+    ReplicaStorageConfig,
+    new_identity,
+)
+
+
+class ForcedFolder(NamedTuple):
+    """Say what was done to a data folder, for the operator."""
+
+    replica_id: ReplicaId
+    term: int
+    last_index: int
+    """Index of the entry that makes this replica the only member."""
+    warning: str
+
+
+def force_members_in_folder(
+    config: ReplicaStorageConfig, operator: str, at: float
+) -> Result[ForcedFolder, StorageError]:
+    """Make the replica of a folder the only member of a new cluster, durably.
+
+    The folder's lock proves that its process has stopped. `at` is in seconds
+    since 1970.
+    """
+    return ReplicaStorage.from_config(config).and_then(
+        lambda storage: force_in(storage, operator, at)
+    )
+
+
+def force_in(
+    storage: ReplicaStorage, operator: str, at: float
+) -> Result[ForcedFolder, StorageError]:
+    """Write the forced membership through a storage, then close it."""
+    try:
+        stored = storage.load()
+        if isinstance(stored, Err):
+            return stored
+        replica_id = stored.ok_value.replica_id
+        forced = force_members(stored.ok_value, new_identity(), operator, at)
+        storage.write([forced.persist])
+        storage.sync()
+    except StorageError as error:
+        return Err(error)
+    finally:
+        storage.close()
+    entry = forced.persist.entries[-1]
+    return Ok(ForcedFolder(replica_id, entry.term, entry.index, forced.warning))
--- a/packages/platform/src/cowslipshelf_platform/storage.py
+++ b/packages/platform/src/cowslipshelf_platform/storage.py
@@ -1,10 +1,21 @@
 """Store a replica's log, hard state and snapshots durably."""
 
 from cowslipshelf_platform.internal.storage.errors import StorageError
+from cowslipshelf_platform.internal.storage.recovery import (
+    ForcedFolder,
+    force_members_in_folder,
+)
 from cowslipshelf_platform.internal.storage.replica_storage import (
     ReplicaStorage,
     ReplicaStorageConfig,
     new_identity,
 )
 
-__all__ = ["ReplicaStorage", "ReplicaStorageConfig", "StorageError", "new_identity"]
+__all__ = [
+    "ForcedFolder",
+    "ReplicaStorage",
+    "ReplicaStorageConfig",
+    "StorageError",
+    "force_members_in_folder",
+    "new_identity",
+]
--- a/tests/common/agreement_cluster.py
+++ b/tests/common/agreement_cluster.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 from random import Random
 from typing import NamedTuple
 
 import msgspec
 
-from common.agreement_node import MemoryDisk, Node
+from common.agreement_node import Crash, CrashPoint, MemoryDisk, Node
 from cowslipshelf_core.agreement import (
     AgreementMessage,
     CommandProposed,
@@ -50,25 +49,6 @@
 DECODER = msgspec.msgpack.Decoder(AgreementMessage)
 
 
-class CrashPoint(Enum):
-    """Say when, in the handling of a batch, a process ends."""
-
-    BEFORE_SYNC = "before sync"
-    """Some of what the batch wrote is lost, and nobody has heard of any."""
-    AFTER_SYNC = "after sync"
-    """All is durable, and nobody has heard of it."""
-    AMID_EFFECTS = "amid effects"
-    """All is durable, and only the first effects were performed."""
-
-
-class Crash(NamedTuple):
-    """Say when a process ends and how much it still does."""
-
-    point: CrashPoint
-    survivors: int = 0
-    """Writes that reach the disk, or effects that are performed."""
-
-
 class InFlight(NamedTuple):
     """Be a message on its way."""
 
@@ -111,6 +91,13 @@
             cluster.restart(instance)
         return cluster
 
+    @classmethod
+    def settled(cls, size: int = 3, seed: int = 0, **settings) -> "Cluster":
+        """Start a cluster and let it be founded."""
+        cluster = cls.of_size(size, seed, **settings)
+        cluster.run_until(cluster.is_settled)
+        return cluster
+
     def new_disk(self, instance: InstanceId) -> MemoryDisk:
         self.folders += 1
         return self.make_disk(instance, f"folder-{self.folders}")
@@ -140,6 +127,12 @@
         self.step(instance, [MembershipProposed(proposal_id, change, 0.0)])
         return proposal_id
 
+    def acknowledge(self) -> str:
+        """Propose a command at the leader and wait until it is acknowledged."""
+        proposal = self.propose(self.leader().instance)
+        self.run_until(lambda: proposal in self.acknowledged)
+        return proposal
+
     def transfer(self, instance: InstanceId) -> None:
         """Ask a leader to hand over."""
         self.step(instance, [TransferLeadership()])
@@ -241,6 +234,15 @@
         ]
         return max(leaders, key=lambda n: n.replica.status().term, default=None)
 
+    def followers(self) -> list[InstanceId]:
+        """Return the instances that don't lead."""
+        leader = self.leader().instance
+        return [instance for instance in self.nodes if instance != leader]
+
+    def replica_of(self, instance: InstanceId) -> ReplicaId:
+        """Return the identity on an instance's disk."""
+        return self.nodes[instance].disk.load().replica_id
+
     def is_settled(self) -> bool:
         """Tell whether a leader has brought every replica of its membership along."""
         leader = self.leader()
--- a/tests/cover/storage/test_replica_storage.py
+++ b/tests/cover/storage/test_replica_storage.py
@@ -5,6 +5,7 @@
 import tempfile
 from contextlib import contextmanager
 from pathlib import Path
+from random import Random
 
 import pytest
 from hypothesis import example, given, settings
@@ -17,15 +18,20 @@
     HardState,
     Membership,
     Persist,
+    Replica,
+    ReplicaConfig,
     ReplicaId,
+    Role,
     SaveSnapshot,
     Snapshot,
+    TickElapsed,
 )
 from cowslipshelf_platform.internal.storage.segments import SegmentedLog
 from cowslipshelf_platform.storage import (
     ReplicaStorage,
     ReplicaStorageConfig,
     StorageError,
+    force_members_in_folder,
 )
 
 PAYLOADS = st.lists(st.binary(max_size=120), min_size=1, max_size=12)
@@ -255,6 +261,27 @@
     opened(tmp_path).close()
 
 
+def test_a_stopped_replica_leads_alone_after_its_members_were_forced(tmp_path):
+    """After the loss of a quorum, no change is ever accepted again.
+
+    The operator forces the members in the folder of the last replica, which a
+    process that still runs must prevent.
+    """
+    write_synced(tmp_path, entries_from(1, [b"kept"]), 1, SMALL_SEGMENT)
+    config = ReplicaStorageConfig(tmp_path, "entry-0")
+    running = opened(tmp_path)
+    assert force_members_in_folder(config, "operator", 9.0).unwrap_err().step == "lock"
+    running.close()
+    forced = force_members_in_folder(config, "operator", 9.0).unwrap()
+    stored = load(tmp_path).unwrap()
+    assert (stored.entries[-1].index, stored.hard_state.term) == (2, forced.term)
+    replica = Replica.from_config(ReplicaConfig(("entry-0", "entry-1")), stored)
+    for seconds in (0.0, 9.0):
+        replica.handle(TickElapsed(), seconds, Random(0))
+    assert replica.status().role is Role.LEADER
+    assert replica.status().commit_index == 3
+
+
 def test_a_folder_of_another_instance_is_refused(tmp_path):
     """A copied data folder votes under the name of the instance it came from."""
     load(tmp_path).unwrap()
