Confirm reads at any replica, through the leader

Cause: a process that asks a follower for a confirmed configuration was refused and had to find the leader. Now the follower asks the leader, which answers after a round of heartbeats begun later, and the follower confirms once it has applied up to the index it was told.

Seen: without the wait for the index the new test fails; without the expiry too.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
@@ -1,10 +1,12 @@
-"""Lead: accept proposals and reads, and step down without a quorum."""
+"""Lead: accept proposals, and step down without a quorum."""
 
-from cowslipshelf_core.internal.agreement.effects import ReadConfirmed, ReadFailed
-from cowslipshelf_core.internal.agreement.events import CommandProposed, ReadAsked
+from cowslipshelf_core.internal.agreement.events import CommandProposed
 from cowslipshelf_core.internal.agreement.membership import is_heard, promote_learner
 from cowslipshelf_core.internal.agreement.messages import ProposalRefusal
-from cowslipshelf_core.internal.agreement.progress import PendingRead
+from cowslipshelf_core.internal.agreement.reading import (
+    confirm_reads,
+    next_round_is_wanted,
+)
 from cowslipshelf_core.internal.agreement.records import EntryKind
 from cowslipshelf_core.internal.agreement.replication import (
     advance_commit,
@@ -39,22 +41,6 @@
     return ProposalRefusal.NO_QUORUM
 
 
-def read_asked(state: ReplicaState, event: ReadAsked) -> None:
-    """Remember a read for the next round of heartbeats.
-
-    The round must begin after the question: an earlier one proves only that the
-    leader was still in charge before it. Earlier leaders may have committed up to
-    just before the own no-op, so no read is answered from below that.
-    """
-    leadership = state.leadership
-    if leadership is None:
-        state.effects.append(ReadFailed(event.read_id, state.leader))
-        return
-    index = max(state.commit_index, leadership.start_index)
-    read = PendingRead(event.read_id, leadership.read_round + 1, index)
-    leadership.reads.append(read)
-
-
 def finish_batch(state: ReplicaState) -> None:
     """Send what the events of a batch made necessary, once for all of them."""
     leadership = state.leadership
@@ -70,35 +56,6 @@
     flush(state)
 
 
-def next_round_is_wanted(state: ReplicaState) -> bool:
-    """Tell whether reads wait and no round is under way for others."""
-    leadership = state.leadership
-    rounds = {read.read_round for read in leadership.reads}
-    return bool(rounds) and min(rounds) > leadership.read_round
-
-
-def confirm_reads(state: ReplicaState) -> None:
-    """Answer the reads whose round a quorum has answered."""
-    leadership = state.leadership
-    if not leadership.reads:
-        return
-    waiting = []
-    for read in leadership.reads:
-        confirmed_by = {
-            peer
-            for peer, progress in leadership.peers.items()
-            if progress.read_round >= read.read_round
-        }
-        if leadership.read_round >= read.read_round:
-            confirmed_by.add(state.replica_id)
-        whole = state.membership.is_quorum(confirmed_by)
-        if whole and state.commit_index >= read.index:
-            state.effects.append(ReadConfirmed(read.read_id, read.index))
-        else:
-            waiting.append(read)
-    leadership.reads = waiting
-
-
 def leave_if_removed(state: ReplicaState) -> bool:
     """Step down once the membership without this replica is committed."""
     if state.replica_id in state.membership.voters:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/messages.py
@@ -107,6 +107,19 @@
     read_round: int
 
 
+class ReadIndexAsked(ReplicaMessage, frozen=True):
+    """Ask the leader from which index on a read may be answered."""
+
+    read_id: str
+
+
+class ReadIndexAnswered(ReplicaMessage, frozen=True):
+    """Say that a quorum has confirmed the leader after the question."""
+
+    read_id: str
+    index: int
+
+
 class TimeoutNow(ReplicaMessage, frozen=True):
     """Ask the recipient to stand for election at once."""
 
@@ -152,6 +165,8 @@
     | AppendRefused
     | InstallSnapshot
     | SnapshotReceived
+    | ReadIndexAsked
+    | ReadIndexAnswered
     | TimeoutNow
     | JoinAsked
     | JoinAnswered
--- a/packages/core/src/cowslipshelf_core/internal/agreement/progress.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/progress.py
@@ -48,6 +48,8 @@
     read_id: str
     read_round: int
     index: int
+    asked_by: ReplicaId | None = None
+    """The replica that forwarded the read; nothing where it was asked here."""
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/reading.py
@@ -0,0 +1,102 @@
+"""Confirm reads: at the leader by a round of heartbeats, elsewhere by the leader."""
+
+from cowslipshelf_core.internal.agreement.effects import ReadConfirmed, ReadFailed
+from cowslipshelf_core.internal.agreement.events import ReadAsked
+from cowslipshelf_core.internal.agreement.messages import (
+    ReadIndexAnswered,
+    ReadIndexAsked,
+)
+from cowslipshelf_core.internal.agreement.progress import PendingRead
+from cowslipshelf_core.internal.agreement.records import ReplicaId
+from cowslipshelf_core.internal.agreement.state import ForwardedRead, ReplicaState
+
+
+def read_asked(state: ReplicaState, event: ReadAsked) -> None:
+    """Have a read confirmed here, or by the leader that this replica follows."""
+    if state.leadership is not None:
+        await_round(state, event.read_id, asked_by=None)
+        return
+    leader = leading_replica(state)
+    if leader is None or state.failure:
+        state.effects.append(ReadFailed(event.read_id, state.leader))
+        return
+    ends = state.now + state.config.election_seconds
+    state.forwarded_reads[event.read_id] = ForwardedRead(ends)
+    state.send(leader, ReadIndexAsked, read_id=event.read_id)
+
+
+def leading_replica(state: ReplicaState) -> ReplicaId | None:
+    """Return the replica that leads, where this one knows it."""
+    replicas = state.membership.replicas
+    return next((r for r in replicas if r.instance == state.leader), None)
+
+
+def await_round(state: ReplicaState, read_id: str, asked_by: ReplicaId | None) -> None:
+    """Remember a read for the next round of heartbeats.
+
+    The round must begin after the question: an earlier one proves only that the
+    leader was still in charge before it. Earlier leaders may have committed up to
+    just before the own no-op, so no read is answered from below that.
+    """
+    leadership = state.leadership
+    index = max(state.commit_index, leadership.start_index)
+    read = PendingRead(read_id, leadership.read_round + 1, index, asked_by)
+    leadership.reads.append(read)
+
+
+def answer_read(state: ReplicaState, read: PendingRead) -> None:
+    """Confirm a read here, or tell the replica that asked from where it may read."""
+    if read.asked_by is None:
+        state.effects.append(ReadConfirmed(read.read_id, read.index))
+        return
+    state.send(read.asked_by, ReadIndexAnswered, read_id=read.read_id, index=read.index)
+
+
+def read_index_answered(state: ReplicaState, message: ReadIndexAnswered) -> None:
+    """Note the index from which on a forwarded read may be answered."""
+    read = state.forwarded_reads.get(message.read_id)
+    if read is not None:
+        read.index = message.index
+
+
+def settle_forwarded_reads(state: ReplicaState) -> None:
+    """Confirm what is applied up to its index, and fail what waited too long.
+
+    The question or the answer may be lost, or the leader may have stepped down.
+    """
+    for read_id, read in list(state.forwarded_reads.items()):
+        if read.index is not None and read.index <= state.commit_index:
+            del state.forwarded_reads[read_id]
+            state.effects.append(ReadConfirmed(read_id, read.index))
+        elif state.now >= read.ends or state.failure:
+            del state.forwarded_reads[read_id]
+            state.effects.append(ReadFailed(read_id, state.leader))
+
+
+def next_round_is_wanted(state: ReplicaState) -> bool:
+    """Tell whether reads wait and no round is under way for others."""
+    leadership = state.leadership
+    rounds = {read.read_round for read in leadership.reads}
+    return bool(rounds) and min(rounds) > leadership.read_round
+
+
+def confirm_reads(state: ReplicaState) -> None:
+    """Answer the reads whose round a quorum has answered."""
+    leadership = state.leadership
+    if not leadership.reads:
+        return
+    waiting = []
+    for read in leadership.reads:
+        confirmed_by = {
+            peer
+            for peer, progress in leadership.peers.items()
+            if progress.read_round >= read.read_round
+        }
+        if leadership.read_round >= read.read_round:
+            confirmed_by.add(state.replica_id)
+        whole = state.membership.is_quorum(confirmed_by)
+        if whole and state.commit_index >= read.index:
+            answer_read(state, read)
+        else:
+            waiting.append(read)
+    leadership.reads = waiting
--- a/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
@@ -11,6 +11,7 @@
     founding,
     leading,
     membership,
+    reading,
     replication,
     snapshots,
 )
@@ -35,6 +36,8 @@
     InstallSnapshot,
     JoinAnswered,
     JoinAsked,
+    ReadIndexAnswered,
+    ReadIndexAsked,
     ReplicaMessage,
     SnapshotReceived,
     TimeoutNow,
@@ -125,6 +128,8 @@
             self.dispatch(event)
         if state.leadership is not None:
             leading.finish_batch(state)
+        if state.forwarded_reads:
+            reading.settle_forwarded_reads(state)
         effects = state.effects
         state.effects = []
         return effects
@@ -136,7 +141,7 @@
             case CommandProposed() | MembershipProposed():
                 self.propose(event)
             case ReadAsked():
-                leading.read_asked(state, event)
+                reading.read_asked(state, event)
             case _ if state.failure:
                 return
             case TickElapsed():
@@ -238,6 +243,11 @@
             case TimeoutNow():
                 if elections.may_lead(state):
                     elections.campaign(state, pre_vote=False, transfer=True)
+            case ReadIndexAsked(read_id=read_id):
+                if state.leadership is not None:
+                    reading.await_round(state, read_id, asked_by=peer)
+            case ReadIndexAnswered():
+                reading.read_index_answered(state, message)
             case EntriesAppended() | AppendRefused() | SnapshotReceived():
                 self.hear_follower(peer, message)
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -50,6 +50,15 @@
     data: bytearray = field(default_factory=bytearray)
 
 
+@dataclass(slots=True)
+class ForwardedRead:
+    """Be a read that the leader was asked to confirm."""
+
+    ends: float
+    index: int | None = None
+    """Least index to answer it from, once the leader has said so."""
+
+
 @dataclass(slots=True)
 class ReplicaState:
     """Be the whole state of a replica."""
@@ -73,6 +82,7 @@
     campaign: Campaign | None = None
     leadership: Leadership | None = None
     incoming: IncomingSnapshot | None = None
+    forwarded_reads: dict[str, ForwardedRead] = field(default_factory=dict)
     snapshot_wanted: bool = False
     durable_index: int = 0
     """Last index that earlier batches have written, and so synced."""
@@ -206,6 +216,8 @@
         for proposal_id in leadership.proposals.values():
             self.refuse(proposal_id, ProposalRefusal.OUTCOME_UNKNOWN)
         for read in leadership.reads:
+            if read.asked_by is not None:
+                continue
             self.effects.append(ReadFailed(read.read_id, self.leader))
 
     def restart_election_timer(self) -> None:
--- a/tests/cover/agreement/test_leadership.py
+++ b/tests/cover/agreement/test_leadership.py
@@ -128,6 +128,25 @@
     cluster.settle()
 
 
+def test_every_replica_answers_reads_that_see_what_was_acknowledged():
+    """A process that starts is told an old configuration by a follower.
+
+    A follower is asked right after a change was acknowledged that it has not heard
+    to be committed. It may answer only once the leader, confirmed by a quorum after
+    the question, has told it from which index on; cut off, it must not answer.
+    """
+    cluster = Cluster.settled()
+    follower = cluster.followers()[0]
+    cluster.acknowledge()
+    read = cluster.read(follower)
+    cluster.run(4)
+    assert cluster.confirmed_reads[read] == cluster.nodes[follower].applied_index
+    cluster.isolate(follower)
+    failed = cluster.read(follower)
+    cluster.run(20)
+    assert failed in cluster.failed_reads
+
+
 def test_clocks_that_jump_back_delay_no_election():
     """After clocks were set back by an hour, a lost leader is replaced an hour late.
 
