--- a/tests/common/agreement_cluster.py
+++ b/tests/common/agreement_cluster.py
@@ -109,6 +109,7 @@
         self.proposed += 1
         proposal_id = f"proposal-{self.proposed}"
         at = self.nodes[instance].clock
+        self.nodes[instance].waiting.add(proposal_id)
         event = CommandProposed(proposal_id, proposal_id.encode(), at)
         self.step(instance, [event], crash)
         return proposal_id
@@ -183,6 +184,7 @@
         node.replica = Replica.from_config(self.config, stored)
         node.applied_index = 0
         node.commands = []
+        node.waiting.clear()
         if stored.snapshot is not None:
             self.install(node, stored.snapshot.state, stored.snapshot.index)
 
@@ -326,6 +328,7 @@
                 self.step(node.instance, [SnapshotTaken(index, state)])
             case ProposalRefused(proposal_id, reason, _):
                 assert proposal_id not in self.acknowledged
+                node.waiting.discard(proposal_id)
                 self.refused[proposal_id] = reason
             case ReadConfirmed(read_id, index):
                 self.confirm_read(node, read_id, index)
@@ -348,7 +351,8 @@
         node.applied_index = index
         if entry.kind is EntryKind.COMMAND:
             node.commands.append(entry.proposal_id)
-        if node.leads and self.refused.get(entry.proposal_id) is None:
+        if entry.proposal_id in node.waiting:
+            node.waiting.remove(entry.proposal_id)
             self.acknowledged[entry.proposal_id] = index
 
     def install(self, node: Node, state: bytes, index: int) -> None:
--- a/tests/common/agreement_node.py
+++ b/tests/common/agreement_node.py
@@ -93,6 +93,8 @@
     applied_index: int = 0
     commands: list[str] = field(default_factory=list)
     """Proposal ids of the commands in the state machine, in order."""
+    waiting: set[str] = field(default_factory=set)
+    """Proposals made here that this process has not answered."""
     clock: float = 0.0
 
     @property
