Stand for election again sooner after a campaign that failed

Cause: after split votes each candidate waited for a whole election timeout, though nobody led and there was nothing to be heard. Ruled out: shorter timeouts for all, which would depose leaders on a slow machine.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/config.py
@@ -12,7 +12,10 @@
     """Every instance that the settings give a data folder, this one included."""
     heartbeat_seconds: float = 0.1
     election_seconds: float = 0.5
-    """Shortest silence before an election; the longest is twice as long."""
+    """Shortest silence before an election; the longest is twice as long.
+
+    A quarter of it must outlast a round of votes, syncs included.
+    """
     lease_seconds: float = 0.5
     """A leader that has heard from no quorum for so long steps down."""
     join_seconds: float = 0.5
--- a/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
@@ -39,7 +39,7 @@
         state.save_hard_state(term=term, voted_for=state.replica_id)
     state.campaign = Campaign(pre_vote, term, transfer, {state.replica_id})
     state.become(Role.CANDIDATE, None)
-    state.restart_election_timer()
+    state.restart_campaign_timer()
     if count_votes(state):
         return
     for voter in state.membership.voters:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -220,6 +220,15 @@
                 continue
             self.effects.append(ReadFailed(read.read_id, self.leader))
 
+    def restart_campaign_timer(self) -> None:
+        """Wait for a shorter random time before standing again.
+
+        A campaign fails where candidates split the votes. Nobody leads then, so
+        the wait only has to outlast a round of votes and to tell them apart.
+        """
+        longest = self.config.election_seconds
+        self.election_due = self.now + self.random.uniform(longest / 4, longest)
+
     def restart_election_timer(self) -> None:
         """Wait for a random time before standing for election."""
         shortest = self.config.election_seconds
