Let the messaging library settle before a process exits

Twice while measuring, a process with hundreds of mailboxes that had done its work was aborted by the messaging library, which was unloaded while its threads still worked: once under a receiving thread, once in its resolver after all mailboxes had been closed. A graceful shutdown must not end with a signal.

--- a/benchmarks/fleet_mailboxes.py
+++ b/benchmarks/fleet_mailboxes.py
@@ -3,7 +3,7 @@
 import sys
 from time import monotonic, process_time, sleep
 
-from fleet_partner import answer_questions, partner
+from fleet_partner import answer_questions, partner, resident_kilobytes
 
 from cowslipshelf_core.messages import Withdraw
 from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
@@ -79,9 +79,11 @@
     with partner(__file__, str(max(count, 1))) as other:
         addresses = other.ask("addresses")["addresses"][:count]
         sender = started("sender")
+        memory = resident_kilobytes()
         for address in addresses:
             sender.send(address, Withdraw("u", "e"))
         sleep(SETTLE_SECONDS)
+        memory = resident_kilobytes() - memory
         cpu, before = process_time(), sender.counters
         sleep(seconds)
         cpu, after = process_time() - cpu, sender.counters
@@ -90,6 +92,7 @@
     received_bytes = after.received_bytes - before.received_bytes
     return {
         "peers": count,
+        "kilobytes_per_peer": round(memory / max(count, 1), 1),
         "heartbeat_seconds": HEARTBEAT_SECONDS,
         "cpu_share_of_a_core": round(cpu / seconds, 5),
         "heartbeats_received_per_second": round(heartbeats / seconds, 1),
--- a/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -3,6 +3,7 @@
 import atexit
 import logging
 from collections.abc import Callable
+from functools import cache
 from random import Random, SystemRandom
 from threading import Event, Lock, Thread
 from time import monotonic, sleep
@@ -33,10 +34,23 @@
 """Heartbeats that must fit into the silence deadline."""
 RECEIVED_QUEUE_MESSAGES = 256
 FLUSH_PAUSE_SECONDS = 0.005
+UNLOADING_PAUSE_SECONDS = 0.05
 RECEIVE_LIMIT_FACTOR = 2
 """The library closes connections that send more; less is counted as oversized."""
 
 
+@cache
+def pause_before_unloading() -> None:
+    """Let the messaging library's threads finish before it is unloaded on exit.
+
+    They finish what closing the sockets left to them a moment later, and the library
+    aborts the process where it is unloaded meanwhile: a graceful shutdown would end
+    with a signal. Functions for the exit run in the reverse order of registration, so
+    this one runs after the mailboxes are stopped and before the library's own.
+    """
+    atexit.register(sleep, UNLOADING_PAUSE_SECONDS)
+
+
 class MailboxConfig(NamedTuple):
     """Say who a mailbox is, where it listens and what it understands."""
 
@@ -126,6 +140,7 @@
     def start(self) -> None:
         """Listen and begin to receive; raise `pynng.AddressInUse` if that is taken."""
         self.listen()
+        pause_before_unloading()
         atexit.register(self.stop)
         for work in (self.receive_all, self.tick_all):
             thread = Thread(target=work, name=f"mailbox-{work.__name__}", daemon=True)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/peer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/peer.py
@@ -18,7 +18,7 @@
     SendHeartbeat,
 )
 
-QUEUED_MESSAGES = 4096
+QUEUED_MESSAGES = 1024
 """Far more than a burst; what may wait is bounded in bytes first."""
 LEAST_REDIAL_MILLISECONDS = 50
 MOST_REDIAL_MILLISECONDS = 1000
--- a/tests/common/fleet_attempts.py
+++ b/tests/common/fleet_attempts.py
@@ -14,6 +14,7 @@
     StreamChunk,
     StreamEnd,
     StreamHead,
+    StreamHeartbeat,
 )
 from cowslipshelf_core.upstream import HandOver, LoadReport
 from cowslipshelf_fleet import (
@@ -21,7 +22,9 @@
     AttemptsClientConfig,
     AttemptsServer,
     AttemptsServerConfig,
+    AttemptStream,
     FrameBuffer,
+    StreamLostError,
 )
 
 CLUSTER_KEY = b"cluster key"
@@ -126,3 +129,27 @@
     return AttemptsClient.from_config(
         AttemptsClientConfig(PATIENT_SECONDS, silence_seconds, cluster_key)
     )
+
+
+def read_until_lost(stream: AttemptStream, frames: list[Frame]) -> bool:
+    """Collect frames, heartbeats left out; tell whether the stream was lost."""
+    try:
+        for frame in stream:
+            if not isinstance(frame, StreamHeartbeat):
+                frames.append(frame)
+    except StreamLostError:
+        return True
+    return False
+
+
+def whole_answer(outcome: object) -> list[Frame]:
+    """Return the frames of a stream that must not be lost."""
+    assert isinstance(outcome, AttemptStream)
+    frames: list[Frame] = []
+    assert not read_until_lost(outcome, frames)
+    return frames
+
+
+def chunks(frames: list[Frame]) -> list[StreamChunk]:
+    """Return the frames that carry the answer."""
+    return [frame for frame in frames if isinstance(frame, StreamChunk)]
