Look up admission rules, and let ticks look at restless upstreams only

Cause: a hand-over scanned all customers of the configuration, and a tick of the directory went over every upstream several times although nothing had changed. Change: a configuration is made into look-up tables once; the directory keeps the upstreams that are not both heard and in use, and the earliest end of a lease. The properties and machines pass unchanged.

--- a/packages/core/src/cowslipshelf_core/internal/directory/directory.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/directory.py
@@ -40,6 +40,10 @@
     config: DirectoryConfig
     watch: StandstillWatch
     records: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
+    restless: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
+    """Upstreams that are not both heard and in use; ticks look at these only."""
+    earliest_lease_end: float = float("-inf")
+    """No lease ends before this; leases are mostly prolonged before they end."""
     draining: frozenset[UpstreamId] = frozenset()
     others: frozenset[InstanceId] = frozenset()
     in_mass_loss: bool = False
@@ -75,6 +79,7 @@
         if record is None:
             record = UpstreamRecord.from_announce(announce, now)
             self.records[upstream_id] = record
+            self._expect_lease_end(record)
             return self._show(record, now)
         freshness = record.freshness(announce)
         if freshness is Freshness.LATE:
@@ -88,6 +93,7 @@
             self._admit_again(record, now)
         newer_load = announce.load.sequence > record.announce.load.sequence
         record.take(announce, now)
+        self._expect_lease_end(record)
         changes = self._show(record, now)
         if not changes and newer_load and record.shown is not None:
             changes.append(LoadUpdated(upstream_id, announce.epoch, announce.load))
@@ -133,9 +139,9 @@
         self._drop_forgotten(now)
         self._end_leases(now)
         effects = self._judge_mass_loss(now)
-        for record in self.records.values():
+        for record in self.restless.values():
             self._remove_if_due(record, now)
-        effects += self._show_all(self.records.values(), now)
+        effects += self._show_all(tuple(self.restless.values()), now)
         effects += self._tell_suspicions(now)
         return effects
 
@@ -147,43 +153,55 @@
         oldest = now - self.config.flap_forgotten_seconds
         forgotten = [
             name
-            for name, record in self.records.items()
+            for name, record in self.restless.items()
             if record.departure is not None and record.departed_at < oldest
         ]
         for name in forgotten:
             del self.records[name]
+            del self.restless[name]
+
+    def _expect_lease_end(self, record: UpstreamRecord) -> None:
+        # An announcement may also shorten the lease.
+        end = record.lease_end(self.config)
+        self.earliest_lease_end = min(self.earliest_lease_end, end)
 
     def _end_leases(self, now: float) -> None:
-        for record in self.records.values():
+        if now < self.earliest_lease_end:
+            return
+        self.earliest_lease_end = float("inf")
+        for name, record in self.records.items():
             if record.is_absent:
                 continue
             end = record.lease_end(self.config)
             if now < end:
+                self.earliest_lease_end = min(self.earliest_lease_end, end)
                 continue
+            self.restless[name] = record
             if record.leaving:
                 record.depart(Departure.WITHDRAWN, now)
             else:
                 record.silent_since = end
 
     def _judge_mass_loss(self, now: float) -> list[DirectoryEffect]:
-        known = [
+        uncounted = sum(record.is_uncounted for record in self.restless.values())
+        known = len(self.records) - uncounted
+        silent = [
             record
-            for record in self.records.values()
-            if record.departure is None and not record.leaving
+            for record in self.restless.values()
+            if record.silent_since is not None
         ]
-        silent = [record for record in known if record.silent_since is not None]
-        self.anyone_heard = len(silent) < len(known)
+        self.anyone_heard = len(silent) < known
         window = self.config.mass_loss_window_seconds
         together = sum(record.silent_seconds(now) <= window for record in silent)
-        most = self.config.mass_loss_share * len(known)
+        most = self.config.mass_loss_share * known
         effects: list[DirectoryEffect] = []
         if self.in_mass_loss and len(silent) <= most:
             self.in_mass_loss = False
-            effects.append(MassLossEnded(len(silent), len(known)))
+            effects.append(MassLossEnded(len(silent), known))
         elif not self.in_mass_loss and together > most:
             self.in_mass_loss = together >= self.config.mass_loss_least
             if self.in_mass_loss:
-                effects.append(MassLossBegan(len(silent), len(known)))
+                effects.append(MassLossBegan(len(silent), known))
         if self.in_mass_loss:
             for record in silent:
                 record.lost_in_mass = True
@@ -220,7 +238,7 @@
         if self.in_mass_loss:
             return []
         effects: list[DirectoryEffect] = []
-        for name, record in self.records.items():
+        for name, record in self.restless.items():
             rested = now - record.told_at >= self.config.suspicion_repeat_seconds
             if record.silent_since is not None and rested:
                 record.told_at = now
@@ -250,7 +268,12 @@
 
     def _show(self, record: UpstreamRecord, now: float) -> list[DirectoryEffect]:
         """Tell what has changed for the router since it was last told."""
+        name = record.announce.description.upstream_id
         reason = self._unavailable_reason(record, now)
+        if reason is None and record.silent_since is None:
+            self.restless.pop(name, None)
+        else:
+            self.restless[name] = record
         if reason is not None:
             return self._hide(record, reason)
         announce = record.announce
--- a/packages/core/src/cowslipshelf_core/internal/directory/record.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/record.py
@@ -73,6 +73,11 @@
         """Return whether the upstream is silent or gone."""
         return self.silent_since is not None or self.departure is not None
 
+    @property
+    def is_uncounted(self) -> bool:
+        """Return whether the upstream is no part of the fleet any more, or soon."""
+        return self.departure is not None or self.leaving
+
     def lease_end(self, config: DirectoryConfig) -> float:
         """Return the time at which the upstream counts as silent."""
         return self.heard_at + config.drop_seconds(self.announce.lease_seconds)
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/admission.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/admission.py
@@ -1,44 +1,63 @@
 """Judge hand-overs by the configuration that is in force at the sidecar."""
 
+from typing import NamedTuple, Self
+
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.errors import RefusalReason
+from cowslipshelf_core.identifiers import (
+    ConfigurationVersion,
+    CustomerName,
+    ModelName,
+    ServiceName,
+    UpstreamId,
+)
 from cowslipshelf_core.upstream import HandOver
 
 
-def configuration_objection(
-    configuration: FleetConfiguration | None, hand_over: HandOver
-) -> RefusalReason | None:
-    """Return why a hand-over may not run under the configuration in force, if so.
-
-    Only what matters to this request counts. A version that is older in some other
-    respect is served, and one that is newer than the sidecar's own was decided by an
-    entry that knows more.
-    """
-    if configuration is None:
-        return RefusalReason.NOT_READY
-    if hand_over.configuration_version > configuration.version:
-        return None
-    if hand_over.upstream_id in configuration.draining:
-        return RefusalReason.LEAVING
-    if _allows(configuration, hand_over):
-        return None
-    return RefusalReason.STALE_CONFIGURATION
-
-
-def _allows(configuration: FleetConfiguration, hand_over: HandOver) -> bool:
-    customer = next(
-        (each for each in configuration.customers if each.name == hand_over.customer),
-        None,
-    )
-    service = next(
-        (each for each in configuration.services if each.name == hand_over.service),
-        None,
-    )
-    if customer is None or service is None:
-        return False
-    if hand_over.service not in customer.services:
-        return False
-    if service.kind == "plain":
-        return True
-    known = any(model.name == hand_over.model for model in configuration.models)
-    return known and hand_over.model in service.models
+class AdmissionRules(NamedTuple):
+    """Be what a configuration says about hand-overs, made ready for looking up."""
+
+    version: ConfigurationVersion
+    draining: frozenset[UpstreamId]
+    customer_services: dict[CustomerName, frozenset[ServiceName]]
+    service_models: dict[ServiceName, frozenset[ModelName]]
+    plain_services: frozenset[ServiceName]
+
+    @classmethod
+    def from_configuration(cls, configuration: FleetConfiguration) -> Self:
+        """Take from a configuration what hand-overs are judged by."""
+        models = {model.name for model in configuration.models}
+        services = configuration.services
+        return cls(
+            configuration.version,
+            frozenset(configuration.draining),
+            {each.name: frozenset(each.services) for each in configuration.customers},
+            {
+                each.name: frozenset(models.intersection(each.models))
+                for each in services
+            },
+            frozenset(each.name for each in services if each.kind == "plain"),
+        )
+
+    def objection(self, hand_over: HandOver) -> RefusalReason | None:
+        """Return why a hand-over may not run under the configuration, if so.
+
+        Only what matters to this request counts. A version that is older in some other
+        respect is served, and one that is newer than the sidecar's own was decided by
+        an entry that knows more.
+        """
+        if hand_over.configuration_version > self.version:
+            return None
+        if hand_over.upstream_id in self.draining:
+            return RefusalReason.LEAVING
+        if self._allows(hand_over):
+            return None
+        return RefusalReason.STALE_CONFIGURATION
+
+    def _allows(self, hand_over: HandOver) -> bool:
+        service = hand_over.service
+        if service not in self.customer_services.get(hand_over.customer, ()):
+            return False
+        if service in self.plain_services:
+            return True
+        return hand_over.model in self.service_models.get(service, ())
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
@@ -6,7 +6,7 @@
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId, InstanceId
-from cowslipshelf_core.internal.sidecar.admission import configuration_objection
+from cowslipshelf_core.internal.sidecar.admission import AdmissionRules
 from cowslipshelf_core.internal.sidecar.attempt import tokens_needed
 from cowslipshelf_core.internal.sidecar.attempts import AttemptTable
 from cowslipshelf_core.internal.sidecar.config import SidecarConfig
@@ -52,7 +52,8 @@
     table: AttemptTable
     owners: OwnerLeases
     orders: OrderGate
-    configuration: FleetConfiguration | None = None
+    rules: AdmissionRules | None = None
+    """What the configuration in force says; None before the first one."""
     sequence: int = 0
     leaving: bool = False
     left: bool = False
@@ -170,7 +171,9 @@
 
     def _passing_refusal(self, hand_over: HandOver) -> Refusal | None:
         """Refuse for what may be otherwise a moment later."""
-        objection = configuration_objection(self.configuration, hand_over)
+        if self.rules is None:
+            return self._not_run(RefusalReason.NOT_READY)
+        objection = self.rules.objection(hand_over)
         if objection is not None:
             return self._not_run(objection)
         table = self.table
@@ -233,9 +236,8 @@
         return effects + [ReleaseAtUpstream(attempt_id) for attempt_id in due]
 
     def _apply(self, configuration: FleetConfiguration) -> None:
-        current = self.configuration
-        if current is None or configuration.version > current.version:
-            self.configuration = configuration
+        if self.rules is None or configuration.version > self.rules.version:
+            self.rules = AdmissionRules.from_configuration(configuration)
 
     def _tick(self, now: float) -> list[SidecarEffect]:
         self.table.memory.drop_old_inventory(now)
