--- a/packages/core/src/cowslipshelf_core/internal/__init__.py
+++ b/packages/core/src/cowslipshelf_core/internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold what only the public modules of this package import."""
+"""Keep what no other package imports directly."""
--- /dev/null
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/peer.py
@@ -0,0 +1,151 @@
+"""Own the connection of a mailbox to one peer."""
+
+from collections.abc import Callable
+from random import Random
+from threading import Lock
+from time import monotonic
+
+import pynng
+
+from cowslipshelf_core.messages import Message
+from cowslipshelf_fleet.internal.counters import CountedEvent, CounterTable
+from cowslipshelf_fleet.internal.envelope import MailboxHeartbeat
+from cowslipshelf_fleet.internal.link import (
+    CloseConnection,
+    DialAnew,
+    ForgetPeer,
+    PeerLink,
+    SendHeartbeat,
+)
+
+QUEUED_MESSAGES = 4096
+"""Far more than a burst; what may wait is bounded in bytes first."""
+LEAST_REDIAL_MILLISECONDS = 50
+MOST_REDIAL_MILLISECONDS = 1000
+
+
+class Peer:
+    """Send to one peer over a push socket that is dialled lazily.
+
+    Every call is short: nothing here waits for the network.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        link: PeerLink,
+        encode: Callable[[Message], bytes],
+        counters: CounterTable,
+    ) -> None:
+        self.address = address
+        self.link = link
+        self.encode = encode
+        self.counters = counters
+        self.lock = Lock()
+        self.socket: pynng.Push0 | None = None
+        self.forgotten = False
+
+    def send(self, data: bytes) -> None:
+        """Send encoded bytes, or count why they were dropped."""
+        now = monotonic()
+        with self.lock:
+            self.link.use(now)
+            self.dial_if_due(now)
+            if not self.link.dialled:
+                self.counters.add(CountedEvent.NOT_CONNECTED)
+                return
+            if not self.link.admits(len(data)) or not self.push(data):
+                self.counters.add(CountedEvent.NO_ROOM)
+                return
+            self.link.sent(len(data))
+            early = self.link.wants_early_heartbeat()
+            heartbeat = self.link.next_heartbeat(now, urgent=True) if early else None
+        self.counters.add_message(CountedEvent.SENT, CountedEvent.SENT_BYTES, len(data))
+        if heartbeat is not None:
+            self.send_heartbeat(heartbeat)
+
+    def send_heartbeat(self, heartbeat: MailboxHeartbeat) -> None:
+        """Send a heartbeat; a lost one is followed by another."""
+        data = self.encode(heartbeat)
+        with self.lock:
+            self.push(data)
+
+    def heard(self, message: Message) -> None:
+        """Note that the peer sent something."""
+        with self.lock:
+            self.link.heard_anything(monotonic())
+        if isinstance(message, MailboxHeartbeat):
+            self.heard_heartbeat(message)
+
+    def heard_heartbeat(self, heartbeat: MailboxHeartbeat) -> None:
+        """Note a heartbeat, and answer it where it asks for that."""
+        now = monotonic()
+        with self.lock:
+            self.link.heard(heartbeat, now)
+            self.dial_if_due(now)
+            wanted = heartbeat.urgent and self.link.dialled
+            answer = self.link.next_heartbeat(now, urgent=False) if wanted else None
+        if answer is not None:
+            self.send_heartbeat(answer)
+
+    def tick(self, random: Random) -> None:
+        """Do what is due now."""
+        now = monotonic()
+        with self.lock:
+            effects = self.link.tick(now, random)
+        for effect in effects:
+            match effect:
+                case DialAnew():
+                    with self.lock:
+                        self.dial_if_due(now)
+                case SendHeartbeat(heartbeat):
+                    self.send_heartbeat(heartbeat)
+                case CloseConnection():
+                    self.counters.add(CountedEvent.SILENT)
+                    self.close()
+                case ForgetPeer():
+                    self.counters.add(CountedEvent.IDLE)
+                    self.forgotten = True
+
+    def ask_for_answer(self) -> None:
+        """Ask for an answer at once, where bytes were sent and not answered for."""
+        with self.lock:
+            if not self.link.has_unanswered():
+                return
+            heartbeat = self.link.next_heartbeat(monotonic(), urgent=True)
+        self.send_heartbeat(heartbeat)
+
+    def has_unanswered(self) -> bool:
+        """Tell whether bytes were sent that no heartbeat has vouched for."""
+        with self.lock:
+            return self.link.has_unanswered()
+
+    def close(self) -> None:
+        """Close the socket; outside the lock, as closing waits for the library."""
+        with self.lock:
+            socket, self.socket = self.socket, None
+        if socket is not None:
+            socket.close()
+
+    def dial_if_due(self, now: float) -> None:
+        """Open the connection where there is none and its pause is over."""
+        if self.link.dialled or now < self.link.dial_at:
+            return
+        self.socket = pynng.Push0(
+            send_buffer_size=QUEUED_MESSAGES,
+            reconnect_time_min=LEAST_REDIAL_MILLISECONDS,
+            reconnect_time_max=MOST_REDIAL_MILLISECONDS,
+        )
+        self.socket.dial(f"tcp://{self.address}", block=False)
+        self.link.dial(now)
+        self.counters.add(CountedEvent.DIALLED)
+
+    def push(self, data: bytes) -> bool:
+        """Hand bytes to the socket without waiting; tell whether it took them."""
+        if self.socket is None:
+            return False
+        try:
+            self.socket.send(data, block=False)
+        except (pynng.TryAgain, pynng.Closed):
+            return False
+        return True
