Carry the load report of a choice into the hand-over, and count output tokens

Cause: a sidecar that has forgotten its first attempts refuses hand-overs that carry no load sequence, all of them, after most_spent (32,768) attempts. It could also not learn the time between tokens, since nobody told it how many there were. Change: ChosenUpstream.load_sequence from the router's last report, passed on by the request; the attempt's thread counts tokens. Seen: the property fails with the router's line taken out.

--- a/packages/core/src/cowslipshelf_core/chosen_upstream.py
+++ b/packages/core/src/cowslipshelf_core/chosen_upstream.py
@@ -17,3 +17,5 @@
     """IP:port where the sidecar takes attempts over HTTP."""
     priority: int
     """Lower is served first."""
+    load_sequence: int = 0
+    """`LoadReport.sequence` on which the choice was based; see `HandOver`."""
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -68,6 +68,7 @@
         headers=request.headers,
         body=request.body,
         delivered_tokens=state.delivery.passed_tokens,
+        load_sequence=chosen.load_sequence,
     )
 
 
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -400,6 +400,7 @@
                 view.epoch,
                 view.description.attempts_address,
                 priority,
+                view.load.sequence,
             ),
             explanation,
         )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -47,6 +47,7 @@
         self.services = services
         self.cancelled = threading.Event()
         self.last_sequence = 0
+        self.output_tokens = 0
         self.first_token_seen = False
         self.overflowed = False
 
@@ -64,7 +65,8 @@
         refusal = self.run_with_resumes()
         self.buffer.append(StreamEnd(self.last_sequence, refusal))
         whole = refusal is None
-        self.services.sidecar.tell(UpstreamFinished(self.attempt_id, whole))
+        finished = UpstreamFinished(self.attempt_id, whole, self.output_tokens)
+        self.services.sidecar.tell(finished)
 
     @property
     def attempt_id(self) -> AttemptId:
@@ -140,6 +142,7 @@
                 self.overflowed = True
                 return
             self.last_sequence = piece.sequence
+            self.output_tokens += piece.tokens
 
     def ending(self) -> Refusal | None:
         """Return why the answer ended before its end marker, if it did."""
--- /dev/null
+++ b/tests/cover/sidecar/test_dated_hand_overs.py
@@ -0,0 +1,40 @@
+"""Check that a hand-over says on which load report its upstream was chosen."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from common.requests_world import caller_request
+from common.routing import asked, available, configured, load
+from cowslipshelf_core.requests import (
+    Placed,
+    RequestConfig,
+    RequestMachine,
+    SendHandOver,
+    Started,
+)
+from cowslipshelf_core.routing import LoadUpdated, Router, RouterConfig
+
+
+@settings(max_examples=50, derandomize=True, deadline=None)
+@given(first=st.integers(1, 99), later=st.lists(st.integers(1, 99), max_size=4))
+def test_the_report_behind_a_choice_reaches_the_sidecar(first, later):
+    """Check the date by which a sidecar tells old hand-overs from new ones.
+
+    After many thousands of attempts a sidecar forgets the first. If hand-overs did not
+    carry the report they were chosen on, it could not tell a fresh one from a late copy
+    of a forgotten one, and would refuse all of them.
+    """
+    random = Random(0)
+    router = Router.from_config(RouterConfig())
+    router.handle(configured(), 0.0, random)
+    router.handle(available("runner-1", load(first)), 0.0, random)
+    for sequence in later:
+        router.handle(LoadUpdated("runner-1", "1", load(sequence)), 0.0, random)
+    answered = router.handle(asked(1), 0.0, random)[0]
+    machine = RequestMachine.from_config(caller_request(), RequestConfig())
+    machine.handle(Started(), 0.0)
+    effects = machine.handle(Placed(answered.answer), 0.0)
+    sent = [effect.hand_over for effect in effects if isinstance(effect, SendHandOver)]
+    assert [each.load_sequence for each in sent] == [max(first, *later, 0)]
