Let a revocation say on which load report its attempt was chosen

Cause: once a sidecar has forgotten an attempt that ran, it may promise "never ran" of an unknown attempt only if that was chosen later. Revocations did not say when, so after most_spent attempts every lost hand-over that may not be repeated would have ended in an unknown outcome, for as long as the sidecar lived. Change: the request passes the load sequence of its attempt; the body of a revocation is the epoch and that number. An entry that revokes for another one does not know the number, and then gets the careful answer. Not covered: that last case, since a claim does not hold the number. Seen: the new property gives the promise exactly where it is safe.

--- a/packages/core/src/cowslipshelf_core/internal/requests/effects.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/effects.py
@@ -74,6 +74,8 @@
     attempt_id: AttemptId
     epoch: Epoch
     upstream_id: UpstreamId
+    load_sequence: int = 0
+    """`HandOver.load_sequence` of the attempt; zero where it is not known."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -132,6 +132,7 @@
             chosen.attempt_id,
             chosen.epoch,
             chosen.upstream_id,
+            chosen.load_sequence,
         )
     ]
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -10,7 +10,7 @@
 from cowslipshelf_callers import AnswerWriter, CallerGoneError
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.identifiers import AttemptId, Epoch, InstanceId, UpstreamId
+from cowslipshelf_core.identifiers import AttemptId, InstanceId
 from cowslipshelf_core.messages import (
     AttemptRefused,
     ClaimGranted,
@@ -170,8 +170,8 @@
                 self.send_hand_over(address, hand_over)
             case Resume(address, attempt_id, after_sequence):
                 self.resume(address, attempt_id, after_sequence)
-            case Revoke(address, attempt_id, epoch, upstream_id):
-                self.revoke(address, attempt_id, epoch, upstream_id)
+            case Revoke():
+                self.revoke(effect)
             case Cancel(address, attempt_id):
                 self.services.attempts.cancel(address, attempt_id)
             case AskRetryBudget():
@@ -236,15 +236,16 @@
             self.open_stream(stream, attempt_id)
         self.handle(ResumeAnswered(stream is not None, attempt_id))
 
-    def revoke(
-        self, address: str, attempt_id: AttemptId, epoch: Epoch, upstream: UpstreamId
-    ) -> None:
+    def revoke(self, asked: Revoke) -> None:
         """Ask a sidecar for the promise that an attempt never runs."""
-        where = address or self.services.routing.attempts_address(upstream)
+        routing = self.services.routing
+        where = asked.address or routing.attempts_address(asked.upstream_id)
         answer = None
         if where:
-            answer = self.services.attempts.revoke(where, attempt_id, epoch)
-        self.handle(RevokeAnswered(answer, attempt_id))
+            answer = self.services.attempts.revoke(
+                where, asked.attempt_id, asked.epoch, asked.load_sequence
+            )
+        self.handle(RevokeAnswered(answer, asked.attempt_id))
 
     def ask_retry_budget(self) -> None:
         """Ask whether this process may spend a retry."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
@@ -61,11 +61,14 @@
         """Return an attempt's frames where they are still kept."""
         return self.log.find(attempt_id)
 
-    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+    def revoke(
+        self, attempt_id: AttemptId, epoch: Epoch, load_sequence: int
+    ) -> NeverRan | MayHaveRun:
         """Ask for the promise; without an answer there is none."""
         reply: SimpleQueue[NeverRan | MayHaveRun] = SimpleQueue()
         try:
-            self.sidecar.tell(RevokeAsked(RevokeArrived(attempt_id, epoch), reply))
+            event = RevokeArrived(attempt_id, epoch, load_sequence)
+            self.sidecar.tell(RevokeAsked(event, reply))
             return reply.get(timeout=ANSWER_SECONDS)
         except (ActorDeadError, Empty):
             return MayHaveRun(attempt_id, known=False)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
@@ -23,6 +23,7 @@
     CancelRequest,
     FramesRequest,
     HandOverRequest,
+    RevokeBody,
     RevokeRequest,
     attempts_tagger,
     encoder,
@@ -110,10 +111,14 @@
         return None
 
     def revoke(
-        self, address: str, attempt_id: AttemptId, epoch: Epoch
+        self,
+        address: str,
+        attempt_id: AttemptId,
+        epoch: Epoch,
+        load_sequence: int = 0,
     ) -> NeverRan | MayHaveRun | None:
         """Ask for the promise that an attempt never runs; None is no answer."""
-        body = encoder.encode(epoch)
+        body = encoder.encode(RevokeBody(epoch, load_sequence))
         try:
             response = self.ask(address, "POST", RevokeRequest(attempt_id), body)
             content = read_whole(response)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
@@ -7,7 +7,6 @@
 import msgspec
 from cheroot.server import Gateway
 
-from cowslipshelf_core.identifiers import Epoch
 from cowslipshelf_core.messages import AttemptRefused, StreamHeartbeat
 from cowslipshelf_fleet.internal.attempts_protocol import (
     CONTENT_TYPE,
@@ -24,9 +23,9 @@
     HandOverRequest,
     RevokeRequest,
     encoder,
-    epoch_decoder,
     hand_over_decoder,
     parse_request,
+    revoke_body_decoder,
     tag_is_right,
 )
 from cowslipshelf_fleet.internal.frame_buffer import FrameBuffer
@@ -67,8 +66,8 @@
                 else:
                     self.stream(buffer, after)
             case RevokeRequest(attempt_id):
-                epoch = Epoch(epoch_decoder.decode(body))
-                outcome = handler.revoke(attempt_id, epoch)
+                epoch, load_sequence = revoke_body_decoder.decode(body)
+                outcome = handler.revoke(attempt_id, epoch, load_sequence)
                 self.answer(STATUS_STREAM, encoder.encode(outcome))
             case CancelRequest(attempt_id):
                 handler.cancel(attempt_id)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
@@ -1,11 +1,12 @@
 """Define the HTTP requests by which entries reach the attempts of a sidecar."""
 
 from dataclasses import dataclass
+from typing import NamedTuple
 from urllib.parse import parse_qs, quote, unquote, urlsplit
 
 import msgspec
 
-from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.identifiers import AttemptId, Epoch
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_fleet.internal.tags import Tagger
@@ -28,7 +29,17 @@
 hand_over_decoder = msgspec.msgpack.Decoder(HandOver)
 refused_decoder = msgspec.msgpack.Decoder(AttemptRefused)
 revoked_decoder = msgspec.msgpack.Decoder(NeverRan | MayHaveRun)
-epoch_decoder = msgspec.msgpack.Decoder(str)
+
+
+class RevokeBody(NamedTuple):
+    """Say which start of the sidecar the attempt was meant for, and when."""
+
+    epoch: Epoch
+    load_sequence: int = 0
+    """`HandOver.load_sequence` of the attempt; zero where it is not known."""
+
+
+revoke_body_decoder = msgspec.msgpack.Decoder(RevokeBody)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
@@ -54,7 +54,9 @@
     def frames(self, attempt_id: AttemptId) -> FrameBuffer | None:
         """Return the frames of an attempt that is not forgotten."""
 
-    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+    def revoke(
+        self, attempt_id: AttemptId, epoch: Epoch, load_sequence: int
+    ) -> NeverRan | MayHaveRun:
         """Promise that an attempt never runs, or say that it may have run."""
 
     def cancel(self, attempt_id: AttemptId) -> None:
--- a/tests/common/fleet_attempts.py
+++ b/tests/common/fleet_attempts.py
@@ -71,6 +71,7 @@
         self.script: list[Frame] = []
         self.handed_over: list[HandOver] = []
         self.cancelled: list[AttemptId] = []
+        self.revoked_sequences: list[int] = []
         self.buffers: dict[AttemptId, FrameBuffer] = {}
 
     def hand_over(self, hand_over: HandOver) -> AttemptRefused | FrameBuffer:
@@ -92,8 +93,11 @@
         """Return the frames of a known attempt."""
         return self.buffers.get(attempt_id)
 
-    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+    def revoke(
+        self, attempt_id: AttemptId, epoch: Epoch, load_sequence: int
+    ) -> NeverRan | MayHaveRun:
         """Promise nothing for known attempts and other starts."""
+        self.revoked_sequences.append(load_sequence)
         if attempt_id in self.buffers or epoch != EPOCH:
             return MayHaveRun(attempt_id, known=epoch == EPOCH)
         return NeverRan(attempt_id)
--- a/tests/cover/fleet/test_attempts.py
+++ b/tests/cover/fleet/test_attempts.py
@@ -108,7 +108,8 @@
     assert isinstance(refused, AttemptRefused)
     assert refused.load.running == 3
     assert entry.revoke(server.address, "1", EPOCH) == MayHaveRun("1", known=True)
-    assert entry.revoke(server.address, "3", EPOCH) == NeverRan("3")
+    assert entry.revoke(server.address, "3", EPOCH, 7) == NeverRan("3")
+    assert handler.revoked_sequences == [0, 7]
     assert entry.cancel(server.address, "1")
     assert handler.cancelled == ["1"]
     assert whole_answer(entry.resume(server.address, "1", 2)) == [StreamEnd(2)]
--- a/tests/cover/sidecar/test_dated_hand_overs.py
+++ b/tests/cover/sidecar/test_dated_hand_overs.py
@@ -7,6 +7,8 @@
 
 from common.requests_world import caller_request
 from common.routing import asked, available, configured, load
+from common.sidecars import hand_over, sidecar
+from cowslipshelf_core.messages import MayHaveRun, NeverRan
 from cowslipshelf_core.requests import (
     Placed,
     RequestConfig,
@@ -15,6 +17,12 @@
     Started,
 )
 from cowslipshelf_core.routing import LoadUpdated, Router, RouterConfig
+from cowslipshelf_core.sidecar import (
+    AnswerRevoke,
+    HandOverArrived,
+    RevokeArrived,
+    UpstreamFinished,
+)
 
 
 @settings(max_examples=50, derandomize=True, deadline=None)
@@ -38,3 +46,28 @@
     effects = machine.handle(Placed(answered.answer), 0.0)
     sent = [effect.hand_over for effect in effects if isinstance(effect, SendHandOver)]
     assert [each.load_sequence for each in sent] == [max(first, *later, 0)]
+
+
+@settings(max_examples=50, derandomize=True, deadline=None)
+@given(ended=st.integers(1, 9), is_older=st.booleans())
+def test_a_lost_hand_over_can_be_revoked_however_many_attempts_have_ended(
+    ended, is_older
+):
+    """Check what a sidecar promises of an attempt it never saw, late in its life.
+
+    A payment line's hand-over is lost on the way. The sidecar has forgotten its first
+    attempts, and may promise only where it knows that this is none of them; else the
+    caller gets an unknown outcome, or, worse, the line is paid twice.
+    """
+    state = sidecar(most_spent=2)
+    lost_on = state.load_report().sequence if is_older else None
+    for number in range(ended):
+        sequence = state.load_report().sequence
+        posted = hand_over(f"attempt-{number}", load_sequence=sequence)
+        state.handle(HandOverArrived(posted), 0.0)
+        state.handle(UpstreamFinished(f"attempt-{number}", True), 0.0)
+    lost_on = lost_on or state.load_report().sequence
+    effects = state.handle(RevokeArrived("lost", "start-1", lost_on), 0.0)
+    may_promise = not is_older or ended <= 2
+    promise = NeverRan("lost") if may_promise else MayHaveRun("lost", False)
+    assert effects == [AnswerRevoke(promise)]
