Keep the long set free for long prompts that wait, where they weigh more

Cause: with a third of the upstreams lost, shorter requests took memory on the long set bit by bit as it became free, and long prompts waited over a minute. Where a service gives long prompts more weight, others now keep off the set once one has waited twenty seconds over its weight. Without the change the new test fails, as does the one on reports of an earlier start without its guard.

--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -341,6 +341,9 @@
         self, ask: WaitingAsk, drawn: list[tuple[UpstreamView, bool]], now: float
     ) -> PlacementAnswered | None:
         """Place a request on the best of the upstreams drawn, if any may take it."""
+        is_long = ask.cost.prompt_class is PromptClass.LONG
+        if not is_long and self.room.long_has_waited(queue_key(ask).group, now):
+            drawn = [(view, takes_long) for view, takes_long in drawn if not takes_long]
         left = ask.deadline_at - now
         choice = choose(self.config, drawn, ask.cost, ask.asked.excluded, left, now)
         if choice.chosen is None:
--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -67,6 +67,9 @@
     most_share: float = 0.5
     least_upstreams: int = 4
     """A smaller fleet sets none apart."""
+    patience_seconds: float = 20.0
+    """Time after which a waiting long prompt has the set to itself; for one that is
+    worth more, so much shorter."""
     short_spill_seconds: float = 0.05
     """Harm added where a short prompt takes an upstream set apart."""
     medium_spill_share: float = 0.5
--- a/packages/core/src/cowslipshelf_core/internal/routing/waiting_room.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/waiting_room.py
@@ -89,6 +89,23 @@
             given_up.append(victim)
         return given_up
 
+    def long_has_waited(self, key: GroupKey, now: float) -> bool:
+        """Return whether a long prompt has lost patience waiting for a group.
+
+        While one has, others keep off the upstreams set apart for it. A long prompt
+        needs much memory free at once; shorter ones would take it bit by bit as it
+        becomes free, and the long one would wait until its deadline. That costs the
+        shorter ones more than it brings unless the service gives long ones more weight.
+        """
+        queue = self.queues.get(QueueKey(key, PromptClass.LONG))
+        if queue is None or queue.seconds <= 0.0:
+            return False
+        patience = self.config.long_set.patience_seconds
+        return any(
+            ask.cost.worth > 1.0 and (now - ask.asked_at) * ask.cost.worth >= patience
+            for ask in queue.heads(self.config.heads_tried)
+        )
+
     def pressure(self, key: GroupKey, capacity: float) -> float:
         """Return the length of a group's fullest queue against its bound."""
         lengths = (
--- a/tests/common/routing.py
+++ b/tests/common/routing.py
@@ -54,6 +54,7 @@
     weights: dict[str, int] | None = None,
     most_concurrent: int = 10_000,
     draining: tuple[str, ...] = (),
+    long_prompt_weight: float = 1.0,
 ) -> ConfigurationApplied:
     """Build the event that a configuration is in force."""
     return ConfigurationApplied(
@@ -63,7 +64,11 @@
                 Customer(name, "", (SERVICE,), weight, most_concurrent)
                 for name, weight in (weights or {"factory": 1}).items()
             ),
-            (Service(SERVICE, "model", (MODEL,)),),
+            (
+                Service(
+                    SERVICE, "model", (MODEL,), long_prompt_weight=long_prompt_weight
+                ),
+            ),
             (Model(MODEL, "1"),),
             draining,
         )
--- a/tests/cover/routing/test_placement.py
+++ b/tests/cover/routing/test_placement.py
@@ -188,3 +188,39 @@
     assert GroupKey("assist-llm", "other") in router.fleet.groups
     answers = router.handle(asked(1, model="other"), START, random)
     assert chosen(answers) == ["upstream-7"]
+
+
+def test_a_late_report_of_an_earlier_start_is_ignored():
+    """An engine's sidecar restarts while a report of its former start is on its way.
+
+    The old report says "idle" of an engine that is full now; believing it sends
+    requests to certain refusals until the next report.
+    """
+    router, random = started(1)
+    full = load(3, running=40, decoding=40, reserved_tokens=479_999)
+    router.handle(available("upstream-0", full, epoch="2"), START, random)
+    router.handle(LoadUpdated("upstream-0", "1", load(90)), START, random)
+    assert not chosen(router.handle(asked(1), START, random))
+
+
+@pytest.mark.parametrize(("weight", "kept_free"), [(4.0, True), (1.0, False)])
+def test_a_long_prompt_that_waits_keeps_its_upstreams_free(weight, kept_free):
+    """A ledger needs nearly a whole engine's memory, and short notes keep coming.
+
+    Each note takes a little of what becomes free, and the ledger waits for ever. Where
+    long prompts weigh more, shorter ones keep off after a while.
+    """
+    router, random = started(4)
+    router.handle(configured(2, long_prompt_weight=weight), START, random)
+    for number in range(4):
+        part = load(2, reserved_tokens=200_000)
+        router.handle(LoadUpdated(f"upstream-{number}", "1", part), START, random)
+    assert not router.handle(asked(1, 400_000, deadline=120.0), START, random)
+    later = START + 6.0
+    router.handle(TickElapsed(), later, random)
+    names = set(long_set(router))
+    assert names
+    placed = set()
+    for number in range(2, 90):
+        placed.update(chosen(router.handle(asked(number), later, random)))
+    assert placed.isdisjoint(names) is kept_free
