--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -29,10 +29,13 @@
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import ChangeId, OperatorName, PlanId, RequestId
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
+from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
+from cowslipshelf_daemon.internal.entry.open_requests import OpenRequests
 from cowslipshelf_daemon.internal.entry.replica_actor import ControlStateAsked, leads
 from cowslipshelf_daemon.internal.entry.routing_actor import FleetStatus
+from cowslipshelf_fleet import Mailbox
 from cowslipshelf_operators import (
     ExplainAnswer,
     ExplainKind,
@@ -58,6 +61,9 @@
     records: RequestRecords
     gateway: ControlGateway
     replica: ActorRef | None
+    metrics: EntryMetrics
+    mailbox: Mailbox
+    open_requests: OpenRequests
 
 
 class ControlView(NamedTuple):
@@ -211,9 +217,11 @@
             return ("this entry holds no replica",)
         if view.replica.failure:
             return (f"the replica's disk failed: {view.replica.failure}",)
+        members = replica_notes(view.replica)
         if view.replica.leader is None:
-            return ("no leader is known: changes are refused until a quorum is back",)
-        return ()
+            no_leader = "no leader is known: changes are refused until a quorum is back"
+            return (no_leader, *members)
+        return members
 
     def audit(self, since_index: int, limit: int) -> tuple[AuditRecord, ...]:
         """Read the audit trail."""
@@ -273,7 +281,12 @@
 
     def metrics_text(self) -> str:
         """Write the metrics in the Prometheus text format."""
-        return ""
+        parts = self.parts
+        version = parts.in_force.index.configuration.version
+        upstreams = len(parts.status.upstreams)
+        parts.metrics.state(parts.open_requests.open, version, upstreams)
+        parts.metrics.mailbox(parts.mailbox)
+        return parts.metrics.text()
 
 
 def view_of(state: ControlState, replica: ReplicaStatus) -> ControlView:
@@ -282,6 +295,17 @@
     return ControlView(replica, state.open_orders(), version)
 
 
+def replica_notes(replica: ReplicaStatus) -> tuple[str, ...]:
+    """Tell who holds a replica, and what the local one has."""
+    membership = replica.membership
+    voters = tuple(f"voter {one.instance} {one.folder}" for one in membership.voters)
+    learners = tuple(
+        f"learner {one.instance} {one.folder}: catching up"
+        for one in membership.learners
+    )
+    return (f"log committed up to {replica.commit_index}", *voters, *learners)
+
+
 def orders_of(view: ControlView) -> tuple[Any, ...]:
     """Describe the open orders."""
     return tuple(order_status(order) for order in view.open_orders)
--- a/tests/cover/requests/test_request_machine.py
+++ b/tests/cover/requests/test_request_machine.py
@@ -13,7 +13,17 @@
     rule,
 )
 
-from common.requests_harness import LOSSES, SPOILS, UPSTREAMS, RequestsHarness, Step
+from common.requests_harness import (
+    DEFAULTS,
+    LOSSES,
+    SPOILS,
+    TIGHT,
+    UPSTREAMS,
+    RequestsHarness,
+    Step,
+)
+from common.requests_world import PermissiveClaimStore
+from cowslipshelf_core.internal.control.claims import ClaimTable
 
 MOST_REQUESTS = 4
 SMALL = st.integers(0, 3)
@@ -37,6 +47,7 @@
 
     @rule(
         target=requests,
+        config=st.sampled_from([DEFAULTS, TIGHT]),
         idempotency_key=st.sampled_from([None, "k"]),
         service_is_idempotent=st.booleans(),
         streamed=st.booleans(),
@@ -101,6 +112,7 @@
 def a_request(random: Random) -> dict:
     """Draw a request; half of them share a key."""
     return {
+        "config": random.choice([DEFAULTS, DEFAULTS, TIGHT]),
         "idempotency_key": random.choice([None, "k"]),
         "service_is_idempotent": random.random() < 0.7,
         "streamed": random.random() < 0.7,
@@ -120,7 +132,7 @@
         case 2:
             driven.dead = True
         case 3:
-            harness.time_passes(driven, random.choice([0.1, 2.0, 30.0]))
+            harness.time_passes(driven, random.choice([0.1, 2.0, 60.0]))
         case 4:
             harness.late_hand_over_arrives(random.randrange(3), 1, True)
         case _:
@@ -133,11 +145,13 @@
 def test_whatever_fails_each_caller_gets_one_true_end(seed):
     """Requests and resends of one key run through many more steps than shrink well.
 
-    The seed draws requests, faults and their order, so that runs get as far as a
-    move to a third upstream, which single draws for each step seldom reach.
+    The claims are kept by the control state itself, or by a store that lets any
+    request take a key over; neither may lead to a second run. The seed draws
+    requests, faults and their order, so that runs get as far as a move to a third
+    upstream, which single draws for each step seldom reach.
     """
     random = Random(seed)
-    harness = RequestsHarness()
+    harness = RequestsHarness(random.choice([PermissiveClaimStore, ClaimTable])())
     for _ in range(120):
         if len(harness.driven) < MOST_REQUESTS and random.random() < 0.1:
             harness.begin(**a_request(random))
