--- a/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -1,5 +1,6 @@
 """Send and receive one-way messages between the system's own processes."""
 
+import atexit
 import logging
 from collections.abc import Callable
 from random import Random, SystemRandom
@@ -19,16 +20,17 @@
 from cowslipshelf_fleet.internal.envelope import (
     Envelope,
     EnvelopeCodec,
-    MailboxPing,
-    MailboxPong,
+    MailboxHeartbeat,
     Rejected,
 )
-from cowslipshelf_fleet.internal.link import PeerLink
+from cowslipshelf_fleet.internal.link import FIRST_NUMBER_BITS, PeerLink
 from cowslipshelf_fleet.internal.peer import Peer
 
 logger = logging.getLogger(__name__)
 
 TICKS_PER_HEARTBEAT = 4
+LEAST_HEARTBEATS = 3
+"""Heartbeats that must fit into the silence deadline."""
 RECEIVED_QUEUE_MESSAGES = 256
 FLUSH_PAUSE_SECONDS = 0.005
 RECEIVE_LIMIT_FACTOR = 2
@@ -106,6 +108,16 @@
         """
         return cls(config, receive, configuration_version)
 
+    @property
+    def heartbeat_seconds(self) -> float:
+        """Return the time between heartbeats, short enough for the silence deadline.
+
+        An answer may take an interval and a round trip to be told; with only two
+        intervals to the deadline, connections that work would be closed at times.
+        """
+        longest = self.config.silence_seconds / LEAST_HEARTBEATS
+        return min(self.config.heartbeat_seconds, longest)
+
     @property
     def counters(self) -> MailboxCounters:
         """Return what was sent, received and dropped so far."""
@@ -114,6 +126,7 @@
     def start(self) -> None:
         """Listen and begin to receive; raise `pynng.AddressInUse` if that is taken."""
         self.listen()
+        atexit.register(self.stop)
         for work in (self.receive_all, self.tick_all):
             thread = Thread(target=work, name=f"mailbox-{work.__name__}", daemon=True)
             thread.start()
@@ -140,8 +153,11 @@
         """Let what was sent arrive, within a short time, and close everything.
 
         Closing a connection drops what still waits on it, and the last messages
-        matter: a sidecar that has left says so in its last one.
+        matter: a sidecar that has left says so in its last one. A process that ends
+        without stopping its mailbox stops it on exit all the same: the library
+        aborts the process where a thread still receives when it is unloaded.
         """
+        atexit.unregister(self.stop)
         self.flush()
         self.stopping.set()
         if self.listener is not None:
@@ -187,12 +203,13 @@
         """Make a peer that is dialled when the first message is sent to it."""
         now = monotonic()
         link = PeerLink(
-            heartbeat_seconds=self.config.heartbeat_seconds,
+            heartbeat_seconds=self.heartbeat_seconds,
             silence_seconds=self.config.silence_seconds,
             idle_seconds=self.config.idle_seconds,
             most_unanswered_bytes=self.config.most_unanswered_bytes,
             needed_until=now,
             asked_until=now + self.config.silence_seconds,
+            number=self.random.getrandbits(FIRST_NUMBER_BITS),
         )
         return Peer(address, link, self.encode, self.counter_table)
 
@@ -215,21 +232,24 @@
             CountedEvent.RECEIVED, CountedEvent.RECEIVED_BYTES, len(data)
         )
         message = envelope.message
-        with self.lock:
-            known = self.peers.get(envelope.sender_address)
+        known = self.peer_of_sender(envelope)
         if known is not None:
             known.heard(message)
-        match message:
-            case MailboxPing(answering=True) if known is None:
-                # Two peers with nothing to say would otherwise take turns in making
-                # each other known again, and heartbeats would go on for ever.
-                pass
-            case MailboxPing():
-                self.peer_at(envelope.sender_address).answer(message)
-            case MailboxPong():
-                pass
+        if not isinstance(message, MailboxHeartbeat):
+            self.deliver(envelope)
+
+    def peer_of_sender(self, envelope: Envelope) -> Peer | None:
+        """Return the sender as a peer; a heartbeat that wants answers makes it one.
+
+        Did others do so too, two peers with nothing to say would take turns in
+        making each other known again, and heartbeats would go on for ever.
+        """
+        match envelope.message:
+            case MailboxHeartbeat(wanted=True):
+                return self.peer_at(envelope.sender_address)
             case _:
-                self.deliver(envelope)
+                with self.lock:
+                    return self.peers.get(envelope.sender_address)
 
     def deliver(self, envelope: Envelope) -> None:
         """Call the receiver; its failure must not end the receiving thread."""
@@ -248,7 +268,7 @@
 
     def tick_all(self) -> None:
         """Keep the connections' heartbeats; the work of the timer thread."""
-        interval = self.config.heartbeat_seconds / TICKS_PER_HEARTBEAT
+        interval = self.heartbeat_seconds / TICKS_PER_HEARTBEAT
         while not self.stopping.wait(interval):
             with self.lock:
                 peers = list(self.peers.values())
