Address a restarted upstream of the long set by its new start

Cause: the set for long prompts was taken over only when its size or the other set changed, so a restarted member kept the start known before, and its sidecar refused every attempt with wrong_epoch. Found by the router's state machine once every module was loaded first; ruled out: the directory (it gives the new epoch). The new test fails before.

--- a/tests/cover/routing/test_placement.py
+++ b/tests/cover/routing/test_placement.py
@@ -224,3 +224,21 @@
     for number in range(2, 90):
         placed.update(chosen(router.handle(asked(number), later, random)))
     assert placed.isdisjoint(names) is kept_free
+
+
+def test_a_restarted_upstream_of_the_long_set_is_addressed_by_its_new_start():
+    """Long prompts fail on one upstream, again and again, since its sidecar restarted.
+
+    The sidecar refuses attempts for its former start. The set for long prompts still
+    held what was known before, since its size and the other set had not changed.
+    """
+    router, random = started(12)
+    for number in range(6):
+        router.handle(asked(number, 300_000), START, random)
+        router.handle(asked(100 + number, 20_000), START, random)
+    router.handle(TickElapsed(), START + 0.1, random)
+    (group,) = router.fleet.groups.values()
+    for epoch in ("2", "3"):
+        restarted = long_set(router)[0]
+        router.handle(available(restarted, load(2), epoch), START, random)
+        assert group.long_set[0].epoch == epoch
