--- a/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/refusal_response.py
@@ -39,6 +39,8 @@
 
 STATUSES_THAT_INVITE_A_RETRY = frozenset({429, 503})
 BAD_GATEWAY = 502
+TOO_LARGE = 413
+CONFLICT = 409
 
 TYPE_BY_STATUS = {
     401: "authentication_error",
@@ -82,12 +84,17 @@
         return status
     if status in STATUSES_THAT_INVITE_A_RETRY:
         return BAD_GATEWAY
+    if status == TOO_LARGE:
+        # Not the request is too large but its stored answer, which a resend asks for.
+        return CONFLICT
     return status
 
 
-def response_to(refusal: Refusal, request_id: RequestId) -> RefusalResponse:
-    """Write a refusal that comes in place of an answer."""
-    status = status_of(refusal)
+def response_to(
+    refusal: Refusal, request_id: RequestId, status: int | None = None
+) -> RefusalResponse:
+    """Write a refusal in place of an answer; its reason gives the status if none is."""
+    status = status or status_of(refusal)
     seconds = refusal.retry_after_seconds
     if status in STATUSES_THAT_INVITE_A_RETRY:
         seconds = max(seconds or 0.0, LEAST_RETRY_AFTER_SECONDS)
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -32,7 +32,9 @@
 WHOLE_STEP = 1.0
 
 
-def hand_over(state: RequestState, attempt: OpenAttempt, now: float) -> list:
+def hand_over(
+    state: RequestState, attempt: OpenAttempt, now: float
+) -> list[RequestEffect]:
     """Send the open attempt; from here on it may run."""
     chosen = attempt.chosen
     attempt.handed_over = True
@@ -68,6 +70,7 @@
         headers=request.headers,
         body=request.body,
         delivered_tokens=state.delivery.passed_tokens,
+        load_sequence=chosen.load_sequence,
     )
 
 
@@ -131,6 +134,7 @@
             chosen.attempt_id,
             chosen.epoch,
             chosen.upstream_id,
+            chosen.load_sequence,
         )
     ]
 
--- a/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -1,8 +1,10 @@
 """Serve HTTP for stand-ins: one thread a connection, JSON, chunked streams."""
 
 import sys
+from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from math import ceil
+from socket import create_connection
 from threading import Thread
 from typing import Any, Self
 from urllib.parse import urlsplit
@@ -13,6 +15,8 @@
 
 FAULTS_PATH = "/_faults"
 WRITE_BUFFER_BYTES = 65_536
+SHUTDOWN_POLL_SECONDS = 1.0
+"""Rare, so that idle stand-ins cost nothing."""
 MOST_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -96,16 +100,23 @@
     def read_body(self) -> bytes:
         """Return the whole body of the request."""
         if self.headers.get("Transfer-Encoding"):
-            raise BadRequestError(411, "length_required", "send a Content-Length")
-        length = int(self.headers.get("Content-Length") or 0)
+            raise self.unreadable(411, "length_required", "send a Content-Length")
+        text = self.headers.get("Content-Length", "0")
+        if not text.isdecimal():
+            raise self.unreadable(400, "bad_request", "Content-Length is no number")
+        length = int(text)
         if length > MOST_BODY_BYTES:
-            self.close_connection = True
-            raise BadRequestError(413, "too_large", "the body is too large")
+            raise self.unreadable(413, "too_large", "the body is too large")
         body = self.rfile.read(length)
         if len(body) < length:
             raise ConnectionResetError("the body was cut")
         return body
 
+    def unreadable(self, status: int, code: str, message: str) -> BadRequestError:
+        """Return the error for a body left unread; its connection can't go on."""
+        self.close_connection = True
+        return BadRequestError(status, code, message)
+
     def answer_faults(self, body: bytes) -> None:
         """Set the faults in play where a body is given, and show them."""
         if body:
@@ -139,6 +150,9 @@
         for name, value in headers:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
+        if self.close_connection:
+            # Else a client may send its next request into the closing connection.
+            self.send_header("Connection", "close")
         self.end_headers()
         if self.command != "HEAD":
             self.wfile.write(body)
@@ -177,13 +191,19 @@
 
     def start(self) -> Self:
         """Serve on a thread of its own."""
-        Thread(target=self.serve_forever, args=(0.05,), daemon=True).start()
+        arguments = (SHUTDOWN_POLL_SECONDS,)
+        Thread(target=self.serve_forever, args=arguments, daemon=True).start()
         return self
 
     def stop(self) -> None:
         """Stop listening and wake whoever a freeze holds."""
         self.switch.set(Faults())
-        self.shutdown()
+        ending = Thread(target=self.shutdown, daemon=True)
+        ending.start()
+        # A connection wakes the listener, which would else look at its next poll only.
+        with suppress(OSError):
+            create_connection(self.server_address[:2]).close()
+        ending.join()
         self.server_close()
 
     def handle_error(self, request: Any, client_address: Any) -> None:
--- a/tests/common/agreement_cluster.py
+++ b/tests/common/agreement_cluster.py
@@ -2,13 +2,12 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 from random import Random
 from typing import NamedTuple
 
 import msgspec
 
-from common.agreement_node import MemoryDisk, Node
+from common.agreement_node import Crash, CrashPoint, MemoryDisk, Node
 from cowslipshelf_core.agreement import (
     AgreementMessage,
     CommandProposed,
@@ -50,25 +49,6 @@
 DECODER = msgspec.msgpack.Decoder(AgreementMessage)
 
 
-class CrashPoint(Enum):
-    """Say when, in the handling of a batch, a process ends."""
-
-    BEFORE_SYNC = "before sync"
-    """Some of what the batch wrote is lost, and nobody has heard of any."""
-    AFTER_SYNC = "after sync"
-    """All is durable, and nobody has heard of it."""
-    AMID_EFFECTS = "amid effects"
-    """All is durable, and only the first effects were performed."""
-
-
-class Crash(NamedTuple):
-    """Say when a process ends and how much it still does."""
-
-    point: CrashPoint
-    survivors: int = 0
-    """Writes that reach the disk, or effects that are performed."""
-
-
 class InFlight(NamedTuple):
     """Be a message on its way."""
 
@@ -111,6 +91,13 @@
             cluster.restart(instance)
         return cluster
 
+    @classmethod
+    def settled(cls, size: int = 3, seed: int = 0, **settings) -> "Cluster":
+        """Start a cluster and let it be founded."""
+        cluster = cls.of_size(size, seed, **settings)
+        cluster.run_until(cluster.is_settled)
+        return cluster
+
     def new_disk(self, instance: InstanceId) -> MemoryDisk:
         self.folders += 1
         return self.make_disk(instance, f"folder-{self.folders}")
@@ -122,6 +109,7 @@
         self.proposed += 1
         proposal_id = f"proposal-{self.proposed}"
         at = self.nodes[instance].clock
+        self.nodes[instance].waiting.add(proposal_id)
         event = CommandProposed(proposal_id, proposal_id.encode(), at)
         self.step(instance, [event], crash)
         return proposal_id
@@ -140,6 +128,12 @@
         self.step(instance, [MembershipProposed(proposal_id, change, 0.0)])
         return proposal_id
 
+    def acknowledge(self) -> str:
+        """Propose a command at the leader and wait until it is acknowledged."""
+        proposal = self.propose(self.leader().instance)
+        self.run_until(lambda: proposal in self.acknowledged)
+        return proposal
+
     def transfer(self, instance: InstanceId) -> None:
         """Ask a leader to hand over."""
         self.step(instance, [TransferLeadership()])
@@ -190,6 +184,7 @@
         node.replica = Replica.from_config(self.config, stored)
         node.applied_index = 0
         node.commands = []
+        node.waiting.clear()
         if stored.snapshot is not None:
             self.install(node, stored.snapshot.state, stored.snapshot.index)
 
@@ -241,6 +236,15 @@
         ]
         return max(leaders, key=lambda n: n.replica.status().term, default=None)
 
+    def followers(self) -> list[InstanceId]:
+        """Return the instances that don't lead."""
+        leader = self.leader().instance
+        return [instance for instance in self.nodes if instance != leader]
+
+    def replica_of(self, instance: InstanceId) -> ReplicaId:
+        """Return the identity on an instance's disk."""
+        return self.nodes[instance].disk.load().replica_id
+
     def is_settled(self) -> bool:
         """Tell whether a leader has brought every replica of its membership along."""
         leader = self.leader()
@@ -324,6 +328,7 @@
                 self.step(node.instance, [SnapshotTaken(index, state)])
             case ProposalRefused(proposal_id, reason, _):
                 assert proposal_id not in self.acknowledged
+                node.waiting.discard(proposal_id)
                 self.refused[proposal_id] = reason
             case ReadConfirmed(read_id, index):
                 self.confirm_read(node, read_id, index)
@@ -346,7 +351,8 @@
         node.applied_index = index
         if entry.kind is EntryKind.COMMAND:
             node.commands.append(entry.proposal_id)
-        if node.leads and self.refused.get(entry.proposal_id) is None:
+        if entry.proposal_id in node.waiting:
+            node.waiting.remove(entry.proposal_id)
             self.acknowledged[entry.proposal_id] = index
 
     def install(self, node: Node, state: bytes, index: int) -> None:
