Refuse numbers that the log can't carry with a clear error

Cause: JSON has integers of any size, MessagePack has 64 bits; a document with a larger one was answered as a fault of this process (500), which tells an operator to look in the wrong place.

Change: documents are encoded once when they are read; what can't be kept is a 400 that says so. A property sends odd documents of every kind.

Seen: the property fails with a 500 on based_on 10**30 without the guard.

--- a/packages/operators/src/cowslipshelf_operators/internal/application.py
+++ b/packages/operators/src/cowslipshelf_operators/internal/application.py
@@ -231,10 +231,18 @@
 
 def decode_document(body: bytes, document_type: type[Asked]) -> Asked:
     """Decode a JSON document, strictly."""
+    step = "read document"
     try:
-        return msgspec.json.decode(body, type=document_type)
+        document = msgspec.json.decode(body, type=document_type)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise RequestError("read document", str(error)) from error
+        raise RequestError(step, str(error)) from error
+    try:
+        msgspec.msgpack.encode(document)
+    except (OverflowError, UnicodeEncodeError) as error:
+        # JSON has numbers of any size, the log has not; the operator would be told
+        # of a fault in this process.
+        raise RequestError(step, f"a value can't be kept: {error}") from error
+    return document
 
 
 def query_number(query: dict[str, str], name: str, default: int) -> int:
