--- a/packages/core/src/cowslipshelf_core/internal/directory/directory.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/directory.py
@@ -17,14 +17,13 @@
     DirectoryEffect,
     DirectoryEvent,
     DrainingChanged,
-    MassLossBegan,
-    MassLossEnded,
     ObserversChanged,
     SuspectArrived,
     TellEntries,
     TickElapsed,
     WithdrawArrived,
 )
+from cowslipshelf_core.internal.directory.mass_loss import MassLossJudge
 from cowslipshelf_core.internal.directory.record import (
     Departure,
     Freshness,
@@ -41,6 +40,7 @@
 
     config: DirectoryConfig
     watch: StandstillWatch
+    mass_loss: MassLossJudge
     records: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
     restless: dict[UpstreamId, UpstreamRecord] = field(default_factory=dict)
     """Upstreams that are not both heard and in use; ticks look at these only."""
@@ -48,14 +48,13 @@
     """No lease ends before this; leases are mostly prolonged before they end."""
     draining: frozenset[UpstreamId] = frozenset()
     others: frozenset[InstanceId] = frozenset()
-    in_mass_loss: bool = False
-    anyone_heard: bool = False
     next_rejoin_at: float = float("-inf")
 
     @classmethod
     def from_config(cls, config: DirectoryConfig) -> Self:
         """Start knowing no upstream."""
-        return cls(config, StandstillWatch(config.freeze_seconds))
+        watch = StandstillWatch(config.freeze_seconds)
+        return cls(config, watch, MassLossJudge(config))
 
     def handle(self, event: DirectoryEvent, now: float) -> list[DirectoryEffect]:
         """Take in one event at `now` (monotonic seconds)."""
@@ -192,37 +191,10 @@
             for record in self.restless.values()
             if record.silent_since is not None
         ]
-        self.anyone_heard = len(silent) < known
-        window = self.config.mass_loss_window_seconds
-        together = sum(record.silent_seconds(now) <= window for record in silent)
-        most = self.config.mass_loss_share * known
-        effects: list[DirectoryEffect] = []
-        if self.in_mass_loss and len(silent) <= most:
-            self.in_mass_loss = False
-            effects.append(MassLossEnded(len(silent), known))
-        elif not self.in_mass_loss and together > most:
-            self.in_mass_loss = together >= self.config.mass_loss_least
-            if self.in_mass_loss:
-                effects.append(MassLossBegan(len(silent), known))
-        if self.in_mass_loss:
-            for record in silent:
-                record.lost_in_mass = True
-        return effects
-
-    def _is_doubtful(self, record: UpstreamRecord, now: float) -> bool:
-        """Tell whether a silent upstream stays in use, as one of very many.
-
-        When the network cuts this entry off from most upstreams, or stops only their
-        announcements, dropping the silent ones would refuse callers whom the upstreams
-        could still serve, or heap all load on the few that are heard.
-        """
-        if not self.in_mass_loss or record.silent_since is None:
-            return False
-        recent = record.silent_seconds(now) < self.config.doubtful_seconds
-        return recent or not self.anyone_heard
+        return self.mass_loss.judge(silent, known, now)
 
     def _remove_if_due(self, record: UpstreamRecord, now: float) -> None:
-        if record.silent_since is None or self._is_doubtful(record, now):
+        if record.silent_since is None or self.mass_loss.is_doubtful(record, now):
             return
         lease = self.config.drop_seconds(record.announce.lease_seconds)
         if record.is_confirmed(self.config, now):
@@ -237,7 +209,7 @@
     def _tell_suspicions(self, now: float) -> list[DirectoryEffect]:
         # In a mass loss this entry is the likelier one to be cut off; its word on
         # others would only mislead those who hear them.
-        if self.in_mass_loss:
+        if self.mass_loss.ongoing:
             return []
         effects: list[DirectoryEffect] = []
         for name, record in self.restless.items():
@@ -257,7 +229,9 @@
             return UnavailableReason.LEAVING
         if record.announce.description.upstream_id in self.draining:
             return UnavailableReason.DRAINING
-        if record.silent_since is not None and not self._is_doubtful(record, now):
+        if record.silent_since is not None and not self.mass_loss.is_doubtful(
+            record, now
+        ):
             return UnavailableReason.SUSPECTED
         if now < record.held_until:
             return UnavailableReason.HELD_BACK
@@ -279,16 +253,15 @@
         if reason is not None:
             return self._hide(record, reason)
         announce = record.announce
-        shown = Shown(
-            announce.epoch, announce.description, self._is_doubtful(record, now)
-        )
+        doubtful = self.mass_loss.is_doubtful(record, now)
+        shown = Shown(announce.epoch, announce.description, doubtful)
         if record.shown == shown:
             return []
         record.shown = shown
         record.shown_reason = None
         return [
             UpstreamAvailable(
-                announce.description, announce.epoch, announce.load, shown.doubtful
+                announce.description, announce.epoch, announce.load, doubtful
             )
         ]
 
