--- a/tests/cover/routing/test_outliers.py
+++ b/tests/cover/routing/test_outliers.py
@@ -13,6 +13,7 @@
     Router,
     RouterConfig,
     TickElapsed,
+    UpstreamUnavailable,
 )
 
 OUTLIERS = RouterConfig().outliers
@@ -129,3 +130,41 @@
         router.handle(TickElapsed(), now, random)
     assert set_aside(router) == {"upstream-0"}
     assert len(stuck) < 30
+
+
+@PROPERTY
+@given(st.integers(10, 20), st.integers(3, 9))
+def test_the_cap_holds_as_peers_are_lost(upstreams, left):
+    """Two engines of ten are set aside as slow, then a data centre goes away.
+
+    With few peers left two are too many: slow engines are better than none.
+    """
+    router, random = started(upstreams)
+    slow = {"upstream-0", "upstream-1"}
+    serve(router, random, START, slow, range(60 * upstreams))
+    router.handle(TickElapsed(), START + 1.5, random)
+    assert set_aside(router) == slow
+    for number in range(left, upstreams):
+        gone = UpstreamUnavailable(f"upstream-{number}", "lease expired")
+        router.handle(gone, START + 2.0, random)
+    router.handle(TickElapsed(), START + 3.0, random)
+    assert len(set_aside(router)) == 1
+
+
+@PROPERTY
+@given(st.integers(2, 8), st.floats(20.0, 500.0))
+def test_one_late_first_token_keeps_no_requests_away(upstreams, late):
+    """An engine's very first answer comes late: it was loading a library.
+
+    If that made it look slow, no further request would go there, and there would never
+    be an answer in time that puts it right.
+    """
+    router, random = started(upstreams)
+    (answered,) = router.handle(asked(0), START, random)
+    attempt = answered.answer.attempt_id
+    router.handle(FirstTokenSeen(attempt, late), START + 1.0, random)
+    ended = AttemptEnded(attempt, AttemptOutcome.FINISHED)
+    router.handle(ended, START + 1.0, random)
+    numbers = range(1, 1 + 20 * upstreams)
+    placed = serve(router, random, START + 2.0, set(), numbers)
+    assert answered.answer.upstream_id in placed
--- a/tests/cover/routing/test_shares.py
+++ b/tests/cover/routing/test_shares.py
@@ -170,3 +170,28 @@
     assert refusals(router.handle(asked(2), later - 5.0, random))
     router.handle(TickElapsed(), later, random)
     assert chosen(router.handle(asked(3), later, random))
+
+
+@PROPERTY
+@given(st.integers(45, 200), st.integers(10_000, 20_000))
+def test_a_customer_within_its_share_is_not_shed_for_another(burst, prompt):
+    """One factory floods the queue with prompts that are each worth more a second.
+
+    By worth alone the other factory's single large request would go first, though it
+    has not had its share of engine time.
+    """
+    router = Router.from_config(RouterConfig())
+    random = Random(1)
+    router.handle(configured(weights={"factory": 1, "mill": 1}), START, random)
+    busy = load(1, running=60, decoding=1, prefill_tokens=2_000_000)
+    router.handle(available("upstream-0", busy), START, random)
+    given_up = set()
+    for number in range(burst):
+        if number == burst // 2:
+            large = asked(10_000, 90_000, "mill")
+            answers = router.handle(large, START, random)
+            given_up.update(a.ask_id for a in answers)
+        answers = router.handle(asked(number, prompt, "factory"), START, random)
+        given_up.update(a.ask_id for a in answers)
+    assert given_up
+    assert large.ask_id not in given_up
