--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.configuration import Customer, Service
 from cowslipshelf_core.directory_events import (
     LoadUpdated,
@@ -15,7 +14,6 @@
     AttemptId,
     CustomerName,
     ServiceName,
-    UpstreamId,
 )
 from cowslipshelf_core.internal.routing import outliers, refusals
 from cowslipshelf_core.internal.routing.attempts import AttemptLedger
@@ -24,30 +22,25 @@
     decode_seconds,
     prefill_seconds,
 )
+from cowslipshelf_core.internal.routing.dispatcher import (
+    Dispatcher,
+    answer_refusal,
+)
 from cowslipshelf_core.internal.routing.events import (
     ConfigurationApplied,
-    ConsideredUpstream,
     PlacementAnswered,
     PlacementAsked,
-    PlacementExplanation,
     PlacementFacts,
     PlacementWithdrawn,
     RouterEvent,
     TickElapsed,
 )
 from cowslipshelf_core.internal.routing.fair_queue import WaitingAsk
-from cowslipshelf_core.internal.routing.fleet import Fleet, Group, GroupKey, keys_of
+from cowslipshelf_core.internal.routing.fleet import Fleet, Group, GroupKey
 from cowslipshelf_core.internal.routing.placement import (
-    Candidate,
-    choose,
-    priority_of,
     sample,
 )
 from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
-from cowslipshelf_core.internal.routing.upstream_view import (
-    PlacedAttempt,
-    UpstreamView,
-)
 from cowslipshelf_core.internal.routing.waiting_room import (
     QueueKey,
     WaitingRoom,
@@ -72,6 +65,7 @@
     fleet: Fleet
     ledger: AttemptLedger
     room: WaitingRoom
+    dispatcher: Dispatcher
     customers: dict[CustomerName, Customer] = field(default_factory=dict)
     weights: dict[CustomerName, float] = field(default_factory=dict)
     services: dict[ServiceName, Service] = field(default_factory=dict)
@@ -81,7 +75,10 @@
     def from_config(cls, config: RouterConfig) -> "Router":
         """Build a router that knows no upstream yet."""
         fleet = Fleet(config)
-        return cls(config, fleet, AttemptLedger(fleet), WaitingRoom(config))
+        ledger = AttemptLedger(fleet)
+        room = WaitingRoom(config)
+        dispatcher = Dispatcher(config, fleet, ledger, room)
+        return cls(config, fleet, ledger, room, dispatcher)
 
     def handle(
         self, event: RouterEvent, now: float, random: Random
@@ -98,13 +95,13 @@
             case UpstreamAvailable(description=description):
                 self.fleet.add(event, now)
                 answers += self.after_change(now)
-                answers += self.serve_upstream(description.upstream_id, now)
+                answers += self.dispatcher.serve_upstream(description.upstream_id, now)
             case UpstreamUnavailable(upstream_id=upstream_id):
                 self.fleet.remove(upstream_id)
                 answers += self.after_change(now)
             case LoadUpdated(upstream_id=upstream_id, epoch=epoch, load=load):
                 self.fleet.take_load(upstream_id, epoch, load, now)
-                answers += self.serve_upstream(upstream_id, now)
+                answers += self.dispatcher.serve_upstream(upstream_id, now)
             case ConfigurationApplied(configuration=configuration):
                 self.fleet.apply_configuration(configuration)
                 self.read_configuration()
@@ -118,7 +115,7 @@
             case AttemptEnded(attempt_id=attempt_id, outcome=outcome):
                 ended = self.ledger.finish(attempt_id, outcome, now)
                 if ended is not None:
-                    answers += self.serve_upstream(ended.upstream_id, now)
+                    answers += self.dispatcher.serve_upstream(ended.upstream_id, now)
             case TickElapsed():
                 answers += self.tick(now, random)
         return answers
@@ -151,7 +148,7 @@
             group.measure_capacity()
             group.split()
             group.shedding.adjust(self.room.pressure(key, group.capacity), now)
-            answers += self.serve_group(key, group, now, random)
+            answers += self.dispatcher.serve_group(key, group, now, random)
             for queue in self.room.waiting_for(key):
                 answers += self.shed_overfull(queue, now)
         return answers
@@ -182,7 +179,7 @@
         queue = self.room.queue(QueueKey(key, cost.prompt_class))
         if not queue.seconds:
             drawn = sample(self.config, group, random)
-            placed = self.try_place(ask, drawn, now)
+            placed = self.dispatcher.try_place(ask, drawn, now)
             if placed is not None:
                 queue.charge_at_once(ask.customer, ask.engine_seconds, ask.weight)
                 return [placed]
@@ -290,130 +287,3 @@
         for key in list(self.room.queues):
             answers += self.shed_overfull(key, now)
         return answers
-
-    def serve_upstream(
-        self, upstream_id: UpstreamId, now: float
-    ) -> list[PlacementAnswered]:
-        """Give work that waits to an upstream that may have room now."""
-        view = self.fleet.views.get(upstream_id)
-        if view is None or not self.room.asks:
-            return []
-        answers = []
-        for key in keys_of(view.description):
-            group = self.fleet.groups[key]
-            if view not in group.members:
-                continue
-            drawn = [(view, view in group.long_set)]
-            for queue in self.room.waiting_for(key):
-                answers += self.serve_queue(queue, now, lambda drawn=drawn: drawn)
-        return answers
-
-    def serve_group(
-        self, key: GroupKey, group: Group, now: float, random: Random
-    ) -> list[PlacementAnswered]:
-        """Give work that waits to any upstream of a group."""
-        answers = []
-        for queue in self.room.waiting_for(key):
-            answers += self.serve_queue(
-                queue, now, lambda: sample(self.config, group, random)
-            )
-        return answers
-
-    def serve_queue(self, key: QueueKey, now: float, draw) -> list[PlacementAnswered]:
-        """Place requests from the heads of a queue until none can be placed."""
-        queue = self.room.queues[key]
-        answers = []
-        placed_one = True
-        while placed_one:
-            placed_one = False
-            for ask in queue.heads(self.config.heads_tried):
-                placed = self.try_place(ask, draw(), now)
-                if placed is not None:
-                    self.room.remove(ask, served=True)
-                    answers.append(placed)
-                    placed_one = True
-                    break
-        return answers
-
-    # Placing.
-
-    def try_place(
-        self, ask: WaitingAsk, drawn: list[tuple[UpstreamView, bool]], now: float
-    ) -> PlacementAnswered | None:
-        """Place a request on the best of the upstreams drawn, if any may take it."""
-        is_long = ask.cost.prompt_class is PromptClass.LONG
-        if not is_long and self.room.long_has_waited(queue_key(ask).group, now):
-            drawn = [(view, takes_long) for view, takes_long in drawn if not takes_long]
-        left = ask.deadline_at - now
-        choice = choose(self.config, drawn, ask.cost, ask.asked.excluded, left, now)
-        if choice.chosen is None:
-            return None
-        queued = now - ask.asked_at
-        self.ledger.place(self.attempt_of(ask, choice.chosen, now))
-        return self.answer_chosen(ask, choice.chosen, choice.considered, queued)
-
-    def attempt_of(
-        self, ask: WaitingAsk, chosen: Candidate, now: float
-    ) -> PlacedAttempt:
-        """Record what was placed and what was expected of it."""
-        facts = ask.cost.facts
-        prediction = chosen.prediction
-        slowness = chosen.view.slowness.factor
-        return PlacedAttempt(
-            facts.attempt_id,
-            chosen.view.description.upstream_id,
-            facts.customer,
-            ask.cost.prompt_class,
-            placed_at=now,
-            forget_at=ask.deadline_at + self.config.forgotten_after_deadline_seconds,
-            prefill_seconds=prediction.prefill_seconds / slowness,
-            prompt_tokens=facts.prompt_tokens,
-            memory_tokens=ask.cost.memory_tokens,
-            most_output_tokens=facts.most_output_tokens,
-            predicted_first_token_seconds=prediction.first_token_seconds / slowness,
-        )
-
-    def answer_chosen(
-        self,
-        ask: WaitingAsk,
-        chosen: Candidate,
-        considered: tuple[ConsideredUpstream, ...],
-        queued: float,
-    ) -> PlacementAnswered:
-        """Answer with the chosen upstream and the reasons."""
-        facts = ask.cost.facts
-        view = chosen.view
-        priority = priority_of(
-            self.config, ask.cost, chosen.prediction, queued, facts.deadline_seconds
-        )
-        upstream_id = view.description.upstream_id
-        explanation = PlacementExplanation(
-            facts.request_id,
-            facts.attempt_id,
-            upstream_id,
-            considered,
-            queued,
-            f"least predicted harm of {len(considered)} looked at",
-        )
-        return PlacementAnswered(
-            ask.asked.ask_id,
-            ChosenUpstream(
-                facts.attempt_id,
-                upstream_id,
-                view.epoch,
-                view.description.attempts_address,
-                priority,
-            ),
-            explanation,
-        )
-
-
-def answer_refusal(
-    asked: PlacementAsked, refusal: Refusal, queued: float = 0.0
-) -> PlacementAnswered:
-    """Answer with a refusal and the reasons."""
-    facts = asked.facts
-    explanation = PlacementExplanation(
-        facts.request_id, facts.attempt_id, None, (), queued, refusal.detail
-    )
-    return PlacementAnswered(asked.ask_id, refusal, explanation)
--- a/tests/cover/routing/test_placement.py
+++ b/tests/cover/routing/test_placement.py
@@ -43,6 +43,17 @@
     return router, random
 
 
+def started_with_long_demand(upstreams: int, seed: int) -> tuple[Router, Random]:
+    router, random = started(upstreams, seed)
+    for number in range(6):
+        router.handle(asked(number, 300_000), START, random)
+        router.handle(asked(100 + number, 20_000), START, random)
+    for attempt in list(router.ledger.attempts):
+        ended = AttemptEnded(attempt, AttemptOutcome.FINISHED)
+        router.handle(ended, START + 0.5, random)
+    return router, random
+
+
 def long_set(router: Router) -> list[str]:
     (group,) = router.fleet.groups.values()
     return [view.description.upstream_id for view in group.long_set]
@@ -94,13 +105,7 @@
 @PROPERTY
 @given(st.integers(8, 40), st.integers(0, 1_000))
 def test_short_prompts_keep_off_busy_upstreams_for_long_ones(upstreams, seed):
-    router, random = started(upstreams, seed)
-    for number in range(6):
-        router.handle(asked(number, 300_000), START, random)
-        router.handle(asked(100 + number, 20_000), START, random)
-    for attempt in list(router.ledger.attempts):
-        ended = AttemptEnded(attempt, AttemptOutcome.FINISHED)
-        router.handle(ended, START + 0.5, random)
+    router, random = started_with_long_demand(upstreams, seed)
     router.handle(TickElapsed(), START + 1.0, random)
     names = long_set(router)
     assert names
@@ -114,6 +119,20 @@
     assert not set(placed) & set(names)
 
 
+@PROPERTY
+@given(st.integers(8, 40), st.integers(0, 1_000))
+def test_short_prompts_leave_idle_upstreams_for_long_ones_idle(upstreams, seed):
+    router, random = started_with_long_demand(upstreams, seed)
+    for turn in range(40):
+        now = START + 20.0 + turn
+        router.handle(TickElapsed(), now, random)
+        (answered,) = router.handle(asked(1_000 + turn), now, random)
+        assert answered.answer.upstream_id not in long_set(router)
+        attempt = answered.answer.attempt_id
+        ended = AttemptEnded(attempt, AttemptOutcome.FINISHED)
+        router.handle(ended, now, random)
+
+
 @PROPERTY
 @given(st.integers(1, 12), st.integers(0, 1_000))
 def test_a_sidecar_that_refuses_has_the_last_word(upstreams, seed):
@@ -179,7 +198,7 @@
     placed = Counter()
     for number in range(40):
         placed.update(chosen(router.handle(asked(number), later, random)))
-    assert placed["upstream-9"] <= 16
+    assert placed["upstream-9"] <= 6
 
 
 def test_groups_know_models():
