--- a/packages/core/src/cowslipshelf_core/internal/routing/dispatcher.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/dispatcher.py
@@ -158,6 +158,7 @@
                 view.epoch,
                 view.description.attempts_address,
                 priority,
+                view.load.sequence,
             ),
             explanation,
         )
--- a/tests/common/fleet_attempts.py
+++ b/tests/common/fleet_attempts.py
@@ -14,6 +14,7 @@
     StreamChunk,
     StreamEnd,
     StreamHead,
+    StreamHeartbeat,
 )
 from cowslipshelf_core.upstream import HandOver, LoadReport
 from cowslipshelf_fleet import (
@@ -21,7 +22,9 @@
     AttemptsClientConfig,
     AttemptsServer,
     AttemptsServerConfig,
+    AttemptStream,
     FrameBuffer,
+    StreamLostError,
 )
 
 CLUSTER_KEY = b"cluster key"
@@ -71,6 +74,7 @@
         self.script: list[Frame] = []
         self.handed_over: list[HandOver] = []
         self.cancelled: list[AttemptId] = []
+        self.revoked_sequences: list[int] = []
         self.buffers: dict[AttemptId, FrameBuffer] = {}
 
     def hand_over(self, hand_over: HandOver) -> AttemptRefused | FrameBuffer:
@@ -92,8 +96,11 @@
         """Return the frames of a known attempt."""
         return self.buffers.get(attempt_id)
 
-    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+    def revoke(
+        self, attempt_id: AttemptId, epoch: Epoch, load_sequence: int
+    ) -> NeverRan | MayHaveRun:
         """Promise nothing for known attempts and other starts."""
+        self.revoked_sequences.append(load_sequence)
         if attempt_id in self.buffers or epoch != EPOCH:
             return MayHaveRun(attempt_id, known=epoch == EPOCH)
         return NeverRan(attempt_id)
@@ -126,3 +133,27 @@
     return AttemptsClient.from_config(
         AttemptsClientConfig(PATIENT_SECONDS, silence_seconds, cluster_key)
     )
+
+
+def read_until_lost(stream: AttemptStream, frames: list[Frame]) -> bool:
+    """Collect frames, heartbeats left out; tell whether the stream was lost."""
+    try:
+        for frame in stream:
+            if not isinstance(frame, StreamHeartbeat):
+                frames.append(frame)
+    except StreamLostError:
+        return True
+    return False
+
+
+def whole_answer(outcome: object) -> list[Frame]:
+    """Return the frames of a stream that must not be lost."""
+    assert isinstance(outcome, AttemptStream)
+    frames: list[Frame] = []
+    assert not read_until_lost(outcome, frames)
+    return frames
+
+
+def chunks(frames: list[Frame]) -> list[StreamChunk]:
+    """Return the frames that carry the answer."""
+    return [frame for frame in frames if isinstance(frame, StreamChunk)]
