Serve a replica that returns, or lost a message, at once

Cause: a leader that had sent entries or a chunk to a replica that was away waited for the next retry, up to an election timeout after the replica was back; one lost message took as long to be noticed. A heartbeat now names the last index sent and is refused where entries before it got lost, and the first word after three silent heartbeats makes the leader send again.

Ruled out: shorter retries, which would repeat chunks to a replica with a slow disk.

Both tests were seen to fail without their half of the change.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
@@ -282,6 +282,7 @@
         if leadership is None or peer not in leadership.peers:
             return
         progress = leadership.peers[peer]
+        returned = replication.was_silent(self.state, progress)
         progress.heard_at = self.state.now
         progress.read_round = max(progress.read_round, message.read_round)
         match message:
@@ -291,3 +292,7 @@
                 replication.append_refused(self.state, peer, message)
             case SnapshotReceived():
                 snapshots.snapshot_received(self.state, peer, message)
+        # What was sent while the replica was away is lost; without this, it would
+        # wait for the next retry, which may have gone out just before its return.
+        if returned:
+            replication.resend(self.state, peer, progress)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/replication.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replication.py
@@ -11,6 +11,8 @@
 from cowslipshelf_core.internal.agreement.snapshots import send_chunk, start_snapshot
 from cowslipshelf_core.internal.agreement.state import ReplicaState
 
+SILENT_HEARTBEATS = 3
+
 
 def flush(state: ReplicaState) -> None:
     """Send every replica what its window allows; one call serves a whole batch."""
@@ -101,22 +103,35 @@
 def heartbeat_index(state: ReplicaState, progress: PeerProgress) -> int:
     """Return the previous index that a heartbeat names.
 
-    A replica that is probed is asked about the next candidate for a common
-    entry; any other accepts what it has confirmed. Index zero is accepted always
-    and stands in where the confirmed entry is compacted away.
+    It is the last one sent, so that the heartbeat is refused where entries before
+    it got lost. While a snapshot is sent, it is the last one confirmed; index zero
+    is accepted always and stands in where that is compacted away.
     """
-    candidate = progress.match_index
-    if progress.probing and progress.snapshot is None:
-        candidate = progress.next_index - 1
+    candidate = progress.next_index - 1
+    if progress.snapshot is not None:
+        candidate = progress.match_index
     return candidate if state.log.term_at(candidate) is not None else 0
 
 
+def was_silent(state: ReplicaState, progress: PeerProgress) -> bool:
+    """Tell whether a replica has left several heartbeats without an answer."""
+    if progress.heard_at is None:
+        return False
+    silence = state.now - progress.heard_at
+    return silence > SILENT_HEARTBEATS * state.config.heartbeat_seconds
+
+
 def retry_if_stalled(
     state: ReplicaState, peer: ReplicaId, progress: PeerProgress
 ) -> None:
     """Send again what has not been answered for an election timeout."""
-    waiting = progress.snapshot is not None or progress.in_flight
-    if not waiting or state.now - progress.moved_at < state.config.election_seconds:
+    if state.now - progress.moved_at >= state.config.election_seconds:
+        resend(state, peer, progress)
+
+
+def resend(state: ReplicaState, peer: ReplicaId, progress: PeerProgress) -> None:
+    """Send again what has not been answered."""
+    if progress.snapshot is None and not progress.in_flight:
         return
     progress.moved_at = state.now
     if progress.snapshot is not None:
--- a/tests/cover/agreement/test_catching_up.py
+++ b/tests/cover/agreement/test_catching_up.py
@@ -68,6 +68,24 @@
     assert sent <= 2 * len(chunks)
 
 
+@pytest.mark.parametrize("snapshot_after", [20, 10_000])
+@pytest.mark.parametrize("away_rounds", range(20, 30))
+def test_a_restarted_replica_is_served_at_once(snapshot_after, away_rounds):
+    """Each planned restart leaves a replica behind for half a second.
+
+    The leader has retried just before the replica came back, and has entries or a
+    chunk under way that it takes for unanswered rather than lost.
+    """
+    cluster = Cluster.settled(snapshot_after_entries=snapshot_after, entries_kept=0)
+    away = cluster.followers()[0]
+    cluster.crash(away)
+    propose_many(cluster, 50)
+    cluster.run(away_rounds)
+    cluster.restart(away)
+    cluster.run(7)
+    assert len(cluster.nodes[away].commands) == 50
+
+
 def test_the_log_in_memory_is_bounded_by_snapshots():
     """A daemon's memory grows with every change until it is killed."""
     cluster = Cluster.settled(snapshot_after_entries=20, entries_kept=5)
@@ -127,6 +145,19 @@
     assert sent <= 2 * BURST
 
 
+def test_a_lost_message_is_noticed_by_the_next_heartbeat():
+    """One replica answers reads and applies changes half a second late.
+
+    The only message with a change gets lost on the way to it; no other follows.
+    """
+    cluster = Cluster.settled()
+    target = cluster.followers()[0]
+    proposal = cluster.propose(cluster.leader().instance)
+    cluster.network = [m for m in cluster.network if m.recipient != target]
+    cluster.run(6)
+    assert cluster.nodes[target].commands == [proposal]
+
+
 def test_a_heartbeat_is_small():
     """Control traffic of idle replicas eats the budget of a daemon."""
     cluster = Cluster.settled()
