--- a/tests/cover/cli/test_load_sending.py
+++ b/tests/cover/cli/test_load_sending.py
@@ -11,10 +11,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cowslipshelf_cli.internal.load.open_loop import Pace, run_open_loop
-from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
-from cowslipshelf_cli.internal.load.sending import Sender, SenderConfig
-from cowslipshelf_cli.internal.load.shape import Arrival
+from common.steady import STEADY
+from cowslipshelf_cli.load import (
+    Arrival,
+    Ending,
+    Outcome,
+    Pace,
+    Sender,
+    SenderConfig,
+    run_open_loop,
+)
 
 KEY = "a-key-of-a-customer"
 TOKEN = b'data: {"choices": [{"text": "x"}]}\n\n'
@@ -34,6 +40,7 @@
         self.seconds += seconds
 
 
+@STEADY
 @given(st.lists(st.floats(0, 100), max_size=20), st.integers(1, 5))
 def test_slow_answers_never_delay_later_arrivals(times, most_concurrent) -> None:
     """A load test says that all is well while callers wait.
