--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -184,10 +184,10 @@
     parser.add_argument("--processes", type=int, default=4)
     parser.add_argument("--out", type=Path)
     arguments = parser.parse_args()
-    todo = jobs(arguments.seeds, arguments.seconds)
+    planned = jobs(arguments.seeds, arguments.seconds)
     cells: dict[Cell, list[Figures]] = {}
     with ProcessPoolExecutor(arguments.processes) as pool:
-        for job, result in zip(todo, pool.map(measure, todo), strict=True):
+        for job, result in zip(planned, pool.map(measure, planned), strict=True):
             cells.setdefault(job.cell, []).append(result)
     cells = dict(sorted(cells.items()))
     print(aims(cells))
--- a/benchmarks/policy_baselines.py
+++ b/benchmarks/policy_baselines.py
@@ -1,5 +1,6 @@
 """Replace only the choice of the upstream, by what other routers do."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 from random import Random
 
@@ -20,18 +21,18 @@
 
 
 @dataclass
-class Baseline:
+class Baseline(ABC):
     """Know the upstreams and what this entry has outstanding at each."""
 
     upstreams: dict[UpstreamId, UpstreamAvailable] = field(default_factory=dict)
     outstanding: dict[AttemptId, UpstreamId] = field(default_factory=dict)
     turn: int = 0
 
+    @abstractmethod
     def pick(
         self, candidates: list[UpstreamAvailable], random: Random
     ) -> UpstreamAvailable:
         """Choose one of the candidates."""
-        raise NotImplementedError
 
     def handle(
         self, event: RouterEvent, now: float, random: Random
--- a/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -1,6 +1,7 @@
 """Serve HTTP for stand-ins: one thread a connection, JSON, chunked streams."""
 
 import sys
+from abc import ABC, abstractmethod
 from contextlib import suppress
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from math import ceil
@@ -46,7 +47,7 @@
         self.retry_after = retry_after
 
 
-class StandInHandler(BaseHTTPRequestHandler):
+class StandInHandler(BaseHTTPRequestHandler, ABC):
     """Read one request after another and hand each to `respond`."""
 
     protocol_version = "HTTP/1.1"
@@ -93,9 +94,9 @@
         """Return the query text without its question mark."""
         return urlsplit(self.path).query
 
+    @abstractmethod
     def respond(self, body: bytes) -> None:
         """Answer a request that no fault has stopped."""
-        raise NotImplementedError
 
     def read_body(self) -> bytes:
         """Return the whole body of the request."""
