Never call a resend not run while nobody can tell who holds its key

A request under an idempotency key ran, and the replicas then lost their quorum. The caller's resend could not have its claim committed and was refused with "not run": true of the resend itself, but its caller reads that the payment was never made, and may send it under a new key. The fault matrix shows it in six rows, "leader isolated and later back" at handed over, accepted by the engine, first token, mid-stream, last token and answer stored.

Ruled out: keeping "not run" for first requests, since an entry that has no answer to its claim can't tell them from resends. The code is now "outcome unknown" while the claim is being asked for; once the claim was granted, the code says what is known as before. Sending again under the same key stays safe.

Before: these six rows failed ("main-1 was told not run, but main-0 ran"). After: they hold, and the tests of requests pass unchanged. A refusal of the router, which comes before the claim is asked, still says "not run" to a resend.

--- a/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
@@ -192,12 +192,17 @@
 def claim_unavailable(
     state: RequestState, event: ClaimUnavailable
 ) -> list[RequestEffect]:
-    """Refuse with "not run" where the claim could not be committed in time.
-
-    This is true although the command may yet be committed: only this request would
-    hand over under its attempt, it does so only after the grant, and it ends here. A
-    later resend is a request of its own; it finds the claim of an attempt that no
-    sidecar has seen, has it revoked and runs under a new one.
+    """Refuse at once where the claim could not be committed in time.
+
+    This request never runs, although the command may yet be committed: only it would
+    hand over under its attempt, it does so only after the grant, and it ends here. But
+    while nobody has told who holds the key, it may be a resend of a request that ran,
+    and "not run" would tell its caller that the payment was never made. Its code is
+    then "outcome unknown"; sending again under the key stays safe. A later resend
+    finds the claim of an attempt that no sidecar has seen, and has it revoked.
     """
-    refusal = event.refusal._replace(code=state.code())
+    code = state.code()
+    if state.phase is Phase.CLAIMING:
+        code = RefusalCode.OUTCOME_UNKNOWN
+    refusal = event.refusal._replace(code=code)
     return refuse(state, refusal, AttemptOutcome.NEVER_RAN)
