Add the fault matrix: every fault at every step, on the deciders

The promises were tested one by one; nothing showed that each holds whatever fails at whichever step. The deciders of entries, sidecars and replicas now run joined by queues in memory, with a counted time, in the order of effects that the daemon has. A scenario outline for each fault tells its story and brings it about at each step; a table of rows tried, held and failed is printed at the end.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/python -m pytest -n 6 tests
+	PYTHONPATH=tests:examples $(BIN)/python -m behave --no-capture -f progress features
 
 format: $(VENV)/installed
 	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/tests/common/matrix_entry.py
@@ -0,0 +1,392 @@
+"""Drive callers' requests at an entry, as the daemon's driver does."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from common.matrix_fleet import Control, Sidecar
+from common.matrix_timeline import Process, Timeline
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.messages import (
+    ClaimGranted,
+    ClaimHeld,
+    ClaimRefused,
+    Frame,
+    StreamChunk,
+    StreamEnd,
+    StreamHeartbeat,
+)
+from cowslipshelf_core.requests import (
+    AnswerChunk,
+    AnswerEnd,
+    AnswerHead,
+    AnswerRefusal,
+    AskClaim,
+    AskRetryBudget,
+    CallerRequest,
+    Cancel,
+    ChoosePlacement,
+    ChosenUpstream,
+    ClaimAnswered,
+    ClaimUnavailable,
+    DeadlinePassed,
+    FinishClaim,
+    FrameArrived,
+    HandOverAnswered,
+    HandOverLost,
+    MoveClaim,
+    Placed,
+    PlacementRefused,
+    RequestConfig,
+    RequestMachine,
+    Resume,
+    ResumeAnswered,
+    RetryAnswered,
+    Revoke,
+    RevokeAnswered,
+    SendHandOver,
+    Started,
+    StreamLost,
+    Wait,
+    WaitElapsed,
+)
+from cowslipshelf_core.sidecar import CancelArrived, OwnerSeen
+
+CALL_SECONDS = 2.0
+"""Silence after which a call or a stream is given up."""
+MOST_CLAIM_SECONDS = 10.0
+LEASE_SECONDS = 3.0
+NO_UPSTREAM = Refusal(RefusalCode.NOT_RUN, RefusalReason.NO_UPSTREAM, "place")
+
+
+@dataclass
+class Connection:
+    """Carry an attempt's frames in order; once silent, it stays silent and open."""
+
+    run: "Run"
+    attempt_id: str
+    silent: bool = False
+    closed: bool = False
+    ended: bool = False
+    sent: int = 0
+    taken: int = 0
+    early: dict[int, Frame] = field(default_factory=dict)
+
+    def carry(self, frame: Frame) -> None:
+        if self.silent or self.closed or self.ended:
+            return
+        self.ended = isinstance(frame, StreamEnd)
+        self.sent += 1
+        run, number = self.run, self.sent
+        run.entry.to_self(run.start, lambda: self.arrive(number, frame))
+
+    def arrive(self, number: int, frame: Frame) -> None:
+        """Keep the order; a copy goes on to the machine, which must drop it."""
+        if number <= self.taken:
+            self.run.receive(self, frame)
+            return
+        self.early[number] = frame
+        self.run.take_early(self)
+
+    def cut(self) -> None:
+        run = self.run
+        run.entry.to_self(run.start, lambda: run.lose_stream(self))
+
+
+@dataclass
+class Entry:
+    """Be one entry instance: what it knows of upstreams, and its requests."""
+
+    timeline: Timeline
+    process: Process
+    sidecars: dict[str, Sidecar]
+    control: Control
+    is_alive: Callable[[str], bool]
+    """Tell whether an entry is known to be alive."""
+    known: dict[str, tuple[float, str, bool]] = field(default_factory=dict)
+    attempts: int = 0
+
+    def boot(self) -> None:
+        self.process.alive = True
+        self.known.clear()
+        self.tick()
+
+    def hear(self, name: str, epoch: str, leaving: bool) -> None:
+        self.known[name] = (self.timeline.now, epoch, leaving)
+
+    def tick(self) -> None:
+        owner = OwnerSeen(self.process.name)
+        for sidecar in self.sidecars.values():
+            self.timeline.send(
+                sidecar.process, lambda sidecar=sidecar: sidecar.decide(owner)
+            )
+        self.timeline.timer(self.process, 1.0, self.tick)
+
+    def to_self(self, start: int, action: Callable) -> None:
+        """Let something reach this start of the process over the network."""
+
+        def arrive() -> None:
+            if self.process.start == start:
+                action()
+
+        self.timeline.send(self.process, arrive)
+
+    def choose(self, excluded: frozenset[str]) -> Placed | PlacementRefused:
+        for name, (heard_at, epoch, leaving) in sorted(self.known.items()):
+            fresh = self.timeline.now - heard_at < LEASE_SECONDS
+            if fresh and not leaving and name not in excluded:
+                self.attempts += 1
+                attempt_id = f"{self.process.name}-{self.process.start}-{self.attempts}"
+                return Placed(ChosenUpstream(attempt_id, name, epoch, name, 0))
+        return PlacementRefused(NO_UPSTREAM)
+
+
+class Run:
+    """Own one request: its machine, its connection, and what its caller has seen."""
+
+    def __init__(self, entry: Entry, request: CallerRequest, reached: Callable) -> None:
+        self.entry = entry
+        self.timeline = entry.timeline
+        self.start = entry.process.start
+        self.request = request
+        self.machine = RequestMachine.from_config(request, RequestConfig())
+        self.reached = reached
+        self.effects: deque = deque()
+        self.arrived: deque = deque()
+        self.connection: Connection | None = None
+        self.heard_at = 0.0
+        self.calls = 0
+        self.waiting = False
+        self.events: list = []
+        self.answer: list[bytes] = []
+        self.finals: list[tuple[float, object]] = []
+        self.deadline = self.timeline.now + request.deadline_seconds
+
+    def begin(self) -> None:
+        self.handle(Started())
+        self.reached("admitted", self.request)
+        self.timeline.timer(
+            self.entry.process, self.request.deadline_seconds, self.look_at_deadline
+        )
+        self.watch()
+        self.go()
+
+    def handle(self, event) -> None:
+        self.events.append(event)
+        self.effects.extend(self.machine.handle(event, self.timeline.now))
+
+    def go(self) -> None:
+        while not self.waiting:
+            if self.effects:
+                self.perform(self.effects.popleft())
+            elif self.machine.has_ended():
+                self.close()
+                return
+            elif self.connection is not None and self.arrived:
+                self.read(self.arrived.popleft())
+            else:
+                return
+
+    def look_at_deadline(self) -> None:
+        if not self.waiting and not self.machine.has_ended():
+            self.handle(DeadlinePassed())
+            self.go()
+
+    def ask(
+        self, seconds: float, lost, question: Callable, local: bool = False
+    ) -> None:
+        """Wait for one answer, or for the call's limit.
+
+        What comes after the limit, or twice, still reaches the machine, which is
+        more than the daemon's connections would let through.
+        """
+        self.calls += 1
+        call = self.calls
+        self.waiting = True
+
+        def answer(event, connection: Connection | None = None) -> None:
+            current = self.waiting and call == self.calls
+            if current:
+                self.waiting = False
+                if connection is not None:
+                    self.connection = connection
+                    self.heard_at = self.timeline.now
+            elif event is lost:
+                return
+            if event is not None:
+                self.handle(event)
+            if connection is not None:
+                self.take_early(connection)
+            self.go()
+
+        def bring(*args) -> None:
+            if local:
+                self.timeline.timer(self.entry.process, 0.0, lambda: answer(*args))
+            else:
+                self.entry.to_self(self.start, lambda: answer(*args))
+
+        question(bring)
+        self.timeline.timer(self.entry.process, seconds, lambda: answer(lost))
+
+    def call(self, upstream: str, lost, refused, ask: Callable) -> None:
+        """Ask a sidecar."""
+        sidecar = self.entry.sidecars[upstream]
+
+        def question(answer: Callable) -> None:
+            self.timeline.send(
+                sidecar.process,
+                lambda: ask(sidecar, answer),
+                lambda: answer(refused),
+            )
+
+        self.ask(CALL_SECONDS, lost, question)
+
+    def perform(self, effect) -> None:
+        match effect:
+            case ChoosePlacement(excluded=excluded):
+                self.ask(
+                    CALL_SECONDS,
+                    PlacementRefused(NO_UPSTREAM),
+                    lambda answer: answer(self.entry.choose(excluded)),
+                    local=True,
+                )
+            case AskClaim(claim) | MoveClaim(claim):
+                self.ask_control(claim, MOST_CLAIM_SECONDS)
+            case FinishClaim(claim, wait_seconds):
+                self.ask_control(claim, wait_seconds)
+            case SendHandOver(upstream, hand_over):
+                self.close()
+                self.send_hand_over(upstream, hand_over)
+            case Resume(upstream, attempt_id, after):
+                self.close()
+                self.resume(upstream, attempt_id, after)
+            case Revoke(_, attempt_id, epoch, upstream):
+                lost = RevokeAnswered(None, attempt_id)
+                self.call(
+                    upstream,
+                    lost,
+                    lost,
+                    lambda sidecar, answer: answer(
+                        RevokeAnswered(sidecar.revoke(attempt_id, epoch), attempt_id)
+                    ),
+                )
+            case Cancel(upstream, attempt_id):
+                sidecar = self.entry.sidecars[upstream]
+                cancel = CancelArrived(attempt_id)
+                self.timeline.send(sidecar.process, lambda: sidecar.decide(cancel))
+            case AskRetryBudget():
+                self.handle(RetryAnswered(True, 0.5))
+            case Wait(seconds):
+                self.ask(max(0.001, seconds), WaitElapsed(), lambda _: None)
+            case AnswerHead():
+                assert not self.answer
+            case AnswerChunk(data):
+                self.answer.append(data)
+            case AnswerEnd() | AnswerRefusal():
+                self.finals.append((self.timeline.now, effect))
+
+    def ask_control(self, claim, most_seconds: float) -> None:
+        """Put a claim to the state; the end of a request waits for no event."""
+        patience = max(0.0, min(most_seconds, self.deadline - self.timeline.now))
+
+        def event_of(outcome):
+            if isinstance(claim, FinishClaim) or self.machine.has_ended():
+                return None
+            match outcome:
+                case ClaimHeld(owner=owner):
+                    return ClaimAnswered(outcome, not self.entry.is_alive(owner))
+                case ClaimGranted() | ClaimRefused():
+                    return ClaimAnswered(outcome)
+                case Refusal():
+                    return ClaimUnavailable(outcome)
+
+        unknown = Refusal(
+            RefusalCode.OUTCOME_UNKNOWN, RefusalReason.NO_QUORUM, "control"
+        )
+        self.ask(
+            patience + 1.0,
+            event_of(unknown),
+            lambda answer: self.entry.control.ask(
+                claim, patience, lambda outcome: answer(event_of(outcome))
+            ),
+        )
+
+    def send_hand_over(self, upstream: str, hand_over) -> None:
+        attempt_id = hand_over.attempt_id
+
+        def take(sidecar: Sidecar, answer: Callable) -> None:
+            refused = sidecar.hand_over(hand_over)
+            connection = Connection(self, attempt_id) if refused is None else None
+            answer(HandOverAnswered(refused, attempt_id), connection)
+            if connection is not None:
+                sidecar.open_stream(connection, 0)
+
+        self.call(
+            upstream,
+            HandOverLost(True, attempt_id),
+            HandOverLost(False, attempt_id),
+            take,
+        )
+
+    def resume(self, upstream: str, attempt_id: str, after: int) -> None:
+        lost = ResumeAnswered(False, attempt_id)
+
+        def take(sidecar: Sidecar, answer: Callable) -> None:
+            if attempt_id not in sidecar.frames:
+                answer(lost)
+                return
+            connection = Connection(self, attempt_id)
+            answer(ResumeAnswered(True, attempt_id), connection)
+            sidecar.open_stream(connection, after)
+
+        self.call(upstream, lost, lost, take)
+
+    def take_early(self, connection: Connection) -> None:
+        """Take what has come in order; before the answer itself, nothing has."""
+        if connection is not self.connection:
+            return
+        while connection.taken + 1 in connection.early:
+            connection.taken += 1
+            self.receive(connection, connection.early.pop(connection.taken))
+
+    def receive(self, connection: Connection, frame: Frame) -> None:
+        if connection is not self.connection:
+            return
+        self.heard_at = self.timeline.now
+        self.arrived.append(frame)
+        self.go()
+
+    def read(self, frame: Frame) -> None:
+        attempt_id = self.connection.attempt_id
+        if self.timeline.now >= self.deadline:
+            self.handle(DeadlinePassed())
+            return
+        if isinstance(frame, StreamHeartbeat):
+            return
+        if isinstance(frame, StreamEnd):
+            self.close()
+        self.handle(FrameArrived(frame, attempt_id))
+        if isinstance(frame, StreamChunk) and frame.tokens:
+            step = "first token" if frame.sequence <= 2 else "mid-stream"
+            self.reached(step, self.request)
+
+    def watch(self) -> None:
+        """Notice a silent stream, which heartbeats would keep alive."""
+        silent = self.timeline.now - self.heard_at >= CALL_SECONDS
+        if silent and self.connection is not None and not self.waiting:
+            self.lose_stream(self.connection)
+        if not self.machine.has_ended():
+            self.timeline.timer(self.entry.process, 0.25, self.watch)
+
+    def lose_stream(self, connection: Connection) -> None:
+        if connection is self.connection and not self.machine.has_ended():
+            attempt_id = connection.attempt_id
+            self.close()
+            self.handle(StreamLost(attempt_id))
+            self.go()
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.closed = True
+        self.connection = None
+        self.arrived.clear()
--- /dev/null
+++ b/tests/common/matrix_fleet.py
@@ -0,0 +1,397 @@
+"""Join engines, sidecars and the control state, as the daemon's actors join them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from common.matrix_timeline import LATENCY_SECONDS, Process, Timeline
+from common.sidecars import configuration, description
+from cowslipshelf_core.control import ControlState, decode_command, encode_command
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.identifiers import AttemptId, Epoch
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    Frame,
+    MayHaveRun,
+    NeverRan,
+    StreamChunk,
+    StreamEnd,
+    StreamHead,
+    StreamHeartbeat,
+)
+from cowslipshelf_core.sidecar import (
+    AnswerRevoke,
+    CancelAtUpstream,
+    EndAttempt,
+    FirstTokenArrived,
+    ForgetAttempt,
+    HandOverArrived,
+    HeldMemory,
+    InventoryRead,
+    LeavingBegun,
+    OwnerSeen,
+    RefuseAttempt,
+    ReleaseAtUpstream,
+    RevokeArrived,
+    SidecarConfig,
+    SidecarState,
+    StartAttempt,
+    TickElapsed,
+    UpstreamAccepted,
+    UpstreamFinished,
+)
+from cowslipshelf_core.sidecar import ConfigurationApplied as InForce
+from cowslipshelf_core.upstream import HandOver
+
+PIECE_SECONDS = 0.1
+TICK_SECONDS = 0.25
+ENGINE_SILENCE_SECONDS = 4.0
+MOST_ENGINE_RESUMES = 3
+TOKENS = 5
+HEAD = StreamHead(200, ())
+CLAIM_RETRY_SECONDS = 0.2
+
+
+def pieces_of(body: bytes, delivered: int = 0) -> list[tuple[bytes, int]]:
+    """Give the pieces of the answer that belongs to a body, and to no other."""
+    tokens = [(b"%s-%d " % (body, number), 1) for number in range(TOKENS)]
+    opening = [] if delivered else [(b"<open>", 0)]
+    return [*opening, *tokens[delivered:], (b"<close>", 0)]
+
+
+def whole_answer(body: bytes) -> bytes:
+    return b"".join(data for data, _ in pieces_of(body))
+
+
+@dataclass
+class Engine:
+    """Run what it is given, and hold memory for it until it ends or is cancelled.
+
+    It loses the first cancel of every attempt.
+    """
+
+    timeline: Timeline
+    process: Process
+    reached: Callable[[str, HandOver], None]
+    started: list[tuple[float, HandOver]] = field(default_factory=list)
+    """The truth about what ran here, whatever dies."""
+    held: dict[AttemptId, int] = field(default_factory=dict)
+    made: dict[AttemptId, list[tuple[bytes, int]]] = field(default_factory=dict)
+    readers: dict[AttemptId, Callable] = field(default_factory=dict)
+    cancels: set[AttemptId] = field(default_factory=set)
+
+    def run(self, hand_over: HandOver, reader: Callable) -> None:
+        attempt_id = hand_over.attempt_id
+        self.started.append((self.timeline.now, hand_over))
+        self.held[attempt_id] = hand_over.prompt_tokens + hand_over.most_output_tokens
+        self.made[attempt_id] = []
+        self.readers[attempt_id] = reader
+        self.reached("accepted by the engine", hand_over)
+        self.timeline.timer(
+            self.process, PIECE_SECONDS, lambda: self.produce(hand_over)
+        )
+
+    def produce(self, hand_over: HandOver) -> None:
+        attempt_id = hand_over.attempt_id
+        if attempt_id not in self.held:
+            return
+        pieces = pieces_of(hand_over.body, hand_over.delivered_tokens)
+        made = self.made[attempt_id]
+        made.append(pieces[len(made)])
+        last = len(made) == len(pieces)
+        self.readers[attempt_id](len(made), *made[-1], last)
+        if last:
+            del self.held[attempt_id]
+        else:
+            self.timeline.timer(
+                self.process, PIECE_SECONDS, lambda: self.produce(hand_over)
+            )
+
+    def resume(self, attempt_id: AttemptId, after: int, reader: Callable) -> bool:
+        if attempt_id not in self.made:
+            return False
+        self.readers[attempt_id] = reader
+        made = self.made[attempt_id]
+        for sequence in range(after + 1, len(made) + 1):
+            last = sequence == len(made) and attempt_id not in self.held
+            reader(sequence, *made[sequence - 1], last)
+        return True
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        if attempt_id in self.cancels:
+            self.held.pop(attempt_id, None)
+        self.cancels.add(attempt_id)
+
+    def restart(self) -> None:
+        self.held.clear()
+        self.made.clear()
+        self.process.alive = True
+
+
+@dataclass
+class Runner:
+    """Follow one attempt at the engine, as the sidecar's thread for it does."""
+
+    sidecar: "Sidecar"
+    hand_over: HandOver
+    sequence: int = 0
+    resumes: int = 0
+    heard_at: float = 0.0
+    cancelled: bool = False
+    ended: bool = False
+    connection: int = 0
+
+    def begin(self) -> None:
+        self.heard_at = self.sidecar.timeline.now
+        reader = self.new_reader()
+        engine = self.sidecar.engine
+        self.sidecar.call_engine(
+            lambda: self.accepted(engine.run(self.hand_over, reader)),
+            lambda: self.end(self.failure(RefusalCode.NOT_RUN)),
+        )
+        self.watch()
+
+    def accepted(self, _: None) -> None:
+        attempt_id = self.hand_over.attempt_id
+        self.sidecar.from_engine(lambda: self.started(attempt_id))
+
+    def started(self, attempt_id: AttemptId) -> None:
+        self.sidecar.decide(UpstreamAccepted(attempt_id))
+        if not self.ended:
+            self.sidecar.append(attempt_id, HEAD)
+
+    def new_reader(self) -> Callable:
+        self.connection += 1
+        connection = self.connection
+
+        def read(sequence: int, data: bytes, tokens: int, last: bool) -> None:
+            self.sidecar.from_engine(
+                lambda: self.take(connection, sequence, data, tokens, last)
+            )
+
+        return read
+
+    def take(self, connection, sequence, data, tokens, last) -> None:
+        if self.ended or connection != self.connection:
+            return
+        self.heard_at = self.sidecar.timeline.now
+        attempt_id = self.hand_over.attempt_id
+        if self.cancelled:
+            self.end(self.failure(RefusalCode.FAILED))
+            return
+        if self.sequence == 0:
+            self.sidecar.decide(FirstTokenArrived(attempt_id))
+        self.sequence = sequence
+        self.sidecar.append(attempt_id, StreamChunk(sequence, data, tokens))
+        if last:
+            self.end(None)
+
+    def watch(self) -> None:
+        if self.ended:
+            return
+        timeline = self.sidecar.timeline
+        if timeline.now - self.heard_at >= ENGINE_SILENCE_SECONDS:
+            self.lost()
+        timeline.timer(self.sidecar.process, TICK_SECONDS, self.watch)
+
+    def lost(self) -> None:
+        """Ask the engine for the rest; a few times at most."""
+        self.heard_at = self.sidecar.timeline.now
+        self.resumes += 1
+        if self.cancelled or self.resumes > MOST_ENGINE_RESUMES:
+            self.end(self.failure(RefusalCode.FAILED))
+            return
+        reader = self.new_reader()
+        engine, attempt_id = self.sidecar.engine, self.hand_over.attempt_id
+
+        def ask() -> None:
+            if not engine.resume(attempt_id, self.sequence, reader):
+                self.sidecar.from_engine(self.cut)
+
+        self.sidecar.call_engine(ask, self.cut)
+
+    def cut(self) -> None:
+        self.end(self.failure(RefusalCode.FAILED))
+
+    def failure(self, code: RefusalCode) -> Refusal:
+        return Refusal(code, RefusalReason.UPSTREAM_FAILED, "run", "engine")
+
+    def end(self, refusal: Refusal | None) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        attempt_id = self.hand_over.attempt_id
+        self.sidecar.append(attempt_id, StreamEnd(self.sequence, refusal))
+        if refusal is None:
+            self.sidecar.reached("last token", self.hand_over)
+        self.sidecar.decide(UpstreamFinished(attempt_id, refusal is None))
+
+
+@dataclass
+class Sidecar:
+    """Perform the effects of `SidecarState` in the order of the daemon's actor."""
+
+    timeline: Timeline
+    process: Process
+    engine: Engine
+    reached: Callable[[str, HandOver], None]
+    listeners: list = field(default_factory=list)
+    """Entries that hear its announcements."""
+    left_at: float | None = None
+
+    def boot(self) -> None:
+        self.process.alive = True
+        self.left_at = None
+        config = SidecarConfig(description(self.process.name), self.epoch)
+        self.state = SidecarState.from_config(config)
+        self.frames: dict[AttemptId, list[Frame]] = {}
+        self.readers: list = []
+        self.runners: dict[AttemptId, Runner] = {}
+        self.ticks = 0
+        self.decide(InForce(configuration()))
+        self.tick()
+
+    @property
+    def epoch(self) -> Epoch:
+        return Epoch(f"{self.process.name}-start-{self.process.start}")
+
+    def leave(self) -> None:
+        self.left_at = self.timeline.now
+        self.decide(LeavingBegun())
+
+    def tick(self) -> None:
+        self.ticks += 1
+        self.decide(TickElapsed())
+        if self.ticks % 4 == 0:
+            self.call_engine(self.read_inventory, lambda: None)
+            for connection in self.readers:
+                connection.carry(StreamHeartbeat())
+        if self.ticks % 2 == 1:
+            news = (self.process.name, self.epoch, self.left_at is not None)
+            for entry in self.listeners:
+                self.timeline.send(entry.process, lambda entry=entry: entry.hear(*news))
+        self.timeline.timer(self.process, TICK_SECONDS, self.tick)
+
+    def read_inventory(self) -> None:
+        held = tuple(HeldMemory(*item) for item in self.engine.held.items())
+        self.from_engine(lambda: self.decide(InventoryRead(held)))
+
+    def call_engine(self, action: Callable, refused: Callable) -> None:
+        """Ask over a fresh connection; no such call is repeated by the network."""
+        start = self.process.start
+
+        def arrive() -> None:
+            if self.engine.process.alive:
+                self.engine.process.enter(action)
+            elif self.process.start == start:
+                self.process.enter(refused)
+
+        self.timeline.after(LATENCY_SECONDS, arrive)
+
+    def from_engine(self, action: Callable) -> None:
+        self.timeline.timer(self.process, LATENCY_SECONDS, action)
+
+    def decide(self, event) -> None:
+        for effect in self.state.handle(event, self.timeline.now):
+            self.perform(effect)
+
+    def hand_over(self, hand_over: HandOver) -> AttemptRefused | None:
+        self.decide(OwnerSeen(hand_over.owner))
+        effects = self.state.handle(HandOverArrived(hand_over), self.timeline.now)
+        refused = None
+        for effect in effects:
+            if isinstance(effect, RefuseAttempt):
+                refused = effect.refused
+        if refused is None:
+            self.frames[hand_over.attempt_id] = []
+        for effect in effects:
+            self.perform(effect)
+        return refused
+
+    def revoke(self, attempt_id: AttemptId, epoch: Epoch) -> NeverRan | MayHaveRun:
+        answer = MayHaveRun(attempt_id, known=False)
+        event = RevokeArrived(attempt_id, epoch)
+        for effect in self.state.handle(event, self.timeline.now):
+            match effect:
+                case AnswerRevoke():
+                    answer = effect.answer
+                case _:
+                    self.perform(effect)
+        return answer
+
+    def perform(self, effect) -> None:
+        match effect:
+            case StartAttempt(hand_over):
+                runner = Runner(self, hand_over)
+                self.runners[hand_over.attempt_id] = runner
+                self.reached("handed over", hand_over)
+                runner.begin()
+            case EndAttempt(attempt_id, refusal):
+                self.append(attempt_id, StreamEnd(0, refusal))
+            case CancelAtUpstream(attempt_id) | ReleaseAtUpstream(attempt_id):
+                runner = self.runners.get(attempt_id)
+                if runner is not None:
+                    runner.cancelled = True
+                cancel = self.engine.cancel
+                self.call_engine(lambda: cancel(attempt_id), lambda: None)
+            case ForgetAttempt(attempt_id):
+                self.frames.pop(attempt_id, None)
+
+    def append(self, attempt_id: AttemptId, frame: Frame) -> None:
+        frames = self.frames.get(attempt_id)
+        if frames is None or (frames and isinstance(frames[-1], StreamEnd)):
+            return
+        frames.append(frame)
+        for connection in self.readers:
+            if connection.attempt_id == attempt_id:
+                connection.carry(frame)
+
+    def open_stream(self, connection, after: int) -> None:
+        self.readers.append(connection)
+        for frame in self.frames[connection.attempt_id]:
+            if not isinstance(frame, StreamChunk) or frame.sequence > after:
+                connection.carry(frame)
+
+
+@dataclass
+class Control:
+    """Be the replicated state, which has no leader now and then."""
+
+    timeline: Timeline
+    reached: Callable[[str, object], None]
+    state: ControlState = field(default_factory=ControlState)
+    down_until: float = 0.0
+    answers_lost_at: float = -1.0
+    index: int = 0
+
+    def fail(self, seconds: float) -> None:
+        """Lose the leader: what it answered just now is lost as well."""
+        self.down_until = self.timeline.now + seconds
+        self.answers_lost_at = self.timeline.now
+
+    def ask(self, command, patience: float, answer: Callable) -> None:
+        """Commit a command, again where its answer is lost, until patience ends."""
+        data = encode_command(command)
+        give_up_at = self.timeline.now + patience
+
+        def attempt() -> None:
+            if self.timeline.now >= give_up_at:
+                unknown = RefusalCode.OUTCOME_UNKNOWN
+                answer(Refusal(unknown, RefusalReason.NO_QUORUM, "control"))
+            elif self.timeline.now < self.down_until:
+                self.timeline.after(CLAIM_RETRY_SECONDS, attempt)
+            else:
+                self.commit(decode_command(data), answer, attempt)
+
+        self.timeline.after(LATENCY_SECONDS, attempt, message=True)
+
+    def commit(self, command, answer: Callable, again: Callable) -> None:
+        self.index += 1
+        applied_at = self.timeline.now
+        outcome = self.state.apply(command, self.index, applied_at)
+        self.reached(type(command).__name__, command)
+
+        def bring() -> None:
+            lost = self.answers_lost_at >= applied_at
+            again() if lost else answer(outcome)
+
+        self.timeline.after(LATENCY_SECONDS, bring, message=True)
