Bound the wait for a whole answer to be stored, as its decider says

`FinishClaim` carries how long a whole answer may wait to be stored, so that a lost quorum doesn't hold back its end. The driver took the seconds left of the deadline instead, bounded only by the patience for claims, 10 s.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -164,8 +164,11 @@
                 self.choose_placement(effect)
             case AskClaim(claim) | MoveClaim(claim):
                 self.ask_claim(claim)
-            case FinishClaim(claim):
-                self.services.control.ask(claim, self.seconds_left())
+            case FinishClaim(claim, wait_seconds):
+                # Without a quorum a whole answer would be held back for as long as a
+                # claim may take, though its caller has all of it but the end.
+                patience = min(wait_seconds, self.seconds_left())
+                self.services.control.ask(claim, patience)
             case SendHandOver(address, hand_over):
                 self.send_hand_over(address, hand_over)
             case Resume(address, attempt_id, after_sequence):
