--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -70,6 +70,7 @@
         headers=request.headers,
         body=request.body,
         delivered_tokens=state.delivery.passed_tokens,
+        load_sequence=chosen.load_sequence,
     )
 
 
@@ -133,6 +134,7 @@
             chosen.attempt_id,
             chosen.epoch,
             chosen.upstream_id,
+            chosen.load_sequence,
         )
     ]
 
