--- a/packages/core/src/cowslipshelf_core/internal/routing/cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/cost.py
@@ -78,7 +78,7 @@
     seconds = max(0.0, reported - since_report)
     if seconds == 0.0:
         waiting = 0
-    for attempt in ():
+    for attempt in view.unreported(config.cost):
         if attempt.first_token_at is None:
             seconds += max(0.0, attempt.prefill_seconds - (now - attempt.placed_at))
             waiting += 1
