End a stream that is given up after what was sent of it

Cause: a deadline that passed while an attempt decoded killed the sidecar's actor. The actor ended the stream with a last frame that counted no chunk, its frame buffer raised, and the error ended the actor: the sidecar announced no more, and its engine was lost to the fleet until a restart. The attempt's reader raised as well, so that it never told the actor that it was done.

Ruled out: that the actor leaves the end to the reader, which may be blocked on an engine that is silent; the caller is to learn of its deadline at once.

Change: the buffer itself counts what it holds when it is ended, once; what the reader still brings after the end is not taken, and is no error.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -7,7 +7,7 @@
 
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.messages import StreamChunk, StreamHead
 from cowslipshelf_core.sidecar import (
     FirstTokenArrived,
     UpstreamAccepted,
@@ -62,7 +62,7 @@
     def run(self) -> None:
         """Run the attempt to its end and write the final frame, whatever happens."""
         refusal = self.run_with_resumes()
-        self.buffer.append(StreamEnd(self.last_sequence, refusal))
+        self.buffer.end(refusal)
         whole = refusal is None
         self.services.sidecar.tell(UpstreamFinished(self.attempt_id, whole))
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -27,7 +27,6 @@
     MayHaveRun,
     NeverRan,
     OrderSent,
-    StreamEnd,
     Withdraw,
 )
 from cowslipshelf_core.sidecar import (
@@ -238,10 +237,10 @@
         runner.start()
 
     def end_attempt(self, attempt_id: AttemptId, refusal: Refusal) -> None:
-        """End the frames of an attempt that never got to the upstream."""
+        """End the frames of an attempt that was given up, wherever it had got to."""
         buffer = self.attempts.find(attempt_id)
         if buffer is not None:
-            buffer.append(StreamEnd(0, refusal))
+            buffer.end(refusal)
 
     def cancel_at_upstream(self, attempt_id: AttemptId) -> None:
         """Stop an attempt here and at the upstream."""
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -3,6 +3,7 @@
 from threading import Condition
 from time import monotonic
 
+from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
 from cowslipshelf_fleet.errors import FrameOrderError
 
@@ -16,8 +17,8 @@
 class FrameBuffer:
     """Hold all frames of an attempt until it is forgotten; safe between threads.
 
-    One thread writes; each response reads. Positions count frames; sequence
-    numbers count chunks, from one.
+    One thread writes; another may end the stream meanwhile; each response reads.
+    Positions count frames; sequence numbers count chunks, from one.
     """
 
     def __init__(self, most_bytes: int = MOST_BUFFERED_BYTES) -> None:
@@ -41,6 +42,8 @@
         """
         size = frame_size(frame)
         with self.changed:
+            if self.finished:
+                return False
             self.check_order(frame)
             is_last = isinstance(frame, StreamEnd)
             if self.closed or (self.bytes + size > self.most_bytes and not is_last):
@@ -51,6 +54,11 @@
             self.changed.notify_all()
             return True
 
+    def end(self, refusal: Refusal | None = None) -> bool:
+        """End the stream after all that was added; False where it had ended."""
+        with self.changed:
+            return self.append(StreamEnd(self.last_sequence, refusal))
+
     def read_after(self, sequence: int, timeout: float) -> list[Frame]:
         """Return the next frames after a chunk; wait `timeout` seconds for one.
 
@@ -114,8 +122,6 @@
 
     def check_order(self, frame: Frame) -> None:
         """Raise `FrameOrderError` where a frame may not come next."""
-        if self.finished:
-            raise FrameOrderError("a frame after the last one")
         match frame:
             case StreamHead():
                 in_order = not self.frames
--- a/tests/cover/fleet/test_frames.py
+++ b/tests/cover/fleet/test_frames.py
@@ -81,6 +81,29 @@
     return isinstance(frame, StreamEnd)
 
 
+@MANY
+@given(PIECES, st.integers(0, 12))
+def test_a_stream_given_up_ends_after_what_was_sent(pieces, sent):
+    """A deadline passes mid-stream, while the upstream's reader still writes.
+
+    Whoever gives the attempt up can't know how many chunks there are by then. The
+    reader's next frames come after the end: they must be neither sent nor an error.
+    """
+    frames = frames_of(pieces)
+    buffer = FrameBuffer()
+    before = frames[: sent + 1]
+    for frame in before:
+        buffer.append(frame)
+    ended = buffer.end()
+    assert ended == (not is_end(before[-1]))
+    assert not any(buffer.append(frame) for frame in frames[sent + 1 :])
+    assert not buffer.end()
+    kept = buffer.read_after(0, timeout=0.0)
+    assert kept[: len(before)] == before
+    assert [is_end(frame) for frame in kept].count(True) == 1
+    assert is_end(kept[-1])
+
+
 @MANY
 @given(st.lists(st.integers(0, 400), min_size=1, max_size=50))
 def test_a_buffer_is_bounded_and_always_takes_the_end(sizes):
