Let whoever starts an entry say how its router is made

Cause: a measurement compares our choice of the upstream with others on the same path, which needs an entry that differs in nothing else.

Ruled out: a setting, which would bring the baselines into the product.

Change: `start_entry` and `run_daemon` take the function that makes the router and the one that starts the role; the defaults are what they were.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -2,6 +2,7 @@
 
 import time
 import uuid
+from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
 
@@ -157,10 +158,22 @@
     post: Post
     records: RequestRecords
     metrics: EntryMetrics
+    router: Router
 
 
-def start_entry(settings: DaemonSettings) -> EntryRole:
-    """Start an entry from its settings, or raise `StartError`."""
+def make_router(settings: DaemonSettings) -> Router:
+    """Make the router of an entry."""
+    return Router.from_config(RouterConfig(data_centre=settings.data_centre))
+
+
+def start_entry(
+    settings: DaemonSettings,
+    make_router: Callable[[DaemonSettings], Router] = make_router,
+) -> EntryRole:
+    """Start an entry from its settings, or raise `StartError`.
+
+    A measurement gives another way to make the router, to compare the two.
+    """
     metrics = EntryMetrics()
     parts = EntryParts(
         settings,
@@ -170,6 +183,7 @@
         make_post(settings),
         RequestRecords(metrics),
         metrics,
+        make_router(settings),
     )
     actors = start_actors(parts)
     dispatch = Dispatch(
@@ -231,7 +245,7 @@
         RoutingParts(
             settings,
             Directory.from_config(DirectoryConfig()),
-            Router.from_config(RouterConfig(data_centre=settings.data_centre)),
+            parts.router,
             parts.in_force,
             parts.status,
             parts.post,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/running.py
@@ -1,6 +1,7 @@
 """Run one role until a signal asks it to end."""
 
 import threading
+from collections.abc import Callable
 
 from cowslipshelf_daemon.internal.entry.assembly import (
     EntryRole,
@@ -37,7 +38,19 @@
         self.ended.set()
 
 
-def run_daemon(settings: DaemonSettings) -> int:
+def start_role(settings: DaemonSettings) -> EntryRole | SidecarRole:
+    """Start what the settings ask for."""
+    match settings.role:
+        case "entry":
+            return start_entry(settings)
+        case "sidecar":
+            return start_sidecar(settings)
+
+
+def run_daemon(
+    settings: DaemonSettings,
+    start_role: Callable[[DaemonSettings], EntryRole | SidecarRole] = start_role,
+) -> int:
     """Run the role of the settings; return the process's exit code."""
     configure_logs(settings.log)
     shutdown = Shutdown()
@@ -53,15 +66,6 @@
     return leave(role, shutdown)
 
 
-def start_role(settings: DaemonSettings) -> EntryRole | SidecarRole:
-    """Start what the settings ask for."""
-    match settings.role:
-        case "entry":
-            return start_entry(settings)
-        case "sidecar":
-            return start_sidecar(settings)
-
-
 def leave(role: EntryRole | SidecarRole, shutdown: Shutdown) -> int:
     """Leave gracefully, or at once after a second signal."""
     finished = threading.Event()
