Let entries read a leaving sidecar's last frames before it ends

Cause: an attempt ends at the upstream before its entry has taken the last frames, and the sidecar's server was stopped in between. The sidecar now waits, shortly, until each finished buffer was read. Ruled out: the decider, which rightly says that nothing runs. A process test ends a sidecar in mid-stream; it holds the stream to be whole and placed once.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -1,6 +1,7 @@
 """Put a sidecar together, start it and take it apart in order."""
 
 import threading
+import time
 import uuid
 from typing import NamedTuple
 
@@ -53,6 +54,9 @@
 
 LOG = part_logger("sidecar")
 
+READERS_SECONDS = 3.0
+POLL_SECONDS = 0.02
+
 
 class SidecarRole(NamedTuple):
     """Be a sidecar that runs."""
@@ -65,11 +69,25 @@
     ticker: Ticker
     left: threading.Event
     view_of_state: SidecarState
+    attempts: AttemptLog
 
     def leave(self) -> bool:
         """Finish what runs and go; return whether all of it finished in time."""
         self.actor.tell(LeaveAsked(self.left.set))
-        return self.left.wait(self.settings.timings.shutdown_seconds)
+        finished = self.left.wait(self.settings.timings.shutdown_seconds)
+        self.wait_for_readers()
+        return finished
+
+    def wait_for_readers(self) -> None:
+        """Let the entries read what has just finished at the upstream.
+
+        The last attempt ends at the upstream before its entry has its last frames. A
+        server that stops in between cuts a stream that was whole. An entry that never
+        reads again must not hold the process up, so the wait is short.
+        """
+        limit = time.monotonic() + READERS_SECONDS
+        while self.attempts.unread() and time.monotonic() < limit:
+            time.sleep(POLL_SECONDS)
 
     def running_work(self) -> int:
         """Return how many attempts run."""
@@ -127,6 +145,7 @@
         ticker,
         threading.Event(),
         parts.state,
+        parts.attempts,
     )
 
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_log.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_log.py
@@ -25,6 +25,11 @@
         with self.lock:
             return self.buffers.get(attempt_id)
 
+    def unread(self) -> int:
+        """Count the attempts whose last frame nobody has taken yet."""
+        with self.lock:
+            return sum(not buffer.read_to_end for buffer in self.buffers.values())
+
     def forget(self, attempt_id: AttemptId) -> None:
         """Drop an attempt's frames; nobody can resume it any more."""
         with self.lock:
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -29,6 +29,8 @@
         self.frames_before_chunks = 0
         self.finished = False
         """Whether the last frame of the stream was appended."""
+        self.read_to_end = False
+        """Whether a reader has taken the last frame."""
         self.closed = False
         self.reader = 0
         self.changed = Condition()
@@ -97,7 +99,10 @@
                 self.changed.wait(left)
             if reader != self.reader:
                 return []
-            return self.frames[position : position + MOST_FRAMES_READ]
+            taken = self.frames[position : position + MOST_FRAMES_READ]
+            if self.finished and position + len(taken) >= len(self.frames):
+                self.read_to_end = True
+            return taken
 
     def must_wait(self, position: int, reader: int) -> bool:
         """Tell whether a reader at the position has to wait for something."""
--- a/tests/nocover/daemon/test_faults_on_processes.py
+++ b/tests/nocover/daemon/test_faults_on_processes.py
@@ -224,6 +224,29 @@
     assert fleet.wait_for_end("entry-3") == 0
 
 
+def test_a_sidecar_that_leaves_finishes_its_streams_and_takes_no_more(fleet):
+    """An engine's slot is to be emptied while a summary is streamed from it.
+
+    Its sidecar is asked to end. The caller's stream ends whole, from that engine, and
+    calls that come meanwhile are answered by the other one.
+    """
+    call = StreamedCall(fleet, "entry-1", PROMPT, 60)
+    call.wait_for_tokens(3)
+    busy = wait_until(
+        lambda: [u for u in state(fleet, "entry-1")["upstreams"] if u["running"]],
+        "the attempt in a load report",
+    )[0]["upstream_id"]
+    fleet.send_signal(f"{busy}-sidecar", signal.SIGTERM)
+    assert StreamedCall(fleet, "entry-2", PROMPT, 4).text()
+    assert call.text()
+    assert fleet.wait_for_end(f"{busy}-sidecar") == 0
+    request_id = call.response.headers["X-Request-Id"]
+    path = f"/v1/explain/request/{request_id}"
+    _, explained = fleet.operator_call("entry-1", "GET", path)
+    placed = [line for line in explained["lines"] if " placed on " in line]
+    assert len(placed) == 1, explained
+
+
 def test_a_wiped_disk_is_repaired_and_a_second_loss_right_after_is_survived(fleet):
     """A disk is lost; its entry comes back empty and is filled; then another dies."""
     before = fleet.change("before", put_weight(2))["configuration_version"]
