Choose restarted upstreams of the long set under their new epoch; remember prefixes

Cause, found by the state machine: the split of a group compared only the upstreams outside the long set with what was known, so one inside it that had restarted stayed in under its former epoch, and its sidecar refused every request. The sets are now always taken anew. The new test fails without that.

--- a/packages/core/src/cowslipshelf_core/internal/routing/dispatcher.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/dispatcher.py
@@ -22,6 +22,7 @@
     priority_of,
     sample,
 )
+from cowslipshelf_core.internal.routing.prefix_memory import PrefixMemory
 from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
 from cowslipshelf_core.internal.routing.upstream_view import (
     PlacedAttempt,
@@ -45,6 +46,7 @@
     fleet: Fleet
     ledger: AttemptLedger
     room: WaitingRoom
+    prefixes: PrefixMemory
 
     def serve_upstream(
         self, upstream_id: UpstreamId, now: float
@@ -60,9 +62,21 @@
                 continue
             drawn = [(view, view in group.long_set)]
             for queue in self.room.waiting_for(key):
-                answers += self.serve_queue(queue, now, lambda drawn=drawn: drawn)
+                answers += self.serve_queue(queue, now, lambda _, drawn=drawn: drawn)
         return answers
 
+    def draw(self, ask: WaitingAsk, group: Group, random: Random) -> Drawn:
+        """Draw upstreams to look at, with the one that had the same prefix last."""
+        drawn = sample(self.config, group, random)
+        last = self.prefixes.last(ask.cost.facts.prefix_hash)
+        view = self.fleet.views.get(last) if last is not None else None
+        if view is None or any(view is other for other, _ in drawn):
+            return drawn
+        for takes_long, members in ((True, group.long_set), (False, group.others)):
+            if any(view is member for member in members):
+                drawn.append((view, takes_long))
+        return drawn
+
     def serve_group(
         self, key: GroupKey, group: Group, now: float, random: Random
     ) -> list[PlacementAnswered]:
@@ -70,12 +84,12 @@
         answers = []
         for queue in self.room.waiting_for(key):
             answers += self.serve_queue(
-                queue, now, lambda: sample(self.config, group, random)
+                queue, now, lambda ask: self.draw(ask, group, random)
             )
         return answers
 
     def serve_queue(
-        self, key: QueueKey, now: float, draw: Callable[[], Drawn]
+        self, key: QueueKey, now: float, draw: Callable[[WaitingAsk], Drawn]
     ) -> list[PlacementAnswered]:
         """Place requests from the heads of a queue until none can be placed."""
         queue = self.room.queues[key]
@@ -84,7 +98,7 @@
         while placed_one:
             placed_one = False
             for ask in queue.heads(self.config.heads_tried):
-                placed = self.try_place(ask, draw(), now)
+                placed = self.try_place(ask, draw(ask), now)
                 if placed is not None:
                     self.room.remove(ask, served=True)
                     answers.append(placed)
@@ -104,6 +118,8 @@
         if choice.chosen is None:
             return None
         queued = now - ask.asked_at
+        upstream_id = choice.chosen.view.description.upstream_id
+        self.prefixes.note(ask.cost.facts.prefix_hash, upstream_id)
         self.ledger.place(self.attempt_of(ask, choice.chosen, now))
         return self.answer_chosen(ask, choice.chosen, choice.considered, queued)
 
--- a/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
@@ -42,9 +42,8 @@
     def split(self) -> None:
         """Set apart as many upstreams for long prompts as demand asks for."""
         size = self.demand.resize(len(self.members))
-        if size != len(self.long_set) or self.others != self.members[size:]:
-            self.long_set = self.members[:size]
-            self.others = self.members[size:]
+        self.long_set = self.members[:size]
+        self.others = self.members[size:]
 
     def measure_capacity(self) -> None:
         """Estimate this entry's part of the group from its part of what runs there."""
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -37,9 +37,7 @@
 )
 from cowslipshelf_core.internal.routing.fair_queue import WaitingAsk
 from cowslipshelf_core.internal.routing.fleet import Fleet, Group, GroupKey
-from cowslipshelf_core.internal.routing.placement import (
-    sample,
-)
+from cowslipshelf_core.internal.routing.prefix_memory import PrefixMemory
 from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
 from cowslipshelf_core.internal.routing.waiting_room import (
     QueueKey,
@@ -77,7 +75,8 @@
         fleet = Fleet(config)
         ledger = AttemptLedger(fleet)
         room = WaitingRoom(config)
-        dispatcher = Dispatcher(config, fleet, ledger, room)
+        prefixes = PrefixMemory(config.most_prefixes)
+        dispatcher = Dispatcher(config, fleet, ledger, room, prefixes)
         return cls(config, fleet, ledger, room, dispatcher)
 
     def handle(
@@ -178,7 +177,7 @@
             return [answer_refusal(asked, refusals.too_slow(least, facts))]
         queue = self.room.queue(QueueKey(key, cost.prompt_class))
         if not queue.seconds:
-            drawn = sample(self.config, group, random)
+            drawn = self.dispatcher.draw(ask, group, random)
             placed = self.dispatcher.try_place(ask, drawn, now)
             if placed is not None:
                 queue.charge_at_once(ask.customer, ask.engine_seconds, ask.weight)
--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -108,6 +108,8 @@
     limits_medium: ClassLimits = ClassLimits(1.5, 10.0)
     limits_long: ClassLimits = ClassLimits(10.0, 40.0)
     """Each wait bound is above the former, so that no class shuts out a longer one."""
+    most_prefixes: int = 4_096
+    """Prompt prefixes whose last upstream is remembered."""
     short_memory_share: float = 0.08
     """Memory of an upstream that medium prompts leave free for short ones."""
     slack_per_prefill_second: float = 4.0
--- a/tests/common/routing.py
+++ b/tests/common/routing.py
@@ -82,6 +82,7 @@
     deadline: float = 60.0,
     excluded: frozenset[str] = frozenset(),
     model: str = MODEL,
+    prefix_hash: int = 0,
 ) -> PlacementAsked:
     """Build a question for a placement."""
     facts = PlacementFacts(
@@ -92,7 +93,7 @@
         model,
         prompt_tokens,
         200,
-        0,
+        prefix_hash,
         deadline,
     )
     return PlacementAsked(f"ask-{number}", facts, excluded)
--- a/tests/cover/routing/test_placement.py
+++ b/tests/cover/routing/test_placement.py
@@ -133,6 +133,20 @@
         router.handle(ended, now, random)
 
 
+def test_a_restarted_upstream_for_long_prompts_is_chosen_under_its_new_epoch():
+    """A sidecar of the long set restarts; the size of the set stays the same.
+
+    Requests kept going to its former start, which refuses each as "wrong epoch",
+    because only the other upstreams were compared with what was known before.
+    """
+    router, random = started_with_long_demand(8, 1)
+    router.handle(TickElapsed(), START + 1.0, random)
+    for name in long_set(router):
+        router.handle(available(name, epoch="2"), START + 2.0, random)
+    (group,) = router.fleet.groups.values()
+    assert {view.epoch for view in group.long_set} == {"2"}
+
+
 @PROPERTY
 @given(st.integers(1, 12), st.integers(0, 1_000))
 def test_a_sidecar_that_refuses_has_the_last_word(upstreams, seed):
@@ -243,3 +257,20 @@
     for number in range(2, 90):
         placed.update(chosen(router.handle(asked(number), later, random)))
     assert placed.isdisjoint(names) is kept_free
+
+
+@PROPERTY
+@given(st.integers(5, 40), st.integers(1, 2**63), st.integers(0, 1_000))
+def test_a_hot_prefix_draws_requests_but_not_into_a_queue(upstreams, prefix, seed):
+    router, random = started(upstreams, seed)
+    (first,) = chosen(router.handle(asked(1, prefix_hash=prefix), START, random))
+    hot = LoadUpdated(first, "1", load(2, hot_prefixes=(prefix,)))
+    router.handle(hot, START + 20.0, random)
+    ended = AttemptEnded("attempt-1", AttemptOutcome.FINISHED)
+    router.handle(ended, START + 20.0, random)
+    again = router.handle(asked(2, prefix_hash=prefix), START + 20.0, random)
+    assert chosen(again) == [first]
+    busy = load(3, running=8, prefill_tokens=200_000, hot_prefixes=(prefix,))
+    router.handle(LoadUpdated(first, "1", busy), START + 30.0, random)
+    elsewhere = router.handle(asked(3, prefix_hash=prefix), START + 30.0, random)
+    assert first not in chosen(elsewhere)
