Let long prompts age at the engine

Cause: entries give slack, and the sidecar passed the bare number on as the engine's priority; the engine served every new short prompt before every long one that waited. Ruled out: the sidecar's own queue, which counts from arrival. The number sent is now the moment at which the slack is used up, on the clock of the sidecar's machine.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -1,6 +1,7 @@
 """Run one attempt at the upstream and keep its frames."""
 
 import threading
+from time import monotonic
 from typing import NamedTuple
 
 from pykka import ActorRef
@@ -23,6 +24,7 @@
 )
 
 STEP = "run_at_upstream"
+MILLISECONDS = 1000
 MOST_RESUMES = 3
 OK = 200
 SERVER_ERROR = 500
@@ -108,7 +110,7 @@
         """Hand the request to the upstream, once."""
         match self.services.client:
             case EngineClient() as engine:
-                stream = engine.start(self.hand_over)
+                stream = engine.start(with_engine_priority(self.hand_over, monotonic()))
             case PlainClient() as plain:
                 stream = plain.call(self.hand_over)
         self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
@@ -183,3 +185,13 @@
         return Refusal(
             RefusalCode.FAILED, RefusalReason.CANCELLED, STEP, self.services.peer
         )
+
+
+def with_engine_priority(hand_over: HandOver, now: float) -> HandOver:
+    """Turn the slack that an entry gave into a moment on this machine's clock.
+
+    Slack alone would serve each new short prompt before every long one that waits,
+    for ever. Counted from its own arrival, a long prompt's moment comes nearer while
+    it waits, and what arrives later stands behind it. `now` is in monotonic seconds.
+    """
+    return hand_over._replace(priority=int(now * MILLISECONDS) + hand_over.priority)
