Ask a new leader at once for what the former one left unanswered

Cause: a command sent to a leader that died waited for that one's answer for a whole second, though the next leader was known long before. Ruled out: the election (its share is the settings' one to two seconds, and less where it is moved on) and the disk. The new test fails before.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/proposals.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/proposals.py
@@ -222,12 +222,16 @@
     def take_leader(
         self, leader: InstanceId | None, now: float, random: Random
     ) -> list[ProposalClientEffect]:
-        """Send at once what waits for a leader to be known."""
+        """Send at once what the new leader has not been asked for.
+
+        What was sent to the former one may never be answered: it is dead, or cut off.
+        Waiting for its answer would add the whole patience to every fail-over.
+        """
         self.leader = leader
         if leader is None:
             return []
         effects = []
         for submission in self.submissions.values():
-            if submission.asked is None:
+            if submission.asked != leader:
                 effects += self.send(submission, now, random)
         return effects
--- a/tests/cover/agreement/test_proposal_client.py
+++ b/tests/cover/agreement/test_proposal_client.py
@@ -15,6 +15,7 @@
     ProposalRefusal,
     ProposalResult,
     ProposalResultArrived,
+    Propose,
     ReplicasSeen,
     SendTo,
     SubmitAsked,
@@ -160,3 +161,19 @@
     result = ProposalResult("p", 0, b"", ProposalRefusal.NO_QUORUM)
     assert client.handle(ProposalResultArrived(first, result), 1.1, random) == []
     assert client.handle(TickElapsed(), 1.9, random) == []
+
+
+def test_a_new_leader_is_asked_at_once_for_what_the_former_one_left_unanswered():
+    """An operator's confirm takes a second longer than the election did.
+
+    The command went to a leader that died. Another one leads soon after, and the
+    client knows it, but goes on waiting for the dead one's answer.
+    """
+    random = Random(1)
+    client = ProposalClient.from_config(ProposalClientConfig(REPLICAS))
+    client.handle(LeaderSeen("entry-0"), 0.0, random)
+    client.handle(SubmitAsked("confirm", b"", DEADLINE_SECONDS), 0.0, random)
+    client.handle(LeaderSeen(None), 0.1, random)
+    (sent,) = client.handle(LeaderSeen("entry-1"), 0.2, random)
+    assert sent == SendTo("entry-1", Propose("confirm", b""))
+    assert not client.handle(LeaderSeen("entry-1"), 0.3, random)
