Announce an upstream to a bounded choice of entries

Replaced entries were announced to for ever. Weighed: a list that entries hand out (somebody must own it), and rendezvous hashing, which needs no owner; the latter was taken.

--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -34,6 +34,8 @@
     lease_seconds: float
     load: LoadReport
     leaving: bool = False
+    roster: str = ""
+    """Digest of the entries that the sidecar knows."""
 
 
 class AnnounceAnswer(Message, frozen=True):
@@ -41,7 +43,10 @@
 
     upstream_id: UpstreamId
     entries: tuple[tuple[InstanceId, str], ...]
-    """Entry instances known to the answering one, with their mailbox addresses."""
+    """Entries known to the answering one, with their mailbox addresses.
+
+    Empty where the sidecar knows just these.
+    """
 
 
 class Withdraw(Message, frozen=True):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -5,6 +5,11 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
+from cowslipshelf_core.announcing import (
+    EntryChooser,
+    EntryChooserConfig,
+    EntryPlace,
+)
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
     BecameServable,
@@ -112,6 +117,19 @@
     attempts: AttemptLog
 
 
+def make_chooser(settings: DaemonSettings) -> EntryChooser:
+    """Make the choice of entries to announce to, from those of the settings."""
+    config = EntryChooserConfig(
+        settings.sidecar.upstream.upstream_id,
+        settings.sidecar.announce_entries,
+        silent_seconds=settings.timings.lease_seconds,
+    )
+    entries = [
+        EntryPlace(entry.instance, entry.mailbox_address) for entry in settings.entries
+    ]
+    return EntryChooser.from_config(config, entries)
+
+
 class SidecarActor(DaemonActor):
     """Decide about one upstream's attempts; the only owner of that state."""
 
@@ -127,9 +145,7 @@
         self.services: AttemptServices | None = None
         self.keeper: UpstreamKeeper | None = None
         self.orders: OrderServices | None = None
-        self.entry_addresses = {
-            entry.mailbox_address for entry in parts.settings.entries
-        }
+        self.chooser = make_chooser(parts.settings)
         self.runners: dict[AttemptId, AttemptRunner] = {}
         self.leave: LeaveAsked | None = None
         self.next_announcement = 0.0
@@ -260,8 +276,8 @@
     def left_for_good(self) -> None:
         """Say farewell to the entries and let the program end."""
         farewell = Withdraw(self.description.upstream_id, self.epoch)
-        for address in sorted(self.entry_addresses):
-            self.mailbox.send(address, farewell)
+        for entry in self.chooser.targets(time.monotonic()):
+            self.mailbox.send(entry.mailbox_address, farewell)
         LOG.info("left", upstream=self.description.upstream_id)
         if self.leave is not None:
             self.leave.on_left()
@@ -273,7 +289,8 @@
         self.look_at_configuration(seen, now)
         match received.message:
             case AnnounceAnswer(entries=entries):
-                self.entry_addresses.update(address for _, address in entries)
+                self.chooser.learn(EntryPlace(*entry) for entry in entries)
+                self.chooser.answered(received.sender_address)
             case ConfigurationSnapshot() as snapshot:
                 arrived = SnapshotArrived(snapshot, received.sender_address)
                 self.look_at_configuration(arrived, now)
@@ -328,9 +345,10 @@
             timings.lease_seconds,
             self.state.load_report(),
             leaving=self.leave is not None,
+            roster=self.chooser.roster(),
         )
-        for address in sorted(self.entry_addresses):
-            self.mailbox.send(address, announcement)
+        for entry in self.chooser.targets(now):
+            self.mailbox.send(entry.mailbox_address, announcement)
 
     def configuration_version(self) -> ConfigurationVersion:
         """Return the version in force here; read from other threads."""
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
@@ -121,6 +121,8 @@
     """Address on which entries hand over attempts."""
     upstream: UpstreamSettings
     """The upstream beside it."""
+    announce_entries: Annotated[int, between(1, 400)] = 8
+    """Entries that the upstream is announced to; the others do not use it."""
 
 
 class TimingSettings(SettingsDocument, frozen=True):
--- /dev/null
+++ b/tests/cover/announcing/test_choosing.py
@@ -0,0 +1,87 @@
+"""Check which entries an upstream is announced to."""
+
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cowslipshelf_core.announcing import (
+    EntryChooser,
+    EntryChooserConfig,
+    EntryPlace,
+    choose_entries,
+    roster_digest,
+)
+
+NAMES = st.sets(st.text("abcdef-0123456789", min_size=1, max_size=8), max_size=40)
+MOST = st.integers(1, 12)
+
+
+def places(names: set[str]) -> list[EntryPlace]:
+    return [EntryPlace(name, f"10.0.0.1:{len(name)}") for name in names]
+
+
+@given(names=NAMES, most=MOST, newcomer=st.text("xyz", min_size=1, max_size=4))
+def test_an_entry_that_comes_takes_one_place_at_most_and_no_other_moves(
+    names, most, newcomer
+):
+    """An entry is started, and for a moment no sidecar is heard where it was before.
+
+    If the choice depended on positions in a list, nearly all would move at once: every
+    entry would take its upstreams for silent, and hear others for the first time.
+    """
+    before = choose_entries("runner", places(names), most)
+    after = choose_entries("runner", places(names | {newcomer}), most)
+    assert len(before) == min(most, len(names))
+    assert len(set(after) - set(before)) <= 1
+    assert {entry.instance for entry in set(after) - set(before)} <= {newcomer}
+
+
+def test_entries_hear_about_as_many_upstreams_each():
+    entries = places({f"entry-{number}" for number in range(40)})
+    heard = Counter(
+        entry.instance
+        for number in range(520)
+        for entry in choose_entries(f"runner-{number}", entries, 4)
+    )
+    assert len(heard) == len(entries)
+    assert max(heard.values()) < 2 * 520 * 4 / len(entries)
+
+
+@given(names=NAMES, other=NAMES)
+def test_lists_of_entries_have_one_digest_just_if_they_are_equal(names, other):
+    equal = sorted(places(names)) == sorted(places(other))
+    same = roster_digest(places(names)) == roster_digest(places(other)[::-1])
+    assert same is equal
+
+
+@given(
+    names=st.sets(st.text("abc", min_size=1), min_size=2, max_size=20), data=st.data()
+)
+def test_living_entries_take_the_places_of_dead_ones_and_give_them_back(names, data):
+    """Entries are replaced over the weeks, and an upstream is heard by ever fewer.
+
+    The dead ones still stand in the list that a sidecar announces to. Those that come
+    back under the same address are used again.
+    """
+    entries = [EntryPlace(name, f"10.0.0.1:{name}") for name in names]
+    dead = set(data.draw(st.lists(st.sampled_from(entries), max_size=len(names) - 1)))
+    config = EntryChooserConfig("runner", most_entries=3)
+    chooser = EntryChooser.from_config(config, entries)
+    first = chooser.targets(0.0)
+    now = 0.0
+    for _ in range(8 * len(entries)):
+        now += 1.0
+        for entry in chooser.targets(now):
+            if entry not in dead:
+                chooser.answered(entry.mailbox_address)
+        if now >= config.retry_seconds - 1.0:
+            break
+    living = set(entries) - dead
+    told = set(chooser.targets(now))
+    assert len(told & living) == min(config.most_entries, len(living))
+    for step in range(1, 4):
+        later = now + step * config.retry_seconds
+        for entry in chooser.targets(later):
+            chooser.answered(entry.mailbox_address)
+    assert set(chooser.targets(now + 4 * config.retry_seconds)) == set(first)
