--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -1,13 +1,14 @@
 """Run one attempt at the upstream and keep its frames."""
 
 import threading
+from time import monotonic
 from typing import NamedTuple
 
 from pykka import ActorRef
 
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.messages import StreamChunk, StreamHead
 from cowslipshelf_core.sidecar import (
     FirstTokenArrived,
     UpstreamAccepted,
@@ -23,6 +24,7 @@
 )
 
 STEP = "run_at_upstream"
+MILLISECONDS = 1000
 MOST_RESUMES = 3
 OK = 200
 SERVER_ERROR = 500
@@ -68,7 +70,7 @@
             # An engine that breaks its own numbering must not leave the caller
             # waiting for an end that nobody writes.
             refusal = self.failure(str(error))
-        self.buffer.append(StreamEnd(self.last_sequence, refusal))
+        self.buffer.end(refusal)
         whole = refusal is None
         finished = UpstreamFinished(self.attempt_id, whole, self.output_tokens)
         self.services.sidecar.tell(finished)
@@ -108,7 +110,7 @@
         """Hand the request to the upstream, once."""
         match self.services.client:
             case EngineClient() as engine:
-                stream = engine.start(self.hand_over)
+                stream = engine.start(with_engine_priority(self.hand_over, monotonic()))
             case PlainClient() as plain:
                 stream = plain.call(self.hand_over)
         self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
@@ -183,3 +185,13 @@
         return Refusal(
             RefusalCode.FAILED, RefusalReason.CANCELLED, STEP, self.services.peer
         )
+
+
+def with_engine_priority(hand_over: HandOver, now: float) -> HandOver:
+    """Turn the slack that an entry gave into a moment on this machine's clock.
+
+    Slack alone would serve each new short prompt before every long one that waits,
+    for ever. Counted from its own arrival, a long prompt's moment comes nearer while
+    it waits, and what arrives later stands behind it. `now` is in monotonic seconds.
+    """
+    return hand_over._replace(priority=int(now * MILLISECONDS) + hand_over.priority)
