Let a resend take over or follow the key of a request that ended

Cause: a caller whose entry died between claim and hand-over, or whose request was refused with a true "not run", got that refusal for an hour under its key. And where the dead entry's attempt did run, its answer was lost to the caller although the sidecar still had every frame.

A refused move is now always answered as still running. On `MayHaveRun(known)` the resend reads the held attempt's frames from the first on, answers its caller and stores the whole answer for the claim's holder. A follower never cancels the attempt, reports nothing of it to its router and stores no refusal, as the owner may only be out of hearing. `Resume` names the upstream, for the address; `ClaimMoved` carries the new holder's deadline.

Ruled out: releasing a key on "not run" (two resends could both run); a new claim record for followers (the holder's attempt is the one that ran).

--- a/packages/core/src/cowslipshelf_core/internal/control/claim_records.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/claim_records.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.configuration import DEFAULT_DEADLINE_SECONDS
+from cowslipshelf_core.errors import Refusal, RefusalCode
 from cowslipshelf_core.identifiers import (
     AttemptId,
     CustomerName,
@@ -16,11 +17,15 @@
 )
 from cowslipshelf_core.internal.control.limits import (
     CLAIM_GRACE_SECONDS,
+    CLAIM_RETENTION_SECONDS,
+    MOST_CLAIM_DEADLINE_SECONDS,
+    MOST_RETIRED_ATTEMPTS,
     MOST_STORED_ANSWER_BYTES,
 )
 from cowslipshelf_core.messages import ClaimMoved, StoredAnswer
 
 CLAIM_DIGEST_BYTES = 16
+EXPIRY_BUCKET_SECONDS = 60.0
 
 
 class ClaimRecord(NamedTuple):
@@ -63,8 +68,59 @@
     return at > record.deadline_at + CLAIM_GRACE_SECONDS
 
 
+def expiry_bucket(record: ClaimRecord) -> int:
+    """Tell the minute in which a claim is forgotten; rounded up, never down."""
+    expires_at = record.deadline_at + CLAIM_RETENTION_SECONDS
+    return int(expires_at // EXPIRY_BUCKET_SECONDS) + 1
+
+
+def reason_against_move(record: ClaimRecord, moved: ClaimMoved, at: float) -> str:
+    """Find what stands against moving a claim."""
+    if was_moved(record, moved):
+        return "finished" if record.finished else ""
+    if record.finished and not never_ran(record):
+        return "finished"
+    if record.attempt_id != moved.from_attempt:
+        return "attempt_not_open"
+    if record.request_id == moved.request_id and is_past(record, at):
+        return "deadline_passed"
+    if moved.to_attempt in (*record.retired, record.attempt_id):
+        # A retired attempt was promised never to run, and is refused for good.
+        return "attempt_retired"
+    return ""
+
+
+def never_ran(record: ClaimRecord) -> bool:
+    """Tell whether a claim ended with the promise that its request never ran."""
+    return record.refusal is not None and record.refusal.code is RefusalCode.NOT_RUN
+
+
+def moved_record(record: ClaimRecord, moved: ClaimMoved, at: float) -> ClaimRecord:
+    """Give a claim to its new attempt, and perhaps to its new holder."""
+    deadline_at = record.deadline_at
+    if record.request_id != moved.request_id:
+        # Written so that NaN falls out as well: it would make the claim immortal.
+        asked_sanely = 0 < moved.deadline_seconds <= MOST_CLAIM_DEADLINE_SECONDS
+        seconds = moved.deadline_seconds if asked_sanely else DEFAULT_DEADLINE_SECONDS
+        deadline_at = max(deadline_at, at + seconds)
+    retired = (*record.retired, record.attempt_id)[-MOST_RETIRED_ATTEMPTS:]
+    return record._replace(
+        request_id=moved.request_id,
+        attempt_id=moved.to_attempt,
+        upstream_id=moved.upstream_id,
+        sidecar_epoch=moved.sidecar_epoch,
+        owner=moved.owner,
+        deadline_at=deadline_at,
+        retired=retired,
+        finished=False,
+        refusal=None,
+    )
+
+
 def was_moved(record: ClaimRecord, moved: ClaimMoved) -> bool:
     """Tell whether this is a resend of the last move, whose answer was lost."""
+    if record.request_id != moved.request_id:
+        return False
     last_retired = record.retired[-1:]
     return (*last_retired, record.attempt_id) == (moved.from_attempt, moved.to_attempt)
 
--- a/packages/core/src/cowslipshelf_core/internal/control/claims.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/claims.py
@@ -11,19 +11,21 @@
 from cowslipshelf_core.internal.control.bounded import BoundedRecords
 from cowslipshelf_core.internal.control.claim_records import (
     ANSWER_DECODER,
+    EXPIRY_BUCKET_SECONDS,
     RECORD_DECODER,
     ClaimRecord,
     claim_key,
+    expiry_bucket,
     is_past,
+    moved_record,
+    reason_against_move,
     short_digest,
     trim_answer,
     was_moved,
 )
 from cowslipshelf_core.internal.control.limits import (
-    CLAIM_RETENTION_SECONDS,
     MOST_CLAIM_DEADLINE_SECONDS,
     MOST_CLAIM_KEY_BYTES,
-    MOST_CLAIM_MOVES,
     MOST_CLAIM_RECORD_BYTES,
     MOST_CLAIMS,
     MOST_CLAIMS_PER_CUSTOMER,
@@ -40,8 +42,6 @@
     StoredAnswer,
 )
 
-EXPIRY_BUCKET_SECONDS = 60.0
-
 
 @dataclass
 class ClaimTable:
@@ -117,38 +117,24 @@
         return ""
 
     def move(self, moved: ClaimMoved, at: float) -> ClaimGranted | ClaimRefused:
-        """Open another attempt in place of the open one, which never ran."""
+        """Open another attempt in place of one that never ran and never will.
+
+        The holder moves its claim after its sidecar's promise. Another request takes
+        the claim over after such a promise, or after a stored "not run", which is one.
+        """
         self.forget_expired(at)
         key = claim_key(moved.customer, moved.key)
         record = self.find(key)
-        if record is None or record.request_id != moved.request_id:
-            return ClaimRefused("not_the_holder")
-        if record.finished:
-            return ClaimRefused("finished")
-        if is_past(record, at):
-            return ClaimRefused("deadline_passed")
-        if was_moved(record, moved):
-            return ClaimGranted(moved.to_attempt)
-        if record.attempt_id != moved.from_attempt:
-            return ClaimRefused("attempt_not_open")
-        if moved.to_attempt in (*record.retired, record.attempt_id):
-            # A retired attempt was promised never to run, and is refused for good.
-            return ClaimRefused("attempt_retired")
-        if len(record.retired) >= MOST_CLAIM_MOVES:
-            return ClaimRefused("too_many_moves")
-        kept = self.keep(
-            key,
-            record._replace(
-                attempt_id=moved.to_attempt,
-                upstream_id=moved.upstream_id,
-                sidecar_epoch=moved.sidecar_epoch,
-                owner=moved.owner,
-                retired=(*record.retired, record.attempt_id),
-            ),
-        )
-        return (
-            ClaimGranted(moved.to_attempt) if kept else ClaimRefused("too_many_moves")
-        )
+        if record is None:
+            return ClaimRefused("unknown_claim")
+        reason = reason_against_move(record, moved, at)
+        if reason:
+            return ClaimRefused(reason)
+        if not was_moved(record, moved) and not self.keep(
+            key, moved_record(record, moved, at)
+        ):
+            return ClaimRefused("claim_too_large")
+        return ClaimGranted(moved.to_attempt)
 
     def finish(self, finished: ClaimFinished, at: float) -> ClaimHeld | ClaimRefused:
         """Store how the open attempt ended; a resend gets what was stored first."""
@@ -221,17 +207,25 @@
     def index_claim(self, key: str, record: ClaimRecord) -> None:
         """Count a claim, and note when it is forgotten."""
         self.counts[record.customer] += 1
-        expires_at = record.deadline_at + CLAIM_RETENTION_SECONDS
-        # Rounded up: a claim may live up to a minute longer, never shorter.
-        bucket = int(expires_at // EXPIRY_BUCKET_SECONDS) + 1
-        self.expiring.setdefault(bucket, []).append(key)
+        self.expiring.setdefault(expiry_bucket(record), []).append(key)
 
     def forget_expired(self, at: float) -> None:
         """Forget claims whose retention is over."""
         present = int(at // EXPIRY_BUCKET_SECONDS)
         for bucket in [entry for entry in self.expiring if entry <= present]:
             for key in self.expiring.pop(bucket):
-                self.forget(key)
+                self.forget_or_keep(key, present)
+
+    def forget_or_keep(self, key: str, present: int) -> None:
+        """Forget a claim, unless it was taken over and so lives longer.
+
+        Forgotten with its first deadline, a resend would run beside the new holder.
+        """
+        bucket = expiry_bucket(self.find(key))
+        if bucket > present:
+            self.expiring.setdefault(bucket, []).append(key)
+        else:
+            self.forget(key)
 
     def forget(self, key: str) -> None:
         """Forget one claim."""
--- a/packages/core/src/cowslipshelf_core/internal/control/limits.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/limits.py
@@ -19,7 +19,8 @@
 """Time past its deadline after which a key is forgotten and would run again."""
 MOST_CLAIM_DEADLINE_SECONDS = 3_600.0
 MOST_CLAIM_KEY_BYTES = 255
-MOST_CLAIM_MOVES = 16
+MOST_RETIRED_ATTEMPTS = 16
+"""Attempts of one claim that are remembered after it was moved away from them."""
 MOST_CLAIM_RECORD_BYTES = 2_048
 MOST_STORED_ANSWER_BYTES = 64 * 1024
 """A larger answer is remembered by its status alone."""
--- a/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claiming.py
@@ -5,6 +5,7 @@
 revoke the attempt, without hearing from the entry instance that placed it.
 """
 
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.internal.requests.claims import claim_asked, claim_moved
@@ -15,16 +16,30 @@
     RequestEffect,
     Revoke,
 )
-from cowslipshelf_core.internal.requests.ending import refuse, refuse_for, replay
+from cowslipshelf_core.internal.requests.ending import (
+    close_attempt,
+    refuse,
+    replay,
+)
 from cowslipshelf_core.internal.requests.events import (
     ClaimAnswered,
     ClaimUnavailable,
     RevokeAnswered,
 )
-from cowslipshelf_core.internal.requests.handing_over import WHOLE_STEP, hand_over
+from cowslipshelf_core.internal.requests.handing_over import (
+    WHOLE_STEP,
+    hand_over,
+    resume,
+)
 from cowslipshelf_core.internal.requests.retrying import wait
 from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
-from cowslipshelf_core.messages import ClaimGranted, ClaimHeld, ClaimRefused, NeverRan
+from cowslipshelf_core.messages import (
+    ClaimGranted,
+    ClaimHeld,
+    ClaimRefused,
+    MayHaveRun,
+    NeverRan,
+)
 from cowslipshelf_core.placement_feedback import AttemptOutcome
 
 REASONS_OF_REFUSED_CLAIMS = {
@@ -42,18 +57,19 @@
     if not state.request.has_key():
         return hand_over(state, attempt, now)
     if state.claim_attempt is not None:
-        return move(state, attempt, state.claim_attempt)
+        return move(state, attempt, state.claim_attempt, now)
     state.phase = Phase.CLAIMING
     asked = claim_asked(state.request, attempt.chosen, state.left(now))
     return [AskClaim(asked)]
 
 
 def move(
-    state: RequestState, attempt: OpenAttempt, from_attempt: AttemptId
+    state: RequestState, attempt: OpenAttempt, from_attempt: AttemptId, now: float
 ) -> list[RequestEffect]:
     """Compare and set the claim's attempt; the old one was promised never to run."""
     state.phase = Phase.MOVING_CLAIM
-    return [MoveClaim(claim_moved(state.request, from_attempt, attempt.chosen))]
+    left = state.left(now)
+    return [MoveClaim(claim_moved(state.request, from_attempt, attempt.chosen, left))]
 
 
 def claim_answered(
@@ -75,6 +91,7 @@
     state: RequestState, attempt: OpenAttempt, now: float
 ) -> list[RequestEffect]:
     state.claim_attempt = attempt.chosen.attempt_id
+    state.claim_holder = None
     state.held = None
     return hand_over(state, attempt, now)
 
@@ -92,19 +109,14 @@
 
 
 def _move_refused(state: RequestState, reason: str) -> list[RequestEffect]:
-    """Answer for a key that stays with an attempt which will never run.
+    """Answer for a key that somebody else has moved or ended meanwhile.
 
-    Where its holder has ended or is past its deadline, nobody will run under the key
-    any more. A holder that only seems gone may still move the key and run.
+    Of two resends that find the same dead holder, one wins the compare-and-set and
+    runs. What the other saw before, a stored "not run" perhaps, is out of date: said
+    now it would be false, and invite a new key and so a second run.
     """
     state.claim_attempt = None
-    held = state.held
-    if held is None:
-        return _still_running(state, reason)
-    if held.refusal is not None:
-        return refuse(state, held.refusal)
-    if held.deadline_passed:
-        return refuse_for(state, RefusalReason.DEADLINE_PASSED, "claim", reason)
+    state.claim_holder = None
     return _still_running(state, reason)
 
 
@@ -126,7 +138,7 @@
         state.claim_attempt = None
         return _still_running(state, "another request took the key over")
     if held.refusal is not None:
-        return _held_refusal(state, attempt, held, held.refusal)
+        return _held_refusal(state, attempt, held, held.refusal, now)
     if not held.deadline_passed and not owner_gone:
         return _still_running(state, f"request {held.request_id} runs")
     state.held = held
@@ -134,12 +146,16 @@
 
 
 def _held_refusal(
-    state: RequestState, attempt: OpenAttempt, held: ClaimHeld, refusal: Refusal
+    state: RequestState,
+    attempt: OpenAttempt,
+    held: ClaimHeld,
+    refusal: Refusal,
+    now: float,
 ) -> list[RequestEffect]:
     """Run after a stored "not run", which is a promise; repeat any other refusal."""
     if refusal.code is RefusalCode.NOT_RUN:
         state.held = held
-        return move(state, attempt, held.attempt_id)
+        return move(state, attempt, held.attempt_id, now)
     return refuse(state, refusal)
 
 
@@ -171,10 +187,15 @@
     event: RevokeAnswered,
     now: float,
 ) -> list[RequestEffect]:
-    """Take the key over after a promise; else its outcome is unknown, said at once."""
+    """Take the key over after a promise, or follow the attempt where it runs.
+
+    Where neither can be done the outcome is unknown, which is said at once.
+    """
     match event.answer:
         case NeverRan(attempt_id) if attempt_id == held.attempt_id:
-            return move(state, attempt, held.attempt_id)
+            return move(state, attempt, held.attempt_id, now)
+        case MayHaveRun(known=True):
+            return follow_held(state, held)
         case None if state.held_revokes < state.config.most_revokes:
             doublings = state.held_revokes - 1
             return wait(state, Phase.WAITING_TO_REVOKE_HELD, doublings, WHOLE_STEP, now)
@@ -189,6 +210,26 @@
             return refuse(state, refusal)
 
 
+def follow_held(state: RequestState, held: ClaimHeld) -> list[RequestEffect]:
+    """Read the held attempt's frames in place of its dead owner, and store the answer.
+
+    The sidecar keeps them from the first on. Nothing is handed over: this request's
+    own attempt is given back. Only a whole answer is stored, as an owner that lives
+    after all may yet read one where this request could not.
+    """
+    closing = close_attempt(state, AttemptOutcome.NEVER_RAN)
+    chosen = ChosenUpstream(
+        held.attempt_id, held.upstream_id, held.sidecar_epoch, "", 0
+    )
+    followed = OpenAttempt(chosen, handed_over=True, followed=True)
+    state.attempt = followed
+    state.claim_holder = held.request_id
+    state.claim_attempt = held.attempt_id
+    state.may_have_run.add(held.attempt_id)
+    note = Note(f"following attempt {held.attempt_id} of request {held.request_id}")
+    return [*closing, note, *resume(state, followed)]
+
+
 def claim_unavailable(
     state: RequestState, event: ClaimUnavailable
 ) -> list[RequestEffect]:
--- a/packages/core/src/cowslipshelf_core/internal/requests/claims.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/claims.py
@@ -2,7 +2,7 @@
 
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.identifiers import AttemptId, RequestId
 from cowslipshelf_core.internal.requests.caller_request import CallerRequest
 from cowslipshelf_core.messages import (
     ClaimAsked,
@@ -30,7 +30,10 @@
 
 
 def claim_moved(
-    request: CallerRequest, from_attempt: AttemptId, chosen: ChosenUpstream
+    request: CallerRequest,
+    from_attempt: AttemptId,
+    chosen: ChosenUpstream,
+    deadline_seconds: float,
 ) -> ClaimMoved:
     """Move the key from an attempt that will never run to a placed one."""
     return ClaimMoved(
@@ -42,19 +45,21 @@
         upstream_id=chosen.upstream_id,
         sidecar_epoch=chosen.epoch,
         owner=request.owner,
+        deadline_seconds=deadline_seconds,
     )
 
 
 def claim_finished(
     request: CallerRequest,
+    holder: RequestId,
     attempt_id: AttemptId,
     outcome: StoredAnswer | Refusal | None,
 ) -> ClaimFinished:
-    """Store the outcome under the key."""
+    """Store the outcome under the key, for the request that holds it."""
     return ClaimFinished(
         customer=request.customer,
         key=request.idempotency_key or "",
-        request_id=request.request_id,
+        request_id=holder,
         attempt_id=attempt_id,
         answer=outcome if isinstance(outcome, StoredAnswer) else None,
         refusal=outcome if isinstance(outcome, Refusal) else None,
--- a/packages/core/src/cowslipshelf_core/internal/requests/effects.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/effects.py
@@ -58,8 +58,10 @@
     """Read an attempt's frames on from behind the given sequence."""
 
     address: str
+    """Empty where another entry instance chose the upstream; see `Revoke`."""
     attempt_id: AttemptId
     after_sequence: int
+    upstream_id: UpstreamId
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/cowslipshelf_core/internal/requests/ending.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/ending.py
@@ -27,6 +27,10 @@
     if attempt is None:
         return []
     state.attempt = None
+    if attempt.followed:
+        # Neither this request's to cancel, as its owner may live after all and be
+        # reading it, nor known to this entry's router.
+        return []
     chosen = attempt.chosen
     effects: list[RequestEffect] = []
     if (
@@ -124,8 +128,13 @@
 def _store(
     state: RequestState, outcome: StoredAnswer | Refusal | None
 ) -> list[RequestEffect]:
-    holder: AttemptId | None = state.claim_attempt
-    if holder is None:
+    attempt_id: AttemptId | None = state.claim_attempt
+    if attempt_id is None:
+        return []
+    followed = state.claim_holder
+    if followed is not None and isinstance(outcome, Refusal):
+        # The owner may live after all, and get the whole answer that was missed here.
         return []
-    finished = claim_finished(state.request, holder, outcome)
+    holder = followed or state.request.request_id
+    finished = claim_finished(state.request, holder, attempt_id, outcome)
     return [FinishClaim(finished, state.config.store_answer_seconds)]
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -171,4 +171,11 @@
     chosen = attempt.chosen
     attempt.resumes += 1
     state.phase = Phase.RESUMING
-    return [Resume(chosen.attempts_address, chosen.attempt_id, attempt.sequence)]
+    return [
+        Resume(
+            chosen.attempts_address,
+            chosen.attempt_id,
+            attempt.sequence,
+            chosen.upstream_id,
+        )
+    ]
--- a/packages/core/src/cowslipshelf_core/internal/requests/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/state.py
@@ -5,7 +5,7 @@
 
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.errors import Refusal, RefusalCode
-from cowslipshelf_core.identifiers import AttemptId, UpstreamId
+from cowslipshelf_core.identifiers import AttemptId, RequestId, UpstreamId
 from cowslipshelf_core.internal.requests.caller_request import (
     CallerRequest,
     RequestConfig,
@@ -49,6 +49,8 @@
     resumes: int = 0
     """Resumes since the last new piece."""
     revokes: int = 0
+    followed: bool = False
+    """Whether another request placed it, and this one only reads its frames."""
 
 
 @dataclass(slots=True)
@@ -70,7 +72,9 @@
     hand_overs: int = 0
     last_refusal: Refusal | None = None
     claim_attempt: AttemptId | None = None
-    """The attempt under which this request holds its key."""
+    """The attempt under which this request holds its key, or follows its holder."""
+    claim_holder: RequestId | None = None
+    """The request whose claim is followed; None where the claim is this one's."""
     held: ClaimHeld | None = None
     """Who else holds the key, while that one's attempt is revoked."""
     held_revokes: int = 0
--- a/packages/core/src/cowslipshelf_core/internal/requests/streaming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/streaming.py
@@ -75,6 +75,8 @@
     if attempt.first_token_seen or not chunk.tokens:
         return []
     attempt.first_token_seen = True
+    if attempt.followed:
+        return []
     seconds = now - attempt.handed_over_at
     return [Report(FirstTokenSeen(attempt.chosen.attempt_id, seconds))]
 
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
-from cowslipshelf_core.configuration import FleetConfiguration
+from cowslipshelf_core.configuration import (
+    DEFAULT_DEADLINE_SECONDS,
+    FleetConfiguration,
+)
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import (
     AttemptId,
@@ -139,7 +142,10 @@
 
 
 class ClaimMoved(Message, frozen=True):
-    """Move a claim to a new attempt after the old one was promised never to run."""
+    """Move a claim to a new attempt after the old one was promised never to run.
+
+    Another request with the same key and body may take the claim over this way.
+    """
 
     customer: CustomerName
     key: str
@@ -149,6 +155,8 @@
     upstream_id: UpstreamId
     sidecar_epoch: Epoch
     owner: InstanceId
+    deadline_seconds: float = DEFAULT_DEADLINE_SECONDS
+    """Time left of the new holder's deadline, where the claim is taken over."""
 
 
 class StoredAnswer(Message, frozen=True):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -170,8 +170,8 @@
                 self.services.control.ask(claim, wait_seconds)
             case SendHandOver(address, hand_over):
                 self.send_hand_over(address, hand_over)
-            case Resume(address, attempt_id, after_sequence):
-                self.resume(address, attempt_id, after_sequence)
+            case Resume():
+                self.resume(effect)
             case Revoke():
                 self.revoke(effect)
             case Cancel(address, attempt_id):
@@ -230,18 +230,27 @@
                 self.open_stream(answer, attempt_id)
                 self.handle(HandOverAnswered(None, attempt_id))
 
-    def resume(self, address: str, attempt_id: AttemptId, after: int) -> None:
+    def resume(self, asked: Resume) -> None:
         """Read an attempt's frames from where they were cut."""
         self.close_stream()
-        stream = self.services.attempts.resume(address, attempt_id, after)
+        where = self.address_of(asked)
+        stream = None
+        if where:
+            stream = self.services.attempts.resume(
+                where, asked.attempt_id, asked.after_sequence
+            )
         if stream is not None:
-            self.open_stream(stream, attempt_id)
-        self.handle(ResumeAnswered(stream is not None, attempt_id))
+            self.open_stream(stream, asked.attempt_id)
+        self.handle(ResumeAnswered(stream is not None, asked.attempt_id))
+
+    def address_of(self, asked: Resume | Revoke) -> str | None:
+        """Find the sidecar of an attempt that another entry may have placed."""
+        routing = self.services.routing
+        return asked.address or routing.attempts_address(asked.upstream_id)
 
     def revoke(self, asked: Revoke) -> None:
         """Ask a sidecar for the promise that an attempt never runs."""
-        routing = self.services.routing
-        where = asked.address or routing.attempts_address(asked.upstream_id)
+        where = self.address_of(asked)
         answer = None
         if where:
             answer = self.services.attempts.revoke(
--- a/tests/cover/control/test_bounds.py
+++ b/tests/cover/control/test_bounds.py
@@ -24,6 +24,7 @@
 from cowslipshelf_core.internal.control import orders as orders_module
 from cowslipshelf_core.internal.control.bounded import BoundedRecords
 from cowslipshelf_core.internal.control.limits import (
+    CLAIM_RETENTION_SECONDS,
     MOST_CLAIM_KEY_BYTES,
     MOST_STORED_ANSWER_BYTES,
 )
@@ -32,6 +33,7 @@
     ClaimFinished,
     ClaimGranted,
     ClaimHeld,
+    ClaimMoved,
     ClaimRefused,
     StoredAnswer,
 )
@@ -112,6 +114,26 @@
     assert claim(state, long_key) == ClaimRefused("key_too_long")
 
 
+def test_a_claim_taken_over_late_is_remembered_for_its_new_holder() -> None:
+    """The first holder died; an hour later a resend takes its key over and runs.
+
+    Soon after, the first holder's retention ends. Were the key forgotten then, a
+    third resend would run beside the second.
+    """
+    state = ControlState()
+    claim(state, "a")
+    late = START + CLAIM_RETENTION_SECONDS
+    moved = ClaimMoved("north", "a", "second", "a", "b", "u", "e", "o", 600.0)
+    assert state.apply(moved, 2, late) == ClaimGranted("b")
+    asked = ClaimAsked("north", "a", "third", "c", "u", "e", "o", "d", 10.0)
+    for replica in (state, ControlState.from_snapshot(state.to_snapshot())):
+        held = replica.apply(asked, 3, late + 300.0)
+        assert isinstance(held, ClaimHeld)
+        assert (held.request_id, held.deadline_passed) == ("second", False)
+        forgotten = replica.apply(asked, 4, late + CLAIM_RETENTION_SECONDS + 900.0)
+        assert forgotten == ClaimGranted("c")
+
+
 def test_the_oldest_changes_and_plans_go_first() -> None:
     state = ControlState()
     state.changes.changes.most_records = 2
