Tell those who wait that a replica's disk has failed

Cause: when a sync failed, the replica's actor dropped the effects of the batch and also those of its own `DiskFailed`: proposers and readers got no refusal, the process's gateway went on sending to this replica, and operators saw no change of role in the log.

Change: the effects of `DiskFailed` are performed, with the refusals of the dropped batch, which stand on nothing that was written. Proposals and reads whose outcome went with the batch are answered "outcome unknown" and "not confirmed". Votes, answers and commits of the batch stay dropped. The notes of /v1/state keep the members beside the failure and say that callers are still served.

Seen: with a storage whose sync fails, the new property fails without the change (no result for any proposal of the batch).

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -215,9 +215,13 @@
         """Say what an operator should know."""
         if view is None:
             return ("this entry holds no replica",)
-        if view.replica.failure:
-            return (f"the replica's disk failed: {view.replica.failure}",)
         members = replica_notes(view.replica)
+        if view.replica.failure:
+            failed = (
+                "the replica's disk failed, so it takes no part in votes and changes; "
+                f"callers are still served: {view.replica.failure}"
+            )
+            return (failed, *members)
         if view.replica.leader is None:
             no_leader = "no leader is known: changes are refused until a quorum is back"
             return (no_leader, *members)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -20,6 +20,7 @@
     LeaderSeen,
     PeerMessageArrived,
     Persist,
+    ProposalRefusal,
     ProposalRefused,
     ProposalResult,
     Propose,
@@ -150,30 +151,61 @@
         events, self.events = self.events, []
         now = time.monotonic()
         effects = self.replica.handle_batch(events, now, self.random)
-        if self.make_durable(effects):
-            for effect in effects:
-                self.perform(effect)
-
-    def make_durable(self, effects: list[Effect]) -> bool:
-        """Write and sync; a failed disk ends this replica's part in the agreement.
-
-        What follows from unsynced bytes is dropped with them: had it been sent, a
-        vote or an answer would stand on what a restart does not find.
-        """
+        failure = self.make_durable(effects)
+        if failure is not None:
+            effects = self.give_up_disk(effects, failure)
+        for effect in effects:
+            self.perform(effect)
+        if failure is not None:
+            self.answer_what_is_left()
+
+    def make_durable(self, effects: list[Effect]) -> StorageError | None:
+        """Write and sync; return the error of a disk that failed."""
         writes = [
             effect for effect in effects if isinstance(effect, Persist | SaveSnapshot)
         ]
         if not writes:
-            return True
+            return None
         try:
             self.storage.write(writes)
             self.storage.sync()
         except StorageError as error:
-            LOG.error("disk failed", error=str(error))
-            failed = DiskFailed(str(error))
-            self.replica.handle_batch((failed,), time.monotonic(), self.random)
-            return False
-        return True
+            return error
+        return None
+
+    def give_up_disk(
+        self, dropped: list[Effect], failure: StorageError
+    ) -> list[Effect]:
+        """End this replica's part in the agreement; return what is still to be done.
+
+        What follows from unsynced bytes is dropped: had it been sent, a vote or an
+        answer would stand on what a restart does not find. Refusals of the same batch
+        stand on nothing that was written. With what the replica says of its failure
+        they tell proposers, readers and this process's gateway to turn elsewhere;
+        else each would wait here for its whole time.
+        """
+        LOG.error("Disk failed.", error=str(failure))
+        refusals = [
+            effect
+            for effect in dropped
+            if isinstance(effect, ProposalRefused | ReadFailed)
+        ]
+        failed = DiskFailed(str(failure))
+        return [
+            *refusals,
+            *self.replica.handle_batch((failed,), time.monotonic(), self.random),
+        ]
+
+    def answer_what_is_left(self) -> None:
+        """Answer those whose outcome went with the dropped batch.
+
+        Their commands may have been committed by the other replicas, or be lost.
+        """
+        for proposal_id in list(self.proposers):
+            unknown = ProposalRefusal.OUTCOME_UNKNOWN
+            self.answer_proposer(ProposalResult(proposal_id, 0, b"", unknown))
+        for read_id in list(self.reads):
+            self.answer_read(read_id, confirmed=False)
 
     def perform(self, effect: Effect) -> None:
         """Carry out one effect that is safe to carry out."""
--- /dev/null
+++ b/tests/cover/daemon/test_failing_disk.py
@@ -0,0 +1,170 @@
+"""Check what a replica's actor still does when its disk fails."""
+
+import time
+from dataclasses import dataclass, field
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cowslipshelf_core.agreement import (
+    HardState,
+    LeaderSeen,
+    ProposalRefusal,
+    ProposalResult,
+    Propose,
+    Replica,
+    ReplicaConfig,
+    ReplicaId,
+    Role,
+    StoredState,
+)
+from cowslipshelf_core.control import ControlState, encode_command
+from cowslipshelf_core.messages import (
+    ClaimAsked,
+    ConfigurationSnapshot,
+    FetchConfiguration,
+)
+from cowslipshelf_daemon.internal.entry.replica_actor import (
+    ReplicaActor,
+    ReplicaParts,
+)
+from cowslipshelf_daemon.internal.post import Delivered
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_platform.storage import StorageError
+
+OTHER = "entry-2"
+ELECTION_SECONDS = 0.01
+MOST_TICKS = 2000
+REFUSALS = {ProposalRefusal.OUTCOME_UNKNOWN, ProposalRefusal.DISK_FAILED}
+
+
+@dataclass
+class FailingStorage:
+    """Be a disk whose sync fails from some time on."""
+
+    full: bool = False
+
+    def write(self, effects):
+        """Take everything, as a page cache does."""
+
+    def sync(self):
+        """Fail where the disk is full."""
+        if self.full:
+            raise StorageError("sync", "data folder", "no space left on device")
+
+
+@dataclass
+class Receiver:
+    """Keep what an actor or the post is told."""
+
+    told: list = field(default_factory=list)
+    instance: str = "entry-1"
+    address: str = "here"
+
+    def tell(self, message):
+        """Take a message for an actor."""
+        self.told.append(message)
+
+    def send(self, _address, message):
+        """Take a message for an address."""
+        self.told.append(message)
+
+    def send_to_instance(self, _instance, message):
+        """Take a message for an instance."""
+        self.told.append(message)
+
+    def take(self, kind) -> list:
+        """Give what came of one type, and forget everything."""
+        found = [message for message in self.told if isinstance(message, kind)]
+        self.told.clear()
+        return found
+
+
+class LonelyReplica:
+    """Run the actor of a one-replica cluster without a thread."""
+
+    def __init__(self) -> None:
+        self.storage = FailingStorage()
+        self.post = Receiver()
+        self.gateway = Receiver()
+        config = ReplicaConfig(
+            ("entry-1",),
+            heartbeat_seconds=ELECTION_SECONDS / 5,
+            election_seconds=ELECTION_SECONDS,
+            lease_seconds=ELECTION_SECONDS,
+        )
+        stored = StoredState(ReplicaId("entry-1", "folder"), HardState(), None, ())
+        replica = Replica.from_config(config, stored)
+        parts = ReplicaParts(
+            replica, self.storage, ControlState(), self.post, Receiver(), self.gateway
+        )
+        self.actor = ReplicaActor(parts)
+        for _ in range(MOST_TICKS):
+            self.actor.on_receive(Tick())
+            if replica.status().role is Role.LEADER:
+                break
+            time.sleep(ELECTION_SECONDS / 5)
+        assert replica.status().role is Role.LEADER
+
+    def deliver_together(self, messages) -> None:
+        """Have the actor handle messages as one batch."""
+        for message in messages:
+            self.actor.receive(Delivered(OTHER, "there", message))
+        self.actor.handle_events()
+
+
+def propose(number: int) -> Propose:
+    claim = ClaimAsked("c", f"k{number}", "r", "a", "u", "e", "o", "d", 10.0)
+    return Propose(f"p{number}", encode_command(claim))
+
+
+@given(before=st.integers(0, 4), during=st.integers(1, 4), reads=st.integers(0, 3))
+@settings(max_examples=25, deadline=None, derandomize=True)
+def test_whoever_waits_for_a_replica_whose_disk_fails_is_told_so(before, during, reads):
+    """A disk becomes full at the leader while changes wait for their sync.
+
+    An operator and some callers wait for outcomes that went with the batch. They must
+    be told at once, and truly: nothing that was not synced counts as done.
+    """
+    lonely = LonelyReplica()
+    lonely.deliver_together([propose(number) for number in range(before)])
+    results = lonely.post.take(ProposalResult)
+    assert [result.refusal for result in results] == [None] * before
+    lonely.gateway.told.clear()
+    lonely.storage.full = True
+    asked = [FetchConfiguration(0, f"q{number}") for number in range(reads)]
+    lonely.deliver_together([*asked, *[propose(9 + n) for n in range(during)]])
+    told = list(lonely.post.told)
+    results = lonely.post.take(ProposalResult)
+    assert {result.proposal_id for result in results} == {
+        f"p{9 + number}" for number in range(during)
+    }
+    assert {result.refusal for result in results} <= REFUSALS
+    answers = [one for one in told if isinstance(one, ConfigurationSnapshot)]
+    assert [answer.confirmed_by_quorum for answer in answers] == [False] * reads
+    assert lonely.gateway.take(LeaderSeen)[-1] == LeaderSeen(None)
+
+
+def test_a_replica_whose_disk_failed_goes_on_refusing():
+    """The full disk is made free again under the running process.
+
+    What the page cache lost meanwhile is unknown, so only a restart may vote again.
+    Until then operators see the failure, and proposers turn elsewhere at once.
+    """
+    lonely = LonelyReplica()
+    lonely.storage.full = True
+    lonely.deliver_together([propose(1)])
+    lonely.storage.full = False
+    lonely.post.told.clear()
+    for _ in range(20):
+        lonely.actor.on_receive(Tick())
+        time.sleep(ELECTION_SECONDS / 2)
+    lonely.deliver_together([propose(2), FetchConfiguration(0, "q")])
+    told = list(lonely.post.told)
+    (refused,) = [one for one in told if isinstance(one, ProposalResult)]
+    assert refused.refusal is ProposalRefusal.DISK_FAILED
+    (answer,) = [one for one in told if isinstance(one, ConfigurationSnapshot)]
+    assert not answer.confirmed_by_quorum
+    status = lonely.actor.replica.status()
+    assert (status.role, status.leader) == (Role.FAILED, None)
+    assert "no space left" in status.failure
