Let an operator force one replica to go on alone, offline

Cause: when a quorum's data folders are lost for good, changes are refused for ever. The storage could already force the members in a folder; nothing offered it.

It refuses while a daemon holds the folder, settings without an existing data folder, and a folder without state, which would bring back the empty configuration. The forced membership stands in the log with the operator's name; every replica makes the same record for the audit trail from that entry when it is committed.

Ruled out: proposing the audit record after the next start, which could be lost between the two, and needs the folder to be told that it was forced.

Seen on real processes: two of three folders lost, the third forced; the change goes on from its version; the wiped one gets its vote back; one that returns on its old folder never gets one, and its entry follows the configuration. Seen to fail without the audit record; the test of the empty folder without its guard.

--- a/packages/core/src/cowslipshelf_core/agreement.py
+++ b/packages/core/src/cowslipshelf_core/agreement.py
@@ -68,14 +68,18 @@
     ReplicaId,
     Snapshot,
     StoredState,
+    decode_membership,
 )
 from cowslipshelf_core.internal.agreement.recovery import (
+    FORCED_MEMBERS_WARNING,
     ForcedMembership,
     force_members,
+    forced_by,
 )
 from cowslipshelf_core.internal.agreement.replica import Replica, ReplicaStatus
 
 __all__ = [
+    "FORCED_MEMBERS_WARNING",
     "AddReplica",
     "AgreementMessage",
     "AppendEntries",
@@ -138,5 +142,7 @@
     "TransferLeadership",
     "VoteAnswered",
     "VoteAsked",
+    "decode_membership",
     "force_members",
+    "forced_by",
 ]
--- a/packages/core/src/cowslipshelf_core/internal/agreement/recovery.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/recovery.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from cowslipshelf_core.identifiers import OperatorName
 from cowslipshelf_core.internal.agreement.effects import Persist
 from cowslipshelf_core.internal.agreement.log import ReplicaLog
 from cowslipshelf_core.internal.agreement.records import (
@@ -17,7 +18,7 @@
 
 FORCED_PROPOSAL_PREFIX = "forced-members:"
 
-WARNING = (
+FORCED_MEMBERS_WARNING = (
     "This replica becomes the only member of a new cluster that goes on from its "
     "log. Every change that it had not received is lost, even where a caller or "
     "operator was told that it was accepted. Entries that were never accepted may "
@@ -33,6 +34,16 @@
     warning: str
 
 
+def forced_by(entry: Entry) -> OperatorName | None:
+    """Name the operator who forced the membership that an entry carries, if so."""
+    forced = entry.kind is EntryKind.MEMBERSHIP and entry.proposal_id.startswith(
+        FORCED_PROPOSAL_PREFIX
+    )
+    if not forced:
+        return None
+    return OperatorName(entry.proposal_id.removeprefix(FORCED_PROPOSAL_PREFIX))
+
+
 def force_members(
     stored: StoredState, cluster: str, operator: str, at: float
 ) -> ForcedMembership:
@@ -56,4 +67,4 @@
     hard_state = stored.hard_state._replace(
         term=term, voted_for=stored.replica_id, cluster=cluster
     )
-    return ForcedMembership(Persist(hard_state, None, (entry,)), WARNING)
+    return ForcedMembership(Persist(hard_state, None, (entry,)), FORCED_MEMBERS_WARNING)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -37,10 +37,13 @@
     SnapshotWanted,
     TickElapsed,
     TransferLeadership,
+    decode_membership,
+    forced_by,
 )
 from cowslipshelf_core.control import (
     ControlCodecError,
     ControlState,
+    RecordMembership,
     decode_command,
     encode_outcome,
 )
@@ -235,6 +238,7 @@
     def apply(self, index: int, entry: Entry) -> None:
         """Apply a committed command and answer whoever proposed it here."""
         if entry.kind is not EntryKind.COMMAND:
+            self.audit_forced_members(index, entry)
             return
         try:
             command = decode_command(entry.payload)
@@ -250,6 +254,20 @@
             encoded = encode_outcome(outcome)
             self.answer_proposer(ProposalResult(entry.proposal_id, index, encoded))
 
+    def audit_forced_members(self, index: int, entry: Entry) -> None:
+        """Note who forced the members of the cluster.
+
+        The record is made from the log's own entry, so every replica makes the same.
+        """
+        operator = forced_by(entry)
+        if operator is None:
+            return
+        members = decode_membership(entry.payload).voters
+        for member in members:
+            detail = f"forced as the only member, folder {member.folder}"
+            record = RecordMembership(operator, member.instance, "recovered", detail)
+            self.state.apply(record, index, entry.at)
+
     def answer_proposer(self, result: ProposalResult) -> None:
         """Send a result to the instance that proposed through this replica."""
         proposer = self.proposers.pop(result.proposal_id, None)
--- a/packages/platform/src/cowslipshelf_platform/internal/storage/recovery.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/storage/recovery.py
@@ -44,6 +44,10 @@
         stored = storage.load()
         if isinstance(stored, Err):
             return stored
+        if stored.ok_value.snapshot is None and not stored.ok_value.entries:
+            # Forced, an empty folder would bring back the empty configuration.
+            detail = "it holds no state; choose the folder of another replica"
+            return Err(StorageError("force members", storage.config.folder, detail))
         replica_id = stored.ok_value.replica_id
         forced = force_members(stored.ok_value, new_identity(), operator, at)
         storage.write([forced.persist])
--- a/tests/cover/storage/test_replica_storage.py
+++ b/tests/cover/storage/test_replica_storage.py
@@ -282,6 +282,17 @@
     assert replica.status().commit_index == 3
 
 
+def test_an_empty_folder_is_never_forced(tmp_path):
+    """An operator forces the wiped replica instead of the one that is left.
+
+    It would become a cluster of its own with an empty configuration.
+    """
+    config = ReplicaStorageConfig(tmp_path, "entry-0")
+    error = force_members_in_folder(config, "operator", 9.0).unwrap_err()
+    assert error.step == "force members"
+    assert load(tmp_path).unwrap().entries == ()
+
+
 def test_a_folder_of_another_instance_is_refused(tmp_path):
     """A copied data folder votes under the name of the instance it came from."""
     load(tmp_path).unwrap()
--- a/tests/nocover/daemon/test_disks_on_processes.py
+++ b/tests/nocover/daemon/test_disks_on_processes.py
@@ -1,6 +1,10 @@
 """Check, on real processes, what a full disk and lost replicas leave to callers."""
 
+import os
 import resource
+import shutil
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -49,3 +53,61 @@
     wait_until(lambda: version(fleet, full) == accepted, "the version at the full one")
     assert fleet.is_ready(full)
     assert StreamedCall(fleet, full, "a tare note", 3).text()
+
+
+def force_members(fleet: LocalFleet, name: str, *options: str):
+    """Run the daemon's program for its offline task, and wait for its end."""
+    command = [sys.executable, "-m", "cowslipshelf_daemon", "--settings"]
+    return subprocess.run(
+        [*command, str(fleet.settings[name]), "--force-members", *options],
+        env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+        capture_output=True,
+        text=True,
+        timeout=60.0,
+        check=False,
+    )
+
+
+def voters(fleet: LocalFleet, name: str) -> set[str]:
+    notes = state(fleet, name)["notes"]
+    return {note.split()[1] for note in notes if note.startswith("voter")}
+
+
+def test_one_replica_goes_on_after_two_were_lost_for_good(fleet):
+    """Two of three data folders are lost in one accident; no change goes through.
+
+    The operator forces the third replica to be the only member. Changes go on from
+    what it had, the forcing is in the audit trail, and one of the lost folders, found
+    again later and started under its old name, has no vote.
+    """
+    before = fleet.change("before", put_weight(2))["configuration_version"]
+    kept, found, wiped = fleet.entry_names
+    wait_until(lambda: version(fleet, kept) == before, "the change at the kept one")
+    refused = force_members(fleet, kept, "--operator", "ana", "--yes")
+    assert (refused.returncode, "lock" in refused.stderr) == (9, True), refused
+    for name in fleet.entry_names:
+        fleet.kill(name)
+    found_folder = fleet.folder / f"{found}-data"
+    found_folder.rename(fleet.folder / "found-data")
+    shutil.rmtree(fleet.folder / f"{wiped}-data")
+    asked = force_members(fleet, kept, "--operator", "ana")
+    assert asked.returncode == 8
+    assert "WARNING" in asked.stdout and "--yes" in asked.stderr
+    assert force_members(fleet, kept, "--yes").returncode == 2
+    assert force_members(fleet, wiped, "--operator", "a", "--yes").returncode == 2
+    forced = force_members(fleet, kept, "--operator", "ana", "--yes")
+    assert forced.returncode == 0, forced
+    fleet.start_entry(kept)
+    wait_until(lambda: fleet.is_ready(kept), "the forced entry")
+    after = fleet.change("after", put_weight(3))["configuration_version"]
+    assert after == before + 1
+    _, audit = fleet.operator_call(kept, "GET", "/v1/audit")
+    assert any("ana" in str(one) and "forced" in str(one) for one in audit["records"])
+    (fleet.folder / "found-data").rename(found_folder)
+    fleet.start_entry(found)
+    fleet.start_entry(wiped)
+    wait_until(lambda: voters(fleet, kept) == {kept, wiped}, "the wiped one's vote")
+    fleet.wait_ready((found,))
+    fleet.change("with the found one", put_weight(4))
+    assert voters(fleet, kept) == {kept, wiped}
+    wait_until(lambda: version(fleet, found) == after + 1, "the version there")
