--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,15 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/python -m pytest -n 6 tests
+	PYTHONPATH=tests:examples $(BIN)/python -m behave --no-capture -f progress features
 
 format: $(VENV)/installed
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
+slopes: $(VENV)/installed
+	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes
+	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes.budget
+
 settings-page: $(VENV)/installed
 	$(BIN)/python -m cowslipshelf_platform.settings_page docs/SETTINGS.md
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -7,7 +7,7 @@
 
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.messages import StreamChunk, StreamHead
 from cowslipshelf_core.sidecar import (
     FirstTokenArrived,
     UpstreamAccepted,
@@ -68,7 +68,7 @@
             # An engine that breaks its own numbering must not leave the caller
             # waiting for an end that nobody writes.
             refusal = self.failure(str(error))
-        self.buffer.append(StreamEnd(self.last_sequence, refusal))
+        self.buffer.end(refusal)
         whole = refusal is None
         finished = UpstreamFinished(self.attempt_id, whole, self.output_tokens)
         self.services.sidecar.tell(finished)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -3,6 +3,7 @@
 from threading import Condition
 from time import monotonic
 
+from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
 from cowslipshelf_fleet.errors import FrameOrderError
 
@@ -16,8 +17,8 @@
 class FrameBuffer:
     """Hold all frames of an attempt until it is forgotten; safe between threads.
 
-    One thread writes; each response reads. Positions count frames; sequence
-    numbers count chunks, from one.
+    One thread writes; another may end the stream meanwhile; each response reads.
+    Positions count frames; sequence numbers count chunks, from one.
     """
 
     def __init__(self, most_bytes: int = MOST_BUFFERED_BYTES) -> None:
@@ -28,6 +29,8 @@
         self.frames_before_chunks = 0
         self.finished = False
         """Whether the last frame of the stream was appended."""
+        self.read_to_end = False
+        """Whether a reader has taken the last frame."""
         self.closed = False
         self.reader = 0
         self.changed = Condition()
@@ -41,6 +44,8 @@
         """
         size = frame_size(frame)
         with self.changed:
+            if self.finished:
+                return False
             self.check_order(frame)
             is_last = isinstance(frame, StreamEnd)
             if self.closed or (self.bytes + size > self.most_bytes and not is_last):
@@ -51,6 +56,11 @@
             self.changed.notify_all()
             return True
 
+    def end(self, refusal: Refusal | None = None) -> bool:
+        """End the stream after all that was added; False where it had ended."""
+        with self.changed:
+            return self.append(StreamEnd(self.last_sequence, refusal))
+
     def read_after(self, sequence: int, timeout: float) -> list[Frame]:
         """Return the next frames after a chunk; wait `timeout` seconds for one.
 
@@ -89,7 +99,10 @@
                 self.changed.wait(left)
             if reader != self.reader:
                 return []
-            return self.frames[position : position + MOST_FRAMES_READ]
+            taken = self.frames[position : position + MOST_FRAMES_READ]
+            if self.finished and position + len(taken) >= len(self.frames):
+                self.read_to_end = True
+            return taken
 
     def must_wait(self, position: int, reader: int) -> bool:
         """Tell whether a reader at the position has to wait for something."""
@@ -114,8 +127,6 @@
 
     def check_order(self, frame: Frame) -> None:
         """Raise `FrameOrderError` where a frame may not come next."""
-        if self.finished:
-            raise FrameOrderError("a frame after the last one")
         match frame:
             case StreamHead():
                 in_order = not self.frames
