Measure the choice of the upstream on the real path

Cause: the policy was measured on its deciders alone. What the real path adds, such as late reports, sidecars and engines that die, was not.

Ruled out: a fleet for each choice, whose runs would meet the machine at different times; here the choices take turns on the same engines and arrivals.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core platform fleet callers operators upstreams weightstore daemon cli standins
 
-.PHONY: run test bench slopes format settings-page
+.PHONY: run test bench bench-real-path slopes format settings-page
 
 $(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,12 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/python -m pytest -n 6 tests
 
+bench: bench-real-path
+
+bench-real-path: $(VENV)/installed
+	PYTHONPATH=examples $(BIN)/python benchmarks/real_path.py
+	$(BIN)/python benchmarks/real_path_report.py
+
 format: $(VENV)/installed
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
--- /dev/null
+++ b/benchmarks/real_path_entry.py
@@ -0,0 +1,38 @@
+"""Run an entry daemon whose choice of the upstream is replaced by a baseline's.
+
+All else is the product's own path. Only the measurement starts this.
+"""
+
+import argparse
+from collections.abc import Callable
+from pathlib import Path
+
+from policy_baselines import Baseline, LeastOutstanding, RoundRobin
+
+from cowslipshelf_daemon.internal.entry.assembly import EntryRole, start_entry
+from cowslipshelf_daemon.internal.running import run_daemon
+from cowslipshelf_platform.settings import DaemonSettings, load_settings
+
+BASELINES: dict[str, Callable[[], Baseline]] = {
+    "round-robin": RoundRobin,
+    "least-outstanding": LeastOutstanding,
+}
+
+
+def main() -> int:
+    """Run the entry; return its exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--choice", choices=sorted(BASELINES), required=True)
+    parser.add_argument("--settings", type=Path, required=True)
+    arguments = parser.parse_args()
+    settings = load_settings(arguments.settings).unwrap()
+    baseline = BASELINES[arguments.choice]
+
+    def start(settings: DaemonSettings) -> EntryRole:
+        return start_entry(settings, lambda _: baseline())
+
+    return run_daemon(settings, start)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/benchmarks/real_path_load.py
@@ -0,0 +1,288 @@
+"""Offer a seeded load to the entries of one choice and sum up what came of it."""
+
+import os
+import threading
+from collections import Counter
+from collections.abc import Sequence
+from random import Random
+from typing import Any, NamedTuple
+
+from real_path_fleet import (
+    CHUNK_TOKENS,
+    CUSTOMER_SHARES,
+    CUSTOMERS,
+    MEMORY_TOKENS,
+    MODEL,
+    PREFILL_SECONDS_PER_TOKEN,
+    PREFILL_SECONDS_PER_TOKEN_SQUARED,
+    STEP_SECONDS,
+    TIME_SCALE,
+    ComparedFleet,
+    customer_key,
+)
+
+from cowslipshelf_cli.load import (
+    Arrival,
+    CustomerShare,
+    Ending,
+    FiguresConfig,
+    LoadShape,
+    Outcome,
+    Pace,
+    Quantiles,
+    Sender,
+    SenderConfig,
+    UnloadedTime,
+    draw_arrivals,
+    run_open_loop,
+    sum_up,
+)
+
+SHORTEST_TOKENS = 1_000
+SHORT_TOKENS = 8_000
+LONG_TOKENS = 100_000
+LONGEST_TOKENS = 1_000_000
+LONG_SHARE = 0.02
+OUTPUT_TOKENS = 48
+SECONDS_PER_FURTHER_DECODER = 0.0003
+SHORT_DEADLINE_SECONDS = 5.0
+LONG_DEADLINE_SECONDS = 20.0
+MOST_CONCURRENT = 400
+CAPACITY_DRAWS = 50_000
+CALIBRATIONS = 24
+KILL_AT_SHARE = 0.4
+"""Part of a run after which engines are lost."""
+
+
+class Run(NamedTuple):
+    """Be one load that is offered through the entries of one choice."""
+
+    choice: str
+    load: float
+    """Offered engine time over the engines' capacity."""
+    seed: int
+    with_long: bool = True
+    engines_lost: int = 0
+
+    def name(self) -> str:
+        """Name it, apart from the choice."""
+        parts = [f"{self.load:g} of capacity"]
+        if not self.with_long:
+            parts.append("no long prompts")
+        if self.engines_lost:
+            parts.append(f"{self.engines_lost} engines lost")
+        return ", ".join(parts)
+
+
+def engine_seconds(prompt_tokens: int) -> float:
+    """Return the real seconds that a request takes of an engine in a full batch."""
+    linear = PREFILL_SECONDS_PER_TOKEN * prompt_tokens
+    squared = PREFILL_SECONDS_PER_TOKEN_SQUARED * prompt_tokens**2
+    steps = -(-prompt_tokens // CHUNK_TOKENS) * STEP_SECONDS
+    decode = OUTPUT_TOKENS * SECONDS_PER_FURTHER_DECODER
+    return TIME_SCALE * (linear + squared + steps + decode)
+
+
+def shape_of(seed: int, rate: float, seconds: float) -> LoadShape:
+    """Return the shape that every load has, but for its rate."""
+    customers = tuple(
+        CustomerShare(name, share)
+        for name, share in zip(CUSTOMERS, CUSTOMER_SHARES, strict=True)
+    )
+    return LoadShape(
+        seed,
+        rate,
+        seconds,
+        SHORTEST_TOKENS,
+        LONG_TOKENS,
+        LONGEST_TOKENS,
+        LONG_SHARE,
+        customers,
+    )
+
+
+def capacity(engines: int) -> float:
+    """Return the arrivals a second that would keep all engines just busy.
+
+    Prompts that fit no engine are refused and take up no engine time.
+    """
+    shape = shape_of(seed=0, rate=1.0, seconds=float(CAPACITY_DRAWS))
+    lengths = [arrival.prompt_tokens for arrival in draw_arrivals(shape)]
+    taken = sum(engine_seconds(tokens) for tokens in lengths if fits(tokens))
+    return engines * len(lengths) / taken
+
+
+def fits(prompt_tokens: int) -> bool:
+    """Return whether one engine can hold the request."""
+    return prompt_tokens + OUTPUT_TOKENS <= MEMORY_TOKENS
+
+
+def draw(run: Run, rate: float, seconds: float) -> list[Arrival]:
+    """Draw a run's arrivals: the same for every choice, with or without long ones."""
+    drawn = draw_arrivals(shape_of(run.seed, run.load * rate, seconds))
+    return [a for a in drawn if run.with_long or a.prompt_tokens <= LONG_TOKENS]
+
+
+class TwoDeadlines:
+    """Send long prompts with a deadline of their own."""
+
+    def __init__(self, addresses: tuple[str, ...], marker: str) -> None:
+        self.short, self.long = (
+            Sender(
+                SenderConfig(
+                    addresses,
+                    MODEL,
+                    OUTPUT_TOKENS,
+                    deadline,
+                    MOST_CONCURRENT,
+                    f"{kind}-{marker}",
+                    {name: customer_key(name) for name in CUSTOMERS},
+                )
+            )
+            for kind, deadline in (
+                ("s", SHORT_DEADLINE_SECONDS),
+                ("l", LONG_DEADLINE_SECONDS),
+            )
+        )
+
+    def send(self, arrival: Arrival, planned: float) -> Outcome:
+        """Send one request."""
+        sender = self.long if arrival.prompt_tokens > LONG_TOKENS else self.short
+        return sender.send(arrival, planned)
+
+    def close(self) -> None:
+        """Close pooled connections."""
+        self.short.close()
+        self.long.close()
+
+
+def marker_of(run: Run) -> str:
+    """Begin a run's prompts with text of their own, so that none is cached."""
+    return "-".join(
+        (
+            run.choice,
+            f"{run.load:g}".replace(".", ""),
+            str(run.seed),
+            str(run.with_long),
+            str(run.engines_lost),
+        )
+    )
+
+
+def calibrate(addresses: tuple[str, ...]) -> UnloadedTime:
+    """Time short prompts one after the other in a fleet at rest."""
+    sender = TwoDeadlines(addresses, "calibrate")
+    random = Random(0)
+    samples = []
+    try:
+        for index in range(CALIBRATIONS):
+            tokens = random.randint(SHORTEST_TOKENS, SHORT_TOKENS)
+            arrival = Arrival(index, 0.0, CUSTOMERS[0], tokens)
+            outcome = sender.send(arrival, sender.short.now())
+            if outcome.first_token_seconds is not None:
+                samples.append((tokens, outcome.first_token_seconds))
+    finally:
+        sender.close()
+    unloaded = UnloadedTime.from_samples(samples)
+    if unloaded is None:
+        raise RuntimeError("no calibration request was answered")
+    return unloaded
+
+
+def offer(fleet: ComparedFleet, run: Run, rate: float, seconds: float) -> list[Outcome]:
+    """Offer one run's load; its engines are lost part of the way through."""
+    arrivals = draw(run, rate, seconds)
+    sender = TwoDeadlines(fleet.callers_of(run.choice), marker_of(run))
+    killer = threading.Timer(
+        KILL_AT_SHARE * seconds, fleet.lose_engines, [run.engines_lost]
+    )
+    killer.start()
+    try:
+        return run_open_loop(arrivals, sender.send, MOST_CONCURRENT, Pace())
+    finally:
+        sender.close()
+        killer.join()
+
+
+def deadline_of(outcome: Outcome) -> float:
+    """Return the deadline that a request was sent with."""
+    is_long = outcome.arrival.prompt_tokens > LONG_TOKENS
+    return LONG_DEADLINE_SECONDS if is_long else SHORT_DEADLINE_SECONDS
+
+
+def in_time_share(outcomes: Sequence[Outcome]) -> float:
+    """Return the share answered whole within their deadline."""
+    in_time = sum(
+        each.ending is Ending.WHOLE and (each.total_seconds or 0) <= deadline_of(each)
+        for each in outcomes
+    )
+    return in_time / len(outcomes) if outcomes else 0.0
+
+
+def goodput(outcomes: Sequence[Outcome]) -> float:
+    """Return the engine seconds of the prompts that were answered in time."""
+    return sum(
+        engine_seconds(each.arrival.prompt_tokens)
+        for each in outcomes
+        if each.ending is Ending.WHOLE
+        and (each.total_seconds or 0) <= deadline_of(each)
+    )
+
+
+CLASSES = {
+    "short (to 8k)": (0, SHORT_TOKENS),
+    "medium (to 100k)": (SHORT_TOKENS, LONG_TOKENS),
+    "long (over 100k)": (LONG_TOKENS, LONGEST_TOKENS),
+}
+
+
+def class_figures(outcomes: Sequence[Outcome]) -> dict[str, Any]:
+    """Sum up by class; prompts that fit no engine are left to the refusals."""
+    figures = {}
+    for name, (above, to) in CLASSES.items():
+        members = [
+            each
+            for each in outcomes
+            if above < each.arrival.prompt_tokens <= to
+            and fits(each.arrival.prompt_tokens)
+        ]
+        first = [
+            each.first_token_seconds
+            for each in members
+            if each.ending is Ending.WHOLE and each.first_token_seconds is not None
+        ]
+        figures[name] = {
+            "planned": len(members),
+            "in_time_share": in_time_share(members),
+            "first_token_seconds": Quantiles.from_values(first)._asdict(),
+            "refusals": dict(
+                Counter(e.code for e in members if e.ending is Ending.REFUSED)
+            ),
+        }
+    return figures
+
+
+def figures_of(
+    run: Run, outcomes: Sequence[Outcome], seconds: float, unloaded: UnloadedTime
+) -> dict[str, Any]:
+    """Put a run and its figures into a JSON document."""
+    summed = sum_up(outcomes, FiguresConfig(SHORT_TOKENS, 0.0, unloaded))
+    served = [each for each in outcomes if fits(each.arrival.prompt_tokens)]
+    slowdown = summed.short_slowdown
+    return {
+        "run": run._asdict() | {"name": run.name()},
+        "load_average": os.getloadavg(),
+        "planned": summed.planned,
+        "fit_no_engine": len(outcomes) - len(served),
+        "in_time_share_of_those_that_fit": in_time_share(served),
+        "goodput_engine_seconds_per_second": goodput(outcomes) / seconds,
+        "endings": summed.endings,
+        "refusals": summed.refusals,
+        "breaks": summed.breaks,
+        "sent_late_by_the_tool": summed.late_arrivals,
+        "classes": class_figures(outcomes),
+        "buckets": {
+            name: each._asdict() for name, each in summed.first_token_seconds.items()
+        },
+        "short_slowdown": slowdown._asdict() if slowdown else None,
+    }
