--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -200,7 +200,9 @@
             "mean_engine_seconds_per_request": mean_engine_seconds(),
             "rows": [{**cell._asdict(), "runs": runs} for cell, runs in cells.items()],
         }
-        arguments.out.write_text(json.dumps(document, indent=1) + "\n")
+        text = json.dumps(document, indent=1)
+        # JSON has no NaN: a bucket without requests has no times.
+        arguments.out.write_text(text.replace(": NaN", ": null") + "\n")
 
 
 if __name__ == "__main__":
