--- /dev/null
+++ b/features/steps/matrix_steps.py
@@ -0,0 +1,88 @@
+"""Run the rows of the matrix on the deciders, joined by queues in memory."""
+
+from behave import given, then, when
+
+from common.matrix_rows import (
+    change_worlds,
+    claim_worlds,
+    failures_of_pairs,
+    request_worlds,
+)
+
+
+@given("a request of each kind, which its caller sends again")
+def given_requests(context):
+    context.make = request_worlds
+
+
+@given("a change that an operator confirms, and its rival")
+def given_changes(context):
+    context.make = change_worlds
+
+
+@given("a key in the replicated state")
+def given_claims(context):
+    context.make = claim_worlds
+
+
+@when('"{fault}" comes at "{step}"')
+def when_fault(context, fault, step):
+    context.row = (fault, step)
+    context.worlds = context.make(step, (fault,))
+    for world in context.worlds:
+        world.run()
+        assert world.fired, f"{step} was never reached"
+
+
+@then("each caller gets one answer in time, its own and whole, or a true refusal")
+def then_answers(context):
+    for world in context.worlds:
+        world.check_answers()
+
+
+@then("what must run once has run at most once")
+def then_runs(context):
+    for world in context.worlds:
+        world.check_runs()
+
+
+@then("no engine holds memory for it after the sidecar's bound")
+def then_memory(context):
+    for world in context.worlds:
+        world.check_memory()
+
+
+@then("an upstream that leaves is given nothing new")
+def then_leaving(context):
+    for world in context.worlds:
+        world.check_leaving()
+
+
+@then("one of the two is in force in every process, and no version goes back")
+def then_in_force(context):
+    for world in context.worlds:
+        world.check_changes()
+
+
+@then("a resend through another entry gets the first answer")
+def then_first_answer(context):
+    for world in context.worlds:
+        world.check_resends()
+
+
+@then("the key is claimed once, and its answer is kept")
+def then_claimed(context):
+    for world in context.worlds:
+        world.check_claim()
+
+
+@then('any two faults of these at "{step}" keep every promise')
+def then_pairs(context, step):
+    faults = [row["fault"] for row in context.table]
+    failures = []
+    for pair, failure in failures_of_pairs(context.make, step, faults):
+        name = context.feature.name
+        context.matrix.count(name, "any two faults", step, not failure)
+        if failure:
+            failures.append(f"{pair}: {failure}")
+    assert not failures, "\n".join(failures)
