--- a/tests/common/matrix_entry.py
+++ b/tests/common/matrix_entry.py
@@ -268,7 +268,7 @@
             case SendHandOver(upstream, hand_over):
                 self.close()
                 self.send_hand_over(upstream, hand_over)
-            case Resume(upstream, attempt_id, after):
+            case Resume(_, attempt_id, after, upstream):
                 self.close()
                 self.resume(upstream, attempt_id, after)
             case Revoke(_, attempt_id, epoch, upstream, sequence):
