Give a dead engine no work until it answers again

Cause: the sidecar of a dead engine lived on and announced itself. Each attempt failed there at once, so it was always the emptiest upstream: whatever looks at load sent most requests to the dead.

Ruled out: that the router excludes an upstream after failures, which every entry would have to learn by failures of its own; and that a late inventory counts as death, since a busy machine delays it.

Change: an attempt that finds nothing listening tells the sidecar's decider. It refuses with "not run" from then on and announces at once that it takes no work, until an inventory of the engine is read again. A plain service, which gives no inventory, is left as it was.

--- a/benchmarks/real_path.py
+++ b/benchmarks/real_path.py
@@ -70,6 +70,7 @@
     runs = []
     for one_round in runs_of(selection):
         for run in one_round:
+            fleet.wait_in_force()
             fleet.wait_idle()
             outcomes = offer(fleet, run, rate, seconds)
             fleet.bring_back_engines()
--- a/benchmarks/real_path_load.py
+++ b/benchmarks/real_path_load.py
@@ -275,6 +275,10 @@
         "planned": summed.planned,
         "fit_no_engine": len(outcomes) - len(served),
         "in_time_share_of_those_that_fit": in_time_share(served),
+        "offered_engine_seconds_per_second": sum(
+            engine_seconds(each.arrival.prompt_tokens) for each in served
+        )
+        / seconds,
         "goodput_engine_seconds_per_second": goodput(outcomes) / seconds,
         "endings": summed.endings,
         "refusals": summed.refusals,
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/events.py
@@ -44,6 +44,11 @@
     attempt_id: AttemptId
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamUnreachable:
+    """Say that nothing takes connections at the upstream's address."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamFinished:
     """Say that the upstream's answer ended, whole or not, or can't be had."""
@@ -131,6 +136,7 @@
     | UpstreamAccepted
     | FirstTokenArrived
     | UpstreamFinished
+    | UpstreamUnreachable
     | RevokeArrived
     | CancelArrived
     | OwnerSeen
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
@@ -34,6 +34,7 @@
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.internal.sidecar.orders import OrderGate
 from cowslipshelf_core.internal.sidecar.owners import OwnerLeases
@@ -57,6 +58,8 @@
     sequence: int = 0
     leaving: bool = False
     left: bool = False
+    unreachable: bool = False
+    """Whether the upstream took no connection, and gave no inventory since."""
 
     @classmethod
     def from_config(cls, config: SidecarConfig) -> Self:
@@ -97,6 +100,19 @@
             hot_prefixes=tuple(table.hot_prefixes.hashes),
         )
 
+    @property
+    def takes_work(self) -> bool:
+        """Return whether entries may choose this upstream for new work."""
+        return not (self.leaving or self.is_cut_off)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether the engine can't be reached.
+
+        A plain service gives no inventory, by which its return would be known.
+        """
+        return self.unreachable and self.config.description.kind == "model"
+
     def _dispatch(self, event: SidecarEvent, now: float) -> list[SidecarEffect]:
         match event:
             case HandOverArrived(hand_over):
@@ -113,7 +129,10 @@
                 return self._cancel(attempt_id, now)
             case OwnerSeen(owner):
                 self.owners.renew(owner, now)
+            case UpstreamUnreachable():
+                self.unreachable = True
             case InventoryRead(held):
+                self.unreachable = False
                 return self._compare(held, now)
             case ConfigurationApplied(configuration):
                 self._apply(configuration)
@@ -176,6 +195,11 @@
         objection = self.rules.objection(hand_over)
         if objection is not None:
             return self._not_run(objection)
+        # A dead engine fails each attempt at once, so it has the least load of all and
+        # would draw the whole fleet's requests to itself. It gets none until it answers
+        # an inventory again.
+        if self.is_cut_off:
+            return self._not_run(RefusalReason.UPSTREAM_FAILED)
         table = self.table
         if len(table.waiting) >= self.config.most_waiting:
             return self._not_run(RefusalReason.OVERLOADED)
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -34,6 +34,7 @@
     lease_seconds: float
     load: LoadReport
     leaving: bool = False
+    """Whether it takes no new work, for good or until its upstream answers again."""
 
 
 class AnnounceAnswer(Message, frozen=True):
--- a/packages/core/src/cowslipshelf_core/sidecar.py
+++ b/packages/core/src/cowslipshelf_core/sidecar.py
@@ -34,6 +34,7 @@
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.internal.sidecar.state import SidecarState
 
@@ -70,4 +71,5 @@
     "TickElapsed",
     "UpstreamAccepted",
     "UpstreamFinished",
+    "UpstreamUnreachable",
 ]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -12,6 +12,7 @@
     FirstTokenArrived,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_fleet import FrameBuffer, FrameOrderError
@@ -130,7 +131,8 @@
         """Resume at an engine; None where it cannot be had."""
         try:
             stream = engine.resume(self.attempt_id, self.last_sequence)
-        except UpstreamLostError:
+        except UpstreamLostError as error:
+            self.tell_if_unreachable(error)
             return None
         return stream if stream.status == OK else None
 
@@ -163,11 +165,17 @@
         Where no byte can have reached the upstream the attempt never ran, and since
         this is its only start it never will: only then is "not run" true.
         """
+        self.tell_if_unreachable(error)
         refusal = self.failure(str(error))
         if error.may_have_arrived:
             return refusal
         return refusal._replace(code=RefusalCode.NOT_RUN)
 
+    def tell_if_unreachable(self, error: UpstreamLostError) -> None:
+        """Tell the sidecar's actor where no connection could be made."""
+        if not error.may_have_arrived:
+            self.services.sidecar.tell(UpstreamUnreachable())
+
     def failure(self, detail: str) -> Refusal:
         """Describe an attempt that was handed over and did not finish."""
         return Refusal(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -57,6 +57,7 @@
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
 from cowslipshelf_daemon.internal.actor import DaemonActor
@@ -160,11 +161,12 @@
             case UpstreamFinished(attempt_id=attempt_id):
                 self.runners.pop(attempt_id, None)
                 self.decide(message, now)
+            case UpstreamUnreachable() | InventoryRead():
+                self.decide_reachability(message, now)
             case (
                 UpstreamAccepted()
                 | FirstTokenArrived()
                 | CancelArrived()
-                | InventoryRead()
                 | OrderFinished()
             ):
                 self.decide(message, now)
@@ -174,6 +176,16 @@
         for effect in self.state.handle(event, now):
             self.perform(effect)
 
+    def decide_reachability(
+        self, event: UpstreamUnreachable | InventoryRead, now: float
+    ) -> None:
+        """Decide on a sign of the upstream's death or life, and tell it at once."""
+        took_work = self.state.takes_work
+        self.decide(event, now)
+        if self.state.takes_work != took_work:
+            LOG.info("reachability changed", takes_work=self.state.takes_work)
+            self.announce(now)
+
     def decide_hand_over(
         self, hand_over: HandOver, reply: "SimpleQueue[Any]", now: float
     ) -> None:
@@ -327,7 +339,7 @@
             self.epoch,
             timings.lease_seconds,
             self.state.load_report(),
-            leaving=self.leave is not None,
+            leaving=not self.state.takes_work,
         )
         for address in sorted(self.entry_addresses):
             self.mailbox.send(address, announcement)
