--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -15,7 +16,7 @@
     own_path,
 )
 from slopes.fitting import slopes_of
-from slopes.reporting import RESULTS, Conditions, table, to_json
+from slopes.reporting import RESULTS, Conditions, keep, table
 
 MODULES = (
     deciders,
@@ -32,28 +33,30 @@
 REPEATS = 3
 
 
+def end(*_: object) -> None:
+    """End on a signal by an exception, so that every fleet is stopped on the way."""
+    sys.exit("ended by a signal")
+
+
 def main() -> None:
     """Run the experiments that were asked for, one after the other."""
+    signal.signal(signal.SIGTERM, end)
     names = [experiment.name for experiment in EXPERIMENTS]
     parser = argparse.ArgumentParser(prog="slopes", description=__doc__)
     parser.add_argument("--only", nargs="+", choices=names, default=names)
     parser.add_argument("--repeats", type=int, default=REPEATS)
     parser.add_argument("--out", type=Path, default=RESULTS)
     arguments = parser.parse_args()
-    load_before = os.getloadavg()
-    slopes = []
     for experiment in EXPERIMENTS:
         if experiment.name not in arguments.only:
             continue
+        load_before = os.getloadavg()
         found = slopes_of(experiment, arguments.repeats)
-        sys.stdout.write(table(found) + "\n\n")
-        sys.stdout.flush()
-        slopes += found
-        # Written after each experiment: an interrupted run keeps what it has.
         conditions = Conditions.from_machine(arguments.repeats, load_before)
-        arguments.out.parent.mkdir(parents=True, exist_ok=True)
-        arguments.out.write_text(to_json(slopes, conditions))
-    sys.stdout.write(f"{conditions}\nwritten to {arguments.out.name}\n")
+        # Written after each experiment: an interrupted run keeps what it has.
+        keep(arguments.out, experiment.name, found, conditions)
+        sys.stdout.write(f"{table(found)}\n{conditions}\n\n")
+        sys.stdout.flush()
 
 
 if __name__ == "__main__":
