--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -62,6 +62,7 @@
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
 from cowslipshelf_daemon.internal.actor import DaemonActor
@@ -176,11 +177,12 @@
             case UpstreamFinished(attempt_id=attempt_id):
                 self.runners.pop(attempt_id, None)
                 self.decide(message, now)
+            case UpstreamUnreachable() | InventoryRead():
+                self.decide_reachability(message, now)
             case (
                 UpstreamAccepted()
                 | FirstTokenArrived()
                 | CancelArrived()
-                | InventoryRead()
                 | OrderFinished()
             ):
                 self.decide(message, now)
@@ -190,6 +192,16 @@
         for effect in self.state.handle(event, now):
             self.perform(effect)
 
+    def decide_reachability(
+        self, event: UpstreamUnreachable | InventoryRead, now: float
+    ) -> None:
+        """Decide on a sign of the upstream's death or life, and tell it at once."""
+        took_work = self.state.takes_work
+        self.decide(event, now)
+        if self.state.takes_work != took_work:
+            LOG.info("reachability changed", takes_work=self.state.takes_work)
+            self.announce(now)
+
     def decide_hand_over(
         self, hand_over: HandOver, reply: "SimpleQueue[Any]", now: float
     ) -> None:
@@ -344,7 +356,7 @@
             self.epoch,
             timings.lease_seconds,
             self.state.load_report(),
-            leaving=self.leave is not None,
+            leaving=not self.state.takes_work,
             roster=self.chooser.roster(),
         )
         for entry in self.chooser.targets(now):
