--- a/tests/common/matrix_changes.py
+++ b/tests/common/matrix_changes.py
@@ -541,6 +541,9 @@
         while not self.fired and self.round < MOST_ROUNDS * 4:
             self.run_round()
         self.settle()
+        newest = max(s.configuration.version for s in self.cluster.states.values())
+        held = {n: v.view.in_force.version for n, v in self.viewers.items()}
+        self.behind = {name for name, version in held.items() if version < newest}
         self.first = [plans[0], outcome]
         names = ("entry-9",)
         self.again = [self.ask(wanted, names), self.ask(confirm, names)]
@@ -565,6 +568,7 @@
 
     def check_changes(self) -> None:
         """Check that one change won, and holds in every process for good."""
+        assert not self.behind, f"not in force in time in {self.behind}"
         outcomes = self.raced
         won = [o for o in outcomes if isinstance(o, PlanConfirmed)]
         lost = [o for o in outcomes if isinstance(o, PlanOutdated)]
