Answer a sidecar's proposals at the address they came from

Cause: the replica answered a proposal to the proposer's instance name, and the post only knows the names of entries. A sidecar that asked for a load grant never got one, so no order to load a model was ever carried out: it stayed open and the sidecar refused every resend as repeated.

Ruled out: teaching the post the names of sidecars, which restart under other addresses and are thousands.

Change: the replica keeps the mailbox address that a proposal came from.

The tests of the actor fail without the change, now that their post loses messages to unknown names as the real one does.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -47,7 +47,6 @@
     decode_command,
     encode_outcome,
 )
-from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.messages import (
     ConfigurationSnapshot,
     FencingAnswered,
@@ -102,7 +101,8 @@
         self.gateway = parts.gateway
         self.random = random.Random()
         self.events: list[Event] = []
-        self.proposers: dict[str, InstanceId] = {}
+        self.proposers: dict[str, str] = {}
+        """Mailbox addresses of those that wait for the outcome of a proposal."""
         self.reads: dict[str, Delivered] = {}
         self.reads_asked = 0
 
@@ -129,7 +129,7 @@
         """Turn a message from an instance into an event."""
         match delivered.message:
             case Propose(proposal_id=proposal_id, command=command):
-                self.proposers[proposal_id] = delivered.sender
+                self.proposers[proposal_id] = delivered.sender_address
                 self.events.append(CommandProposed(proposal_id, command, time.time()))
             case FetchConfiguration(question=question) if question:
                 self.ask_read(delivered)
@@ -269,10 +269,14 @@
             self.state.apply(record, index, entry.at)
 
     def answer_proposer(self, result: ProposalResult) -> None:
-        """Send a result to the instance that proposed through this replica."""
-        proposer = self.proposers.pop(result.proposal_id, None)
-        if proposer is not None:
-            self.post.send_to_instance(proposer, result)
+        """Send a result to whoever proposed through this replica.
+
+        It goes to the address that the proposal came from: the post knows entry
+        instances by name, but not sidecars, which ask for load grants.
+        """
+        address = self.proposers.pop(result.proposal_id, None)
+        if address is not None:
+            self.post.send(address, result)
 
     def answer_read(self, read_id: str, confirmed: bool) -> None:
         """Answer a question that a quorum was asked about."""
--- a/tests/cover/daemon/test_failing_disk.py
+++ b/tests/cover/daemon/test_failing_disk.py
@@ -32,7 +32,7 @@
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_platform.storage import StorageError
 
-OTHER = "entry-2"
+OTHER = "scribe-1-sidecar"
 ELECTION_SECONDS = 0.01
 MOST_TICKS = 2000
 REFUSALS = {ProposalRefusal.OUTCOME_UNKNOWN, ProposalRefusal.DISK_FAILED}
@@ -70,8 +70,7 @@
         self.told.append(message)
 
     def send_to_instance(self, _instance, message):
-        """Take a message for an instance."""
-        self.told.append(message)
+        """Lose a message for an instance, as the post does for one it doesn't know."""
 
     def take(self, kind) -> list:
         """Give what came of one type, and forget everything."""
