--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,10 @@
 	$(BIN)/python -m pytest -n 6 tests
 	PYTHONPATH=tests:examples $(BIN)/python -m behave --no-capture -f progress features
 
-bench: bench-real-path
+bench: bench-real-path bench-control-plane
+
+bench-control-plane: $(VENV)/installed
+	$(BIN)/python benchmarks/control_plane.py
 
 bench-real-path: $(VENV)/installed
 	PYTHONPATH=examples $(BIN)/python benchmarks/real_path.py
