--- a/benchmarks/slopes/announcers.py
+++ b/benchmarks/slopes/announcers.py
@@ -10,7 +10,9 @@
 from contextlib import contextmanager
 from typing import NamedTuple
 
+from cowslipshelf_core.announcing import EntryPlace, roster_digest
 from cowslipshelf_core.identifiers import NO_CONFIGURATION
+from cowslipshelf_core.messages import AnnounceAnswer
 from cowslipshelf_daemon.internal.wire import MailboxMessage
 from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
 from local_fleet import CLUSTER_KEY
@@ -27,11 +29,20 @@
     owner_lease_seconds: float
 
 
-def ignore(_: Received) -> None:
-    """Take an answer and do nothing with it."""
+class Roster:
+    """Know the entries as a sidecar does, so that answers carry none that is known."""
 
+    def __init__(self) -> None:
+        self.digest = ""
 
-def started_mailbox(number: int, pace: Pace) -> Mailbox:
+    def receive(self, received: Received) -> None:
+        """Take in the list of an answer that brings one."""
+        match received.message:
+            case AnnounceAnswer(entries=entries) if entries:
+                self.digest = roster_digest([EntryPlace(*entry) for entry in entries])
+
+
+def started_mailbox(number: int, pace: Pace, roster: Roster) -> Mailbox:
     """Start the mailbox of one of the sidecars."""
     config = MailboxConfig(
         instance=f"announced-{number:04}-sidecar",
@@ -42,7 +53,7 @@
         silence_seconds=pace.silence_seconds,
         message_types=MailboxMessage,
     )
-    mailbox = Mailbox.from_config(config, ignore, lambda: NO_CONFIGURATION)
+    mailbox = Mailbox.from_config(config, roster.receive, lambda: NO_CONFIGURATION)
     mailbox.start()
     return mailbox
 
@@ -51,6 +62,7 @@
     mailboxes: Sequence[Mailbox],
     entries: Sequence[str],
     pace: Pace,
+    roster: Roster,
     stopped: threading.Event,
 ) -> None:
     """Announce one sidecar after the other, evenly over the interval."""
@@ -60,7 +72,7 @@
         for number, mailbox in enumerate(mailboxes):
             if stopped.wait(pace.announce_seconds / len(mailboxes)):
                 return
-            message = announce(number, sequence, pace.lease_seconds)
+            message = announce(number, sequence, pace.lease_seconds, roster.digest)
             for entry in entries:
                 mailbox.send(entry, message)
 
@@ -69,9 +81,10 @@
     """Announce until the input ends."""
     count, times, *entries = sys.argv[1:]
     pace = Pace(*map(float, times.split(",")))
-    mailboxes = [started_mailbox(number, pace) for number in range(int(count))]
+    roster = Roster()
+    mailboxes = [started_mailbox(n, pace, roster) for n in range(int(count))]
     stopped = threading.Event()
-    arguments = (mailboxes, entries, pace, stopped)
+    arguments = (mailboxes, entries, pace, roster, stopped)
     thread = threading.Thread(target=announce_all, args=arguments)
     if mailboxes:
         thread.start()
--- a/benchmarks/slopes/deciders.py
+++ b/benchmarks/slopes/deciders.py
@@ -4,6 +4,12 @@
 from random import Random
 from time import process_time
 
+from cowslipshelf_core.announcing import (
+    EntryChooser,
+    EntryChooserConfig,
+    EntryPlace,
+    roster_digest,
+)
 from cowslipshelf_core.directory import (
     AnnounceArrived,
     Directory,
@@ -183,7 +189,26 @@
     return repeated(repeats, works)
 
 
+def measure_announcing(entries: int, repeats: int) -> list[list[Reading]]:
+    """Time how a sidecar chooses entries, and how lists of entries are compared."""
+    places = [
+        EntryPlace(f"coruche-hall-entry-{n:03}", f"10.20.30.40:{10_000 + n}")
+        for n in range(entries)
+    ]
+    config = EntryChooserConfig(description(0).upstream_id)
+    chooser = EntryChooser.from_config(config, places)
+
+    def choice(_: int) -> None:
+        chooser.targets(0.0)
+
+    def digest(_: int) -> None:
+        roster_digest(places)
+
+    return repeated(repeats, {"choice": choice, "digest of the list": digest})
+
+
 EXPERIMENTS = (
+    Experiment("announcing", "entry instance", (3, 50, 400), measure_announcing),
     Experiment("directory", "upstream heard", (16, 64, 256, 1_300), measure_directory),
     Experiment("router", "upstream heard", (16, 64, 256, 1_300), measure_router),
     Experiment("sidecar decisions", "open attempt", (1, 50, 300), measure_sidecar),
--- a/benchmarks/slopes/samples.py
+++ b/benchmarks/slopes/samples.py
@@ -26,6 +26,7 @@
 HOT_PREFIXES = 16
 """As many as a sidecar reports at most; see the sidecar's costs."""
 KEY_HASH_CHARACTERS = 64
+ROSTER = "0123456789abcdef"
 MODELS = 4
 DEADLINE_SECONDS = 120.0
 
@@ -63,10 +64,14 @@
 
 
 def announce(
-    number: int, sequence: int, lease_seconds: float = LEASE_SECONDS
+    number: int,
+    sequence: int,
+    lease_seconds: float = LEASE_SECONDS,
+    roster: str = ROSTER,
 ) -> Announce:
     """Announce one of many engines."""
-    return Announce(description(number), EPOCH, lease_seconds, load(sequence))
+    described, report = description(number), load(sequence)
+    return Announce(described, EPOCH, lease_seconds, report, roster=roster)
 
 
 def configuration(customers: int, version: int = 1) -> FleetConfiguration:
