Ask the engine what became of an order before giving it again

Cause: a sidecar that is killed after it gave a load order leaves the order open. Its successor, without memory, got the same fencing number confirmed by a quorum and gave the order again: the engine loaded the version twice.

Ruled out: refusing an order with the newest number after a start, which would leave an order open that never reached the engine; a record in the log before the order is given, which can't tell a given one from one that was about to be.

Change: before a load grant is asked for, the sidecar reads what the engine has taken and carried out. What was carried out is closed as done; what the engine is still at is waited for. An engine that doesn't tell gets the order again.

The load grant of the killed sidecar stays open until it expires, ten minutes at most.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/order_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/order_runner.py
@@ -24,6 +24,7 @@
 from cowslipshelf_upstreams import (
     EngineClient,
     EngineOrder,
+    UpstreamError,
     UpstreamLostError,
     UpstreamRefusedError,
 )
@@ -79,6 +80,9 @@
 
     def carry_out(self) -> OrderResult:
         """Give the order to the engine, under a grant where it loads weights."""
+        taken = self.result_of_taken_order()
+        if taken is not None:
+            return taken
         if self.order.kind not in LOADS:
             return self.give()
         grant_id = GrantId(uuid.uuid4().hex)
@@ -90,6 +94,28 @@
             returned = ReturnLoadGrant(grant_id, self.services.instance)
             self.services.gateway.ask(returned, COMMAND_SECONDS)
 
+    def result_of_taken_order(self) -> OrderResult | None:
+        """Find out what came of an order that the engine has already taken.
+
+        A sidecar that was killed after it gave the order leaves it open, and its
+        successor gets it again without knowing of it. Given twice, it would load the
+        weights twice, the second time perhaps while callers are served. The engine's
+        own word tells; None where it has not taken the order or does not say.
+        """
+        limit = time.monotonic() + ORDER_SECONDS
+        while time.monotonic() < limit:
+            try:
+                known = self.services.engine.orders()
+            except UpstreamError as error:
+                LOG.warning("Engine tells nothing of its orders.", error=str(error))
+                return None
+            if any(run.order_id == self.order.order_id for run in known.orders_run):
+                return OrderResult(True, "carried out before; not given again")
+            if known.newest_fencing != self.order.fencing:
+                return None
+            time.sleep(PAUSE_SECONDS)
+        return OrderResult(False, "taken by the engine and not carried out in time")
+
     def wait_for_grant(self, grant_id: GrantId) -> bool:
         """Ask for a load grant until there is one; the store's rate is the fleet's."""
         asked = AskLoadGrant(
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
@@ -25,6 +25,7 @@
     EngineInventory,
     EngineLoad,
     EngineOrder,
+    EngineOrders,
     KvExport,
     KvImport,
     KvPart,
@@ -193,6 +194,11 @@
         path = f"/v1/cache/events?after={after}"
         return self.ask_for(UpstreamRequest("cache events", "GET", path), CacheEvents)
 
+    def orders(self) -> EngineOrders:
+        """Return what the engine has done with the orders that it got."""
+        request = UpstreamRequest("read orders", "GET", "/v1/orders")
+        return self.ask_for(request, EngineOrders)
+
     def give_order(self, order: EngineOrder) -> OrderResult:
         """Give an order and wait until it is done or refused as old."""
         body = msgspec.json.encode(order)
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_documents.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_documents.py
@@ -66,6 +66,14 @@
     newest_fencing: FencingNumber
 
 
+class EngineOrders(msgspec.Struct, frozen=True):
+    """Tell which orders an engine has taken and carried out since its start."""
+
+    newest_fencing: FencingNumber
+    """Of the newest order that it took; it may still be at it."""
+    orders_run: tuple[EngineOrder, ...] = ()
+
+
 class KvPart(msgspec.Struct, frozen=True):
     """Refer to the KV cache of some tokens of one prompt."""
 
