--- a/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
@@ -32,7 +32,8 @@
 from cowslipshelf_daemon.internal.ticker import Tick
 
 STEP = "ask_control_state"
-LONGEST_WAIT_SECONDS = 10.0
+ELECTIONS_PER_WAIT = 5
+"""Election timeouts that a command waits: a leader is replaced within two or three."""
 REPLY_MARGIN_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 1.0
 
@@ -104,16 +105,17 @@
 class ControlGateway:
     """Offer the replicated state to any thread."""
 
-    def __init__(self, actor: ActorRef) -> None:
+    def __init__(self, actor: ActorRef, election_seconds: float) -> None:
         self.actor = actor
+        self.longest_wait_seconds = ELECTIONS_PER_WAIT * election_seconds
 
     def ask(self, command: ControlCommand, seconds: float) -> ControlOutcome | Refusal:
         """Commit a command and wait for its outcome.
 
-        The wait is bounded below the caller's own patience, so that without a quorum
-        the refusal comes at once rather than at the caller's deadline.
+        The wait is long enough for a lost leader to be replaced, and no longer: where
+        a quorum is lost, the refusal must not come as late as the caller's deadline.
         """
-        patience = min(seconds, LONGEST_WAIT_SECONDS)
+        patience = min(seconds, self.longest_wait_seconds)
         reply: SimpleQueue[ControlOutcome | Refusal] = SimpleQueue()
         submit = SubmitAsked(
             uuid.uuid4().hex, encode_command(command), time.monotonic() + patience
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -199,7 +199,7 @@
     parts.post.attach(mailbox, dispatch.deliver)
     ticker = Ticker(actors.running(), settings.timings.tick_seconds)
     ticker.start()
-    gateway = ControlGateway(actors.gateway)
+    gateway = ControlGateway(actors.gateway, settings.timings.election_seconds)
     callers_handler = make_callers_handler(parts, actors, gateway)
     callers = make_callers_server(settings, callers_handler)
     operators_handler = EntryOperatorsHandler(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -224,7 +224,7 @@
     """Make what orders to an engine need; a plain service takes none."""
     match services.client:
         case EngineClient() as engine:
-            control = ControlGateway(gateway)
+            control = ControlGateway(gateway, settings.timings.election_seconds)
             return OrderServices(settings.instance, engine, control, actor)
         case PlainClient():
             return None
