Make what both roles share once, and put the queue bounds in force

Reading it showed that most_queued_seconds_short, most_queued_seconds_long and most_connections were settings that nothing read. They are wired; their defaults are the bounds that were measured (4 and 40 s), so nothing changes where they are not set.

--- a/packages/core/src/cowslipshelf_core/internal/configuration_view/view.py
+++ b/packages/core/src/cowslipshelf_core/internal/configuration_view/view.py
@@ -68,6 +68,10 @@
             view.senders[address] = Sender(address)
         return view
 
+    def version(self) -> ConfigurationVersion:
+        """Return the version in force."""
+        return self.in_force.version
+
     def handle(
         self, event: ConfigurationViewEvent, now: float
     ) -> list[ConfigurationViewEffect]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -3,28 +3,16 @@
 import time
 import uuid
 from collections.abc import Callable
-from pathlib import Path
 from typing import NamedTuple
 
 from pykka import ActorRef
-from result import Err, Ok
 
 from cowslipshelf_callers import CallersServer, CallersServerConfig
 from cowslipshelf_core.agreement import (
-    ProposalClient,
-    ProposalClientConfig,
-    Replica,
-    ReplicaConfig,
-    StoredState,
     TransferLeadership,
 )
-from cowslipshelf_core.configuration_view import (
-    ConfigurationView,
-    ConfigurationViewConfig,
-)
-from cowslipshelf_core.control import ControlState
 from cowslipshelf_core.directory import Directory, DirectoryConfig
-from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch, InstanceId
+from cowslipshelf_core.identifiers import Epoch
 from cowslipshelf_core.requests import RequestConfig, RetryBudget, RetryBudgetConfig
 from cowslipshelf_core.routing import Router, RouterConfig
 from cowslipshelf_daemon.internal.control_gateway import (
@@ -52,10 +40,7 @@
     OrderCourier,
     OrderCourierParts,
 )
-from cowslipshelf_daemon.internal.entry.replica_actor import (
-    ReplicaActor,
-    ReplicaParts,
-)
+from cowslipshelf_daemon.internal.entry.replica_start import start_replica
 from cowslipshelf_daemon.internal.entry.request_driver import (
     DriverServices,
     SharedRetryBudget,
@@ -67,33 +52,26 @@
     RoutingParts,
 )
 from cowslipshelf_daemon.internal.post import Post
+from cowslipshelf_daemon.internal.process_parts import (
+    make_mailbox,
+    make_post,
+    make_proposal_client,
+    make_view,
+)
 from cowslipshelf_daemon.internal.ticker import Ticker
-from cowslipshelf_daemon.internal.wire import MailboxMessage
 from cowslipshelf_fleet import (
     AttemptsClient,
     AttemptsClientConfig,
     Mailbox,
-    MailboxConfig,
 )
 from cowslipshelf_operators import OperatorKey, OperatorsServer, OperatorsServerConfig
 from cowslipshelf_platform.settings import DaemonSettings
-from cowslipshelf_platform.storage import ReplicaStorage, ReplicaStorageConfig
 
-HEARTBEATS_PER_ELECTION = 5
-HAND_OVER_LEADERSHIP_SECONDS = 1.0
+HAND_OVER_LEADERSHIP_SECONDS = 0.5
 OPERATOR = "operator"
 STOP_SECONDS = 2.0
 
 
-class StartError(Exception):
-    """Say at which step a daemon could not start."""
-
-    def __init__(self, step: str, detail: str) -> None:
-        super().__init__(f"{step}: {detail}")
-        self.step = step
-        self.detail = detail
-
-
 class EntryActors(NamedTuple):
     """Be the actors of one entry."""
 
@@ -132,7 +110,7 @@
         cut = self.callers_handler.open_requests.close_and_wait(seconds)
         if self.actors.replica is not None:
             self.actors.replica.tell(TransferLeadership())
-            time.sleep(HAND_OVER_LEADERSHIP_SECONDS / 2)
+            time.sleep(HAND_OVER_LEADERSHIP_SECONDS)
         return cut == 0
 
     def running_work(self) -> int:
@@ -164,7 +142,18 @@
 
 def make_router(settings: DaemonSettings) -> Router:
     """Make the router of an entry."""
-    return Router.from_config(RouterConfig(data_centre=settings.data_centre))
+    limits = settings.entry.limits
+    default = RouterConfig()
+    config = RouterConfig(
+        data_centre=settings.data_centre,
+        limits_short=default.limits_short._replace(
+            most_queued_seconds=limits.most_queued_seconds_short
+        ),
+        limits_long=default.limits_long._replace(
+            most_queued_seconds=limits.most_queued_seconds_long
+        ),
+    )
+    return Router.from_config(config)
 
 
 def start_entry(
@@ -194,7 +183,9 @@
         actors.replica,
         parts.in_force,
     )
-    mailbox = make_mailbox(parts, dispatch)
+    mailbox = make_mailbox(
+        settings, parts.epoch, dispatch.receive, parts.in_force.version
+    )
     mailbox.start()
     parts.post.attach(mailbox, dispatch.deliver)
     ticker = Ticker(actors.running(), settings.timings.tick_seconds)
@@ -230,18 +221,9 @@
     )
 
 
-def make_post(settings: DaemonSettings) -> Post:
-    """Make the post, which begins with the entries of the settings."""
-    post = Post(settings.instance, settings.mailbox_address)
-    for entry in settings.entries:
-        post.learn(entry.instance, entry.mailbox_address)
-    return post
-
-
 def start_actors(parts: EntryParts) -> EntryActors:
     """Start the actors; one that is told about needs to be started before."""
     settings = parts.settings
-    replicas = replica_instances(settings)
     routing = RoutingActor.start(
         RoutingParts(
             settings,
@@ -253,93 +235,18 @@
         )
     )
     configuration = ConfigurationActor.start(
-        ConfigurationParts(make_view(parts), parts.in_force, parts.post, routing)
+        ConfigurationParts(
+            make_view(settings, parts.epoch), parts.in_force, parts.post, routing
+        )
     )
-    client = ProposalClient.from_config(ProposalClientConfig(replicas))
-    gateway = GatewayActor.start(client, parts.post)
+    gateway = GatewayActor.start(make_proposal_client(settings), parts.post)
     if settings.entry.data_folder is None:
         return EntryActors(routing, configuration, gateway, None, None)
-    replica = start_replica(parts, configuration, gateway)
+    replica = start_replica(settings, parts.post, configuration, gateway)
     courier = OrderCourier.start(OrderCourierParts(replica, parts.status, parts.post))
     return EntryActors(routing, configuration, gateway, replica, courier)
 
 
-def replica_instances(settings: DaemonSettings) -> tuple[InstanceId, ...]:
-    """Return the instances that hold replicas, as the settings list them."""
-    return tuple(entry.instance for entry in settings.entries if entry.replica)
-
-
-def make_view(parts: EntryParts) -> ConfigurationView:
-    """Make the view of the configuration, which asks the replicas."""
-    addresses = tuple(
-        entry.mailbox_address for entry in parts.settings.entries if entry.replica
-    )
-    config = ConfigurationViewConfig(parts.epoch, addresses)
-    return ConfigurationView.from_config(config)
-
-
-def start_replica(
-    parts: EntryParts, configuration: ActorRef, gateway: ActorRef
-) -> ActorRef:
-    """Load the data folder and start the replica that it holds."""
-    settings = parts.settings
-    storage = open_storage(settings)
-    stored = load_stored(storage)
-    election = settings.timings.election_seconds
-    config = ReplicaConfig(
-        replica_instances(settings),
-        heartbeat_seconds=election / HEARTBEATS_PER_ELECTION,
-        election_seconds=election,
-        lease_seconds=election,
-    )
-    state = ControlState()
-    if stored.snapshot is not None:
-        state = ControlState.from_snapshot(stored.snapshot.state)
-    replica = Replica.from_config(config, stored)
-    return ReplicaActor.start(
-        ReplicaParts(replica, storage, state, parts.post, configuration, gateway)
-    )
-
-
-def open_storage(settings: DaemonSettings) -> ReplicaStorage:
-    """Open the data folder, or raise `StartError`."""
-    folder = Path(settings.entry.data_folder)
-    config = ReplicaStorageConfig(folder, settings.instance)
-    match ReplicaStorage.from_config(config):
-        case Ok(storage):
-            return storage
-        case Err(error):
-            raise StartError("open data folder", str(error))
-
-
-def load_stored(storage: ReplicaStorage) -> StoredState:
-    """Load what the data folder holds, or raise `StartError`."""
-    match storage.load():
-        case Ok(stored):
-            return stored
-        case Err(error):
-            raise StartError("load data folder", str(error))
-
-
-def make_mailbox(parts: EntryParts, dispatch: Dispatch) -> Mailbox:
-    """Make the mailbox, whose messages go to the actors."""
-    settings = parts.settings
-    config = MailboxConfig(
-        instance=settings.instance,
-        epoch=parts.epoch,
-        listen_address=settings.mailbox_address,
-        cluster_key=settings.cluster_key.encode(),
-        heartbeat_seconds=settings.timings.heartbeat_seconds,
-        silence_seconds=settings.timings.silence_seconds,
-        message_types=MailboxMessage,
-    )
-
-    def version() -> ConfigurationVersion:
-        return parts.in_force.index.configuration.version
-
-    return Mailbox.from_config(config, dispatch.receive, version)
-
-
 def make_callers_handler(
     parts: EntryParts, actors: EntryActors, gateway: ControlGateway
 ) -> EntryCallersHandler:
@@ -374,6 +281,7 @@
     limits = settings.entry.limits
     config = CallersServerConfig(
         settings.entry.callers_address,
+        most_idle_connections=limits.most_connections,
         most_header_bytes=limits.largest_header_bytes,
         most_body_bytes=limits.largest_body_bytes,
         request_seconds=limits.slow_client_seconds,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/in_force.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/in_force.py
@@ -9,7 +9,12 @@
     Model,
     Service,
 )
-from cowslipshelf_core.identifiers import CustomerName, ModelName, ServiceName
+from cowslipshelf_core.identifiers import (
+    ConfigurationVersion,
+    CustomerName,
+    ModelName,
+    ServiceName,
+)
 
 
 class ConfigurationIndex(NamedTuple):
@@ -50,6 +55,10 @@
         self.index = ConfigurationIndex.from_configuration(empty, time.time())
         self.servable = False
 
+    def version(self) -> ConfigurationVersion:
+        """Return the version in force."""
+        return self.index.configuration.version
+
     def replace(self, configuration: FleetConfiguration) -> None:
         """Put a newer configuration in force in this process."""
         self.index = ConfigurationIndex.from_configuration(configuration, time.time())
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/errors.py
@@ -0,0 +1,10 @@
+"""Define the errors of the daemon."""
+
+
+class StartError(Exception):
+    """Say at which step a daemon could not start."""
+
+    def __init__(self, step: str, detail: str) -> None:
+        super().__init__(f"{step}: {detail}")
+        self.step = step
+        self.detail = detail
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/process_parts.py
@@ -0,0 +1,59 @@
+"""Make the parts that daemons of both roles have."""
+
+from collections.abc import Callable
+
+from cowslipshelf_core.agreement import ProposalClient, ProposalClientConfig
+from cowslipshelf_core.configuration_view import (
+    ConfigurationView,
+    ConfigurationViewConfig,
+)
+from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch, InstanceId
+from cowslipshelf_daemon.internal.post import Post
+from cowslipshelf_daemon.internal.wire import MailboxMessage
+from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
+from cowslipshelf_platform.settings import DaemonSettings
+
+
+def make_post(settings: DaemonSettings) -> Post:
+    """Make the post, which begins with the entries of the settings."""
+    post = Post(settings.instance, settings.mailbox_address)
+    for entry in settings.entries:
+        post.learn(entry.instance, entry.mailbox_address)
+    return post
+
+
+def replica_instances(settings: DaemonSettings) -> tuple[InstanceId, ...]:
+    """Return the instances that hold replicas, as the settings list them."""
+    return tuple(entry.instance for entry in settings.entries if entry.replica)
+
+
+def make_proposal_client(settings: DaemonSettings) -> ProposalClient:
+    """Make the client that brings commands to the replicas."""
+    return ProposalClient.from_config(ProposalClientConfig(replica_instances(settings)))
+
+
+def make_view(settings: DaemonSettings, epoch: Epoch) -> ConfigurationView:
+    """Make the view of the configuration, which asks the replicas."""
+    addresses = tuple(
+        entry.mailbox_address for entry in settings.entries if entry.replica
+    )
+    return ConfigurationView.from_config(ConfigurationViewConfig(epoch, addresses))
+
+
+def make_mailbox(
+    settings: DaemonSettings,
+    epoch: Epoch,
+    receive: Callable[[Received], None],
+    version: Callable[[], ConfigurationVersion],
+) -> Mailbox:
+    """Make the mailbox; `receive` and `version` run on its threads."""
+    config = MailboxConfig(
+        instance=settings.instance,
+        epoch=epoch,
+        listen_address=settings.mailbox_address,
+        cluster_key=settings.cluster_key.encode(),
+        heartbeat_seconds=settings.timings.heartbeat_seconds,
+        silence_seconds=settings.timings.silence_seconds,
+        message_types=MailboxMessage,
+    )
+    return Mailbox.from_config(config, receive, version)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/running.py
@@ -3,11 +3,8 @@
 import threading
 from collections.abc import Callable
 
-from cowslipshelf_daemon.internal.entry.assembly import (
-    EntryRole,
-    StartError,
-    start_entry,
-)
+from cowslipshelf_daemon.internal.entry.assembly import EntryRole, start_entry
+from cowslipshelf_daemon.internal.errors import StartError
 from cowslipshelf_daemon.internal.sidecar.assembly import SidecarRole, start_sidecar
 from cowslipshelf_platform.logs import configure_logs, part_logger
 from cowslipshelf_platform.settings import DaemonSettings
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -8,19 +8,22 @@
 from pykka import ActorRef
 
 from cowslipshelf_core.agreement import (
-    ProposalClient,
-    ProposalClientConfig,
     ProposalResult,
 )
 from cowslipshelf_core.configuration_view import (
     ConfigurationView,
-    ConfigurationViewConfig,
 )
-from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch
+from cowslipshelf_core.identifiers import Epoch
 from cowslipshelf_core.sidecar import SidecarConfig, SidecarState
 from cowslipshelf_core.upstream import UpstreamDescription
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway, GatewayActor
-from cowslipshelf_daemon.internal.post import Delivered, Post
+from cowslipshelf_daemon.internal.post import Delivered
+from cowslipshelf_daemon.internal.process_parts import (
+    make_mailbox,
+    make_post,
+    make_proposal_client,
+    make_view,
+)
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_daemon.internal.sidecar.attempt_runner import AttemptServices
 from cowslipshelf_daemon.internal.sidecar.attempts_handler import (
@@ -35,12 +38,10 @@
 )
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Ticker
-from cowslipshelf_daemon.internal.wire import MailboxMessage
 from cowslipshelf_fleet import (
     AttemptsServer,
     AttemptsServerConfig,
     Mailbox,
-    MailboxConfig,
     Received,
 )
 from cowslipshelf_platform.logs import part_logger
@@ -102,17 +103,6 @@
         self.gateway.stop()
 
 
-class VersionSource:
-    """Tell the version in force before and after there is an actor to ask."""
-
-    def __init__(self, view: ConfigurationView) -> None:
-        self.view = view
-
-    def __call__(self) -> ConfigurationVersion:
-        """Return the version in force."""
-        return self.view.in_force.version
-
-
 def start_sidecar(settings: DaemonSettings) -> SidecarRole:
     """Start a sidecar from its settings."""
     epoch = Epoch(uuid.uuid4().hex)
@@ -121,7 +111,8 @@
     actor = SidecarActor.start(parts)
     post = make_post(settings)
     gateway = GatewayActor.start(make_proposal_client(settings), post)
-    mailbox = make_mailbox(settings, epoch, view, SidecarDispatch(actor, gateway))
+    dispatch = SidecarDispatch(actor, gateway)
+    mailbox = make_mailbox(settings, epoch, dispatch.receive, view.version)
     services = AttemptServices(
         make_client(settings.sidecar.upstream),
         actor,
@@ -149,14 +140,6 @@
     )
 
 
-def make_view(settings: DaemonSettings, epoch: Epoch) -> ConfigurationView:
-    """Make the view of the configuration, which asks the replicas."""
-    replicas = tuple(
-        entry.mailbox_address for entry in settings.entries if entry.replica
-    )
-    return ConfigurationView.from_config(ConfigurationViewConfig(epoch, replicas))
-
-
 def make_parts(
     settings: DaemonSettings, epoch: Epoch, view: ConfigurationView
 ) -> SidecarParts:
@@ -196,25 +179,11 @@
                 self.sidecar.tell(received)
 
 
-def make_post(settings: DaemonSettings) -> Post:
-    """Make the post, which knows the entries of the settings."""
-    post = Post(settings.instance, settings.mailbox_address)
-    for entry in settings.entries:
-        post.learn(entry.instance, entry.mailbox_address)
-    return post
-
-
 def drop_own_message(delivered: Delivered) -> None:
     """Take a message to this process itself, which a sidecar never sends."""
     LOG.warning("message to itself", type=type(delivered.message).__name__)
 
 
-def make_proposal_client(settings: DaemonSettings) -> ProposalClient:
-    """Make the client that brings commands to the replicas."""
-    replicas = tuple(entry.instance for entry in settings.entries if entry.replica)
-    return ProposalClient.from_config(ProposalClientConfig(replicas))
-
-
 def make_order_services(
     settings: DaemonSettings,
     services: AttemptServices,
@@ -230,25 +199,6 @@
             return None
 
 
-def make_mailbox(
-    settings: DaemonSettings,
-    epoch: Epoch,
-    view: ConfigurationView,
-    dispatch: SidecarDispatch,
-) -> Mailbox:
-    """Make the mailbox, whose messages go to the actors."""
-    config = MailboxConfig(
-        instance=settings.instance,
-        epoch=epoch,
-        listen_address=settings.mailbox_address,
-        cluster_key=settings.cluster_key.encode(),
-        heartbeat_seconds=settings.timings.heartbeat_seconds,
-        silence_seconds=settings.timings.silence_seconds,
-        message_types=MailboxMessage,
-    )
-    return Mailbox.from_config(config, dispatch.receive, VersionSource(view))
-
-
 def make_client(upstream: UpstreamSettings) -> EngineClient | PlainClient:
     """Make the client that speaks to the upstream."""
     base_url = f"http://{upstream.address}"
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
+++ b/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
@@ -67,12 +67,12 @@
     largest_header_bytes: Annotated[int, between(KIBIBYTE, MEBIBYTE)] = 32 * KIBIBYTE
     """Largest head of a request, in bytes."""
     most_connections: Annotated[int, between(1, 65_536)] = 1024
-    """Connections of callers that are open at a time."""
+    """Connections of callers that wait for their next call, at a time."""
     slow_client_seconds: Annotated[float, between(0.1, 600)] = 30.0
     """Seconds that a caller may take for the next bytes, sent or read."""
-    most_queued_seconds_short: Annotated[float, between(0, 3600)] = 10.0
+    most_queued_seconds_short: Annotated[float, between(0, 3600)] = 4.0
     """Seconds of predicted work that may wait in the queue of short requests."""
-    most_queued_seconds_long: Annotated[float, between(0, 3600)] = 60.0
+    most_queued_seconds_long: Annotated[float, between(0, 3600)] = 40.0
     """Seconds of predicted work that may wait in the queue of long requests."""
     largest_stored_answer_bytes: Annotated[int, between(0, 16 * MEBIBYTE)] = (
         256 * KIBIBYTE
