--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -5,6 +5,11 @@
 from queue import SimpleQueue
 from typing import Any, NamedTuple
 
+from cowslipshelf_core.announcing import (
+    EntryChooser,
+    EntryChooserConfig,
+    EntryPlace,
+)
 from cowslipshelf_core.configuration_view import (
     AskForConfiguration,
     BecameServable,
@@ -57,6 +62,7 @@
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.upstream import HandOver, UpstreamDescription
 from cowslipshelf_daemon.internal.actor import DaemonActor
@@ -112,6 +118,19 @@
     attempts: AttemptLog
 
 
+def make_chooser(settings: DaemonSettings) -> EntryChooser:
+    """Make the choice of entries to announce to, from those of the settings."""
+    config = EntryChooserConfig(
+        settings.sidecar.upstream.upstream_id,
+        settings.sidecar.announce_entries,
+        silent_seconds=settings.timings.lease_seconds,
+    )
+    entries = [
+        EntryPlace(entry.instance, entry.mailbox_address) for entry in settings.entries
+    ]
+    return EntryChooser.from_config(config, entries)
+
+
 class SidecarActor(DaemonActor):
     """Decide about one upstream's attempts; the only owner of that state."""
 
@@ -127,9 +146,7 @@
         self.services: AttemptServices | None = None
         self.keeper: UpstreamKeeper | None = None
         self.orders: OrderServices | None = None
-        self.entry_addresses = {
-            entry.mailbox_address for entry in parts.settings.entries
-        }
+        self.chooser = make_chooser(parts.settings)
         self.runners: dict[AttemptId, AttemptRunner] = {}
         self.leave: LeaveAsked | None = None
         self.next_announcement = 0.0
@@ -160,11 +177,12 @@
             case UpstreamFinished(attempt_id=attempt_id):
                 self.runners.pop(attempt_id, None)
                 self.decide(message, now)
+            case UpstreamUnreachable() | InventoryRead():
+                self.decide_reachability(message, now)
             case (
                 UpstreamAccepted()
                 | FirstTokenArrived()
                 | CancelArrived()
-                | InventoryRead()
                 | OrderFinished()
             ):
                 self.decide(message, now)
@@ -174,6 +192,16 @@
         for effect in self.state.handle(event, now):
             self.perform(effect)
 
+    def decide_reachability(
+        self, event: UpstreamUnreachable | InventoryRead, now: float
+    ) -> None:
+        """Decide on a sign of the upstream's death or life, and tell it at once."""
+        took_work = self.state.takes_work
+        self.decide(event, now)
+        if self.state.takes_work != took_work:
+            LOG.info("reachability changed", takes_work=self.state.takes_work)
+            self.announce(now)
+
     def decide_hand_over(
         self, hand_over: HandOver, reply: "SimpleQueue[Any]", now: float
     ) -> None:
@@ -260,8 +288,8 @@
     def left_for_good(self) -> None:
         """Say farewell to the entries and let the program end."""
         farewell = Withdraw(self.description.upstream_id, self.epoch)
-        for address in sorted(self.entry_addresses):
-            self.mailbox.send(address, farewell)
+        for entry in self.chooser.targets(time.monotonic()):
+            self.mailbox.send(entry.mailbox_address, farewell)
         LOG.info("left", upstream=self.description.upstream_id)
         if self.leave is not None:
             self.leave.on_left()
@@ -273,7 +301,8 @@
         self.look_at_configuration(seen, now)
         match received.message:
             case AnnounceAnswer(entries=entries):
-                self.entry_addresses.update(address for _, address in entries)
+                self.chooser.learn(EntryPlace(*entry) for entry in entries)
+                self.chooser.answered(received.sender_address)
             case ConfigurationSnapshot() as snapshot:
                 arrived = SnapshotArrived(snapshot, received.sender_address)
                 self.look_at_configuration(arrived, now)
@@ -327,10 +356,11 @@
             self.epoch,
             timings.lease_seconds,
             self.state.load_report(),
-            leaving=self.leave is not None,
+            leaving=not self.state.takes_work,
+            roster=self.chooser.roster(),
         )
-        for address in sorted(self.entry_addresses):
-            self.mailbox.send(address, announcement)
+        for entry in self.chooser.targets(now):
+            self.mailbox.send(entry.mailbox_address, announcement)
 
     def configuration_version(self) -> ConfigurationVersion:
         """Return the version in force here; read from other threads."""
