Spread a prompt that fits no engine over several

Cause: the router refused every prompt larger than the largest engine, though the longest prompts are more than twice one engine's memory.

Change: the router places such a prompt over the fewest engines that hold it, in token order, which is the order of upstream ids. The entry reserves one part after the other in that order (a part waits for memory at its sidecar as any attempt does, so short ones can't starve it), and only when all are reserved are the parts prefilled, each with references to the KV cache of those before. The last part then runs as an ordinary attempt. A new phase RESERVED of the sidecar keeps "not run" true: until the word to begin, a revoke or cancel leaves a tombstone and frees the memory. What all engines together can't hold is refused at once, with their sum.

A cancel in mid-answer used to end the frames with a wrong count, and the buffer's objection ended the sidecar's process: append(StreamEnd(0)) after one chunk raises. FrameBuffer.end writes the right count, once, whoever is first.

Tests replaced by ones as strict: a prompt larger than any upstream must be spread where it fits together, with parts that cover it once, fit and keep the order, and refused otherwise; frames of a stream keep one order, in which "reserved" may come before the head. The machine of the router checks parts where it checked single choices.

Seen: a ledger of 30,000 tokens on three engines of 14,000 is answered with the text of one large engine, and no engine keeps a token of it afterwards.

--- a/packages/core/src/cowslipshelf_core/chosen_upstream.py
+++ b/packages/core/src/cowslipshelf_core/chosen_upstream.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cowslipshelf_core.identifiers import AttemptId, Epoch, UpstreamId
+from cowslipshelf_core.prompt_parts import PartPlace
 
 
 class ChosenUpstream(NamedTuple):
@@ -19,3 +20,10 @@
     """Lower is served first."""
     load_sequence: int = 0
     """`LoadReport.sequence` on which the choice was based; see `HandOver`."""
+    helpers: tuple[PartPlace, ...] = ()
+    """Who prefills the prompt before `from_token`, in token order.
+
+    That is also the order of their upstream ids, and this upstream's comes last.
+    """
+    from_token: int = 0
+    """First token of the prompt that this upstream prefills itself."""
--- a/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/handing_over.py
@@ -71,6 +71,7 @@
         body=request.body,
         delivered_tokens=state.delivery.passed_tokens,
         load_sequence=chosen.load_sequence,
+        from_token=chosen.from_token,
     )
 
 
--- a/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/retrying.py
@@ -46,7 +46,9 @@
     """Close the open attempt and ask for a retry on another upstream."""
     state.last_refusal = refusal
     attempt = state.attempt
-    if attempt is not None:
+    # A spread prompt may need every upstream there is. What failed of it may be any
+    # part, and one that is dead or full is known to the router before long.
+    if attempt is not None and not attempt.chosen.helpers:
         state.excluded.add(attempt.chosen.upstream_id)
     effects = close_attempt(state, outcome)
     if not _may_try_again(state, refusal):
--- a/packages/core/src/cowslipshelf_core/internal/requests/streaming.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/streaming.py
@@ -11,7 +11,9 @@
 )
 from cowslipshelf_core.internal.requests.state import OpenAttempt, Phase, RequestState
 from cowslipshelf_core.messages import (
+    AttemptReserved,
     Frame,
+    PartPrefilled,
     StreamChunk,
     StreamEnd,
     StreamHead,
@@ -33,6 +35,9 @@
             return _end(state, attempt, frame)
         case StreamHeartbeat():
             return []
+        case AttemptReserved() | PartPrefilled():
+            # A stream that is read again from its beginning shows them again.
+            return state.drop()
 
 
 def _head(
--- a/packages/core/src/cowslipshelf_core/internal/routing/attempts.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/attempts.py
@@ -51,6 +51,8 @@
             return
         attempt.first_token_at = now
         view = self.fleet.views.get(attempt.upstream_id)
+        if attempt.is_spread:
+            return
         if view is not None and attempt_id in view.attempts:
             view.slowness.add(seconds, attempt.predicted_first_token_seconds, now)
 
--- a/packages/core/src/cowslipshelf_core/internal/routing/dispatcher.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/dispatcher.py
@@ -1,13 +1,14 @@
 """Give requests, new or waiting, to upstreams that may take them now."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
-from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.errors import Refusal, RefusalReason
 from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_core.internal.routing.attempts import AttemptLedger
+from cowslipshelf_core.internal.routing.cost import predict
 from cowslipshelf_core.internal.routing.events import (
     ConsideredUpstream,
     PlacementAnswered,
@@ -22,7 +23,9 @@
     priority_of,
     sample,
 )
+from cowslipshelf_core.internal.routing.refusals import not_run
 from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
+from cowslipshelf_core.internal.routing.spreading import plan
 from cowslipshelf_core.internal.routing.upstream_view import (
     PlacedAttempt,
     UpstreamView,
@@ -107,6 +110,34 @@
         self.ledger.place(self.attempt_of(ask, choice.chosen, now))
         return self.answer_chosen(ask, choice.chosen, choice.considered, queued)
 
+    def place_spread(
+        self, ask: WaitingAsk, group: Group, now: float
+    ) -> PlacementAnswered:
+        """Place a request that fits no upstream alone over several, at once.
+
+        It waits for memory at the sidecars, in the order of upstream ids, and not here:
+        no view of an entry tells when several upstreams have room together.
+        """
+        spread = plan(group, ask.cost, ask.asked.excluded)
+        if spread is None:
+            detail = "the upstreams not tried yet can't hold the prompt together"
+            refusal = not_run(RefusalReason.NO_UPSTREAM, detail)
+            return answer_refusal(ask.asked, refusal, now - ask.asked_at)
+        prediction = predict(self.config, spread.last, ask.cost, True, now)
+        candidate = Candidate(spread.last, prediction, True)
+        attempt = self.attempt_of(ask, candidate, now)
+        attempt.memory_tokens -= spread.from_token
+        attempt.is_spread = True
+        self.ledger.place(attempt)
+        answered = self.answer_chosen(ask, candidate, (), now - ask.asked_at)
+        return replace(
+            answered,
+            answer=answered.answer._replace(
+                helpers=spread.helpers, from_token=spread.from_token
+            ),
+            explanation=answered.explanation._replace(reason=spread.reason),
+        )
+
     def attempt_of(
         self, ask: WaitingAsk, chosen: Candidate, now: float
     ) -> PlacedAttempt:
--- a/packages/core/src/cowslipshelf_core/internal/routing/outliers.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/outliers.py
@@ -22,6 +22,8 @@
     for attempt in view.attempts.values():
         if attempt.first_token_at is not None or attempt.counted_overdue:
             continue
+        if attempt.is_spread:
+            continue
         waited = now - attempt.placed_at
         predicted = attempt.predicted_first_token_seconds
         if waited > 1.0 + config.slower_than_peers * predicted:
--- a/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
@@ -5,6 +5,7 @@
 from cowslipshelf_core.internal.routing.cost import RequestCost
 from cowslipshelf_core.internal.routing.events import PlacementFacts
 from cowslipshelf_core.internal.routing.fleet import Group
+from cowslipshelf_core.internal.routing.spreading import MOST_PARTS, is_needed, plan
 
 STEP = "placement"
 
@@ -37,7 +38,7 @@
             f"no upstream takes {wanted}service {facts.service} now",
             retry_after_seconds,
         )
-    if 0 < group.largest_memory < request.memory_tokens:
+    if is_needed(group, request) and plan(group, request, frozenset()) is None:
         return too_large(group, request)
     if excluded and all(v.description.upstream_id in excluded for v in group.members):
         return not_run(
@@ -49,14 +50,16 @@
 
 
 def too_large(group: Group, request: RequestCost) -> Refusal:
-    """Refuse a request that fits no single upstream; coming back does not help."""
+    """Refuse a request that all upstreams can't hold; coming back does not help."""
     facts = request.facts
+    together = sum(view.memory_limit() for view in group.members)
     return not_run(
         RefusalReason.TOO_LARGE,
         f"{facts.prompt_tokens} prompt and up to {facts.most_output_tokens} output "
         f"tokens need {request.memory_tokens} tokens of memory; the largest upstream "
-        f"of service {facts.service} has {group.largest_memory}, and one prompt is "
-        "not spread over several",
+        f"of service {facts.service} has {group.largest_memory}, all "
+        f"{len(group.members)} have {together}, and one prompt is spread over "
+        f"{MOST_PARTS} at most",
     )
 
 
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -41,6 +41,7 @@
     sample,
 )
 from cowslipshelf_core.internal.routing.settings import PromptClass, RouterConfig
+from cowslipshelf_core.internal.routing.spreading import is_needed
 from cowslipshelf_core.internal.routing.waiting_room import (
     QueueKey,
     WaitingRoom,
@@ -176,6 +177,8 @@
         if ask.latest_start() <= now:
             least = ask.engine_seconds + ask.decode_seconds
             return [answer_refusal(asked, refusals.too_slow(least, facts))]
+        if is_needed(group, cost):
+            return [self.dispatcher.place_spread(ask, group, now)]
         queue = self.room.queue(QueueKey(key, cost.prompt_class))
         if not queue.seconds:
             drawn = sample(self.config, group, random)
@@ -275,8 +278,9 @@
         answers = []
         for ask in list(self.room.asks.values()):
             key = queue_key(ask)
+            group = self.fleet.groups.get(key.group)
             refusal = refusals.impossible(
-                self.fleet.groups.get(key.group),
+                group,
                 ask.cost,
                 ask.asked.excluded,
                 self.config.least_retry_after_seconds,
@@ -284,6 +288,10 @@
             if refusal is not None:
                 self.room.remove(ask, served=False)
                 answers.append(answer_refusal(ask.asked, refusal, now - ask.asked_at))
+            elif is_needed(group, ask.cost):
+                # The upstreams that it fitted alone have gone while it waited.
+                self.room.remove(ask, served=True)
+                answers.append(self.dispatcher.place_spread(ask, group, now))
         for key in list(self.room.queues):
             answers += self.shed_overfull(key, now)
         return answers
--- a/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
@@ -39,6 +39,8 @@
     predicted_first_token_seconds: float
     first_token_at: float | None = None
     counted_overdue: bool = False
+    is_spread: bool = False
+    """Whether other upstreams prefill parts; its time says little of this one's."""
 
 
 class Ratio(NamedTuple):
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/attempt.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/attempt.py
@@ -15,6 +15,8 @@
 
     WAITING = auto()
     """Accepted, and not handed to the upstream."""
+    RESERVED = auto()
+    """Its memory is reserved; it waits for the parts of its prompt before its own."""
     HANDED_OVER = auto()
     """Handed to the upstream: from here on it may have run."""
     ACCEPTED = auto()
@@ -25,6 +27,8 @@
     """Cancelled; the upstream may still hold its memory."""
 
 
+NOT_GIVEN_PHASES = frozenset({AttemptPhase.WAITING, AttemptPhase.RESERVED})
+
 PREFILL_PHASES = frozenset(
     {AttemptPhase.WAITING, AttemptPhase.HANDED_OVER, AttemptPhase.ACCEPTED}
 )
@@ -63,6 +67,11 @@
         """Return whether the upstream has not been given it."""
         return self.phase is AttemptPhase.WAITING
 
+    @property
+    def was_given(self) -> bool:
+        """Return whether the upstream was given it, and so may have run it."""
+        return self.phase not in NOT_GIVEN_PHASES
+
     @property
     def waiting_rank(self) -> float:
         """Return its place among waiting attempts; the lowest is started first.
@@ -76,4 +85,5 @@
 
 def tokens_needed(hand_over: HandOver) -> int:
     """Return the memory that an attempt takes when it has run to its end."""
-    return hand_over.prompt_tokens + hand_over.most_output_tokens
+    output_tokens = 0 if hand_over.is_part else hand_over.most_output_tokens
+    return hand_over.prefill_tokens + output_tokens
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/attempts.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/attempts.py
@@ -21,9 +21,11 @@
     ForgetAttempt,
     SidecarEffect,
     StartAttempt,
+    TellReserved,
 )
 from cowslipshelf_core.internal.sidecar.memory import MemoryLedger
 from cowslipshelf_core.internal.sidecar.spent import Fate, SpentAttempts
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.upstream import HandOver
 
 WAIT_STEP = "wait at sidecar"
@@ -69,7 +71,7 @@
     def prefill_tokens(self) -> int:
         """Return the prompt tokens accepted and not yet prefilled."""
         return sum(
-            attempt.hand_over.prompt_tokens
+            attempt.hand_over.prefill_tokens
             for attempt in self.alive.values()
             if attempt.phase in PREFILL_PHASES
         )
@@ -78,7 +80,8 @@
     def decoding_count(self) -> int:
         """Return the number of attempts past their first token."""
         return sum(
-            attempt.phase is AttemptPhase.DECODING for attempt in self.alive.values()
+            attempt.phase is AttemptPhase.DECODING and not attempt.hand_over.is_part
+            for attempt in self.alive.values()
         )
 
     def accept(self, hand_over: HandOver, now: float) -> None:
@@ -108,14 +111,31 @@
     def _fits_now(self, hand_over: HandOver) -> bool:
         return not self.memory.is_bounded or self.memory.fits(tokens_needed(hand_over))
 
-    def _start(self, attempt: Attempt, now: float) -> StartAttempt:
+    def _start(self, attempt: Attempt, now: float) -> StartAttempt | TellReserved:
         self.waiting.remove(attempt)
         self.memory.reserve(attempt.attempt_id, tokens_needed(attempt.hand_over))
+        if attempt.hand_over.is_spread:
+            attempt.phase = AttemptPhase.RESERVED
+            return TellReserved(attempt.attempt_id)
+        return self._give(attempt, (), now)
+
+    def begin(
+        self, attempt_id: AttemptId, parts: tuple[KvReference, ...], now: float
+    ) -> list[SidecarEffect]:
+        """Start a reserved attempt; a repeated or late word for it does nothing."""
+        attempt = self.alive.get(attempt_id)
+        if attempt is None or attempt.phase is not AttemptPhase.RESERVED:
+            return []
+        return [self._give(attempt, parts, now)]
+
+    def _give(
+        self, attempt: Attempt, parts: tuple[KvReference, ...], now: float
+    ) -> StartAttempt:
         attempt.phase = AttemptPhase.HANDED_OVER
         attempt.started_at = now
         attempt.found_prefix = attempt.hand_over.prefix_hash in self.hot_prefixes
         self._note_overlap(attempt)
-        return StartAttempt(attempt.hand_over)
+        return StartAttempt(attempt.hand_over, parts)
 
     def _note_overlap(self, attempt: Attempt) -> None:
         attempt.overlapped = bool(self.prefilling)
@@ -137,6 +157,10 @@
         self.prefilling.discard(attempt_id)
         attempt.phase = AttemptPhase.DECODING
         attempt.first_token_at = now
+        if attempt.hand_over.is_spread:
+            # A part costs more than a prompt of its length: it attends to all tokens
+            # before it. Learnt from, it would make whole prompts look slow.
+            return
         self.costs.note_first_token(attempt, now)
         self.hot_prefixes.note(attempt.hand_over.prefix_hash)
 
@@ -145,7 +169,7 @@
     ) -> list[SidecarEffect]:
         """End an attempt that the upstream has ended."""
         attempt = self.alive.get(attempt_id)
-        if attempt is None or attempt.waits:
+        if attempt is None or not attempt.was_given:
             return []
         if whole and attempt.phase is AttemptPhase.DECODING:
             self.costs.note_decode(now - attempt.first_token_at, output_tokens)
@@ -168,9 +192,11 @@
         del self.finished[oldest]
         return [ForgetAttempt(oldest)]
 
-    def tombstone_waiting(self, attempt: Attempt) -> None:
-        """Make sure that a waiting attempt never starts."""
-        self.waiting.remove(attempt)
+    def tombstone(self, attempt: Attempt) -> None:
+        """Make sure that an attempt which was not given never starts."""
+        if attempt.waits:
+            self.waiting.remove(attempt)
+        self.memory.free(attempt.attempt_id)
         del self.alive[attempt.attempt_id]
         sequence = attempt.hand_over.load_sequence
         self.spent.remember(attempt.attempt_id, Fate.NEVER_RAN, sequence)
@@ -179,8 +205,8 @@
         self, attempt: Attempt, reason: RefusalReason, now: float
     ) -> list[SidecarEffect]:
         """End an attempt whose answer is wanted no more or can't come in time."""
-        if attempt.waits:
-            self.tombstone_waiting(attempt)
+        if not attempt.was_given:
+            self.tombstone(attempt)
             refusal = self._refusal(RefusalCode.NOT_RUN, reason, WAIT_STEP)
             return [EndAttempt(attempt.attempt_id, refusal)]
         if attempt.phase is AttemptPhase.CANCELLING:
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/effects.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/effects.py
@@ -7,6 +7,7 @@
 from cowslipshelf_core.identifiers import AttemptId, FencingNumber, UpstreamId
 from cowslipshelf_core.internal.sidecar.events import FencedOrder
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.upstream import HandOver
 
 
@@ -15,6 +16,15 @@
     """Hand an attempt to the upstream; sent once at most for an attempt id."""
 
     hand_over: HandOver
+    parts: tuple[KvReference, ...] = ()
+    """What other engines hold of the prompt."""
+
+
+@dataclass(frozen=True, slots=True)
+class TellReserved:
+    """Tell the owner that memory is reserved for a part of a spread prompt."""
+
+    attempt_id: AttemptId
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +118,7 @@
 
 SidecarEffect = (
     StartAttempt
+    | TellReserved
     | RefuseAttempt
     | EndAttempt
     | CancelAtUpstream
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/events.py
@@ -5,6 +5,7 @@
 
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.identifiers import AttemptId, Epoch, FencingNumber, InstanceId
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.upstream import HandOver
 
 
@@ -53,6 +54,14 @@
     output_tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PartsArrived:
+    """Say that the parts before a reserved attempt's own are prefilled."""
+
+    attempt_id: AttemptId
+    parts: tuple[KvReference, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RevokeArrived:
     """Ask for the promise that an attempt never ran and never will."""
@@ -131,6 +140,7 @@
     | UpstreamAccepted
     | FirstTokenArrived
     | UpstreamFinished
+    | PartsArrived
     | RevokeArrived
     | CancelArrived
     | OwnerSeen
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
@@ -29,6 +29,7 @@
     OrderArrived,
     OrderFinished,
     OwnerSeen,
+    PartsArrived,
     RevokeArrived,
     SidecarEvent,
     TickElapsed,
@@ -107,6 +108,8 @@
                 self.table.note_first_token(attempt_id, now)
             case UpstreamFinished(attempt_id, whole, output_tokens):
                 return self.table.finish(attempt_id, whole, output_tokens, now)
+            case PartsArrived(attempt_id, parts):
+                return self.table.begin(attempt_id, parts, now)
             case RevokeArrived():
                 return [AnswerRevoke(self._revoke(event))]
             case CancelArrived(attempt_id):
@@ -207,8 +210,8 @@
         if event.epoch != self.config.epoch:
             return MayHaveRun(attempt_id, known=False)
         attempt = self.table.alive.get(attempt_id)
-        if attempt is not None and attempt.waits:
-            self.table.tombstone_waiting(attempt)
+        if attempt is not None and not attempt.was_given:
+            self.table.tombstone(attempt)
             return NeverRan(attempt_id)
         if attempt is not None or attempt_id in self.table.finished:
             return MayHaveRun(attempt_id, known=True)
@@ -258,7 +261,7 @@
         for attempt in tuple(self.table.alive.values()):
             if attempt.hand_over.owner != owner:
                 continue
-            if attempt.waits or not attempt.hand_over.non_idempotent:
+            if not attempt.was_given or not attempt.hand_over.non_idempotent:
                 effects += self.table.give_up(attempt, RefusalReason.CANCELLED, now)
         return effects
 
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -16,6 +16,7 @@
     RequestId,
     UpstreamId,
 )
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.upstream import LoadReport, UpstreamDescription
 
 
@@ -226,7 +227,30 @@
     refusal: Refusal | None = None
 
 
-Frame = StreamHead | StreamChunk | StreamHeartbeat | StreamEnd
+class AttemptReserved(Message, frozen=True):
+    """Say that memory is reserved for an attempt that waits for `PartsReady`."""
+
+
+class PartPrefilled(Message, frozen=True):
+    """Say that an engine holds the KV cache of its part of a prompt."""
+
+    part: KvReference
+
+
+Frame = (
+    StreamHead
+    | StreamChunk
+    | StreamHeartbeat
+    | StreamEnd
+    | AttemptReserved
+    | PartPrefilled
+)
+
+
+class PartsReady(Message, frozen=True):
+    """Let a reserved attempt begin, with what other engines hold of its prompt."""
+
+    parts: tuple[KvReference, ...]
 
 
 # What a sidecar answers about attempts, as bodies of HTTP responses.
--- a/packages/core/src/cowslipshelf_core/sidecar.py
+++ b/packages/core/src/cowslipshelf_core/sidecar.py
@@ -15,6 +15,7 @@
     ReleaseAtUpstream,
     SidecarEffect,
     StartAttempt,
+    TellReserved,
 )
 from cowslipshelf_core.internal.sidecar.events import (
     CancelArrived,
@@ -29,6 +30,7 @@
     OrderArrived,
     OrderFinished,
     OwnerSeen,
+    PartsArrived,
     RevokeArrived,
     SidecarEvent,
     TickElapsed,
@@ -58,6 +60,7 @@
     "OrderFinished",
     "OrderRefusalReason",
     "OwnerSeen",
+    "PartsArrived",
     "RefuseAttempt",
     "RefuseOrder",
     "ReleaseAtUpstream",
@@ -67,6 +70,7 @@
     "SidecarEvent",
     "SidecarState",
     "StartAttempt",
+    "TellReserved",
     "TickElapsed",
     "UpstreamAccepted",
     "UpstreamFinished",
--- a/packages/core/src/cowslipshelf_core/upstream.py
+++ b/packages/core/src/cowslipshelf_core/upstream.py
@@ -85,3 +85,24 @@
     It dates the choice by the sidecar's own count, so that a copy too old to be told
     from a revoked or finished attempt is refused, whatever the clocks say.
     """
+    from_token: int = 0
+    """First token to prefill here; other engines hold the KV cache of those before."""
+    to_token: int | None = None
+    """End of the part that is prefilled for another engine; None generates the answer.
+    """
+
+    @property
+    def is_part(self) -> bool:
+        """Tell whether only a part is prefilled here, and nothing generated."""
+        return self.to_token is not None
+
+    @property
+    def is_spread(self) -> bool:
+        """Tell whether the prompt is placed over several engines."""
+        return self.is_part or self.from_token > 0
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the tokens of the prompt that are prefilled here."""
+        end = self.prompt_tokens if self.to_token is None else self.to_token
+        return end - self.from_token
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -9,7 +9,7 @@
 
 from cowslipshelf_callers import AnswerWriter, CallerGoneError
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
-from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId, InstanceId
 from cowslipshelf_core.messages import (
     AttemptRefused,
@@ -64,7 +64,12 @@
 from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
 from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
+from cowslipshelf_daemon.internal.entry.held_part import STEP, HeldPart
 from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
+from cowslipshelf_daemon.internal.entry.spread_hand_over import (
+    SpreadHandOver,
+    SpreadServices,
+)
 from cowslipshelf_fleet import (
     AttemptsClient,
     AttemptStream,
@@ -124,9 +129,11 @@
         self.record = record
         self.effects: deque[RequestEffect] = deque()
         self.gone = False
-        self.stream: AttemptStream | None = None
+        self.stream: AttemptStream | HeldPart | None = None
         self.frames: Iterator[Frame] = iter(())
         self.streaming: AttemptId | None = None
+        self.chosen: ChosenUpstream | None = None
+        self.spread: SpreadHandOver | None = None
         self.deadline_at = time.monotonic() + request.deadline_seconds
 
     def run(self) -> None:
@@ -139,6 +146,7 @@
                 self.step()
         finally:
             self.close_stream()
+            self.release_spread()
 
     def step(self) -> None:
         """Carry out the next effect, or else read the open stream."""
@@ -190,6 +198,7 @@
 
     def choose_placement(self, effect: ChoosePlacement) -> None:
         """Ask the router and wait for its one answer."""
+        self.release_spread()
         attempt_id = self.services.new_attempt_id()
         answer = self.services.routing.place(
             self.request, attempt_id, effect.excluded, self.seconds_left()
@@ -200,6 +209,7 @@
         self.record.placed(answer.explanation)
         match answer.answer:
             case ChosenUpstream() as chosen:
+                self.chosen = chosen
                 self.handle(Placed(chosen))
             case Refusal() as refusal:
                 self.handle(PlacementRefused(refusal))
@@ -219,7 +229,10 @@
         """Hand an attempt over; this is its only sending."""
         self.close_stream()
         attempt_id = hand_over.attempt_id
-        answer = self.services.attempts.hand_over(address, hand_over)
+        if self.chosen is not None and self.chosen.helpers:
+            answer = self.hand_over_spread(self.chosen, hand_over)
+        else:
+            answer = self.services.attempts.hand_over(address, hand_over)
         match answer:
             case AttemptRefused():
                 self.handle(HandOverAnswered(answer, attempt_id))
@@ -230,6 +243,49 @@
                 self.open_stream(answer, attempt_id)
                 self.handle(HandOverAnswered(None, attempt_id))
 
+    def hand_over_spread(
+        self, chosen: ChosenUpstream, hand_over: HandOver
+    ) -> HeldPart | AttemptRefused | HandOverFailed:
+        """Hand an attempt over to several sidecars; its last part is the answer."""
+        services = SpreadServices(
+            self.services.attempts,
+            self.services.cancels,
+            self.services.new_attempt_id,
+            self.record.note,
+            self.still_wanted,
+        )
+        self.spread = SpreadHandOver(chosen, hand_over, services)
+        return self.spread.run()
+
+    def still_wanted(self) -> bool:
+        """Tell whether a spread prompt that has not run yet is still waited for."""
+        self.look_for_caller()
+        return self.seconds_left() > 0 and not self.machine.has_ended()
+
+    def release_spread(self) -> None:
+        """Free what other sidecars hold of a spread prompt."""
+        if self.spread is not None:
+            self.spread.release()
+        self.spread = None
+
+    def end_without_part(self, lost: str) -> None:
+        """End an attempt whose engine can't read the whole prompt any more."""
+        refusal = Refusal(
+            RefusalCode.FAILED, RefusalReason.UPSTREAM_FAILED, STEP, detail=lost
+        )
+        self.close_stream()
+        self.handle(FrameArrived(StreamEnd(0, refusal), self.streaming))
+
+    def lost_part(self) -> str:
+        """Name a lost part of an answer that may be begun again; empty for none.
+
+        What must run at most once goes on: its engine alone can tell what it still
+        needs of the part, and an end here would leave the outcome unknown for sure.
+        """
+        if self.spread is None or self.request.is_non_idempotent():
+            return ""
+        return self.spread.lost_part()
+
     def resume(self, address: str, attempt_id: AttemptId, after: int) -> None:
         """Read an attempt's frames from where they were cut."""
         self.close_stream()
@@ -255,7 +311,9 @@
         self.services.metrics.retry(allowed)
         self.handle(RetryAnswered(allowed, random.random()))
 
-    def open_stream(self, stream: AttemptStream, attempt_id: AttemptId) -> None:
+    def open_stream(
+        self, stream: AttemptStream | HeldPart, attempt_id: AttemptId
+    ) -> None:
         """Begin to read an attempt's frames."""
         self.stream = stream
         self.frames = iter(stream)
@@ -279,11 +337,13 @@
         match frame:
             case _ if self.seconds_left() <= 0:
                 self.handle(DeadlinePassed())
-            case StreamHeartbeat():
-                self.look_for_caller()
             case StreamEnd():
                 self.close_stream()
                 self.handle(FrameArrived(frame, self.streaming))
+            case _ if lost := self.lost_part():
+                self.end_without_part(lost)
+            case StreamHeartbeat():
+                self.look_for_caller()
             case _:
                 self.handle(FrameArrived(frame, self.streaming))
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -7,13 +7,15 @@
 
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.messages import StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.messages import StreamChunk, StreamHead
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.sidecar import (
     FirstTokenArrived,
     UpstreamAccepted,
     UpstreamFinished,
 )
 from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_daemon.internal.sidecar.kv_transfer import start_at_engine
 from cowslipshelf_fleet import FrameBuffer, FrameOrderError
 from cowslipshelf_upstreams import (
     EngineClient,
@@ -25,6 +27,7 @@
 STEP = "run_at_upstream"
 MOST_RESUMES = 3
 OK = 200
+CONFLICT = 409
 SERVER_ERROR = 500
 
 
@@ -40,11 +43,17 @@
     """Own the upstream's stream of one attempt, on a thread of its own."""
 
     def __init__(
-        self, hand_over: HandOver, buffer: FrameBuffer, services: AttemptServices
+        self,
+        hand_over: HandOver,
+        buffer: FrameBuffer,
+        services: AttemptServices,
+        parts: tuple[KvReference, ...] = (),
     ) -> None:
         self.hand_over = hand_over
         self.buffer = buffer
         self.services = services
+        self.parts = parts
+        """What other engines hold of the prompt before this attempt's part."""
         self.cancelled = threading.Event()
         self.last_sequence = 0
         self.output_tokens = 0
@@ -68,7 +77,7 @@
             # An engine that breaks its own numbering must not leave the caller
             # waiting for an end that nobody writes.
             refusal = self.failure(str(error))
-        self.buffer.append(StreamEnd(self.last_sequence, refusal))
+        self.buffer.end(refusal)
         whole = refusal is None
         finished = UpstreamFinished(self.attempt_id, whole, self.output_tokens)
         self.services.sidecar.tell(finished)
@@ -87,6 +96,8 @@
             return self.failed_start(error)
         if stream.status >= SERVER_ERROR and self.is_engine():
             return self.failure(f"the engine answered with status {stream.status}")
+        if self.parts and stream.status == CONFLICT:
+            return self.failure("the engine does not know the parts before its own")
         self.buffer.append(StreamHead(stream.status, tuple(stream.headers)))
         for _ in range(MOST_RESUMES + 1):
             try:
@@ -108,7 +119,7 @@
         """Hand the request to the upstream, once."""
         match self.services.client:
             case EngineClient() as engine:
-                stream = engine.start(self.hand_over)
+                stream = start_at_engine(engine, self.hand_over, self.parts)
             case PlainClient() as plain:
                 stream = plain.call(self.hand_over)
         self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
@@ -8,7 +8,8 @@
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId, Epoch
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
-from cowslipshelf_core.sidecar import CancelArrived, RevokeArrived
+from cowslipshelf_core.prompt_parts import KvReference
+from cowslipshelf_core.sidecar import CancelArrived, PartsArrived, RevokeArrived
 from cowslipshelf_core.upstream import HandOver, LoadReport
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
 from cowslipshelf_fleet import FrameBuffer
@@ -73,6 +74,10 @@
         except (ActorDeadError, Empty):
             return MayHaveRun(attempt_id, known=False)
 
+    def begin(self, attempt_id: AttemptId, parts: tuple[KvReference, ...]) -> None:
+        """Let a reserved attempt begin."""
+        self.sidecar.tell(PartsArrived(attempt_id, parts))
+
     def cancel(self, attempt_id: AttemptId) -> None:
         """Cancel an attempt that nobody waits for."""
         self.sidecar.tell(CancelArrived(attempt_id))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -21,15 +21,16 @@
 from cowslipshelf_core.messages import (
     Announce,
     AnnounceAnswer,
+    AttemptReserved,
     ConfigurationSnapshot,
     FencingAnswered,
     FencingAsked,
     MayHaveRun,
     NeverRan,
     OrderSent,
-    StreamEnd,
     Withdraw,
 )
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
     AskFencing,
@@ -48,6 +49,7 @@
     OrderArrived,
     OrderFinished,
     OwnerSeen,
+    PartsArrived,
     RefuseAttempt,
     RefuseOrder,
     ReleaseAtUpstream,
@@ -55,6 +57,7 @@
     SidecarEvent,
     SidecarState,
     StartAttempt,
+    TellReserved,
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
@@ -74,6 +77,7 @@
     OrderRunner,
     OrderServices,
 )
+from cowslipshelf_daemon.internal.sidecar.part_runner import PartRunner
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Mailbox, Received
@@ -165,6 +169,7 @@
                 UpstreamAccepted()
                 | FirstTokenArrived()
                 | CancelArrived()
+                | PartsArrived()
                 | InventoryRead()
                 | OrderFinished()
             ):
@@ -212,8 +217,10 @@
     def perform(self, effect: SidecarEffect) -> None:
         """Carry out one effect."""
         match effect:
-            case StartAttempt(hand_over):
-                self.start_attempt(hand_over)
+            case StartAttempt(hand_over, parts):
+                self.start_attempt(hand_over, parts)
+            case TellReserved(attempt_id):
+                self.attempts.find(attempt_id).append(AttemptReserved())
             case EndAttempt(attempt_id, refusal):
                 self.end_attempt(attempt_id, refusal)
             case CancelAtUpstream(attempt_id) | ReleaseAtUpstream(attempt_id):
@@ -230,10 +237,13 @@
             case AskFencing():
                 self.ask_fencing()
 
-    def start_attempt(self, hand_over: HandOver) -> None:
+    def start_attempt(
+        self, hand_over: HandOver, parts: tuple[KvReference, ...]
+    ) -> None:
         """Start the thread that runs an attempt at the upstream."""
         buffer = self.attempts.find(hand_over.attempt_id)
-        runner = AttemptRunner(hand_over, buffer, self.services)
+        kind = PartRunner if hand_over.is_part else AttemptRunner
+        runner = kind(hand_over, buffer, self.services, parts)
         self.runners[hand_over.attempt_id] = runner
         runner.start()
 
@@ -241,7 +251,7 @@
         """End the frames of an attempt that never got to the upstream."""
         buffer = self.attempts.find(attempt_id)
         if buffer is not None:
-            buffer.append(StreamEnd(0, refusal))
+            buffer.end(refusal)
 
     def cancel_at_upstream(self, attempt_id: AttemptId) -> None:
         """Stop an attempt here and at the upstream."""
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_client.py
@@ -8,7 +8,13 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from cowslipshelf_core.identifiers import AttemptId, Epoch
-from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    MayHaveRun,
+    NeverRan,
+    PartsReady,
+)
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_fleet.errors import HandOverFailed
 from cowslipshelf_fleet.internal.addresses import parse_address
@@ -23,6 +29,7 @@
     CancelRequest,
     FramesRequest,
     HandOverRequest,
+    PartsRequest,
     RevokeBody,
     RevokeRequest,
     attempts_tagger,
@@ -128,6 +135,18 @@
         except (HTTPError, OSError, msgspec.MsgspecError):
             return None
 
+    def begin(
+        self, address: str, attempt_id: AttemptId, parts: tuple[KvReference, ...]
+    ) -> bool:
+        """Let a reserved attempt begin; return whether the sidecar surely heard it."""
+        body = encoder.encode(PartsReady(parts))
+        try:
+            response = self.ask(address, "POST", PartsRequest(attempt_id), body)
+            read_whole(response)
+        except (HTTPError, OSError):
+            return False
+        return response.status == STATUS_DONE
+
     def cancel(self, address: str, attempt_id: AttemptId) -> bool:
         """Cancel an attempt; return whether the sidecar is known to have heard it."""
         try:
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_gateway.py
@@ -21,10 +21,12 @@
     CancelRequest,
     FramesRequest,
     HandOverRequest,
+    PartsRequest,
     RevokeRequest,
     encoder,
     hand_over_decoder,
     parse_request,
+    parts_decoder,
     revoke_body_decoder,
     tag_is_right,
 )
@@ -69,6 +71,9 @@
                 epoch, load_sequence = revoke_body_decoder.decode(body)
                 outcome = handler.revoke(attempt_id, epoch, load_sequence)
                 self.answer(STATUS_STREAM, encoder.encode(outcome))
+            case PartsRequest(attempt_id):
+                handler.begin(attempt_id, parts_decoder.decode(body).parts)
+                self.answer(STATUS_DONE)
             case CancelRequest(attempt_id):
                 handler.cancel(attempt_id)
                 self.answer(STATUS_DONE)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_protocol.py
@@ -7,7 +7,12 @@
 import msgspec
 
 from cowslipshelf_core.identifiers import AttemptId, Epoch
-from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.messages import (
+    AttemptRefused,
+    MayHaveRun,
+    NeverRan,
+    PartsReady,
+)
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_fleet.internal.tags import Tagger
 
@@ -28,6 +33,7 @@
 encoder = msgspec.msgpack.Encoder()
 hand_over_decoder = msgspec.msgpack.Decoder(HandOver)
 refused_decoder = msgspec.msgpack.Decoder(AttemptRefused)
+parts_decoder = msgspec.msgpack.Decoder(PartsReady)
 revoked_decoder = msgspec.msgpack.Decoder(NeverRan | MayHaveRun)
 
 
@@ -69,7 +75,16 @@
     attempt_id: AttemptId
 
 
-AttemptsRequest = HandOverRequest | FramesRequest | RevokeRequest | CancelRequest
+@dataclass(frozen=True, slots=True)
+class PartsRequest:
+    """Let a reserved attempt begin, since the parts before its own are prefilled."""
+
+    attempt_id: AttemptId
+
+
+AttemptsRequest = (
+    HandOverRequest | FramesRequest | RevokeRequest | CancelRequest | PartsRequest
+)
 
 
 def attempts_tagger(cluster_key: bytes) -> Tagger:
@@ -102,6 +117,8 @@
             return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}/frames?after={after}"
         case RevokeRequest(attempt_id):
             return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}/revoke"
+        case PartsRequest(attempt_id):
+            return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}/parts"
         case CancelRequest(attempt_id):
             return f"{ATTEMPTS_PATH}/{quote(attempt_id, safe='')}"
 
@@ -119,6 +136,8 @@
             return parse_frames_request(attempt, parts.query)
         case "POST", [attempt, "revoke"]:
             return RevokeRequest(AttemptId(unquote(attempt)))
+        case "POST", [attempt, "parts"]:
+            return PartsRequest(AttemptId(unquote(attempt)))
         case "DELETE", [attempt]:
             return CancelRequest(AttemptId(unquote(attempt)))
         case _:
--- a/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/attempts_server.py
@@ -9,6 +9,7 @@
 
 from cowslipshelf_core.identifiers import AttemptId, Epoch
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_fleet.internal.addresses import (
     HostPort,
@@ -59,6 +60,9 @@
     ) -> NeverRan | MayHaveRun:
         """Promise that an attempt never runs, or say that it may have run."""
 
+    def begin(self, attempt_id: AttemptId, parts: tuple[KvReference, ...]) -> None:
+        """Let a reserved attempt begin; a repeated word does nothing."""
+
     def cancel(self, attempt_id: AttemptId) -> None:
         """Cancel an attempt, if there is one."""
 
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -3,7 +3,15 @@
 from threading import Condition
 from time import monotonic
 
-from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.messages import (
+    AttemptReserved,
+    Frame,
+    PartPrefilled,
+    StreamChunk,
+    StreamEnd,
+    StreamHead,
+)
 from cowslipshelf_fleet.errors import FrameOrderError
 
 MOST_BUFFERED_BYTES = 16 * 1024 * 1024
@@ -26,6 +34,8 @@
         self.bytes = 0
         self.last_sequence = 0
         self.frames_before_chunks = 0
+        self.began = False
+        """Whether a head came, or the one word on a part of a prompt."""
         self.finished = False
         """Whether the last frame of the stream was appended."""
         self.closed = False
@@ -51,6 +61,16 @@
             self.changed.notify_all()
             return True
 
+    def end(self, refusal: Refusal | None) -> None:
+        """Add the last frame, unless it is there: the first end stands.
+
+        Whoever runs an attempt and whoever gives it up may both want to end it, in
+        either order and after any number of chunks.
+        """
+        with self.changed:
+            if not self.finished:
+                self.append(StreamEnd(self.last_sequence, refusal))
+
     def read_after(self, sequence: int, timeout: float) -> list[Frame]:
         """Return the next frames after a chunk; wait `timeout` seconds for one.
 
@@ -117,8 +137,10 @@
         if self.finished:
             raise FrameOrderError("a frame after the last one")
         match frame:
-            case StreamHead():
+            case AttemptReserved():
                 in_order = not self.frames
+            case StreamHead() | PartPrefilled():
+                in_order = not self.began and not self.last_sequence
             case StreamChunk(sequence=sequence):
                 in_order = sequence == self.last_sequence + 1
             case StreamEnd(last_sequence=last_sequence):
@@ -131,8 +153,11 @@
     def note(self, frame: Frame) -> None:
         """Update what is known of the stream by a frame just added."""
         match frame:
-            case StreamHead():
-                self.frames_before_chunks = 1
+            case AttemptReserved():
+                self.frames_before_chunks += 1
+            case StreamHead() | PartPrefilled():
+                self.began = True
+                self.frames_before_chunks += 1
             case StreamChunk(sequence=sequence):
                 self.last_sequence = sequence
             case StreamEnd():
--- a/tests/common/routing.py
+++ b/tests/common/routing.py
@@ -108,3 +108,16 @@
 def refusals(answers: list[PlacementAnswered]) -> list[Refusal]:
     """Return the refusals in answers."""
     return [a.answer for a in answers if isinstance(a.answer, Refusal)]
+
+
+def check_spread(answer: ChosenUpstream, needed: int, memory: int = MEMORY) -> None:
+    """Check that parts cover a prompt once, fit, and come in the one fixed order."""
+    names = [*(part.upstream_id for part in answer.helpers), answer.upstream_id]
+    assert len(names) > 1
+    assert names == sorted(set(names))
+    ends = [part.to_token for part in answer.helpers]
+    assert [part.from_token for part in answer.helpers] == [0, *ends[:-1]]
+    assert ends[-1] == answer.from_token
+    cuts = [0, *ends, needed]
+    sizes = [end - start for start, end in zip(cuts, cuts[1:], strict=False)]
+    assert all(0 < size <= memory for size in sizes)
--- a/tests/cover/routing/test_router_machine.py
+++ b/tests/cover/routing/test_router_machine.py
@@ -14,7 +14,16 @@
     rule,
 )
 
-from common.routing import MEMORY, MODEL, START, asked, available, configured, load
+from common.routing import (
+    MEMORY,
+    MODEL,
+    START,
+    asked,
+    available,
+    check_spread,
+    configured,
+    load,
+)
 from cowslipshelf_core.errors import Refusal, RefusalCode
 from cowslipshelf_core.routing import (
     AttemptEnded,
@@ -93,6 +102,15 @@
         assert name not in question.excluded
         assert answer.epoch == self.present[name]["epoch"]
         need = facts.prompt_tokens + facts.most_output_tokens
+        if need > MEMORY:
+            # It waits for memory at the sidecars; no report is asked whether it fits.
+            check_spread(answer, need)
+            for part in answer.helpers:
+                assert part.upstream_id not in (*self.draining, *question.excluded)
+                assert part.epoch == self.present[part.upstream_id]["epoch"]
+            need -= answer.from_token
+            self.count(facts, name, need)
+            return
         added = sum(
             self.running[a][2]
             for a in self.since_report[name]
@@ -100,6 +118,9 @@
         )
         report = self.present[name]["load"]
         assert report.reserved_tokens + added + need <= report.memory_tokens
+        self.count(facts, name, need)
+
+    def count(self, facts, name, need) -> None:
         self.running[facts.attempt_id] = (facts.customer, name, need)
         self.since_report[name].add(facts.attempt_id)
         self.new.append(facts.attempt_id)
--- /dev/null
+++ b/tests/nocover/daemon/test_spread_prompts.py
@@ -0,0 +1,97 @@
+"""Check, on real processes, prompts that fit no single engine."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import urllib3
+
+from common.daemon_fleet import (
+    CUSTOMER_KEY,
+    MODEL,
+    TIMINGS,
+    StreamedCall,
+    start_fleet,
+)
+from local_fleet import LocalFleet, Upstream, wait_until
+
+SMALL_MEMORY = 14_000
+FAST = ("--time-scale", "0.05", "--memory-tokens")
+SMALL = tuple(
+    Upstream(
+        f"small-{number}",
+        "scribe",
+        "model",
+        (MODEL,),
+        SMALL_MEMORY,
+        options=(*FAST, str(SMALL_MEMORY)),
+    )
+    for number in (1, 2, 3)
+)
+LARGE = Upstream(
+    "large-1", "notices", "model", (MODEL,), 400_000, options=(*FAST, "400000")
+)
+LEDGER = "beet load paid " * 8_000
+"""About thirty thousand tokens: more than two small engines hold."""
+TOKENS = 40
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[LocalFleet]:
+    with LocalFleet(tmp_path, timings=TIMINGS) as fleet:
+        start_fleet(fleet, SMALL)
+        fleet.start_upstream(LARGE)
+        yield fleet
+
+
+def held_tokens(fleet: LocalFleet, upstream: str) -> int:
+    """Ask an engine how much memory it holds for attempts."""
+    address = fleet.upstream_addresses[upstream]
+    response = fleet.http.request("GET", f"http://{address}/v1/inventory")
+    return sum(one["tokens"] for one in json.loads(response.data)["held"])
+
+
+def direct_text(fleet: LocalFleet, upstream: str) -> str:
+    """Return what one engine answers to the whole prompt, asked by itself."""
+    body = {"model": MODEL, "prompt": LEDGER, "max_tokens": TOKENS}
+    response = fleet.http.request(
+        "POST",
+        f"http://{fleet.upstream_addresses[upstream]}/v1/completions",
+        body=json.dumps(body).encode(),
+        headers={"X-Attempt-Id": "direct", "X-Request-Id": "direct"},
+        timeout=urllib3.Timeout(read=60.0),
+    )
+    document: dict[str, Any] = json.loads(response.data)
+    return document["choices"][0]["text"]
+
+
+def test_a_prompt_of_twice_an_engine_is_answered_as_one_large_engine_would(fleet):
+    """Check the whole answer to a ledger that only three engines together hold.
+
+    The entry reserves memory on all three, has two of them prefill their parts and the
+    last one generate. When the caller has its answer no engine keeps a part of it.
+    """
+    call = StreamedCall(fleet, "entry-1", LEDGER, TOKENS)
+    assert call.text() == direct_text(fleet, "large-1")
+    wait_until(
+        lambda: not any(held_tokens(fleet, one.name) for one in SMALL),
+        "all memory back",
+    )
+
+
+def test_a_prompt_that_all_engines_together_cannot_hold_is_refused_with_why(fleet):
+    body = {"model": MODEL, "prompt": LEDGER * 2, "max_tokens": TOKENS}
+    response = fleet.http.request(
+        "POST",
+        f"http://{fleet.callers['entry-1']}/v1/completions",
+        body=json.dumps(body).encode(),
+        headers={"Authorization": f"Bearer {CUSTOMER_KEY}"},
+        timeout=urllib3.Timeout(read=60.0),
+    )
+    text = response.data.decode()
+    assert response.status >= 400
+    assert "not_run" in text
+    assert "too_large" in text
+    assert str(3 * SMALL_MEMORY) in text
