Decide the hand-over of a spread prompt in the core

Cause: the order in which parts are reserved, released and begun was decided on the thread that also waited for sockets, where no test could interleave it.

Change: SpreadMachine decides; the entry's thread carries out its effects. A part is cancelled whether or not its hand-over was answered, and the last part is refused as "not run" only on its sidecar's promise.

Under dying entries, sidecars and parts, and lost cancels and answers, all memory is back 60 s after the last fault, or at the deadline where an entry's cancel was lost.

--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Decide how one prompt is handed to several sidecars."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/spread.py
@@ -0,0 +1,56 @@
+"""Decide how a prompt that fits no upstream alone is handed to several sidecars."""
+
+from cowslipshelf_core.internal.spread.effects import (
+    BackOff,
+    BeginPart,
+    CancelPart,
+    HandOverPart,
+    RevokeLast,
+    SpreadBegun,
+    SpreadEffect,
+    SpreadRefused,
+    SpreadResult,
+    SpreadUncertain,
+)
+from cowslipshelf_core.internal.spread.events import (
+    BackoffElapsed,
+    BeginAnswered,
+    LastRevoked,
+    NoLongerWanted,
+    PartFilled,
+    PartLost,
+    PartRefused,
+    PartReserved,
+    PartUnanswered,
+    SpreadEvent,
+    SpreadStarted,
+    TimePassed,
+)
+from cowslipshelf_core.internal.spread.machine import SpreadConfig, SpreadMachine
+
+__all__ = [
+    "BackOff",
+    "BackoffElapsed",
+    "BeginAnswered",
+    "BeginPart",
+    "CancelPart",
+    "HandOverPart",
+    "LastRevoked",
+    "NoLongerWanted",
+    "PartFilled",
+    "PartLost",
+    "PartRefused",
+    "PartReserved",
+    "PartUnanswered",
+    "RevokeLast",
+    "SpreadBegun",
+    "SpreadConfig",
+    "SpreadEffect",
+    "SpreadEvent",
+    "SpreadMachine",
+    "SpreadRefused",
+    "SpreadResult",
+    "SpreadStarted",
+    "SpreadUncertain",
+    "TimePassed",
+]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -64,9 +64,10 @@
 from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
 from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
-from cowslipshelf_daemon.internal.entry.held_part import STEP, HeldPart
+from cowslipshelf_daemon.internal.entry.held_part import HeldPart
 from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
 from cowslipshelf_daemon.internal.entry.spread_hand_over import (
+    STEP,
     SpreadHandOver,
     SpreadServices,
 )
@@ -250,7 +251,6 @@
         services = SpreadServices(
             self.services.attempts,
             self.services.cancels,
-            self.services.new_attempt_id,
             self.record.note,
             self.still_wanted,
         )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_hand_over.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_hand_over.py
@@ -1,37 +1,45 @@
-"""Hand one prompt over to several sidecars: reserve all, prefill in order, generate.
-
-Every entry asks for parts in the one order of upstream ids and asks for the next only
-when the one before is reserved. Whoever waits therefore waits for an upstream behind
-all that it holds, so no two prompts can wait for each other.
-"""
+"""Carry out what the decider of a spread prompt says, on its request's thread."""
 
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
-from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
-from cowslipshelf_core.prompt_parts import KvReference, PartPlace
-from cowslipshelf_core.upstream import HandOver, LoadReport
-from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
-from cowslipshelf_daemon.internal.entry.held_part import (
-    STEP,
-    HeldPart,
-    PartLostError,
+from cowslipshelf_core.messages import AttemptRefused, NeverRan
+from cowslipshelf_core.spread import (
+    BackOff,
+    BackoffElapsed,
+    BeginAnswered,
+    BeginPart,
+    CancelPart,
+    HandOverPart,
+    LastRevoked,
+    NoLongerWanted,
+    PartRefused,
+    PartUnanswered,
+    RevokeLast,
+    SpreadBegun,
+    SpreadConfig,
+    SpreadEffect,
+    SpreadEvent,
+    SpreadMachine,
+    SpreadRefused,
+    SpreadResult,
+    SpreadStarted,
+    SpreadUncertain,
+    TimePassed,
 )
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
+from cowslipshelf_daemon.internal.entry.held_part import HeldPart
 from cowslipshelf_fleet import AttemptsClient, HandOverFailed
 
-RESERVE_SHARE = 0.5
-"""Part of the time left that may pass until all memory is reserved."""
-BACKOFF_SECONDS = 0.05
-BACKOFF_CAP_SECONDS = 2.0
-REASONS_THAT_PASS = frozenset(
-    {RefusalReason.BUSY, RefusalReason.OVERLOADED, RefusalReason.NOT_READY}
-)
-"""Refusals of a part that may be otherwise a moment later."""
+STEP = "spread"
+MOST_BEGINS = 3
+"""The word to begin is sent again where its answer is lost; repeating does no harm."""
 
 
 class SpreadServices(NamedTuple):
@@ -39,181 +47,130 @@
 
     attempts: AttemptsClient
     cancels: CancelDesk
-    new_attempt_id: Callable[[], AttemptId]
     note: Callable[[str], None]
     still_wanted: Callable[[], bool]
     """Whether the caller still waits and its deadline has not passed."""
 
 
 class SpreadHandOver:
-    """Own the parts of one attempt; used on the thread of its request.
-
-    Only the last part generates anything: until it begins the request has not run, and
-    what ends before that is refused as "not run" on the word of its sidecar.
-    """
+    """Own the streams of one attempt's parts."""
 
     def __init__(
         self, chosen: ChosenUpstream, hand_over: HandOver, services: SpreadServices
     ) -> None:
-        self.chosen = chosen
-        self.hand_over = hand_over
+        self.machine = SpreadMachine.from_config(
+            chosen, hand_over, SpreadConfig(), time.monotonic()
+        )
+        self.last_address = chosen.attempts_address
+        self.last_id = hand_over.attempt_id
+        self.random = random.Random()
         self.services = services
-        self.helpers: list[HeldPart] = []
-        now = time.monotonic()
-        self.deadline_at = now + hand_over.deadline_seconds
-        self.reserve_until = now + hand_over.deadline_seconds * RESERVE_SHARE
+        self.effects: deque[SpreadEffect] = deque()
+        self.held: dict[AttemptId, HeldPart] = {}
+        self.reading: AttemptId = hand_over.attempt_id
+        self.result: SpreadResult | None = None
 
     def run(self) -> HeldPart | AttemptRefused | HandOverFailed:
         """Return the last part, which generates, or why there is none."""
-        try:
-            self.reserve_helpers_or_retry()
-        except PartLostError as error:
-            # The last part was not handed over, so no engine can generate.
-            self.release()
-            return refused(error.refusal)
-        last = HeldPart(
-            self.chosen.attempts_address,
-            self.hand_over._replace(deadline_seconds=self.seconds_left()),
-            self.services.attempts,
-        )
-        failure = last.ask()
-        if failure is not None:
-            self.release()
-            return failure
-        return self.run_accepted(last)
-
-    def run_accepted(
-        self, last: HeldPart
-    ) -> HeldPart | AttemptRefused | HandOverFailed:
-        """Prefill all parts once the last one's memory is reserved as well."""
-        try:
-            last.wait_reserved(self.check_reserving)
-            self.services.note("memory is reserved for all parts")
-            parts = self.prefill_helpers()
-        except PartLostError as error:
-            last.close()
-            self.release()
-            return self.give_up(last, error.refusal)
-        for helper in self.helpers:
-            helper.watch()
-        if not last.begin(parts):
-            last.close()
-            self.release()
-            return self.give_up(last, last.loss("could not be told to begin"))
-        return last
-
-    def give_up(
-        self, last: HeldPart, refusal: Refusal
-    ) -> AttemptRefused | HandOverFailed:
-        """Have the last part promised never to run; without that claim nothing."""
-        last_id = last.hand_over.attempt_id
-        answer = self.services.attempts.revoke(
-            last.address,
-            last_id,
-            last.hand_over.sidecar_epoch,
-            last.hand_over.load_sequence,
-        )
+        self.handle(SpreadStarted())
+        while self.result is None or self.effects:
+            if self.effects:
+                self.perform(self.effects.popleft())
+            elif not self.services.still_wanted():
+                self.handle(NoLongerWanted())
+            else:
+                self.handle(self.held[self.reading].next_event())
+        return self.outcome(self.result)
+
+    def handle(self, event: SpreadEvent) -> None:
+        """Give the decider an event and queue what it wants done."""
+        now = time.monotonic()
+        self.effects.extend(self.machine.handle(event, now, self.random))
+
+    def perform(self, effect: SpreadEffect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case HandOverPart():
+                self.hand_over_part(effect)
+            case BeginPart():
+                self.begin(effect)
+            case CancelPart(address, attempt_id):
+                self.cancel(address, attempt_id)
+            case RevokeLast(address, hand_over):
+                self.revoke_last(address, hand_over)
+            case BackOff(seconds):
+                time.sleep(seconds)
+                self.handle(BackoffElapsed())
+            case SpreadBegun() | SpreadRefused() | SpreadUncertain():
+                self.result = effect
+
+    def hand_over_part(self, effect: HandOverPart) -> None:
+        """Hand a part over; this is its only sending."""
+        attempt_id = effect.hand_over.attempt_id
+        answer = self.services.attempts.hand_over(effect.address, effect.hand_over)
         match answer:
-            case NeverRan(attempt_id) if attempt_id == last_id:
-                return refused(refusal)
-            case NeverRan() | MayHaveRun() | None:
-                return HandOverFailed(True, STEP, last.address, refusal.detail)
-
-    # Memory, all or nothing.
-
-    def reserve_helpers_or_retry(self) -> None:
-        """Reserve every helper's memory, and again after what passes."""
-        tries = 0
-        while True:
-            try:
-                self.reserve_helpers()
-                return
-            except PartLostError as error:
-                self.release()
-                passing = error.refusal.reason in REASONS_THAT_PASS
-                if not passing or time.monotonic() >= self.reserve_until:
-                    raise
-            step = min(BACKOFF_CAP_SECONDS, BACKOFF_SECONDS * 2.0**tries)
-            # Jitter, or prompts that refused each other's place would meet again.
-            time.sleep(random.uniform(0.0, step))
-            tries += 1
-
-    def reserve_helpers(self) -> None:
-        """Reserve in the order of upstream ids, one after the other."""
-        for place in self.chosen.helpers:
-            helper = HeldPart(
-                place.attempts_address, self.part_of(place), self.services.attempts
+            case AttemptRefused():
+                self.handle(PartRefused(attempt_id, answer))
+            case HandOverFailed(may_have_arrived, _, _, detail):
+                self.handle(PartUnanswered(attempt_id, may_have_arrived, detail))
+            case _:
+                self.held[attempt_id] = HeldPart(attempt_id, answer)
+                self.reading = attempt_id
+                self.handle(TimePassed())
+
+    def begin(self, effect: BeginPart) -> None:
+        """Tell a sidecar that a part may begin."""
+        self.services.note(f"part {effect.attempt_id} begins")
+        self.reading = effect.attempt_id
+        heard = any(
+            self.services.attempts.begin(
+                effect.address, effect.attempt_id, effect.parts
             )
-            # It is to be cancelled whatever comes: an answer may be lost.
-            self.helpers.append(helper)
-            match helper.ask():
-                case AttemptRefused(refusal):
-                    raise PartLostError(refusal._replace(code=RefusalCode.NOT_RUN))
-                case HandOverFailed(detail=detail):
-                    raise PartLostError(helper.loss(detail))
-            helper.wait_reserved(self.check_reserving)
-
-    def part_of(self, place: PartPlace) -> HandOver:
-        """Address a part to a helper; it only prefills, so it may be repeated."""
-        return self.hand_over._replace(
-            attempt_id=self.services.new_attempt_id(),
-            upstream_id=place.upstream_id,
-            sidecar_epoch=place.epoch,
-            load_sequence=place.load_sequence,
-            from_token=place.from_token,
-            to_token=place.to_token,
-            non_idempotent=False,
-            delivered_tokens=0,
-            deadline_seconds=self.seconds_left(),
+            for _ in range(MOST_BEGINS)
+        )
+        self.handle(BeginAnswered(effect.attempt_id, heard))
+
+    def cancel(self, address: str, attempt_id: AttemptId) -> None:
+        """Give up a helper."""
+        self.services.cancels.send(address, attempt_id)
+        part = self.held.pop(attempt_id, None)
+        if part is not None:
+            part.close()
+
+    def revoke_last(self, address: str, hand_over: HandOver) -> None:
+        """Ask for the promise that the last part never runs."""
+        answer = self.services.attempts.revoke(
+            address,
+            hand_over.attempt_id,
+            hand_over.sidecar_epoch,
+            hand_over.load_sequence,
         )
+        promised = isinstance(answer, NeverRan) and answer.attempt_id == self.last_id
+        self.handle(LastRevoked(promised))
 
-    def check_reserving(self) -> None:
-        """Raise where memory is awaited for too long, or for nobody."""
-        self.check_wanted()
-        if time.monotonic() >= self.reserve_until:
-            detail = f"no memory for {len(self.chosen.helpers) + 1} parts in time"
-            raise PartLostError(self.refusal(RefusalReason.BUSY, detail))
-
-    def check_wanted(self) -> None:
-        """Raise where nobody waits for the answer any more."""
-        if not self.services.still_wanted():
-            detail = "the caller went away or its deadline passed"
-            raise PartLostError(self.refusal(RefusalReason.CANCELLED, detail))
-
-    # Prefill, in token order.
-
-    def prefill_helpers(self) -> tuple[KvReference, ...]:
-        """Prefill each part with what those before it hold."""
-        parts: tuple[KvReference, ...] = ()
-        for helper in self.helpers:
-            if not helper.begin(parts):
-                raise PartLostError(helper.loss("could not be told to begin"))
-            parts = (*parts, helper.wait_prefilled(self.check_wanted))
-            self.services.note(f"{helper.hand_over.upstream_id} prefilled its part")
-        return parts
-
-    # The end.
+    def outcome(
+        self, result: SpreadResult
+    ) -> HeldPart | AttemptRefused | HandOverFailed:
+        """Return what a hand-over to one sidecar would."""
+        if isinstance(result, SpreadBegun):
+            for attempt_id, part in self.held.items():
+                if attempt_id != self.last_id:
+                    part.watch()
+            return self.held[self.last_id]
+        last = self.held.pop(self.last_id, None)
+        if last is not None:
+            last.close()
+        if isinstance(result, SpreadRefused):
+            return result.refused
+        return HandOverFailed(
+            result.may_have_arrived, STEP, self.last_address, result.detail
+        )
 
     def lost_part(self) -> str:
         """Tell which helper was lost while the last part generates; empty for none."""
-        return next((helper.lost for helper in self.helpers if helper.lost), "")
+        return next((part.lost for part in self.held.values() if part.lost), "")
 
     def release(self) -> None:
-        """Cancel every helper; a lost cancel is made good by lease or deadline."""
-        for helper in self.helpers:
-            self.services.cancels.send(helper.address, helper.hand_over.attempt_id)
-            helper.close()
-        self.helpers = []
-
-    def seconds_left(self) -> float:
-        """Return the time left of the caller's deadline, in seconds."""
-        return self.deadline_at - time.monotonic()
-
-    def refusal(self, reason: RefusalReason, detail: str) -> Refusal:
-        """Refuse on our own account before the last part began."""
-        return Refusal(RefusalCode.NOT_RUN, reason, STEP, detail=detail)
-
-
-def refused(refusal: Refusal) -> AttemptRefused:
-    """Answer as a sidecar that refused; its load is not known here."""
-    return AttemptRefused(refusal._replace(code=RefusalCode.NOT_RUN), LoadReport())
+        """Cancel every helper that is still held."""
+        for cancel in self.machine.release():
+            self.cancel(cancel.address, cancel.attempt_id)
--- /dev/null
+++ b/tests/common/spread_world.py
@@ -0,0 +1,336 @@
+"""Play spread prompts against real sidecar states, with engines that only count."""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+from random import Random
+
+from common.sidecars import MEMORY_TOKENS, configuration, description, hand_over
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.messages import NeverRan
+from cowslipshelf_core.prompt_parts import KvReference, PartPlace
+from cowslipshelf_core.sidecar import (
+    AnswerRevoke,
+    CancelArrived,
+    CancelAtUpstream,
+    ConfigurationApplied,
+    EndAttempt,
+    FirstTokenArrived,
+    HandOverArrived,
+    HeldMemory,
+    InventoryRead,
+    OwnerSeen,
+    PartsArrived,
+    RefuseAttempt,
+    ReleaseAtUpstream,
+    RevokeArrived,
+    SidecarConfig,
+    SidecarState,
+    StartAttempt,
+    TellReserved,
+    TickElapsed,
+    UpstreamFinished,
+)
+from cowslipshelf_core.spread import (
+    BackOff,
+    BackoffElapsed,
+    BeginAnswered,
+    BeginPart,
+    CancelPart,
+    HandOverPart,
+    LastRevoked,
+    PartFilled,
+    PartLost,
+    PartRefused,
+    PartReserved,
+    PartUnanswered,
+    RevokeLast,
+    SpreadBegun,
+    SpreadConfig,
+    SpreadMachine,
+    SpreadRefused,
+    SpreadStarted,
+    SpreadUncertain,
+    TimePassed,
+)
+from cowslipshelf_core.upstream import HandOver
+
+DEADLINE = 600.0
+STEP_SECONDS = 0.25
+
+
+@dataclass
+class Upstream:
+    """Be one sidecar and the engine beside it."""
+
+    name: str
+    state: SidecarState
+    held: dict[AttemptId, HandOver] = field(default_factory=dict)
+    """What the engine holds memory for; it outlives a start of the sidecar."""
+    filled: set[AttemptId] = field(default_factory=set)
+
+    def held_tokens(self) -> int:
+        """Return the memory that the engine holds."""
+        return sum(map(tokens_of, self.held.values()))
+
+
+def tokens_of(given: HandOver) -> int:
+    """Count the memory of one attempt at its engine."""
+    if given.to_token is not None:
+        return given.to_token - given.from_token
+    return given.prompt_tokens - given.from_token + given.most_output_tokens
+
+
+class SpreadWorld:
+    """Own the time, the upstreams and the frames that wait to be read."""
+
+    def __init__(self, upstreams: int, seed: int = 0) -> None:
+        self.now = 0.0
+        self.random = Random(seed)
+        self.starts = 0
+        self.frames: dict[AttemptId, deque] = defaultdict(deque)
+        self.started: set[AttemptId] = set()
+        self.finished: set[AttemptId] = set()
+        self.loses_cancels = False
+        self.loses_answers = False
+        """Whether what an entry asks arrives and the answer does not."""
+        self.entry_cancel_was_lost = False
+        self.upstreams = {
+            f"runner-{number}": Upstream(f"runner-{number}", self.new_state(number))
+            for number in range(upstreams)
+        }
+        self.prompts: list[Prompt] = []
+
+    def new_state(self, number: int) -> SidecarState:
+        """Start a sidecar that has its configuration."""
+        self.starts += 1
+        config = SidecarConfig(description(f"runner-{number}"), f"start-{self.starts}")
+        state = SidecarState.from_config(config)
+        state.handle(ConfigurationApplied(configuration()), self.now)
+        return state
+
+    def restart(self, number: int) -> None:
+        """Start a sidecar again: streams are cut, the engine keeps what it holds."""
+        upstream = self.upstreams[f"runner-{number}"]
+        for attempt_id in upstream.state.table.alive:
+            self.frames[attempt_id].append(PartLost(attempt_id, None, "cut"))
+        upstream.state = self.new_state(number)
+
+    def feed(self, upstream: Upstream, event) -> list:
+        """Give a sidecar an event; return what it answers to whoever asked."""
+        answers = []
+        for effect in upstream.state.handle(event, self.now):
+            match effect:
+                case TellReserved(attempt_id):
+                    self.frames[attempt_id].append(PartReserved(attempt_id))
+                case StartAttempt(given):
+                    assert given.attempt_id not in self.started
+                    self.started.add(given.attempt_id)
+                    upstream.held[given.attempt_id] = given
+                case EndAttempt(attempt_id, refusal):
+                    self.frames[attempt_id].append(PartLost(attempt_id, refusal))
+                case CancelAtUpstream(attempt_id) | ReleaseAtUpstream(attempt_id):
+                    if not self.loses_cancels:
+                        self.end_at_engine(upstream, attempt_id, whole=False)
+                case RefuseAttempt() | AnswerRevoke():
+                    answers.append(effect)
+        return answers
+
+    def end_at_engine(
+        self, upstream: Upstream, attempt_id: AttemptId, whole: bool
+    ) -> None:
+        """End an attempt at its engine, which frees its memory."""
+        upstream.held.pop(attempt_id, None)
+        self.feed(upstream, UpstreamFinished(attempt_id, whole))
+
+    def work(self, upstream: Upstream) -> None:
+        """Let an engine prefill its parts and finish what it generates."""
+        for attempt_id, given in tuple(upstream.held.items()):
+            if given.to_token is None:
+                self.end_at_engine(upstream, attempt_id, whole=True)
+                self.finished.add(attempt_id)
+            elif attempt_id not in upstream.filled:
+                upstream.filled.add(attempt_id)
+                self.feed(upstream, FirstTokenArrived(attempt_id))
+                part = KvReference(attempt_id, 1, given.from_token, given.to_token)
+                self.frames[attempt_id].append(PartFilled(attempt_id, part))
+
+    def fail(self, upstream: Upstream) -> None:
+        """Have an engine drop the first of its attempts."""
+        for attempt_id in tuple(upstream.held)[:1]:
+            self.end_at_engine(upstream, attempt_id, whole=False)
+            self.frames[attempt_id].append(PartLost(attempt_id, None, "died"))
+
+    def pass_time(self, seconds: float = STEP_SECONDS) -> None:
+        """Let time pass; living entries are heard, engines tell what they hold."""
+        self.now += seconds
+        for upstream in self.upstreams.values():
+            for prompt in self.prompts:
+                if prompt.alive:
+                    self.feed(upstream, OwnerSeen(prompt.owner))
+            held = tuple(
+                HeldMemory(attempt_id, tokens_of(given))
+                for attempt_id, given in upstream.held.items()
+            )
+            self.feed(upstream, InventoryRead(held))
+            self.feed(upstream, TickElapsed())
+
+    def add_prompt(self, numbers: list[int], part_tokens: int) -> "Prompt":
+        """Let an entry of its own place a prompt over some upstreams."""
+        prompt = Prompt(
+            self, sorted(numbers), part_tokens, f"entry-{len(self.prompts)}"
+        )
+        self.prompts.append(prompt)
+        return prompt
+
+    def is_empty(self) -> bool:
+        """Tell whether no memory is reserved, awaited or held anywhere."""
+        return all(
+            not upstream.held
+            and not upstream.state.table.alive
+            and upstream.state.table.memory.reserved_tokens == 0
+            for upstream in self.upstreams.values()
+        )
+
+    def run_on(self, seconds: float) -> None:
+        """Let everyone who lives go on, in turn."""
+        end = self.now + seconds
+        while self.now < end:
+            for prompt in self.prompts:
+                prompt.act()
+                prompt.act()
+            for upstream in self.upstreams.values():
+                self.work(upstream)
+            self.pass_time()
+
+
+class Prompt:
+    """Be one prompt whose entry drives its decider as the daemon does."""
+
+    def __init__(
+        self, world: SpreadWorld, numbers: list[int], part_tokens: int, owner: str
+    ) -> None:
+        self.world = world
+        self.numbers = numbers
+        self.part_tokens = part_tokens
+        self.owner = owner
+        self.alive = True
+        self.deadline = world.now + DEADLINE
+        self.tries = 0
+        self.wakes_at = 0.0
+        self.place()
+
+    def place(self) -> None:
+        """Choose the parts afresh, as a retry of the whole request does."""
+        self.tries += 1
+        self.last_id = AttemptId(f"{self.owner}-last-{self.tries}")
+        states = [self.world.upstreams[f"runner-{n}"].state for n in self.numbers]
+        places = [
+            PartPlace(
+                state.config.description.upstream_id,
+                state.config.epoch,
+                state.config.description.upstream_id,
+                state.sequence,
+                index * self.part_tokens,
+                (index + 1) * self.part_tokens,
+            )
+            for index, state in enumerate(states)
+        ]
+        last = places.pop()
+        given = hand_over(
+            self.last_id,
+            owner=self.owner,
+            upstream_id=last.upstream_id,
+            sidecar_epoch=last.epoch,
+            load_sequence=last.load_sequence,
+            prompt_tokens=last.to_token,
+            most_output_tokens=50,
+            from_token=last.from_token,
+            deadline_seconds=self.deadline - self.world.now,
+        )
+        chosen = ChosenUpstream(
+            self.last_id,
+            last.upstream_id,
+            last.epoch,
+            last.attempts_address,
+            0,
+            last.load_sequence,
+            tuple(places),
+            last.from_token,
+        )
+        self.machine = SpreadMachine.from_config(
+            chosen, given, SpreadConfig(), self.world.now
+        )
+        self.effects: deque = deque()
+        self.reading = self.last_id
+        self.result = None
+        self.handle(SpreadStarted())
+
+    def handle(self, event) -> None:
+        """Give the decider an event."""
+        effects = self.machine.handle(event, self.world.now, self.world.random)
+        self.effects.extend(effects)
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the prompt was answered, or given up for good."""
+        if self.result is None or self.effects:
+            return False
+        if isinstance(self.result, SpreadBegun):
+            return self.last_id in self.world.finished or bool(
+                self.world.frames[self.last_id]
+            )
+        return True
+
+    def act(self) -> None:
+        """Do the one next thing."""
+        if not self.alive or self.world.now < self.wakes_at:
+            return
+        if self.effects:
+            self.perform(self.effects.popleft())
+        elif self.result is not None:
+            if self.ended:
+                self.effects.extend(self.machine.release())
+        elif self.world.frames[self.reading]:
+            self.handle(self.world.frames[self.reading].popleft())
+        else:
+            self.handle(TimePassed())
+
+    def perform(self, effect) -> None:
+        """Carry out one effect."""
+        world = self.world
+        match effect:
+            case HandOverPart(address, given):
+                self.reading = given.attempt_id
+                arrived = HandOverArrived(given)
+                answers = world.feed(world.upstreams[address], arrived)
+                if world.loses_answers:
+                    self.handle(PartUnanswered(given.attempt_id, True, "silence"))
+                    return
+                for refused in answers:
+                    self.handle(PartRefused(given.attempt_id, refused.refused))
+            case BeginPart(address, attempt_id, parts):
+                self.reading = attempt_id
+                world.feed(world.upstreams[address], PartsArrived(attempt_id, parts))
+                self.handle(BeginAnswered(attempt_id, not world.loses_answers))
+            case CancelPart(address, attempt_id):
+                if world.loses_cancels:
+                    world.entry_cancel_was_lost = True
+                    return
+                world.feed(world.upstreams[address], CancelArrived(attempt_id))
+            case RevokeLast(address, given):
+                event = RevokeArrived(
+                    given.attempt_id, given.sidecar_epoch, given.load_sequence
+                )
+                (answer,) = world.feed(world.upstreams[address], event)
+                promised = isinstance(answer.answer, NeverRan)
+                self.handle(LastRevoked(promised and not world.loses_answers))
+            case BackOff(seconds):
+                self.wakes_at = world.now + seconds
+                self.handle(BackoffElapsed())
+            case SpreadBegun() | SpreadRefused() | SpreadUncertain():
+                self.result = effect
+
+
+HALF_AND_MORE = MEMORY_TOKENS * 6 // 10
+"""A part of this size leaves no room for another one beside it."""
--- /dev/null
+++ b/tests/cover/spread/test_spread_contention.py
@@ -0,0 +1,196 @@
+"""Check spread prompts that contend for engines, whatever dies meanwhile."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from common.sidecars import MEMORY_TOKENS, hand_over, sidecar
+from common.spread_world import DEADLINE, HALF_AND_MORE, SpreadWorld
+from cowslipshelf_core.errors import RefusalCode
+from cowslipshelf_core.messages import NeverRan
+from cowslipshelf_core.sidecar import (
+    CancelArrived,
+    HandOverArrived,
+    OwnerSeen,
+    PartsArrived,
+    RevokeArrived,
+    StartAttempt,
+    TellReserved,
+    TickElapsed,
+)
+from cowslipshelf_core.spread import SpreadBegun, SpreadRefused, SpreadUncertain
+
+ENGINES = 4
+SETTLED_SECONDS = 60.0
+"""Far below the deadline: what comes back only then has not come back by this."""
+SETS = st.lists(st.integers(0, ENGINES - 1), min_size=2, max_size=ENGINES, unique=True)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(
+    wanted=st.lists(SETS, min_size=2, max_size=3),
+    turns=st.lists(st.integers(0, 2), max_size=60),
+    seed=st.integers(0, 1000),
+)
+def test_of_prompts_that_want_the_same_engines_every_one_gets_them(wanted, turns, seed):
+    """Check that two ledgers never each hold half of what both need.
+
+    Each needs most of the memory of several engines. Their entries ask at the same
+    time, interleaved in any way; without one order each would get one engine, wait for
+    the other's and hold its own until the deadline.
+    """
+    world = SpreadWorld(ENGINES, seed)
+    prompts = [world.add_prompt(numbers, HALF_AND_MORE) for numbers in wanted]
+    for turn in turns:
+        prompts[turn % len(prompts)].act()
+    world.run_on(SETTLED_SECONDS)
+    assert [type(prompt.result) for prompt in prompts] == [SpreadBegun] * len(prompts)
+    assert all(prompt.last_id in world.finished for prompt in prompts)
+    assert world.is_empty()
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    part=st.booleans(),
+    non_idempotent=st.booleans(),
+    ending=st.sampled_from(["revoke", "cancel", "owner", "deadline"]),
+    late=st.integers(1, 3),
+)
+def test_a_reserved_part_that_was_given_up_never_runs(
+    part, non_idempotent, ending, late
+):
+    """Check that "not run" stays true of a part whose word to begin comes late.
+
+    An entry reserves memory, falls silent and is given up. Another one has the promise
+    that nothing ran and runs the request elsewhere; then the first one's word arrives.
+    """
+    state = sidecar()
+    given = hand_over(
+        "last",
+        from_token=0 if part else 50,
+        to_token=80 if part else None,
+        non_idempotent=non_idempotent,
+    )
+    assert state.handle(HandOverArrived(given), 0.0) == [TellReserved("last")]
+    assert state.table.memory.reserved_tokens > 0
+    now = 1.0
+    match ending:
+        case "revoke":
+            revoke = RevokeArrived("last", "start-1", 1)
+            (answered,) = state.handle(revoke, now)
+            assert answered.answer == NeverRan("last")
+        case "cancel":
+            state.handle(CancelArrived("last"), now)
+        case "owner" | "deadline":
+            for second in range(1, 62 if ending == "deadline" else 14):
+                now = float(second)
+                if ending == "deadline":
+                    state.handle(OwnerSeen("entry-1"), now)
+                state.handle(TickElapsed(), now)
+    assert state.table.memory.reserved_tokens == 0
+    effects = []
+    for _ in range(late):
+        effects += state.handle(PartsArrived("last", ()), now)
+        effects += state.handle(HandOverArrived(given), now)
+    assert not any(isinstance(each, StartAttempt | TellReserved) for each in effects)
+    (answered,) = state.handle(RevokeArrived("last", "start-1", 1), now)
+    assert answered.answer == NeverRan("last")
+
+
+@settings(max_examples=10, deadline=None, derandomize=True)
+@given(words=st.integers(1, 5))
+def test_a_part_begins_once_however_often_it_is_told(words):
+    state = sidecar()
+    given = hand_over("last", from_token=50)
+    state.handle(HandOverArrived(given), 0.0)
+    effects = []
+    for _ in range(words):
+        effects += state.handle(PartsArrived("last", ()), 1.0)
+    assert effects == [StartAttempt(given)]
+
+
+class SpreadMachineUnderFaults(RuleBasedStateMachine):
+    """Let entries, sidecars and parts die at any step."""
+
+    @initialize(wanted=st.lists(SETS, min_size=2, max_size=3))
+    def begin(self, wanted) -> None:
+        self.world = SpreadWorld(ENGINES)
+        for numbers in wanted:
+            self.world.add_prompt(numbers, HALF_AND_MORE)
+
+    @rule(number=st.integers(0, 2), times=st.integers(1, 6))
+    def act(self, number, times) -> None:
+        prompts = self.world.prompts
+        for _ in range(times):
+            prompts[number % len(prompts)].act()
+
+    @rule(number=st.integers(0, ENGINES - 1))
+    def work(self, number) -> None:
+        self.world.work(self.world.upstreams[f"runner-{number}"])
+
+    @rule(seconds=st.sampled_from([0.25, 1.0, 4.0]))
+    def pass_time(self, seconds) -> None:
+        self.world.pass_time(seconds)
+
+    @rule(number=st.integers(0, 2))
+    def entry_dies(self, number) -> None:
+        self.world.prompts[number % len(self.world.prompts)].alive = False
+
+    @rule(number=st.integers(0, ENGINES - 1))
+    def sidecar_restarts(self, number) -> None:
+        self.world.restart(number)
+
+    @rule(number=st.integers(0, ENGINES - 1))
+    def part_dies(self, number) -> None:
+        self.world.fail(self.world.upstreams[f"runner-{number}"])
+
+    @rule(lost=st.booleans())
+    def cancels_are_lost(self, lost) -> None:
+        self.world.loses_cancels = lost
+
+    @rule(lost=st.booleans())
+    def answers_are_lost(self, lost) -> None:
+        self.world.loses_answers = lost
+
+    @invariant()
+    def no_sidecar_gives_out_more_than_it_has(self) -> None:
+        for upstream in getattr(self, "world", SpreadWorld(0)).upstreams.values():
+            assert upstream.state.table.memory.reserved_tokens <= MEMORY_TOKENS
+
+    @invariant()
+    def not_run_is_true(self) -> None:
+        for prompt in getattr(self, "world", SpreadWorld(0)).prompts:
+            if isinstance(prompt.result, SpreadRefused):
+                refusal = prompt.result.refused.refusal
+                assert refusal.reason
+                assert refusal.code is RefusalCode.NOT_RUN
+                assert prompt.last_id not in self.world.started
+
+    def teardown(self) -> None:
+        """Check that all memory is back within the bound, and that nobody hangs."""
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.loses_cancels = False
+        world.loses_answers = False
+        self.end_uncertain_attempts()
+        world.run_on(SETTLED_SECONDS)
+        assert all(prompt.ended for prompt in world.prompts if prompt.alive)
+        if world.entry_cancel_was_lost:
+            config = world.upstreams["runner-0"].state.config
+            world.run_on(config.leak_seconds(DEADLINE) - SETTLED_SECONDS)
+        assert world.is_empty()
+
+    def end_uncertain_attempts(self) -> None:
+        """Cancel what a request's own decider cancels: a last part it gave up."""
+        for prompt in self.world.prompts:
+            if isinstance(prompt.result, SpreadUncertain):
+                address = prompt.machine.chosen.upstream_id
+                cancel = CancelArrived(prompt.last_id)
+                self.world.feed(self.world.upstreams[address], cancel)
+
+
+TestSpreadMachineUnderFaults = SpreadMachineUnderFaults.TestCase
+TestSpreadMachineUnderFaults.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
