--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core platform fleet callers operators upstreams weightstore daemon cli standins
 
-.PHONY: run test bench slopes format settings-page
+.PHONY: run test bench bench-real-path slopes format settings-page
 
 $(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -20,10 +20,24 @@
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
 	$(BIN)/python -m pytest -n 6 tests
+	PYTHONPATH=tests:examples $(BIN)/python -m behave --no-capture -f progress features
+
+bench: bench-real-path bench-control-plane
+
+bench-control-plane: $(VENV)/installed
+	$(BIN)/python benchmarks/control_plane.py
+
+bench-real-path: $(VENV)/installed
+	PYTHONPATH=examples $(BIN)/python benchmarks/real_path.py
+	$(BIN)/python benchmarks/real_path_report.py
 
 format: $(VENV)/installed
 	$(BIN)/ruff check --fix .
 	$(BIN)/ruff format .
 
+slopes: $(VENV)/installed
+	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes
+	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes.budget
+
 settings-page: $(VENV)/installed
 	$(BIN)/python -m cowslipshelf_platform.settings_page docs/SETTINGS.md
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/events.py
@@ -45,6 +45,11 @@
     attempt_id: AttemptId
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamUnreachable:
+    """Say that nothing takes connections at the upstream's address."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamFinished:
     """Say that the upstream's answer ended, whole or not, or can't be had."""
@@ -141,6 +146,7 @@
     | FirstTokenArrived
     | UpstreamFinished
     | PartsArrived
+    | UpstreamUnreachable
     | RevokeArrived
     | CancelArrived
     | OwnerSeen
--- a/packages/core/src/cowslipshelf_core/sidecar.py
+++ b/packages/core/src/cowslipshelf_core/sidecar.py
@@ -36,6 +36,7 @@
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.internal.sidecar.state import SidecarState
 
@@ -74,4 +75,5 @@
     "TickElapsed",
     "UpstreamAccepted",
     "UpstreamFinished",
+    "UpstreamUnreachable",
 ]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -66,9 +66,9 @@
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecord
 from cowslipshelf_daemon.internal.entry.held_part import HeldPart
 from cowslipshelf_daemon.internal.entry.routing_actor import RoutingDesk
+from cowslipshelf_daemon.internal.entry.spread_desk import SpreadDesk
 from cowslipshelf_daemon.internal.entry.spread_hand_over import (
     STEP,
-    SpreadHandOver,
     SpreadServices,
 )
 from cowslipshelf_fleet import (
@@ -134,7 +134,11 @@
         self.frames: Iterator[Frame] = iter(())
         self.streaming: AttemptId | None = None
         self.chosen: ChosenUpstream | None = None
-        self.spread: SpreadHandOver | None = None
+        self.spreads = SpreadDesk(
+            SpreadServices(
+                services.attempts, services.cancels, record.note, self.still_wanted
+            )
+        )
         self.deadline_at = time.monotonic() + request.deadline_seconds
 
     def run(self) -> None:
@@ -147,7 +151,7 @@
                 self.step()
         finally:
             self.close_stream()
-            self.release_spread()
+            self.spreads.release()
 
     def step(self) -> None:
         """Carry out the next effect, or else read the open stream."""
@@ -177,10 +181,10 @@
                 self.ask_claim(claim)
             case FinishClaim(claim, wait_seconds):
                 self.services.control.ask(claim, wait_seconds)
-            case SendHandOver(address, hand_over):
-                self.send_hand_over(address, hand_over)
-            case Resume(address, attempt_id, after_sequence):
-                self.resume(address, attempt_id, after_sequence)
+            case SendHandOver(hand_over=hand_over):
+                self.send_hand_over(hand_over)
+            case Resume():
+                self.resume(effect)
             case Revoke():
                 self.revoke(effect)
             case Cancel(address, attempt_id):
@@ -199,7 +203,7 @@
 
     def choose_placement(self, effect: ChoosePlacement) -> None:
         """Ask the router and wait for its one answer."""
-        self.release_spread()
+        self.spreads.release()
         attempt_id = self.services.new_attempt_id()
         answer = self.services.routing.place(
             self.request, attempt_id, effect.excluded, self.seconds_left()
@@ -226,14 +230,11 @@
             case Refusal() as refusal:
                 self.handle(ClaimUnavailable(refusal))
 
-    def send_hand_over(self, address: str, hand_over: HandOver) -> None:
+    def send_hand_over(self, hand_over: HandOver) -> None:
         """Hand an attempt over; this is its only sending."""
         self.close_stream()
         attempt_id = hand_over.attempt_id
-        if self.chosen is not None and self.chosen.helpers:
-            answer = self.hand_over_spread(self.chosen, hand_over)
-        else:
-            answer = self.services.attempts.hand_over(address, hand_over)
+        answer = self.spreads.hand_over(self.chosen, hand_over)
         match answer:
             case AttemptRefused():
                 self.handle(HandOverAnswered(answer, attempt_id))
@@ -244,30 +245,11 @@
                 self.open_stream(answer, attempt_id)
                 self.handle(HandOverAnswered(None, attempt_id))
 
-    def hand_over_spread(
-        self, chosen: ChosenUpstream, hand_over: HandOver
-    ) -> HeldPart | AttemptRefused | HandOverFailed:
-        """Hand an attempt over to several sidecars; its last part is the answer."""
-        services = SpreadServices(
-            self.services.attempts,
-            self.services.cancels,
-            self.record.note,
-            self.still_wanted,
-        )
-        self.spread = SpreadHandOver(chosen, hand_over, services)
-        return self.spread.run()
-
     def still_wanted(self) -> bool:
         """Tell whether a spread prompt that has not run yet is still waited for."""
         self.look_for_caller()
         return self.seconds_left() > 0 and not self.machine.has_ended()
 
-    def release_spread(self) -> None:
-        """Free what other sidecars hold of a spread prompt."""
-        if self.spread is not None:
-            self.spread.release()
-        self.spread = None
-
     def end_without_part(self, lost: str) -> None:
         """End an attempt whose engine can't read the whole prompt any more."""
         refusal = Refusal(
@@ -282,22 +264,31 @@
         What must run at most once goes on: its engine alone can tell what it still
         needs of the part, and an end here would leave the outcome unknown for sure.
         """
-        if self.spread is None or self.request.is_non_idempotent():
+        if self.request.is_non_idempotent():
             return ""
-        return self.spread.lost_part()
+        return self.spreads.lost_part()
 
-    def resume(self, address: str, attempt_id: AttemptId, after: int) -> None:
+    def resume(self, asked: Resume) -> None:
         """Read an attempt's frames from where they were cut."""
         self.close_stream()
-        stream = self.services.attempts.resume(address, attempt_id, after)
+        where = self.address_of(asked)
+        stream = None
+        if where:
+            stream = self.services.attempts.resume(
+                where, asked.attempt_id, asked.after_sequence
+            )
         if stream is not None:
-            self.open_stream(stream, attempt_id)
-        self.handle(ResumeAnswered(stream is not None, attempt_id))
+            self.open_stream(stream, asked.attempt_id)
+        self.handle(ResumeAnswered(stream is not None, asked.attempt_id))
+
+    def address_of(self, asked: Resume | Revoke) -> str | None:
+        """Find the sidecar of an attempt that another entry may have placed."""
+        routing = self.services.routing
+        return asked.address or routing.attempts_address(asked.upstream_id)
 
     def revoke(self, asked: Revoke) -> None:
         """Ask a sidecar for the promise that an attempt never runs."""
-        routing = self.services.routing
-        where = asked.address or routing.attempts_address(asked.upstream_id)
+        where = self.address_of(asked)
         answer = None
         if where:
             answer = self.services.attempts.revoke(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -1,6 +1,7 @@
 """Run one attempt at the upstream and keep its frames."""
 
 import threading
+from time import monotonic
 from typing import NamedTuple
 
 from pykka import ActorRef
@@ -13,6 +14,7 @@
     FirstTokenArrived,
     UpstreamAccepted,
     UpstreamFinished,
+    UpstreamUnreachable,
 )
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.sidecar.kv_transfer import start_at_engine
@@ -25,6 +27,7 @@
 )
 
 STEP = "run_at_upstream"
+MILLISECONDS = 1000
 MOST_RESUMES = 3
 OK = 200
 CONFLICT = 409
@@ -119,7 +122,8 @@
         """Hand the request to the upstream, once."""
         match self.services.client:
             case EngineClient() as engine:
-                stream = start_at_engine(engine, self.hand_over, self.parts)
+                given = with_engine_priority(self.hand_over, monotonic())
+                stream = start_at_engine(engine, given, self.parts)
             case PlainClient() as plain:
                 stream = plain.call(self.hand_over)
         self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
@@ -141,7 +145,8 @@
         """Resume at an engine; None where it cannot be had."""
         try:
             stream = engine.resume(self.attempt_id, self.last_sequence)
-        except UpstreamLostError:
+        except UpstreamLostError as error:
+            self.tell_if_unreachable(error)
             return None
         return stream if stream.status == OK else None
 
@@ -174,11 +179,17 @@
         Where no byte can have reached the upstream the attempt never ran, and since
         this is its only start it never will: only then is "not run" true.
         """
+        self.tell_if_unreachable(error)
         refusal = self.failure(str(error))
         if error.may_have_arrived:
             return refusal
         return refusal._replace(code=RefusalCode.NOT_RUN)
 
+    def tell_if_unreachable(self, error: UpstreamLostError) -> None:
+        """Tell the sidecar's actor where no connection could be made."""
+        if not error.may_have_arrived:
+            self.services.sidecar.tell(UpstreamUnreachable())
+
     def failure(self, detail: str) -> Refusal:
         """Describe an attempt that was handed over and did not finish."""
         return Refusal(
@@ -194,3 +205,13 @@
         return Refusal(
             RefusalCode.FAILED, RefusalReason.CANCELLED, STEP, self.services.peer
         )
+
+
+def with_engine_priority(hand_over: HandOver, now: float) -> HandOver:
+    """Turn the slack that an entry gave into a moment on this machine's clock.
+
+    Slack alone would serve each new short prompt before every long one that waits,
+    for ever. Counted from its own arrival, a long prompt's moment comes nearer while
+    it waits, and what arrives later stands behind it. `now` is in monotonic seconds.
+    """
+    return hand_over._replace(priority=int(now * MILLISECONDS) + hand_over.priority)
