--- a/tests/nocover/daemon/test_spread_prompts.py
+++ b/tests/nocover/daemon/test_spread_prompts.py
@@ -10,9 +10,11 @@
 
 from common.daemon_fleet import (
     CUSTOMER_KEY,
+    DONE,
     MODEL,
     TIMINGS,
     StreamedCall,
+    available,
     start_fleet,
 )
 from local_fleet import LocalFleet, Upstream, wait_until
@@ -36,6 +38,7 @@
 LEDGER = "beet load paid " * 8_000
 """About thirty thousand tokens: more than two small engines hold."""
 TOKENS = 40
+LONG_ANSWER = 4_000
 
 
 @pytest.fixture
@@ -95,3 +98,27 @@
     assert "not_run" in text
     assert "too_large" in text
     assert str(3 * SMALL_MEMORY) in text
+
+
+@pytest.mark.parametrize("victim", ["small-1-sidecar", "small-3-sidecar", "entry-1"])
+def test_memory_of_all_parts_comes_back_when_one_process_dies(fleet, victim):
+    """Check that no engine keeps a part of a ledger whose answer broke off.
+
+    Tokens come. Then the sidecar of a helper, or that of the engine that generates, or
+    the entry is killed. What is started again in its place serves the next ledger.
+    """
+    call = StreamedCall(fleet, "entry-1", LEDGER, LONG_ANSWER)
+    call.wait_for_tokens(3)
+    fleet.kill(victim)
+    call.thread.join(60.0)
+    assert call.lines[-1] != DONE
+    for one in SMALL:
+        if victim.startswith(one.name):
+            fleet.start_sidecar(one)
+    wait_until(
+        lambda: not any(held_tokens(fleet, one.name) for one in SMALL),
+        "all memory back",
+    )
+    wait_until(lambda: len(available(fleet, "entry-2")) == len(SMALL) + 1, "upstreams")
+    later = StreamedCall(fleet, "entry-2", LEDGER, TOKENS)
+    assert later.text() == direct_text(fleet, "large-1")
