--- a/packages/core/src/cowslipshelf_core/sidecar.py
+++ b/packages/core/src/cowslipshelf_core/sidecar.py
@@ -15,6 +15,7 @@
     ReleaseAtUpstream,
     SidecarEffect,
     StartAttempt,
+    TellReserved,
 )
 from cowslipshelf_core.internal.sidecar.events import (
     CancelArrived,
@@ -29,6 +30,7 @@
     OrderArrived,
     OrderFinished,
     OwnerSeen,
+    PartsArrived,
     RevokeArrived,
     SidecarEvent,
     TickElapsed,
@@ -59,6 +61,7 @@
     "OrderFinished",
     "OrderRefusalReason",
     "OwnerSeen",
+    "PartsArrived",
     "RefuseAttempt",
     "RefuseOrder",
     "ReleaseAtUpstream",
@@ -68,6 +71,7 @@
     "SidecarEvent",
     "SidecarState",
     "StartAttempt",
+    "TellReserved",
     "TickElapsed",
     "UpstreamAccepted",
     "UpstreamFinished",
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_desk.py
@@ -0,0 +1,39 @@
+"""Hand one request's attempts over, to one sidecar or to several."""
+
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
+from cowslipshelf_core.messages import AttemptRefused
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_daemon.internal.entry.held_part import HeldPart
+from cowslipshelf_daemon.internal.entry.spread_hand_over import (
+    SpreadHandOver,
+    SpreadServices,
+)
+from cowslipshelf_fleet import AttemptStream, HandOverFailed
+
+
+class SpreadDesk:
+    """Own what several sidecars hold for one request."""
+
+    def __init__(self, services: SpreadServices) -> None:
+        self.services = services
+        self.spread: SpreadHandOver | None = None
+
+    def hand_over(
+        self, chosen: ChosenUpstream, hand_over: HandOver
+    ) -> AttemptStream | HeldPart | AttemptRefused | HandOverFailed:
+        """Hand an attempt over; of a spread one the last part gives the answer."""
+        if not chosen.helpers:
+            address = chosen.attempts_address
+            return self.services.attempts.hand_over(address, hand_over)
+        self.spread = SpreadHandOver(chosen, hand_over, self.services)
+        return self.spread.run()
+
+    def lost_part(self) -> str:
+        """Tell which part was lost while the last one generates; empty for none."""
+        return self.spread.lost_part() if self.spread is not None else ""
+
+    def release(self) -> None:
+        """Free what other sidecars hold of the prompt."""
+        if self.spread is not None:
+            self.spread.release()
+        self.spread = None
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_hand_over.py
@@ -0,0 +1,176 @@
+"""Carry out what the decider of a spread prompt says, on its request's thread."""
+
+import random
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from cowslipshelf_core.chosen_upstream import ChosenUpstream
+from cowslipshelf_core.identifiers import AttemptId
+from cowslipshelf_core.messages import AttemptRefused, NeverRan
+from cowslipshelf_core.spread import (
+    BackOff,
+    BackoffElapsed,
+    BeginAnswered,
+    BeginPart,
+    CancelPart,
+    HandOverPart,
+    LastRevoked,
+    NoLongerWanted,
+    PartRefused,
+    PartUnanswered,
+    RevokeLast,
+    SpreadBegun,
+    SpreadConfig,
+    SpreadEffect,
+    SpreadEvent,
+    SpreadMachine,
+    SpreadRefused,
+    SpreadResult,
+    SpreadStarted,
+    SpreadUncertain,
+    TimePassed,
+)
+from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
+from cowslipshelf_daemon.internal.entry.held_part import HeldPart
+from cowslipshelf_fleet import AttemptsClient, HandOverFailed
+
+STEP = "spread"
+MOST_BEGINS = 3
+"""The word to begin is sent again where its answer is lost; repeating does no harm."""
+
+
+class SpreadServices(NamedTuple):
+    """Be what the hand-over of a spread prompt uses."""
+
+    attempts: AttemptsClient
+    cancels: CancelDesk
+    note: Callable[[str], None]
+    still_wanted: Callable[[], bool]
+    """Whether the caller still waits and its deadline has not passed."""
+
+
+class SpreadHandOver:
+    """Own the streams of one attempt's parts."""
+
+    def __init__(
+        self, chosen: ChosenUpstream, hand_over: HandOver, services: SpreadServices
+    ) -> None:
+        self.machine = SpreadMachine.from_config(
+            chosen, hand_over, SpreadConfig(), time.monotonic()
+        )
+        self.last_address = chosen.attempts_address
+        self.last_id = hand_over.attempt_id
+        self.random = random.Random()
+        self.services = services
+        self.effects: deque[SpreadEffect] = deque()
+        self.held: dict[AttemptId, HeldPart] = {}
+        self.reading: AttemptId = hand_over.attempt_id
+        self.result: SpreadResult | None = None
+
+    def run(self) -> HeldPart | AttemptRefused | HandOverFailed:
+        """Return the last part, which generates, or why there is none."""
+        self.handle(SpreadStarted())
+        while self.result is None or self.effects:
+            if self.effects:
+                self.perform(self.effects.popleft())
+            elif not self.services.still_wanted():
+                self.handle(NoLongerWanted())
+            else:
+                self.handle(self.held[self.reading].next_event())
+        return self.outcome(self.result)
+
+    def handle(self, event: SpreadEvent) -> None:
+        """Give the decider an event and queue what it wants done."""
+        now = time.monotonic()
+        self.effects.extend(self.machine.handle(event, now, self.random))
+
+    def perform(self, effect: SpreadEffect) -> None:
+        """Carry out one effect."""
+        match effect:
+            case HandOverPart():
+                self.hand_over_part(effect)
+            case BeginPart():
+                self.begin(effect)
+            case CancelPart(address, attempt_id):
+                self.cancel(address, attempt_id)
+            case RevokeLast(address, hand_over):
+                self.revoke_last(address, hand_over)
+            case BackOff(seconds):
+                time.sleep(seconds)
+                self.handle(BackoffElapsed())
+            case SpreadBegun() | SpreadRefused() | SpreadUncertain():
+                self.result = effect
+
+    def hand_over_part(self, effect: HandOverPart) -> None:
+        """Hand a part over; this is its only sending."""
+        attempt_id = effect.hand_over.attempt_id
+        answer = self.services.attempts.hand_over(effect.address, effect.hand_over)
+        match answer:
+            case AttemptRefused():
+                self.handle(PartRefused(attempt_id, answer))
+            case HandOverFailed(may_have_arrived, _, _, detail):
+                self.handle(PartUnanswered(attempt_id, may_have_arrived, detail))
+            case _:
+                self.held[attempt_id] = HeldPart(attempt_id, answer)
+                self.reading = attempt_id
+                self.handle(TimePassed())
+
+    def begin(self, effect: BeginPart) -> None:
+        """Tell a sidecar that a part may begin."""
+        self.services.note(f"part {effect.attempt_id} begins")
+        self.reading = effect.attempt_id
+        heard = any(
+            self.services.attempts.begin(
+                effect.address, effect.attempt_id, effect.parts
+            )
+            for _ in range(MOST_BEGINS)
+        )
+        self.handle(BeginAnswered(effect.attempt_id, heard))
+
+    def cancel(self, address: str, attempt_id: AttemptId) -> None:
+        """Give up a helper."""
+        self.services.cancels.send(address, attempt_id)
+        part = self.held.pop(attempt_id, None)
+        if part is not None:
+            part.close()
+
+    def revoke_last(self, address: str, hand_over: HandOver) -> None:
+        """Ask for the promise that the last part never runs."""
+        answer = self.services.attempts.revoke(
+            address,
+            hand_over.attempt_id,
+            hand_over.sidecar_epoch,
+            hand_over.load_sequence,
+        )
+        promised = isinstance(answer, NeverRan) and answer.attempt_id == self.last_id
+        self.handle(LastRevoked(promised))
+
+    def outcome(
+        self, result: SpreadResult
+    ) -> HeldPart | AttemptRefused | HandOverFailed:
+        """Return what a hand-over to one sidecar would."""
+        if isinstance(result, SpreadBegun):
+            for attempt_id, part in self.held.items():
+                if attempt_id != self.last_id:
+                    part.watch()
+            return self.held[self.last_id]
+        last = self.held.pop(self.last_id, None)
+        if last is not None:
+            last.close()
+        if isinstance(result, SpreadRefused):
+            return result.refused
+        return HandOverFailed(
+            result.may_have_arrived, STEP, self.last_address, result.detail
+        )
+
+    def lost_part(self) -> str:
+        """Tell which helper was lost while the last part generates; empty for none."""
+        return next((part.lost for part in self.held.values() if part.lost), "")
+
+    def release(self) -> None:
+        """Cancel every helper that is still held."""
+        for cancel in self.machine.release():
+            self.cancel(cancel.address, cancel.attempt_id)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -9,6 +9,7 @@
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.messages import StreamChunk, StreamHead
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.sidecar import (
     FirstTokenArrived,
     UpstreamAccepted,
@@ -16,6 +17,7 @@
     UpstreamUnreachable,
 )
 from cowslipshelf_core.upstream import HandOver
+from cowslipshelf_daemon.internal.sidecar.kv_transfer import start_at_engine
 from cowslipshelf_fleet import FrameBuffer, FrameOrderError
 from cowslipshelf_upstreams import (
     EngineClient,
@@ -28,6 +30,7 @@
 MILLISECONDS = 1000
 MOST_RESUMES = 3
 OK = 200
+CONFLICT = 409
 SERVER_ERROR = 500
 
 
@@ -43,11 +46,17 @@
     """Own the upstream's stream of one attempt, on a thread of its own."""
 
     def __init__(
-        self, hand_over: HandOver, buffer: FrameBuffer, services: AttemptServices
+        self,
+        hand_over: HandOver,
+        buffer: FrameBuffer,
+        services: AttemptServices,
+        parts: tuple[KvReference, ...] = (),
     ) -> None:
         self.hand_over = hand_over
         self.buffer = buffer
         self.services = services
+        self.parts = parts
+        """What other engines hold of the prompt before this attempt's part."""
         self.cancelled = threading.Event()
         self.last_sequence = 0
         self.output_tokens = 0
@@ -90,6 +99,8 @@
             return self.failed_start(error)
         if stream.status >= SERVER_ERROR and self.is_engine():
             return self.failure(f"the engine answered with status {stream.status}")
+        if self.parts and stream.status == CONFLICT:
+            return self.failure("the engine does not know the parts before its own")
         self.buffer.append(StreamHead(stream.status, tuple(stream.headers)))
         for _ in range(MOST_RESUMES + 1):
             try:
@@ -111,7 +122,8 @@
         """Hand the request to the upstream, once."""
         match self.services.client:
             case EngineClient() as engine:
-                stream = engine.start(with_engine_priority(self.hand_over, monotonic()))
+                given = with_engine_priority(self.hand_over, monotonic())
+                stream = start_at_engine(engine, given, self.parts)
             case PlainClient() as plain:
                 stream = plain.call(self.hand_over)
         self.services.sidecar.tell(UpstreamAccepted(self.attempt_id))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -26,6 +26,7 @@
 from cowslipshelf_core.messages import (
     Announce,
     AnnounceAnswer,
+    AttemptReserved,
     ConfigurationSnapshot,
     FencingAnswered,
     FencingAsked,
@@ -34,6 +35,7 @@
     OrderSent,
     Withdraw,
 )
+from cowslipshelf_core.prompt_parts import KvReference
 from cowslipshelf_core.sidecar import (
     AnswerRevoke,
     AskFencing,
@@ -52,6 +54,7 @@
     OrderArrived,
     OrderFinished,
     OwnerSeen,
+    PartsArrived,
     RefuseAttempt,
     RefuseOrder,
     ReleaseAtUpstream,
@@ -59,6 +62,7 @@
     SidecarEvent,
     SidecarState,
     StartAttempt,
+    TellReserved,
     TickElapsed,
     UpstreamAccepted,
     UpstreamFinished,
@@ -79,6 +83,7 @@
     OrderRunner,
     OrderServices,
 )
+from cowslipshelf_daemon.internal.sidecar.part_runner import PartRunner
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet import Mailbox, Received
@@ -183,6 +188,7 @@
                 UpstreamAccepted()
                 | FirstTokenArrived()
                 | CancelArrived()
+                | PartsArrived()
                 | OrderFinished()
             ):
                 self.decide(message, now)
@@ -239,8 +245,10 @@
     def perform(self, effect: SidecarEffect) -> None:
         """Carry out one effect."""
         match effect:
-            case StartAttempt(hand_over):
-                self.start_attempt(hand_over)
+            case StartAttempt(hand_over, parts):
+                self.start_attempt(hand_over, parts)
+            case TellReserved(attempt_id):
+                self.attempts.find(attempt_id).append(AttemptReserved())
             case EndAttempt(attempt_id, refusal):
                 self.end_attempt(attempt_id, refusal)
             case CancelAtUpstream(attempt_id) | ReleaseAtUpstream(attempt_id):
@@ -257,10 +265,13 @@
             case AskFencing():
                 self.ask_fencing()
 
-    def start_attempt(self, hand_over: HandOver) -> None:
+    def start_attempt(
+        self, hand_over: HandOver, parts: tuple[KvReference, ...]
+    ) -> None:
         """Start the thread that runs an attempt at the upstream."""
         buffer = self.attempts.find(hand_over.attempt_id)
-        runner = AttemptRunner(hand_over, buffer, self.services)
+        kind = PartRunner if hand_over.is_part else AttemptRunner
+        runner = kind(hand_over, buffer, self.services, parts)
         self.runners[hand_over.attempt_id] = runner
         runner.start()
 
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -4,7 +4,14 @@
 from time import monotonic
 
 from cowslipshelf_core.errors import Refusal
-from cowslipshelf_core.messages import Frame, StreamChunk, StreamEnd, StreamHead
+from cowslipshelf_core.messages import (
+    AttemptReserved,
+    Frame,
+    PartPrefilled,
+    StreamChunk,
+    StreamEnd,
+    StreamHead,
+)
 from cowslipshelf_fleet.errors import FrameOrderError
 
 MOST_BUFFERED_BYTES = 16 * 1024 * 1024
@@ -27,6 +34,8 @@
         self.bytes = 0
         self.last_sequence = 0
         self.frames_before_chunks = 0
+        self.began = False
+        """Whether a head came, or the one word on a part of a prompt."""
         self.finished = False
         """Whether the last frame of the stream was appended."""
         self.read_to_end = False
@@ -128,8 +137,10 @@
     def check_order(self, frame: Frame) -> None:
         """Raise `FrameOrderError` where a frame may not come next."""
         match frame:
-            case StreamHead():
+            case AttemptReserved():
                 in_order = not self.frames
+            case StreamHead() | PartPrefilled():
+                in_order = not self.began and not self.last_sequence
             case StreamChunk(sequence=sequence):
                 in_order = sequence == self.last_sequence + 1
             case StreamEnd(last_sequence=last_sequence):
@@ -142,8 +153,11 @@
     def note(self, frame: Frame) -> None:
         """Update what is known of the stream by a frame just added."""
         match frame:
-            case StreamHead():
-                self.frames_before_chunks = 1
+            case AttemptReserved():
+                self.frames_before_chunks += 1
+            case StreamHead() | PartPrefilled():
+                self.began = True
+                self.frames_before_chunks += 1
             case StreamChunk(sequence=sequence):
                 self.last_sequence = sequence
             case StreamEnd():
