Keep long prompts off an upstream whose last answer was late

It was not set aside then: the factor is the median of nine answers, healthy ones count for 60 s, fewer than five claim nothing, and each entry sees only its own. The backlog in the reports kept requests away and so the answers that would tell. About half of the entries concerned had seen a last answer 4 to 11 times late; the others had seen nothing late. Round robin is spared since some eighty requests that it loses fill the slow engine's memory, which then refuses most long prompts.

Change: above 2.5 times its peers' last answers, an upstream takes no long prompt, under the same cap as setting aside. Shorter requests still go there and lift the doubt. It outlives setting aside.

The new test fails without the guard and without the cap.

--- a/packages/core/src/cowslipshelf_core/internal/routing/outliers.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/outliers.py
@@ -39,6 +39,7 @@
             take_back(view, now)
             changed.add(view.description.upstream_id)
     for peers in services(fleet):
+        keep_from_long(peers, fleet.config.outliers, now)
         for view in outliers(peers, fleet.config.outliers):
             set_aside(view, fleet.config.outliers, now)
             changed.add(view.description.upstream_id)
@@ -88,6 +89,24 @@
     return slow[:room]
 
 
+def keep_from_long(
+    peers: list[UpstreamView], config: OutlierConfig, now: float
+) -> None:
+    """Mark the upstreams that long prompts must not be risked on.
+
+    The cap holds here too: where all are late at once, long prompts go on as before.
+    """
+    doubts = {
+        view.description.upstream_id: view.slowness.doubt(config, now) for view in peers
+    }
+    bound = config.long_slower_than_peers * median(doubts.values())
+    doubted = [u for u, doubt in doubts.items() if doubt > bound]
+    doubted.sort(key=lambda u: doubts[u], reverse=True)
+    kept = doubted[: most_set_aside(len(peers), config)]
+    for view in peers:
+        view.kept_from_long = view.description.upstream_id in kept
+
+
 def enforce_cap(
     peers: list[UpstreamView], config: OutlierConfig, now: float
 ) -> set[UpstreamId]:
@@ -112,5 +131,5 @@
 def take_back(view: UpstreamView, now: float) -> None:
     """Let an upstream prove itself again, with little work at first."""
     view.set_aside_until = None
-    view.slowness = SlownessEstimate()
+    view.slowness = SlownessEstimate(last=view.slowness.last)
     view.available_since = now
--- a/packages/core/src/cowslipshelf_core/internal/routing/placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/placement.py
@@ -54,6 +54,7 @@
 ) -> Choice:
     """Choose the least harm among those drawn that may take the request now."""
     limits = config.limits_of(request.prompt_class)
+    is_long = request.prompt_class is PromptClass.LONG
     candidates = []
     considered = []
     for view, takes_long in drawn:
@@ -63,7 +64,8 @@
         fits = fits_memory(config, view, request)
         in_time = prediction.total_seconds <= seconds_left
         short_wait = prediction.wait_seconds <= limits.most_wait_at_upstream_seconds
-        may_take = fits and in_time and short_wait
+        risked = is_long and view.kept_from_long
+        may_take = fits and in_time and short_wait and not risked
         candidates.append(Candidate(view, prediction, may_take))
         considered.append(
             ConsideredUpstream(
--- a/packages/core/src/cowslipshelf_core/internal/routing/settings.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/settings.py
@@ -48,6 +48,8 @@
 
     slower_than_peers: float = 4.0
     """Ratio of its observed over predicted first-token time to the median of all."""
+    long_slower_than_peers: float = 2.5
+    """The same for the last answer alone, above which long prompts keep away."""
     most_set_aside_share: float = 0.2
     set_aside_seconds: float = 20.0
     """Doubles each time that the same upstream is set aside again."""
--- a/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/upstream_view.py
@@ -60,6 +60,7 @@
 
     ratios: deque[Ratio] = field(default_factory=lambda: deque(maxlen=RATIOS_KEPT))
     factor: float = 1.0
+    last: Ratio | None = None
 
     def add(
         self, observed_seconds: float, predicted_seconds: float, now: float
@@ -69,7 +70,8 @@
             predicted_seconds + RATIO_FLOOR_SECONDS
         )
         bounded = min(max(ratio, SMALLEST_RATIO), LARGEST_RATIO)
-        self.ratios.append(Ratio(now, bounded))
+        self.last = Ratio(now, bounded)
+        self.ratios.append(self.last)
         self.estimate()
 
     def drop_old(self, now: float) -> None:
@@ -80,6 +82,19 @@
             self.ratios.popleft()
         self.estimate()
 
+    def doubt(self, config: OutlierConfig, now: float) -> float:
+        """Return how slow the last answer was; one long ago says nothing.
+
+        A slow upstream shows a long backlog, gets little for that, and so gives few
+        answers: the factor, which needs several, may not notice for a minute. A long
+        prompt placed there meanwhile is lost. One late answer is reason enough to place
+        it elsewhere; shorter ones still go there and lift the doubt, or time does.
+        """
+        if self.last is None:
+            return 1.0
+        old = self.last.seen_at + config.most_set_aside_seconds <= now
+        return 1.0 if old else self.last.factor
+
     def estimate(self) -> None:
         """Bring the factor up to date."""
         if len(self.ratios) < LEAST_RATIOS:
@@ -101,6 +116,8 @@
     slowness: SlownessEstimate = field(default_factory=SlownessEstimate)
     set_aside_until: float | None = None
     times_set_aside: int = 0
+    kept_from_long: bool = False
+    """Whether a long prompt is too much to lose on what little is known of it."""
 
     def take_load(self, load: LoadReport, now: float) -> None:
         """Replace the report; one that a newer report has overtaken is ignored."""
--- a/tests/cover/routing/test_outliers.py
+++ b/tests/cover/routing/test_outliers.py
@@ -168,3 +168,41 @@
     numbers = range(1, 1 + 20 * upstreams)
     placed = serve(router, random, START + 2.0, set(), numbers)
     assert answered.answer.upstream_id in placed
+
+
+def place_long(router, random, now, upstreams) -> set[str]:
+    """Place a long prompt for each upstream, one at a time; return where they went."""
+    places = set()
+    for number in range(50_000, 50_000 + upstreams):
+        event = asked(number, prompt_tokens=200_000, deadline=600.0)
+        (answered,) = router.handle(event, now, random)
+        places |= set(chosen([answered]))
+        ended = AttemptEnded(answered.answer.attempt_id, AttemptOutcome.CANCELLED)
+        router.handle(ended, now, random)
+    return places
+
+
+@PROPERTY
+@given(st.integers(5, 12), st.integers(1, 2), st.booleans())
+def test_a_long_prompt_is_not_risked_where_the_last_answer_was_late(
+    upstreams, slow_ones, all_slow
+):
+    """An engine becomes ten times slower; one answer shows it, after many good ones.
+
+    Its backlog keeps requests away, so more answers would take half a minute. A long
+    prompt placed there meanwhile waits more than a minute for its first token. Where
+    all are late at once the cap holds, and long prompts go on.
+    """
+    router, random = started(upstreams)
+    serve(router, random, START, set(), range(60 * upstreams))
+    count = upstreams if all_slow else min(slow_ones, max(1, upstreams // 5))
+    slow = {f"upstream-{number}" for number in range(count)}
+    late, number = set(), 10_000
+    while late != slow:
+        late |= slow & set(serve(router, random, START, slow, [number]))
+        number += 1
+    router.handle(TickElapsed(), START + 2.0, random)
+    places = place_long(router, random, START + 2.0, upstreams)
+    assert places if all_slow else not places & slow
+    after = range(20_000, 20_000 + 40 * upstreams)
+    assert slow & set(serve(router, random, START + 2.0, set(), after))
