Read a looked-up claim in one match

Cause: look_up repeated the shape of ask. Only its form changes; the tests of the control state, the requests and the daemon's parts pass as before.

--- a/packages/core/src/cowslipshelf_core/internal/control/claims.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/claims.py
@@ -89,12 +89,14 @@
         """Tell who holds a key; no claim is opened, changed or kept longer."""
         self.forget_expired(at)
         key = claim_key(asked.customer, asked.key)
-        record = self.find(key)
-        if record is None:
-            return ClaimAbsent()
-        if record.body_digest != short_digest(asked.body_digest.encode()):
-            return ClaimRefused("key_reused")
-        return self.held(key, record, at)
+        digest = short_digest(asked.body_digest.encode())
+        match self.find(key):
+            case None:
+                return ClaimAbsent()
+            case ClaimRecord(body_digest=held_digest) as record:
+                if held_digest != digest:
+                    return ClaimRefused("key_reused")
+                return self.held(key, record, at)
 
     def open_claim(
         self, key: str, asked: ClaimAsked, at: float
