Stop a replica that meets a command it can't read

Cause: a committed command that a replica could not decode was skipped, on the belief that every replica finds the same bytes and skips them alike. The leader now drops a proposal that it can't read, so that the log holds nothing unreadable to all, and a replica that meets such a command ends. Both tests fail before.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -128,9 +128,8 @@
     def receive(self, delivered: Delivered) -> None:
         """Turn a message from an instance into an event."""
         match delivered.message:
-            case Propose(proposal_id=proposal_id, command=command):
-                self.proposers[proposal_id] = delivered.sender_address
-                self.events.append(CommandProposed(proposal_id, command, time.time()))
+            case Propose() as proposal:
+                self.take_proposal(proposal, delivered.sender_address)
             case FetchConfiguration(question=question) if question:
                 self.ask_read(delivered)
             case FencingAsked():
@@ -140,6 +139,22 @@
             case message:
                 self.events.append(PeerMessageArrived(delivered.sender, message))
 
+    def take_proposal(self, proposal: Propose, proposer: str) -> None:
+        """Propose a command that this version understands; drop any other.
+
+        What is in the log must be applied by every replica, so nothing may get there
+        that none of them can read.
+        """
+        try:
+            decode_command(proposal.command)
+        except ControlCodecError as error:
+            LOG.error("proposal not understood", peer=proposer, error=str(error))
+            return
+        self.proposers[proposal.proposal_id] = proposer
+        self.events.append(
+            CommandProposed(proposal.proposal_id, proposal.command, time.time())
+        )
+
     def ask_read(self, delivered: Delivered) -> None:
         """Have a quorum confirm what the asker is told."""
         if len(self.reads) >= MOST_READS_WAITING:
@@ -240,12 +255,10 @@
         if entry.kind is not EntryKind.COMMAND:
             self.audit_forced_members(index, entry)
             return
-        try:
-            command = decode_command(entry.payload)
-        except ControlCodecError as error:
-            # Every replica finds the same bytes and skips them alike.
-            LOG.error("command not understood", index=index, error=str(error))
-            return
+        # A leader of a newer version may commit a command that this one can't read.
+        # Skipped here, it would be missing from this replica's state for good, and
+        # from every snapshot it sends. The error ends the process, to be updated.
+        command = decode_command(entry.payload)
         before = self.state.configuration.version
         outcome = self.state.apply(command, index, entry.at)
         if self.state.configuration.version != before:
--- /dev/null
+++ b/tests/common/lonely_replica.py
@@ -0,0 +1,99 @@
+"""Run the actor of a replica without a thread, a disk or peers."""
+
+import time
+from dataclasses import dataclass, field
+
+from cowslipshelf_core.agreement import (
+    HardState,
+    Replica,
+    ReplicaConfig,
+    ReplicaId,
+    Role,
+    StoredState,
+)
+from cowslipshelf_core.control import ControlState
+from cowslipshelf_daemon.internal.entry.replica_actor import (
+    ReplicaActor,
+    ReplicaParts,
+)
+from cowslipshelf_daemon.internal.post import Delivered
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_platform.storage import StorageError
+
+OTHER = "scribe-1-sidecar"
+ELECTION_SECONDS = 0.01
+MOST_TICKS = 2000
+
+
+@dataclass
+class FailingStorage:
+    """Be a disk whose sync fails from some time on."""
+
+    full: bool = False
+
+    def write(self, effects):
+        """Take everything, as a page cache does."""
+
+    def sync(self):
+        """Fail where the disk is full."""
+        if self.full:
+            raise StorageError("sync", "data folder", "no space left on device")
+
+
+@dataclass
+class Receiver:
+    """Keep what an actor or the post is told."""
+
+    told: list = field(default_factory=list)
+    instance: str = "entry-1"
+    address: str = "here"
+
+    def tell(self, message):
+        """Take a message for an actor."""
+        self.told.append(message)
+
+    def send(self, _address, message):
+        """Take a message for an address."""
+        self.told.append(message)
+
+    def send_to_instance(self, _instance, message):
+        """Lose a message for an instance, as the post does for one it doesn't know."""
+
+    def take(self, kind) -> list:
+        """Give what came of one type, and forget everything."""
+        found = [message for message in self.told if isinstance(message, kind)]
+        self.told.clear()
+        return found
+
+
+class LonelyReplica:
+    """Run the actor of a one-replica cluster without a thread."""
+
+    def __init__(self) -> None:
+        self.storage = FailingStorage()
+        self.post = Receiver()
+        self.gateway = Receiver()
+        config = ReplicaConfig(
+            ("entry-1",),
+            heartbeat_seconds=ELECTION_SECONDS / 5,
+            election_seconds=ELECTION_SECONDS,
+            lease_seconds=ELECTION_SECONDS,
+        )
+        stored = StoredState(ReplicaId("entry-1", "folder"), HardState(), None, ())
+        replica = Replica.from_config(config, stored)
+        parts = ReplicaParts(
+            replica, self.storage, ControlState(), self.post, Receiver(), self.gateway
+        )
+        self.actor = ReplicaActor(parts)
+        for _ in range(MOST_TICKS):
+            self.actor.on_receive(Tick())
+            if replica.status().role is Role.LEADER:
+                break
+            time.sleep(ELECTION_SECONDS / 5)
+        assert replica.status().role is Role.LEADER
+
+    def deliver_together(self, messages) -> None:
+        """Have the actor handle messages as one batch."""
+        for message in messages:
+            self.actor.receive(Delivered(OTHER, "there", message))
+        self.actor.handle_events()
--- a/tests/cover/daemon/test_failing_disk.py
+++ b/tests/cover/daemon/test_failing_disk.py
@@ -1,117 +1,29 @@
 """Check what a replica's actor still does when its disk fails."""
 
 import time
-from dataclasses import dataclass, field
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from common.lonely_replica import ELECTION_SECONDS, LonelyReplica
 from cowslipshelf_core.agreement import (
-    HardState,
     LeaderSeen,
     ProposalRefusal,
     ProposalResult,
     Propose,
-    Replica,
-    ReplicaConfig,
-    ReplicaId,
     Role,
-    StoredState,
 )
-from cowslipshelf_core.control import ControlState, encode_command
+from cowslipshelf_core.control import encode_command
 from cowslipshelf_core.messages import (
     ClaimAsked,
     ConfigurationSnapshot,
     FetchConfiguration,
 )
-from cowslipshelf_daemon.internal.entry.replica_actor import (
-    ReplicaActor,
-    ReplicaParts,
-)
-from cowslipshelf_daemon.internal.post import Delivered
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.storage import StorageError
 
-OTHER = "scribe-1-sidecar"
-ELECTION_SECONDS = 0.01
-MOST_TICKS = 2000
 REFUSALS = {ProposalRefusal.OUTCOME_UNKNOWN, ProposalRefusal.DISK_FAILED}
 
 
-@dataclass
-class FailingStorage:
-    """Be a disk whose sync fails from some time on."""
-
-    full: bool = False
-
-    def write(self, effects):
-        """Take everything, as a page cache does."""
-
-    def sync(self):
-        """Fail where the disk is full."""
-        if self.full:
-            raise StorageError("sync", "data folder", "no space left on device")
-
-
-@dataclass
-class Receiver:
-    """Keep what an actor or the post is told."""
-
-    told: list = field(default_factory=list)
-    instance: str = "entry-1"
-    address: str = "here"
-
-    def tell(self, message):
-        """Take a message for an actor."""
-        self.told.append(message)
-
-    def send(self, _address, message):
-        """Take a message for an address."""
-        self.told.append(message)
-
-    def send_to_instance(self, _instance, message):
-        """Lose a message for an instance, as the post does for one it doesn't know."""
-
-    def take(self, kind) -> list:
-        """Give what came of one type, and forget everything."""
-        found = [message for message in self.told if isinstance(message, kind)]
-        self.told.clear()
-        return found
-
-
-class LonelyReplica:
-    """Run the actor of a one-replica cluster without a thread."""
-
-    def __init__(self) -> None:
-        self.storage = FailingStorage()
-        self.post = Receiver()
-        self.gateway = Receiver()
-        config = ReplicaConfig(
-            ("entry-1",),
-            heartbeat_seconds=ELECTION_SECONDS / 5,
-            election_seconds=ELECTION_SECONDS,
-            lease_seconds=ELECTION_SECONDS,
-        )
-        stored = StoredState(ReplicaId("entry-1", "folder"), HardState(), None, ())
-        replica = Replica.from_config(config, stored)
-        parts = ReplicaParts(
-            replica, self.storage, ControlState(), self.post, Receiver(), self.gateway
-        )
-        self.actor = ReplicaActor(parts)
-        for _ in range(MOST_TICKS):
-            self.actor.on_receive(Tick())
-            if replica.status().role is Role.LEADER:
-                break
-            time.sleep(ELECTION_SECONDS / 5)
-        assert replica.status().role is Role.LEADER
-
-    def deliver_together(self, messages) -> None:
-        """Have the actor handle messages as one batch."""
-        for message in messages:
-            self.actor.receive(Delivered(OTHER, "there", message))
-        self.actor.handle_events()
-
-
 def propose(number: int) -> Propose:
     claim = ClaimAsked("c", f"k{number}", "r", "a", "u", "e", "o", "d", 10.0)
     return Propose(f"p{number}", encode_command(claim))
--- /dev/null
+++ b/tests/cover/daemon/test_unknown_commands.py
@@ -0,0 +1,30 @@
+"""Check what a replica does with commands of another version."""
+
+import pytest
+
+from common.lonely_replica import LonelyReplica
+from cowslipshelf_core.agreement import Entry, EntryKind, Propose
+from cowslipshelf_core.control import ControlCodecError
+
+NEWER_COMMAND = b"\x92\xabNewerThings\x01"
+
+
+def test_a_replica_stops_rather_than_skip_a_command_that_others_apply():
+    """Operators see two answers to one question, depending on the entry they ask.
+
+    A leader of a newer version committed a command; an older replica skipped it, went
+    on with another state, and later sent that state on as a snapshot.
+    """
+    lonely = LonelyReplica()
+    entry = Entry(9, 9, 0.0, EntryKind.COMMAND, NEWER_COMMAND, "p")
+    with pytest.raises(ControlCodecError):
+        lonely.actor.apply(9, entry)
+
+
+def test_a_leader_puts_no_command_into_the_log_that_it_cannot_read():
+    """All replicas end at once, again and again: the log holds bytes nobody reads."""
+    lonely = LonelyReplica()
+    before = lonely.actor.replica.status().last_index
+    lonely.deliver_together([Propose("p", NEWER_COMMAND)])
+    assert lonely.actor.replica.status().last_index == before
+    assert not lonely.actor.proposers
