Digest the list of entries when it changes, not at each announcement

The digest is now kept beside the list and made anew where an entry is learnt. What is sent stays the same.

--- a/packages/core/src/cowslipshelf_core/announcing.py
+++ b/packages/core/src/cowslipshelf_core/announcing.py
@@ -79,6 +79,8 @@
     config: EntryChooserConfig
     contacts: dict[str, Contact] = field(default_factory=dict)
     """By mailbox address."""
+    roster: str = roster_digest(())
+    """Digest of the entries known; each announcement carries it."""
 
     @classmethod
     def from_config(
@@ -91,8 +93,13 @@
 
     def learn(self, entries: Iterable[EntryPlace]) -> None:
         """Add entries that another one named."""
+        known = len(self.contacts)
         for place in entries:
             self.contacts.setdefault(place.mailbox_address, Contact(place))
+        if len(self.contacts) != known:
+            self.roster = roster_digest(
+                [contact.place for contact in self.contacts.values()]
+            )
 
     def answered(self, mailbox_address: str) -> None:
         """Note that an entry answered."""
@@ -100,10 +107,6 @@
         if contact is not None:
             contact.asked_since = None
 
-    def roster(self) -> str:
-        """Return the digest of the entries known."""
-        return roster_digest([contact.place for contact in self.contacts.values()])
-
     def targets(self, now: float) -> tuple[EntryPlace, ...]:
         """Choose the entries to announce to now, and count them as asked."""
         heard = [
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -7,7 +7,6 @@
 
 from pykka import ActorDeadError, ActorRef
 
-from cowslipshelf_core.announcing import EntryPlace, roster_digest
 from cowslipshelf_core.configuration import FleetConfiguration
 from cowslipshelf_core.directory import (
     AnnounceArrived,
@@ -309,9 +308,7 @@
     def answer_announcement(self, announce: Announce, address: str) -> None:
         """Tell a sidecar which entries there are."""
         upstream_id = announce.description.upstream_id
-        entries = self.post.entries()
-        roster = roster_digest([EntryPlace(*entry) for entry in entries])
-        news = () if announce.roster == roster else entries
+        news = () if announce.roster == self.post.roster else self.post.entries()
         answer = AnnounceAnswer(upstream_id, news)
         self.post.send(address, answer)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/post.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/post.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from cowslipshelf_core.announcing import EntryPlace, roster_digest
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.messages import Message
 from cowslipshelf_fleet import Mailbox
@@ -26,7 +27,9 @@
         self.mailbox: Mailbox | None = None
         self.deliver_here: Callable[[Delivered], None] | None = None
         self.lock = threading.Lock()
-        self.addresses: dict[InstanceId, str] = {instance: address}
+        self.addresses: dict[InstanceId, str] = {}
+        self.roster = ""
+        self.learn(instance, address)
 
     def attach(
         self, mailbox: Mailbox, deliver_here: Callable[[Delivered], None]
@@ -38,7 +41,11 @@
     def learn(self, instance: InstanceId, address: str) -> None:
         """Remember where an entry instance is."""
         with self.lock:
+            if self.addresses.get(instance) == address:
+                return
             self.addresses[instance] = address
+            places = [EntryPlace(*entry) for entry in self.addresses.items()]
+            self.roster = roster_digest(places)
 
     def entries(self) -> tuple[tuple[InstanceId, str], ...]:
         """List the entry instances known, this one included."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -368,7 +368,7 @@
             timings.lease_seconds,
             self.state.load_report(),
             leaving=not self.state.takes_work,
-            roster=self.chooser.roster(),
+            roster=self.chooser.roster,
         )
         for entry in self.chooser.targets(now):
             self.mailbox.send(entry.mailbox_address, announcement)
