--- a/Makefile
+++ b/Makefile
@@ -2,15 +2,15 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := core platform fleet callers operators upstreams weightstore daemon cli standins
+PACKAGES := core host fleet callers operators upstreams weightstore daemon cli standins
 
 .PHONY: run test bench bench-real-path slopes format settings-page
 
-$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
-		$(foreach package,$(PACKAGES),-e packages/$(package))
+		$(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 	touch $@
 
 run: $(VENV)/installed
@@ -40,4 +40,4 @@
 	PYTHONPATH=benchmarks:examples:tests $(BIN)/python -m slopes.budget
 
 settings-page: $(VENV)/installed
-	$(BIN)/python -m cowslipshelf_platform.settings_page docs/SETTINGS.md
+	$(BIN)/python -m cowslipshelf_host.settings_page docs/SETTINGS.md
--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -36,7 +36,7 @@
     TickElapsed,
 )
 from cowslipshelf_core.identifiers import InstanceId
-from cowslipshelf_platform.storage import ReplicaStorage, ReplicaStorageConfig
+from cowslipshelf_host.storage import ReplicaStorage, ReplicaStorageConfig
 
 INSTANCES = tuple(InstanceId(f"entry-{n}") for n in range(3))
 OUTSTANDING = (1, 8, 64)
--- a/benchmarks/fleet_mailboxes.py
+++ b/benchmarks/fleet_mailboxes.py
@@ -6,7 +6,7 @@
 from fleet_partner import answer_questions, partner, resident_kilobytes
 
 from cowslipshelf_core.messages import Withdraw
-from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
+from cowslipshelf_fleet.mailboxes import Mailbox, MailboxConfig, Received
 
 HEARTBEAT_SECONDS = 1.0
 SILENCE_SECONDS = 5.0
--- a/benchmarks/fleet_streams.py
+++ b/benchmarks/fleet_streams.py
@@ -7,7 +7,7 @@
 
 from cowslipshelf_core.messages import AttemptRefused, StreamChunk, StreamEnd
 from cowslipshelf_core.upstream import HandOver
-from cowslipshelf_fleet import (
+from cowslipshelf_fleet.attempts import (
     AttemptsClient,
     AttemptsClientConfig,
     AttemptsServer,
--- a/benchmarks/real_path_entry.py
+++ b/benchmarks/real_path_entry.py
@@ -11,7 +11,7 @@
 
 from cowslipshelf_daemon.internal.entry.assembly import EntryRole, start_entry
 from cowslipshelf_daemon.internal.running import run_daemon
-from cowslipshelf_platform.settings import DaemonSettings, load_settings
+from cowslipshelf_host.settings import DaemonSettings, load_settings
 
 BASELINES: dict[str, Callable[[], Baseline]] = {
     "round-robin": RoundRobin,
--- a/benchmarks/slopes/announcers.py
+++ b/benchmarks/slopes/announcers.py
@@ -14,7 +14,7 @@
 from cowslipshelf_core.identifiers import NO_CONFIGURATION
 from cowslipshelf_core.messages import AnnounceAnswer
 from cowslipshelf_daemon.internal.wire import MailboxMessage
-from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
+from cowslipshelf_fleet.mailboxes import Mailbox, MailboxConfig, Received
 from local_fleet import CLUSTER_KEY
 from slopes.samples import announce
 
--- a/packages/callers/src/cowslipshelf_callers/internal/http_request.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/http_request.py
@@ -68,7 +68,13 @@
     def read_request_headers(self) -> bool:
         """Read the headers; refuse what two servers could read in two ways."""
         self.inheaders = CallHeaders()
-        if not super().read_request_headers():
+        try:
+            if not super().read_request_headers():
+                return False
+        except UnboundLocalError:
+            # The library takes a continuation line without a header before it for a
+            # fault of its own, and would answer with 500.
+            self.simple_response("400 Bad Request", "a header begins with white space")
             return False
         length = self.inheaders.get(b"Content-Length")
         if length is not None and not length.strip().isdigit():
--- a/packages/cli/src/cowslipshelf_cli/internal/checking.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/checking.py
@@ -6,7 +6,7 @@
 
 from cowslipshelf_cli.exit_codes import ExitCode
 from cowslipshelf_cli.internal.writing import Writer
-from cowslipshelf_platform.settings import (
+from cowslipshelf_host.settings import (
     LoadedSettings,
     SettingsProblem,
     fleet_problems,
--- a/packages/cli/src/cowslipshelf_cli/internal/load/open_loop.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/open_loop.py
@@ -8,7 +8,7 @@
 
 from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
 from cowslipshelf_cli.internal.load.shape import Arrival
-from cowslipshelf_platform.clock import SYSTEM_CLOCK
+from cowslipshelf_host.clock import SYSTEM_CLOCK
 
 Send = Callable[[Arrival, float], Outcome]
 """Send one request whose planned time is given on the monotonic clock."""
--- a/packages/cli/src/cowslipshelf_cli/internal/load/sending.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/load/sending.py
@@ -11,7 +11,7 @@
 from cowslipshelf_cli.internal.load.outcome import Ending, Outcome
 from cowslipshelf_cli.internal.load.prompt import CompletionPrompt
 from cowslipshelf_cli.internal.load.shape import Arrival
-from cowslipshelf_platform.clock import SYSTEM_CLOCK
+from cowslipshelf_host.clock import SYSTEM_CLOCK
 
 COMPLETIONS_PATH = "/v1/completions"
 DEADLINE_HEADER = "X-Deadline-Seconds"
--- a/packages/cli/src/cowslipshelf_cli/internal/surroundings.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/surroundings.py
@@ -11,6 +11,7 @@
 from cowslipshelf_cli.internal.failures import CommandFailedError
 from cowslipshelf_core.control import PlanDocument
 from cowslipshelf_core.identifiers import ChangeId, PlanId
+from cowslipshelf_host.settings import AddressError, parse_address
 from cowslipshelf_operators import (
     AuditAnswer,
     ConfirmedAnswer,
@@ -22,7 +23,6 @@
     PlanAnswer,
     StateAnswer,
 )
-from cowslipshelf_platform.settings import AddressError, parse_address
 
 ENTRIES_VARIABLE = "COWSLIPSHELF_ENTRIES"
 KEY_VARIABLE = "COWSLIPSHELF_OPERATOR_KEY"
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/dialect.py
@@ -0,0 +1,31 @@
+"""Offer the types between a gateway and the adapter of its machines' protocol."""
+
+from cowslipshelf_core.internal.routed.dialect import (
+    AnswerFacts,
+    CallerFacts,
+    ControlCall,
+    Dialect,
+    ForwardFacts,
+    Headers,
+    PutConfiguration,
+    ReadConfiguration,
+    ReadDocument,
+    ReportedLoad,
+    TakeHeartbeat,
+    TakeLeaving,
+)
+
+__all__ = [
+    "AnswerFacts",
+    "CallerFacts",
+    "ControlCall",
+    "Dialect",
+    "ForwardFacts",
+    "Headers",
+    "PutConfiguration",
+    "ReadConfiguration",
+    "ReadDocument",
+    "ReportedLoad",
+    "TakeHeartbeat",
+    "TakeLeaving",
+]
--- a/packages/core/src/cowslipshelf_core/internal/agreement/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/config.py
@@ -28,3 +28,16 @@
     most_bytes_per_message: int = 262_144
     """Bound on payloads in one message; a larger single entry still travels."""
     most_messages_in_flight: int = 8
+    open_membership: bool = False
+    """Whether replicas find each other: any that asks is taken in, the cluster is
+    founded by the one that is told to, and a silent voter gives way to a new one."""
+    most_lost: int = 0
+    """Replicas that may be lost at once; with open membership, commands wait until
+    there are enough voters for that."""
+    replaced_after_seconds: float = 6.0
+    """Silence of a voter after which a newer voter has taken its place."""
+
+    @property
+    def least_voters(self) -> int:
+        """Return how many voters can lose the most that may be lost."""
+        return 2 * self.most_lost + 1
--- a/packages/core/src/cowslipshelf_core/internal/agreement/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/events.py
@@ -76,6 +76,18 @@
     """Ask the leader to hand over to the best other voter, before a shutdown."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReplicasSeen:
+    """Tell which instances hold replicas now."""
+
+    replicas: tuple[InstanceId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FoundCluster:
+    """Ask an empty replica to found the cluster alone; the others join it."""
+
+
 @dataclass(frozen=True, slots=True)
 class DiskFailed:
     """Say that a write or sync failed, so that nothing after it is durable."""
@@ -91,5 +103,7 @@
     | ReadAsked
     | SnapshotTaken
     | TransferLeadership
+    | ReplicasSeen
+    | FoundCluster
     | DiskFailed
 )
--- a/packages/core/src/cowslipshelf_core/internal/agreement/founding.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/founding.py
@@ -2,6 +2,7 @@
 
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.internal.agreement.effects import Persist, SendTo
+from cowslipshelf_core.internal.agreement.elections import follows_a_leader
 from cowslipshelf_core.internal.agreement.membership import admit_newcomer
 from cowslipshelf_core.internal.agreement.messages import JoinAnswered, JoinAsked
 from cowslipshelf_core.internal.agreement.records import (
@@ -36,10 +37,10 @@
     own = state.replica_id
     cluster = "" if is_empty(state) else state.hard_state.cluster
     asked = JoinAsked(own.folder, cluster)
-    for instance in state.config.replica_instances:
+    for instance in state.replica_instances:
         if instance != own.instance:
             state.effects.append(SendTo(instance, asked))
-    if is_empty(state):
+    if is_empty(state) and not state.config.open_membership:
         found_if_all_are_empty(state)
 
 
@@ -76,6 +77,9 @@
     """
     if not is_empty(state) or message.recipient_folder != state.replica_id.folder:
         return
+    if state.config.open_membership:
+        # Those that answered need not be all: the one that is told to founds.
+        return
     state.empty_peers[sender] = ReplicaId(sender, message.sender_folder)
     found_if_all_are_empty(state)
 
@@ -87,13 +91,35 @@
     wiped finds others that are not, and waits for them instead.
     """
     own = state.replica_id
-    instances = sorted(state.config.replica_instances)
+    instances = sorted(state.replica_instances)
     others = [instance for instance in instances if instance != own.instance]
     if not instances or instances[0] != own.instance:
         return
     if any(instance not in state.empty_peers for instance in others):
         return
-    voters = (own, *(state.empty_peers[instance] for instance in others))
+    found(state, (own, *(state.empty_peers[instance] for instance in others)))
+
+
+def found_alone(state: ReplicaState) -> None:
+    """Found the cluster with one voter; those that ask are taken in after it."""
+    if is_empty(state):
+        found(state, (state.replica_id,))
+
+
+def ask_back_when_due(state: ReplicaState) -> None:
+    """Ask to be taken in again, where the others may have removed this voter.
+
+    With open membership a voter that was silent for long gives way to a new one. If
+    it returns all the same, the others never answer its campaigns, and it knows of
+    no removal; the leader takes it in again or ignores a voter that it still has.
+    """
+    if state.config.open_membership and not follows_a_leader(state):
+        ask_when_due(state)
+
+
+def found(state: ReplicaState, voters: tuple[ReplicaId, ...]) -> None:
+    """Write the first entry of a new cluster's log, and stand for election."""
+    own = state.replica_id
     entry = Entry(
         index=1,
         term=FOUNDING_TERM,
--- a/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
@@ -1,7 +1,11 @@
 """Lead: accept proposals, and step down without a quorum."""
 
 from cowslipshelf_core.internal.agreement.events import CommandProposed
-from cowslipshelf_core.internal.agreement.membership import is_heard, promote_learner
+from cowslipshelf_core.internal.agreement.membership import (
+    is_heard,
+    promote_learner,
+    remove_replaced_voter,
+)
 from cowslipshelf_core.internal.agreement.messages import ProposalRefusal
 from cowslipshelf_core.internal.agreement.reading import (
     confirm_reads,
@@ -34,13 +38,27 @@
     if state.failure:
         return ProposalRefusal.DISK_FAILED
     if state.leadership is not None:
-        handing_over = state.leadership.transfer_to is not None
-        return ProposalRefusal.TRANSFERRING if handing_over else None
+        if state.leadership.transfer_to is not None:
+            return ProposalRefusal.TRANSFERRING
+        # A cluster that was founded alone holds a command on one disk only, and
+        # would lose it with that disk after it was acknowledged.
+        if waits_for_voters(state):
+            return ProposalRefusal.NO_QUORUM
+        return None
     if state.leader is not None:
         return ProposalRefusal.NOT_LEADER
     return ProposalRefusal.NO_QUORUM
 
 
+def waits_for_voters(state: ReplicaState) -> bool:
+    """Tell whether replicas that found each other are still too few."""
+    config = state.config
+    if not config.open_membership:
+        return False
+    reachable = min(config.least_voters, len(state.replica_instances))
+    return len(state.membership.voters) < reachable
+
+
 def finish_batch(state: ReplicaState) -> None:
     """Send what the events of a batch made necessary, once for all of them."""
     leadership = state.leadership
@@ -111,3 +129,4 @@
             hand_over(state)
     if state.now >= leadership.heartbeat_due:
         send_heartbeats(state)
+    remove_replaced_voter(state)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
@@ -79,8 +79,13 @@
 
 def is_heard(state: ReplicaState, progress: PeerProgress) -> bool:
     """Tell whether a replica has answered within the lease."""
+    return heard_within(state, progress, state.config.lease_seconds)
+
+
+def heard_within(state: ReplicaState, progress: PeerProgress, seconds: float) -> bool:
+    """Tell whether a replica has answered within a time."""
     heard = progress.heard_at
-    return heard is not None and state.now - heard <= state.config.lease_seconds
+    return heard is not None and state.now - heard <= seconds
 
 
 def put_in_force(
@@ -123,8 +128,38 @@
     It asks again and again, so a request that comes while another change is
     under way is let go; the next one finds the way free.
     """
-    if newcomer.instance not in state.config.replica_instances:
+    known = newcomer.instance in state.replica_instances
+    if not known and not state.config.open_membership:
         return
     proposed = change_membership(state.membership, AddReplica(newcomer))
     if proposed is not None and is_ready_for(state, proposed):
         put_in_force(state, proposed, "", 0.0)
+
+
+def remove_replaced_voter(state: ReplicaState) -> None:
+    """Remove a voter that stays silent although there are enough others.
+
+    An instance that is gone for good would count in every quorum until an operator
+    removed it, and the next loss would stop all changes. Only where open membership
+    has brought more voters than needed, and all the others are heard.
+    """
+    config = state.config
+    voters = state.membership.voters
+    if not config.open_membership or len(voters) <= config.least_voters:
+        return
+    leadership = state.leadership
+    if state.now - leadership.began_at <= config.replaced_after_seconds:
+        return
+    silent = [
+        voter
+        for voter in voters
+        if voter in leadership.peers
+        and not heard_within(
+            state, leadership.peers[voter], config.replaced_after_seconds
+        )
+    ]
+    if len(silent) != 1:
+        return
+    proposed = change_membership(state.membership, RemoveReplica(silent[0]))
+    if proposed is not None and is_ready_for(state, proposed):
+        put_in_force(state, proposed, "", 0.0)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/proposals.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/proposals.py
@@ -6,7 +6,7 @@
 
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.internal.agreement.effects import SendTo
-from cowslipshelf_core.internal.agreement.events import TickElapsed
+from cowslipshelf_core.internal.agreement.events import ReplicasSeen, TickElapsed
 from cowslipshelf_core.internal.agreement.messages import (
     ProposalRefusal,
     ProposalResult,
@@ -48,13 +48,6 @@
     leader: InstanceId | None
 
 
-@dataclass(frozen=True, slots=True)
-class ReplicasSeen:
-    """Tell which instances hold replicas now."""
-
-    replicas: tuple[InstanceId, ...]
-
-
 ProposalClientEvent = (
     SubmitAsked | ProposalResultArrived | LeaderSeen | ReplicasSeen | TickElapsed
 )
--- a/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
@@ -21,9 +21,11 @@
     CommandProposed,
     DiskFailed,
     Event,
+    FoundCluster,
     MembershipProposed,
     PeerMessageArrived,
     ReadAsked,
+    ReplicasSeen,
     SnapshotTaken,
     TickElapsed,
     TransferLeadership,
@@ -88,6 +90,7 @@
                 log=log,
                 hard_state=stored.hard_state,
                 commit_index=log.snapshot_index,
+                replica_instances=config.replica_instances,
             )
         )
 
@@ -153,6 +156,10 @@
             case TransferLeadership():
                 if state.leadership is not None:
                     leading.transfer_leadership(state)
+            case ReplicasSeen(replicas):
+                state.replica_instances = replicas
+            case FoundCluster():
+                founding.found_alone(state)
             case DiskFailed(reason):
                 self.fail(reason)
 
@@ -174,6 +181,7 @@
             leading.lead_on(state)
         elif elections.may_lead(state):
             elections.campaign_when_due(state)
+            founding.ask_back_when_due(state)
         elif not elections.follows_a_leader(state):
             founding.ask_when_due(state)
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -89,6 +89,8 @@
     join_due: float | None = None
     empty_peers: dict[InstanceId, ReplicaId] = field(default_factory=dict)
     """Replicas that told this start of this empty folder that theirs is empty."""
+    replica_instances: tuple[InstanceId, ...] = ()
+    """Instances that are known to hold replicas, this one included."""
 
     @property
     def term(self) -> int:
@@ -221,10 +223,12 @@
             self.effects.append(ReadFailed(read.read_id, self.leader))
 
     def restart_campaign_timer(self) -> None:
-        """Wait for a shorter random time before standing again.
+        """Wait for a shorter random time before standing, again or after a start.
 
         A campaign fails where candidates split the votes. Nobody leads then, so
-        the wait only has to outlast a round of votes and to tell them apart.
+        the wait only has to outlast a round of votes and to tell them apart. After
+        a start nobody may lead either, where all were killed at once; a leader that
+        there is keeps its place, since those who hear it give no pre-vote.
         """
         longest = self.config.election_seconds
         self.election_due = self.now + self.random.uniform(longest / 4, longest)
--- a/packages/core/src/cowslipshelf_core/internal/control/commands.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/commands.py
@@ -20,6 +20,7 @@
     ClaimLookedUp,
     ClaimMoved,
     Message,
+    RoutesDocument,
 )
 from cowslipshelf_core.upstream import UpstreamDescription
 
@@ -91,6 +92,12 @@
     detail: str = ""
 
 
+class PutRoutes(Message, frozen=True):
+    """Put a whole routed configuration in force; the highest version wins."""
+
+    document: RoutesDocument
+
+
 ControlCommand = (
     RecordPlan
     | ConfirmPlan
@@ -99,6 +106,7 @@
     | AskLoadGrant
     | ReturnLoadGrant
     | RecordMembership
+    | PutRoutes
     | ClaimAsked
     | ClaimMoved
     | ClaimFinished
--- a/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
@@ -108,6 +108,18 @@
     """Answer that a change of the replicas is in the audit trail."""
 
 
+class RoutesHeld(Message, frozen=True):
+    """Answer with the version of the routed configuration that is now held."""
+
+    version: ConfigurationVersion
+
+
+class RoutesConflict(Message, frozen=True):
+    """Answer that other content was accepted under the same version."""
+
+    version: ConfigurationVersion
+
+
 ControlOutcome = (
     PlanRecorded
     | PlanRefused
@@ -121,6 +133,8 @@
     | LoadGrantRefused
     | LoadGrantReturned
     | MembershipRecorded
+    | RoutesHeld
+    | RoutesConflict
     | ClaimGranted
     | ClaimHeld
     | ClaimRefused
--- a/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
@@ -8,7 +8,8 @@
 from cowslipshelf_core.internal.control.errors import ControlCodecError
 from cowslipshelf_core.internal.control.grants import OpenGrant
 from cowslipshelf_core.internal.control.orders import OrderSlot
-from cowslipshelf_core.messages import Message
+from cowslipshelf_core.internal.control.route_register import NO_ROUTES
+from cowslipshelf_core.messages import Message, RoutesDocument
 
 SNAPSHOT_FORMAT = 1
 
@@ -36,6 +37,8 @@
     grant_tokens: float | None
     grants_filled_at: float
     audit: tuple[AuditRecord, ...]
+    routes: RoutesDocument = NO_ROUTES
+    """Absent from snapshots of replicas that knew no routes."""
 
 
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(ControlSnapshot)
--- a/packages/core/src/cowslipshelf_core/internal/control/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/state.py
@@ -22,6 +22,7 @@
     CloseOrder,
     ConfirmPlan,
     ControlCommand,
+    PutRoutes,
     RecordMembership,
     RecordPlan,
     RequestOrder,
@@ -40,6 +41,7 @@
     PlanOutdated,
     PlanRecorded,
 )
+from cowslipshelf_core.internal.control.route_register import RouteRegister
 from cowslipshelf_core.internal.control.snapshots import (
     SNAPSHOT_FORMAT,
     ControlSnapshot,
@@ -52,6 +54,9 @@
     ClaimMoved,
 )
 
+ROUTES_OPERATOR = OperatorName("routes")
+"""Stands in the trail where the operator's door names nobody."""
+
 
 class ChangeExplanation(NamedTuple):
     """Tell what became of a change."""
@@ -79,6 +84,7 @@
     orders: OrderBook = field(default_factory=OrderBook)
     grants: LoadGrants = field(default_factory=LoadGrants)
     trail: AuditTrail = field(default_factory=AuditTrail)
+    routes: RouteRegister = field(default_factory=RouteRegister)
 
     @property
     def configuration(self) -> FleetConfiguration:
@@ -120,6 +126,8 @@
                 return self.return_load_grant(command)
             case RecordMembership():
                 return self.record_membership(command)
+            case PutRoutes():
+                return self.put_routes(command)
 
     def record_plan(self, command: RecordPlan) -> ControlOutcome:
         """Record a plan; nothing else changes."""
@@ -204,6 +212,16 @@
         self.audit_change(command.operator, "change_membership", None, detail)
         return MembershipRecorded()
 
+    def put_routes(self, command: PutRoutes) -> ControlOutcome:
+        """Hold a routed configuration, if it is the newest."""
+        before = self.routes.held.version
+        outcome = self.routes.put(command)
+        held = self.routes.held.version
+        if held != before:
+            detail = f"routed configuration {before} to {held}"
+            self.audit_change(ROUTES_OPERATOR, "put_routes", None, detail)
+        return outcome
+
     def audit_change(
         self,
         operator: OperatorName,
@@ -273,6 +291,7 @@
             grant_tokens=self.grants.tokens,
             grants_filled_at=self.grants.filled_at,
             audit=tuple(self.trail.records),
+            routes=self.routes.held,
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -293,4 +312,5 @@
         state.grants.tokens = snapshot.grant_tokens
         state.grants.filled_at = snapshot.grants_filled_at
         state.trail.restore(snapshot.audit)
+        state.routes.held = snapshot.routes
         return state
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routed/__init__.py
@@ -0,0 +1,1 @@
+"""Serve requests by route: matching, upstreams that announce themselves, placing."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
@@ -0,0 +1,128 @@
+"""Define what a gateway needs to know of the protocol that its peers speak.
+
+The names of headers, paths and fields belong to whoever runs the machines. An adapter
+decodes them into these types and encodes them from these types; nothing else sees them.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple, Protocol
+
+from result import Result
+
+from cowslipshelf_core.identifiers import CustomerName, UpstreamId
+from cowslipshelf_core.internal.routed.configuration import RouteConfiguration
+from cowslipshelf_core.internal.routed.engine_cost import PromptSize
+from cowslipshelf_core.internal.routed.registry import UpstreamHeartbeat
+from cowslipshelf_core.messages import RoutesDocument
+
+Headers = list[tuple[bytes, bytes]]
+"""Names in lower case with their values, in order."""
+
+
+class CallerFacts(NamedTuple):
+    """Be what a caller's headers say of its request."""
+
+    attempt_id: str
+    key: str | None
+    deadline_seconds: float | None
+    last_event_id: str | None
+    prompt: PromptSize | None
+
+
+class ForwardFacts(NamedTuple):
+    """Be what an upstream is told beside the caller's own request."""
+
+    upstream_id: UpstreamId
+    customer: CustomerName | None
+    left_seconds: float
+    last_event_id: str | None
+    priority: int | None = None
+    """Zero to nine, where zero is admitted first."""
+    helpers: tuple[str, ...] = ()
+    """Addresses of engines that read parts of the prompt."""
+
+
+class ReportedLoad(NamedTuple):
+    """Be what an upstream says of its load in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerFacts(NamedTuple):
+    """Be what an upstream's headers say of its answer."""
+
+    attempt_id: str | None
+    not_run: bool
+    """Whether the upstream promises that the request did not run."""
+    load: ReportedLoad | None
+    keep_alive_seconds: float | None
+    """Time for which it keeps an idle connection open."""
+
+
+@dataclass(frozen=True, slots=True)
+class PutConfiguration:
+    """Ask for a configuration to be put in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadConfiguration:
+    """Ask for the configuration in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class TakeHeartbeat:
+    """Bring an upstream's heartbeat."""
+
+    upstream_id: UpstreamId
+
+
+@dataclass(frozen=True, slots=True)
+class TakeLeaving:
+    """Say that an upstream leaves for good."""
+
+    upstream_id: UpstreamId
+
+
+ControlCall = PutConfiguration | ReadConfiguration | TakeHeartbeat | TakeLeaving
+
+
+class ReadDocument(NamedTuple):
+    """Be a configuration in both of its forms."""
+
+    document: RoutesDocument
+    configuration: RouteConfiguration
+
+
+class Dialect(Protocol):
+    """Translate between the protocol of the machines and the types above."""
+
+    def is_ready_question(self, method: str, path: str) -> bool:
+        """Tell whether a request asks if this gateway is ready."""
+
+    def control_call(self, method: str, path: str) -> ControlCall | None:
+        """Return what an operator or upstream asks for."""
+
+    def read_configuration(self, body: bytes) -> Result[ReadDocument, str]:
+        """Decode a configuration, or say what can't be read in it."""
+
+    def read_heartbeat(
+        self, upstream_id: UpstreamId, body: bytes
+    ) -> Result[UpstreamHeartbeat, str]:
+        """Decode a heartbeat, or say what can't be read in it."""
+
+    def caller_facts(self, headers: Headers) -> CallerFacts:
+        """Decode the headers of a caller's request."""
+
+    def forwarded_headers(self, headers: Headers, facts: ForwardFacts) -> Headers:
+        """Return the headers that an upstream gets."""
+
+    def answer_facts(self, status: int, headers: Headers) -> AnswerFacts:
+        """Decode the headers of an upstream's answer."""
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the headers of an upstream's answer that its caller gets."""
+
+    def refusal_headers(self, attempt_id: str) -> Headers:
+        """Return the headers that go with an answer of our own."""
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -0,0 +1,128 @@
+"""Keep what runs on each engine, as all gateways tell it.
+
+Engines report their load late, and several gateways that believe the same report
+send their work to the same engine. So each gateway tells the others what it places,
+and all work from the same picture, a few milliseconds old.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from cowslipshelf_core.identifiers import AttemptId, UpstreamId
+from cowslipshelf_core.internal.routed.messages import EnginePart, EngineWork
+
+OVERRUN_SECONDS = 0.05
+"""Rest that is assumed of a read that should be done: one pass of an engine that
+writes takes about so long."""
+LONGEST_WORK_SECONDS = 60.0
+"""Work is forgotten after this, should its end never be told: twice the longest
+deadline that operators set, and more."""
+
+
+@dataclass(slots=True)
+class PlacedWork:
+    """Be an attempt that is known to run."""
+
+    work: EngineWork
+    begun_at: float
+    first_token: bool = False
+
+
+@dataclass(slots=True)
+class EngineView:
+    """Be what one engine is about to do."""
+
+    backlog_seconds: float = 0.0
+    """Time until it will have read what was placed on it."""
+    backlog_chunks: int = 0
+    writers: list[EngineWork] = field(default_factory=list)
+    """Attempts that write, or will once they are read, on this engine."""
+    helping: int = 0
+    """Parts that it reads for attempts which write elsewhere."""
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the memory that its attempts use or will use."""
+        return sum(work.memory_tokens for work in self.writers)
+
+
+@dataclass(slots=True)
+class EngineBoard:
+    """Hold the attempts on engines, by attempt and by engine."""
+
+    placed: dict[AttemptId, PlacedWork] = field(default_factory=dict)
+    by_engine: dict[UpstreamId, dict[AttemptId, EnginePart]] = field(
+        default_factory=dict
+    )
+
+    def begin(self, work: EngineWork, now: float) -> None:
+        """Note an attempt that was placed."""
+        if work.attempt_id in self.placed:
+            return
+        self.placed[work.attempt_id] = PlacedWork(work, now)
+        for part in work.parts:
+            engine = self.by_engine.setdefault(part.upstream_id, {})
+            engine[work.attempt_id] = part
+
+    def first_token(self, attempt_id: AttemptId) -> None:
+        """Note that an attempt's prompt has been read, by all engines."""
+        placed = self.placed.get(attempt_id)
+        if placed is None:
+            return
+        placed.first_token = True
+        for part in placed.work.parts:
+            if not part.writes:
+                self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
+
+    def end(self, attempt_id: AttemptId) -> None:
+        """Forget an attempt that is over."""
+        placed = self.placed.pop(attempt_id, None)
+        if placed is None:
+            return
+        for part in placed.work.parts:
+            self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
+
+    def forget_old(self, now: float) -> int:
+        """Forget attempts whose end was never told; return how many."""
+        old = [
+            attempt_id
+            for attempt_id, placed in self.placed.items()
+            if now - placed.begun_at > LONGEST_WORK_SECONDS
+        ]
+        for attempt_id in old:
+            self.end(attempt_id)
+        return len(old)
+
+    def forget_engine(self, upstream_id: UpstreamId) -> None:
+        """Forget an engine that has gone."""
+        self.by_engine.pop(upstream_id, None)
+
+    def view(self, upstream_id: UpstreamId, now: float) -> EngineView:
+        """Work out what an engine is about to do."""
+        view = EngineView()
+        free_at = now
+        for placed, part in self.parts_on(upstream_id):
+            if part.writes:
+                view.writers.append(placed.work)
+            else:
+                view.helping += 1
+            if placed.first_token:
+                continue
+            # An engine reads in the order of arrival, one chunk in each step.
+            begins = max(placed.begun_at, free_at if view.backlog_chunks else 0.0)
+            ends = begins + part.read_seconds
+            if ends <= now:
+                if not part.writes:
+                    continue
+                ends = now + OVERRUN_SECONDS
+            free_at = max(free_at, ends)
+            view.backlog_chunks += part.chunks
+        view.backlog_seconds = free_at - now
+        return view
+
+    def parts_on(
+        self, upstream_id: UpstreamId
+    ) -> Iterator[tuple[PlacedWork, EnginePart]]:
+        """Go through an engine's parts in the order in which they were placed."""
+        for attempt_id, part in self.by_engine.get(upstream_id, {}).items():
+            yield self.placed[attempt_id], part
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -0,0 +1,292 @@
+"""Choose the engines for a prompt by what its placing costs everybody who shares them.
+
+Short prompts suffer from long ones in two ways: they wait behind a long read, and
+while they write, a pass that also reads a long prompt holds up their next token. Long
+prompts suffer from being read by one engine alone. So a prompt may be read in even
+parts by several engines, and the choice weighs its own lateness against the harm done.
+"""
+
+import math
+from dataclasses import dataclass
+from random import Random
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import AttemptId, UpstreamId
+from cowslipshelf_core.internal.routed.configuration import EngineModel
+from cowslipshelf_core.internal.routed.engine_board import EngineBoard, EngineView
+from cowslipshelf_core.internal.routed.engine_cost import (
+    PromptSize,
+    pass_seconds,
+    read_chunks,
+    read_seconds,
+    worth_of,
+)
+from cowslipshelf_core.internal.routed.messages import EnginePart, EngineWork
+
+PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
+"""Numbers of engines that are tried for one prompt; the engines take 16 helpers."""
+LATE_FROM = 0.6
+"""Share of the objective from which on a predicted first token may come late: the
+prediction leaves out passes under way and other gateways' last milliseconds."""
+LATE_SURELY = 1.2
+"""Share of the objective beyond which a first token surely comes late."""
+HARM_FROM = 0.8
+"""Share of the allowed pause from which on a pass may hold up a writer for too long."""
+FULL_COST = 0.6
+"""Cost of each request beyond the slots, as a share of the worth: it waits until one
+of those that run has ended."""
+SPREAD_COST = 0.004
+"""Engine-seconds charged for each further engine; parts of a few milliseconds gain
+less than the extra passes cost."""
+EMPTY_ENGINE_COST = 0.02
+"""Engine-seconds charged to a short prompt that would be the first on an engine, so
+that empty ones stay free for long reads. Below what any lateness costs."""
+SHORT_READ_SECONDS = 0.12
+"""A prompt read faster than this keeps within the pauses of those who write (250 ms,
+of which a pass takes 50 to 100), so it may share engines with them."""
+UNKNOWN_PAUSE_SECONDS = 1.0
+"""Pause allowed where a route gives none."""
+
+
+class Candidate(NamedTuple):
+    """Be an engine that may be chosen."""
+
+    upstream_id: UpstreamId
+    slowness: float = 1.0
+    """How many times longer than its model says it lately took."""
+    penalty: float = 0.0
+    """Share of the worth that is likely lost there, for failures seen lately."""
+
+
+class PromptAsked(NamedTuple):
+    """Be a prompt that wants engines."""
+
+    attempt_id: AttemptId
+    size: PromptSize
+    objective_seconds: float
+    pause_seconds: float | None
+    left_seconds: float
+    """Time until the caller gives up."""
+
+
+@dataclass(frozen=True, slots=True)
+class EnginesChosen:
+    """Name the engine that writes, and those that help it to read."""
+
+    work: EngineWork
+    first_token_seconds: float
+    """Predicted time until the first token."""
+    cost: float
+
+    @property
+    def upstream_id(self) -> UpstreamId:
+        """Return the engine that gets the request."""
+        return self.work.parts[0].upstream_id
+
+    @property
+    def helpers(self) -> tuple[UpstreamId, ...]:
+        """Return the engines that help to read."""
+        return tuple(part.upstream_id for part in self.work.parts[1:])
+
+
+@dataclass(frozen=True, slots=True)
+class NoEngine:
+    """Say that no engine can serve a prompt in time, and when one might."""
+
+    reason: str
+    retry_after_seconds: float
+
+
+class Seen(NamedTuple):
+    """Be a candidate with what it is about to do."""
+
+    candidate: Candidate
+    view: EngineView
+    pass_seconds: float
+    steps_per_pass: int
+
+
+def place_prompt(
+    asked: PromptAsked,
+    candidates: list[Candidate],
+    model: EngineModel,
+    board: EngineBoard,
+    now: float,
+    random: Random,
+) -> EnginesChosen | NoEngine:
+    """Choose the engines that cost least, or say that there are none in time."""
+    if not candidates:
+        return NoEngine("no engine of the service is known", 1.0)
+    seen = [look_at(candidate, model, board, now) for candidate in candidates]
+    random.shuffle(seen)
+    needed = asked.size.prompt_tokens + asked.size.most_output_tokens
+    roomy = [each for each in seen if has_room(each, needed, model)]
+    if not roomy:
+        return NoEngine("no engine has memory for the prompt", shortest_wait(seen))
+    choices = []
+    for parts in PART_COUNTS:
+        if parts > len(seen) or (parts > 1 and is_short(asked, model, parts // 2)):
+            break
+        choices.append(choose_parts(asked, roomy, seen, model, parts))
+    best = min(choices, key=lambda choice: choice.cost)
+    if best.first_token_seconds > asked.left_seconds:
+        wait = best.first_token_seconds - asked.left_seconds
+        return NoEngine("no engine can answer in time", wait)
+    return best
+
+
+def look_at(
+    candidate: Candidate, model: EngineModel, board: EngineBoard, now: float
+) -> Seen:
+    """Work out what a candidate is about to do."""
+    view = board.view(candidate.upstream_id, now)
+    writers = len(view.writers)
+    seconds = pass_seconds(model, writers + 1, view.memory_tokens)
+    slowed = seconds * candidate.slowness
+    return Seen(candidate, view, slowed, model.steps_per_pass)
+
+
+def has_room(seen: Seen, needed_tokens: int, model: EngineModel) -> bool:
+    """Tell whether an engine's memory holds one more prompt."""
+    return seen.view.memory_tokens + needed_tokens <= model.memory_tokens
+
+
+def shortest_wait(seen: list[Seen]) -> float:
+    """Return the time until the first engine will have read what it has."""
+    return max(0.1, min(each.view.backlog_seconds for each in seen))
+
+
+def is_short(asked: PromptAsked, model: EngineModel, parts: int) -> bool:
+    """Tell whether parts are so short that more engines would gain nothing."""
+    seconds = read_seconds(model, asked.size.prompt_tokens, parts)
+    return seconds < SHORT_READ_SECONDS / 4
+
+
+def choose_parts(
+    asked: PromptAsked,
+    roomy: list[Seen],
+    seen: list[Seen],
+    model: EngineModel,
+    parts: int,
+) -> EnginesChosen:
+    """Choose a number of engines, the cheapest ones, and add up what they cost."""
+    tokens = asked.size.prompt_tokens
+    read = read_seconds(model, tokens, parts)
+    chunks = read_chunks(model, tokens, parts)
+    worth = worth_of(model, asked.size)
+
+    def price(each: Seen) -> float:
+        return part_cost(each, read, chunks, asked, model, worth)
+
+    writer = min(roomy, key=lambda each: price(each) + writer_cost(each, asked, model))
+    others = sorted((each for each in seen if each is not writer), key=price)
+    chosen = [writer, *others[: parts - 1]]
+    until_read = max(each.view.backlog_seconds + read_on(each, read) for each in chosen)
+    first_token = until_read + writer.pass_seconds
+    cost = (
+        worth * lateness(first_token / asked.objective_seconds)
+        + sum(harm(each, read, chunks) for each in chosen)
+        + worth * max(each.candidate.penalty for each in chosen)
+        + writer_cost(writer, asked, model)
+        + SPREAD_COST * (parts - 1)
+    )
+    work = EngineWork(
+        asked.attempt_id,
+        tuple(
+            EnginePart(each.candidate.upstream_id, read_on(each, read), chunks, not i)
+            for i, each in enumerate(chosen)
+        ),
+        tokens + asked.size.most_output_tokens,
+        worth,
+        asked.pause_seconds or UNKNOWN_PAUSE_SECONDS,
+    )
+    return EnginesChosen(work, first_token, cost)
+
+
+def read_on(seen: Seen, read: float) -> float:
+    """Return the time to read a part on an engine that writes at the same time."""
+    return read * seen.candidate.slowness
+
+
+def part_cost(
+    seen: Seen,
+    read: float,
+    chunks: int,
+    asked: PromptAsked,
+    model: EngineModel,
+    worth: float,
+) -> float:
+    """Return what it costs to have an engine read a part."""
+    ready = seen.view.backlog_seconds + read_on(seen, read) + seen.pass_seconds
+    full = 0.0
+    if seen.view.helping >= model.slots:
+        full = worth
+    late = worth * lateness(ready / asked.objective_seconds)
+    return late + harm(seen, read, chunks) + worth * seen.candidate.penalty + full
+
+
+def writer_cost(seen: Seen, asked: PromptAsked, model: EngineModel) -> float:
+    """Return what it costs to have an engine write the answer, besides reading."""
+    worth = worth_of(model, asked.size)
+    writers = len(seen.view.writers)
+    full = FULL_COST * worth * max(0, writers + 1 - model.slots)
+    short = read_seconds(model, asked.size.prompt_tokens) < SHORT_READ_SECONDS
+    empty = EMPTY_ENGINE_COST if short and not writers else 0.0
+    return full + empty + worth * held_up_later(seen, asked)
+
+
+def held_up_later(seen: Seen, asked: PromptAsked) -> float:
+    """Return how likely the engine's present reads hold up this answer's events.
+
+    Reads that are under way end before the first token; only those of helpers, which
+    go ahead of other reads, can come in between, and there are none to be seen yet.
+    """
+    pause = asked.pause_seconds or UNKNOWN_PAUSE_SECONDS
+    return lateness(seen.pass_seconds / (pause * HARM_FROM / LATE_FROM))
+
+
+def harm(seen: Seen, read: float, chunks: int) -> float:
+    """Return what a part's reading costs those who write on the engine.
+
+    A pass with writers has one step for each of the tokens of an event, and each
+    step may read one chunk: the pause grows by the chunks that fit into the pass.
+    """
+    if not seen.view.writers:
+        return 0.0
+    here = read_on(seen, read)
+    before = longest_pass(seen, seen.view.backlog_seconds, seen.view.backlog_chunks)
+    after = longest_pass(
+        seen, seen.view.backlog_seconds + here, seen.view.backlog_chunks + chunks
+    )
+    return sum(
+        work.value
+        * max(
+            0.0,
+            held_up(after, work.pause_seconds) - held_up(before, work.pause_seconds),
+        )
+        for work in seen.view.writers
+    )
+
+
+def longest_pass(seen: Seen, backlog: float, chunks: int) -> float:
+    """Return the longest pass that reading a backlog makes."""
+    share = min(1.0, seen.steps_per_pass / chunks) if chunks else 0.0
+    return seen.pass_seconds + backlog * share
+
+
+def held_up(pass_time: float, pause: float) -> float:
+    """Return how likely a pass makes a pause that is too long."""
+    return lateness(pass_time / pause * (LATE_FROM / HARM_FROM))
+
+
+def lateness(ratio: float) -> float:
+    """Return how likely something is late, from its predicted share of the bound.
+
+    Rises from 0 to 1 between the two shares; goes on a little, so that among late
+    ones the earlier is chosen.
+    """
+    if ratio <= LATE_FROM:
+        return 0.02 * ratio
+    if ratio >= LATE_SURELY:
+        return 1.0 + 0.05 * math.log(ratio)
+    return (ratio - LATE_FROM) / (LATE_SURELY - LATE_FROM)
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routed/messages.py
@@ -0,0 +1,45 @@
+"""Define what gateways tell each other about upstreams and the work on them."""
+
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import AttemptId, UpstreamId
+from cowslipshelf_core.internal.routed.registry import HeartbeatSeen
+from cowslipshelf_core.messages import Message
+
+
+class HeartbeatsSeen(Message, frozen=True):
+    """Pass on heartbeats of upstreams."""
+
+    seen: tuple[HeartbeatSeen, ...]
+
+
+class EnginePart(NamedTuple):
+    """Be what one engine does of an attempt."""
+
+    upstream_id: UpstreamId
+    read_seconds: float
+    """Time that reading takes on an engine that does nothing else."""
+    chunks: int
+    """Pieces in which the part is read, one in each step."""
+    writes: bool
+    """Whether this engine also writes the answer, and holds the prompt's memory."""
+
+
+class EngineWork(NamedTuple):
+    """Be an attempt on the engines, as the gateway that placed it sees it."""
+
+    attempt_id: AttemptId
+    parts: tuple[EnginePart, ...]
+    memory_tokens: int
+    value: float
+    """What is lost if it is late, in engine-seconds; see `worth_of`."""
+    pause_seconds: float
+    """Longest pause between two events that is still on time."""
+
+
+class WorkChanged(Message, frozen=True):
+    """Tell of attempts on engines that began, gave a first token, or ended."""
+
+    begun: tuple[EngineWork, ...] = ()
+    first_tokens: tuple[AttemptId, ...] = ()
+    ended: tuple[AttemptId, ...] = ()
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/internal/routed/peer_book.py
@@ -0,0 +1,122 @@
+"""Know the other gateways, from three addresses that may be stale.
+
+Nobody keeps a list of the gateways. Each says now and then that it is there, and
+whom it knows; so a gateway that reaches any other soon knows all of them.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple, Self
+
+from cowslipshelf_core.identifiers import ConfigurationVersion, DataCentre, InstanceId
+from cowslipshelf_core.messages import PeerAlive
+
+
+class PeerBookConfig(NamedTuple):
+    """Say who this gateway is and whom it may ask."""
+
+    instance: InstanceId
+    data_centre: DataCentre
+    holds_replica: bool
+    seeds: tuple[InstanceId, ...]
+    silence_seconds: float = 3.0
+    """Silence after which a peer counts as gone: six messages lost in a row."""
+    forget_seconds: float = 30.0
+    """Silence after which a peer is not told of this gateway any more. Longer than
+    cuts and freezes last, so that both sides find each other after one."""
+
+
+class KnownPeer(NamedTuple):
+    """Be what a gateway last said of itself."""
+
+    alive: PeerAlive | None
+    """Nothing where others told of it and it has not spoken yet."""
+    heard_at: float
+
+
+@dataclass(slots=True)
+class PeerBook:
+    """Hold the gateways that were heard of."""
+
+    config: PeerBookConfig
+    seeds: tuple[InstanceId, ...]
+    known: dict[InstanceId, KnownPeer] = field(default_factory=dict)
+
+    @classmethod
+    def from_config(cls, config: PeerBookConfig) -> Self:
+        """Begin with the seeds only."""
+        return cls(config, config.seeds)
+
+    def heard(self, sender: InstanceId, alive: PeerAlive, now: float) -> bool:
+        """Take in a message; return whether the sender is new or had been silent."""
+        before = self.known.get(sender)
+        self.known[sender] = KnownPeer(alive, now)
+        for peer in alive.peers:
+            if peer not in self.known and peer != self.config.instance:
+                self.known[peer] = KnownPeer(None, now)
+        silent = before is None or before.alive is None
+        return silent or now - before.heard_at > self.config.silence_seconds
+
+    def to_tell(self) -> tuple[InstanceId, ...]:
+        """List whom to tell that this gateway is there."""
+        own = self.config.instance
+        return tuple(dict.fromkeys(p for p in (*self.seeds, *self.known) if p != own))
+
+    def alive(self, now: float) -> list[InstanceId]:
+        """List the other gateways that were heard lately."""
+        oldest = now - self.config.silence_seconds
+        return [
+            peer
+            for peer, known in self.known.items()
+            if known.alive is not None and known.heard_at >= oldest
+        ]
+
+    def replicas(self) -> tuple[InstanceId, ...]:
+        """List the gateways known to hold replicas, this one included."""
+        holders = [
+            peer
+            for peer, known in self.known.items()
+            if known.alive is not None and known.alive.holds_replica
+        ]
+        if self.config.holds_replica:
+            holders.append(self.config.instance)
+        return tuple(sorted(holders))
+
+    def own_message(self, version: ConfigurationVersion, age: float) -> PeerAlive:
+        """Say that this gateway is there."""
+        return PeerAlive(
+            self.config.data_centre,
+            self.config.holds_replica,
+            age,
+            version,
+            tuple(peer for peer, known in self.known.items() if known.alive),
+        )
+
+    def forget_old(self, now: float) -> list[InstanceId]:
+        """Forget the gateways that have been silent for very long."""
+        old = [
+            peer
+            for peer, known in self.known.items()
+            if now - known.heard_at > self.config.forget_seconds
+        ]
+        for peer in old:
+            del self.known[peer]
+        return old
+
+    def founder(self) -> InstanceId | None:
+        """Name the gateway that founds the cluster, once its choice is certain.
+
+        All gateways of a first start have the same seeds. The lowest seed that holds a
+        replica founds; a lower one must have said that it holds none. Where no seed
+        does, it is the lowest gateway that the seeds know of.
+        """
+        for seed in sorted(self.seeds):
+            if seed == self.config.instance:
+                holds = self.config.holds_replica
+            else:
+                known = self.known.get(seed)
+                if known is None or known.alive is None:
+                    return None
+                holds = known.alive.holds_replica
+            if holds:
+                return seed
+        return next(iter(self.replicas()), None)
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -82,9 +82,46 @@
     """Seconds since 1970 at which the sender put that version in force."""
 
 
+class PeerAlive(Message, frozen=True):
+    """Say that a gateway is there, and which others it knows."""
+
+    data_centre: DataCentre
+    holds_replica: bool
+    age_seconds: float
+    """Time since its process started."""
+    routes_version: ConfigurationVersion
+    peers: tuple[InstanceId, ...]
+
+
 # Spreading the configuration.
 
 
+class RoutesDocument(Message, frozen=True):
+    """Be one routed configuration as an operator sent it."""
+
+    version: ConfigurationVersion
+    digest: str
+    """Equal for equal contents, whatever their order and white space."""
+    body: bytes
+
+
+class FetchRoutes(Message, frozen=True):
+    """Ask for the routed configuration by somebody who has an older one."""
+
+    have_version: ConfigurationVersion
+    question: str = ""
+    """Names a question for a quorum's word; the answer repeats it."""
+
+
+class RoutesSnapshot(Message, frozen=True):
+    """Carry the routed configuration that the sender holds."""
+
+    document: RoutesDocument
+    confirmed_by_quorum: bool
+    question: str = ""
+    """Repeats `FetchRoutes.question`."""
+
+
 class FetchConfiguration(Message, frozen=True):
     """Ask for the configuration in force by somebody who has an older one."""
 
--- /dev/null
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -0,0 +1,103 @@
+"""Offer what decides on requests that are served by route."""
+
+from cowslipshelf_core.internal.routed.checking import configuration_problem
+from cowslipshelf_core.internal.routed.configuration import (
+    CallerLimits,
+    EngineModel,
+    Route,
+    RouteConfiguration,
+    RoutedCustomer,
+    RouteKind,
+    ServiceConfiguration,
+    WeightedService,
+)
+from cowslipshelf_core.internal.routed.engine_board import EngineBoard, EngineView
+from cowslipshelf_core.internal.routed.engine_cost import (
+    PromptSize,
+    pass_seconds,
+    read_chunks,
+    read_seconds,
+    worth_of,
+)
+from cowslipshelf_core.internal.routed.engine_placing import (
+    Candidate,
+    EnginesChosen,
+    NoEngine,
+    PromptAsked,
+    place_prompt,
+)
+from cowslipshelf_core.internal.routed.matching import RouteTable, choose_service
+from cowslipshelf_core.internal.routed.messages import (
+    EnginePart,
+    EngineWork,
+    HeartbeatsSeen,
+    WorkChanged,
+)
+from cowslipshelf_core.internal.routed.peer_book import (
+    KnownPeer,
+    PeerBook,
+    PeerBookConfig,
+)
+from cowslipshelf_core.internal.routed.plain_placing import (
+    PlainCandidate,
+    choose_upstream,
+)
+from cowslipshelf_core.internal.routed.registry import (
+    HeartbeatSeen,
+    RegistryConfig,
+    UpstreamHeartbeat,
+    UpstreamPhase,
+    UpstreamRegistry,
+)
+from cowslipshelf_core.internal.routed.repeat_budget import (
+    RepeatBudget,
+    RepeatBudgetConfig,
+)
+from cowslipshelf_core.internal.routed.upstream_health import (
+    HealthSeen,
+    UpstreamHealth,
+)
+
+__all__ = [
+    "CallerLimits",
+    "Candidate",
+    "EngineBoard",
+    "EngineModel",
+    "EnginePart",
+    "EngineView",
+    "EngineWork",
+    "EnginesChosen",
+    "HealthSeen",
+    "HeartbeatSeen",
+    "HeartbeatsSeen",
+    "KnownPeer",
+    "NoEngine",
+    "PeerBook",
+    "PeerBookConfig",
+    "PlainCandidate",
+    "PromptAsked",
+    "PromptSize",
+    "RegistryConfig",
+    "RepeatBudget",
+    "RepeatBudgetConfig",
+    "Route",
+    "RouteConfiguration",
+    "RouteKind",
+    "RouteTable",
+    "RoutedCustomer",
+    "ServiceConfiguration",
+    "UpstreamHealth",
+    "UpstreamHeartbeat",
+    "UpstreamPhase",
+    "UpstreamRegistry",
+    "WeightedService",
+    "WorkChanged",
+    "choose_service",
+    "choose_upstream",
+    "configuration_problem",
+    "pass_seconds",
+    "place_prompt",
+    "read_chunks",
+    "read_seconds",
+    "worth_of",
+]
--- a/packages/daemon/src/cowslipshelf_daemon/__main__.py
+++ b/packages/daemon/src/cowslipshelf_daemon/__main__.py
@@ -2,6 +2,25 @@
 
 import sys
 
-from cowslipshelf_daemon.program import main
+GATEWAY = "gateway"
 
-sys.exit(main())
+
+def run() -> int:
+    """Run a gateway with the adapter that is named, or what the command line says.
+
+    A gateway that was killed serves nobody until it has loaded again, so it loads
+    nothing that only the other roles and the command line need.
+    """
+    match sys.argv[1:]:
+        case [role, adapter] if role == GATEWAY:
+            from cowslipshelf_daemon.internal.gateway.running import run_gateway
+
+            return run_gateway(adapter)
+        case _:
+            from cowslipshelf_daemon.program import main
+
+            return main()
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/actor.py
@@ -6,7 +6,7 @@
 
 from pykka import ThreadingActor
 
-from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("actor")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
@@ -16,6 +16,7 @@
     ProposalFailed,
     ProposalResult,
     ProposalResultArrived,
+    ReplicasSeen,
     SendTo,
     SubmitAsked,
     TickElapsed,
@@ -65,7 +66,7 @@
                 self.handle(submit)
             case Delivered(sender=sender, message=ProposalResult() as result):
                 self.handle(ProposalResultArrived(sender, result))
-            case LeaderSeen():
+            case LeaderSeen() | ReplicasSeen():
                 self.handle(message)
 
     def handle(self, event: ProposalClientEvent) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -59,13 +59,10 @@
     make_view,
 )
 from cowslipshelf_daemon.internal.ticker import Ticker
-from cowslipshelf_fleet import (
-    AttemptsClient,
-    AttemptsClientConfig,
-    Mailbox,
-)
+from cowslipshelf_fleet.attempts import AttemptsClient, AttemptsClientConfig
+from cowslipshelf_fleet.mailboxes import Mailbox
+from cowslipshelf_host.settings import DaemonSettings
 from cowslipshelf_operators import OperatorKey, OperatorsServer, OperatorsServerConfig
-from cowslipshelf_platform.settings import DaemonSettings
 
 HAND_OVER_LEADERSHIP_SECONDS = 0.5
 OPERATOR = "operator"
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/cancel_desk.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/cancel_desk.py
@@ -3,7 +3,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_fleet import AttemptsClient
+from cowslipshelf_fleet.attempts import AttemptsClient
 
 SENDERS = 8
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/configuration_actor.py
@@ -21,7 +21,7 @@
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("configuration")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
@@ -16,7 +16,7 @@
 )
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.post import Delivered
-from cowslipshelf_fleet import Received
+from cowslipshelf_fleet.mailboxes import Received
 
 
 class Dispatch(NamedTuple):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/entry_metrics.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/entry_metrics.py
@@ -2,8 +2,8 @@
 
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.requests import CallerRequest
-from cowslipshelf_fleet import Mailbox
-from cowslipshelf_platform.metrics import Metrics
+from cowslipshelf_fleet.mailboxes import Mailbox
+from cowslipshelf_host.metrics import Metrics
 
 REQUESTS = "cowslipshelf_requests_total"
 FIRST_CHUNK = "cowslipshelf_first_chunk_seconds"
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/held_part.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/held_part.py
@@ -17,7 +17,7 @@
     SpreadEvent,
     TimePassed,
 )
-from cowslipshelf_fleet import AttemptStream, StreamLostError
+from cowslipshelf_fleet.attempts import AttemptStream, StreamLostError
 
 
 class HeldPart:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -35,7 +35,8 @@
 from cowslipshelf_daemon.internal.entry.open_requests import OpenRequests
 from cowslipshelf_daemon.internal.entry.replica_actor import ControlStateAsked, leads
 from cowslipshelf_daemon.internal.entry.routing_actor import FleetStatus
-from cowslipshelf_fleet import Mailbox
+from cowslipshelf_fleet.mailboxes import Mailbox
+from cowslipshelf_host.settings import DaemonSettings
 from cowslipshelf_operators import (
     ExplainAnswer,
     ExplainKind,
@@ -46,7 +47,6 @@
     order_status,
 )
 from cowslipshelf_operators.errors import HandlerError
-from cowslipshelf_platform.settings import DaemonSettings
 
 COMMAND_SECONDS = 8.0
 READ_SECONDS = 5.0
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/order_courier.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/order_courier.py
@@ -14,7 +14,7 @@
 from cowslipshelf_daemon.internal.entry.routing_actor import FleetStatus
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("orders")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -16,6 +16,7 @@
     Entry,
     EntryKind,
     Event,
+    FoundCluster,
     InstallState,
     LeaderSeen,
     PeerMessageArrived,
@@ -28,6 +29,7 @@
     ReadConfirmed,
     ReadFailed,
     Replica,
+    ReplicasSeen,
     ReplicaStatus,
     Role,
     RoleChanged,
@@ -52,12 +54,14 @@
     FencingAnswered,
     FencingAsked,
     FetchConfiguration,
+    FetchRoutes,
+    RoutesSnapshot,
 )
 from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_platform.storage import ReplicaStorage, StorageError
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.storage import ReplicaStorage, StorageError
 
 LOG = part_logger("replica")
 
@@ -107,8 +111,9 @@
         self.reads_asked = 0
 
     def on_start(self) -> None:
-        """Put the configuration of the stored snapshot before this process."""
+        """Put what the stored snapshot holds before this process."""
         self.publish_configuration()
+        self.publish_routes()
 
     def on_receive(self, message: Any) -> None:
         """Collect events as long as more are waiting, then handle them together."""
@@ -117,7 +122,7 @@
                 self.events.append(TickElapsed())
             case Delivered():
                 self.receive(message)
-            case TransferLeadership():
+            case TransferLeadership() | ReplicasSeen() | FoundCluster():
                 self.events.append(message)
             case ControlStateAsked(read=read, reply=reply):
                 reply.put(read(self.state, self.replica.status()))
@@ -132,6 +137,11 @@
                 self.take_proposal(proposal, delivered.sender_address)
             case FetchConfiguration(question=question) if question:
                 self.ask_read(delivered)
+            case FetchRoutes(question=question) if question:
+                self.ask_read(delivered)
+            case FetchRoutes(have_version=have):
+                if self.state.routes.held.version > have:
+                    self.answer_routes(delivered, confirmed=False)
             case FencingAsked():
                 self.ask_read(delivered)
             case FetchConfiguration():
@@ -172,8 +182,13 @@
         failure = self.make_durable(effects)
         if failure is not None:
             effects = self.give_up_disk(effects, failure)
+        routes_before = self.state.routes.held.version
         for effect in effects:
             self.perform(effect)
+        # Once for a batch: a replica that starts applies its whole log at once, and
+        # each configuration in it would be decoded in vain.
+        if self.state.routes.held.version != routes_before:
+            self.publish_routes()
         if failure is not None:
             self.answer_what_is_left()
 
@@ -297,6 +312,8 @@
         match asked:
             case Delivered(message=FetchConfiguration()):
                 self.answer_configuration(asked, confirmed)
+            case Delivered(message=FetchRoutes()) if confirmed:
+                self.answer_routes(asked, confirmed)
             case Delivered(message=FencingAsked() as question) if confirmed:
                 self.answer_fencing(asked, question)
 
@@ -313,6 +330,20 @@
         )
         self.post.send(asked.sender_address, snapshot)
 
+    def answer_routes(self, asked: Delivered, confirmed: bool) -> None:
+        """Send the routed configuration as it is applied here."""
+        snapshot = RoutesSnapshot(
+            self.state.routes.held, confirmed, asked.message.question
+        )
+        self.post.send(asked.sender_address, snapshot)
+
+    def publish_routes(self) -> None:
+        """Put the applied routed configuration before this process's view."""
+        snapshot = RoutesSnapshot(self.state.routes.held, confirmed_by_quorum=False)
+        self.configuration.tell(
+            Delivered(self.post.instance, self.post.address, snapshot)
+        )
+
     def publish_configuration(self) -> None:
         """Put the applied configuration before this process's view."""
         snapshot = ConfigurationSnapshot(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_start.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_start.py
@@ -14,8 +14,8 @@
 from cowslipshelf_daemon.internal.errors import StartError
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.process_parts import replica_instances
-from cowslipshelf_platform.settings import DaemonSettings
-from cowslipshelf_platform.storage import ReplicaStorage, ReplicaStorageConfig
+from cowslipshelf_host.settings import DaemonSettings
+from cowslipshelf_host.storage import ReplicaStorage, ReplicaStorageConfig
 
 HEARTBEATS_PER_ELECTION = 5
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -73,7 +73,7 @@
     STEP,
     SpreadServices,
 )
-from cowslipshelf_fleet import (
+from cowslipshelf_fleet.attempts import (
     AttemptsClient,
     AttemptStream,
     HandOverFailed,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -54,9 +54,9 @@
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_fleet import Received
-from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_platform.settings import DaemonSettings
+from cowslipshelf_fleet.mailboxes import Received
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.settings import DaemonSettings
 
 LOG = part_logger("routing")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_desk.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_desk.py
@@ -8,7 +8,7 @@
     SpreadHandOver,
     SpreadServices,
 )
-from cowslipshelf_fleet import AttemptStream, HandOverFailed
+from cowslipshelf_fleet.attempts import AttemptStream, HandOverFailed
 
 
 class SpreadDesk:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_hand_over.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/spread_hand_over.py
@@ -35,7 +35,7 @@
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
 from cowslipshelf_daemon.internal.entry.held_part import HeldPart
-from cowslipshelf_fleet import AttemptsClient, HandOverFailed
+from cowslipshelf_fleet.attempts import AttemptsClient, HandOverFailed
 
 STEP = "spread"
 MOST_BEGINS = 3
--- a/packages/daemon/src/cowslipshelf_daemon/internal/forced_members.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/forced_members.py
@@ -7,8 +7,8 @@
 from result import Err, Ok
 
 from cowslipshelf_core.agreement import FORCED_MEMBERS_WARNING
-from cowslipshelf_platform.settings import DaemonSettings
-from cowslipshelf_platform.storage import (
+from cowslipshelf_host.settings import DaemonSettings
+from cowslipshelf_host.storage import (
     ReplicaStorageConfig,
     force_members_in_folder,
 )
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -0,0 +1,262 @@
+"""Put a gateway together, run it, and end it without cutting a request."""
+
+import asyncio
+import signal
+import time
+import uuid
+
+from pykka import ActorRef
+
+from cowslipshelf_core.agreement import (
+    LeaderSeen,
+    ProposalClient,
+    ProposalClientConfig,
+    ProposalResult,
+)
+from cowslipshelf_core.dialect import Dialect
+from cowslipshelf_core.identifiers import Epoch
+from cowslipshelf_core.messages import (
+    FetchRoutes,
+    PeerAlive,
+    RoutesSnapshot,
+)
+from cowslipshelf_core.routed import CallerLimits, HeartbeatsSeen, WorkChanged
+from cowslipshelf_daemon.internal.control_gateway import GatewayActor
+from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
+from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
+from cowslipshelf_daemon.internal.gateway.control_handler import ControlHandler
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.gossip import (
+    ALIVE_SECONDS,
+    FULL_SECONDS,
+    Gossip,
+)
+from cowslipshelf_daemon.internal.gateway.http_server import (
+    HttpRequest,
+    HttpServer,
+    Responder,
+)
+from cowslipshelf_daemon.internal.gateway.loop_post import LoopInbox
+from cowslipshelf_daemon.internal.gateway.replica_keeper import ReplicaKeeper
+from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
+from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
+from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
+from cowslipshelf_daemon.internal.post import Delivered, Post
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_daemon.internal.wire import MailboxMessage
+from cowslipshelf_fleet.mailboxes import Mailbox, MailboxConfig, Received
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
+
+LOG = part_logger("gateway")
+
+CLUSTER_KEY = b"cowslipshelf-gateways"
+"""Tells this system's messages from strangers'. The machines give no secret that all
+gateways know, so it keeps out accidents, not attackers; see docs/QUESTIONS.md."""
+MAILBOX_HEARTBEAT_SECONDS = 1.0
+MAILBOX_SILENCE_SECONDS = 3.0
+TICK_SECONDS = 0.05
+FORGET_SECONDS = 5.0
+RESERVED_DESCRIPTORS = 600
+"""Descriptors kept for upstreams, peers, files and logs."""
+CONTROL_CONNECTIONS = 256
+LEAVE_ROTATION_SECONDS = 2.5
+"""Time after the signal for which new connections are still taken: the balancer asks
+each second, and takes a gateway out after two answers that it is not ready."""
+END_MARGIN_SECONDS = 0.7
+"""Time kept at the end of the shutdown to close what is left, before the kill."""
+DRAIN_CHECK_SECONDS = 0.05
+CONTROL_BODY_BYTES = 32 * 1024 * 1024
+"""Bound on a configuration: a hundred thousand routes take about as much."""
+
+
+class Gateway:
+    """Own the parts of one gateway; they live on one event loop."""
+
+    def __init__(self, settings: GatewaySettings, dialect: Dialect) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.loop = asyncio.get_running_loop()
+        self.metrics = Metrics()
+        self.view = FleetView.from_settings(settings)
+        self.pool = UpstreamPool()
+        own_address = settings.peer_address(settings.instance)
+        self.post = Post(settings.instance, own_address)
+        for seed in settings.seeds:
+            self.post.learn(seed, settings.peer_address(seed))
+        proposals = ProposalClient.from_config(ProposalClientConfig(()))
+        self.control_actor: ActorRef = GatewayActor.start(proposals, self.post)
+        self.client = ControlClient(self.control_actor, self.post)
+        self.gossip = Gossip(self.view, self.post, self.client, dialect)
+        self.view.tell_work = self.gossip.tell_work
+        self.inbox = LoopInbox(self.loop, self.gossip.receive)
+        self.keeper = ReplicaKeeper(
+            self.view, self.post, self.inbox, self.control_actor
+        )
+        self.mailbox = self.make_mailbox(own_address)
+        self.leaving = False
+        self.ended = asyncio.Event()
+        runner = AttemptRunner(self.view, self.pool, dialect)
+        self.callers = HttpServer(
+            "callers",
+            RequestHandler(self.view, runner, dialect, self.metrics),
+            self.limits,
+            max(64, (settings.most_descriptors - RESERVED_DESCRIPTORS) // 2),
+        )
+        self.control = HttpServer(
+            "control",
+            ControlHandler(self.view, self.client, self.gossip, dialect),
+            lambda: CallerLimits(body_bytes=CONTROL_BODY_BYTES),
+            CONTROL_CONNECTIONS,
+        )
+        self.ready = HttpServer(
+            "ready", self.answer_ready, CallerLimits, CONTROL_CONNECTIONS
+        )
+
+    def make_mailbox(self, address: str) -> Mailbox:
+        """Make the mailbox through which gateways talk."""
+        config = MailboxConfig(
+            instance=self.settings.instance,
+            epoch=Epoch(uuid.uuid4().hex),
+            listen_address=address,
+            cluster_key=CLUSTER_KEY,
+            heartbeat_seconds=MAILBOX_HEARTBEAT_SECONDS,
+            silence_seconds=MAILBOX_SILENCE_SECONDS,
+            message_types=MailboxMessage,
+            idle_seconds=20.0,
+        )
+        return Mailbox.from_config(
+            config, self.receive, lambda: self.view.document.version
+        )
+
+    def receive(self, received: Received) -> None:
+        """Take a message on the mailbox's thread."""
+        sender, address = received.sender, received.sender_address
+        self.deliver(Delivered(sender, address, received.message))
+
+    def deliver(self, delivered: Delivered) -> None:
+        """Hand a message to the part that it is for, from any thread."""
+        match delivered.message:
+            case (
+                PeerAlive()
+                | HeartbeatsSeen()
+                | WorkChanged()
+                | RoutesSnapshot()
+                | FetchRoutes(question="")
+            ):
+                self.inbox.tell(delivered)
+            case ProposalResult() | LeaderSeen():
+                self.control_actor.tell(delivered)
+            case _:
+                actor = self.keeper.actor
+                if actor is not None and actor.is_alive():
+                    actor.tell(delivered)
+
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers that are in force."""
+        table = self.view.table
+        return CallerLimits() if table is None else table.configuration.limits
+
+    async def answer_ready(self, request: HttpRequest, responder: Responder) -> None:
+        """Tell whether callers should be sent here."""
+        if self.dialect.is_ready_question(request.method, request.path):
+            await responder.whole(200 if self.is_ready() else 503, [])
+        elif request.path == "/metrics":
+            await responder.whole(200, [], self.metrics.prometheus_text().encode())
+        else:
+            await responder.whole(404, [])
+
+    def is_ready(self) -> bool:
+        """Tell whether requests can be served."""
+        return not self.leaving and self.view.table is not None
+
+    async def start(self) -> None:
+        """Listen at every address, and begin to look for the others."""
+        self.mailbox.start()
+        self.post.attach(self.mailbox, self.deliver)
+        settings = self.settings
+        if settings.control_address is not None:
+            await self.control.start(settings.control_address)
+        if settings.ready_address is not None:
+            await self.ready.start(settings.ready_address)
+        if settings.callers_address is not None:
+            await self.callers.start(settings.callers_address)
+
+    async def run(self) -> None:
+        """Do what the time demands until the gateway has ended."""
+        alive_due = full_due = forget_due = 0.0
+        while not self.ended.is_set():
+            now = time.monotonic()
+            self.keeper.tick()
+            self.control_actor.tell(Tick())
+            if now >= alive_due:
+                alive_due = now + ALIVE_SECONDS
+                self.gossip.tell_alive()
+                self.gossip.flush_heartbeats()
+            if now >= full_due:
+                full_due = now + FULL_SECONDS
+                self.gossip.tell_everything()
+            if now >= forget_due:
+                forget_due = now + FORGET_SECONDS
+                self.view.forget_old()
+                self.pool.close_stale()
+            await asyncio.sleep(TICK_SECONDS)
+
+    async def leave(self) -> None:
+        """Finish what runs and end.
+
+        Readiness goes first, so that the balancer sends nothing more; connections are
+        still taken until it has noticed, and only then are idle ones closed.
+        """
+        self.leaving = True
+        began = time.monotonic()
+        LOG.info("Leaving.", requests=self.callers.busy)
+        self.callers.closing = True
+        self.keeper.hand_over()
+        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
+        self.callers.stop_listening()
+        self.callers.close_idle()
+        end = began + self.settings.shutdown_seconds - END_MARGIN_SECONDS
+        while self.callers.busy and time.monotonic() < end:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+            self.callers.close_idle()
+        LOG.info("Left.", cut=self.callers.busy)
+        self.ended.set()
+
+    def stop(self) -> None:
+        """Close everything that is left."""
+        for server in (self.callers, self.control, self.ready):
+            server.stop_listening()
+            server.abort_all()
+        self.pool.close_all()
+        self.keeper.stop()
+        self.control_actor.stop()
+        self.mailbox.stop()
+
+
+async def serve(settings: GatewaySettings, dialect: Dialect) -> None:
+    """Run a gateway until it is asked to end and has ended."""
+    gateway = Gateway(settings, dialect)
+    leaving: list[asyncio.Task[None]] = []
+
+    def begin_to_leave() -> None:
+        if not leaving:
+            leaving.append(gateway.loop.create_task(gateway.leave()))
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gateway.loop.add_signal_handler(number, begin_to_leave)
+    gateway.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("Reload asked."))
+    await gateway.start()
+    LOG.info(
+        "Started.",
+        instance=settings.instance,
+        name=settings.name,
+        replica=settings.data_folder is not None,
+        first_start=settings.first_start,
+        seeds=settings.seeds,
+    )
+    try:
+        await gateway.run()
+    finally:
+        gateway.stop()
+    LOG.info("Ended.")
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -0,0 +1,245 @@
+"""Run one attempt of a request at one upstream."""
+
+import time
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from cowslipshelf_core.dialect import CallerFacts, Dialect, ForwardFacts, Headers
+from cowslipshelf_core.identifiers import CustomerName
+from cowslipshelf_core.routed import Route, RouteKind
+from cowslipshelf_daemon.internal.gateway.event_stream import EventCutter
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
+from cowslipshelf_daemon.internal.gateway.placement import Placement
+from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    OutgoingRequest,
+    UpstreamConnection,
+    UpstreamHead,
+    UpstreamLostError,
+)
+from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
+
+SERVER_ERROR = 500
+MOST_BUFFERED_BYTES = 8 * 1024 * 1024
+"""Longest answer that is held until it is whole; a longer one is passed on as it
+comes, and can't be repeated if it breaks."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Say that the caller has got an upstream's answer, whole."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotReached:
+    """Say that no byte of the request reached the upstream."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Say that the upstream promised not to have run the request."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class FailedThere:
+    """Say that the upstream ran the request and answered with a failure."""
+
+    head: UpstreamHead
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """Say that the upstream was lost when it may have run the request."""
+
+    step: str
+    detail: str
+
+
+AttemptOutcome = Answered | NotReached | NotRun | FailedThere | Broken
+
+
+class AttemptTask(NamedTuple):
+    """Be what all attempts of one request share."""
+
+    request: HttpRequest
+    facts: CallerFacts
+    route: Route
+    customer: CustomerName | None
+    responder: Responder
+    delivered: "Delivered"
+    deadline: float
+
+
+@dataclass(slots=True)
+class Delivered:
+    """Hold how far the caller's answer has come, over all attempts."""
+
+    last_event_id: str | None
+    events_sent: bool = False
+
+
+class AttemptRunner:
+    """Run attempts: one connection, one answer, passed on or judged."""
+
+    def __init__(self, view: FleetView, pool: UpstreamPool, dialect: Dialect) -> None:
+        self.view = view
+        self.pool = pool
+        self.dialect = dialect
+
+    async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
+        """Run one attempt, and learn from it about the upstream."""
+        upstream = placement.upstream
+        running = self.view.running
+        running[upstream.upstream_id] = running.get(upstream.upstream_id, 0) + 1
+        if placement.work is not None:
+            self.view.begin_work(placement.work)
+        try:
+            outcome = await self.exchange(task, placement)
+        finally:
+            running[upstream.upstream_id] -= 1
+            if placement.work is not None:
+                self.view.end_work(placement.work.attempt_id)
+        self.learn(placement, outcome)
+        return outcome
+
+    def learn(self, placement: Placement, outcome: AttemptOutcome) -> None:
+        """Note what an attempt says of its upstream."""
+        upstream_id = placement.upstream.upstream_id
+        now = time.monotonic()
+        match outcome:
+            case NotReached() | Broken():
+                self.view.health.lost(upstream_id, now)
+            case FailedThere():
+                self.view.health.answered(upstream_id, True, None, now)
+            case NotRun():
+                self.view.health.answered(upstream_id, True, None, now)
+            case Answered():
+                self.view.health.answered(upstream_id, False, None, now)
+
+    async def exchange(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
+        """Send the request and take the answer."""
+        upstream = placement.upstream
+        # A kept connection may be closed by the other side just as it is used again,
+        # and then nobody can say whether the request ran.
+        fresh = not task.route.repeatable
+        try:
+            connection = await self.pool.take(
+                upstream.upstream_id, upstream.address, fresh
+            )
+        except UpstreamLostError as error:
+            return NotReached(str(error))
+        kept = False
+        try:
+            outcome = await self.talk(task, placement, connection)
+            kept = isinstance(outcome, Answered | NotRun | FailedThere)
+            return outcome
+        except UpstreamLostError as error:
+            return Broken(error.step, str(error))
+        finally:
+            if kept:
+                self.pool.give_back(upstream.upstream_id, connection)
+            else:
+                connection.abort()
+
+    async def talk(
+        self, task: AttemptTask, placement: Placement, connection: UpstreamConnection
+    ) -> AttemptOutcome:
+        """Send, wait for the head, and judge or pass on what follows."""
+        connection.send(self.outgoing(task, placement))
+        head = await connection.head()
+        facts = self.dialect.answer_facts(head.status, head.headers)
+        if facts.keep_alive_seconds is not None:
+            connection.keep_alive_seconds = facts.keep_alive_seconds
+        if facts.not_run:
+            await collect(connection)
+            return NotRun(head.status)
+        if facts.attempt_id != task.facts.attempt_id:
+            # An answer to an earlier request of this connection came late.
+            raise connection.lost("match answer", f"answers {facts.attempt_id}")
+        if task.route.kind is RouteKind.STREAM and head.status < 300:
+            return await self.pass_stream(task, placement, connection, head)
+        body = await collect(connection)
+        if head.status >= SERVER_ERROR:
+            return FailedThere(head, body)
+        await self.deliver(task, head, body)
+        return Answered(head.status)
+
+    def outgoing(self, task: AttemptTask, placement: Placement) -> OutgoingRequest:
+        """Write the request as the upstream gets it."""
+        facts = ForwardFacts(
+            placement.upstream.upstream_id,
+            task.customer,
+            task.deadline - time.monotonic(),
+            task.delivered.last_event_id,
+            placement.priority,
+            placement.helpers,
+        )
+        request = task.request
+        headers = self.dialect.forwarded_headers(request.headers, facts)
+        return OutgoingRequest(
+            request.method,
+            request.target,
+            with_length(headers, request),
+            request.body,
+        )
+
+    async def deliver(self, task: AttemptTask, head: UpstreamHead, body: bytes) -> None:
+        """Give the caller an upstream's whole answer."""
+        headers = self.dialect.answer_headers(head.headers)
+        await task.responder.whole(head.status, headers, body)
+
+    async def pass_stream(
+        self,
+        task: AttemptTask,
+        placement: Placement,
+        connection: UpstreamConnection,
+        head: UpstreamHead,
+    ) -> AttemptOutcome:
+        """Pass events on as they come; the first attempt's head stays the answer's."""
+        cutter = EventCutter()
+        async for data in connection.body():
+            piece = cutter.take(data)
+            if piece is None:
+                continue
+            if placement.work is not None and not task.delivered.events_sent:
+                self.view.first_token(placement.work.attempt_id)
+            self.begin_stream(task, head)
+            task.delivered.events_sent = True
+            if piece.last_id is not None:
+                task.delivered.last_event_id = piece.last_id
+            await task.responder.piece(piece.data)
+        self.begin_stream(task, head)
+        await task.responder.piece(cutter.rest())
+        await task.responder.end()
+        return Answered(head.status)
+
+    def begin_stream(self, task: AttemptTask, head: UpstreamHead) -> None:
+        """Send the head of a streamed answer, once."""
+        if not task.responder.begun:
+            headers = self.dialect.answer_headers(head.headers)
+            task.responder.begin(head.status, headers)
+
+
+async def collect(connection: UpstreamConnection) -> bytes:
+    """Read a whole body."""
+    body = bytearray()
+    async for data in connection.body():
+        body += data
+        if len(body) > MOST_BUFFERED_BYTES:
+            raise connection.lost("read answer", "the answer is too long to be held")
+    return bytes(body)
+
+
+def with_length(headers: Headers, request: HttpRequest) -> Headers:
+    """Frame the body by its length, whichever way the caller framed it."""
+    kept = [pair for pair in headers if pair[0] != b"content-length"]
+    if request.body or any(name == b"content-length" for name, _ in headers):
+        kept.append((b"content-length", str(len(request.body)).encode()))
+    return kept
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_client.py
@@ -0,0 +1,78 @@
+"""Ask the replicas, from the event loop: for a change, or for what a quorum holds."""
+
+import asyncio
+import time
+import uuid
+
+from pykka import ActorRef
+
+from cowslipshelf_core.agreement import SubmitAsked
+from cowslipshelf_core.control import (
+    ControlCommand,
+    ControlOutcome,
+    encode_command,
+)
+from cowslipshelf_core.errors import Refusal
+from cowslipshelf_core.identifiers import NO_CONFIGURATION, InstanceId
+from cowslipshelf_core.messages import FetchRoutes, RoutesDocument, RoutesSnapshot
+from cowslipshelf_daemon.internal.control_gateway import CommandAsked
+from cowslipshelf_daemon.internal.gateway.loop_post import LoopReply
+from cowslipshelf_daemon.internal.post import Post
+
+CHANGE_SECONDS = 3.0
+"""Time for a change: two elections, so that one lost leader is outlasted."""
+READ_SECONDS = 0.9
+"""Time for a read; who asks goes to another gateway after a second."""
+READ_ASK_SECONDS = 0.3
+"""Silence of a replica after which another one is asked."""
+
+
+class ControlClient:
+    """Bring changes and reads to the replicas."""
+
+    def __init__(self, gateway: ActorRef, post: Post) -> None:
+        self.gateway = gateway
+        self.post = post
+        self.reads: dict[str, asyncio.Future[RoutesDocument]] = {}
+
+    async def change(self, command: ControlCommand) -> ControlOutcome | Refusal | None:
+        """Commit a command; return nothing where no answer came in time."""
+        loop = asyncio.get_running_loop()
+        reply = LoopReply(loop)
+        deadline = time.monotonic() + CHANGE_SECONDS
+        submit = SubmitAsked(uuid.uuid4().hex, encode_command(command), deadline)
+        self.gateway.tell(CommandAsked(submit, reply))
+        try:
+            async with asyncio.timeout(CHANGE_SECONDS + 0.5):
+                return await reply.future
+        except TimeoutError:
+            return None
+
+    async def read(self, replicas: tuple[InstanceId, ...]) -> RoutesDocument | None:
+        """Return what a quorum holds; nothing where none confirms it in time."""
+        question = uuid.uuid4().hex
+        future: asyncio.Future[RoutesDocument] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.reads[question] = future
+        ends = time.monotonic() + READ_SECONDS
+        own_first = sorted(replicas, key=lambda each: each != self.post.instance)
+        try:
+            turn = 0
+            while own_first and time.monotonic() < ends:
+                replica = own_first[turn % len(own_first)]
+                turn += 1
+                asked = FetchRoutes(NO_CONFIGURATION, question)
+                self.post.send_to_instance(replica, asked)
+                done, _ = await asyncio.wait({future}, timeout=READ_ASK_SECONDS)
+                if done:
+                    return future.result()
+            return None
+        finally:
+            del self.reads[question]
+
+    def take_answer(self, snapshot: RoutesSnapshot) -> None:
+        """Take in a replica's answer; only a quorum's word counts."""
+        future = self.reads.get(snapshot.question)
+        if snapshot.confirmed_by_quorum and future is not None and not future.done():
+            future.set_result(snapshot.document)
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -0,0 +1,197 @@
+"""Hold what one gateway believes of the fleet: routes, upstreams, work, peers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Self
+
+from cowslipshelf_core.identifiers import AttemptId, ServiceName, UpstreamId
+from cowslipshelf_core.messages import RoutesDocument
+from cowslipshelf_core.routed import (
+    EngineBoard,
+    EngineWork,
+    HeartbeatSeen,
+    HeartbeatsSeen,
+    PeerBook,
+    PeerBookConfig,
+    RegistryConfig,
+    RepeatBudget,
+    RepeatBudgetConfig,
+    RouteConfiguration,
+    RouteTable,
+    UpstreamHealth,
+    UpstreamHeartbeat,
+    UpstreamRegistry,
+    WorkChanged,
+)
+from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
+from cowslipshelf_host.logs import part_logger
+
+LOG = part_logger("fleet_view")
+
+HEARTBEATS_MISSED = 4
+"""Heartbeats of an upstream that may be missed. They come late by seconds at times;
+an upstream that is dead shows sooner, by a connection that fails."""
+NO_DOCUMENT = RoutesDocument(RouteConfiguration(0).version, "", b"")
+
+
+@dataclass(slots=True)
+class FleetView:
+    """Be the beliefs of one gateway; only its event loop touches them."""
+
+    settings: GatewaySettings
+    registry: UpstreamRegistry
+    peers: PeerBook
+    budget: RepeatBudget
+    tell_work: Callable[[WorkChanged], None]
+    """Tells the other gateways; set once the process is put together."""
+    board: EngineBoard = field(default_factory=EngineBoard)
+    health: UpstreamHealth = field(default_factory=UpstreamHealth)
+    running: dict[UpstreamId, int] = field(default_factory=dict)
+    """Requests that this gateway has at each upstream."""
+    random: Random = field(default_factory=Random)
+    table: RouteTable | None = None
+    document: RoutesDocument = NO_DOCUMENT
+    table_since: float = 0.0
+    learned: asyncio.Event = field(default_factory=asyncio.Event)
+    """Set when a first configuration or an upstream comes; replaced each time."""
+
+    @classmethod
+    def from_settings(cls, settings: GatewaySettings) -> Self:
+        """Begin with no beliefs."""
+        silence = HEARTBEATS_MISSED * settings.upstream_heartbeat_seconds
+        return cls(
+            settings,
+            UpstreamRegistry.from_config(RegistryConfig(silence)),
+            PeerBook.from_config(
+                PeerBookConfig(
+                    settings.instance,
+                    settings.data_centre,
+                    settings.data_folder is not None,
+                    settings.seeds,
+                )
+            ),
+            RepeatBudget.from_config(
+                RepeatBudgetConfig(
+                    settings.repeat_window_seconds,
+                    settings.repeat_ratio,
+                    settings.repeat_slack,
+                )
+            ),
+            tell_work=lambda _changed: None,
+        )
+
+    def put_in_force(
+        self, document: RoutesDocument, configuration: RouteConfiguration
+    ) -> bool:
+        """Put a newer configuration in force; return whether it is newer.
+
+        An older one may arrive late, from a gateway that was cut off; going back to
+        it would undo what callers have seen.
+        """
+        if document.version <= self.document.version:
+            return False
+        before = self.document.version
+        self.document = document
+        self.table = RouteTable.from_configuration(configuration)
+        self.table_since = time.monotonic()
+        self.wake_waiting()
+        LOG.info(
+            "Configuration in force.",
+            version=document.version,
+            before=before,
+            routes=len(configuration.routes),
+            customers=len(configuration.customers),
+        )
+        return True
+
+    def take_heartbeat(self, heartbeat: UpstreamHeartbeat, age: float) -> bool:
+        """Take in an upstream's heartbeat; return whether its phase is news."""
+        changed = self.registry.take(heartbeat, time.monotonic() - age)
+        if changed:
+            self.wake_waiting()
+            LOG.info(
+                "Upstream changed.",
+                upstream=heartbeat.upstream_id,
+                service=heartbeat.service,
+                address=heartbeat.address,
+                phase=heartbeat.phase,
+                sequence=heartbeat.sequence,
+                age_seconds=round(age, 3),
+            )
+        return changed
+
+    def wake_waiting(self) -> None:
+        """Wake the requests that wait for what this gateway has yet to learn."""
+        self.learned.set()
+        self.learned = asyncio.Event()
+
+    async def wait_to_learn(self, known: Callable[[], bool], seconds: float) -> bool:
+        """Wait until something is known, for a time at most; return whether it is.
+
+        A gateway that has just started learns its configuration and its upstreams
+        within a second or so, and serves sooner than the caller could come back.
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                while not known():
+                    await self.learned.wait()
+        except TimeoutError:
+            return known()
+        return True
+
+    def take_heartbeats(self, message: HeartbeatsSeen) -> None:
+        """Take in heartbeats that another gateway passes on."""
+        for seen in message.seen:
+            self.take_heartbeat(seen.heartbeat, seen.age_seconds)
+
+    def take_work(self, message: WorkChanged) -> None:
+        """Take in what another gateway does on engines."""
+        now = time.monotonic()
+        for work in message.begun:
+            self.board.begin(work, now)
+        for attempt_id in message.first_tokens:
+            self.board.first_token(attempt_id)
+        for attempt_id in message.ended:
+            self.board.end(attempt_id)
+
+    def begin_work(self, work: EngineWork) -> None:
+        """Note work that this gateway places, and tell the others."""
+        self.board.begin(work, time.monotonic())
+        self.tell_work(WorkChanged(begun=(work,)))
+
+    def first_token(self, attempt_id: AttemptId) -> None:
+        """Note a first token, and tell the others."""
+        self.board.first_token(attempt_id)
+        self.tell_work(WorkChanged(first_tokens=(attempt_id,)))
+
+    def end_work(self, attempt_id: AttemptId) -> None:
+        """Note the end of work, and tell the others."""
+        self.board.end(attempt_id)
+        self.tell_work(WorkChanged(ended=(attempt_id,)))
+
+    def upstreams_of(self, service: ServiceName) -> list[UpstreamHeartbeat]:
+        """List the upstreams of a service that take new work."""
+        return self.registry.in_use(service, time.monotonic())
+
+    def gateways(self) -> int:
+        """Return how many gateways there seem to be, this one included."""
+        return len(self.peers.alive(time.monotonic())) + 1
+
+    def forget_old(self) -> None:
+        """Forget what is too old to matter."""
+        now = time.monotonic()
+        for upstream_id in self.registry.forget_old(now):
+            self.health.forget(upstream_id)
+            self.board.forget_engine(upstream_id)
+            self.running.pop(upstream_id, None)
+        self.peers.forget_old(now)
+        forgotten = self.board.forget_old(now)
+        if forgotten:
+            LOG.warning("Work forgotten whose end was not told.", attempts=forgotten)
+
+    def all_heartbeats(self) -> tuple[HeartbeatSeen, ...]:
+        """List every upstream known, for a gateway that may have missed some."""
+        return self.registry.all_seen(time.monotonic())
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
@@ -0,0 +1,354 @@
+"""Serve HTTP/1.1 on asyncio, with bounds on what a caller may send and how slowly."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import h11
+
+from cowslipshelf_core.dialect import Headers
+from cowslipshelf_core.routed import CallerLimits
+from cowslipshelf_host.logs import part_logger
+
+LOG = part_logger("http_server")
+
+READ_AHEAD_BYTES = 262_144
+"""Bytes taken from a caller that are not asked for yet; more stay in its socket."""
+CLOSE_SECONDS = 2.0
+"""Time for a caller to take the last answer before its connection is dropped."""
+
+
+class HttpRequest(NamedTuple):
+    """Be a whole request."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    host: str
+    peer: str
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+class AnswerCutError(Exception):
+    """Say that an answer was begun and can't be finished."""
+
+
+Handler = Callable[[HttpRequest, "Responder"], Awaitable[None]]
+
+
+class Responder:
+    """Write the answer to one request."""
+
+    def __init__(self, connection: "HttpConnection") -> None:
+        self.connection = connection
+        self.begun = False
+        self.ended = False
+
+    async def whole(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        framed = [pair for pair in headers if pair[0] != b"content-length"]
+        self.begin(status, [*framed, length])
+        await self.piece(body)
+        await self.end()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head; without a length, the pieces go out as chunks."""
+        self.begun = True
+        if self.connection.server.closing or self.connection.close_after:
+            headers = [*headers, (b"connection", b"close")]
+        response = h11.Response(status_code=status, headers=headers)
+        self.connection.send(response)
+
+    async def piece(self, data: bytes) -> None:
+        """Send a piece of the body, and wait while the caller is behind."""
+        if data and self.connection.method != "HEAD":
+            self.connection.send(h11.Data(data=data))
+            await self.connection.drained()
+
+    async def end(self) -> None:
+        """Send what completes the answer."""
+        self.connection.send(h11.EndOfMessage())
+        self.ended = True
+        await self.connection.drained()
+
+
+class HttpServer:
+    """Listen at one address and hand each request to a handler."""
+
+    def __init__(
+        self,
+        name: str,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        most_connections: int,
+    ) -> None:
+        self.name = name
+        self.handler = handler
+        self.limits = limits
+        self.most_connections = most_connections
+        self.connections: set[HttpConnection] = set()
+        self.closing = False
+        self.server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen at an address, given as IP and port."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: HttpConnection(self), host, int(port), backlog=512
+        )
+
+    @property
+    def busy(self) -> int:
+        """Return how many requests are being answered."""
+        return sum(connection.busy for connection in self.connections)
+
+    def stop_listening(self) -> None:
+        """Accept no more connections; those that are open stay."""
+        if self.server is not None:
+            self.server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing was asked."""
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.close()
+
+    def abort_all(self) -> None:
+        """Drop all connections."""
+        for connection in list(self.connections):
+            connection.abort()
+
+
+class HttpConnection(asyncio.Protocol):
+    """Read requests from one caller, one after the other, and answer them."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
+        )
+        self.transport: asyncio.Transport | None = None
+        self.peer = ""
+        self.method = ""
+        self.task: asyncio.Task[None] | None = None
+        self.arrived = asyncio.Event()
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.incoming = bytearray()
+        self.ended = False
+        self.busy = False
+        self.close_after = False
+
+    # What the transport calls.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to serve."""
+        self.transport = transport  # type: ignore[assignment]
+        peer = transport.get_extra_info("peername")
+        self.peer = f"{peer[0]}:{peer[1]}" if peer else ""
+        if len(self.server.connections) >= self.server.most_connections:
+            # Beyond the descriptors that the process may open, accepting fails for
+            # everybody; one connection is dropped instead.
+            LOG.warning("Connection dropped.", server=self.server.name, reason="full")
+            self.transport.abort()
+            return
+        self.server.connections.add(self)
+        self.task = asyncio.get_running_loop().create_task(self.serve())
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes; stop reading where the caller sends too far ahead."""
+        self.incoming += data
+        if len(self.incoming) > READ_AHEAD_BYTES:
+            self.transport.pause_reading()
+        self.arrived.set()
+
+    def eof_received(self) -> bool:
+        """Take the end of what the caller sends as its leaving."""
+        self.leave()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the work for a caller that has gone, which is no failure of ours."""
+        LOG.debug("Connection lost.", peer=self.peer, error=str(exc))
+        self.server.connections.discard(self)
+        self.leave()
+
+    def leave(self) -> None:
+        """End the task: nobody waits for what it does any more."""
+        self.ended = True
+        self.arrived.set()
+        self.writable.set()
+        if self.busy and self.task is not None:
+            self.task.cancel("caller left")
+
+    def pause_writing(self) -> None:
+        """Hold the answer back while the caller does not read."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Go on with the answer."""
+        self.writable.set()
+
+    # What the task does.
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether nothing of a request has arrived."""
+        return not self.busy and not self.incoming and not self.parser.trailing_data[0]
+
+    async def serve(self) -> None:
+        """Answer requests until either side closes."""
+        try:
+            while not self.ended:
+                request = await self.read_request()
+                if request is None:
+                    break
+                if not await self.answer(request):
+                    break
+                self.parser.start_next_cycle()
+            await self.finish()
+        except asyncio.CancelledError:
+            self.abort()
+        except Exception:
+            LOG.exception("Connection failed.", server=self.server.name, peer=self.peer)
+            self.abort()
+
+    async def answer(self, request: HttpRequest) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        self.busy = True
+        self.method = request.method
+        responder = Responder(self)
+        try:
+            await self.server.handler(request, responder)
+        except AnswerCutError:
+            # Closed without its last chunk, the answer can't be taken for whole.
+            self.abort()
+            return False
+        finally:
+            self.busy = False
+        return self.parser.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+
+    async def read_request(self) -> HttpRequest | None:
+        """Read a whole request, or answer why it can't be, or return nothing."""
+        limits = self.server.limits()
+        try:
+            head = await self.read_head(limits)
+            if head is None:
+                return None
+            body = await self.read_body(head, limits)
+        except TimeoutError:
+            if self.parser.their_state is not h11.IDLE or self.incoming:
+                await self.refuse(408)
+            return None
+        except h11.RemoteProtocolError as error:
+            await self.refuse(error.error_status_hint or 400)
+            return None
+        if body is None:
+            return None
+        headers = [(bytes(name), bytes(value)) for name, value in head.headers]
+        host = next((value for name, value in headers if name == b"host"), b"")
+        return HttpRequest(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            headers,
+            body,
+            host.decode("latin-1").partition(":")[0],
+            self.peer,
+        )
+
+    async def read_head(self, limits: CallerLimits) -> h11.Request | None:
+        """Wait for a request to begin, then for its head."""
+        while not self.incoming and not self.parser.trailing_data[0]:
+            if self.ended:
+                return None
+            await self.wait_for_bytes(limits.idle_seconds)
+        async with asyncio.timeout(limits.header_seconds):
+            event = await self.next_event()
+        return event if isinstance(event, h11.Request) else None
+
+    async def read_body(self, head: h11.Request, limits: CallerLimits) -> bytes | None:
+        """Read the body, or refuse one that is too long before it is in."""
+        length = next((int(v) for n, v in head.headers if n == b"content-length"), 0)
+        if length > limits.body_bytes:
+            await self.refuse(413)
+            return None
+        if self.parser.they_are_waiting_for_100_continue:
+            self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body = bytearray()
+        while True:
+            async with asyncio.timeout(limits.idle_seconds):
+                event = await self.next_event()
+            match event:
+                case h11.Data(data=data):
+                    body += data
+                    if len(body) > limits.body_bytes:
+                        await self.refuse(413)
+                        return None
+                case h11.EndOfMessage():
+                    return bytes(body)
+                case _:
+                    return None
+
+    async def next_event(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event that the caller's bytes make."""
+        while True:
+            event = self.parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if not self.incoming:
+                if self.ended:
+                    return h11.ConnectionClosed()
+                await self.wait_for_bytes(None)
+                continue
+            data = bytes(self.incoming)
+            self.incoming.clear()
+            self.parser.receive_data(data)
+            self.transport.resume_reading()
+
+    async def wait_for_bytes(self, seconds: float | None) -> None:
+        """Wait until the caller sends or leaves."""
+        self.arrived.clear()
+        async with asyncio.timeout(seconds):
+            await self.arrived.wait()
+
+    async def refuse(self, status: int) -> None:
+        """Answer a request that can't be read, and close."""
+        LOG.info("Request not read.", peer=self.peer, status=status)
+        self.close_after = True
+        if self.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await Responder(self).whole(status, [])
+
+    def send(self, event: h11.Event) -> None:
+        """Write an event."""
+        data = self.parser.send(event)
+        if data and not self.transport.is_closing():
+            self.transport.write(data)
+
+    async def drained(self) -> None:
+        """Wait while the caller is behind with reading."""
+        if not self.writable.is_set():
+            await self.writable.wait()
+
+    async def finish(self) -> None:
+        """Let the last bytes go out, then close."""
+        if self.transport.is_closing():
+            return
+        self.close()
+        await asyncio.sleep(CLOSE_SECONDS)
+        self.abort()
+
+    def close(self) -> None:
+        """Close once everything written has gone out."""
+        if not self.transport.is_closing():
+            self.transport.close()
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self.transport.abort()
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -0,0 +1,133 @@
+"""Place one attempt of a request, by what the gateway believes of the upstreams."""
+
+import time
+import uuid
+from typing import NamedTuple
+
+from cowslipshelf_core.dialect import CallerFacts
+from cowslipshelf_core.identifiers import AttemptId, ServiceName, UpstreamId
+from cowslipshelf_core.routed import (
+    Candidate,
+    EngineModel,
+    EngineWork,
+    NoEngine,
+    PlainCandidate,
+    PromptAsked,
+    Route,
+    UpstreamHeartbeat,
+    choose_upstream,
+    place_prompt,
+)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+
+RETRY_SECONDS = 1.0
+"""Pause told to a caller where no upstream is known: a heartbeat's time."""
+SHORT_PROMPT_PRIORITY = 3
+LONG_PROMPT_PRIORITY = 5
+"""Ranks at an engine's admission, from 0 to 9: a short prompt goes before a long one,
+which waits a few passes longer at most. Five is an engine's default."""
+LONG_PROMPT_TOKENS = 24_000
+"""Prompts above this take longer to read than a pass of an engine that writes."""
+
+
+class Placement(NamedTuple):
+    """Be an upstream for one attempt."""
+
+    upstream: UpstreamHeartbeat
+    work: EngineWork | None = None
+    helpers: tuple[str, ...] = ()
+    first_token_seconds: float | None = None
+    """Predicted time to the first event."""
+    priority: int | None = None
+    candidates: int = 0
+    cost: float = 0.0
+
+
+class NoPlacement(NamedTuple):
+    """Say that there is no upstream, why, and when to come back."""
+
+    reason: str
+    retry_after_seconds: float
+
+
+def place(
+    view: FleetView,
+    route: Route,
+    service: ServiceName,
+    facts: CallerFacts,
+    left_seconds: float,
+    excluded: frozenset[UpstreamId],
+) -> Placement | NoPlacement:
+    """Choose an upstream that was not tried yet."""
+    known = view.upstreams_of(service)
+    upstreams = [each for each in known if each.upstream_id not in excluded]
+    if not upstreams:
+        reason = "every upstream was tried" if known else "no upstream is known"
+        return NoPlacement(reason, RETRY_SECONDS)
+    model = view.table.services[service].engine
+    if model is not None and facts.prompt is not None:
+        return place_on_engines(view, route, facts, left_seconds, upstreams, model)
+    return place_plainly(view, upstreams)
+
+
+def place_plainly(view: FleetView, upstreams: list[UpstreamHeartbeat]) -> Placement:
+    """Choose by load, failures and distance."""
+    now = time.monotonic()
+    candidates = []
+    for upstream in upstreams:
+        health = view.health.seen(upstream.upstream_id, now)
+        candidates.append(
+            PlainCandidate(
+                upstream.upstream_id,
+                upstream.slots,
+                view.running.get(upstream.upstream_id, 0),
+                health.failing,
+                health.slowness,
+                health.avoided,
+                upstream.data_centre == view.settings.data_centre,
+            )
+        )
+    chosen = choose_upstream(candidates, view.random)
+    upstream = next(each for each in upstreams if each.upstream_id == chosen)
+    return Placement(upstream, candidates=len(candidates))
+
+
+def place_on_engines(
+    view: FleetView,
+    route: Route,
+    facts: CallerFacts,
+    left_seconds: float,
+    upstreams: list[UpstreamHeartbeat],
+    model: EngineModel,
+) -> Placement | NoPlacement:
+    """Choose the engines that cost least."""
+    now = time.monotonic()
+    candidates = []
+    for upstream in upstreams:
+        health = view.health.seen(upstream.upstream_id, now)
+        if health.avoided and len(upstreams) > 1:
+            continue
+        candidates.append(
+            Candidate(upstream.upstream_id, health.slowness, health.failing)
+        )
+    asked = PromptAsked(
+        AttemptId(uuid.uuid4().hex),
+        facts.prompt,
+        route.objective_seconds,
+        route.pause_seconds,
+        left_seconds,
+    )
+    chosen = place_prompt(asked, candidates, model, view.board, now, view.random)
+    if isinstance(chosen, NoEngine):
+        return NoPlacement(chosen.reason, chosen.retry_after_seconds)
+    by_id = {each.upstream_id: each for each in upstreams}
+    long = facts.prompt.prompt_tokens > LONG_PROMPT_TOKENS
+    return Placement(
+        by_id[chosen.upstream_id],
+        chosen.work,
+        tuple(by_id[helper].address for helper in chosen.helpers),
+        chosen.first_token_seconds,
+        LONG_PROMPT_PRIORITY if long else SHORT_PROMPT_PRIORITY,
+        len(candidates),
+        chosen.cost,
+    )
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
@@ -0,0 +1,141 @@
+"""Keep a replica running on this machine's disk, and start it again after a failure."""
+
+import time
+from pathlib import Path
+
+from pykka import ActorRef
+
+from cowslipshelf_core.agreement import (
+    FoundCluster,
+    Replica,
+    ReplicaConfig,
+    ReplicasSeen,
+    TransferLeadership,
+)
+from cowslipshelf_core.control import ControlState
+from cowslipshelf_core.identifiers import InstanceId
+from cowslipshelf_daemon.internal.entry.replica_actor import (
+    ReplicaActor,
+    ReplicaParts,
+)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.loop_post import LoopInbox
+from cowslipshelf_daemon.internal.post import Post
+from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.storage import ReplicaStorage, ReplicaStorageConfig
+
+LOG = part_logger("replica_keeper")
+
+HEARTBEAT_SECONDS = 0.25
+ELECTION_SECONDS = 1.0
+"""Shortest silence before an election. A process that is slowed or busy must not be
+deposed for it; and a change waits for an election and a half at most."""
+FOUND_AFTER_SECONDS = 1.5
+"""Age of a gateway at which it may found: all start within a fraction of a second."""
+RESTART_SECONDS = 1.0
+"""Pause before a replica whose disk failed is started again."""
+
+
+class ReplicaKeeper:
+    """Own this machine's replica, if it has a disk."""
+
+    def __init__(
+        self, view: FleetView, post: Post, inbox: LoopInbox, gateway: ActorRef
+    ) -> None:
+        self.view = view
+        self.post = post
+        self.inbox = inbox
+        self.gateway = gateway
+        self.actor: ActorRef | None = None
+        self.replicas: tuple[InstanceId, ...] = ()
+        self.started = time.monotonic()
+        self.start_due = 0.0
+        self.founded = False
+
+    @property
+    def wanted(self) -> bool:
+        """Tell whether this machine holds a replica."""
+        return self.view.settings.data_folder is not None
+
+    def tick(self) -> None:
+        """Start what is missing, tell who else holds replicas, and let time pass."""
+        now = time.monotonic()
+        if not self.wanted:
+            self.tell_replicas()
+            return
+        if self.actor is None or not self.actor.is_alive():
+            if now >= self.start_due:
+                self.start_due = now + RESTART_SECONDS
+                self.start()
+            return
+        self.tell_replicas()
+        self.found_when_due(now)
+        self.actor.tell(Tick())
+
+    def start(self) -> None:
+        """Load the data folder and start the replica that it holds."""
+        settings = self.view.settings
+        folder = Path(settings.data_folder)
+        opened = ReplicaStorage.from_config(
+            ReplicaStorageConfig(folder, settings.instance)
+        )
+        loaded = opened.and_then(lambda storage: storage.load())
+        if loaded.is_err():
+            LOG.error("Replica not started.", error=str(loaded.err_value))
+            if opened.is_ok():
+                opened.ok_value.close()
+            return
+        stored = loaded.ok_value
+        config = ReplicaConfig(
+            (settings.instance,),
+            heartbeat_seconds=HEARTBEAT_SECONDS,
+            election_seconds=ELECTION_SECONDS,
+            lease_seconds=ELECTION_SECONDS,
+            open_membership=True,
+            most_lost=settings.most_lost,
+        )
+        state = ControlState()
+        if stored.snapshot is not None:
+            state = ControlState.from_snapshot(stored.snapshot.state)
+        replica = Replica.from_config(config, stored)
+        self.replicas = ()
+        self.actor = ReplicaActor.start(
+            ReplicaParts(
+                replica, opened.ok_value, state, self.post, self.inbox, self.gateway
+            )
+        )
+        LOG.info("Replica started.", folder=stored.replica_id.folder)
+
+    def tell_replicas(self) -> None:
+        """Tell the replica and the gateway's client who holds replicas now."""
+        replicas = self.view.peers.replicas()
+        if replicas == self.replicas:
+            return
+        self.replicas = replicas
+        LOG.info("Replicas known.", replicas=replicas)
+        self.gateway.tell(ReplicasSeen(replicas))
+        if self.actor is not None:
+            self.actor.tell(ReplicasSeen(replicas))
+
+    def found_when_due(self, now: float) -> None:
+        """Found the cluster, once, where it falls to this gateway."""
+        settings = self.view.settings
+        if self.founded or not settings.first_start:
+            return
+        if now - self.started < FOUND_AFTER_SECONDS:
+            return
+        if self.view.peers.founder() == settings.instance:
+            self.founded = True
+            LOG.info("Cluster founded.", replicas=self.replicas)
+            self.actor.tell(FoundCluster())
+
+    def hand_over(self) -> None:
+        """Give leadership away before the process ends."""
+        if self.actor is not None:
+            self.actor.tell(TransferLeadership())
+
+    def stop(self) -> None:
+        """End the replica."""
+        if self.actor is not None and self.actor.is_alive():
+            self.actor.stop()
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -0,0 +1,333 @@
+"""Answer callers: find the route, try upstreams, and say truly what happened."""
+
+import asyncio
+import math
+import time
+from dataclasses import dataclass, field
+
+from cowslipshelf_core.dialect import CallerFacts, Dialect
+from cowslipshelf_core.identifiers import ServiceName, UpstreamId
+from cowslipshelf_core.routed import RoutedCustomer, RouteTable, choose_service
+from cowslipshelf_daemon.internal.gateway.attempt import (
+    Answered,
+    AttemptOutcome,
+    AttemptRunner,
+    AttemptTask,
+    Broken,
+    Delivered,
+    FailedThere,
+    NotReached,
+    NotRun,
+)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.http_server import (
+    AnswerCutError,
+    HttpRequest,
+    Responder,
+)
+from cowslipshelf_daemon.internal.gateway.placement import (
+    NoPlacement,
+    Placement,
+    place,
+)
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
+
+LOG = part_logger("request")
+
+UNKNOWN_KEY = 401
+UNKNOWN_ROUTE = 404
+BAD_ANSWER = 502
+NOT_RUN = 503
+OUT_OF_TIME = 504
+NOT_READY_RETRY_SECONDS = 1.0
+"""Pause told to callers of a gateway that has no configuration yet."""
+START_SECONDS = 1.5
+"""Time for which a request waits for what its gateway has yet to learn: after all
+processes were killed at once, an election and a heartbeat of the upstreams."""
+MOST_WAITED_SHARE = 0.25
+"""Share of the caller's time that is spent so; the rest must do for the answer."""
+BUSY_RETRY_SECONDS = 0.2
+"""Shortest pause told to callers of full upstreams: some passes of an engine."""
+LEAST_LEFT_SECONDS = 0.02
+"""Time left below which no upstream is asked: the way there and back takes it."""
+MOST_UNREACHED = 4
+"""Upstreams that one request may find dead; they don't count as attempts."""
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold what happened to a request so far."""
+
+    excluded: set[UpstreamId] = field(default_factory=set)
+    sent: int = 0
+    unreached: int = 0
+    may_have_run: bool = False
+    waited: bool = False
+    """Whether it has waited for a first upstream."""
+    last_failure: FailedThere | None = None
+    last_reason: str = ""
+    retry_after_seconds: float = BUSY_RETRY_SECONDS
+
+
+class RequestHandler:
+    """Serve the requests of callers."""
+
+    def __init__(
+        self,
+        view: FleetView,
+        runner: AttemptRunner,
+        dialect: Dialect,
+        metrics: Metrics,
+    ) -> None:
+        self.view = view
+        self.runner = runner
+        self.dialect = dialect
+        self.metrics = metrics
+
+    async def __call__(self, request: HttpRequest, responder: Responder) -> None:
+        """Answer one request; a caller that leaves ends it."""
+        began = time.monotonic()
+        facts = self.dialect.caller_facts(request.headers)
+        try:
+            status = await self.answer(request, facts, responder, began)
+        except asyncio.CancelledError:
+            self.note_end(facts, "caller left", began)
+            raise
+        except AnswerCutError:
+            self.note_end(facts, "cut", began)
+            raise
+        self.note_end(facts, str(status), began)
+
+    def note_end(self, facts: CallerFacts, outcome: str, began: float) -> None:
+        """Count and log the end of a request."""
+        seconds = time.monotonic() - began
+        self.metrics.count("cowslipshelf_requests_total", outcome=outcome)
+        self.metrics.record_seconds("cowslipshelf_request_seconds", seconds)
+        LOG.info(
+            "Request ended.",
+            request=facts.attempt_id,
+            outcome=outcome,
+            seconds=round(seconds, 4),
+            version=self.view.document.version,
+        )
+
+    async def answer(
+        self,
+        request: HttpRequest,
+        facts: CallerFacts,
+        responder: Responder,
+        began: float,
+    ) -> int:
+        """Find the route and the customer, then serve; return the status."""
+        patience = START_SECONDS
+        if facts.deadline_seconds is not None:
+            patience = min(patience, facts.deadline_seconds * MOST_WAITED_SHARE)
+        known = await self.view.wait_to_learn(
+            lambda: self.view.table is not None, patience
+        )
+        if not known:
+            LOG.info("No configuration.", request=facts.attempt_id, waited=patience)
+            return await self.refuse(responder, facts, NOT_RUN, NOT_READY_RETRY_SECONDS)
+        table = self.view.table
+        route = table.route_of(request.host, request.path)
+        if route is None:
+            LOG.info("No route.", request=facts.attempt_id, host=request.host)
+            return await self.refuse(responder, facts, UNKNOWN_ROUTE)
+        customer = customer_of(table, facts)
+        if customer is None and not route.public and table.customers:
+            LOG.info("Unknown key.", request=facts.attempt_id, route=route.name)
+            return await self.refuse(responder, facts, UNKNOWN_KEY)
+        left = route.timeout_seconds
+        if facts.deadline_seconds is not None:
+            left = min(left, facts.deadline_seconds)
+        task = AttemptTask(
+            request,
+            facts,
+            route,
+            customer.name if customer else None,
+            responder,
+            Delivered(facts.last_event_id),
+            began + left,
+        )
+        return await self.serve(task)
+
+    async def serve(self, task: AttemptTask) -> int:
+        """Try upstreams until one answers or the time is up."""
+        progress = Progress()
+        service = choose_service(task.route, self.view.random)
+        self.view.budget.count_request(service, time.monotonic())
+        left = task.deadline - time.monotonic()
+        try:
+            async with asyncio.timeout(max(0.0, left)):
+                outcome = await self.try_upstreams(task, service, progress)
+        except TimeoutError:
+            LOG.info("Out of time.", request=task.facts.attempt_id, sent=progress.sent)
+            progress.last_reason = "out of time"
+            status = OUT_OF_TIME if progress.may_have_run else NOT_RUN
+            return await self.give_up(task, progress, status)
+        if isinstance(outcome, Answered):
+            return outcome.status
+        return await self.fail(task, progress)
+
+    async def try_upstreams(
+        self, task: AttemptTask, service: ServiceName, progress: Progress
+    ) -> Answered | None:
+        """Try one upstream after the other; return nothing where none may be tried."""
+        while True:
+            left = task.deadline - time.monotonic()
+            if left < LEAST_LEFT_SECONDS:
+                progress.last_reason = "out of time"
+                return None
+            placement = place(
+                self.view,
+                task.route,
+                service,
+                task.facts,
+                left,
+                frozenset(progress.excluded),
+            )
+            if isinstance(placement, NoPlacement) and await self.upstream_comes(
+                service, left, progress
+            ):
+                continue
+            if isinstance(placement, NoPlacement):
+                self.note_no_placement(task, placement, progress)
+                return None
+            if progress.sent and not self.may_repeat(service):
+                progress.last_reason = "no repeats are left in the budget"
+                return None
+            outcome = await self.attempt(task, placement, progress)
+            if isinstance(outcome, Answered):
+                return outcome
+            if not may_go_on(task, outcome, progress):
+                return None
+
+    async def upstream_comes(
+        self, service: ServiceName, left: float, progress: Progress
+    ) -> bool:
+        """Wait, once, for the first upstream of a service to be heard of."""
+        if progress.waited or self.view.upstreams_of(service):
+            return False
+        progress.waited = True
+        patience = min(START_SECONDS, left * MOST_WAITED_SHARE)
+        return await self.view.wait_to_learn(
+            lambda: bool(self.view.upstreams_of(service)), patience
+        )
+
+    def may_repeat(self, service: ServiceName) -> bool:
+        """Spend a repeat of the common budget."""
+        now = time.monotonic()
+        return self.view.budget.allow_repeat(service, self.view.gateways(), now)
+
+    async def attempt(
+        self, task: AttemptTask, placement: Placement, progress: Progress
+    ) -> AttemptOutcome:
+        """Run one attempt and note what it came to."""
+        began = time.monotonic()
+        upstream_id = placement.upstream.upstream_id
+        progress.sent += 1
+        # Until the outcome is known, the upstream may be running it: a timeout in
+        # between must not be answered with the promise that it did not.
+        ran_before, progress.may_have_run = progress.may_have_run, True
+        outcome = await self.runner.run(task, placement)
+        progress.excluded.add(upstream_id)
+        match outcome:
+            case NotReached():
+                progress.sent -= 1
+                progress.unreached += 1
+                progress.may_have_run = ran_before
+                progress.last_reason = "no upstream could be reached"
+            case NotRun():
+                progress.may_have_run = ran_before
+                progress.last_reason = "the upstream was full"
+            case FailedThere():
+                progress.last_failure = outcome
+            case Broken():
+                progress.last_reason = f"{outcome.step} failed"
+        LOG.info(
+            "Attempt ended.",
+            request=task.facts.attempt_id,
+            upstream=upstream_id,
+            outcome=type(outcome).__name__,
+            detail=getattr(outcome, "detail", ""),
+            seconds=round(time.monotonic() - began, 4),
+            predicted=round(placement.first_token_seconds or 0.0, 4),
+            helpers=len(placement.helpers),
+            candidates=placement.candidates,
+            cost=round(placement.cost, 3),
+            sent=progress.sent,
+        )
+        return outcome
+
+    def note_no_placement(
+        self, task: AttemptTask, placement: NoPlacement, progress: Progress
+    ) -> None:
+        """Remember and log why there was no upstream."""
+        progress.last_reason = placement.reason
+        progress.retry_after_seconds = max(
+            progress.retry_after_seconds, placement.retry_after_seconds
+        )
+        LOG.info(
+            "No upstream.",
+            request=task.facts.attempt_id,
+            route=task.route.name,
+            reason=placement.reason,
+            retry_after=round(placement.retry_after_seconds, 3),
+            tried=len(progress.excluded),
+        )
+
+    async def fail(self, task: AttemptTask, progress: Progress) -> int:
+        """Give the caller the failure that is true."""
+        failure = progress.last_failure
+        if failure is not None and not task.responder.begun:
+            await self.runner.deliver(task, failure.head, failure.body)
+            return failure.head.status
+        status = BAD_ANSWER if progress.may_have_run else NOT_RUN
+        return await self.give_up(task, progress, status)
+
+    async def give_up(self, task: AttemptTask, progress: Progress, status: int) -> int:
+        """End a request without an upstream's answer."""
+        if task.responder.begun:
+            raise AnswerCutError(progress.last_reason)
+        pause = progress.retry_after_seconds if status == NOT_RUN else None
+        LOG.info(
+            "Request refused.",
+            request=task.facts.attempt_id,
+            status=status,
+            reason=progress.last_reason,
+            sent=progress.sent,
+            may_have_run=progress.may_have_run,
+        )
+        return await self.refuse(task.responder, task.facts, status, pause)
+
+    async def refuse(
+        self,
+        responder: Responder,
+        facts: CallerFacts,
+        status: int,
+        retry_after_seconds: float | None = None,
+    ) -> int:
+        """Send an answer of our own."""
+        headers = self.dialect.refusal_headers(facts.attempt_id)
+        if retry_after_seconds is not None:
+            tenths = math.ceil(retry_after_seconds * 10) / 10
+            headers.append((b"retry-after", f"{tenths:g}".encode()))
+        await responder.whole(status, headers)
+        return status
+
+
+def customer_of(table: RouteTable, facts: CallerFacts) -> RoutedCustomer | None:
+    """Return the customer whose key the caller sent."""
+    return table.customers.get(facts.key) if facts.key is not None else None
+
+
+def may_go_on(task: AttemptTask, outcome: AttemptOutcome, progress: Progress) -> bool:
+    """Tell whether another upstream may be tried after this outcome."""
+    match outcome:
+        case NotReached():
+            return progress.unreached < MOST_UNREACHED
+        case NotRun():
+            return progress.sent < task.route.most_attempts
+        case _:
+            return task.route.repeatable and progress.sent < task.route.most_attempts
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -0,0 +1,40 @@
+"""Define what a gateway is told before it starts."""
+
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import DataCentre, InstanceId
+
+
+class GatewaySettings(NamedTuple):
+    """Be everything that one gateway is told, by the adapter of its machines."""
+
+    instance: InstanceId
+    """The machine's IP number; peers reach it there, all at the same port."""
+    name: str
+    data_centre: DataCentre
+    peer_port: int
+    seeds: tuple[InstanceId, ...]
+    """Some other gateways, which may be gone by now."""
+    first_start: bool
+    """Whether the whole system starts for the first time, with empty disks."""
+    data_folder: str | None
+    """Holds a replica of what must survive; nothing on machines without a disk."""
+    most_lost: int
+    """Replicas that may be lost at once."""
+    callers_address: str | None
+    ready_address: str | None
+    control_address: str | None
+    most_descriptors: int = 1024
+    upstream_heartbeat_seconds: float = 1.0
+    """Time between two heartbeats of an upstream."""
+    shutdown_seconds: float = 8.0
+    """Time from the signal to end until the process is killed."""
+    repeat_ratio: float = 0.2
+    """Repeats that all gateways together may send, for each request."""
+    repeat_slack: float = 10.0
+    """Repeats allowed besides, in each window."""
+    repeat_window_seconds: float = 10.0
+
+    def peer_address(self, instance: InstanceId) -> str:
+        """Return where a gateway listens for its peers."""
+        return f"{instance}:{self.peer_port}"
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -0,0 +1,169 @@
+"""Exchange requests and answers with one upstream over one connection."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+import h11
+
+from cowslipshelf_core.dialect import Headers
+
+READ_BYTES = 65_536
+UNACKNOWLEDGED_MILLISECONDS = 3_000
+"""Time after which the kernel gives a connection up whose bytes nobody acknowledges:
+a machine that lost power or was cut off sends no reset. Longer than a packet that is
+lost twice takes."""
+KEEPALIVE_SECONDS = 1
+KEEPALIVE_PROBES = 3
+
+
+class UpstreamLostError(Exception):
+    """Say at which step a connection to an upstream was lost."""
+
+    def __init__(self, step: str, peer: str, detail: str) -> None:
+        super().__init__(f"{step} {peer}: {detail}")
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+
+
+class UpstreamHead(NamedTuple):
+    """Be the status and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+class OutgoingRequest(NamedTuple):
+    """Be a request as an upstream gets it."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+class UpstreamConnection:
+    """Own one connection to an upstream."""
+
+    def __init__(
+        self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.address = address
+        self.reader = reader
+        self.writer = writer
+        self.parser = h11.Connection(h11.CLIENT)
+        self.idle_since = 0.0
+        self.keep_alive_seconds: float | None = None
+        self.used = 0
+
+    @classmethod
+    async def connect(cls, address: str, seconds: float) -> "UpstreamConnection":
+        """Connect, or raise `UpstreamLostError`."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(seconds):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, ValueError) as error:
+            detail = str(error) or type(error).__name__
+            raise UpstreamLostError("connect", address, detail) from error
+        set_socket_options(writer.get_extra_info("socket"))
+        return cls(address, reader, writer)
+
+    def send(self, request: OutgoingRequest) -> None:
+        """Send a whole request; raise `UpstreamLostError` if that is known to fail."""
+        head = h11.Request(
+            method=request.method, target=request.target, headers=request.headers
+        )
+        parts = [self.parser.send(head)]
+        if request.body:
+            parts.append(self.parser.send(h11.Data(data=request.body)))
+        parts.append(self.parser.send(h11.EndOfMessage()))
+        self.used += 1
+        try:
+            self.writer.write(b"".join(part for part in parts if part))
+        except OSError as error:
+            raise UpstreamLostError("send", self.address, str(error)) from error
+
+    async def head(self) -> UpstreamHead:
+        """Wait for the answer's head."""
+        while True:
+            event = await self.next_event("wait for answer")
+            match event:
+                case h11.Response(status_code=status, headers=headers):
+                    pairs = [(bytes(name), bytes(value)) for name, value in headers]
+                    return UpstreamHead(status, pairs)
+                case h11.InformationalResponse():
+                    continue
+                case _:
+                    raise self.lost("wait for answer", "closed")
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """Go through the body; raise `UpstreamLostError` where it is cut."""
+        while True:
+            event = await self.next_event("read answer")
+            match event:
+                case h11.Data(data=data):
+                    yield bytes(data)
+                case h11.EndOfMessage():
+                    return
+                case _:
+                    raise self.lost("read answer", "closed")
+
+    async def next_event(self, step: str) -> h11.Event | type[h11.PAUSED]:
+        """Return the next event that the upstream's bytes make."""
+        try:
+            while True:
+                event = self.parser.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self.parser.receive_data(await self.reader.read(READ_BYTES))
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise self.lost(step, str(error) or type(error).__name__) from error
+
+    def lost(self, step: str, detail: str) -> UpstreamLostError:
+        """Return the error of this connection."""
+        return UpstreamLostError(step, self.address, detail)
+
+    def can_be_reused(self) -> bool:
+        """Tell whether the exchange is over and left nothing behind.
+
+        Bytes after a complete answer belong to no request, and the next one would be
+        given them; a request body that is still being sent would be taken for it.
+        """
+        states = self.parser.states
+        return (
+            states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+            and not self.parser.trailing_data[0]
+            and self.writer.transport.get_write_buffer_size() == 0
+            and not self.writer.transport.is_closing()
+        )
+
+    def prepare_next(self) -> None:
+        """Make ready for the next exchange."""
+        self.parser.start_next_cycle()
+
+    def is_quiet(self) -> bool:
+        """Tell whether an idle connection has neither been closed nor been sent to."""
+        return not (
+            self.reader.at_eof()
+            or self.reader._buffer  # noqa: SLF001 - asyncio offers no other look at it
+            or self.writer.transport.is_closing()
+        )
+
+    def abort(self) -> None:
+        """Drop the connection, which makes the upstream drop the request."""
+        self.writer.transport.abort()
+
+
+def set_socket_options(sock: socket.socket) -> None:
+    """Make silence show: without these, a dead peer is waited for without end."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS
+    )
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_pool.py
@@ -0,0 +1,83 @@
+"""Keep idle connections to upstreams for the next request."""
+
+import asyncio
+
+from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    UpstreamConnection,
+)
+
+CONNECT_SECONDS = 0.6
+"""Time for a new connection: several round trips within a region, and less than the
+second after which a lost opening packet is sent again, so that another upstream is
+tried instead."""
+SHARE_OF_KEEP_ALIVE = 0.4
+"""Part of the announced idle time for which a connection is used again: a request
+that crosses the upstream's close may or may not have run."""
+UNANNOUNCED_IDLE_SECONDS = 1.0
+"""Idle time for which a connection is used again where none is announced."""
+MOST_IDLE = 8
+"""Idle connections kept for one upstream; it bounds those of all callers."""
+
+
+class UpstreamPool:
+    """Hold the idle connections of each upstream."""
+
+    def __init__(self) -> None:
+        self.idle: dict[UpstreamId, list[UpstreamConnection]] = {}
+        self.opened = 0
+        self.reused = 0
+
+    async def take(
+        self, upstream_id: UpstreamId, address: str, fresh: bool
+    ) -> UpstreamConnection:
+        """Return a connection, a new one where a request must not meet a stale one."""
+        while not fresh and self.idle.get(upstream_id):
+            connection = self.idle[upstream_id].pop()
+            if is_usable(connection) and connection.address == address:
+                connection.prepare_next()
+                self.reused += 1
+                return connection
+            connection.abort()
+        self.opened += 1
+        return await UpstreamConnection.connect(address, CONNECT_SECONDS)
+
+    def give_back(
+        self, upstream_id: UpstreamId, connection: UpstreamConnection
+    ) -> None:
+        """Keep a connection whose exchange is over, or close it."""
+        idle = self.idle.setdefault(upstream_id, [])
+        if not connection.can_be_reused() or len(idle) >= MOST_IDLE:
+            connection.abort()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        idle.append(connection)
+
+    def close_stale(self) -> None:
+        """Close the connections that would not be used again."""
+        for idle in self.idle.values():
+            for connection in [each for each in idle if not is_usable(each)]:
+                idle.remove(connection)
+                connection.abort()
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """Close all connections to an upstream that has gone."""
+        for connection in self.idle.pop(upstream_id, ()):
+            connection.abort()
+
+    def close_all(self) -> None:
+        """Close every idle connection."""
+        for upstream_id in list(self.idle):
+            self.forget(upstream_id)
+
+
+def is_usable(connection: UpstreamConnection) -> bool:
+    """Tell whether an idle connection is still as it was left, and young enough."""
+    announced = connection.keep_alive_seconds
+    longest = (
+        UNANNOUNCED_IDLE_SECONDS
+        if announced is None
+        else announced * SHARE_OF_KEEP_ALIVE
+    )
+    idle = asyncio.get_running_loop().time() - connection.idle_since
+    return idle < longest and connection.is_quiet()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/post.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/post.py
@@ -7,7 +7,7 @@
 from cowslipshelf_core.announcing import EntryPlace, roster_digest
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.messages import Message
-from cowslipshelf_fleet import Mailbox
+from cowslipshelf_fleet.mailboxes import Mailbox
 
 
 class Delivered(NamedTuple):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/process_parts.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/process_parts.py
@@ -10,8 +10,8 @@
 from cowslipshelf_core.identifiers import ConfigurationVersion, Epoch, InstanceId
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.wire import MailboxMessage
-from cowslipshelf_fleet import Mailbox, MailboxConfig, Received
-from cowslipshelf_platform.settings import DaemonSettings
+from cowslipshelf_fleet.mailboxes import Mailbox, MailboxConfig, Received
+from cowslipshelf_host.settings import DaemonSettings
 
 
 def make_post(settings: DaemonSettings) -> Post:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/running.py
@@ -6,9 +6,9 @@
 from cowslipshelf_daemon.internal.entry.assembly import EntryRole, start_entry
 from cowslipshelf_daemon.internal.errors import StartError
 from cowslipshelf_daemon.internal.sidecar.assembly import SidecarRole, start_sidecar
-from cowslipshelf_platform.logs import configure_logs, part_logger
-from cowslipshelf_platform.settings import DaemonSettings
-from cowslipshelf_platform.signals import ShutdownSignals
+from cowslipshelf_host.logs import configure_logs, part_logger
+from cowslipshelf_host.settings import DaemonSettings
+from cowslipshelf_host.signals import ShutdownSignals
 
 LOG = part_logger("daemon")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/assembly.py
@@ -38,14 +38,10 @@
 )
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Ticker
-from cowslipshelf_fleet import (
-    AttemptsServer,
-    AttemptsServerConfig,
-    Mailbox,
-    Received,
-)
-from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_platform.settings import DaemonSettings, UpstreamSettings
+from cowslipshelf_fleet.attempts import AttemptsServer, AttemptsServerConfig
+from cowslipshelf_fleet.mailboxes import Mailbox, Received
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.settings import DaemonSettings, UpstreamSettings
 from cowslipshelf_upstreams import (
     EngineClient,
     EngineClientConfig,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_log.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_log.py
@@ -3,7 +3,7 @@
 import threading
 
 from cowslipshelf_core.identifiers import AttemptId
-from cowslipshelf_fleet import FrameBuffer
+from cowslipshelf_fleet.attempts import FrameBuffer
 
 
 class AttemptLog:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -18,7 +18,7 @@
 )
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.sidecar.kv_transfer import start_at_engine
-from cowslipshelf_fleet import FrameBuffer, FrameOrderError
+from cowslipshelf_fleet.attempts import FrameBuffer, FrameOrderError
 from cowslipshelf_upstreams import (
     EngineClient,
     PlainClient,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempts_handler.py
@@ -12,7 +12,7 @@
 from cowslipshelf_core.sidecar import CancelArrived, PartsArrived, RevokeArrived
 from cowslipshelf_core.upstream import HandOver, LoadReport
 from cowslipshelf_daemon.internal.sidecar.attempt_log import AttemptLog
-from cowslipshelf_fleet import FrameBuffer
+from cowslipshelf_fleet.attempts import FrameBuffer
 
 ANSWER_SECONDS = 5.0
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/order_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/order_runner.py
@@ -20,7 +20,7 @@
 from cowslipshelf_core.messages import OrderSent
 from cowslipshelf_core.sidecar import OrderFinished
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
-from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_host.logs import part_logger
 from cowslipshelf_upstreams import (
     EngineClient,
     EngineOrder,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -86,9 +86,9 @@
 from cowslipshelf_daemon.internal.sidecar.part_runner import PartRunner
 from cowslipshelf_daemon.internal.sidecar.upstream_keeper import UpstreamKeeper
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_fleet import Mailbox, Received
-from cowslipshelf_platform.logs import part_logger
-from cowslipshelf_platform.settings import DaemonSettings
+from cowslipshelf_fleet.mailboxes import Mailbox, Received
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.settings import DaemonSettings
 
 LOG = part_logger("sidecar")
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/upstream_keeper.py
@@ -7,7 +7,7 @@
 
 from cowslipshelf_core.identifiers import AttemptId
 from cowslipshelf_core.sidecar import HeldMemory, InventoryRead
-from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_host.logs import part_logger
 from cowslipshelf_upstreams import (
     EngineClient,
     UpstreamLostError,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
@@ -11,10 +11,14 @@
     FencingAnswered,
     FencingAsked,
     FetchConfiguration,
+    FetchRoutes,
     OrderSent,
+    PeerAlive,
+    RoutesSnapshot,
     Suspect,
     Withdraw,
 )
+from cowslipshelf_core.routed import HeartbeatsSeen, WorkChanged
 
 MailboxMessage = Union[  # noqa: UP007 - built from another union at run time
     Announce,
@@ -25,7 +29,12 @@
     FencingAsked,
     FetchConfiguration,
     OrderSent,
+    FetchRoutes,
+    HeartbeatsSeen,
+    PeerAlive,
+    RoutesSnapshot,
     Suspect,
     Withdraw,
+    WorkChanged,
     AgreementMessage,
 ]
--- a/packages/daemon/src/cowslipshelf_daemon/program.py
+++ b/packages/daemon/src/cowslipshelf_daemon/program.py
@@ -13,7 +13,7 @@
     say,
 )
 from cowslipshelf_daemon.internal.running import run_daemon
-from cowslipshelf_platform.settings import load_settings
+from cowslipshelf_host.settings import load_settings
 
 EXIT_BAD_SETTINGS = 6
 
--- /dev/null
+++ b/packages/host/src/cowslipshelf_host/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the host: settings, logs, metrics, disk, clock and signals."""
--- a/packages/platform/src/cowslipshelf_platform/internal/logs/setup.py
+++ b/packages/host/src/cowslipshelf_host/internal/logs/setup.py
@@ -6,9 +6,9 @@
 import structlog
 from structlog.typing import EventDict, Processor, WrappedLogger
 
-from cowslipshelf_platform.internal.logs.secrets import mask_secrets
-from cowslipshelf_platform.internal.logs.writing import LineWriter
-from cowslipshelf_platform.settings import LogSettings
+from cowslipshelf_host.internal.logs.secrets import mask_secrets
+from cowslipshelf_host.internal.logs.writing import LineWriter
+from cowslipshelf_host.settings import LogSettings
 
 PART = "part"
 EVENT = "event"
--- a/packages/platform/src/cowslipshelf_platform/internal/metrics/registry.py
+++ b/packages/host/src/cowslipshelf_host/internal/metrics/registry.py
@@ -5,14 +5,14 @@
 from threading import Lock
 from typing import NamedTuple, TypeVar
 
-from cowslipshelf_platform.internal.metrics.series import (
+from cowslipshelf_host.internal.metrics.series import (
     Counter,
     Gauge,
     Latency,
     Sample,
     Series,
 )
-from cowslipshelf_platform.internal.metrics.text import metric_lines
+from cowslipshelf_host.internal.metrics.text import metric_lines
 
 METRIC_NAME = re.compile(r"[a-z][a-z0-9_]*\Z")
 RESERVED_LABELS = frozenset({"quantile", "le"})
--- a/packages/platform/src/cowslipshelf_platform/internal/metrics/text.py
+++ b/packages/host/src/cowslipshelf_host/internal/metrics/text.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterator, Sequence
 
-from cowslipshelf_platform.internal.metrics.series import Sample
+from cowslipshelf_host.internal.metrics.series import Sample
 
 Labels = Sequence[tuple[str, str]]
 
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/document_check.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/document_check.py
@@ -4,22 +4,22 @@
 
 import msgspec
 
-from cowslipshelf_platform.internal.settings.addresses import (
+from cowslipshelf_host.internal.settings.addresses import (
     AddressError,
     parse_address,
 )
-from cowslipshelf_platform.internal.settings.field_types import (
+from cowslipshelf_host.internal.settings.field_types import (
     FieldType,
     allowed_text,
     fields_of,
 )
-from cowslipshelf_platform.internal.settings.forms import FieldForm
-from cowslipshelf_platform.internal.settings.masking import is_secret
-from cowslipshelf_platform.internal.settings.placeholders import (
+from cowslipshelf_host.internal.settings.forms import FieldForm
+from cowslipshelf_host.internal.settings.masking import is_secret
+from cowslipshelf_host.internal.settings.placeholders import (
     placeholder,
     placeholder_document,
 )
-from cowslipshelf_platform.internal.settings.problems import (
+from cowslipshelf_host.internal.settings.problems import (
     WHOLE_FILE,
     SettingsProblem,
     shown,
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/documents.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/documents.py
@@ -13,7 +13,7 @@
     ServiceName,
     UpstreamId,
 )
-from cowslipshelf_platform.internal.settings.forms import (
+from cowslipshelf_host.internal.settings.forms import (
     SECRET_KEY,
     Folder,
     KeyHash,
@@ -22,7 +22,7 @@
     PeerAddress,
     between,
 )
-from cowslipshelf_platform.internal.settings.masking import masked_repr
+from cowslipshelf_host.internal.settings.masking import masked_repr
 
 Role = Literal["entry", "sidecar"]
 LogFormat = Literal["json", "console"]
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/json_text.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/json_text.py
@@ -2,7 +2,7 @@
 
 import json
 
-from cowslipshelf_platform.internal.settings.problems import shown
+from cowslipshelf_host.internal.settings.problems import shown
 
 LARGEST_FILE_BYTES = 4 * 1024 * 1024
 
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/loading.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/loading.py
@@ -6,18 +6,18 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cowslipshelf_platform.internal.settings.document_check import DocumentCheck
-from cowslipshelf_platform.internal.settings.documents import DaemonSettings
-from cowslipshelf_platform.internal.settings.json_text import (
+from cowslipshelf_host.internal.settings.document_check import DocumentCheck
+from cowslipshelf_host.internal.settings.documents import DaemonSettings
+from cowslipshelf_host.internal.settings.json_text import (
     LARGEST_FILE_BYTES,
     JsonTextError,
     read_json,
 )
-from cowslipshelf_platform.internal.settings.problems import (
+from cowslipshelf_host.internal.settings.problems import (
     WHOLE_FILE,
     SettingsProblem,
 )
-from cowslipshelf_platform.internal.settings.rules import broken_rules
+from cowslipshelf_host.internal.settings.rules import broken_rules
 
 Problems = tuple[SettingsProblem, ...]
 
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/masking.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/masking.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cowslipshelf_platform.internal.settings.field_types import FieldType, fields_of
+from cowslipshelf_host.internal.settings.field_types import FieldType, fields_of
 
 MASK = "'***'"
 
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/page.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/page.py
@@ -7,15 +7,15 @@
 
 import msgspec
 
-from cowslipshelf_platform.internal.settings import documents
-from cowslipshelf_platform.internal.settings.documents import DaemonSettings
-from cowslipshelf_platform.internal.settings.field_types import (
+from cowslipshelf_host.internal.settings import documents
+from cowslipshelf_host.internal.settings.documents import DaemonSettings
+from cowslipshelf_host.internal.settings.field_types import (
     FieldType,
     allowed_text,
     fields_of,
 )
-from cowslipshelf_platform.internal.settings.masking import is_secret
-from cowslipshelf_platform.internal.settings.rules import (
+from cowslipshelf_host.internal.settings.masking import is_secret
+from cowslipshelf_host.internal.settings.rules import (
     FEWEST_INTERVALS,
     LONGER_THAN,
 )
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/rules.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/rules.py
@@ -4,8 +4,8 @@
 from itertools import combinations
 from typing import NamedTuple
 
-from cowslipshelf_platform.internal.settings.addresses import parse_address
-from cowslipshelf_platform.internal.settings.documents import (
+from cowslipshelf_host.internal.settings.addresses import parse_address
+from cowslipshelf_host.internal.settings.documents import (
     DaemonSettings,
     LimitSettings,
     TimingSettings,
--- a/packages/platform/src/cowslipshelf_platform/internal/settings/together.py
+++ b/packages/host/src/cowslipshelf_host/internal/settings/together.py
@@ -4,10 +4,10 @@
 from itertools import combinations
 from typing import NamedTuple
 
-from cowslipshelf_platform.internal.settings.addresses import parse_address
-from cowslipshelf_platform.internal.settings.documents import DaemonSettings
-from cowslipshelf_platform.internal.settings.problems import SettingsProblem
-from cowslipshelf_platform.internal.settings.rules import own_addresses
+from cowslipshelf_host.internal.settings.addresses import parse_address
+from cowslipshelf_host.internal.settings.documents import DaemonSettings
+from cowslipshelf_host.internal.settings.problems import SettingsProblem
+from cowslipshelf_host.internal.settings.rules import own_addresses
 
 UPSTREAM_ADDRESS = "sidecar.upstream.address"
 
--- a/packages/platform/src/cowslipshelf_platform/internal/signals.py
+++ b/packages/host/src/cowslipshelf_host/internal/signals.py
@@ -6,7 +6,7 @@
 from threading import Thread
 from typing import NamedTuple
 
-from cowslipshelf_platform.logs import part_logger
+from cowslipshelf_host.logs import part_logger
 
 SHUTDOWN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
--- a/packages/platform/src/cowslipshelf_platform/internal/storage/files.py
+++ b/packages/host/src/cowslipshelf_host/internal/storage/files.py
@@ -4,8 +4,8 @@
 import os
 from pathlib import Path
 
-from cowslipshelf_platform.internal.storage.errors import StorageError
-from cowslipshelf_platform.internal.storage.framing import frame, scan
+from cowslipshelf_host.internal.storage.errors import StorageError
+from cowslipshelf_host.internal.storage.framing import frame, scan
 
 TEMPORARY_SUFFIX = ".tmp"
 FILE_MODE = 0o600
--- a/packages/platform/src/cowslipshelf_platform/internal/storage/recovery.py
+++ b/packages/host/src/cowslipshelf_host/internal/storage/recovery.py
@@ -5,8 +5,8 @@
 from result import Err, Ok, Result
 
 from cowslipshelf_core.agreement import ReplicaId, force_members
-from cowslipshelf_platform.internal.storage.errors import StorageError
-from cowslipshelf_platform.internal.storage.replica_storage import (
+from cowslipshelf_host.internal.storage.errors import StorageError
+from cowslipshelf_host.internal.storage.replica_storage import (
     ReplicaStorage,
     ReplicaStorageConfig,
     new_identity,
--- a/packages/platform/src/cowslipshelf_platform/internal/storage/replica_storage.py
+++ b/packages/host/src/cowslipshelf_host/internal/storage/replica_storage.py
@@ -19,15 +19,15 @@
     StoredState,
 )
 from cowslipshelf_core.identifiers import InstanceId
-from cowslipshelf_platform.internal.storage.errors import StorageError
-from cowslipshelf_platform.internal.storage.files import (
+from cowslipshelf_host.internal.storage.errors import StorageError
+from cowslipshelf_host.internal.storage.files import (
     TEMPORARY_SUFFIX,
     lock_folder,
     read_file,
     replace_file,
     sync_folder,
 )
-from cowslipshelf_platform.internal.storage.segments import (
+from cowslipshelf_host.internal.storage.segments import (
     SEGMENT_PATTERN,
     SegmentedLog,
 )
--- a/packages/platform/src/cowslipshelf_platform/internal/storage/segments.py
+++ b/packages/host/src/cowslipshelf_host/internal/storage/segments.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from cowslipshelf_core.agreement import Entry
-from cowslipshelf_platform.internal.storage.errors import StorageError
-from cowslipshelf_platform.internal.storage.files import (
+from cowslipshelf_host.internal.storage.errors import StorageError
+from cowslipshelf_host.internal.storage.files import (
     FILE_MODE,
     sync_folder,
     write_all,
 )
-from cowslipshelf_platform.internal.storage.framing import frame, scan
+from cowslipshelf_host.internal.storage.framing import frame, scan
 
 SEGMENT_PATTERN = "log-*"
 SEGMENT_NAME = "log-{first_index:020d}"
--- a/packages/platform/src/cowslipshelf_platform/settings.py
+++ b/packages/host/src/cowslipshelf_host/settings.py
@@ -1,11 +1,11 @@
 """Offer the settings of a daemon, their loading and their problems."""
 
-from cowslipshelf_platform.internal.settings.addresses import (
+from cowslipshelf_host.internal.settings.addresses import (
     AddressError,
     NetworkAddress,
     parse_address,
 )
-from cowslipshelf_platform.internal.settings.documents import (
+from cowslipshelf_host.internal.settings.documents import (
     DaemonSettings,
     EntryAddress,
     EntrySettings,
@@ -16,12 +16,12 @@
     TimingSettings,
     UpstreamSettings,
 )
-from cowslipshelf_platform.internal.settings.loading import (
+from cowslipshelf_host.internal.settings.loading import (
     decode_settings,
     load_settings,
 )
-from cowslipshelf_platform.internal.settings.problems import SettingsProblem
-from cowslipshelf_platform.internal.settings.together import (
+from cowslipshelf_host.internal.settings.problems import SettingsProblem
+from cowslipshelf_host.internal.settings.together import (
     LoadedSettings,
     fleet_problems,
 )
--- a/packages/platform/src/cowslipshelf_platform/settings_page.py
+++ b/packages/host/src/cowslipshelf_host/settings_page.py
@@ -1,9 +1,9 @@
-"""Write docs/SETTINGS.md: `python -m cowslipshelf_platform.settings_page FILE`."""
+"""Write docs/SETTINGS.md: `python -m cowslipshelf_host.settings_page FILE`."""
 
 import sys
 from pathlib import Path
 
-from cowslipshelf_platform.internal.settings.page import render_settings_page
+from cowslipshelf_host.internal.settings.page import render_settings_page
 
 __all__ = ["render_settings_page"]
 
--- a/packages/platform/src/cowslipshelf_platform/storage.py
+++ b/packages/host/src/cowslipshelf_host/storage.py
@@ -1,11 +1,11 @@
 """Store a replica's log, hard state and snapshots durably."""
 
-from cowslipshelf_platform.internal.storage.errors import StorageError
-from cowslipshelf_platform.internal.storage.recovery import (
+from cowslipshelf_host.internal.storage.errors import StorageError
+from cowslipshelf_host.internal.storage.recovery import (
     ForcedFolder,
     force_members_in_folder,
 )
-from cowslipshelf_platform.internal.storage.replica_storage import (
+from cowslipshelf_host.internal.storage.replica_storage import (
     ReplicaStorage,
     ReplicaStorageConfig,
     new_identity,
--- a/packages/platform/src/cowslipshelf_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Meet the platform: settings, logs, metrics, disk, clock and signals."""
--- a/packages/platform/src/cowslipshelf_platform/logs.py
+++ /dev/null
@@ -1,6 +0,0 @@
-"""Write logs: short sentences, a fixed prefix for each part, no secrets."""
-
-from cowslipshelf_platform.internal.logs.setup import configure_logs, part_logger
-from cowslipshelf_platform.internal.logs.writing import LineWriter
-
-__all__ = ["LineWriter", "configure_logs", "part_logger"]
--- a/tests/common/fleet_attempts.py
+++ b/tests/common/fleet_attempts.py
@@ -17,7 +17,7 @@
     StreamHeartbeat,
 )
 from cowslipshelf_core.upstream import HandOver, LoadReport
-from cowslipshelf_fleet import (
+from cowslipshelf_fleet.attempts import (
     AttemptsClient,
     AttemptsClientConfig,
     AttemptsServer,
--- a/tests/common/lonely_replica.py
+++ b/tests/common/lonely_replica.py
@@ -18,7 +18,7 @@
 )
 from cowslipshelf_daemon.internal.post import Delivered
 from cowslipshelf_daemon.internal.ticker import Tick
-from cowslipshelf_platform.storage import StorageError
+from cowslipshelf_host.storage import StorageError
 
 OTHER = "scribe-1-sidecar"
 ELECTION_SECONDS = 0.01
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,7 @@
 
 PACKAGES = (
     "cowslipshelf_core",
-    "cowslipshelf_platform",
+    "cowslipshelf_host",
     "cowslipshelf_fleet",
     "cowslipshelf_callers",
     "cowslipshelf_operators",
--- a/tests/cover/callers/test_malformed_calls.py
+++ b/tests/cover/callers/test_malformed_calls.py
@@ -125,6 +125,7 @@
     st.sampled_from([b"\r\n", b"\n"]),
 )
 @example([b"GET http://[:/ HTTP/1.1", b""], b"\r\n")
+@example([b"GET / HTTP/1.1", b" folded"], b"\r\n")
 @example([LINES[1], b"Content-Length: 3", b"Content-Length: 3", b"", b"abc"], b"\r\n")
 @settings(max_examples=300, deadline=None, derandomize=True)
 def test_no_bytes_look_like_a_fault_of_ours(shared, lines, end):
--- a/tests/cover/fleet/test_attempts.py
+++ b/tests/cover/fleet/test_attempts.py
@@ -30,7 +30,7 @@
     StreamHead,
     StreamHeartbeat,
 )
-from cowslipshelf_fleet import (
+from cowslipshelf_fleet.attempts import (
     AttemptStream,
     FrameBuffer,
     HandOverFailed,
--- a/tests/cover/fleet/test_envelopes.py
+++ b/tests/cover/fleet/test_envelopes.py
@@ -6,7 +6,6 @@
 
 from common.type_strategies import ANY_MESSAGE, MESSAGE_TYPES, values_of
 from cowslipshelf_core.messages import Withdraw
-from cowslipshelf_fleet import Mailbox, MailboxConfig
 from cowslipshelf_fleet.internal.envelope import (
     PROTOCOL_VERSION,
     Envelope,
@@ -14,6 +13,7 @@
     Rejected,
     RejectionReason,
 )
+from cowslipshelf_fleet.mailboxes import Mailbox, MailboxConfig
 
 MOST_BYTES = 100_000
 FEW = settings(derandomize=True, deadline=None, max_examples=25)
--- a/tests/cover/fleet/test_frames.py
+++ b/tests/cover/fleet/test_frames.py
@@ -17,7 +17,7 @@
     StreamEnd,
     StreamHead,
 )
-from cowslipshelf_fleet import (
+from cowslipshelf_fleet.attempts import (
     FrameBuffer,
     FrameDecoder,
     FrameError,
--- a/tests/cover/fleet/test_hand_overs.py
+++ b/tests/cover/fleet/test_hand_overs.py
@@ -17,11 +17,7 @@
     whole_answer,
 )
 from common.forwarder import CutLimits, Forwarder
-from cowslipshelf_fleet import (
-    AttemptsClient,
-    AttemptStream,
-    HandOverFailed,
-)
+from cowslipshelf_fleet.attempts import AttemptsClient, AttemptStream, HandOverFailed
 from cowslipshelf_fleet.internal import fresh_connections
 from cowslipshelf_fleet.internal.attempts_protocol import (
     encoder,
--- a/tests/cover/fleet/test_mailbox.py
+++ b/tests/cover/fleet/test_mailbox.py
@@ -5,7 +5,7 @@
 from common.forwarder import Forwarder
 from common.polling import wait_for
 from cowslipshelf_core.messages import Withdraw
-from cowslipshelf_fleet import Mailbox, MailboxConfig
+from cowslipshelf_fleet.mailboxes import Mailbox, MailboxConfig
 
 HEARTBEAT_SECONDS = 0.05
 SILENCE_SECONDS = 0.4
--- a/tests/cover/platform/test_logs.py
+++ b/tests/cover/platform/test_logs.py
@@ -10,8 +10,8 @@
 
 from common.settings import CLUSTER_KEY, entry_document
 from common.steady import STEADY
-from cowslipshelf_platform.logs import configure_logs, part_logger
-from cowslipshelf_platform.settings import LogSettings, decode_settings
+from cowslipshelf_host.logs import configure_logs, part_logger
+from cowslipshelf_host.settings import LogSettings, decode_settings
 
 ASCII_PART_OF_SECRET = "cret-of-a-customer"
 SECRET = "\u00a7" + ASCII_PART_OF_SECRET
--- a/tests/cover/platform/test_metrics.py
+++ b/tests/cover/platform/test_metrics.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from common.steady import STEADY
-from cowslipshelf_platform.metrics import MetricError, Metrics
+from cowslipshelf_host.metrics import MetricError, Metrics
 
 LINE = re.compile(
     r'([a-z0-9_]+)(?:\{((?:[a-z0-9_]+="(?:[^"\\\n]|\\.)*",?)*)\})? (\S+)\Z'
--- a/tests/cover/platform/test_signals.py
+++ b/tests/cover/platform/test_signals.py
@@ -5,7 +5,7 @@
 from queue import SimpleQueue
 from threading import Lock
 
-from cowslipshelf_platform.signals import ShutdownSignals
+from cowslipshelf_host.signals import ShutdownSignals
 
 WIDE_LIMIT_SECONDS = 30
 
--- a/tests/cover/settings/test_loading.py
+++ b/tests/cover/settings/test_loading.py
@@ -17,12 +17,12 @@
     sidecar_document,
 )
 from common.steady import STEADY
-from cowslipshelf_platform.settings import (
+from cowslipshelf_host.settings import (
     DaemonSettings,
     decode_settings,
     load_settings,
 )
-from cowslipshelf_platform.settings_page import render_settings_page
+from cowslipshelf_host.settings_page import render_settings_page
 
 ROOT = Path(__file__).parents[3]
 SOUND = {"entry": entry_document, "sidecar": sidecar_document}
--- a/tests/cover/storage/test_replica_storage.py
+++ b/tests/cover/storage/test_replica_storage.py
@@ -26,8 +26,8 @@
     Snapshot,
     TickElapsed,
 )
-from cowslipshelf_platform.internal.storage.segments import SegmentedLog
-from cowslipshelf_platform.storage import (
+from cowslipshelf_host.internal.storage.segments import SegmentedLog
+from cowslipshelf_host.storage import (
     ReplicaStorage,
     ReplicaStorageConfig,
     StorageError,
--- a/tests/nocover/agreement/test_on_folders.py
+++ b/tests/nocover/agreement/test_on_folders.py
@@ -7,7 +7,7 @@
 
 from common.agreement_walk import Walk
 from cowslipshelf_core.agreement import ReplicaId
-from cowslipshelf_platform.storage import ReplicaStorage, ReplicaStorageConfig
+from cowslipshelf_host.storage import ReplicaStorage, ReplicaStorageConfig
 
 SMALL_SEGMENT = 400
 
