--- /dev/null
+++ b/tests/common/routed.py
@@ -0,0 +1,57 @@
+"""Make routes, engines and upstreams for tests of requests that are served by route."""
+
+from cowslipshelf_core.routed import (
+    EngineModel,
+    Route,
+    RouteConfiguration,
+    RouteKind,
+    ServiceConfiguration,
+    UpstreamHeartbeat,
+    UpstreamPhase,
+    WeightedService,
+)
+
+ENGINE = EngineModel(
+    slots=8,
+    memory_tokens=405_000,
+    steps_per_pass=34,
+    step_seconds=1.31e-3,
+    step_seconds_per_writer=1.834e-6,
+    step_seconds_per_context_token=2.13e-9,
+    read_seconds_per_token=1 / 154_000,
+    seconds_per_pair=1.62e-10,
+    chunk_tokens=2048,
+    hop_seconds=1e-4,
+)
+"""The engines of both users' sheets."""
+
+
+def route(**changes) -> Route:
+    """Make a route, with what a test says of it."""
+    usual = Route(
+        name="r",
+        host="host.example",
+        prefix="/",
+        kind=RouteKind.IDEMPOTENT,
+        timeout_seconds=3.0,
+        objective_seconds=0.3,
+        services=(WeightedService("s", 1.0),),
+    )
+    return usual._replace(**changes)
+
+
+def configuration(*routes: Route, **changes) -> RouteConfiguration:
+    """Make a configuration with one service."""
+    services = (ServiceConfiguration("s", "/healthz", 100),)
+    return RouteConfiguration(1, routes, services)._replace(**changes)
+
+
+def heartbeat(
+    upstream_id: str = "u-1",
+    sequence: int = 1,
+    phase: UpstreamPhase = UpstreamPhase.READY,
+    address: str = "10.0.0.1:80",
+    service: str = "s",
+) -> UpstreamHeartbeat:
+    """Make an upstream's heartbeat."""
+    return UpstreamHeartbeat(upstream_id, service, address, "here", 6, phase, sequence)
--- /dev/null
+++ b/tests/cover/adapter/test_wire.py
@@ -0,0 +1,126 @@
+"""Check what callers and upstreams see of each other's headers."""
+
+import pytest
+
+from cowslipshelf_adapter.wire import MachinesDialect
+from cowslipshelf_core.dialect import (
+    ForwardFacts,
+    PutConfiguration,
+    ReadConfiguration,
+    TakeHeartbeat,
+    TakeLeaving,
+)
+from cowslipshelf_core.routed import PromptSize
+
+DIALECT = MachinesDialect()
+SENT = [
+    (b"host", b"h.example"),
+    (b"x-attempt-id", b"9c41"),
+    (b"x-token-count", b"1460,80"),
+    (b"x-prompt-prefix", b"5c1e07a2:800"),
+    (b"x-deadline-ms", b"10000"),
+    (b"authorization", b"Token secret"),
+    (b"x-tenant", b"somebody-else"),
+    (b"x-expect-instance", b"i-forged"),
+    (b"x-helpers", b"10.9.9.9:1"),
+    (b"connection", b"keep-alive, X-Hop"),
+    (b"x-hop", b"1"),
+    (b"last-event-id", b"12"),
+    (b"x-other", b"kept"),
+]
+
+
+def forwarded(**changes) -> dict[bytes, bytes]:
+    facts = ForwardFacts("i-1", "customer", 2.5, None)._replace(**changes)
+    headers = DIALECT.forwarded_headers(SENT, facts)
+    assert len(dict(headers)) == len(headers), "a header stands twice"
+    return dict(headers)
+
+
+def test_the_facts_of_a_caller_are_decoded():
+    facts = DIALECT.caller_facts(SENT)
+    assert facts.attempt_id == "9c41"
+    assert facts.key == "secret"
+    assert facts.deadline_seconds == 10.0
+    assert facts.last_event_id == "12"
+    assert facts.prompt == PromptSize(1460, 80)
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"x", b"1", b"1,2,3", b"-1,5", b"1.5,2", b"\xff"]
+)
+def test_token_counts_that_cannot_be_read_are_no_counts(value):
+    assert DIALECT.caller_facts([(b"x-token-count", value)]).prompt is None
+
+
+@pytest.mark.parametrize("value", [b"", b"soon", b"-5", b"nan"])
+def test_a_deadline_that_cannot_be_read_is_none(value):
+    assert DIALECT.caller_facts([(b"x-deadline-ms", value)]).deadline_seconds is None
+
+
+def test_an_upstream_never_sees_a_key_nor_what_callers_forge():
+    """One customer's request runs in the name of another.
+
+    A caller sends the headers that only we may set, among them the customer's name.
+    """
+    seen = forwarded()
+    assert b"authorization" not in seen
+    assert seen[b"x-tenant"] == b"customer"
+    assert seen[b"x-expect-instance"] == b"i-1"
+    assert b"x-helpers" not in seen
+    assert b"x-tenant" not in forwarded(customer=None)
+
+
+def test_an_upstream_gets_the_time_that_is_left():
+    assert forwarded()[b"x-deadline-ms"] == b"2500"
+    assert forwarded(left_seconds=-1.0)[b"x-deadline-ms"] == b"1"
+
+
+def test_headers_of_one_connection_stay_there():
+    seen = forwarded()
+    assert b"connection" not in seen
+    assert b"x-hop" not in seen
+    assert seen[b"x-other"] == b"kept"
+    assert seen[b"x-prompt-prefix"] == b"5c1e07a2:800"
+
+
+def test_a_caller_cannot_take_the_host_away():
+    headers = [*SENT, (b"connection", b"host")]
+    assert dict(DIALECT.forwarded_headers(headers, ForwardFacts("i", None, 1.0, None)))[
+        b"host"
+    ]
+
+
+def test_a_stream_goes_on_where_it_broke_off():
+    assert forwarded(last_event_id="30")[b"last-event-id"] == b"30"
+
+
+def test_an_answer_says_whether_the_request_ran():
+    assert DIALECT.answer_facts(503, [(b"x-not-run", b"1")]).not_run
+    assert DIALECT.answer_facts(421, []).not_run
+    assert not DIALECT.answer_facts(503, []).not_run
+    assert not DIALECT.answer_facts(200, []).not_run
+
+
+def test_the_load_and_the_idle_time_of_an_upstream_are_decoded():
+    facts = DIALECT.answer_facts(
+        200, [(b"x-runner-load", b"3,0,8"), (b"keep-alive", b"max=5, timeout=7")]
+    )
+    assert facts.load == (3, 0, 8)
+    assert facts.keep_alive_seconds == 7.0
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "call"),
+    [
+        ("PUT", "/api/config", PutConfiguration()),
+        ("GET", "/api/config", ReadConfiguration()),
+        ("PUT", "/api/runners/i-1", TakeHeartbeat("i-1")),
+        ("DELETE", "/api/runners/i-1", TakeLeaving("i-1")),
+        ("PUT", "/api/runners/", None),
+        ("POST", "/api/config", None),
+        ("GET", "/else", None),
+    ],
+)
+def test_control_calls_are_told_apart(method, path, call):
+    assert DIALECT.control_call(method, path) == call
--- /dev/null
+++ b/tests/cover/agreement/test_open_membership.py
@@ -0,0 +1,94 @@
+"""Check replicas that find each other, with no list of them anywhere."""
+
+from common.agreement_cluster import Cluster
+from common.agreement_node import Node
+from cowslipshelf_core.agreement import (
+    FoundCluster,
+    ProposalRefusal,
+    ReplicasSeen,
+    TickElapsed,
+)
+from cowslipshelf_core.identifiers import InstanceId
+
+OPEN = {"open_membership": True, "most_lost": 1}
+
+
+def founded(size: int = 3) -> Cluster:
+    """Found a cluster at its first replica, and let the others join."""
+    cluster = Cluster.of_size(size, **OPEN)
+    cluster.step("entry-0", [FoundCluster()])
+    cluster.run_until(lambda: has_voters(cluster, cluster.nodes))
+    return cluster
+
+
+def has_voters(cluster: Cluster, instances) -> bool:
+    """Tell whether a leader counts just these instances as voters."""
+    leader = cluster.leader()
+    if leader is None:
+        return False
+    voters = leader.replica.status().membership.voters
+    return {voter.instance for voter in voters} == set(instances)
+
+
+def test_the_others_join_the_one_that_founds():
+    cluster = founded()
+    accepted = cluster.acknowledge()
+    cluster.settle()
+    assert all(accepted in node.commands for node in cluster.nodes.values())
+
+
+def test_nobody_founds_unless_told_to():
+    """Two halves of a fleet that start cut off from each other hold two truths.
+
+    Replicas that know only some of the others must not take these for all.
+    """
+    cluster = Cluster.of_size(3, **OPEN)
+    cluster.run(100)
+    assert cluster.leader() is None
+
+
+def test_no_command_is_accepted_while_the_founder_is_alone():
+    """An acknowledged change is gone with the one disk that held it."""
+    cluster = Cluster.of_size(3, **OPEN)
+    cluster.step("entry-0", [FoundCluster()])
+    for _ in range(100):
+        cluster.nodes["entry-0"].clock += 0.05
+        cluster.step("entry-0", [TickElapsed()])
+    assert cluster.leader().instance == "entry-0"
+    proposal = cluster.propose("entry-0")
+    assert cluster.refused[proposal] is ProposalRefusal.NO_QUORUM
+
+
+def test_a_new_instance_takes_the_place_of_one_that_is_gone_for_good():
+    """All changes stop at the second loss although the first was long repaired.
+
+    A machine is removed and another comes at a new address with an empty disk. The
+    lost one must not count in quorums for ever.
+    """
+    cluster = founded()
+    accepted = cluster.acknowledge()
+    cluster.crash("entry-2")
+    newcomer = InstanceId("entry-9")
+    cluster.nodes[newcomer] = Node(newcomer, cluster.new_disk(newcomer))
+    cluster.restart(newcomer)
+    known = ("entry-0", "entry-1", newcomer)
+    cluster.step(newcomer, [ReplicasSeen(known)])
+    cluster.run_until(lambda: has_voters(cluster, known))
+    assert accepted in cluster.nodes[newcomer].commands
+
+
+def test_a_voter_that_was_silent_for_long_comes_back():
+    """A machine that was cut off for long stays a stranger to its own cluster."""
+    cluster = founded(4)
+    cluster.isolate("entry-3")
+    cluster.run_until(lambda: has_voters(cluster, ("entry-0", "entry-1", "entry-2")))
+    cluster.heal()
+    cluster.run_until(lambda: has_voters(cluster, cluster.nodes))
+
+
+def test_a_silent_voter_stays_where_there_are_no_more_than_needed():
+    """A frozen machine wakes and its quorum has been made smaller without it."""
+    cluster = founded(3)
+    cluster.isolate("entry-2")
+    cluster.run(400)
+    assert has_voters(cluster, cluster.nodes)
--- /dev/null
+++ b/tests/cover/gateway/test_event_stream.py
@@ -0,0 +1,40 @@
+"""Check that a stream is passed on in whole events, wherever the network cuts it."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cowslipshelf_daemon.internal.gateway.event_stream import EventCutter
+
+END = st.sampled_from(["\n\n", "\r\n\r\n"])
+EVENTS = st.lists(
+    st.tuples(st.integers(0, 99), st.text("abc ", max_size=8), END), max_size=6
+)
+
+
+def event(number: int, text: str, end: str) -> bytes:
+    line = end[: len(end) // 2]
+    return f"id: {number}{line}data: {text}{end}".encode()
+
+
+@given(EVENTS, st.lists(st.integers(1, 9), min_size=1), st.binary(max_size=5))
+def test_whole_events_come_out_however_they_are_cut(events, cuts, half):
+    """A caller gets half an event twice.
+
+    An upstream stops in the middle of an event. The one that goes on sends that
+    event whole, so its first half must not have been passed on.
+    """
+    half = half.replace(b"\n", b"").replace(b"\r", b"")
+    whole = b"".join(event(*each) for each in events)
+    cutter, out, last = EventCutter(), b"", None
+    data, position, turn = whole + half, 0, 0
+    while position < len(data):
+        step = cuts[turn % len(cuts)]
+        turn += 1
+        piece = cutter.take(data[position : position + step])
+        position += step
+        if piece is not None:
+            out += piece.data
+            last = piece.last_id or last
+    assert out == whole
+    assert cutter.rest() == half
+    assert last == (str(events[-1][0]) if events else None)
--- /dev/null
+++ b/tests/cover/routed/test_engine_placing.py
@@ -0,0 +1,152 @@
+"""Check who shares an engine with whom, on loads like those of both users."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from common.routed import ENGINE
+from cowslipshelf_core.routed import (
+    Candidate,
+    EngineBoard,
+    EnginesChosen,
+    NoEngine,
+    PromptAsked,
+    PromptSize,
+    place_prompt,
+    read_seconds,
+)
+
+SHORT = PromptSize(5_000, 1_300)
+LONG = PromptSize(182_000, 700)
+
+
+class Load:
+    """Place prompts one after the other on one board."""
+
+    def __init__(self, engines: int, seed: int = 0) -> None:
+        self.board = EngineBoard()
+        self.candidates = [Candidate(f"e-{number}") for number in range(engines)]
+        self.random = Random(seed)
+        self.placed = 0
+
+    def place(
+        self, size: PromptSize, now: float, objective: float, pause: float
+    ) -> EnginesChosen | NoEngine:
+        self.placed += 1
+        asked = PromptAsked(f"a-{self.placed}", size, objective, pause, 10.0)
+        chosen = place_prompt(
+            asked, self.candidates, ENGINE, self.board, now, self.random
+        )
+        if isinstance(chosen, EnginesChosen):
+            self.board.begin(chosen.work, now)
+        return chosen
+
+    def short(self, now: float) -> EnginesChosen | NoEngine:
+        return self.place(SHORT, now, objective=0.3, pause=0.25)
+
+    def long(self, now: float) -> EnginesChosen | NoEngine:
+        return self.place(LONG, now, objective=4.0, pause=1.0)
+
+
+def test_a_long_prompt_is_read_by_several_engines_where_one_is_too_slow():
+    """A tax file's summary begins after six seconds where four are wanted.
+
+    One engine alone takes longer to read the prompt than its objective, while the
+    others have nothing to do.
+    """
+    load = Load(engines=14)
+    chosen = load.place(PromptSize(250_000, 700), 0.0, objective=4.0, pause=1.0)
+    assert read_seconds(ENGINE, 250_000) > 4.0
+    assert len(chosen.helpers) >= 1
+    assert chosen.first_token_seconds < 0.7 * 4.0
+
+
+def test_a_short_prompt_keeps_off_engines_that_read_a_long_one():
+    """A desk question waits seconds behind a tax file although engines are free."""
+    for seed in range(20):
+        load = Load(engines=14, seed=seed)
+        long = load.long(0.0)
+        busy = {long.upstream_id, *long.helpers}
+        short = load.short(0.01)
+        assert short.upstream_id not in busy
+        assert short.first_token_seconds < 0.3
+
+
+def test_a_long_prompt_keeps_off_engines_that_write_for_short_ones():
+    """Answers to desk questions stall for half a second in the middle.
+
+    A long prompt is read between the tokens of those who write; each pass of such an
+    engine takes as long as the chunks that are read in it.
+    """
+    for seed in range(20):
+        load = Load(engines=14, seed=seed)
+        writing = set()
+        for number in range(20):
+            short = load.short(number * 0.05)
+            load.board.first_token(short.work.attempt_id)
+            writing.add(short.upstream_id)
+        long = load.long(1.2)
+        assert not writing & {long.upstream_id, *long.helpers}
+
+
+def test_gateways_that_tell_each_other_do_not_choose_the_same_engine():
+    """Several gateways send their prompts to the engine that looked idle to all."""
+    load = Load(engines=14)
+    first = load.long(0.0)
+    second = load.long(0.002)
+    assert second.upstream_id not in {first.upstream_id, *first.helpers}
+
+
+def test_a_prompt_above_every_memory_is_refused_at_once():
+    load = Load(engines=4)
+    chosen = load.place(PromptSize(500_000, 700), 0.0, objective=4.0, pause=1.0)
+    assert isinstance(chosen, NoEngine)
+    assert "memory" in chosen.reason
+
+
+def test_a_prompt_that_cannot_be_answered_in_time_is_refused_with_the_wait():
+    load = Load(engines=1)
+    for _ in range(2):
+        load.long(0.0)
+    asked = PromptAsked("late", SHORT, 0.3, 0.25, 2.0)
+    chosen = place_prompt(asked, load.candidates, ENGINE, load.board, 0.1, load.random)
+    assert isinstance(chosen, NoEngine)
+    assert chosen.retry_after_seconds > 1.0
+
+
+@given(st.lists(st.integers(1, 400_000), min_size=1, max_size=40), st.integers(1, 20))
+def test_parts_are_on_different_engines_and_memory_is_never_overbooked(sizes, engines):
+    load = Load(engines)
+    for number, tokens in enumerate(sizes):
+        chosen = load.place(PromptSize(tokens, 700), number * 0.1, 4.0, 1.0)
+        if isinstance(chosen, NoEngine):
+            continue
+        used = [chosen.upstream_id, *chosen.helpers]
+        assert len(set(used)) == len(used)
+        assert len(chosen.helpers) <= 16
+    for candidate in load.candidates:
+        view = load.board.view(candidate.upstream_id, 0.0)
+        assert view.memory_tokens <= ENGINE.memory_tokens
+
+
+@given(st.lists(st.integers(0, 2), max_size=60))
+def test_a_board_is_empty_when_all_work_has_ended(steps):
+    load = Load(engines=6)
+    running = []
+    for number, step in enumerate(steps):
+        match step:
+            case 0:
+                chosen = load.short(number * 0.05)
+            case 1:
+                chosen = load.long(number * 0.05)
+            case 2:
+                if running:
+                    load.board.end(running.pop(0))
+                continue
+        if isinstance(chosen, EnginesChosen):
+            running.append(chosen.work.attempt_id)
+    for attempt_id in running:
+        load.board.end(attempt_id)
+    assert load.board.placed == {}
+    assert not any(load.board.by_engine.values())
--- /dev/null
+++ b/tests/cover/routed/test_peer_book.py
@@ -0,0 +1,60 @@
+"""Check how gateways find each other, and who of them founds the cluster."""
+
+from cowslipshelf_core.messages import PeerAlive
+from cowslipshelf_core.routed import PeerBook, PeerBookConfig
+
+SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+def book(instance: str, holds_replica: bool = True, seeds=SEEDS) -> PeerBook:
+    return PeerBook.from_config(PeerBookConfig(instance, "here", holds_replica, seeds))
+
+
+def alive(holds_replica: bool = True, peers=()) -> PeerAlive:
+    return PeerAlive("here", holds_replica, 1.0, 0, tuple(peers))
+
+
+def test_a_gateway_learns_of_the_others_from_one_of_them():
+    own = book("10.0.0.9", holds_replica=False)
+    own.heard("10.0.0.1", alive(peers=("10.0.0.4", "10.0.0.9")), 0.0)
+    assert set(own.to_tell()) == {*SEEDS, "10.0.0.4"}
+    assert own.alive(0.0) == ["10.0.0.1"]
+
+
+def test_only_the_lowest_seed_with_a_disk_founds():
+    """A system that starts for the first time becomes two systems.
+
+    Each gateway sees the others at another time; whoever founds must be the same
+    for all of them, whatever they have heard so far.
+    """
+    first = book("10.0.0.1", holds_replica=False)
+    second = book("10.0.0.2")
+    third = book("10.0.0.3")
+    assert second.founder() is None
+    for each in (second, third):
+        each.heard("10.0.0.1", alive(holds_replica=False), 0.0)
+    first.heard("10.0.0.2", alive(), 0.0)
+    third.heard("10.0.0.2", alive(), 0.0)
+    assert {each.founder() for each in (first, second, third)} == {"10.0.0.2"}
+
+
+def test_one_that_has_not_heard_a_lower_seed_waits():
+    assert book("10.0.0.3").founder() is None
+
+
+def test_a_silent_gateway_is_told_on_until_it_is_forgotten():
+    """Two halves never find each other again after a cut of ten seconds."""
+    own = book("10.0.0.1")
+    own.heard("10.0.0.7", alive(), 0.0)
+    assert own.alive(10.0) == []
+    own.forget_old(10.0)
+    assert "10.0.0.7" in own.to_tell()
+    own.forget_old(31.0)
+    assert "10.0.0.7" not in own.to_tell()
+
+
+def test_a_return_after_silence_is_news():
+    own = book("10.0.0.1")
+    assert own.heard("10.0.0.7", alive(), 0.0)
+    assert not own.heard("10.0.0.7", alive(), 1.0)
+    assert own.heard("10.0.0.7", alive(), 9.0)
--- /dev/null
+++ b/tests/cover/routed/test_repeat_budget.py
@@ -0,0 +1,51 @@
+"""Check that repeats stay within the allowance, whatever fails."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cowslipshelf_core.routed import RepeatBudget, RepeatBudgetConfig
+
+CONFIG = RepeatBudgetConfig(window_seconds=10.0, ratio=0.2, slack=20.0)
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.0, 1.0), st.integers(0, 1), st.integers(1, 4)),
+        max_size=200,
+    )
+)
+def test_no_window_has_more_repeats_than_all_gateways_may_send(steps):
+    """A service fails and is buried under repeats of everybody's requests.
+
+    Several gateways send repeats at the same time; each spends its own part only.
+    """
+    gateways = 4
+    budgets = [RepeatBudget.from_config(CONFIG) for _ in range(gateways)]
+    now, requests, repeats = 0.0, [], []
+    for pause, asked, gateway in steps:
+        now += pause
+        budget = budgets[gateway - 1]
+        if asked:
+            budget.count_request("s", now)
+            requests.append(now)
+        elif budget.allow_repeat("s", gateways, now):
+            repeats.append(now)
+            window = now - CONFIG.window_seconds
+            sent = sum(time >= window for time in repeats)
+            served = sum(time >= window for time in requests)
+            assert sent <= CONFIG.ratio * served + CONFIG.slack
+
+
+def test_repeats_are_allowed_again_when_the_window_has_passed():
+    budget = RepeatBudget.from_config(CONFIG)
+    while budget.allow_repeat("s", 1, 0.0):
+        pass
+    assert not budget.allow_repeat("s", 1, 9.0)
+    assert budget.allow_repeat("s", 1, 10.5)
+
+
+def test_services_do_not_spend_each_others_repeats():
+    budget = RepeatBudget.from_config(CONFIG)
+    while budget.allow_repeat("s", 1, 0.0):
+        pass
+    assert budget.allow_repeat("other", 1, 0.0)
--- /dev/null
+++ b/tests/cover/routed/test_upstream_health.py
@@ -0,0 +1,53 @@
+"""Check what is learnt of upstreams that fail while they say that they are well."""
+
+from random import Random
+
+from common.routed import heartbeat
+from cowslipshelf_core.routed import (
+    PlainCandidate,
+    UpstreamHealth,
+    choose_upstream,
+)
+
+
+def candidate(upstream_id: str, **changes) -> PlainCandidate:
+    usual = PlainCandidate(upstream_id, 6, 0, 0.0, 1.0, False, True)
+    return usual._replace(**changes)
+
+
+def test_an_upstream_that_fails_half_of_its_requests_is_used_last():
+    """Every third booking fails although two of three upstreams are well."""
+    health = UpstreamHealth()
+    for number in range(8):
+        health.answered("bad", bool(number % 2), None, number * 0.2)
+        health.answered("good", False, None, number * 0.2)
+    failing = health.seen("bad", 1.6).failing
+    chosen = [
+        choose_upstream(
+            [candidate("bad", failing=failing), candidate("good", running=1)],
+            Random(seed),
+        )
+        for seed in range(20)
+    ]
+    assert set(chosen) == {"good"}
+
+
+def test_an_upstream_that_failed_once_is_believed_again():
+    health = UpstreamHealth()
+    health.lost("u", 0.0)
+    assert health.seen("u", 0.1).avoided
+    assert not health.seen("u", 1.0).avoided
+    assert health.seen("u", 40.0).failing < 0.01
+
+
+def test_repeated_losses_keep_an_upstream_away_for_longer():
+    health = UpstreamHealth()
+    for number in range(4):
+        health.lost("u", float(number))
+    assert health.seen("u", 5.0).avoided
+
+
+def test_the_only_upstream_is_used_whatever_is_believed_of_it():
+    only = candidate(heartbeat().upstream_id, failing=1.0, avoided=True)
+    assert choose_upstream([only], Random(0)) == only.upstream_id
+    assert choose_upstream([], Random(0)) is None
