Listen for callers before the rest is loaded, and start a failed replica again

The callers' socket is now opened first; connections wait in its queue. Also: a slow head gets its 408; a replica whose disk failed is started again; streams log their first event and longest pause.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
@@ -23,7 +23,7 @@
 def campaign_when_due(state: ReplicaState) -> None:
     """Stand for election, as a voter, after too long a silence."""
     if state.election_due is None:
-        state.restart_campaign_timer()
+        state.start_campaign_timer()
     if state.now >= state.election_due:
         campaign(state, pre_vote=True)
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -223,16 +223,24 @@
             self.effects.append(ReadFailed(read.read_id, self.leader))
 
     def restart_campaign_timer(self) -> None:
-        """Wait for a shorter random time before standing, again or after a start.
+        """Wait for a shorter random time before standing again.
 
         A campaign fails where candidates split the votes. Nobody leads then, so
-        the wait only has to outlast a round of votes and to tell them apart. After
-        a start nobody may lead either, where all were killed at once; a leader that
-        there is keeps its place, since those who hear it give no pre-vote.
+        the wait only has to outlast a round of votes and to tell them apart.
         """
         longest = self.config.election_seconds
         self.election_due = self.now + self.random.uniform(longest / 4, longest)
 
+    def start_campaign_timer(self) -> None:
+        """Wait for the shortest random time before standing after a start.
+
+        Where all replicas were killed at once, nobody leads and nobody is served
+        until one does. Where there is a leader, it keeps its place, since those who
+        hear it give no pre-vote.
+        """
+        longest = self.config.election_seconds
+        self.election_due = self.now + self.random.uniform(longest / 10, longest / 3)
+
     def restart_election_timer(self) -> None:
         """Wait for a random time before standing for election."""
         shortest = self.config.election_seconds
--- a/packages/daemon/src/cowslipshelf_daemon/__main__.py
+++ b/packages/daemon/src/cowslipshelf_daemon/__main__.py
@@ -1,6 +1,9 @@
 """Run the daemon as `python -m cowslipshelf_daemon`."""
 
 import sys
+from importlib import import_module
+
+from cowslipshelf_daemon.internal.early_listener import listen_early
 
 GATEWAY = "gateway"
 
@@ -13,9 +16,11 @@
     """
     match sys.argv[1:]:
         case [role, adapter] if role == GATEWAY:
+            addresses = import_module(f"{adapter}.addresses")
+            listener = listen_early(addresses.callers_address())
             from cowslipshelf_daemon.internal.gateway.running import run_gateway
 
-            return run_gateway(adapter)
+            return run_gateway(adapter, listener)
         case _:
             from cowslipshelf_daemon.program import main
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 import time
 import uuid
 
@@ -91,7 +92,7 @@
         self.view.tell_work = self.gossip.tell_work
         self.inbox = LoopInbox(self.loop, self.gossip.receive)
         self.keeper = ReplicaKeeper(
-            self.view, self.post, self.inbox, self.control_actor
+            self.view, self.post, self.inbox, self.control_actor, self.metrics
         )
         self.mailbox = self.make_mailbox(own_address)
         self.leaving = False
@@ -170,7 +171,7 @@
         """Tell whether requests can be served."""
         return not self.leaving and self.view.table is not None
 
-    async def start(self) -> None:
+    async def start(self, early_listener: socket.socket | None) -> None:
         """Listen at every address, and begin to look for the others."""
         self.mailbox.start()
         self.post.attach(self.mailbox, self.deliver)
@@ -180,7 +181,7 @@
         if settings.ready_address is not None:
             await self.ready.start(settings.ready_address)
         if settings.callers_address is not None:
-            await self.callers.start(settings.callers_address)
+            await self.callers.start(settings.callers_address, early_listener)
 
     async def run(self) -> None:
         """Do what the time demands until the gateway has ended."""
@@ -234,7 +235,11 @@
         self.mailbox.stop()
 
 
-async def serve(settings: GatewaySettings, dialect: Dialect) -> None:
+async def serve(
+    settings: GatewaySettings,
+    dialect: Dialect,
+    early_listener: socket.socket | None = None,
+) -> None:
     """Run a gateway until it is asked to end and has ended."""
     gateway = Gateway(settings, dialect)
     leaving: list[asyncio.Task[None]] = []
@@ -246,7 +251,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         gateway.loop.add_signal_handler(number, begin_to_leave)
     gateway.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("Reload asked."))
-    await gateway.start()
+    await gateway.start(early_listener)
     LOG.info(
         "Started.",
         instance=settings.instance,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -30,6 +30,25 @@
     """Say that the caller has got an upstream's answer, whole."""
 
     status: int
+    pace: "StreamPace | None" = None
+
+
+@dataclass(slots=True)
+class StreamPace:
+    """Measure how a stream's events came, in seconds."""
+
+    began: float
+    first: float | None = None
+    longest_pause: float = 0.0
+    last_at: float = 0.0
+
+    def take_event(self, now: float) -> None:
+        """Note that events have come."""
+        if self.first is None:
+            self.first = now - self.began
+        else:
+            self.longest_pause = max(self.longest_pause, now - self.last_at)
+        self.last_at = now
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +171,7 @@
         self, task: AttemptTask, placement: Placement, connection: UpstreamConnection
     ) -> AttemptOutcome:
         """Send, wait for the head, and judge or pass on what follows."""
+        began = time.monotonic()
         connection.send(self.outgoing(task, placement))
         head = await connection.head()
         facts = self.dialect.answer_facts(head.status, head.headers)
@@ -164,7 +184,7 @@
             # An answer to an earlier request of this connection came late.
             raise connection.lost("match answer", f"answers {facts.attempt_id}")
         if task.route.kind is RouteKind.STREAM and head.status < 300:
-            return await self.pass_stream(task, placement, connection, head)
+            return await self.pass_stream(task, placement, connection, head, began)
         body = await collect(connection)
         if head.status >= SERVER_ERROR:
             return FailedThere(head, body)
@@ -201,15 +221,18 @@
         placement: Placement,
         connection: UpstreamConnection,
         head: UpstreamHead,
+        began: float,
     ) -> AttemptOutcome:
         """Pass events on as they come; the first attempt's head stays the answer's."""
         cutter = EventCutter()
+        pace = StreamPace(began)
         async for data in connection.body():
             piece = cutter.take(data)
             if piece is None:
                 continue
             if placement.work is not None and not task.delivered.events_sent:
                 self.view.first_token(placement.work.attempt_id)
+            pace.take_event(time.monotonic())
             self.begin_stream(task, head)
             task.delivered.events_sent = True
             if piece.last_id is not None:
@@ -218,7 +241,7 @@
         self.begin_stream(task, head)
         await task.responder.piece(cutter.rest())
         await task.responder.end()
-        return Answered(head.status)
+        return Answered(head.status, pace)
 
     def begin_stream(self, task: AttemptTask, head: UpstreamHead) -> None:
         """Send the head of a streamed answer, once."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
@@ -1,6 +1,7 @@
 """Serve HTTP/1.1 on asyncio, with bounds on what a caller may send and how slowly."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -8,6 +9,7 @@
 
 from cowslipshelf_core.dialect import Headers
 from cowslipshelf_core.routed import CallerLimits
+from cowslipshelf_daemon.internal.early_listener import BACKLOG
 from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("http_server")
@@ -96,12 +98,16 @@
         self.closing = False
         self.server: asyncio.Server | None = None
 
-    async def start(self, address: str) -> None:
-        """Listen at an address, given as IP and port."""
+    async def start(self, address: str, listener: socket.socket | None = None) -> None:
+        """Listen at an address, given as IP and port, or by a socket that does."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
+        if listener is None:
+            where = {"host": host, "port": int(port)}
+        else:
+            where = {"sock": listener}
         self.server = await loop.create_server(
-            lambda: HttpConnection(self), host, int(port), backlog=512
+            lambda: HttpConnection(self), backlog=BACKLOG, **where
         )
 
     @property
@@ -201,7 +207,12 @@
     @property
     def idle(self) -> bool:
         """Tell whether nothing of a request has arrived."""
-        return not self.busy and not self.incoming and not self.parser.trailing_data[0]
+        return not self.busy and not self.has_begun
+
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether bytes of the next request have arrived."""
+        return bool(self.incoming or self.parser.trailing_data[0])
 
     async def serve(self) -> None:
         """Answer requests until either side closes."""
@@ -244,7 +255,7 @@
                 return None
             body = await self.read_body(head, limits)
         except TimeoutError:
-            if self.parser.their_state is not h11.IDLE or self.incoming:
+            if self.parser.their_state is not h11.IDLE or self.has_begun:
                 await self.refuse(408)
             return None
         except h11.RemoteProtocolError as error:
@@ -265,7 +276,7 @@
 
     async def read_head(self, limits: CallerLimits) -> h11.Request | None:
         """Wait for a request to begin, then for its head."""
-        while not self.incoming and not self.parser.trailing_data[0]:
+        while not self.has_begun:
             if self.ended:
                 return None
             await self.wait_for_bytes(limits.idle_seconds)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
@@ -1,5 +1,6 @@
 """Keep a replica running on this machine's disk, and start it again after a failure."""
 
+import asyncio
 import time
 from pathlib import Path
 
@@ -10,19 +11,23 @@
     Replica,
     ReplicaConfig,
     ReplicasSeen,
+    ReplicaStatus,
+    Role,
     TransferLeadership,
 )
 from cowslipshelf_core.control import ControlState
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_daemon.internal.entry.replica_actor import (
+    ControlStateAsked,
     ReplicaActor,
     ReplicaParts,
 )
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
-from cowslipshelf_daemon.internal.gateway.loop_post import LoopInbox
+from cowslipshelf_daemon.internal.gateway.loop_post import LoopInbox, LoopReply
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
 from cowslipshelf_host.storage import ReplicaStorage, ReplicaStorageConfig
 
 LOG = part_logger("replica_keeper")
@@ -33,6 +38,8 @@
 deposed for it; and a change waits for an election and a half at most."""
 FOUND_AFTER_SECONDS = 1.5
 """Age of a gateway at which it may found: all start within a fraction of a second."""
+STATUS_SECONDS = 1.0
+"""Pause between two looks at the replica, for its metrics and its disk."""
 RESTART_SECONDS = 1.0
 """Pause before a replica whose disk failed is started again."""
 
@@ -41,9 +48,15 @@
     """Own this machine's replica, if it has a disk."""
 
     def __init__(
-        self, view: FleetView, post: Post, inbox: LoopInbox, gateway: ActorRef
+        self,
+        view: FleetView,
+        post: Post,
+        inbox: LoopInbox,
+        gateway: ActorRef,
+        metrics: Metrics,
     ) -> None:
         self.view = view
+        self.metrics = metrics
         self.post = post
         self.inbox = inbox
         self.gateway = gateway
@@ -52,6 +65,7 @@
         self.started = time.monotonic()
         self.start_due = 0.0
         self.founded = False
+        self.status_due = 0.0
 
     @property
     def wanted(self) -> bool:
@@ -71,6 +85,7 @@
             return
         self.tell_replicas()
         self.found_when_due(now)
+        self.ask_status_when_due(now)
         self.actor.tell(Tick())
 
     def start(self) -> None:
@@ -107,6 +122,38 @@
         )
         LOG.info("Replica started.", folder=stored.replica_id.folder)
 
+    def ask_status_when_due(self, now: float) -> None:
+        """Ask the replica how it is; the answer comes on the loop."""
+        if now < self.status_due:
+            return
+        self.status_due = now + STATUS_SECONDS
+        reply = LoopReply(self.inbox.loop)
+        reply.future.add_done_callback(self.take_status)
+        self.actor.tell(ControlStateAsked(lambda _, status: status, reply))
+
+    def take_status(self, future: asyncio.Future[ReplicaStatus]) -> None:
+        """Show how the replica is, and start it again where its disk has failed.
+
+        A disk that was full for some seconds takes writes again, but what the replica
+        holds in memory may be ahead of it; only what a new start reads counts.
+        """
+        if future.cancelled():
+            return
+        status = future.result()
+        members = status.membership
+        self.metrics.gauge("cowslipshelf_replica_voters", len(members.voters))
+        self.metrics.gauge("cowslipshelf_replica_learners", len(members.learners))
+        self.metrics.gauge("cowslipshelf_replica_term", status.term)
+        self.metrics.gauge("cowslipshelf_replica_commit_index", status.commit_index)
+        self.metrics.gauge(
+            "cowslipshelf_replica_leads", float(status.role is Role.LEADER)
+        )
+        if status.failure and self.actor is not None:
+            LOG.warning("Replica ends, to start again.", failure=status.failure)
+            self.actor.stop(block=False)
+            self.actor = None
+            self.start_due = time.monotonic() + RESTART_SECONDS
+
     def tell_replicas(self) -> None:
         """Tell the replica and the gateway's client who holds replicas now."""
         replicas = self.view.peers.replicas()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -245,20 +245,36 @@
                 progress.last_failure = outcome
             case Broken():
                 progress.last_reason = f"{outcome.step} failed"
+        self.note_attempt(task, placement, outcome, progress, began)
+        return outcome
+
+    def note_attempt(
+        self,
+        task: AttemptTask,
+        placement: Placement,
+        outcome: AttemptOutcome,
+        progress: Progress,
+        began: float,
+    ) -> None:
+        """Log what an attempt came to, and what decided on its upstream."""
+        pace = getattr(outcome, "pace", None)
         LOG.info(
             "Attempt ended.",
             request=task.facts.attempt_id,
-            upstream=upstream_id,
+            route=task.route.name,
+            upstream=placement.upstream.upstream_id,
             outcome=type(outcome).__name__,
             detail=getattr(outcome, "detail", ""),
             seconds=round(time.monotonic() - began, 4),
             predicted=round(placement.first_token_seconds or 0.0, 4),
+            first=round(pace.first, 4) if pace and pace.first else None,
+            pause=round(pace.longest_pause, 4) if pace else None,
+            tokens=task.facts.prompt.prompt_tokens if task.facts.prompt else None,
             helpers=len(placement.helpers),
             candidates=placement.candidates,
             cost=round(placement.cost, 3),
             sent=progress.sent,
         )
-        return outcome
 
     def note_no_placement(
         self, task: AttemptTask, placement: NoPlacement, progress: Progress
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/running.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import socket
 import sys
 
 from result import Err, Ok
@@ -14,16 +15,17 @@
 EXIT_BAD_SETTINGS = 6
 
 
-def run_gateway(adapter_name: str) -> int:
-    """Load an adapter by its module's name, and run a gateway with it.
+def run_gateway(adapter_name: str, early_listener: socket.socket | None) -> int:
+    """Run a gateway with an adapter, given by its package's name.
 
-    The module offers `load_gateway_settings()` and `MachinesDialect`.
+    The package's module `gateway` offers `load_gateway_settings()` and
+    `MachinesDialect`.
     """
-    adapter = importlib.import_module(adapter_name)
+    adapter = importlib.import_module(f"{adapter_name}.gateway")
     configure_logs(LogSettings(), sys.stdout)
     match adapter.load_gateway_settings():
         case Ok(settings):
-            asyncio.run(serve(settings, adapter.MachinesDialect()))
+            asyncio.run(serve(settings, adapter.MachinesDialect(), early_listener))
             return EXIT_DONE
         case Err(problem):
             print(problem, file=sys.stderr)
--- /dev/null
+++ b/tests/common/gateway_fleet.py
@@ -0,0 +1,216 @@
+"""Run gateways as real processes on loopback addresses, as the machines would."""
+
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPResponse
+from pathlib import Path
+from typing import NamedTuple
+
+from common.polling import wait_for
+from common.scripted_upstream import ScriptedUpstream, call
+
+FIRST_HOST = 11
+HOST = "host.example"
+KEY = "key-of-one"
+DEADLINE_MS = "5000"
+
+
+class Ports(NamedTuple):
+    """Be the ports that all machines of a fleet use."""
+
+    callers: int
+    ready: int
+    control: int
+    peers: int
+
+
+def free_ports(hosts: list[str]) -> Ports:
+    """Return ports that are free at every address; the kernel draws them."""
+    while True:
+        held = []
+        try:
+            ports = []
+            for _ in Ports._fields:
+                first = socket.create_server((hosts[0], 0))
+                held.append(first)
+                port = first.getsockname()[1]
+                ports.append(port)
+                held += [socket.create_server((host, port)) for host in hosts[1:]]
+            return Ports(*ports)
+        except OSError:
+            continue
+        finally:
+            for each in held:
+                each.close()
+
+
+@dataclass
+class GatewayProcess:
+    """Be one gateway, which may be killed and started again."""
+
+    folder: Path
+    host: str
+    ports: Ports
+    seeds: list[str]
+    holds_replica: bool = True
+    process: subprocess.Popen | None = None
+
+    @property
+    def callers(self) -> str:
+        return f"{self.host}:{self.ports.callers}"
+
+    @property
+    def control(self) -> str:
+        return f"{self.host}:{self.ports.control}"
+
+    def start(self, first: bool) -> None:
+        """Write the settings and start the process."""
+        settings = self.folder / "settings.toml"
+        self.folder.mkdir(parents=True, exist_ok=True)
+        settings.write_text(self.settings(first))
+        log = (self.folder / "log").open("ab")
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "cowslipshelf_daemon",
+                "gateway",
+                "cowslipshelf_adapter",
+            ],
+            env=os.environ | {"COWSLIPSHELF_CONFIG": str(settings)},
+            stdout=log,
+            stderr=subprocess.STDOUT,
+            cwd=self.folder,
+        )
+        log.close()
+
+    def settings(self, first: bool) -> str:
+        """Write the settings as the machines do."""
+        seeds = ", ".join(f'"{seed}:{self.ports.control}"' for seed in self.seeds)
+        disk = f'data_dir = "{self.folder / "data"}"\n' if self.holds_replica else ""
+        return (
+            f'node = "gateway-{self.host}"\nip = "{self.host}"\nzone = "here"\n'
+            f"peer_port_range = [{self.ports.peers}, {self.ports.peers}]\n"
+            f"seeds = [{seeds}]\nbootstrap = {str(first).lower()}\n{disk}"
+            "heartbeat_ms = 60000\n[listen]\n"
+            f'front = "{self.callers}"\nready = "{self.host}:{self.ports.ready}"\n'
+            f'control = "{self.control}"\n'
+            "[limits]\nmax_fds = 1024\n[fault_tolerance]\nmachines = 1\n"
+            "[bounds]\ngrace_s = 8\n"
+        )
+
+    def is_ready(self) -> bool:
+        """Ask whether callers should be sent to it."""
+        status, _ = call(f"{self.host}:{self.ports.ready}", "GET", "/api/ready")
+        return status == 200
+
+    def kill(self) -> None:
+        """End the process without a word."""
+        self.process.kill()
+        self.process.wait()
+
+    def ask_to_end(self) -> None:
+        """Send the signal to end."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def wipe(self) -> None:
+        """Replace the disk by an empty one."""
+        shutil.rmtree(self.folder / "data", ignore_errors=True)
+
+
+class Fleet(NamedTuple):
+    """Be some gateways with one configuration."""
+
+    gateways: list[GatewayProcess]
+
+    def put(self, document: dict, at: int = 0) -> int:
+        """Send a configuration to one gateway; return the answer's status."""
+        return call(self.gateways[at].control, "PUT", "/api/config", document)[0]
+
+    def accept(self, document: dict) -> None:
+        """Have a configuration accepted and in force at every gateway."""
+        turn = iter(range(10_000))
+        wait_for(lambda: self.put(document, next(turn) % len(self.gateways)) == 200)
+        for gateway in self.gateways:
+            wait_for(lambda gateway=gateway: serves(gateway, document["version"]))
+
+
+def serves(gateway: GatewayProcess, version: int) -> bool:
+    """Tell whether a gateway has a version in force, by the route named for it."""
+    return ask(gateway, f"/version-{version}/x").status != 404
+
+
+def document(version: int, *routes: dict, services=("plain", "engine")) -> dict:
+    """Write a configuration; each version has a route of its own to be known by."""
+    mark = route(f"/version-{version}/", service=services[0], public=True)
+    return {
+        "version": version,
+        "routes": [mark, *routes],
+        "services": [{"name": name} for name in services],
+        "tenants": [{"name": "customer-one", "api_keys": [KEY]}],
+    }
+
+
+def route(prefix: str, **changes) -> dict:
+    """Write a route."""
+    return {
+        "name": prefix,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": "idempotent",
+        "timeout_ms": 5000,
+        "slo_ms": 500,
+        "service": "plain",
+        "attempts": 2,
+    } | changes
+
+
+def ask(
+    gateway: GatewayProcess,
+    path: str,
+    method: str = "GET",
+    body: bytes | None = None,
+    **headers: str,
+) -> HTTPResponse:
+    """Make one caller's request; the answer's body is still to be read."""
+    connection = HTTPConnection(gateway.host, gateway.ports.callers, timeout=20)
+    sent = {
+        "Host": HOST,
+        "Authorization": f"Token {KEY}",
+        "X-Attempt-Id": f"attempt-of-{path}",
+        "X-Deadline-Ms": DEADLINE_MS,
+    } | {name.replace("_", "-"): value for name, value in headers.items()}
+    connection.request(method, path, body, sent)
+    return connection.getresponse()
+
+
+@contextmanager
+def running_fleet(folder: Path, size: int = 3) -> Iterator[Fleet]:
+    """Run gateways with replicas until the test is over."""
+    hosts = [f"127.0.0.{FIRST_HOST + number}" for number in range(size + 1)]
+    ports = free_ports(hosts)
+    gateways = [
+        GatewayProcess(folder / host, host, ports, hosts[:3]) for host in hosts[:size]
+    ]
+    for gateway in gateways:
+        gateway.start(first=True)
+    try:
+        yield Fleet(gateways)
+    finally:
+        for gateway in gateways:
+            if gateway.process.poll() is None:
+                gateway.kill()
+
+
+def tell_all(fleet: Fleet, *upstreams: ScriptedUpstream) -> None:
+    """Let upstreams send a heartbeat to each gateway."""
+    for gateway in fleet.gateways:
+        for upstream in upstreams:
+            wait_for(lambda g=gateway, u=upstream: u.tell(g.control) == 200)
--- /dev/null
+++ b/tests/common/scripted_upstream.py
@@ -0,0 +1,169 @@
+"""Be an upstream that answers as a test says, on a real socket."""
+
+import json
+import socket
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from typing import NamedTuple
+
+ACCEPT_SECONDS = 0.1
+
+
+class SeenRequest(NamedTuple):
+    """Be a request as the upstream got it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class Exchange:
+    """Be one request with the connection on which it came."""
+
+    def __init__(self, upstream: "ScriptedUpstream", connection: socket.socket) -> None:
+        self.upstream = upstream
+        self.connection = connection
+        self.reader = connection.makefile("rb")
+        self.request: SeenRequest | None = None
+
+    def answer(self, status: int, body: bytes = b"", **headers: str) -> None:
+        """Send a whole answer, signed as the upstream's own."""
+        fields = {"Content-Length": str(len(body))} | self.signature() | headers
+        self.connection.sendall(head(status, fields) + body)
+
+    def begin_stream(self) -> None:
+        """Send the head of a streamed answer."""
+        fields = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        } | self.signature()
+        self.connection.sendall(head(200, fields))
+
+    def chunk(self, data: bytes) -> None:
+        """Send a piece of a stream."""
+        self.connection.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def end_stream(self) -> None:
+        """Complete a stream."""
+        self.connection.sendall(b"0\r\n\r\n")
+
+    def cut(self) -> None:
+        """Reset the connection."""
+        reset = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset)
+        self.reader.close()
+        self.connection.close()
+
+    def wait_until_caller_left(self, seconds: float) -> bool:
+        """Return whether the other side closes within a time."""
+        self.connection.settimeout(seconds)
+        try:
+            return self.connection.recv(1) == b""
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+
+    def signature(self) -> dict[str, str]:
+        """Return the headers that every answer carries."""
+        return {
+            "X-Attempt-Id": self.request.headers.get("x-attempt-id", ""),
+            "X-Response-Stamp": f"by-{self.upstream.upstream_id}",
+        }
+
+
+def head(status: int, headers: dict[str, str]) -> bytes:
+    """Write the head of an answer."""
+    lines = [f"HTTP/1.1 {status} Said"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+@dataclass
+class ScriptedUpstream:
+    """Own a listening socket, and a thread for each connection."""
+
+    upstream_id: str
+    service: str
+    script: Callable[[Exchange], None]
+    seen: list[SeenRequest] = field(default_factory=list)
+    sequence: int = 0
+
+    def __post_init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.stopped = threading.Event()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        self.listener.settimeout(ACCEPT_SECONDS)
+        while not self.stopped.is_set():
+            try:
+                connection, _ = self.listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection: socket.socket) -> None:
+        """Answer the requests of one connection, one after the other."""
+        exchange = Exchange(self, connection)
+        try:
+            while (request := read_request(exchange.reader)) is not None:
+                self.seen.append(request)
+                exchange.request = request
+                self.script(exchange)
+        except (OSError, ValueError):
+            return
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self.stopped.set()
+        self.listener.close()
+
+    def tell(self, control: str, state: str = "ready") -> int:
+        """Send a heartbeat to a gateway; return the answer's status."""
+        self.sequence += 1
+        body = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "here",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": self.sequence,
+        }
+        return call(control, "PUT", f"/api/runners/{self.upstream_id}", body)[0]
+
+
+def read_request(reader) -> SeenRequest | None:
+    """Read one request; return nothing at the end of the connection."""
+    line = reader.readline().decode().split()
+    if len(line) != 3:
+        return None
+    headers = {}
+    while (text := reader.readline().decode().strip()) != "":
+        name, _, value = text.partition(":")
+        headers[name.lower()] = value.strip()
+    body = reader.read(int(headers.get("content-length", 0)))
+    return SeenRequest(line[0], line[1], headers, body)
+
+
+def call(address: str, method: str, path: str, body=None) -> tuple[int, bytes]:
+    """Make one call with a JSON body; return its status and body."""
+    host, _, port = address.partition(":")
+    connection = HTTPConnection(host, int(port), timeout=10)
+    try:
+        data = None if body is None else json.dumps(body).encode()
+        connection.request(method, path, data)
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+    except OSError:
+        return 0, b""
+    finally:
+        connection.close()
--- /dev/null
+++ b/tests/nocover/gateway/test_gateway_processes.py
@@ -0,0 +1,252 @@
+"""Serve by route with real processes, and break what may break."""
+
+import json
+import socket
+import threading
+
+import pytest
+
+from common.gateway_fleet import (
+    HOST,
+    Fleet,
+    ask,
+    document,
+    route,
+    running_fleet,
+    tell_all,
+)
+from common.polling import wait_for
+from common.scripted_upstream import Exchange, ScriptedUpstream, call
+
+ROUTES = (
+    route("/safe/"),
+    route("/once/", kind="non_idempotent"),
+    route("/stream/", kind="stream", resumable=True, gap_target_ms=1000),
+)
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with running_fleet(tmp_path) as fleet:
+        fleet.accept(document(1, *ROUTES))
+        yield fleet
+
+
+def upstream(script, upstream_id="u-1", service="plain") -> ScriptedUpstream:
+    return ScriptedUpstream(upstream_id, service, script)
+
+
+def say_hello(exchange: Exchange) -> None:
+    exchange.answer(200, b"hello")
+
+
+def test_a_request_is_passed_on_and_its_answer_comes_back_as_it_was(fleet):
+    plain = upstream(say_hello)
+    tell_all(fleet, plain)
+    for gateway in fleet.gateways:
+        answer = ask(gateway, "/safe/a?q=1", "POST", b"body", X_Other="kept")
+        assert (answer.status, answer.read()) == (200, b"hello")
+        assert answer.headers["X-Response-Stamp"] == "by-u-1"
+    seen = [each for each in plain.seen if each.target == "/safe/a?q=1"]
+    assert len(seen) == 3
+    assert seen[0].body == b"body"
+    assert seen[0].headers["x-tenant"] == "customer-one"
+    assert seen[0].headers["x-expect-instance"] == "u-1"
+    assert seen[0].headers["x-other"] == "kept"
+    assert "authorization" not in seen[0].headers
+
+
+def test_strangers_and_unknown_places_are_refused(fleet):
+    gateway = fleet.gateways[0]
+    assert ask(gateway, "/nowhere/x").status == 404
+    assert ask(gateway, "/safe/x", Authorization="Token wrong").status == 401
+
+
+def test_configurations_are_accepted_refused_and_read_back(fleet):
+    assert fleet.put(document(1, *ROUTES), at=1) == 200
+    assert fleet.put(document(1), at=2) == 409
+    assert fleet.put({"version": 2}, at=0) == 400
+    second = document(5, *ROUTES)
+    fleet.accept(second)
+    assert fleet.put(document(4), at=1) == 200
+    for gateway in fleet.gateways:
+        status, body = call(gateway.control, "GET", "/api/config")
+        assert status == 200
+        assert json.loads(body) == second
+
+
+def test_what_was_accepted_outlives_the_death_of_all_processes(fleet):
+    """A route is gone after all processes were killed at the same moment."""
+    newest = document(9, *ROUTES)
+    fleet.accept(newest)
+    for gateway in fleet.gateways:
+        gateway.kill()
+    for gateway in fleet.gateways:
+        gateway.start(first=False)
+    for gateway in fleet.gateways:
+        wait_for(gateway.is_ready)
+        wait_for(lambda g=gateway: call(g.control, "GET", "/api/config")[0] == 200)
+        status, body = call(gateway.control, "GET", "/api/config")
+        assert json.loads(body) == newest
+
+
+def test_disks_may_be_lost_one_after_the_other(fleet):
+    """A change is gone although never more than one disk was lost at a time.
+
+    Each disk in turn comes back empty; the others must bring it up to date before
+    the next one is lost.
+    """
+    for turn, gateway in enumerate(fleet.gateways):
+        newest = document(20 + turn, *ROUTES)
+        fleet.accept(newest)
+        gateway.kill()
+        gateway.wipe()
+        gateway.start(first=False)
+        wait_for(lambda: all(has_three_voters(g) for g in fleet.gateways))
+    for gateway in fleet.gateways:
+        status, body = call(gateway.control, "GET", "/api/config")
+        assert (status, json.loads(body)) == (200, newest)
+
+
+def has_three_voters(gateway) -> bool:
+    """Tell whether a gateway's replica counts three voters and has what they have."""
+    _, text = call(f"{gateway.host}:{gateway.ports.ready}", "GET", "/metrics")
+    return b"cowslipshelf_replica_voters 3" in text
+
+
+def test_a_request_that_may_run_once_is_not_sent_again_after_a_cut(fleet):
+    """A payment line is doubled.
+
+    The upstream gets the request and its connection breaks: nobody can say whether
+    it ran. The caller must not be told that it did not.
+    """
+    first = upstream(lambda exchange: exchange.cut(), "u-1")
+    second = upstream(lambda exchange: exchange.cut(), "u-2")
+    tell_all(fleet, first, second)
+    answer = ask(fleet.gateways[0], "/once/x", "POST", b"pay")
+    assert answer.status == 502
+    ran = [each for each in first.seen + second.seen if each.target == "/once/x"]
+    assert len(ran) == 1
+
+
+def test_a_request_that_may_be_repeated_goes_to_another_upstream(fleet):
+    first = upstream(lambda exchange: exchange.cut(), "u-1")
+    second = upstream(say_hello, "u-2")
+    tell_all(fleet, first, second)
+    for _ in range(5):
+        assert ask(fleet.gateways[0], "/safe/x").status == 200
+
+
+def test_an_upstream_that_did_not_run_a_request_is_believed(fleet):
+    def shed(exchange: Exchange) -> None:
+        exchange.answer(503, X_Not_Run="1")
+
+    tell_all(fleet, upstream(shed))
+    answer = ask(fleet.gateways[0], "/once/x", "POST")
+    assert answer.status == 503
+    assert float(answer.headers["Retry-After"]) > 0
+    assert answer.headers["X-Response-Stamp"] is None
+
+
+def test_a_stream_goes_on_at_another_upstream_without_a_gap(fleet):
+    """A summary breaks off in the middle of a sentence, or says a part twice.
+
+    The upstream dies in the middle of an event. Another one goes on after the last
+    whole event, within the same answer.
+    """
+
+    def begin(exchange: Exchange) -> None:
+        if "last-event-id" in exchange.request.headers:
+            go_on(exchange)
+            return
+        exchange.begin_stream()
+        exchange.chunk(b"id: 1\ndata: one\n\nid: 2\nda")
+        exchange.cut()
+
+    def go_on(exchange: Exchange) -> None:
+        after = int(exchange.request.headers["last-event-id"])
+        exchange.begin_stream()
+        for number in range(after + 1, 4):
+            exchange.chunk(b"id: %d\ndata: rest\n\n" % number)
+        exchange.end_stream()
+
+    tell_all(fleet, upstream(begin, "u-1"), upstream(begin, "u-2"))
+    answer = ask(fleet.gateways[0], "/stream/x", "POST", b"prompt")
+    assert answer.status == 200
+    assert answer.read() == (
+        b"id: 1\ndata: one\n\nid: 2\ndata: rest\n\nid: 3\ndata: rest\n\n"
+    )
+
+
+def test_a_caller_that_leaves_ends_the_work_for_it(fleet):
+    """An engine writes for seconds to a caller who closed the page."""
+    left = threading.Event()
+
+    def write_on(exchange: Exchange) -> None:
+        exchange.begin_stream()
+        exchange.chunk(b"id: 1\ndata: one\n\n")
+        if exchange.wait_until_caller_left(20):
+            left.set()
+
+    tell_all(fleet, upstream(write_on))
+    gateway = fleet.gateways[0]
+    caller = socket.create_connection((gateway.host, gateway.ports.callers))
+    caller.sendall(
+        f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: a\r\n"
+        "Authorization: Token key-of-one\r\nContent-Length: 0\r\n\r\n".encode()
+    )
+    assert caller.recv(65_536)
+    caller.close()
+    wait_for(left.is_set)
+
+
+def test_an_upstream_that_leaves_gets_nothing_new(fleet):
+    leaving, staying = upstream(say_hello, "u-1"), upstream(say_hello, "u-2")
+    tell_all(fleet, leaving, staying)
+    assert leaving.tell(fleet.gateways[0].control, state="draining") == 200
+    wait_for(lambda: serves_only(fleet, staying, leaving))
+
+
+def serves_only(fleet: Fleet, staying, leaving) -> bool:
+    """Tell whether every gateway has stopped to use an upstream."""
+    before = len(leaving.seen)
+    for gateway in fleet.gateways:
+        for _ in range(4):
+            assert ask(gateway, "/safe/x").status == 200
+    return len(leaving.seen) == before
+
+
+def test_a_graceful_end_cuts_no_request(fleet):
+    """A booking is answered with a closed connection during a planned restart."""
+    begun, go_on = threading.Event(), threading.Event()
+
+    def wait_and_answer(exchange: Exchange) -> None:
+        begun.set()
+        go_on.wait(20)
+        exchange.answer(200, b"late but whole")
+
+    tell_all(fleet, upstream(wait_and_answer))
+    gateway = fleet.gateways[0]
+    answers = []
+    caller = threading.Thread(
+        target=lambda: answers.append(ask(gateway, "/once/x", "POST").read())
+    )
+    caller.start()
+    assert begun.wait(20)
+    gateway.ask_to_end()
+    wait_for(lambda: not gateway.is_ready())
+    go_on.set()
+    caller.join()
+    assert answers == [b"late but whole"]
+    assert gateway.process.wait(20) == 0
+
+
+def test_a_head_that_trickles_in_is_not_waited_for(fleet):
+    """A hundred callers who send a byte a second hold all connections."""
+    limits = {"header_timeout_ms": 300}
+    fleet.accept(document(3, *ROUTES) | {"limits": limits})
+    gateway = fleet.gateways[0]
+    caller = socket.create_connection((gateway.host, gateway.ports.callers))
+    caller.sendall(b"GET /safe/x HTTP/1.1\r\nHost:")
+    caller.settimeout(20)
+    assert caller.recv(65_536).startswith(b"HTTP/1.1 408")
