Tell a gateway that starts what runs, and remember the upstreams over a restart

After all were killed, four of fourteen engines were known for a second and took everything. Now each start has an epoch, work has an owner, whole lists are told to those that start and by turns, and replicas keep the list of upstreams in an unsynced file.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -8,8 +8,13 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-from cowslipshelf_core.identifiers import AttemptId, UpstreamId
-from cowslipshelf_core.internal.routed.messages import EnginePart, EngineWork
+from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
+from cowslipshelf_core.internal.routed.messages import (
+    EnginePart,
+    EngineWork,
+    HeldWork,
+    WorkHeld,
+)
 
 OVERRUN_SECONDS = 0.05
 """Rest that is assumed of a read that should be done: one pass of an engine that
@@ -24,6 +29,7 @@
     """Be an attempt that is known to run."""
 
     work: EngineWork
+    owner: InstanceId
     begun_at: float
     first_token: bool = False
 
@@ -55,11 +61,11 @@
         default_factory=dict
     )
 
-    def begin(self, work: EngineWork, now: float) -> None:
-        """Note an attempt that was placed."""
+    def begin(self, work: EngineWork, owner: InstanceId, now: float) -> None:
+        """Note an attempt that was placed by a gateway."""
         if work.attempt_id in self.placed:
             return
-        self.placed[work.attempt_id] = PlacedWork(work, now)
+        self.placed[work.attempt_id] = PlacedWork(work, owner, now)
         for part in work.parts:
             engine = self.by_engine.setdefault(part.upstream_id, {})
             engine[work.attempt_id] = part
@@ -82,6 +88,45 @@
         for part in placed.work.parts:
             self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
 
+    def forget_owner(self, owner: InstanceId) -> None:
+        """Forget the attempts of a gateway that has ended, whose engines dropped them.
+
+        Counted on, they would keep everybody off engines that have nothing to do.
+        """
+        for attempt_id in self.owned_by(owner):
+            self.end(attempt_id)
+
+    def owned_by(self, owner: InstanceId) -> list[AttemptId]:
+        """List a gateway's attempts."""
+        return [
+            attempt_id
+            for attempt_id, placed in self.placed.items()
+            if placed.owner == owner
+        ]
+
+    def held_by(self, owner: InstanceId, now: float) -> WorkHeld:
+        """Return a gateway's attempts, to be told to another one."""
+        return WorkHeld(
+            tuple(
+                HeldWork(
+                    placed.work, max(0.0, now - placed.begun_at), placed.first_token
+                )
+                for placed in self.placed.values()
+                if placed.owner == owner
+            )
+        )
+
+    def replace(self, owner: InstanceId, message: WorkHeld, now: float) -> None:
+        """Take in all attempts of a gateway, in place of those known of it."""
+        told = {held.work.attempt_id for held in message.held}
+        for attempt_id in self.owned_by(owner):
+            if attempt_id not in told:
+                self.end(attempt_id)
+        for held in message.held:
+            self.begin(held.work, owner, now - held.age_seconds)
+            if held.first_token:
+                self.first_token(held.work.attempt_id)
+
     def forget_old(self, now: float) -> int:
         """Forget attempts whose end was never told; return how many."""
         old = [
--- a/packages/core/src/cowslipshelf_core/internal/routed/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/messages.py
@@ -37,6 +37,20 @@
     """Longest pause between two events that is still on time."""
 
 
+class HeldWork(NamedTuple):
+    """Be an attempt that still runs, with its age."""
+
+    work: EngineWork
+    age_seconds: float
+    first_token: bool
+
+
+class WorkHeld(Message, frozen=True):
+    """Tell of all attempts that a gateway has on engines, and so of no others."""
+
+    held: tuple[HeldWork, ...]
+
+
 class WorkChanged(Message, frozen=True):
     """Tell of attempts on engines that began, gave a first token, or ended."""
 
--- a/packages/core/src/cowslipshelf_core/internal/routed/peer_book.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/peer_book.py
@@ -5,9 +5,15 @@
 """
 
 from dataclasses import dataclass, field
+from enum import Enum, auto
 from typing import NamedTuple, Self
 
-from cowslipshelf_core.identifiers import ConfigurationVersion, DataCentre, InstanceId
+from cowslipshelf_core.identifiers import (
+    ConfigurationVersion,
+    DataCentre,
+    Epoch,
+    InstanceId,
+)
 from cowslipshelf_core.messages import PeerAlive
 
 
@@ -15,6 +21,7 @@
     """Say who this gateway is and whom it may ask."""
 
     instance: InstanceId
+    epoch: Epoch
     data_centre: DataCentre
     holds_replica: bool
     seeds: tuple[InstanceId, ...]
@@ -25,6 +32,16 @@
     cuts and freezes last, so that both sides find each other after one."""
 
 
+class PeerNews(Enum):
+    """Name what a gateway's word says beyond that it is still there."""
+
+    NONE = auto()
+    RETURNED = auto()
+    """It is new here, or was silent for long."""
+    RESTARTED = auto()
+    """It has started again, and all that it had is gone."""
+
+
 class KnownPeer(NamedTuple):
     """Be what a gateway last said of itself."""
 
@@ -46,15 +63,19 @@
         """Begin with the seeds only."""
         return cls(config, config.seeds)
 
-    def heard(self, sender: InstanceId, alive: PeerAlive, now: float) -> bool:
-        """Take in a message; return whether the sender is new or had been silent."""
+    def heard(self, sender: InstanceId, alive: PeerAlive, now: float) -> PeerNews:
+        """Take in a message; return what it says of the sender."""
         before = self.known.get(sender)
         self.known[sender] = KnownPeer(alive, now)
         for peer in alive.peers:
             if peer not in self.known and peer != self.config.instance:
                 self.known[peer] = KnownPeer(None, now)
-        silent = before is None or before.alive is None
-        return silent or now - before.heard_at > self.config.silence_seconds
+        if before is None or before.alive is None:
+            return PeerNews.RETURNED
+        if before.alive.epoch != alive.epoch:
+            return PeerNews.RESTARTED
+        silent = now - before.heard_at > self.config.silence_seconds
+        return PeerNews.RETURNED if silent else PeerNews.NONE
 
     def to_tell(self) -> tuple[InstanceId, ...]:
         """List whom to tell that this gateway is there."""
@@ -81,12 +102,12 @@
             holders.append(self.config.instance)
         return tuple(sorted(holders))
 
-    def own_message(self, version: ConfigurationVersion, age: float) -> PeerAlive:
+    def own_message(self, version: ConfigurationVersion) -> PeerAlive:
         """Say that this gateway is there."""
         return PeerAlive(
+            self.config.epoch,
             self.config.data_centre,
             self.config.holds_replica,
-            age,
             version,
             tuple(peer for peer, known in self.known.items() if known.alive),
         )
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -85,10 +85,9 @@
 class PeerAlive(Message, frozen=True):
     """Say that a gateway is there, and which others it knows."""
 
+    epoch: Epoch
     data_centre: DataCentre
     holds_replica: bool
-    age_seconds: float
-    """Time since its process started."""
     routes_version: ConfigurationVersion
     peers: tuple[InstanceId, ...]
 
--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -31,12 +31,15 @@
     EnginePart,
     EngineWork,
     HeartbeatsSeen,
+    HeldWork,
     WorkChanged,
+    WorkHeld,
 )
 from cowslipshelf_core.internal.routed.peer_book import (
     KnownPeer,
     PeerBook,
     PeerBookConfig,
+    PeerNews,
 )
 from cowslipshelf_core.internal.routed.plain_placing import (
     PlainCandidate,
@@ -70,10 +73,12 @@
     "HealthSeen",
     "HeartbeatSeen",
     "HeartbeatsSeen",
+    "HeldWork",
     "KnownPeer",
     "NoEngine",
     "PeerBook",
     "PeerBookConfig",
+    "PeerNews",
     "PlainCandidate",
     "PromptAsked",
     "PromptSize",
@@ -92,6 +97,7 @@
     "UpstreamRegistry",
     "WeightedService",
     "WorkChanged",
+    "WorkHeld",
     "choose_service",
     "choose_upstream",
     "configuration_problem",
--- a/packages/daemon/src/cowslipshelf_daemon/__main__.py
+++ b/packages/daemon/src/cowslipshelf_daemon/__main__.py
@@ -1,7 +1,10 @@
-"""Run the daemon as `python -m cowslipshelf_daemon`."""
+"""Run the daemon as `python -m cowslipshelf_daemon`.
+
+Either with what the command line of `cowslipshelfd` takes, or as a gateway: with the
+word `gateway`, the package of the machines' adapter, and the address for callers.
+"""
 
 import sys
-from importlib import import_module
 
 from cowslipshelf_daemon.internal.early_listener import listen_early
 
@@ -9,15 +12,14 @@
 
 
 def run() -> int:
-    """Run a gateway with the adapter that is named, or what the command line says.
+    """Run a gateway, or what the command line says.
 
     A gateway that was killed serves nobody until it has loaded again, so it loads
     nothing that only the other roles and the command line need.
     """
     match sys.argv[1:]:
-        case [role, adapter] if role == GATEWAY:
-            addresses = import_module(f"{adapter}.addresses")
-            listener = listen_early(addresses.callers_address())
+        case [role, adapter, *callers_address] if role == GATEWAY:
+            listener = listen_early(*callers_address)
             from cowslipshelf_daemon.internal.gateway.running import run_gateway
 
             return run_gateway(adapter, listener)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/early_listener.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/early_listener.py
@@ -6,7 +6,7 @@
 """Connections that wait while the gateway loads: as many as come in some seconds."""
 
 
-def listen_early(address: str | None) -> socket.socket | None:
+def listen_early(address: str = "") -> socket.socket | None:
     """Open the callers' socket; return nothing where that can't be done yet.
 
     A gateway that was killed loads for some tenths of a second. Callers whose
@@ -14,7 +14,7 @@
     in the socket's queue are served. What can't be opened here is told when the
     gateway itself tries.
     """
-    if address is None:
+    if not address:
         return None
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -4,7 +4,6 @@
 import signal
 import socket
 import time
-import uuid
 
 from pykka import ActorRef
 
@@ -15,13 +14,12 @@
     ProposalResult,
 )
 from cowslipshelf_core.dialect import Dialect
-from cowslipshelf_core.identifiers import Epoch
 from cowslipshelf_core.messages import (
     FetchRoutes,
     PeerAlive,
     RoutesSnapshot,
 )
-from cowslipshelf_core.routed import CallerLimits, HeartbeatsSeen, WorkChanged
+from cowslipshelf_core.routed import CallerLimits, HeartbeatsSeen, WorkChanged, WorkHeld
 from cowslipshelf_daemon.internal.control_gateway import GatewayActor
 from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
@@ -42,6 +40,7 @@
 from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
+from cowslipshelf_daemon.internal.gateway.upstreams_file import UpstreamsFile
 from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_daemon.internal.wire import MailboxMessage
@@ -94,6 +93,10 @@
         self.keeper = ReplicaKeeper(
             self.view, self.post, self.inbox, self.control_actor, self.metrics
         )
+        self.upstreams_file: UpstreamsFile | None = None
+        if settings.data_folder is not None:
+            self.upstreams_file = UpstreamsFile(settings.data_folder)
+            self.view.recall(self.upstreams_file.read())
         self.mailbox = self.make_mailbox(own_address)
         self.leaving = False
         self.ended = asyncio.Event()
@@ -118,7 +121,7 @@
         """Make the mailbox through which gateways talk."""
         config = MailboxConfig(
             instance=self.settings.instance,
-            epoch=Epoch(uuid.uuid4().hex),
+            epoch=self.view.peers.config.epoch,
             listen_address=address,
             cluster_key=CLUSTER_KEY,
             heartbeat_seconds=MAILBOX_HEARTBEAT_SECONDS,
@@ -142,6 +145,7 @@
                 PeerAlive()
                 | HeartbeatsSeen()
                 | WorkChanged()
+                | WorkHeld()
                 | RoutesSnapshot()
                 | FetchRoutes(question="")
             ):
@@ -197,6 +201,8 @@
             if now >= full_due:
                 full_due = now + FULL_SECONDS
                 self.gossip.tell_everything()
+                if self.upstreams_file is not None:
+                    self.upstreams_file.write_soon(self.view.all_heartbeats())
             if now >= forget_due:
                 forget_due = now + FORGET_SECONDS
                 self.view.forget_old()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -2,12 +2,19 @@
 
 import asyncio
 import time
+import uuid
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Self
 
-from cowslipshelf_core.identifiers import AttemptId, ServiceName, UpstreamId
+from cowslipshelf_core.identifiers import (
+    AttemptId,
+    Epoch,
+    InstanceId,
+    ServiceName,
+    UpstreamId,
+)
 from cowslipshelf_core.messages import RoutesDocument
 from cowslipshelf_core.routed import (
     EngineBoard,
@@ -34,6 +41,9 @@
 HEARTBEATS_MISSED = 4
 """Heartbeats of an upstream that may be missed. They come late by seconds at times;
 an upstream that is dead shows sooner, by a connection that fails."""
+RECALLED_SECONDS = 2.5
+"""Time for which upstreams known before a restart count: two heartbeats, and the time
+that an upstream takes to find a gateway that answers again."""
 NO_DOCUMENT = RoutesDocument(RouteConfiguration(0).version, "", b"")
 
 
@@ -68,6 +78,7 @@
             PeerBook.from_config(
                 PeerBookConfig(
                     settings.instance,
+                    Epoch(uuid.uuid4().hex),
                     settings.data_centre,
                     settings.data_folder is not None,
                     settings.seeds,
@@ -147,11 +158,11 @@
         for seen in message.seen:
             self.take_heartbeat(seen.heartbeat, seen.age_seconds)
 
-    def take_work(self, message: WorkChanged) -> None:
+    def take_work(self, owner: InstanceId, message: WorkChanged) -> None:
         """Take in what another gateway does on engines."""
         now = time.monotonic()
         for work in message.begun:
-            self.board.begin(work, now)
+            self.board.begin(work, owner, now)
         for attempt_id in message.first_tokens:
             self.board.first_token(attempt_id)
         for attempt_id in message.ended:
@@ -159,7 +170,7 @@
 
     def begin_work(self, work: EngineWork) -> None:
         """Note work that this gateway places, and tell the others."""
-        self.board.begin(work, time.monotonic())
+        self.board.begin(work, self.settings.instance, time.monotonic())
         self.tell_work(WorkChanged(begun=(work,)))
 
     def first_token(self, attempt_id: AttemptId) -> None:
@@ -192,6 +203,13 @@
         if forgotten:
             LOG.warning("Work forgotten whose end was not told.", attempts=forgotten)
 
+    def recall(self, seen: tuple[HeartbeatSeen, ...]) -> None:
+        """Take upstreams known before a restart for there, until they are silent."""
+        silence = self.registry.config.silence_seconds
+        recent = max(0.0, silence - RECALLED_SECONDS)
+        for each in seen:
+            self.take_heartbeat(each.heartbeat, recent)
+
     def all_heartbeats(self) -> tuple[HeartbeatSeen, ...]:
         """List every upstream known, for a gateway that may have missed some."""
         return self.registry.all_seen(time.monotonic())
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -12,7 +12,13 @@
     RoutesDocument,
     RoutesSnapshot,
 )
-from cowslipshelf_core.routed import HeartbeatSeen, HeartbeatsSeen, WorkChanged
+from cowslipshelf_core.routed import (
+    HeartbeatSeen,
+    HeartbeatsSeen,
+    PeerNews,
+    WorkChanged,
+    WorkHeld,
+)
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.post import Delivered, Post
@@ -46,7 +52,6 @@
         self.post = post
         self.client = client
         self.dialect = dialect
-        self.started = time.monotonic()
         self.heartbeats: list[HeartbeatSeen] = []
         self.urgent: list[tuple[HeartbeatSeen, int]] = []
         self.begun: list = []
@@ -75,8 +80,7 @@
 
     def tell_alive_to(self, peer: InstanceId) -> None:
         """Say to one gateway that this one is there."""
-        age = time.monotonic() - self.started
-        message = self.view.peers.own_message(self.view.document.version, age)
+        message = self.view.peers.own_message(self.view.document.version)
         self.send(peer, message)
 
     def tell_heartbeat(self, seen: HeartbeatSeen, urgent: bool) -> None:
@@ -120,12 +124,18 @@
         self.tell_all(message)
 
     def tell_everything(self) -> None:
-        """Tell one other gateway, by turns, every upstream that is known."""
+        """Tell one other gateway, by turns, all that it may have missed."""
         peers = self.view.peers.alive(time.monotonic())
         if peers:
             self.turn += 1
-            peer = peers[self.turn % len(peers)]
-            self.send(peer, HeartbeatsSeen(self.view.all_heartbeats()))
+            self.tell_everything_to(peers[self.turn % len(peers)])
+
+    def tell_everything_to(self, peer: InstanceId) -> None:
+        """Tell one gateway all upstreams, and what this one has on engines."""
+        now = time.monotonic()
+        self.send(peer, HeartbeatsSeen(self.view.all_heartbeats()))
+        own = self.view.settings.instance
+        self.send(peer, self.view.board.held_by(own, now))
 
     # Taking in.
 
@@ -137,7 +147,10 @@
             case HeartbeatsSeen() as message:
                 self.view.take_heartbeats(message)
             case WorkChanged() as message:
-                self.view.take_work(message)
+                self.view.take_work(delivered.sender, message)
+            case WorkHeld() as message:
+                now = time.monotonic()
+                self.view.board.replace(delivered.sender, message, now)
             case FetchRoutes(have_version=have):
                 if self.view.document.version > have:
                     snapshot = RoutesSnapshot(self.view.document, False)
@@ -151,12 +164,15 @@
         """Note a gateway, and ask it for a newer configuration."""
         now = time.monotonic()
         sender = delivered.sender
-        if self.view.peers.heard(sender, alive, now):
-            LOG.info("Gateway heard.", peer=sender, holds_replica=alive.holds_replica)
+        news = self.view.peers.heard(sender, alive, now)
+        if news is PeerNews.RESTARTED:
+            self.view.board.forget_owner(sender)
+        if news is not PeerNews.NONE:
+            LOG.info("Gateway heard.", peer=sender, news=news.name, epoch=alive.epoch)
             self.post.learn(sender, self.view.settings.peer_address(sender))
             # One that has just started waits for the configuration to serve at all.
             self.tell_alive_to(sender)
-            self.send(sender, HeartbeatsSeen(self.view.all_heartbeats()))
+            self.tell_everything_to(sender)
         newer = alive.routes_version > self.view.document.version
         if newer and now - self.fetched_at > FETCH_SECONDS:
             self.fetched_at = now
--- a/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
@@ -18,7 +18,7 @@
     Suspect,
     Withdraw,
 )
-from cowslipshelf_core.routed import HeartbeatsSeen, WorkChanged
+from cowslipshelf_core.routed import HeartbeatsSeen, WorkChanged, WorkHeld
 
 MailboxMessage = Union[  # noqa: UP007 - built from another union at run time
     Announce,
@@ -36,5 +36,6 @@
     Suspect,
     Withdraw,
     WorkChanged,
+    WorkHeld,
     AgreementMessage,
 ]
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -13,6 +14,7 @@
     NoEngine,
     PromptAsked,
     PromptSize,
+    WorkHeld,
     place_prompt,
     read_seconds,
 )
@@ -39,7 +41,7 @@
             asked, self.candidates, ENGINE, self.board, now, self.random
         )
         if isinstance(chosen, EnginesChosen):
-            self.board.begin(chosen.work, now)
+            self.board.begin(chosen.work, "gateway", now)
         return chosen
 
     def short(self, now: float) -> EnginesChosen | NoEngine:
@@ -150,3 +152,37 @@
         load.board.end(attempt_id)
     assert load.board.placed == {}
     assert not any(load.board.by_engine.values())
+
+
+def test_work_of_a_gateway_that_started_again_no_longer_counts():
+    """Short prompts wait behind work that nobody does.
+
+    A gateway is killed while it has long prompts on engines. The engines drop them,
+    but nobody tells the other gateways of their end.
+    """
+    load = Load(engines=2)
+    load.long(0.0)
+    assert load.board.placed
+    load.board.forget_owner("gateway")
+    assert load.board.placed == {}
+    assert not any(load.board.by_engine.values())
+
+
+def test_a_gateway_that_has_just_started_learns_what_runs():
+    """The first prompts after a restart go to engines that are reading for seconds."""
+    old, new = Load(engines=14), Load(engines=14)
+    long = old.long(0.0)
+    new.board.replace("gateway", old.board.held_by("gateway", 0.3), 10.0)
+    for candidate in old.candidates:
+        seen = old.board.view(candidate.upstream_id, 0.3)
+        told = new.board.view(candidate.upstream_id, 10.0)
+        assert told.backlog_seconds == pytest.approx(seen.backlog_seconds)
+    short = new.short(10.0)
+    assert short.upstream_id not in {long.upstream_id, *long.helpers}
+
+
+def test_what_a_gateway_no_longer_tells_of_has_ended():
+    load = Load(engines=4)
+    load.long(0.0)
+    load.board.replace("gateway", WorkHeld(()), 1.0)
+    assert load.board.placed == {}
--- a/tests/cover/routed/test_peer_book.py
+++ b/tests/cover/routed/test_peer_book.py
@@ -1,17 +1,19 @@
 """Check how gateways find each other, and who of them founds the cluster."""
 
 from cowslipshelf_core.messages import PeerAlive
-from cowslipshelf_core.routed import PeerBook, PeerBookConfig
+from cowslipshelf_core.routed import PeerBook, PeerBookConfig, PeerNews
 
 SEEDS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
 
 
 def book(instance: str, holds_replica: bool = True, seeds=SEEDS) -> PeerBook:
-    return PeerBook.from_config(PeerBookConfig(instance, "here", holds_replica, seeds))
+    return PeerBook.from_config(
+        PeerBookConfig(instance, "epoch", "here", holds_replica, seeds)
+    )
 
 
-def alive(holds_replica: bool = True, peers=()) -> PeerAlive:
-    return PeerAlive("here", holds_replica, 1.0, 0, tuple(peers))
+def alive(holds_replica: bool = True, peers=(), epoch: str = "e-1") -> PeerAlive:
+    return PeerAlive(epoch, "here", holds_replica, 0, tuple(peers))
 
 
 def test_a_gateway_learns_of_the_others_from_one_of_them():
@@ -55,6 +57,12 @@
 
 def test_a_return_after_silence_is_news():
     own = book("10.0.0.1")
-    assert own.heard("10.0.0.7", alive(), 0.0)
-    assert not own.heard("10.0.0.7", alive(), 1.0)
-    assert own.heard("10.0.0.7", alive(), 9.0)
+    assert own.heard("10.0.0.7", alive(), 0.0) is PeerNews.RETURNED
+    assert own.heard("10.0.0.7", alive(), 1.0) is PeerNews.NONE
+    assert own.heard("10.0.0.7", alive(), 9.0) is PeerNews.RETURNED
+
+
+def test_a_new_start_is_told_from_a_return():
+    own = book("10.0.0.1")
+    own.heard("10.0.0.7", alive(), 0.0)
+    assert own.heard("10.0.0.7", alive(epoch="e-2"), 0.5) is PeerNews.RESTARTED
