--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
 from cowslipshelf_core.internal.routed.messages import (
@@ -34,22 +35,33 @@
     first_token: bool = False
 
 
+class WriterHere(NamedTuple):
+    """Be an attempt that writes on an engine, or will once it is read."""
+
+    work: EngineWork
+    waited_seconds: float
+    ready_seconds: float
+    """Time until it will have been read; zero where its first token has come."""
+
+
 @dataclass(slots=True)
 class EngineView:
     """Be what one engine is about to do."""
 
+    helping_seconds: float = 0.0
+    """Time until it will have read the parts of attempts that write elsewhere, which
+    go ahead of its own reads."""
     backlog_seconds: float = 0.0
-    """Time until it will have read what was placed on it."""
+    """Time until it will have read all that was placed on it."""
     backlog_chunks: int = 0
-    writers: list[EngineWork] = field(default_factory=list)
-    """Attempts that write, or will once they are read, on this engine."""
+    writers: list[WriterHere] = field(default_factory=list)
     helping: int = 0
     """Parts that it reads for attempts which write elsewhere."""
 
     @property
     def memory_tokens(self) -> int:
         """Return the memory that its attempts use or will use."""
-        return sum(work.memory_tokens for work in self.writers)
+        return sum(writer.work.memory_tokens for writer in self.writers)
 
 
 @dataclass(slots=True)
@@ -143,28 +155,48 @@
         self.by_engine.pop(upstream_id, None)
 
     def view(self, upstream_id: UpstreamId, now: float) -> EngineView:
-        """Work out what an engine is about to do."""
+        """Work out what an engine is about to do.
+
+        It reads the parts of attempts that write elsewhere first, and its own in the
+        order of their arrival, one chunk in each step.
+        """
         view = EngineView()
+        here = list(self.parts_on(upstream_id))
         free_at = now
-        for placed, part in self.parts_on(upstream_id):
-            if part.writes:
-                view.writers.append(placed.work)
-            else:
-                view.helping += 1
-            if placed.first_token:
+        for placed, part in here:
+            if part.writes or placed.first_token:
                 continue
-            # An engine reads in the order of arrival, one chunk in each step.
-            begins = max(placed.begun_at, free_at if view.backlog_chunks else 0.0)
-            ends = begins + part.read_seconds
-            if ends <= now:
-                if not part.writes:
-                    continue
-                ends = now + OVERRUN_SECONDS
-            free_at = max(free_at, ends)
-            view.backlog_chunks += part.chunks
+            view.helping += 1
+            ends = placed.begun_at + part.read_seconds
+            if ends > now:
+                free_at = max(free_at, now) + min(ends - now, part.read_seconds)
+                view.backlog_chunks += part.chunks
+        view.helping_seconds = free_at - now
+        for placed, part in here:
+            if part.writes:
+                free_at = self.add_writer(view, placed, part, free_at, now)
         view.backlog_seconds = free_at - now
         return view
 
+    def add_writer(
+        self,
+        view: EngineView,
+        placed: PlacedWork,
+        part: EnginePart,
+        free_at: float,
+        now: float,
+    ) -> float:
+        """Add an attempt that writes here; return when the engine will have read it."""
+        ready_seconds = 0.0
+        if not placed.first_token:
+            begins = free_at if view.backlog_chunks else placed.begun_at
+            free_at = max(begins + part.read_seconds, now + OVERRUN_SECONDS)
+            ready_seconds = free_at - now
+            view.backlog_chunks += part.chunks
+        waited = now - placed.begun_at
+        view.writers.append(WriterHere(placed.work, waited, ready_seconds))
+        return free_at
+
     def parts_on(
         self, upstream_id: UpstreamId
     ) -> Iterator[tuple[PlacedWork, EnginePart]]:
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_cost.py
@@ -39,16 +39,17 @@
     return model.steps_per_pass * step
 
 
-def worth_of(model: EngineModel, size: PromptSize) -> float:
-    """Return what an answer is taken to be worth, in engine-seconds.
+def worth_of(size: PromptSize) -> float:
+    """Return what an answer is taken to be worth, in short questions.
 
-    Operators give no worth. Longer prompts are worth more to both users, about as
-    much as the engines' time that goes into them; the constant keeps short ones from
-    counting for nothing, who are many and wait for a person.
+    Operators give no worth. Longer prompts are worth more to both users, nearly in
+    proportion to their length; a short one counts for itself too, since a person
+    waits for it.
     """
-    return SHORT_WORTH + read_seconds(model, size.prompt_tokens)
+    return 1.0 + size.prompt_tokens / TOKENS_WORTH_ONE
 
 
-SHORT_WORTH = 0.25
-"""Engine-seconds. The users' sheets give a short question 1.3, a digest of 45,000
-tokens 3.9 and a file of 182,000 tokens 24, which this fits within a third."""
+TOKENS_WORTH_ONE = 10_000
+"""Prompt tokens that are worth as much as a question of none. The users' sheets give
+1.3 to questions of 5,000 tokens, 3.9 to 45,000 and 24 to 182,000, and this gives 1.5,
+5.5 and 19."""
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -13,7 +13,11 @@
 
 from cowslipshelf_core.identifiers import AttemptId, UpstreamId
 from cowslipshelf_core.internal.routed.configuration import EngineModel
-from cowslipshelf_core.internal.routed.engine_board import EngineBoard, EngineView
+from cowslipshelf_core.internal.routed.engine_board import (
+    EngineBoard,
+    EngineView,
+    WriterHere,
+)
 from cowslipshelf_core.internal.routed.engine_cost import (
     PromptSize,
     pass_seconds,
@@ -30,17 +34,21 @@
 prediction leaves out passes under way and other gateways' last milliseconds."""
 LATE_SURELY = 1.2
 """Share of the objective beyond which a first token surely comes late."""
+EARLIER_IS_BETTER = 0.02
+"""Slope below the first share, which breaks ties between engines that are in time."""
+LATER_IS_WORSE = 0.05
+"""Growth beyond the second share, so that among late ones the earlier is chosen."""
 HARM_FROM = 0.8
 """Share of the allowed pause from which on a pass may hold up a writer for too long."""
 FULL_COST = 0.6
 """Cost of each request beyond the slots, as a share of the worth: it waits until one
 of those that run has ended."""
-SPREAD_COST = 0.004
-"""Engine-seconds charged for each further engine; parts of a few milliseconds gain
-less than the extra passes cost."""
-EMPTY_ENGINE_COST = 0.02
-"""Engine-seconds charged to a short prompt that would be the first on an engine, so
-that empty ones stay free for long reads. Below what any lateness costs."""
+SPREAD_COST = 0.016
+"""Charged for each further engine, in short questions; parts of a few milliseconds
+gain less than the extra passes cost."""
+EMPTY_ENGINE_COST = 0.08
+"""Charged to a short prompt that would be the first on an engine, in short questions,
+so that empty ones stay free for long reads. Below what any lateness costs."""
 SHORT_READ_SECONDS = 0.12
 """A prompt read faster than this keeps within the pauses of those who write (250 ms,
 of which a pass takes 50 to 100), so it may share engines with them."""
@@ -171,103 +179,154 @@
 ) -> EnginesChosen:
     """Choose a number of engines, the cheapest ones, and add up what they cost."""
     tokens = asked.size.prompt_tokens
-    read = read_seconds(model, tokens, parts)
-    chunks = read_chunks(model, tokens, parts)
-    worth = worth_of(model, asked.size)
-
-    def price(each: Seen) -> float:
-        return part_cost(each, read, chunks, asked, model, worth)
-
-    writer = min(roomy, key=lambda each: price(each) + writer_cost(each, asked, model))
-    others = sorted((each for each in seen if each is not writer), key=price)
-    chosen = [writer, *others[: parts - 1]]
-    until_read = max(each.view.backlog_seconds + read_on(each, read) for each in chosen)
+    part = Part(
+        read_seconds(model, tokens, parts),
+        read_chunks(model, tokens, parts),
+        worth_of(asked.size),
+    )
+    writer = min(roomy, key=lambda each: writer_cost(each, part, asked, model))
+    others = sorted(
+        (each for each in seen if each is not writer),
+        key=lambda each: helper_cost(each, part, asked, model),
+    )
+    helpers = others[: parts - 1]
+    until_read = max(
+        writer.view.backlog_seconds + part.read_on(writer),
+        *(each.view.helping_seconds + part.read_on(each) for each in helpers),
+        0.0,
+    )
     first_token = until_read + writer.pass_seconds
     cost = (
-        worth * lateness(first_token / asked.objective_seconds)
-        + sum(harm(each, read, chunks) for each in chosen)
-        + worth * max(each.candidate.penalty for each in chosen)
-        + writer_cost(writer, asked, model)
-        + SPREAD_COST * (parts - 1)
+        part.worth * lateness(first_token / asked.objective_seconds)
+        + harm_to_writers(writer, part)
+        + sum(
+            harm_to_writers(each, part) + harm_to_waiting(each, part)
+            for each in helpers
+        )
+        + part.worth * max(each.candidate.penalty for each in (writer, *helpers))
+        + sharing_cost(writer, part, asked, model)
+        + SPREAD_COST * len(helpers)
     )
-    work = EngineWork(
+    return EnginesChosen(work_of(asked, part, writer, helpers), first_token, cost)
+
+
+class Part(NamedTuple):
+    """Be an even part of a prompt."""
+
+    read_seconds: float
+    chunks: int
+    worth: float
+    """Of the whole answer."""
+
+    def read_on(self, seen: Seen) -> float:
+        """Return the time to read it on an engine, as slow as that lately was."""
+        return self.read_seconds * seen.candidate.slowness
+
+
+def work_of(
+    asked: PromptAsked, part: Part, writer: Seen, helpers: list[Seen]
+) -> EngineWork:
+    """Describe what the chosen engines will do."""
+    return EngineWork(
         asked.attempt_id,
         tuple(
-            EnginePart(each.candidate.upstream_id, read_on(each, read), chunks, not i)
-            for i, each in enumerate(chosen)
+            EnginePart(
+                each.candidate.upstream_id,
+                part.read_on(each),
+                part.chunks,
+                each is writer,
+            )
+            for each in (writer, *helpers)
         ),
-        tokens + asked.size.most_output_tokens,
-        worth,
+        asked.size.prompt_tokens + asked.size.most_output_tokens,
+        part.worth,
+        asked.objective_seconds,
         asked.pause_seconds or UNKNOWN_PAUSE_SECONDS,
     )
-    return EnginesChosen(work, first_token, cost)
 
 
-def read_on(seen: Seen, read: float) -> float:
-    """Return the time to read a part on an engine that writes at the same time."""
-    return read * seen.candidate.slowness
+def writer_cost(
+    seen: Seen, part: Part, asked: PromptAsked, model: EngineModel
+) -> float:
+    """Return what it costs to have an engine read a part and write the answer."""
+    ready = seen.view.backlog_seconds + part.read_on(seen) + seen.pass_seconds
+    return (
+        part.worth * lateness(ready / asked.objective_seconds)
+        + part.worth * seen.candidate.penalty
+        + harm_to_writers(seen, part)
+        + sharing_cost(seen, part, asked, model)
+    )
 
 
-def part_cost(
-    seen: Seen,
-    read: float,
-    chunks: int,
-    asked: PromptAsked,
-    model: EngineModel,
-    worth: float,
+def helper_cost(
+    seen: Seen, part: Part, asked: PromptAsked, model: EngineModel
+) -> float:
+    """Return what it costs to have an engine read a part for another one."""
+    ready = seen.view.helping_seconds + part.read_on(seen)
+    # An engine that helps as many as it has slots refuses any more.
+    refused = part.worth if seen.view.helping >= model.slots else 0.0
+    return (
+        part.worth * lateness(ready / asked.objective_seconds)
+        + part.worth * seen.candidate.penalty
+        + harm_to_writers(seen, part)
+        + harm_to_waiting(seen, part)
+        + refused
+    )
+
+
+def sharing_cost(
+    seen: Seen, part: Part, asked: PromptAsked, model: EngineModel
 ) -> float:
-    """Return what it costs to have an engine read a part."""
-    ready = seen.view.backlog_seconds + read_on(seen, read) + seen.pass_seconds
-    full = 0.0
-    if seen.view.helping >= model.slots:
-        full = worth
-    late = worth * lateness(ready / asked.objective_seconds)
-    return late + harm(seen, read, chunks) + worth * seen.candidate.penalty + full
-
-
-def writer_cost(seen: Seen, asked: PromptAsked, model: EngineModel) -> float:
-    """Return what it costs to have an engine write the answer, besides reading."""
-    worth = worth_of(model, asked.size)
+    """Return what it costs to write the answer beside those that write there."""
     writers = len(seen.view.writers)
-    full = FULL_COST * worth * max(0, writers + 1 - model.slots)
+    full = FULL_COST * part.worth * max(0, writers + 1 - model.slots)
     short = read_seconds(model, asked.size.prompt_tokens) < SHORT_READ_SECONDS
     empty = EMPTY_ENGINE_COST if short and not writers else 0.0
-    return full + empty + worth * held_up_later(seen, asked)
-
-
-def held_up_later(seen: Seen, asked: PromptAsked) -> float:
-    """Return how likely the engine's present reads hold up this answer's events.
-
-    Reads that are under way end before the first token; only those of helpers, which
-    go ahead of other reads, can come in between, and there are none to be seen yet.
-    """
     pause = asked.pause_seconds or UNKNOWN_PAUSE_SECONDS
-    return lateness(seen.pass_seconds / (pause * HARM_FROM / LATE_FROM))
+    return full + empty + part.worth * held_up(seen.pass_seconds, pause)
 
 
-def harm(seen: Seen, read: float, chunks: int) -> float:
+def harm_to_writers(seen: Seen, part: Part) -> float:
     """Return what a part's reading costs those who write on the engine.
 
     A pass with writers has one step for each of the tokens of an event, and each
     step may read one chunk: the pause grows by the chunks that fit into the pass.
     """
-    if not seen.view.writers:
-        return 0.0
-    here = read_on(seen, read)
-    before = longest_pass(seen, seen.view.backlog_seconds, seen.view.backlog_chunks)
+    view = seen.view
+    before = longest_pass(seen, view.backlog_seconds, view.backlog_chunks)
     after = longest_pass(
-        seen, seen.view.backlog_seconds + here, seen.view.backlog_chunks + chunks
+        seen,
+        view.backlog_seconds + part.read_on(seen),
+        view.backlog_chunks + part.chunks,
     )
     return sum(
-        work.value
+        writer.work.value
         * max(
             0.0,
-            held_up(after, work.pause_seconds) - held_up(before, work.pause_seconds),
+            held_up(after, writer.work.pause_seconds)
+            - held_up(before, writer.work.pause_seconds),
         )
-        for work in seen.view.writers
+        for writer in view.writers
     )
 
 
+def harm_to_waiting(seen: Seen, part: Part) -> float:
+    """Return what a part that goes ahead costs those who wait to be read."""
+    delay = part.read_on(seen)
+    return sum(
+        writer.work.value
+        * (lateness_of(writer, seen, delay) - lateness_of(writer, seen, 0.0))
+        for writer in seen.view.writers
+        if writer.ready_seconds
+    )
+
+
+def lateness_of(writer: WriterHere, seen: Seen, delay: float) -> float:
+    """Return how likely the first token of one who waits comes late."""
+    ready = writer.waited_seconds + writer.ready_seconds + delay + seen.pass_seconds
+    return lateness(ready / writer.work.objective_seconds)
+
+
 def longest_pass(seen: Seen, backlog: float, chunks: int) -> float:
     """Return the longest pass that reading a backlog makes."""
     share = min(1.0, seen.steps_per_pass / chunks) if chunks else 0.0
@@ -282,11 +341,11 @@
 def lateness(ratio: float) -> float:
     """Return how likely something is late, from its predicted share of the bound.
 
-    Rises from 0 to 1 between the two shares; goes on a little, so that among late
-    ones the earlier is chosen.
+    Rises from nearly 0 to 1 between the two shares.
     """
+    early = EARLIER_IS_BETTER * min(ratio, LATE_FROM)
     if ratio <= LATE_FROM:
-        return 0.02 * ratio
-    if ratio >= LATE_SURELY:
-        return 1.0 + 0.05 * math.log(ratio)
-    return (ratio - LATE_FROM) / (LATE_SURELY - LATE_FROM)
+        return early
+    if ratio < LATE_SURELY:
+        return early + (ratio - LATE_FROM) / (LATE_SURELY - LATE_FROM)
+    return early + 1.0 + LATER_IS_WORSE * math.log(ratio / LATE_SURELY)
--- a/packages/core/src/cowslipshelf_core/internal/routed/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/messages.py
@@ -32,7 +32,9 @@
     parts: tuple[EnginePart, ...]
     memory_tokens: int
     value: float
-    """What is lost if it is late, in engine-seconds; see `worth_of`."""
+    """What is lost if it is late; see `worth_of`."""
+    objective_seconds: float
+    """Time to the first event that is still on time."""
     pause_seconds: float
     """Longest pause between two events that is still on time."""
 
