Follow in which order an engine reads, and count what is delayed by it

The board let all parts on an engine proceed at once, though it reads one after the other; and a part read for another engine goes ahead of all that is unread there, earlier such parts included (seen in the order of first tokens: prompts placed later were ready first).

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -5,6 +5,7 @@
 and all work from the same picture, a few milliseconds old.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -35,33 +36,41 @@
     first_token: bool = False
 
 
-class WriterHere(NamedTuple):
-    """Be an attempt that writes on an engine, or will once it is read."""
+class UnreadPart(NamedTuple):
+    """Be a part of a prompt that an engine has still to read."""
 
     work: EngineWork
+    part: EnginePart
     waited_seconds: float
     ready_seconds: float
-    """Time until it will have been read; zero where its first token has come."""
+    """Time until the engine will have read it, if nothing goes ahead of it."""
 
 
 @dataclass(slots=True)
 class EngineView:
     """Be what one engine is about to do."""
 
-    helping_seconds: float = 0.0
-    """Time until it will have read the parts of attempts that write elsewhere, which
-    go ahead of its own reads."""
-    backlog_seconds: float = 0.0
-    """Time until it will have read all that was placed on it."""
-    backlog_chunks: int = 0
-    writers: list[WriterHere] = field(default_factory=list)
+    unread: list[UnreadPart] = field(default_factory=list)
+    """In the order in which they will be read."""
+    writers: list[EngineWork] = field(default_factory=list)
+    """Attempts that write here, or will once they are read."""
     helping: int = 0
     """Parts that it reads for attempts which write elsewhere."""
 
+    @property
+    def backlog_seconds(self) -> float:
+        """Return the time until it will have read all that was placed on it."""
+        return self.unread[-1].ready_seconds if self.unread else 0.0
+
+    @property
+    def backlog_chunks(self) -> int:
+        """Return the pieces in which it will read that."""
+        return sum(unread.part.chunks for unread in self.unread)
+
     @property
     def memory_tokens(self) -> int:
         """Return the memory that its attempts use or will use."""
-        return sum(writer.work.memory_tokens for writer in self.writers)
+        return sum(work.memory_tokens for work in self.writers)
 
 
 @dataclass(slots=True)
@@ -155,51 +164,75 @@
         self.by_engine.pop(upstream_id, None)
 
     def view(self, upstream_id: UpstreamId, now: float) -> EngineView:
-        """Work out what an engine is about to do.
-
-        It reads the parts of attempts that write elsewhere first, and its own in the
-        order of their arrival, one chunk in each step.
-        """
+        """Work out what an engine is about to do."""
         view = EngineView()
-        here = list(self.parts_on(upstream_id))
-        free_at = now
-        for placed, part in here:
-            if part.writes or placed.first_token:
-                continue
-            view.helping += 1
-            ends = placed.begun_at + part.read_seconds
-            if ends > now:
-                free_at = max(free_at, now) + min(ends - now, part.read_seconds)
-                view.backlog_chunks += part.chunks
-        view.helping_seconds = free_at - now
-        for placed, part in here:
+        reading = ReadingOrder()
+        for placed, part in self.parts_on(upstream_id):
             if part.writes:
-                free_at = self.add_writer(view, placed, part, free_at, now)
-        view.backlog_seconds = free_at - now
+                view.writers.append(placed.work)
+            if placed.first_token:
+                continue
+            view.helping += not part.writes
+            reading.add(placed, part)
+        reading.read_until(now)
+        ready = 0.0
+        for item in reading.in_order():
+            ready += max(item.left_seconds, 0.0)
+            placed = item.placed
+            # What should be done by now and is not told as done is still to come.
+            expected = max(ready, OVERRUN_SECONDS) if item.part.writes else ready
+            if expected > 0.0:
+                waited = now - placed.begun_at
+                view.unread.append(UnreadPart(placed.work, item.part, waited, expected))
         return view
 
-    def add_writer(
-        self,
-        view: EngineView,
-        placed: PlacedWork,
-        part: EnginePart,
-        free_at: float,
-        now: float,
-    ) -> float:
-        """Add an attempt that writes here; return when the engine will have read it."""
-        ready_seconds = 0.0
-        if not placed.first_token:
-            begins = free_at if view.backlog_chunks else placed.begun_at
-            free_at = max(begins + part.read_seconds, now + OVERRUN_SECONDS)
-            ready_seconds = free_at - now
-            view.backlog_chunks += part.chunks
-        waited = now - placed.begun_at
-        view.writers.append(WriterHere(placed.work, waited, ready_seconds))
-        return free_at
-
     def parts_on(
         self, upstream_id: UpstreamId
     ) -> Iterator[tuple[PlacedWork, EnginePart]]:
         """Go through an engine's parts in the order in which they were placed."""
         for attempt_id, part in self.by_engine.get(upstream_id, {}).items():
             yield self.placed[attempt_id], part
+
+
+@dataclass(slots=True)
+class ReadingItem:
+    """Be a part with what is left of it to read."""
+
+    placed: PlacedWork
+    part: EnginePart
+    left_seconds: float
+
+
+@dataclass(slots=True)
+class ReadingOrder:
+    """Follow in which order an engine reads what was placed on it.
+
+    A part that it reads for another engine goes ahead of all that is unread there,
+    such parts that came before included; its own prompts are read in their order.
+    """
+
+    clock: float = -math.inf
+    helping: list[ReadingItem] = field(default_factory=list)
+    """The newest, which is read first, is the last one."""
+    own: list[ReadingItem] = field(default_factory=list)
+
+    def add(self, placed: PlacedWork, part: EnginePart) -> None:
+        """Add a part at the time at which it was placed."""
+        self.read_until(placed.begun_at)
+        item = ReadingItem(placed, part, part.read_seconds)
+        (self.own if part.writes else self.helping).append(item)
+
+    def read_until(self, now: float) -> None:
+        """Let the engine read until a time."""
+        time_left = now - self.clock if self.clock > -math.inf else 0.0
+        self.clock = max(self.clock, now)
+        for item in self.in_order():
+            if time_left <= 0.0:
+                break
+            read = min(item.left_seconds, time_left)
+            item.left_seconds -= read
+            time_left -= read
+
+    def in_order(self) -> list[ReadingItem]:
+        """Return the parts in the order in which they are read from now on."""
+        return [*reversed(self.helping), *self.own]
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -16,7 +16,7 @@
 from cowslipshelf_core.internal.routed.engine_board import (
     EngineBoard,
     EngineView,
-    WriterHere,
+    UnreadPart,
 )
 from cowslipshelf_core.internal.routed.engine_cost import (
     PromptSize,
@@ -114,6 +114,18 @@
     steps_per_pass: int
 
 
+class Placing(NamedTuple):
+    """Be one prompt to be placed, with what is known of the engines."""
+
+    asked: PromptAsked
+    model: EngineModel
+    seen: list[Seen]
+    roomy: list[Seen]
+    """Those whose memory holds the prompt."""
+    ready_of: dict[AttemptId, float]
+    """Time until the last part of each attempt on these engines will be read."""
+
+
 def place_prompt(
     asked: PromptAsked,
     candidates: list[Candidate],
@@ -131,11 +143,12 @@
     roomy = [each for each in seen if has_room(each, needed, model)]
     if not roomy:
         return NoEngine("no engine has memory for the prompt", shortest_wait(seen))
+    placing = Placing(asked, model, seen, roomy, ready_times(seen))
     choices = []
     for parts in PART_COUNTS:
         if parts > len(seen) or (parts > 1 and is_short(asked, model, parts // 2)):
             break
-        choices.append(choose_parts(asked, roomy, seen, model, parts))
+        choices.append(choose_parts(placing, parts))
     best = min(choices, key=lambda choice: choice.cost)
     if best.first_token_seconds > asked.left_seconds:
         wait = best.first_token_seconds - asked.left_seconds
@@ -170,29 +183,35 @@
     return seconds < SHORT_READ_SECONDS / 4
 
 
-def choose_parts(
-    asked: PromptAsked,
-    roomy: list[Seen],
-    seen: list[Seen],
-    model: EngineModel,
-    parts: int,
-) -> EnginesChosen:
+def ready_times(seen: list[Seen]) -> dict[AttemptId, float]:
+    """Return when the last part of each attempt will be read."""
+    ready: dict[AttemptId, float] = {}
+    for each in seen:
+        for unread in each.view.unread:
+            attempt_id = unread.work.attempt_id
+            known = ready.get(attempt_id, 0.0)
+            ready[attempt_id] = max(known, unread.ready_seconds)
+    return ready
+
+
+def choose_parts(placing: Placing, parts: int) -> EnginesChosen:
     """Choose a number of engines, the cheapest ones, and add up what they cost."""
+    asked, model = placing.asked, placing.model
     tokens = asked.size.prompt_tokens
     part = Part(
         read_seconds(model, tokens, parts),
         read_chunks(model, tokens, parts),
         worth_of(asked.size),
     )
-    writer = min(roomy, key=lambda each: writer_cost(each, part, asked, model))
+    writer = min(placing.roomy, key=lambda each: writer_cost(each, part, placing))
     others = sorted(
-        (each for each in seen if each is not writer),
-        key=lambda each: helper_cost(each, part, asked, model),
+        (each for each in placing.seen if each is not writer),
+        key=lambda each: helper_cost(each, part, placing),
     )
     helpers = others[: parts - 1]
     until_read = max(
         writer.view.backlog_seconds + part.read_on(writer),
-        *(each.view.helping_seconds + part.read_on(each) for each in helpers),
+        *(part.read_on(each) for each in helpers),
         0.0,
     )
     first_token = until_read + writer.pass_seconds
@@ -200,11 +219,11 @@
         part.worth * lateness(first_token / asked.objective_seconds)
         + harm_to_writers(writer, part)
         + sum(
-            harm_to_writers(each, part) + harm_to_waiting(each, part)
+            harm_to_writers(each, part) + harm_to_waiting(each, part, placing)
             for each in helpers
         )
         + part.worth * max(each.candidate.penalty for each in (writer, *helpers))
-        + sharing_cost(writer, part, asked, model)
+        + sharing_cost(writer, part, placing)
         + SPREAD_COST * len(helpers)
     )
     return EnginesChosen(work_of(asked, part, writer, helpers), first_token, cost)
@@ -245,39 +264,33 @@
     )
 
 
-def writer_cost(
-    seen: Seen, part: Part, asked: PromptAsked, model: EngineModel
-) -> float:
+def writer_cost(seen: Seen, part: Part, placing: Placing) -> float:
     """Return what it costs to have an engine read a part and write the answer."""
     ready = seen.view.backlog_seconds + part.read_on(seen) + seen.pass_seconds
     return (
-        part.worth * lateness(ready / asked.objective_seconds)
+        part.worth * lateness(ready / placing.asked.objective_seconds)
         + part.worth * seen.candidate.penalty
         + harm_to_writers(seen, part)
-        + sharing_cost(seen, part, asked, model)
+        + sharing_cost(seen, part, placing)
     )
 
 
-def helper_cost(
-    seen: Seen, part: Part, asked: PromptAsked, model: EngineModel
-) -> float:
+def helper_cost(seen: Seen, part: Part, placing: Placing) -> float:
     """Return what it costs to have an engine read a part for another one."""
-    ready = seen.view.helping_seconds + part.read_on(seen)
     # An engine that helps as many as it has slots refuses any more.
-    refused = part.worth if seen.view.helping >= model.slots else 0.0
+    refused = part.worth if seen.view.helping >= placing.model.slots else 0.0
     return (
-        part.worth * lateness(ready / asked.objective_seconds)
+        part.worth * lateness(part.read_on(seen) / placing.asked.objective_seconds)
         + part.worth * seen.candidate.penalty
         + harm_to_writers(seen, part)
-        + harm_to_waiting(seen, part)
+        + harm_to_waiting(seen, part, placing)
         + refused
     )
 
 
-def sharing_cost(
-    seen: Seen, part: Part, asked: PromptAsked, model: EngineModel
-) -> float:
+def sharing_cost(seen: Seen, part: Part, placing: Placing) -> float:
     """Return what it costs to write the answer beside those that write there."""
+    asked, model = placing.asked, placing.model
     writers = len(seen.view.writers)
     full = FULL_COST * part.worth * max(0, writers + 1 - model.slots)
     short = read_seconds(model, asked.size.prompt_tokens) < SHORT_READ_SECONDS
@@ -300,31 +313,38 @@
         view.backlog_chunks + part.chunks,
     )
     return sum(
-        writer.work.value
+        work.value
         * max(
             0.0,
-            held_up(after, writer.work.pause_seconds)
-            - held_up(before, writer.work.pause_seconds),
+            held_up(after, work.pause_seconds) - held_up(before, work.pause_seconds),
         )
-        for writer in view.writers
+        for work in view.writers
     )
 
 
-def harm_to_waiting(seen: Seen, part: Part) -> float:
-    """Return what a part that goes ahead costs those who wait to be read."""
+def harm_to_waiting(seen: Seen, part: Part, placing: Placing) -> float:
+    """Return what a part that goes ahead costs those whose parts wait there."""
     delay = part.read_on(seen)
     return sum(
-        writer.work.value
-        * (lateness_of(writer, seen, delay) - lateness_of(writer, seen, 0.0))
-        for writer in seen.view.writers
-        if writer.ready_seconds
+        unread.work.value
+        * (
+            lateness_of(unread, seen, placing, delay)
+            - lateness_of(unread, seen, placing, 0.0)
+        )
+        for unread in seen.view.unread
     )
 
 
-def lateness_of(writer: WriterHere, seen: Seen, delay: float) -> float:
-    """Return how likely the first token of one who waits comes late."""
-    ready = writer.waited_seconds + writer.ready_seconds + delay + seen.pass_seconds
-    return lateness(ready / writer.work.objective_seconds)
+def lateness_of(
+    unread: UnreadPart, seen: Seen, placing: Placing, delay: float
+) -> float:
+    """Return how likely the first token of one who waits comes late.
+
+    It comes after the last of the prompt's parts, which may be on another engine.
+    """
+    last_part = placing.ready_of[unread.work.attempt_id]
+    ready = max(last_part, unread.ready_seconds + delay) + seen.pass_seconds
+    return lateness((unread.waited_seconds + ready) / unread.work.objective_seconds)
 
 
 def longest_pass(seen: Seen, backlog: float, chunks: int) -> float:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -9,6 +9,7 @@
 from cowslipshelf_core.routed import (
     Candidate,
     EngineModel,
+    EnginePart,
     EngineWork,
     NoEngine,
     PlainCandidate,
@@ -42,6 +43,11 @@
     candidates: int = 0
     cost: float = 0.0
 
+    @property
+    def helping_parts(self) -> tuple[EnginePart, ...]:
+        """Return the parts of the prompt that other engines read."""
+        return () if self.work is None else self.work.parts[1:]
+
 
 class NoPlacement(NamedTuple):
     """Say that there is no upstream, why, and when to come back."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -270,7 +270,7 @@
             first=round(pace.first, 4) if pace and pace.first else None,
             pause=round(pace.longest_pause, 4) if pace else None,
             tokens=task.facts.prompt.prompt_tokens if task.facts.prompt else None,
-            helpers=len(placement.helpers),
+            helpers=[part.upstream_id for part in placement.helping_parts],
             candidates=placement.candidates,
             cost=round(placement.cost, 3),
             sent=progress.sent,
