--- a/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
@@ -29,6 +29,14 @@
     prompt: PromptSize | None
 
 
+class Helper(NamedTuple):
+    """Be an engine that reads a part of a prompt for another one."""
+
+    address: str
+    ticket: str | None = None
+    """Names memory that was reserved there for the prompt."""
+
+
 class ForwardFacts(NamedTuple):
     """Be what an upstream is told beside the caller's own request."""
 
@@ -38,8 +46,25 @@
     last_event_id: str | None
     priority: int | None = None
     """Zero to nine, where zero is admitted first."""
-    helpers: tuple[str, ...] = ()
-    """Addresses of engines that read parts of the prompt."""
+    helpers: tuple[Helper, ...] = ()
+
+
+class OutgoingRequest(NamedTuple):
+    """Be a request as an upstream gets it."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+class MemoryTicket(NamedTuple):
+    """Name memory of an engine that is to be reserved for one prompt."""
+
+    upstream_id: UpstreamId
+    address: str
+    name: str
+    tokens: int
 
 
 class ReportedLoad(NamedTuple):
@@ -124,5 +149,14 @@
     def answer_headers(self, headers: Headers) -> Headers:
         """Return the headers of an upstream's answer that its caller gets."""
 
+    def reserve_memory(self, ticket: MemoryTicket, seconds: float) -> OutgoingRequest:
+        """Ask an engine to set memory aside for a time, or to go on doing so."""
+
+    def release_memory(self, ticket: MemoryTicket) -> OutgoingRequest:
+        """Tell an engine that its memory is wanted no more."""
+
+    def is_memory_granted(self, status: int) -> bool:
+        """Tell whether an engine has set the memory aside."""
+
     def refusal_headers(self, attempt_id: str) -> Headers:
         """Return the headers that go with an answer of our own."""
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -56,6 +56,8 @@
     """Attempts that write here, or will once they are read."""
     helping: int = 0
     """Parts that it reads for attempts which write elsewhere."""
+    memory_tokens: int = 0
+    """Memory that attempts use on it, or will use."""
 
     @property
     def backlog_seconds(self) -> float:
@@ -67,11 +69,6 @@
         """Return the pieces in which it will read that."""
         return sum(unread.part.chunks for unread in self.unread)
 
-    @property
-    def memory_tokens(self) -> int:
-        """Return the memory that its attempts use or will use."""
-        return sum(work.memory_tokens for work in self.writers)
-
 
 @dataclass(slots=True)
 class EngineBoard:
@@ -98,7 +95,7 @@
             return
         placed.first_token = True
         for part in placed.work.parts:
-            if not part.writes:
+            if not part.writes and not part.memory_tokens:
                 self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
 
     def end(self, attempt_id: AttemptId) -> None:
@@ -168,6 +165,7 @@
         view = EngineView()
         reading = ReadingOrder()
         for placed, part in self.parts_on(upstream_id):
+            view.memory_tokens += part.memory_tokens
             if part.writes:
                 view.writers.append(placed.work)
             if placed.first_token:
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -52,6 +52,9 @@
 SHORT_READ_SECONDS = 0.12
 """A prompt read faster than this keeps within the pauses of those who write (250 ms,
 of which a pass takes 50 to 100), so it may share engines with them."""
+RESERVED_MARGIN = 1.03
+"""Memory reserved over what is counted: engines set it aside in blocks, and a prompt
+that lacks one is cut off."""
 UNKNOWN_PAUSE_SECONDS = 1.0
 """Pause allowed where a route gives none."""
 
@@ -121,10 +124,28 @@
     model: EngineModel
     seen: list[Seen]
     roomy: list[Seen]
-    """Those whose memory holds the prompt."""
+    """Those whose memory holds the whole prompt."""
     ready_of: dict[AttemptId, float]
     """Time until the last part of each attempt on these engines will be read."""
 
+    @property
+    def needed_tokens(self) -> int:
+        """Return the memory that the prompt and its answer may take."""
+        return self.asked.size.prompt_tokens + self.asked.size.most_output_tokens
+
+
+class Part(NamedTuple):
+    """Be an even part of a prompt."""
+
+    read_seconds: float
+    chunks: int
+    worth: float
+    """Of the whole answer."""
+
+    def read_on(self, seen: Seen) -> float:
+        """Return the time to read it on an engine, as slow as that lately was."""
+        return self.read_seconds * seen.candidate.slowness
+
 
 def place_prompt(
     asked: PromptAsked,
@@ -140,15 +161,18 @@
     seen = [look_at(candidate, model, board, now) for candidate in candidates]
     random.shuffle(seen)
     needed = asked.size.prompt_tokens + asked.size.most_output_tokens
-    roomy = [each for each in seen if has_room(each, needed, model)]
-    if not roomy:
-        return NoEngine("no engine has memory for the prompt", shortest_wait(seen))
+    roomy = [each for each in seen if free_memory(each, model) >= needed]
     placing = Placing(asked, model, seen, roomy, ready_times(seen))
     choices = []
     for parts in PART_COUNTS:
         if parts > len(seen) or (parts > 1 and is_short(asked, model, parts // 2)):
             break
-        choices.append(choose_parts(placing, parts))
+        choice = choose_parts(placing, parts) if roomy else share_memory(placing, parts)
+        if choice is not None:
+            choices.append(choice)
+    if not choices:
+        reason = "the engines together have no memory for the prompt"
+        return NoEngine(reason, shortest_wait(seen))
     best = min(choices, key=lambda choice: choice.cost)
     if best.first_token_seconds > asked.left_seconds:
         wait = best.first_token_seconds - asked.left_seconds
@@ -167,9 +191,9 @@
     return Seen(candidate, view, slowed, model.steps_per_pass)
 
 
-def has_room(seen: Seen, needed_tokens: int, model: EngineModel) -> bool:
-    """Tell whether an engine's memory holds one more prompt."""
-    return seen.view.memory_tokens + needed_tokens <= model.memory_tokens
+def free_memory(seen: Seen, model: EngineModel) -> int:
+    """Return how many tokens an engine's memory still holds."""
+    return model.memory_tokens - seen.view.memory_tokens
 
 
 def shortest_wait(seen: list[Seen]) -> float:
@@ -195,20 +219,54 @@
 
 
 def choose_parts(placing: Placing, parts: int) -> EnginesChosen:
-    """Choose a number of engines, the cheapest ones, and add up what they cost."""
-    asked, model = placing.asked, placing.model
-    tokens = asked.size.prompt_tokens
-    part = Part(
-        read_seconds(model, tokens, parts),
-        read_chunks(model, tokens, parts),
-        worth_of(asked.size),
-    )
+    """Choose a number of engines, the cheapest ones; the one that writes holds all."""
+    part = part_of(placing, parts)
     writer = min(placing.roomy, key=lambda each: writer_cost(each, part, placing))
-    others = sorted(
-        (each for each in placing.seen if each is not writer),
-        key=lambda each: helper_cost(each, part, placing),
+    helpers = cheapest_helpers(placing, part, writer)[: parts - 1]
+    held = (placing.needed_tokens, *(0 for _ in helpers))
+    return chosen(placing, part, (writer, *helpers), held)
+
+
+def share_memory(placing: Placing, parts: int) -> EnginesChosen | None:
+    """Choose a number of engines which hold the prompt's memory together, if any do.
+
+    Each holds an even share, so that a step of the answer costs the context of an
+    even share only.
+    """
+    if parts == 1:
+        return None
+    share = math.ceil(placing.needed_tokens * RESERVED_MARGIN / parts)
+    able = [each for each in placing.seen if free_memory(each, placing.model) >= share]
+    if len(able) < parts:
+        return None
+    part = part_of(placing, parts)
+    writer = min(able, key=lambda each: writer_cost(each, part, placing))
+    helpers = [each for each in cheapest_helpers(placing, part, writer) if each in able]
+    return chosen(placing, part, (writer, *helpers[: parts - 1]), (share,) * parts)
+
+
+def part_of(placing: Placing, parts: int) -> Part:
+    """Return an even part of the prompt."""
+    model, size = placing.model, placing.asked.size
+    return Part(
+        read_seconds(model, size.prompt_tokens, parts),
+        read_chunks(model, size.prompt_tokens, parts),
+        worth_of(size),
     )
-    helpers = others[: parts - 1]
+
+
+def cheapest_helpers(placing: Placing, part: Part, writer: Seen) -> list[Seen]:
+    """List the other engines, those first that cost least as helpers."""
+    others = (each for each in placing.seen if each is not writer)
+    return sorted(others, key=lambda each: helper_cost(each, part, placing))
+
+
+def chosen(
+    placing: Placing, part: Part, engines: tuple[Seen, ...], held: tuple[int, ...]
+) -> EnginesChosen:
+    """Add up what a choice costs; the first engine writes, `held` is their memory."""
+    asked = placing.asked
+    writer, *helpers = engines
     until_read = max(
         writer.view.backlog_seconds + part.read_on(writer),
         *(part.read_on(each) for each in helpers),
@@ -222,31 +280,11 @@
             harm_to_writers(each, part) + harm_to_waiting(each, part, placing)
             for each in helpers
         )
-        + part.worth * max(each.candidate.penalty for each in (writer, *helpers))
+        + part.worth * max(each.candidate.penalty for each in engines)
         + sharing_cost(writer, part, placing)
         + SPREAD_COST * len(helpers)
     )
-    return EnginesChosen(work_of(asked, part, writer, helpers), first_token, cost)
-
-
-class Part(NamedTuple):
-    """Be an even part of a prompt."""
-
-    read_seconds: float
-    chunks: int
-    worth: float
-    """Of the whole answer."""
-
-    def read_on(self, seen: Seen) -> float:
-        """Return the time to read it on an engine, as slow as that lately was."""
-        return self.read_seconds * seen.candidate.slowness
-
-
-def work_of(
-    asked: PromptAsked, part: Part, writer: Seen, helpers: list[Seen]
-) -> EngineWork:
-    """Describe what the chosen engines will do."""
-    return EngineWork(
+    work = EngineWork(
         asked.attempt_id,
         tuple(
             EnginePart(
@@ -254,14 +292,15 @@
                 part.read_on(each),
                 part.chunks,
                 each is writer,
+                tokens,
             )
-            for each in (writer, *helpers)
+            for each, tokens in zip(engines, held, strict=True)
         ),
-        asked.size.prompt_tokens + asked.size.most_output_tokens,
         part.worth,
         asked.objective_seconds,
         asked.pause_seconds or UNKNOWN_PAUSE_SECONDS,
     )
+    return EnginesChosen(work, first_token, cost)
 
 
 def writer_cost(seen: Seen, part: Part, placing: Placing) -> float:
--- a/packages/core/src/cowslipshelf_core/internal/routed/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/messages.py
@@ -22,7 +22,9 @@
     chunks: int
     """Pieces in which the part is read, one in each step."""
     writes: bool
-    """Whether this engine also writes the answer, and holds the prompt's memory."""
+    """Whether this engine also writes the answer."""
+    memory_tokens: int = 0
+    """Memory that it holds for the prompt and its answer."""
 
 
 class EngineWork(NamedTuple):
@@ -30,7 +32,6 @@
 
     attempt_id: AttemptId
     parts: tuple[EnginePart, ...]
-    memory_tokens: int
     value: float
     """What is lost if it is late; see `worth_of`."""
     objective_seconds: float
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -4,15 +4,21 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from cowslipshelf_core.dialect import CallerFacts, Dialect, ForwardFacts, Headers
+from cowslipshelf_core.dialect import (
+    CallerFacts,
+    Dialect,
+    ForwardFacts,
+    Headers,
+    OutgoingRequest,
+)
 from cowslipshelf_core.identifiers import CustomerName
 from cowslipshelf_core.routed import Route, RouteKind
+from cowslipshelf_daemon.internal.gateway.engine_memory import EngineMemory
 from cowslipshelf_daemon.internal.gateway.event_stream import EventCutter
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.placement import Placement
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
-    OutgoingRequest,
     UpstreamConnection,
     UpstreamHead,
     UpstreamLostError,
@@ -20,9 +26,8 @@
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
 
 SERVER_ERROR = 500
-MOST_BUFFERED_BYTES = 8 * 1024 * 1024
-"""Longest answer that is held until it is whole; a longer one is passed on as it
-comes, and can't be repeated if it breaks."""
+MEMORY_REFUSED = 409
+"""Stands for the status of an engine that would not set memory aside."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +114,7 @@
 
     def __init__(self, view: FleetView, pool: UpstreamPool, dialect: Dialect) -> None:
         self.view = view
+        self.memory = EngineMemory(pool, dialect)
         self.pool = pool
         self.dialect = dialect
 
@@ -144,6 +150,15 @@
 
     async def exchange(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Send the request and take the answer."""
+        async with self.memory.reserved(placement.tickets) as granted:
+            if not granted:
+                return NotRun(MEMORY_REFUSED)
+            return await self.connect_and_talk(task, placement)
+
+    async def connect_and_talk(
+        self, task: AttemptTask, placement: Placement
+    ) -> AttemptOutcome:
+        """Get a connection, use it, and keep it if it is fit for another request."""
         upstream = placement.upstream
         # A kept connection may be closed by the other side just as it is used again,
         # and then nobody can say whether the request ran.
@@ -178,14 +193,14 @@
         if facts.keep_alive_seconds is not None:
             connection.keep_alive_seconds = facts.keep_alive_seconds
         if facts.not_run:
-            await collect(connection)
+            await connection.whole_body()
             return NotRun(head.status)
         if facts.attempt_id != task.facts.attempt_id:
             # An answer to an earlier request of this connection came late.
             raise connection.lost("match answer", f"answers {facts.attempt_id}")
         if task.route.kind is RouteKind.STREAM and head.status < 300:
             return await self.pass_stream(task, placement, connection, head, began)
-        body = await collect(connection)
+        body = await connection.whole_body()
         if head.status >= SERVER_ERROR:
             return FailedThere(head, body)
         await self.deliver(task, head, body)
@@ -250,16 +265,6 @@
             task.responder.begin(head.status, headers)
 
 
-async def collect(connection: UpstreamConnection) -> bytes:
-    """Read a whole body."""
-    body = bytearray()
-    async for data in connection.body():
-        body += data
-        if len(body) > MOST_BUFFERED_BYTES:
-            raise connection.lost("read answer", "the answer is too long to be held")
-    return bytes(body)
-
-
 def with_length(headers: Headers, request: HttpRequest) -> Headers:
     """Frame the body by its length, whichever way the caller framed it."""
     kept = [pair for pair in headers if pair[0] != b"content-length"]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -4,12 +4,13 @@
 import uuid
 from typing import NamedTuple
 
-from cowslipshelf_core.dialect import CallerFacts
+from cowslipshelf_core.dialect import CallerFacts, Helper, MemoryTicket
 from cowslipshelf_core.identifiers import AttemptId, ServiceName, UpstreamId
 from cowslipshelf_core.routed import (
     Candidate,
     EngineModel,
     EnginePart,
+    EnginesChosen,
     EngineWork,
     NoEngine,
     PlainCandidate,
@@ -36,7 +37,9 @@
 
     upstream: UpstreamHeartbeat
     work: EngineWork | None = None
-    helpers: tuple[str, ...] = ()
+    helpers: tuple[Helper, ...] = ()
+    tickets: tuple[MemoryTicket, ...] = ()
+    """Memory that must be reserved before the request is sent."""
     first_token_seconds: float | None = None
     """Predicted time to the first event."""
     priority: int | None = None
@@ -127,13 +130,35 @@
     if isinstance(chosen, NoEngine):
         return NoPlacement(chosen.reason, chosen.retry_after_seconds)
     by_id = {each.upstream_id: each for each in upstreams}
+    tickets = tickets_of(chosen, by_id)
+    names = {ticket.upstream_id: ticket.name for ticket in tickets}
     long = facts.prompt.prompt_tokens > LONG_PROMPT_TOKENS
     return Placement(
         by_id[chosen.upstream_id],
         chosen.work,
-        tuple(by_id[helper].address for helper in chosen.helpers),
+        tuple(
+            Helper(by_id[helper].address, names.get(helper))
+            for helper in chosen.helpers
+        ),
+        tickets,
         chosen.first_token_seconds,
         LONG_PROMPT_PRIORITY if long else SHORT_PROMPT_PRIORITY,
         len(candidates),
         chosen.cost,
     )
+
+
+def tickets_of(
+    chosen: EnginesChosen, by_id: dict[UpstreamId, UpstreamHeartbeat]
+) -> tuple[MemoryTicket, ...]:
+    """Name the memory that helpers must hold for a prompt too large for one engine."""
+    return tuple(
+        MemoryTicket(
+            part.upstream_id,
+            by_id[part.upstream_id].address,
+            f"{chosen.work.attempt_id}-{number}",
+            part.memory_tokens,
+        )
+        for number, part in enumerate(chosen.work.parts[1:])
+        if part.memory_tokens
+    )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -7,9 +7,11 @@
 
 import h11
 
-from cowslipshelf_core.dialect import Headers
+from cowslipshelf_core.dialect import Headers, OutgoingRequest
 
 READ_BYTES = 65_536
+MOST_BUFFERED_BYTES = 8 * 1024 * 1024
+"""Longest answer that is held until it is whole; twice the bodies that callers send."""
 UNACKNOWLEDGED_MILLISECONDS = 3_000
 """Time after which the kernel gives a connection up whose bytes nobody acknowledges:
 a machine that lost power or was cut off sends no reset. Longer than a packet that is
@@ -35,15 +37,6 @@
     headers: Headers
 
 
-class OutgoingRequest(NamedTuple):
-    """Be a request as an upstream gets it."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes
-
-
 class UpstreamConnection:
     """Own one connection to an upstream."""
 
@@ -111,6 +104,15 @@
                 case _:
                     raise self.lost("read answer", "closed")
 
+    async def whole_body(self) -> bytes:
+        """Read the whole body; one that is too long to be held counts as lost."""
+        body = bytearray()
+        async for data in self.body():
+            body += data
+            if len(body) > MOST_BUFFERED_BYTES:
+                raise self.lost("read answer", "the answer is too long to be held")
+        return bytes(body)
+
     async def next_event(self, step: str) -> h11.Event | type[h11.PAUSED]:
         """Return the next event that the upstream's bytes make."""
         try:
--- a/tests/cover/adapter/test_wire.py
+++ b/tests/cover/adapter/test_wire.py
@@ -1,10 +1,14 @@
 """Check what callers and upstreams see of each other's headers."""
 
+import json
+
 import pytest
 
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import (
     ForwardFacts,
+    Helper,
+    MemoryTicket,
     PutConfiguration,
     ReadConfiguration,
     TakeHeartbeat,
@@ -124,3 +128,26 @@
 )
 def test_control_calls_are_told_apart(method, path, call):
     assert DIALECT.control_call(method, path) == call
+
+
+def test_memory_is_reserved_and_released_under_one_name():
+    ticket = MemoryTicket("i-1", "10.0.0.9:80", "a-1-0", 60_000)
+    reserve = DIALECT.reserve_memory(ticket, 3.0)
+    assert reserve.target == "/api/order"
+    assert dict(reserve.headers)[b"x-expect-instance"] == b"i-1"
+    assert json.loads(reserve.body) == {
+        "op": "reserve",
+        "id": "a-1-0",
+        "token_count": 60_000,
+        "hold_ms": 3000,
+    }
+    release = DIALECT.release_memory(ticket)
+    assert json.loads(release.body) == {"op": "release", "id": "a-1-0"}
+    assert DIALECT.is_memory_granted(200)
+    assert not DIALECT.is_memory_granted(202)
+    assert not DIALECT.is_memory_granted(409)
+
+
+def test_helpers_are_named_with_their_tickets():
+    helpers = (Helper("10.0.0.1:80", "t-1"), Helper("10.0.0.2:80"))
+    assert forwarded(helpers=helpers)[b"x-helpers"] == b"10.0.0.1:80/t-1,10.0.0.2:80"
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -10,7 +10,9 @@
 from cowslipshelf_core.routed import (
     Candidate,
     EngineBoard,
+    EnginePart,
     EnginesChosen,
+    EngineWork,
     NoEngine,
     PromptAsked,
     PromptSize,
@@ -100,9 +102,19 @@
     assert second.upstream_id not in {first.upstream_id, *first.helpers}
 
 
-def test_a_prompt_above_every_memory_is_refused_at_once():
+def test_a_prompt_above_every_memory_is_held_by_several_engines_together():
+    """A ledger of half a million tokens is refused although engines are idle."""
     load = Load(engines=4)
     chosen = load.place(PromptSize(500_000, 700), 0.0, objective=4.0, pause=1.0)
+    held = [part.memory_tokens for part in chosen.work.parts]
+    assert sum(held) >= 500_700
+    assert max(held) <= ENGINE.memory_tokens
+    assert min(held) > 0
+
+
+def test_a_prompt_above_all_memories_together_is_refused_at_once():
+    load = Load(engines=2)
+    chosen = load.place(PromptSize(900_000, 700), 0.0, objective=4.0, pause=1.0)
     assert isinstance(chosen, NoEngine)
     assert "memory" in chosen.reason
 
@@ -117,7 +129,7 @@
     assert chosen.retry_after_seconds > 1.0
 
 
-@given(st.lists(st.integers(1, 400_000), min_size=1, max_size=40), st.integers(1, 20))
+@given(st.lists(st.integers(1, 900_000), min_size=1, max_size=40), st.integers(1, 20))
 def test_parts_are_on_different_engines_and_memory_is_never_overbooked(sizes, engines):
     load = Load(engines)
     for number, tokens in enumerate(sizes):
@@ -186,3 +198,32 @@
     load.long(0.0)
     load.board.replace("gateway", WorkHeld(()), 1.0)
     assert load.board.placed == {}
+
+
+def test_a_part_read_for_another_engine_goes_ahead_of_what_waits():
+    """A digest's first token comes seconds after it was promised.
+
+    Parts that an engine reads for others go ahead of its own prompts. Placed on it
+    one after the other, they starve the prompt that came first.
+    """
+    board = EngineBoard()
+    own = EnginePart("e", 1.0, 10, writes=True)
+    other = EnginePart("e", 0.5, 5, writes=False)
+    board.begin(EngineWork("first", (own,), 1.0, 4.0, 1.0), "g", 0.0)
+    board.begin(EngineWork("second", (other,), 1.0, 4.0, 1.0), "g", 0.2)
+    board.begin(EngineWork("third", (other,), 1.0, 4.0, 1.0), "g", 0.4)
+    unread = board.view("e", 0.5).unread
+    order = [each.work.attempt_id for each in unread]
+    ready = [each.ready_seconds for each in unread]
+    assert order == ["third", "second", "first"]
+    assert ready == pytest.approx([0.4, 0.7, 1.5])
+
+
+def test_parts_do_not_proceed_side_by_side():
+    """An engine that has seconds to read looks idle soon."""
+    board = EngineBoard()
+    for number in range(4):
+        part = EnginePart("e", 1.0, 10, writes=False)
+        work = EngineWork(f"a-{number}", (part,), 1.0, 4.0, 1.0)
+        board.begin(work, "g", 0.0)
+    assert board.view("e", 1.5).backlog_seconds == pytest.approx(2.5)
