--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -40,6 +40,12 @@
 """Growth beyond the second share, so that among late ones the earlier is chosen."""
 HARM_FROM = 0.8
 """Share of the allowed pause from which on a pass may hold up a writer for too long."""
+CALLERS_LEAVE_SECONDS = 1.8
+"""Pass after which callers may leave: they do so after two seconds without an event,
+or longer where the route allows longer pauses."""
+LOST_COST = 0.5
+"""What a caller that leaves costs beyond one that gets its answer late, as a share of
+the worth: a late answer keeps a quarter of it, and what was written is thrown away."""
 FULL_COST = 0.6
 """Cost of each request beyond the slots, as a share of the worth: it waits until one
 of those that run has ended."""
@@ -393,8 +399,9 @@
 
 
 def held_up(pass_time: float, pause: float) -> float:
-    """Return how likely a pass makes a pause that is too long."""
-    return lateness(pass_time / pause * (LATE_FROM / HARM_FROM))
+    """Return how likely a pass makes a pause that is too long, or loses the caller."""
+    late = lateness(pass_time / pause * (LATE_FROM / HARM_FROM))
+    return late + (LOST_COST if pass_time > CALLERS_LEAVE_SECONDS else 0.0)
 
 
 def lateness(ratio: float) -> float:
