Bound an attempt's silence, reload changed settings, show metrics, queue log lines

An upstream that hangs while its health is good was found by nothing: the attempt ran into the caller's deadline. Silence beyond the usual time (mean and deviations, as TCP's timer) sends a repeatable request elsewhere and counts against the upstream; streams likewise by the prediction. Logs go out on a thread, 400 lines a second at most, drops counted; the settings' file is read again when it changes; metrics have an address.

--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -1,5 +1,6 @@
 """Offer what decides on requests that are served by route."""
 
+from cowslipshelf_core.internal.routed.answer_times import AnswerTimes
 from cowslipshelf_core.internal.routed.checking import configuration_problem
 from cowslipshelf_core.internal.routed.configuration import (
     CallerLimits,
@@ -62,6 +63,7 @@
 )
 
 __all__ = [
+    "AnswerTimes",
     "CallerLimits",
     "Candidate",
     "EngineBoard",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -38,7 +38,10 @@
 from cowslipshelf_daemon.internal.gateway.loop_post import LoopInbox
 from cowslipshelf_daemon.internal.gateway.replica_keeper import ReplicaKeeper
 from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
-from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
+from cowslipshelf_daemon.internal.gateway.settings import (
+    GatewaySettings,
+    SettingsSource,
+)
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
 from cowslipshelf_daemon.internal.gateway.upstreams_file import UpstreamsFile
 from cowslipshelf_daemon.internal.post import Delivered, Post
@@ -57,6 +60,8 @@
 MAILBOX_SILENCE_SECONDS = 3.0
 TICK_SECONDS = 0.05
 FORGET_SECONDS = 5.0
+RELOAD_SECONDS = 1.0
+"""Pause between looks at the settings' file, which may change without a signal."""
 RESERVED_DESCRIPTORS = 600
 """Descriptors kept for upstreams, peers, files and logs."""
 CONTROL_CONNECTIONS = 256
@@ -66,6 +71,8 @@
 END_MARGIN_SECONDS = 0.7
 """Time kept at the end of the shutdown to close what is left, before the kill."""
 DRAIN_CHECK_SECONDS = 0.05
+METRICS_PATH = "/metrics"
+METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 CONTROL_BODY_BYTES = 32 * 1024 * 1024
 """Bound on a configuration: a hundred thousand routes take about as much."""
 
@@ -73,8 +80,11 @@
 class Gateway:
     """Own the parts of one gateway; they live on one event loop."""
 
-    def __init__(self, settings: GatewaySettings, dialect: Dialect) -> None:
+    def __init__(
+        self, settings: GatewaySettings, source: SettingsSource, dialect: Dialect
+    ) -> None:
         self.settings = settings
+        self.source = source
         self.dialect = dialect
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
@@ -116,6 +126,9 @@
         self.ready = HttpServer(
             "ready", self.answer_ready, CallerLimits, CONTROL_CONNECTIONS
         )
+        self.shown = HttpServer(
+            "metrics", self.answer_metrics, CallerLimits, CONTROL_CONNECTIONS
+        )
 
     def make_mailbox(self, address: str) -> Mailbox:
         """Make the mailbox through which gateways talk."""
@@ -166,11 +179,17 @@
         """Tell whether callers should be sent here."""
         if self.dialect.is_ready_question(request.method, request.path):
             await responder.whole(200 if self.is_ready() else 503, [])
-        elif request.path == "/metrics":
-            await responder.whole(200, [], self.metrics.prometheus_text().encode())
         else:
             await responder.whole(404, [])
 
+    async def answer_metrics(self, request: HttpRequest, responder: Responder) -> None:
+        """Show the metrics."""
+        if request.path != METRICS_PATH:
+            await responder.whole(404, [])
+            return
+        text = self.metrics.prometheus_text()
+        await responder.whole(200, [METRICS_TYPE], text.encode())
+
     def is_ready(self) -> bool:
         """Tell whether requests can be served."""
         return not self.leaving and self.view.table is not None
@@ -184,12 +203,14 @@
             await self.control.start(settings.control_address)
         if settings.ready_address is not None:
             await self.ready.start(settings.ready_address)
+        if settings.metrics_address is not None:
+            await self.shown.start(settings.metrics_address)
         if settings.callers_address is not None:
             await self.callers.start(settings.callers_address, early_listener)
 
     async def run(self) -> None:
         """Do what the time demands until the gateway has ended."""
-        alive_due = full_due = forget_due = 0.0
+        alive_due = full_due = forget_due = reload_due = 0.0
         while not self.ended.is_set():
             now = time.monotonic()
             self.keeper.tick()
@@ -198,6 +219,9 @@
                 alive_due = now + ALIVE_SECONDS
                 self.gossip.tell_alive()
                 self.gossip.flush_heartbeats()
+            if now >= reload_due:
+                reload_due = now + RELOAD_SECONDS
+                self.reload()
             if now >= full_due:
                 full_due = now + FULL_SECONDS
                 self.gossip.tell_everything()
@@ -209,6 +233,19 @@
                 self.pool.close_stale()
             await asyncio.sleep(TICK_SECONDS)
 
+    def reload(self) -> None:
+        """Take over what may change while the process runs, if anything has."""
+        loaded = self.source.load_if_changed()
+        if loaded is None:
+            return
+        if loaded.is_err():
+            LOG.error("Settings not reloaded.", error=loaded.err_value)
+            return
+        settings = loaded.ok_value
+        LOG.info("Settings reloaded.", seeds=settings.seeds)
+        self.settings = settings
+        self.view.use_settings(settings)
+
     async def leave(self) -> None:
         """Finish what runs and end.
 
@@ -232,7 +269,7 @@
 
     def stop(self) -> None:
         """Close everything that is left."""
-        for server in (self.callers, self.control, self.ready):
+        for server in (self.callers, self.control, self.ready, self.shown):
             server.stop_listening()
             server.abort_all()
         self.pool.close_all()
@@ -243,11 +280,12 @@
 
 async def serve(
     settings: GatewaySettings,
+    source: SettingsSource,
     dialect: Dialect,
     early_listener: socket.socket | None = None,
 ) -> None:
     """Run a gateway until it is asked to end and has ended."""
-    gateway = Gateway(settings, dialect)
+    gateway = Gateway(settings, source, dialect)
     leaving: list[asyncio.Task[None]] = []
 
     def begin_to_leave() -> None:
@@ -256,7 +294,7 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         gateway.loop.add_signal_handler(number, begin_to_leave)
-    gateway.loop.add_signal_handler(signal.SIGHUP, lambda: LOG.info("Reload asked."))
+    gateway.loop.add_signal_handler(signal.SIGHUP, gateway.reload)
     await gateway.start(early_listener)
     LOG.info(
         "Started.",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -1,5 +1,6 @@
 """Run one attempt of a request at one upstream."""
 
+import asyncio
 import time
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -24,8 +25,13 @@
     UpstreamLostError,
 )
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
+from cowslipshelf_host.logs import part_logger
+
+LOG = part_logger("attempt")
 
 SERVER_ERROR = 500
+PASSES_SECONDS = 0.15
+"""Two passes of an engine that writes, which a first token may just have missed."""
 MEMORY_REFUSED = 409
 """Stands for the status of an engine that would not set memory aside."""
 
@@ -120,6 +126,7 @@
 
     async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Run one attempt, and learn from it about the upstream."""
+        began = time.monotonic()
         upstream = placement.upstream
         running = self.view.running
         running[upstream.upstream_id] = running.get(upstream.upstream_id, 0) + 1
@@ -127,14 +134,42 @@
             self.view.begin_work(placement.work)
         try:
             outcome = await self.exchange(task, placement)
+        except asyncio.CancelledError:
+            self.learn_of_silence(task, placement, began)
+            raise
         finally:
             running[upstream.upstream_id] -= 1
             if placement.work is not None:
                 self.view.end_work(placement.work.attempt_id)
-        self.learn(placement, outcome)
+        self.learn(placement, outcome, time.monotonic() - began)
         return outcome
 
-    def learn(self, placement: Placement, outcome: AttemptOutcome) -> None:
+    def learn_of_silence(
+        self, task: AttemptTask, placement: Placement, began: float
+    ) -> None:
+        """Note an upstream that let the caller's time pass without a word.
+
+        One that hangs while it says that it is well is found by nothing else, where
+        its requests may not be sent again.
+        """
+        upstream = placement.upstream
+        now = time.monotonic()
+        usual = self.view.times.longest_wait(upstream.service)
+        if placement.first_token_seconds is not None or usual is None:
+            return
+        if now - began > usual:
+            LOG.info(
+                "Upstream silent.",
+                request=task.facts.attempt_id,
+                upstream=upstream.upstream_id,
+                seconds=round(now - began, 3),
+                usual=round(usual, 3),
+            )
+            self.view.health.lost(upstream.upstream_id, now)
+
+    def learn(
+        self, placement: Placement, outcome: AttemptOutcome, seconds: float
+    ) -> None:
         """Note what an attempt says of its upstream."""
         upstream_id = placement.upstream.upstream_id
         now = time.monotonic()
@@ -145,8 +180,24 @@
                 self.view.health.answered(upstream_id, True, None, now)
             case NotRun():
                 self.view.health.answered(upstream_id, True, None, now)
-            case Answered():
-                self.view.health.answered(upstream_id, False, None, now)
+            case Answered(pace=pace):
+                slowness = self.slowness_of(placement, pace, seconds)
+                self.view.health.answered(upstream_id, False, slowness, now)
+
+    def slowness_of(
+        self, placement: Placement, pace: StreamPace | None, seconds: float
+    ) -> float | None:
+        """Return how many times longer than expected an answer took."""
+        if pace is None:
+            service = placement.upstream.service
+            slowness = self.view.times.slowness(service, seconds)
+            self.view.times.add(service, seconds)
+            return slowness
+        predicted = placement.first_token_seconds
+        if predicted is None or pace.first is None:
+            return None
+        # A late pass or two is no slowness of the engine's own.
+        return max(0.0, pace.first - PASSES_SECONDS) / predicted
 
     async def exchange(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Send the request and take the answer."""
@@ -171,6 +222,7 @@
             return NotReached(str(error))
         kept = False
         try:
+            connection.patience_seconds = placement.patience.first
             outcome = await self.talk(task, placement, connection)
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
             return outcome
@@ -183,7 +235,10 @@
                 connection.abort()
 
     async def talk(
-        self, task: AttemptTask, placement: Placement, connection: UpstreamConnection
+        self,
+        task: AttemptTask,
+        placement: Placement,
+        connection: UpstreamConnection,
     ) -> AttemptOutcome:
         """Send, wait for the head, and judge or pass on what follows."""
         began = time.monotonic()
@@ -248,6 +303,7 @@
             if placement.work is not None and not task.delivered.events_sent:
                 self.view.first_token(placement.work.attempt_id)
             pace.take_event(time.monotonic())
+            connection.patience_seconds = placement.patience.between
             self.begin_stream(task, head)
             task.delivered.events_sent = True
             if piece.last_id is not None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -17,6 +17,7 @@
 )
 from cowslipshelf_core.messages import RoutesDocument
 from cowslipshelf_core.routed import (
+    AnswerTimes,
     EngineBoard,
     EngineWork,
     HeartbeatSeen,
@@ -59,6 +60,7 @@
     """Tells the other gateways; set once the process is put together."""
     board: EngineBoard = field(default_factory=EngineBoard)
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
+    times: AnswerTimes = field(default_factory=AnswerTimes)
     running: dict[UpstreamId, int] = field(default_factory=dict)
     """Requests that this gateway has at each upstream."""
     random: Random = field(default_factory=Random)
@@ -84,16 +86,16 @@
                     settings.seeds,
                 )
             ),
-            RepeatBudget.from_config(
-                RepeatBudgetConfig(
-                    settings.repeat_window_seconds,
-                    settings.repeat_ratio,
-                    settings.repeat_slack,
-                )
-            ),
+            RepeatBudget.from_config(budget_config(settings)),
             tell_work=lambda _changed: None,
         )
 
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Take over new settings; addresses and the data folder stay as they were."""
+        self.settings = settings
+        self.peers.seeds = settings.seeds
+        self.budget.config = budget_config(settings)
+
     def put_in_force(
         self, document: RoutesDocument, configuration: RouteConfiguration
     ) -> bool:
@@ -213,3 +215,10 @@
     def all_heartbeats(self) -> tuple[HeartbeatSeen, ...]:
         """List every upstream known, for a gateway that may have missed some."""
         return self.registry.all_seen(time.monotonic())
+
+
+def budget_config(settings: GatewaySettings) -> RepeatBudgetConfig:
+    """Return the allowance of repeats that the settings give."""
+    return RepeatBudgetConfig(
+        settings.repeat_window_seconds, settings.repeat_ratio, settings.repeat_slack
+    )
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/patience.py
@@ -0,0 +1,36 @@
+"""Say how long an attempt may be silent before another upstream is tried."""
+
+from cowslipshelf_core.identifiers import ServiceName
+from cowslipshelf_core.routed import AnswerTimes, Route, RouteKind
+from cowslipshelf_daemon.internal.gateway.placement import Patience, Placement
+
+PREDICTIONS_WAITED = 2.0
+FIRST_MARGIN_SECONDS = 1.0
+"""Beyond twice the predicted time to a first event, an engine is taken for silent:
+predictions are within 0.3 s for nine prompts in ten."""
+LEAST_BETWEEN_SECONDS = 1.7
+"""Shortest silence in a stream that counts. A pass that reads a long prompt takes up
+to that, and callers leave after two seconds."""
+PAUSES_WAITED = 4.0
+"""Allowed pauses that a stream may be silent for, where that is longer."""
+
+
+def patience_of(
+    route: Route,
+    service: ServiceName,
+    placement: Placement,
+    times: AnswerTimes,
+    may_repeat: bool,
+) -> Patience:
+    """Return how long to wait; without end where nobody else may be asked."""
+    if not may_repeat:
+        return Patience()
+    if placement.first_token_seconds is not None:
+        pause = route.pause_seconds or 0.0
+        return Patience(
+            PREDICTIONS_WAITED * placement.first_token_seconds + FIRST_MARGIN_SECONDS,
+            max(LEAST_BETWEEN_SECONDS, PAUSES_WAITED * pause),
+        )
+    if route.kind is RouteKind.STREAM:
+        return Patience()
+    return Patience(first=times.longest_wait(service))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -32,6 +32,13 @@
 """Prompts above this take longer to read than a pass of an engine that writes."""
 
 
+class Patience(NamedTuple):
+    """Bound the silences of one attempt, in seconds, where there is a bound."""
+
+    first: float | None = None
+    between: float | None = None
+
+
 class Placement(NamedTuple):
     """Be an upstream for one attempt."""
 
@@ -45,6 +52,7 @@
     priority: int | None = None
     candidates: int = 0
     cost: float = 0.0
+    patience: Patience = Patience()
 
     @property
     def helping_parts(self) -> tuple[EnginePart, ...]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -25,6 +25,7 @@
     HttpRequest,
     Responder,
 )
+from cowslipshelf_daemon.internal.gateway.patience import patience_of
 from cowslipshelf_daemon.internal.gateway.placement import (
     NoPlacement,
     Placement,
@@ -230,7 +231,15 @@
         # Until the outcome is known, the upstream may be running it: a timeout in
         # between must not be answered with the promise that it did not.
         ran_before, progress.may_have_run = progress.may_have_run, True
-        outcome = await self.runner.run(task, placement)
+        may_repeat = task.route.repeatable and progress.sent < task.route.most_attempts
+        patience = patience_of(
+            task.route,
+            placement.upstream.service,
+            placement,
+            self.view.times,
+            may_repeat,
+        )
+        outcome = await self.runner.run(task, placement._replace(patience=patience))
         progress.excluded.add(upstream_id)
         match outcome:
             case NotReached():
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -1,6 +1,8 @@
 """Define what a gateway is told before it starts."""
 
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
+
+from result import Result
 
 from cowslipshelf_core.identifiers import DataCentre, InstanceId
 
@@ -24,6 +26,7 @@
     callers_address: str | None
     ready_address: str | None
     control_address: str | None
+    metrics_address: str | None = None
     most_descriptors: int = 1024
     upstream_heartbeat_seconds: float = 1.0
     """Time between two heartbeats of an upstream."""
@@ -38,3 +41,10 @@
     def peer_address(self, instance: InstanceId) -> str:
         """Return where a gateway listens for its peers."""
         return f"{instance}:{self.peer_port}"
+
+
+class SettingsSource(Protocol):
+    """Read the settings again when they have changed."""
+
+    def load_if_changed(self) -> Result[GatewaySettings, str] | None:
+        """Return new settings, or what is wrong with them; nothing if unchanged."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -49,6 +49,8 @@
         self.parser = h11.Connection(h11.CLIENT)
         self.idle_since = 0.0
         self.keep_alive_seconds: float | None = None
+        self.patience_seconds: float | None = None
+        """Silence after which the upstream is given up; nothing waits without end."""
         self.used = 0
 
     @classmethod
@@ -120,7 +122,9 @@
                 event = self.parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                self.parser.receive_data(await self.reader.read(READ_BYTES))
+                async with asyncio.timeout(self.patience_seconds):
+                    data = await self.reader.read(READ_BYTES)
+                self.parser.receive_data(data)
         except (OSError, h11.RemoteProtocolError) as error:
             raise self.lost(step, str(error) or type(error).__name__) from error
 
--- a/packages/daemon/src/cowslipshelf_daemon/program.py
+++ b/packages/daemon/src/cowslipshelf_daemon/program.py
@@ -29,7 +29,7 @@
             long=True,
             help=(
                 "Start nothing; make the replica of these settings its cluster's only "
-                "member. For a quorum that is lost for good; see docs/OPERATING.md."
+                "member. For a quorum that is lost for good; see docs/OPERATIONS.md."
             ),
         ),
     ] = False
--- a/packages/host/src/cowslipshelf_host/internal/logs/setup.py
+++ b/packages/host/src/cowslipshelf_host/internal/logs/setup.py
@@ -1,22 +1,33 @@
 """Set up structured logs."""
 
 import logging
-from typing import Any, TextIO
+from typing import Any, TextIO, TypeVar
 
 import structlog
 from structlog.typing import EventDict, Processor, WrappedLogger
 
 from cowslipshelf_host.internal.logs.secrets import mask_secrets
-from cowslipshelf_host.internal.logs.writing import LineWriter
+from cowslipshelf_host.internal.logs.writing import LineWriter, QueuedLineWriter
 from cowslipshelf_host.settings import LogSettings
 
+Writer = TypeVar("Writer", bound=LineWriter)
+
 PART = "part"
 EVENT = "event"
 
 
 def configure_logs(settings: LogSettings, stream: TextIO | None = None) -> LineWriter:
     """Make every part logger write as the settings say, to standard error if unset."""
-    writer = LineWriter(stream)
+    return configure_writer(settings, LineWriter(stream))
+
+
+def configure_queued_logs(settings: LogSettings, stream: TextIO) -> QueuedLineWriter:
+    """Make every part logger write on a thread of its own; stop it at the end."""
+    return configure_writer(settings, QueuedLineWriter(stream))
+
+
+def configure_writer(settings: LogSettings, writer: Writer) -> Writer:
+    """Make every part logger write through a writer."""
     level = logging.getLevelNamesMapping()[settings.level.upper()]
     structlog.configure(
         processors=[
--- a/packages/host/src/cowslipshelf_host/internal/logs/writing.py
+++ b/packages/host/src/cowslipshelf_host/internal/logs/writing.py
@@ -1,9 +1,21 @@
 """Write log lines without ever stopping the thread that logs."""
 
 import sys
-from threading import Lock
+import time
+from collections import deque
+from threading import Condition, Lock, Thread
 from typing import TextIO
 
+MOST_WAITING_LINES = 4_000
+"""Lines that wait for a slow reader: some seconds of a busy process's."""
+LINES_PER_SECOND = 400
+"""Lines written on average at most. A request takes three; a process serves some ten
+requests a second, and a hundred when it is one of few that are left."""
+BATCH_SECONDS = 0.05
+"""Time for which lines are collected, so that many go out in one write."""
+STOP_SECONDS = 0.5
+"""Time for the last lines to go out when the process ends."""
+
 
 class LineWriter:
     """Write lines to a stream, or to standard error as it is at that time."""
@@ -29,3 +41,76 @@
 
     debug = info = warning = error = critical = msg = write_line
     exception = fatal = warn = log = write_line
+
+
+class QueuedLineWriter(LineWriter):
+    """Write lines on a thread of its own, so many a second at most.
+
+    A full pipe would hold up whoever writes to it; here only the queue grows, to its
+    bound. Lines beyond the bounds are dropped and counted, and the count is written.
+    """
+
+    def __init__(self, stream: TextIO | None = None) -> None:
+        super().__init__(stream)
+        self.waiting: deque[str] = deque()
+        self.arrived = Condition()
+        self.allowance = float(LINES_PER_SECOND)
+        self.filled_at = time.monotonic()
+        self.dropped = 0
+        self.stopping = False
+        self.thread = Thread(target=self.write_all, name="log", daemon=True)
+        self.thread.start()
+
+    def write_line(self, line: str) -> None:
+        """Queue one line, or drop it."""
+        with self.arrived:
+            if not self.is_allowed():
+                self.dropped += 1
+                return
+            self.waiting.append(line)
+            self.arrived.notify()
+
+    debug = info = warning = error = critical = msg = write_line
+    exception = fatal = warn = log = write_line
+
+    def is_allowed(self) -> bool:
+        """Spend the allowance of one line; the bounds are those of the constants."""
+        now = time.monotonic()
+        gained = (now - self.filled_at) * LINES_PER_SECOND
+        self.filled_at = now
+        self.allowance = min(LINES_PER_SECOND, self.allowance + gained)
+        if self.allowance < 1 or len(self.waiting) >= MOST_WAITING_LINES:
+            return False
+        self.allowance -= 1
+        return True
+
+    def write_all(self) -> None:
+        """Write what waits, until stopped; the work of the thread."""
+        while True:
+            with self.arrived:
+                while not self.waiting and not self.stopping:
+                    self.arrived.wait()
+                if not self.waiting:
+                    return
+                ending = self.stopping
+            if not ending:
+                time.sleep(BATCH_SECONDS)
+            super().write_line("\n".join(self.take_waiting()))
+
+    def take_waiting(self) -> list[str]:
+        """Take all lines that wait, and say how many were dropped before them."""
+        with self.arrived:
+            lines = list(self.waiting)
+            self.waiting.clear()
+            dropped, self.dropped = self.dropped, 0
+        if dropped:
+            self.lost_lines += dropped
+            lines.append(f'{{"event": "logs: Lines dropped.", "count": {dropped}}}')
+        return lines
+
+    def stop(self) -> None:
+        """Let the last lines go out, within a short time."""
+        with self.arrived:
+            self.stopping = True
+            self.arrived.notify()
+        self.thread.join(STOP_SECONDS)
--- a/packages/host/src/cowslipshelf_host/logs.py
+++ b/packages/host/src/cowslipshelf_host/logs.py
@@ -1,6 +1,16 @@
 """Write logs: short sentences, a fixed prefix for each part, no secrets."""
 
-from cowslipshelf_host.internal.logs.setup import configure_logs, part_logger
-from cowslipshelf_host.internal.logs.writing import LineWriter
+from cowslipshelf_host.internal.logs.setup import (
+    configure_logs,
+    configure_queued_logs,
+    part_logger,
+)
+from cowslipshelf_host.internal.logs.writing import LineWriter, QueuedLineWriter
 
-__all__ = ["LineWriter", "configure_logs", "part_logger"]
+__all__ = [
+    "LineWriter",
+    "QueuedLineWriter",
+    "configure_logs",
+    "configure_queued_logs",
+    "part_logger",
+]
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -29,6 +29,7 @@
     ready: int
     control: int
     peers: int
+    metrics: int
 
 
 def free_ports(hosts: list[str]) -> Ports:
@@ -84,7 +85,11 @@
                 "gateway",
                 "cowslipshelf_adapter",
             ],
-            env=os.environ | {"COWSLIPSHELF_CONFIG": str(settings)},
+            env=os.environ
+            | {
+                "COWSLIPSHELF_CONFIG": str(settings),
+                "COWSLIPSHELF_METRICS_PORT": str(self.ports.metrics),
+            },
             stdout=log,
             stderr=subprocess.STDOUT,
             cwd=self.folder,
@@ -106,6 +111,10 @@
             "[bounds]\ngrace_s = 8\n"
         )
 
+    @property
+    def metrics(self) -> str:
+        return f"{self.host}:{self.ports.metrics}"
+
     def is_ready(self) -> bool:
         """Ask whether callers should be sent to it."""
         status, _ = call(f"{self.host}:{self.ports.ready}", "GET", "/api/ready")
--- a/tests/cover/platform/test_logs.py
+++ b/tests/cover/host/test_logs.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import threading
 from typing import NamedTuple
 
 import pytest
@@ -10,7 +11,7 @@
 
 from common.settings import CLUSTER_KEY, entry_document
 from common.steady import STEADY
-from cowslipshelf_host.logs import configure_logs, part_logger
+from cowslipshelf_host.logs import QueuedLineWriter, configure_logs, part_logger
 from cowslipshelf_host.settings import LogSettings, decode_settings
 
 ASCII_PART_OF_SECRET = "cret-of-a-customer"
@@ -136,3 +137,43 @@
     assert [json.loads(line)["level"] for line in stream.getvalue().splitlines()] == [
         "error"
     ]
+
+
+def test_a_full_pipe_holds_up_nobody():
+    """All requests of a process hang because nobody reads its log."""
+    released = threading.Event()
+
+    class FullPipe(io.StringIO):
+        def write(self, text: str) -> int:
+            released.wait()
+            return super().write(text)
+
+    pipe = FullPipe()
+    writer = QueuedLineWriter(pipe)
+    for number in range(10_000):
+        writer.write_line(f"line {number}")
+    released.set()
+    writer.stop()
+
+
+def test_lines_beyond_the_bound_are_counted_and_the_count_is_written():
+    stream = io.StringIO()
+    writer = QueuedLineWriter(stream)
+    for number in range(5_000):
+        writer.write_line(f"line {number}")
+    writer.stop()
+    writer.thread.join()
+    lines = stream.getvalue().splitlines()
+    counts = [json.loads(line)["count"] for line in lines if line.startswith("{")]
+    written = [line for line in lines if line.startswith("line")]
+    assert len(written) + sum(counts) == 5_000
+    assert sum(counts) > 0
+
+
+def test_the_last_lines_go_out_before_the_process_ends():
+    stream = io.StringIO()
+    writer = QueuedLineWriter(stream)
+    writer.write_line("last words")
+    writer.stop()
+    writer.thread.join()
+    assert stream.getvalue() == "last words\n"
--- a/tests/nocover/gateway/test_gateway_processes.py
+++ b/tests/nocover/gateway/test_gateway_processes.py
@@ -110,7 +110,7 @@
 
 def has_three_voters(gateway) -> bool:
     """Tell whether a gateway's replica counts three voters and has what they have."""
-    _, text = call(f"{gateway.host}:{gateway.ports.ready}", "GET", "/metrics")
+    _, text = call(gateway.metrics, "GET", "/metrics")
     return b"cowslipshelf_replica_voters 3" in text
 
 
@@ -250,3 +250,36 @@
     caller.sendall(b"GET /safe/x HTTP/1.1\r\nHost:")
     caller.settimeout(20)
     assert caller.recv(65_536).startswith(b"HTTP/1.1 408")
+
+
+def test_changed_seeds_are_taken_over_without_a_restart(fleet):
+    """A gateway that is cut off for long can't find the others, which have moved.
+
+    The settings' file names other seeds; nobody sends a signal.
+    """
+    gateway = fleet.gateways[0]
+    changed = gateway.settings(first=False).replace(
+        f'"{gateway.host}:{gateway.ports.control}"', '"127.0.0.200:1"'
+    )
+    (gateway.folder / "settings.toml").write_text(changed)
+    log = gateway.folder / "log"
+    wait_for(lambda: "Settings reloaded" in log.read_text())
+    assert "127.0.0.200" in log.read_text()
+
+
+def test_settings_that_cannot_be_read_change_nothing(fleet):
+    gateway = fleet.gateways[0]
+    (gateway.folder / "settings.toml").write_text("node = ")
+    log = gateway.folder / "log"
+    wait_for(lambda: "Settings not reloaded" in log.read_text())
+    assert gateway.is_ready()
+
+
+def test_metrics_are_shown_at_their_address(fleet):
+    tell_all(fleet, upstream(say_hello))
+    gateway = fleet.gateways[0]
+    assert ask(gateway, "/safe/x").status == 200
+    status, text = call(gateway.metrics, "GET", "/metrics")
+    assert status == 200
+    assert b'cowslipshelf_requests_total{outcome="200"}' in text
+    assert b"cowslipshelf_request_seconds" in text
