Add a fault soak that breaks real gateway processes at random

Gateways are killed, wiped, paused and restarted, links to upstreams delayed, reset and silenced, while callers, an operator and upstreams go on; promises are checked from what these see.

--- /dev/null
+++ b/tests/nocover/gateway/test_soak.py
@@ -0,0 +1,13 @@
+"""Run the soak for a short time, and every seed again that ever failed."""
+
+import pytest
+
+from soak.world import run_seed
+
+SECONDS = 12.0
+SEEDS = (1, 2)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_while_processes_and_links_break(seed, tmp_path):
+    assert run_seed(seed, SECONDS, tmp_path) == []
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,28 @@
+"""Run the soak by hand: `PYTHONPATH=tests python -m soak --seeds 50`."""
+
+import argparse
+import sys
+import tempfile
+from pathlib import Path
+
+from soak.world import run_seed
+
+
+def main() -> int:
+    """Run some seeds; print each verdict and keep the logs of those that fail."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.first, arguments.first + arguments.seeds):
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        broken = run_seed(seed, arguments.seconds, folder)
+        failed += bool(broken)
+        print(f"seed {seed}: {broken[:5] or 'held'} {folder if broken else ''}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
