--- a/packages/cli/src/cowslipshelf_cli/internal/log_story.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/log_story.py
@@ -79,7 +79,7 @@
     for path in paths:
         with path.open(encoding="utf-8", errors="replace") as lines:
             for line in lines:
-                entry = entry_of(line, path.name)
+                entry = entry_of(line, str(path))
                 if entry is not None:
                     yield entry
 
@@ -134,6 +134,9 @@
     refused = last_of(own, "request: Request refused.")
     if refused is not None:
         return cause_of_refusal(refused, own)
+    cut = last_of(own, "request: Answer cut.")
+    if cut is not None:
+        return cause_of_cut(cut, own)
     if outcome == "404":
         return f"no route under version {ends[-1].fields.get('version')}"
     if outcome == "401":
@@ -159,11 +162,23 @@
     fields = refused.fields
     ran = "may have run" if fields.get("may_have_run") else "did not run"
     text = f"answered {fields.get('status')}: {fields.get('reason')}; it {ran}"
+    return f"{text}{last_attempt(own)}"
+
+
+def cause_of_cut(cut: LogEntry, own: list[LogEntry]) -> str:
+    """Say why an answer that had begun was not finished."""
+    fields = cut.fields
+    text = f"cut after event {fields.get('last_event')}: {fields.get('reason')}"
+    return f"{text}{last_attempt(own)}"
+
+
+def last_attempt(own: list[LogEntry]) -> str:
+    """Say what went wrong at the last upstream, where anything did."""
     attempt = last_of(own, "request: Attempt ended.")
-    if attempt is not None and attempt.fields.get("detail"):
-        upstream = attempt.fields.get("upstream")
-        text = f"{text}; upstream {upstream}: {attempt.fields.get('detail')}"
-    return text
+    if attempt is None or not attempt.fields.get("detail"):
+        return ""
+    upstream = attempt.fields.get("upstream")
+    return f"; upstream {upstream}: {attempt.fields.get('detail')}"
 
 
 def last_of(entries: list[LogEntry], event: str) -> LogEntry | None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -329,6 +329,13 @@
     async def give_up(self, task: AttemptTask, progress: Progress, status: int) -> int:
         """End a request without an upstream's answer."""
         if task.responder.begun:
+            LOG.info(
+                "Answer cut.",
+                request=task.facts.attempt_id,
+                reason=progress.last_reason,
+                last_event=task.delivered.last_event_id,
+                sent=progress.sent,
+            )
             raise AnswerCutError(progress.last_reason)
         pause = progress.retry_after_seconds if status == NOT_RUN else None
         LOG.info(
