--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -184,6 +184,13 @@
                 view.unread.append(UnreadPart(placed.work, item.part, waited, expected))
         return view
 
+    def reads_for_others(self, upstream_id: UpstreamId, attempt_id: AttemptId) -> bool:
+        """Tell whether an engine has something to read beside one attempt."""
+        return any(
+            not placed.first_token and placed.work.attempt_id != attempt_id
+            for placed, _ in self.parts_on(upstream_id)
+        )
+
     def parts_on(
         self, upstream_id: UpstreamId
     ) -> Iterator[tuple[PlacedWork, EnginePart]]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from dataclasses import dataclass
+from functools import partial
 from typing import NamedTuple
 
 from cowslipshelf_core.dialect import (
@@ -224,6 +225,12 @@
         kept = False
         try:
             connection.patience_seconds = placement.patience.first
+            if placement.work is not None:
+                connection.is_excused = partial(
+                    self.view.board.reads_for_others,
+                    upstream.upstream_id,
+                    placement.work.attempt_id,
+                )
             outcome = await self.talk(task, placement, connection)
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
             return outcome
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/patience.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/patience.py
@@ -9,8 +9,9 @@
 """Beyond twice the predicted time to a first event, an engine is taken for silent:
 predictions are within 0.3 s for nine prompts in ten."""
 LEAST_BETWEEN_SECONDS = 1.7
-"""Shortest silence in a stream that counts. A pass that reads a long prompt takes up
-to that, and callers leave after two seconds."""
+"""Shortest silence in a stream that counts, since callers leave after two seconds. An
+engine that reads for others is excused: its passes take as long, and a stream that
+goes on elsewhere would be read again there."""
 PAUSES_WAITED = 4.0
 """Allowed pauses that a stream may be silent for, where that is longer."""
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import NamedTuple
 
 import h11
@@ -51,6 +51,8 @@
         self.keep_alive_seconds: float | None = None
         self.patience_seconds: float | None = None
         """Silence after which the upstream is given up; nothing waits without end."""
+        self.is_excused: Callable[[], bool] = never_excused
+        """Tells whether a silence so long has a reason; then it is waited for again."""
         self.used = 0
 
     @classmethod
@@ -122,12 +124,20 @@
                 event = self.parser.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                async with asyncio.timeout(self.patience_seconds):
-                    data = await self.reader.read(READ_BYTES)
-                self.parser.receive_data(data)
+                self.parser.receive_data(await self.read())
         except (OSError, h11.RemoteProtocolError) as error:
             raise self.lost(step, str(error) or type(error).__name__) from error
 
+    async def read(self) -> bytes:
+        """Wait for bytes; raise `TimeoutError` after a silence without excuse."""
+        while True:
+            try:
+                async with asyncio.timeout(self.patience_seconds):
+                    return await self.reader.read(READ_BYTES)
+            except TimeoutError:
+                if not self.is_excused():
+                    raise
+
     def lost(self, step: str, detail: str) -> UpstreamLostError:
         """Return the error of this connection."""
         return UpstreamLostError(step, self.address, detail)
@@ -149,6 +159,7 @@
     def prepare_next(self) -> None:
         """Make ready for the next exchange."""
         self.parser.start_next_cycle()
+        self.is_excused = never_excused
 
     def is_quiet(self) -> bool:
         """Tell whether an idle connection has neither been closed nor been sent to."""
@@ -163,6 +174,11 @@
         self.writer.transport.abort()
 
 
+def never_excused() -> bool:
+    """Excuse no silence."""
+    return False
+
+
 def set_socket_options(sock: socket.socket) -> None:
     """Make silence show: without these, a dead peer is waited for without end."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -32,6 +32,17 @@
     metrics: int
 
 
+def own_hosts(count: int) -> list[str]:
+    """Return loopback addresses that no other test process uses.
+
+    Gateways listen at one port on several addresses, and a port can't be held for
+    them until they have started: two test processes that shared addresses drew the
+    same one at the same moment, and one of the fleets did not start.
+    """
+    high, low = divmod(os.getpid() % 32_512, 256)
+    return [f"127.{high + 1}.{low}.{FIRST_HOST + number}" for number in range(count)]
+
+
 def free_ports(hosts: list[str]) -> Ports:
     """Return ports that are free at every address; the kernel draws them."""
     while True:
@@ -203,7 +214,7 @@
 @contextmanager
 def running_fleet(folder: Path, size: int = 3) -> Iterator[Fleet]:
     """Run gateways with replicas until the test is over."""
-    hosts = [f"127.0.0.{FIRST_HOST + number}" for number in range(size + 1)]
+    hosts = own_hosts(size + 1)
     ports = free_ports(hosts)
     gateways = [
         GatewayProcess(folder / host, host, ports, hosts[:3]) for host in hosts[:size]
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -227,3 +227,20 @@
         work = EngineWork(f"a-{number}", (part,), 1.0, 4.0, 1.0)
         board.begin(work, "g", 0.0)
     assert board.view("e", 1.5).backlog_seconds == pytest.approx(2.5)
+
+
+def test_a_silence_is_excused_while_the_engine_reads_for_others():
+    """Many streams are moved at once, and read again, because one pass took long.
+
+    An engine that reads a very long prompt gives nobody an event for two seconds; its
+    writers' gateways took that for its death.
+    """
+    board = EngineBoard()
+    own = EnginePart("e", 0.1, 1, writes=True)
+    other = EnginePart("e", 1.9, 30, writes=False)
+    board.begin(EngineWork("own", (own,), 1.0, 4.0, 1.0), "g", 0.0)
+    assert not board.reads_for_others("e", "own")
+    board.begin(EngineWork("long", (other,), 1.0, 4.0, 1.0), "g", 0.2)
+    assert board.reads_for_others("e", "own")
+    board.first_token("long")
+    assert not board.reads_for_others("e", "own")
