Tell a moved stream's first token; avoid an address that belongs to another

Read through as a newcomer: after a stream had moved to another engine its first token there was never told, so that all kept off it until its end; a 421 counted as a plain failure; an event without an end was held without bound.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -21,6 +21,7 @@
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.placement import Placement
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    MOST_BUFFERED_BYTES,
     UpstreamConnection,
     UpstreamHead,
     UpstreamLostError,
@@ -115,7 +116,6 @@
     """Hold how far the caller's answer has come, over all attempts."""
 
     last_event_id: str | None
-    events_sent: bool = False
 
 
 class AttemptRunner:
@@ -177,7 +177,7 @@
         upstream_id = placement.upstream.upstream_id
         now = time.monotonic()
         match outcome:
-            case NotReached() | Broken():
+            case NotReached() | Broken() | NotRun(HTTPStatus.MISDIRECTED_REQUEST):
                 self.view.health.lost(upstream_id, now)
             case FailedThere():
                 self.view.health.answered(upstream_id, True, None, now)
@@ -306,14 +306,15 @@
         pace = StreamPace(began)
         async for data in connection.body():
             piece = cutter.take(data)
+            if len(cutter.held) > MOST_BUFFERED_BYTES:
+                raise connection.lost("read answer", "an event is too long to be held")
             if piece is None:
                 continue
-            if placement.work is not None and not task.delivered.events_sent:
+            if placement.work is not None and pace.first is None:
                 self.view.first_token(placement.work.attempt_id)
             pace.take_event(time.monotonic())
             connection.patience_seconds = placement.patience.between
             self.begin_stream(task, head)
-            task.delivered.events_sent = True
             if piece.last_id is not None:
                 task.delivered.last_event_id = piece.last_id
             await task.responder.piece(piece.data)
--- /dev/null
+++ b/tests/cover/gateway/test_attempt.py
@@ -0,0 +1,164 @@
+"""Check what a gateway tells the others of the attempts that it runs."""
+
+import asyncio
+import time
+
+import pytest
+
+from common.routed import heartbeat, route
+from cowslipshelf_adapter.wire import MachinesDialect
+from cowslipshelf_core.dialect import CallerFacts
+from cowslipshelf_core.routed import EnginePart, EngineWork, RouteKind, WorkChanged
+from cowslipshelf_daemon.gateway import GatewaySettings
+from cowslipshelf_daemon.internal.gateway.attempt import (
+    Answered,
+    AttemptRunner,
+    AttemptTask,
+    Broken,
+    Delivered,
+    NotRun,
+)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
+from cowslipshelf_daemon.internal.gateway.placement import Placement
+from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    UpstreamHead,
+    UpstreamLostError,
+)
+
+SETTINGS = GatewaySettings(
+    "10.0.0.1", "g", "here", 7000, (), False, None, 1, None, None, None
+)
+HEADERS = [(b"x-attempt-id", b"a-1")]
+
+
+class SilentResponder:
+    """Take an answer and show it to nobody."""
+
+    begun = False
+
+    def begin(self, status, headers) -> None:
+        self.begun = True
+
+    async def piece(self, data) -> None:
+        return None
+
+    async def end(self) -> None:
+        return None
+
+
+class PlayedConnection:
+    """Answer with a head and some pieces, and perhaps break."""
+
+    def __init__(self, status: int, *pieces: bytes, breaks: bool = False) -> None:
+        self.status = status
+        self.pieces = pieces
+        self.breaks = breaks
+        self.keep_alive_seconds = None
+        self.patience_seconds = None
+        self.is_excused = None
+
+    def send(self, request) -> None:
+        return None
+
+    async def head(self) -> UpstreamHead:
+        return UpstreamHead(self.status, HEADERS)
+
+    async def body(self):
+        for piece in self.pieces:
+            yield piece
+        if self.breaks:
+            raise UpstreamLostError("read answer", "peer", "reset")
+
+    async def whole_body(self) -> bytes:
+        return b"".join([piece async for piece in self.body()])
+
+    def lost(self, step, detail) -> UpstreamLostError:
+        return UpstreamLostError(step, "peer", detail)
+
+    def abort(self) -> None:
+        return None
+
+
+class PlayedPool:
+    """Give one connection after the other."""
+
+    def __init__(self, *connections: PlayedConnection) -> None:
+        self.connections = list(connections)
+
+    async def take(self, upstream_id, address, fresh) -> PlayedConnection:
+        return self.connections.pop(0)
+
+    def give_back(self, upstream_id, connection) -> None:
+        return None
+
+
+def placement(attempt_id: str) -> Placement:
+    part = EnginePart("u-1", 0.1, 1, writes=True)
+    work = EngineWork(attempt_id, (part,), 1.0, 0.3, 0.25)
+    return Placement(heartbeat(), work, first_token_seconds=0.1)
+
+
+def task() -> AttemptTask:
+    return AttemptTask(
+        HttpRequest("POST", "/x", [], b"", "host", "peer"),
+        CallerFacts("a-1", None, None, None, None),
+        route(kind=RouteKind.STREAM, resumable=True),
+        None,
+        SilentResponder(),
+        Delivered(None),
+        time.monotonic() + 5.0,
+    )
+
+
+def run(*connections: PlayedConnection):
+    """Run an attempt for each connection; return the outcomes and what was told."""
+
+    async def attempts():
+        view = FleetView.from_settings(SETTINGS)
+        told: list[WorkChanged] = []
+        view.tell_work = told.append
+        runner = AttemptRunner(view, PlayedPool(*connections), MachinesDialect())
+        shared = task()
+        outcomes = [
+            await runner.run(shared, placement(f"w-{number}"))
+            for number in range(len(connections))
+        ]
+        return outcomes, told, view
+
+    return asyncio.run(attempts())
+
+
+def test_a_moved_stream_tells_its_first_token_at_each_engine():
+    """An engine is taken for reading until the stream that was moved to it ends.
+
+    The first engine breaks off; the stream goes on at another one. Whoever is placed
+    meanwhile keeps off that one, as if its prompt were still to be read.
+    """
+    outcomes, told, view = run(
+        PlayedConnection(200, b"id: 1\ndata: x\n\n", breaks=True),
+        PlayedConnection(200, b"id: 2\ndata: x\n\n"),
+    )
+    assert [type(outcome) for outcome in outcomes] == [Broken, Answered]
+    first = [name for changed in told for name in changed.first_tokens]
+    assert first == ["w-0", "w-1"]
+    assert view.board.placed == {}
+
+
+def test_work_is_told_to_end_whatever_came_of_it():
+    _, told, view = run(PlayedConnection(503), PlayedConnection(200, breaks=True))
+    ended = [name for changed in told for name in changed.ended]
+    assert ended == ["w-0", "w-1"]
+    assert view.board.placed == {}
+
+
+@pytest.mark.parametrize(("status", "avoided"), [(421, True), (200, False)])
+def test_an_address_that_belongs_to_somebody_else_is_avoided(status, avoided):
+    """Every second request of a service is refused for seconds.
+
+    An upstream crashed and its address was given to another one; its last heartbeat
+    still counts.
+    """
+    outcomes, _, view = run(PlayedConnection(status, b"data: x\n\n"))
+    assert isinstance(outcomes[0], NotRun) is avoided
+    assert view.health.seen("u-1", time.monotonic()).avoided is avoided
--- a/tests/nocover/gateway/test_gateway_processes.py
+++ b/tests/nocover/gateway/test_gateway_processes.py
@@ -283,3 +283,31 @@
     assert status == 200
     assert b'cowslipshelf_requests_total{outcome="200"}' in text
     assert b"cowslipshelf_request_seconds" in text
+
+
+@pytest.mark.parametrize("status", [204, 304, 404, 418])
+def test_an_answer_keeps_its_status_whatever_that_is(fleet, status):
+    def answer(exchange: Exchange) -> None:
+        if status in (204, 304):
+            head = f"HTTP/1.1 {status} X\r\nX-Attempt-Id: "
+            sent = exchange.request.headers["x-attempt-id"]
+            exchange.connection.sendall(f"{head}{sent}\r\n\r\n".encode())
+        else:
+            exchange.answer(status, b"why")
+
+    tell_all(fleet, upstream(answer))
+    assert ask(fleet.gateways[0], "/safe/x").status == status
+
+
+def test_a_stream_is_whole_although_it_was_moved(fleet):
+    def move(exchange: Exchange) -> None:
+        after = int(exchange.request.headers.get("last-event-id", 0))
+        exchange.begin_stream()
+        exchange.chunk(b"id: %d\ndata: x\n\n" % (after + 1))
+        if after == 0:
+            exchange.cut()
+        exchange.end_stream()
+
+    tell_all(fleet, upstream(move, "u-1"), upstream(move, "u-2"))
+    answer = ask(fleet.gateways[0], "/stream/x", "POST", b"prompt")
+    assert answer.read() == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
