--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import dataclass
 from functools import partial
+from http import HTTPStatus
 from typing import NamedTuple
 
 from cowslipshelf_core.dialect import (
