--- a/tests/cover/upstreams/test_plain_client.py
+++ b/tests/cover/upstreams/test_plain_client.py
@@ -32,13 +32,13 @@
 
 def client_of(address: str) -> PlainClient:
     return PlainClient.from_config(
-        PlainClientConfig(f"http://{address}", silence_seconds=0.1)
+        PlainClientConfig(f"http://{address}", silence_seconds=10.0)
     )
 
 
 def payment(**changes) -> HandOver:
     asked = DEFAULT_HAND_OVER._replace(
-        path="/payments", body=b"pay 5", non_idempotent=True, deadline_seconds=0.2
+        path="/payments", body=b"pay 5", non_idempotent=True, deadline_seconds=20.0
     )
     return asked._replace(**changes)
 
@@ -82,7 +82,7 @@
 def test_a_frozen_service_is_given_up_at_the_deadline(service) -> None:
     service.switch.set(Faults(freeze=True))
     with pytest.raises(UpstreamLostError) as caught:
-        client_of(service.address).call(payment())
+        client_of(service.address).call(payment(deadline_seconds=0.2))
     assert caught.value.may_have_arrived
 
 
--- a/tests/cover/weightstore/test_client.py
+++ b/tests/cover/weightstore/test_client.py
@@ -20,7 +20,7 @@
 
 
 def client_of(address: str) -> WeightStoreClient:
-    config = WeightStoreClientConfig(address, silence_seconds=0.2)
+    config = WeightStoreClientConfig(address, silence_seconds=10.0)
     return WeightStoreClient.from_config(config)
 
 
