--- a/tests/cover/upstreams/test_plain_client.py
+++ b/tests/cover/upstreams/test_plain_client.py
@@ -30,9 +30,9 @@
     server.stop()
 
 
-def client_of(address: str) -> PlainClient:
+def client_of(address: str, silence_seconds: float = 10.0) -> PlainClient:
     return PlainClient.from_config(
-        PlainClientConfig(f"http://{address}", silence_seconds=10.0)
+        PlainClientConfig(f"http://{address}", silence_seconds=silence_seconds)
     )
 
 
@@ -82,7 +82,8 @@
 def test_a_frozen_service_is_given_up_at_the_deadline(service) -> None:
     service.switch.set(Faults(freeze=True))
     with pytest.raises(UpstreamLostError) as caught:
-        client_of(service.address).call(payment(deadline_seconds=0.2))
+        client = client_of(service.address, silence_seconds=0.1)
+        client.call(payment(deadline_seconds=0.2))
     assert caught.value.may_have_arrived
 
 
