--- a/tests/cover/upstreams/test_engine_client.py
+++ b/tests/cover/upstreams/test_engine_client.py
@@ -44,11 +44,13 @@
 ANSWER = HEAD + event(1, "gate ") + event(2, "note") + DONE
 
 
-def collect(address: str) -> tuple[list[UpstreamPiece], UpstreamLostError | None]:
+def collect(
+    address: str, silence_seconds: float = 10.0
+) -> tuple[list[UpstreamPiece], UpstreamLostError | None]:
     """Return the pieces of an answer, and the error that ended it if one did."""
     pieces: list[UpstreamPiece] = []
     try:
-        for piece in client_of(address).start(completion()):
+        for piece in client_of(address, silence_seconds).start(completion()):
             pieces.append(piece)
     except UpstreamLostError as error:
         return pieces, error
@@ -84,7 +86,7 @@
         release.wait(30.0)
 
     with scripted_peer(hold) as address:
-        pieces, error = collect(address)
+        pieces, error = collect(address, SILENCE_SECONDS)
         release.set()
     assert error is not None
     assert error.step == ("stream" if sent else "start")
