Hand a refused last part of a spread prompt over again

A spread part only reserves memory when it is accepted and runs on a later word alone, so a late copy of it can't run.

A revoke still spends the id.

--- a/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
@@ -157,9 +157,12 @@
         refusal = self._standing_refusal(hand_over)
         if refusal is None:
             refusal = self._passing_refusal(hand_over)
-            if refusal is not None:
+            if refusal is not None and not hand_over.is_spread:
                 # What stands against it now may have passed when another copy of it
                 # comes; that one must not run after this one was answered "not run".
+                # A part of a spread prompt only reserves memory when it is accepted
+                # and runs on a later word alone. Its id stays usable, so that the
+                # last part, whose id a claim may name, can be handed over again.
                 self._tombstone(hand_over.attempt_id, hand_over.load_sequence)
         if refusal is not None:
             refused = AttemptRefused(refusal, self.load_report())
--- a/packages/core/src/cowslipshelf_core/internal/spread/machine.py
+++ b/packages/core/src/cowslipshelf_core/internal/spread/machine.py
@@ -204,12 +204,9 @@
         self, refused: AttemptRefused, now: float, random: Random
     ) -> list[SpreadEffect]:
         """Free what is held, and try again where the refusal may pass."""
-        if self.last_was_asked:
-            # Its id is known to the sidecar as refused and can't be used again.
-            return [*self.release(), *self.end(SpreadRefused(refused))]
         passing = refused.refusal.reason in REASONS_THAT_PASS
         if not passing or now >= self.reserve_until:
-            return self.give_up(refused.refusal)
+            return self.refused_for_good(refused)
         cancels = self.release()
         self.phase = Phase.BACKING_OFF
         step = min(
@@ -220,6 +217,12 @@
         # Jitter, or prompts that were in each other's way would meet again.
         return [*cancels, BackOff(random.uniform(0.0, step))]
 
+    def refused_for_good(self, refused: AttemptRefused) -> list[SpreadEffect]:
+        """End with a helper's refusal as "not run", with the last part's as it is."""
+        if not self.last_was_asked:
+            return self.give_up(refused.refusal)
+        return [*self.release(), *self.end(SpreadRefused(refused))]
+
     def unanswered(self, event: PartUnanswered) -> list[SpreadEffect]:
         """Free what is held; what became of the last part must be asked elsewhere."""
         if self.last_was_asked:
--- a/tests/cover/spread/test_spread_contention.py
+++ b/tests/cover/spread/test_spread_contention.py
@@ -6,9 +6,10 @@
 
 from common.sidecars import MEMORY_TOKENS, hand_over, sidecar
 from common.spread_world import DEADLINE, HALF_AND_MORE, SpreadWorld
-from cowslipshelf_core.errors import RefusalCode
+from cowslipshelf_core.errors import RefusalCode, RefusalReason
 from cowslipshelf_core.messages import NeverRan
 from cowslipshelf_core.sidecar import (
+    AnswerRevoke,
     CancelArrived,
     HandOverArrived,
     OwnerSeen,
@@ -17,6 +18,7 @@
     StartAttempt,
     TellReserved,
     TickElapsed,
+    UpstreamFinished,
 )
 from cowslipshelf_core.spread import SpreadBegun, SpreadRefused, SpreadUncertain
 
@@ -40,6 +42,35 @@
     assert [type(prompt.result) for prompt in prompts] == [SpreadBegun] * len(prompts)
 
 
+def test_a_copy_of_a_last_part_that_was_refused_reserves_and_never_runs():
+    """A ledger's last part is refused as busy, and a copy of it comes late.
+
+    The caller has its "not run". By now there is room, so the copy gets memory; it
+    must not run without the word to begin, and the memory comes back once it is
+    revoked. A handed over request that is not spread stays refused for good.
+    """
+    state = sidecar()
+    state.handle(HandOverArrived(hand_over("first", prompt_tokens=800)), 0.0)
+    waits = hand_over("waits", prompt_tokens=800)
+    state.handle(HandOverArrived(waits), 0.0)
+    spread = hand_over("last", prompt_tokens=800, from_token=200)
+    plain = hand_over("plain", prompt_tokens=800)
+    for refused in (spread, plain):
+        (effect,) = state.handle(HandOverArrived(refused), 0.0)
+        assert effect.refused.refusal.reason is RefusalReason.BUSY
+    state.handle(CancelArrived("waits"), 0.0)
+    state.handle(CancelArrived("first"), 0.0)
+    state.handle(UpstreamFinished("first", False), 0.0)
+    (refused_again,) = state.handle(HandOverArrived(plain), 0.0)
+    assert refused_again.refused.refusal.reason is RefusalReason.TOMBSTONED
+    copied = state.handle(HandOverArrived(spread), 0.0)
+    assert copied == [TellReserved("last")]
+    revoked = RevokeArrived("last", spread.sidecar_epoch, spread.load_sequence)
+    assert state.handle(revoked, 0.0) == [AnswerRevoke(NeverRan("last"))]
+    assert state.handle(PartsArrived("last", ()), 0.0) == []
+    assert state.table.memory.reserved_tokens == 0
+
+
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(
     wanted=st.lists(SETS, min_size=2, max_size=3),
