Follow engines pass by pass, and excuse silences by it

Cause: a part that comes in mid-pass waits for the pass to end, up to two seconds where long prompts are read beside writers; placing took the engine for free.

Change: gateways follow each engine's passes; a prompt is weighed with the passes foreseen with and without it. Writers that are late already count only where they would leave. A silence is excused as long as the engines of the attempt have something to read by that account, and a margin.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -5,12 +5,12 @@
 and all work from the same picture, a few milliseconds old.
 """
 
-import math
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
+from cowslipshelf_core.internal.routed.configuration import EngineModel
+from cowslipshelf_core.internal.routed.engine_passes import EnginePasses
 from cowslipshelf_core.internal.routed.messages import (
     EnginePart,
     EngineWork,
@@ -21,6 +21,12 @@
 OVERRUN_SECONDS = 0.05
 """Rest that is assumed of a read that should be done: one pass of an engine that
 writes takes about so long."""
+LONG_READ_SECONDS = 0.12
+"""Reading that explains a silence: more than passes that only write take."""
+EXCUSE_MARGIN_OBJECTIVES = 0.25
+"""Waited beyond the time at which an engine should have read everything, as a share of
+the objective: 1 s for the longest prompts, whose predictions are off by up to 0.8 s in
+nine of ten cases and which are dear to read again; little for those who leave soon."""
 LONGEST_WORK_SECONDS = 60.0
 """Work is forgotten after this, should its end never be told: twice the longest
 deadline that operators set, and more."""
@@ -37,23 +43,40 @@
 
 
 class UnreadPart(NamedTuple):
-    """Be a part of a prompt that an engine has still to read."""
+    """Be a part of a prompt that no pass of its engine has taken up yet."""
 
     work: EngineWork
     part: EnginePart
     waited_seconds: float
+    left_seconds: float
+    """Time that the rest of it takes to read."""
+    left_chunks: float
+
+
+class PartInPass(NamedTuple):
+    """Be a part that the pass under way reads to its end, or should have read."""
+
+    work: EngineWork
+    waited_seconds: float
     ready_seconds: float
-    """Time until the engine will have read it, if nothing goes ahead of it."""
+    """Time until the end of the pass."""
 
 
 @dataclass(slots=True)
 class EngineView:
     """Be what one engine is about to do."""
 
+    pass_left_seconds: float = 0.0
+    """Time until a pass begins, and with it the reading of anything new."""
     unread: list[UnreadPart] = field(default_factory=list)
     """In the order in which they will be read."""
+    in_pass: list[PartInPass] = field(default_factory=list)
     writers: list[EngineWork] = field(default_factory=list)
     """Attempts that write here, or will once they are read."""
+    late_writers: list[EngineWork] = field(default_factory=list)
+    """Those of them that came too late already, and lose little by further delay."""
+    writes: bool = False
+    """Whether any of them writes already."""
     helping: int = 0
     """Parts that it reads for attempts which write elsewhere."""
     memory_tokens: int = 0
@@ -61,13 +84,8 @@
 
     @property
     def backlog_seconds(self) -> float:
-        """Return the time until it will have read all that was placed on it."""
-        return self.unread[-1].ready_seconds if self.unread else 0.0
-
-    @property
-    def backlog_chunks(self) -> int:
-        """Return the pieces in which it will read that."""
-        return sum(unread.part.chunks for unread in self.unread)
+        """Return the time to read all that no pass has taken up yet."""
+        return sum(unread.left_seconds for unread in self.unread)
 
 
 @dataclass(slots=True)
@@ -78,6 +96,7 @@
     by_engine: dict[UpstreamId, dict[AttemptId, EnginePart]] = field(
         default_factory=dict
     )
+    passes: dict[UpstreamId, EnginePasses] = field(default_factory=dict)
 
     def begin(self, work: EngineWork, owner: InstanceId, now: float) -> None:
         """Note an attempt that was placed by a gateway."""
@@ -87,32 +106,37 @@
         for part in work.parts:
             engine = self.by_engine.setdefault(part.upstream_id, {})
             engine[work.attempt_id] = part
+            passes = self.passes.setdefault(part.upstream_id, EnginePasses())
+            passes.place(work, part, now)
 
-    def first_token(self, attempt_id: AttemptId) -> None:
+    def first_token(self, attempt_id: AttemptId, now: float) -> None:
         """Note that an attempt's prompt has been read, by all engines."""
         placed = self.placed.get(attempt_id)
         if placed is None:
             return
         placed.first_token = True
         for part in placed.work.parts:
+            self.passes[part.upstream_id].first_token(attempt_id, now)
             if not part.writes and not part.memory_tokens:
                 self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
 
-    def end(self, attempt_id: AttemptId) -> None:
+    def end(self, attempt_id: AttemptId, now: float) -> None:
         """Forget an attempt that is over."""
         placed = self.placed.pop(attempt_id, None)
         if placed is None:
             return
         for part in placed.work.parts:
             self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
+            if part.upstream_id in self.passes:
+                self.passes[part.upstream_id].end(attempt_id, now)
 
-    def forget_owner(self, owner: InstanceId) -> None:
+    def forget_owner(self, owner: InstanceId, now: float) -> None:
         """Forget the attempts of a gateway that has ended, whose engines dropped them.
 
         Counted on, they would keep everybody off engines that have nothing to do.
         """
         for attempt_id in self.owned_by(owner):
-            self.end(attempt_id)
+            self.end(attempt_id, now)
 
     def owned_by(self, owner: InstanceId) -> list[AttemptId]:
         """List a gateway's attempts."""
@@ -140,11 +164,11 @@
         told = {held.work.attempt_id for held in message.held}
         for attempt_id in self.owned_by(owner):
             if attempt_id not in told:
-                self.end(attempt_id)
+                self.end(attempt_id, now)
         for held in message.held:
             self.begin(held.work, owner, now - held.age_seconds)
             if held.first_token:
-                self.first_token(held.work.attempt_id)
+                self.first_token(held.work.attempt_id, now)
 
     def forget_old(self, now: float) -> int:
         """Forget attempts whose end was never told; return how many."""
@@ -154,91 +178,71 @@
             if now - placed.begun_at > LONGEST_WORK_SECONDS
         ]
         for attempt_id in old:
-            self.end(attempt_id)
+            self.end(attempt_id, now)
         return len(old)
 
     def forget_engine(self, upstream_id: UpstreamId) -> None:
         """Forget an engine that has gone."""
         self.by_engine.pop(upstream_id, None)
+        self.passes.pop(upstream_id, None)
 
-    def view(self, upstream_id: UpstreamId, now: float) -> EngineView:
+    def view(
+        self, upstream_id: UpstreamId, model: EngineModel, now: float
+    ) -> EngineView:
         """Work out what an engine is about to do."""
         view = EngineView()
-        reading = ReadingOrder()
-        for placed, part in self.parts_on(upstream_id):
+        passes = self.passes.get(upstream_id)
+        if passes is None:
+            return view
+        passes.follow(model, now)
+        view.pass_left_seconds = passes.pass_left(now)
+        for followed in passes.parts.values():
+            part = followed.part
             view.memory_tokens += part.memory_tokens
+            view.writes |= followed.writing
             if part.writes:
-                view.writers.append(placed.work)
-            if placed.first_token:
+                view.writers.append(followed.work)
+                if followed.late:
+                    view.late_writers.append(followed.work)
+            placed = self.placed.get(followed.work.attempt_id)
+            if placed is None or placed.first_token:
                 continue
             view.helping += not part.writes
-            reading.add(placed, part)
-        reading.read_until(now)
-        ready = 0.0
-        for item in reading.in_order():
-            ready += max(item.left_seconds, 0.0)
-            placed = item.placed
-            # What should be done by now and is not told as done is still to come.
-            expected = max(ready, OVERRUN_SECONDS) if item.part.writes else ready
-            if expected > 0.0:
-                waited = now - placed.begun_at
-                view.unread.append(UnreadPart(placed.work, item.part, waited, expected))
+            if followed.is_read:
+                # What should be done by now and is not told as done is still to come.
+                overrun = OVERRUN_SECONDS if part.writes else 0.0
+                ready = max(view.pass_left_seconds, overrun)
+                waited = now - followed.begun_at
+                view.in_pass.append(PartInPass(followed.work, waited, ready))
+        for followed in passes.unread():
+            view.unread.append(
+                UnreadPart(
+                    followed.work,
+                    followed.part,
+                    now - followed.begun_at,
+                    followed.left_seconds,
+                    followed.left_chunks,
+                )
+            )
         return view
 
-    def reads_for_others(self, upstream_id: UpstreamId, attempt_id: AttemptId) -> bool:
-        """Tell whether an engine has something to read beside one attempt."""
-        return any(
-            not placed.first_token and placed.work.attempt_id != attempt_id
-            for placed, _ in self.parts_on(upstream_id)
-        )
-
-    def parts_on(
-        self, upstream_id: UpstreamId
-    ) -> Iterator[tuple[PlacedWork, EnginePart]]:
-        """Go through an engine's parts in the order in which they were placed."""
-        for attempt_id, part in self.by_engine.get(upstream_id, {}).items():
-            yield self.placed[attempt_id], part
-
+    def excused_seconds(self, attempt_id: AttemptId, now: float) -> float:
+        """Return how long an attempt's engines may still be silent, as they read.
 
-@dataclass(slots=True)
-class ReadingItem:
-    """Be a part with what is left of it to read."""
-
-    placed: PlacedWork
-    part: EnginePart
-    left_seconds: float
-
-
-@dataclass(slots=True)
-class ReadingOrder:
-    """Follow in which order an engine reads what was placed on it.
-
-    A part that it reads for another engine goes ahead of all that is unread there,
-    such parts that came before included; its own prompts are read in their order.
-    """
-
-    clock: float = -math.inf
-    helping: list[ReadingItem] = field(default_factory=list)
-    """The newest, which is read first, is the last one."""
-    own: list[ReadingItem] = field(default_factory=list)
-
-    def add(self, placed: PlacedWork, part: EnginePart) -> None:
-        """Add a part at the time at which it was placed."""
-        self.read_until(placed.begun_at)
-        item = ReadingItem(placed, part, part.read_seconds)
-        (self.own if part.writes else self.helping).append(item)
-
-    def read_until(self, now: float) -> None:
-        """Let the engine read until a time."""
-        time_left = now - self.clock if self.clock > -math.inf else 0.0
-        self.clock = max(self.clock, now)
-        for item in self.in_order():
-            if time_left <= 0.0:
-                break
-            read = min(item.left_seconds, time_left)
-            item.left_seconds -= read
-            time_left -= read
-
-    def in_order(self) -> list[ReadingItem]:
-        """Return the parts in the order in which they are read from now on."""
-        return [*reversed(self.helping), *self.own]
+        A pass that reads very long prompts gives nobody an event for seconds; a stream
+        that went on elsewhere meanwhile would be read again there. By the engines' own
+        pace, so that those who wait on a dead one don't excuse each other.
+        """
+        placed = self.placed.get(attempt_id)
+        if placed is None:
+            return 0.0
+        left = (
+            self.passes[part.upstream_id].reading_left(now)
+            for part in placed.work.parts
+            if part.upstream_id in self.passes
+        )
+        longest = max(left, default=0.0)
+        if longest <= LONG_READ_SECONDS:
+            return 0.0
+        margin = EXCUSE_MARGIN_OBJECTIVES * placed.work.objective_seconds
+        return longest + margin
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -25,27 +25,18 @@
     read_seconds,
     worth_of,
 )
+from cowslipshelf_core.internal.routed.engine_outlook import (
+    EnginePace,
+    Outlook,
+    Pending,
+    held_up,
+    lateness,
+    outlook,
+)
 from cowslipshelf_core.internal.routed.messages import EnginePart, EngineWork
 
 PART_COUNTS = (1, 2, 3, 4, 6, 8, 12, 16)
 """Numbers of engines that are tried for one prompt; the engines take 16 helpers."""
-LATE_FROM = 0.6
-"""Share of the objective from which on a predicted first token may come late: the
-prediction leaves out passes under way and other gateways' last milliseconds."""
-LATE_SURELY = 1.2
-"""Share of the objective beyond which a first token surely comes late."""
-EARLIER_IS_BETTER = 0.02
-"""Slope below the first share, which breaks ties between engines that are in time."""
-LATER_IS_WORSE = 0.05
-"""Growth beyond the second share, so that among late ones the earlier is chosen."""
-HARM_FROM = 0.8
-"""Share of the allowed pause from which on a pass may hold up a writer for too long."""
-CALLERS_LEAVE_SECONDS = 1.8
-"""Pass after which callers may leave: they do so after two seconds without an event,
-or longer where the route allows longer pauses."""
-LOST_COST = 0.5
-"""What a caller that leaves costs beyond one that gets its answer late, as a share of
-the worth: a late answer keeps a quarter of it, and what was written is thrown away."""
 FULL_COST = 0.6
 """Cost of each request beyond the slots, as a share of the worth: it waits until one
 of those that run has ended."""
@@ -61,6 +52,9 @@
 RESERVED_MARGIN = 1.03
 """Memory reserved over what is counted: engines set it aside in blocks, and a prompt
 that lacks one is cut off."""
+MEAN_PASSES_WAITED = 1.5
+"""Passes of a writing engine from the last part read to the first event: the pass
+under way, half of it on average, and one that writes the event."""
 UNKNOWN_PAUSE_SECONDS = 1.0
 """Pause allowed where a route gives none."""
 
@@ -119,8 +113,10 @@
 
     candidate: Candidate
     view: EngineView
-    pass_seconds: float
-    steps_per_pass: int
+    pace: EnginePace
+    pending: list[Pending]
+    """What no pass has taken up yet, in the order of reading."""
+    outlook: Outlook
 
 
 class Placing(NamedTuple):
@@ -133,6 +129,8 @@
     """Those whose memory holds the whole prompt."""
     ready_of: dict[AttemptId, float]
     """Time until the last part of each attempt on these engines will be read."""
+    work: EngineWork
+    """The prompt as others will see it, without its parts."""
 
     @property
     def needed_tokens(self) -> int:
@@ -145,12 +143,22 @@
 
     read_seconds: float
     chunks: int
-    worth: float
-    """Of the whole answer."""
 
-    def read_on(self, seen: Seen) -> float:
-        """Return the time to read it on an engine, as slow as that lately was."""
-        return self.read_seconds * seen.candidate.slowness
+    def on(self, seen: Seen) -> Pending:
+        """Return what it is on an engine, as slow as that lately was."""
+        return Pending(self.read_seconds * seen.candidate.slowness, self.chunks)
+
+
+class Share(NamedTuple):
+    """Be what it comes to that an engine reads a part."""
+
+    seen: Seen
+    ready_seconds: float
+    """Time until the part will have been read."""
+    harm: float
+    """What it costs those who share the engine."""
+    rank: float
+    """What speaks against this engine, on its own."""
 
 
 def place_prompt(
@@ -168,7 +176,14 @@
     random.shuffle(seen)
     needed = asked.size.prompt_tokens + asked.size.most_output_tokens
     roomy = [each for each in seen if free_memory(each, model) >= needed]
-    placing = Placing(asked, model, seen, roomy, ready_times(seen))
+    work = EngineWork(
+        asked.attempt_id,
+        (),
+        worth_of(asked.size),
+        asked.objective_seconds,
+        asked.pause_seconds or UNKNOWN_PAUSE_SECONDS,
+    )
+    placing = Placing(asked, model, seen, roomy, ready_times(seen), work)
     choices = []
     for parts in PART_COUNTS:
         if parts > len(seen) or (parts > 1 and is_short(asked, model, parts // 2)):
@@ -190,11 +205,16 @@
     candidate: Candidate, model: EngineModel, board: EngineBoard, now: float
 ) -> Seen:
     """Work out what a candidate is about to do."""
-    view = board.view(candidate.upstream_id, now)
-    writers = len(view.writers)
-    seconds = pass_seconds(model, writers + 1, view.memory_tokens)
-    slowed = seconds * candidate.slowness
-    return Seen(candidate, view, slowed, model.steps_per_pass)
+    view = board.view(candidate.upstream_id, model, now)
+    seconds = pass_seconds(model, len(view.writers) + 1, view.memory_tokens)
+    pace = EnginePace(
+        view.pass_left_seconds,
+        seconds * candidate.slowness,
+        model.steps_per_pass,
+        view.writes,
+    )
+    pending = [Pending(each.left_seconds, each.left_chunks) for each in view.unread]
+    return Seen(candidate, view, pace, pending, outlook(pending, pace))
 
 
 def free_memory(seen: Seen, model: EngineModel) -> int:
@@ -217,20 +237,25 @@
     """Return when the last part of each attempt will be read."""
     ready: dict[AttemptId, float] = {}
     for each in seen:
-        for unread in each.view.unread:
+        for unread, seconds in zip(
+            each.view.unread, each.outlook.ready_seconds, strict=True
+        ):
             attempt_id = unread.work.attempt_id
+            ready[attempt_id] = max(ready.get(attempt_id, 0.0), seconds)
+        for under_way in each.view.in_pass:
+            attempt_id = under_way.work.attempt_id
             known = ready.get(attempt_id, 0.0)
-            ready[attempt_id] = max(known, unread.ready_seconds)
+            ready[attempt_id] = max(known, under_way.ready_seconds)
     return ready
 
 
 def choose_parts(placing: Placing, parts: int) -> EnginesChosen:
     """Choose a number of engines, the cheapest ones; the one that writes holds all."""
     part = part_of(placing, parts)
-    writer = min(placing.roomy, key=lambda each: writer_cost(each, part, placing))
-    helpers = cheapest_helpers(placing, part, writer)[: parts - 1]
+    writer = best_writer(placing, part, placing.roomy)
+    helpers = best_helpers(placing, part, writer, placing.seen)[: parts - 1]
     held = (placing.needed_tokens, *(0 for _ in helpers))
-    return chosen(placing, part, (writer, *helpers), held)
+    return chosen(placing, part, writer, helpers, held)
 
 
 def share_memory(placing: Placing, parts: int) -> EnginesChosen | None:
@@ -246,172 +271,160 @@
     if len(able) < parts:
         return None
     part = part_of(placing, parts)
-    writer = min(able, key=lambda each: writer_cost(each, part, placing))
-    helpers = [each for each in cheapest_helpers(placing, part, writer) if each in able]
-    return chosen(placing, part, (writer, *helpers[: parts - 1]), (share,) * parts)
+    writer = best_writer(placing, part, able)
+    helpers = best_helpers(placing, part, writer, able)[: parts - 1]
+    return chosen(placing, part, writer, helpers, (share,) * parts)
 
 
 def part_of(placing: Placing, parts: int) -> Part:
     """Return an even part of the prompt."""
-    model, size = placing.model, placing.asked.size
-    return Part(
-        read_seconds(model, size.prompt_tokens, parts),
-        read_chunks(model, size.prompt_tokens, parts),
-        worth_of(size),
-    )
+    model, tokens = placing.model, placing.asked.size.prompt_tokens
+    return Part(read_seconds(model, tokens, parts), read_chunks(model, tokens, parts))
 
 
-def cheapest_helpers(placing: Placing, part: Part, writer: Seen) -> list[Seen]:
+def best_writer(placing: Placing, part: Part, engines: list[Seen]) -> Share:
+    """Choose the engine that costs least as the one that writes."""
+    shares = (writer_share(each, part, placing) for each in engines)
+    return min(shares, key=lambda share: share.rank)
+
+
+def best_helpers(
+    placing: Placing, part: Part, writer: Share, engines: list[Seen]
+) -> list[Share]:
     """List the other engines, those first that cost least as helpers."""
-    others = (each for each in placing.seen if each is not writer)
-    return sorted(others, key=lambda each: helper_cost(each, part, placing))
+    others = (each for each in engines if each is not writer.seen)
+    shares = [helper_share(each, part, placing) for each in others]
+    return sorted(shares, key=lambda share: share.rank)
 
 
 def chosen(
-    placing: Placing, part: Part, engines: tuple[Seen, ...], held: tuple[int, ...]
+    placing: Placing,
+    part: Part,
+    writer: Share,
+    helpers: list[Share],
+    held: tuple[int, ...],
 ) -> EnginesChosen:
-    """Add up what a choice costs; the first engine writes, `held` is their memory."""
-    asked = placing.asked
-    writer, *helpers = engines
-    until_read = max(
-        writer.view.backlog_seconds + part.read_on(writer),
-        *(part.read_on(each) for each in helpers),
-        0.0,
-    )
-    first_token = until_read + writer.pass_seconds
+    """Add up what a choice costs; `held` is the memory on each engine."""
+    shares = (writer, *helpers)
+    until_read = max(share.ready_seconds for share in shares)
+    first_token = until_read + until_written(writer.seen, alone=not helpers)
+    worth = placing.work.value
     cost = (
-        part.worth * lateness(first_token / asked.objective_seconds)
-        + harm_to_writers(writer, part)
-        + sum(
-            harm_to_writers(each, part) + harm_to_waiting(each, part, placing)
-            for each in helpers
-        )
-        + part.worth * max(each.candidate.penalty for each in engines)
-        + sharing_cost(writer, part, placing)
+        worth * lateness(first_token / placing.asked.objective_seconds)
+        + worth * max(share.seen.candidate.penalty for share in shares)
+        + sum(share.harm for share in shares)
         + SPREAD_COST * len(helpers)
     )
-    work = EngineWork(
-        asked.attempt_id,
-        tuple(
-            EnginePart(
-                each.candidate.upstream_id,
-                part.read_on(each),
-                part.chunks,
-                each is writer,
-                tokens,
-            )
-            for each, tokens in zip(engines, held, strict=True)
-        ),
-        part.worth,
-        asked.objective_seconds,
-        asked.pause_seconds or UNKNOWN_PAUSE_SECONDS,
+    parts = tuple(
+        EnginePart(
+            share.seen.candidate.upstream_id,
+            part.on(share.seen).read_seconds,
+            part.chunks,
+            share is writer,
+            tokens,
+        )
+        for share, tokens in zip(shares, held, strict=True)
     )
-    return EnginesChosen(work, first_token, cost)
+    return EnginesChosen(placing.work._replace(parts=parts), first_token, cost)
 
 
-def writer_cost(seen: Seen, part: Part, placing: Placing) -> float:
-    """Return what it costs to have an engine read a part and write the answer."""
-    ready = seen.view.backlog_seconds + part.read_on(seen) + seen.pass_seconds
-    return (
-        part.worth * lateness(ready / placing.asked.objective_seconds)
-        + part.worth * seen.candidate.penalty
-        + harm_to_writers(seen, part)
-        + sharing_cost(seen, part, placing)
-    )
+def until_written(seen: Seen, alone: bool) -> float:
+    """Return the time from the last part read to the first event.
+
+    A prompt that its engine reads alone is written from the same pass on; where other
+    engines' parts are waited for, the pass under way has to end.
+    """
+    if not seen.view.writes:
+        return seen.pace.writing_seconds
+    return 0.0 if alone else MEAN_PASSES_WAITED * seen.pace.writing_seconds
+
+
+def writer_share(seen: Seen, part: Part, placing: Placing) -> Share:
+    """Say what it comes to that an engine reads a part and writes the answer."""
+    after = outlook([*seen.pending, part.on(seen)], seen.pace)
+    harm = harm_to_writers(seen, after) + sharing_cost(seen, placing)
+    ready = after.ready_seconds[-1]
+    first_token = ready + until_written(seen, alone=True)
+    return Share(seen, ready, harm, harm + own_cost(seen, first_token, placing))
 
 
-def helper_cost(seen: Seen, part: Part, placing: Placing) -> float:
-    """Return what it costs to have an engine read a part for another one."""
+def helper_share(seen: Seen, part: Part, placing: Placing) -> Share:
+    """Say what it comes to that an engine reads a part for another one."""
+    after = outlook([part.on(seen), *seen.pending], seen.pace)
+    harm = harm_to_writers(seen, after) + harm_to_waiting(seen, after, placing)
     # An engine that helps as many as it has slots refuses any more.
-    refused = part.worth if seen.view.helping >= placing.model.slots else 0.0
-    return (
-        part.worth * lateness(part.read_on(seen) / placing.asked.objective_seconds)
-        + part.worth * seen.candidate.penalty
-        + harm_to_writers(seen, part)
-        + harm_to_waiting(seen, part, placing)
-        + refused
+    refused = seen.view.helping >= placing.model.slots
+    rank = harm + own_cost(seen, after.ready_seconds[0], placing)
+    return Share(
+        seen,
+        after.ready_seconds[0],
+        harm,
+        rank + (placing.work.value if refused else 0.0),
     )
 
 
-def sharing_cost(seen: Seen, part: Part, placing: Placing) -> float:
+def own_cost(seen: Seen, ready: float, placing: Placing) -> float:
+    """Return what the prompt itself loses by an engine that is ready at a time."""
+    late = lateness(ready / placing.asked.objective_seconds)
+    return placing.work.value * (late + seen.candidate.penalty)
+
+
+def sharing_cost(seen: Seen, placing: Placing) -> float:
     """Return what it costs to write the answer beside those that write there."""
-    asked, model = placing.asked, placing.model
+    model, work = placing.model, placing.work
     writers = len(seen.view.writers)
-    full = FULL_COST * part.worth * max(0, writers + 1 - model.slots)
-    short = read_seconds(model, asked.size.prompt_tokens) < SHORT_READ_SECONDS
+    full = FULL_COST * work.value * max(0, writers + 1 - model.slots)
+    tokens = placing.asked.size.prompt_tokens
+    short = read_seconds(model, tokens) < SHORT_READ_SECONDS
     empty = EMPTY_ENGINE_COST if short and not writers else 0.0
-    pause = asked.pause_seconds or UNKNOWN_PAUSE_SECONDS
-    return full + empty + part.worth * held_up(seen.pass_seconds, pause)
+    return full + empty + work.value * held_up(seen.pace.writing_seconds, work)
 
 
-def harm_to_writers(seen: Seen, part: Part) -> float:
-    """Return what a part's reading costs those who write on the engine.
+def harm_to_writers(seen: Seen, after: Outlook) -> float:
+    """Return what longer passes cost those who write on an engine.
 
     A pass with writers has one step for each of the tokens of an event, and each
     step may read one chunk: the pause grows by the chunks that fit into the pass.
     """
-    view = seen.view
-    before = longest_pass(seen, view.backlog_seconds, view.backlog_chunks)
-    after = longest_pass(
-        seen,
-        view.backlog_seconds + part.read_on(seen),
-        view.backlog_chunks + part.chunks,
-    )
-    return sum(
-        work.value
-        * max(
-            0.0,
-            held_up(after, work.pause_seconds) - held_up(before, work.pause_seconds),
-        )
-        for work in view.writers
-    )
-
-
-def harm_to_waiting(seen: Seen, part: Part, placing: Placing) -> float:
+    before = seen.outlook.longest_pass_seconds
+    longest = after.longest_pass_seconds
+    if not seen.pace.writes or longest <= before:
+        return 0.0
+    harm = 0.0
+    for work in seen.view.writers:
+        late = work in seen.view.late_writers
+        more = held_up(longest, work, late) - held_up(before, work, late)
+        harm += work.value * max(0.0, more)
+    return harm
+
+
+def harm_to_waiting(seen: Seen, after: Outlook, placing: Placing) -> float:
     """Return what a part that goes ahead costs those whose parts wait there."""
-    delay = part.read_on(seen)
+    later = zip(
+        seen.view.unread,
+        seen.outlook.ready_seconds,
+        after.ready_seconds[1:],
+        strict=True,
+    )
     return sum(
         unread.work.value
         * (
-            lateness_of(unread, seen, placing, delay)
-            - lateness_of(unread, seen, placing, 0.0)
+            lateness_of(unread, seen, placing, now_ready)
+            - lateness_of(unread, seen, placing, was_ready)
         )
-        for unread in seen.view.unread
+        for unread, was_ready, now_ready in later
     )
 
 
 def lateness_of(
-    unread: UnreadPart, seen: Seen, placing: Placing, delay: float
+    unread: UnreadPart, seen: Seen, placing: Placing, ready: float
 ) -> float:
     """Return how likely the first token of one who waits comes late.
 
     It comes after the last of the prompt's parts, which may be on another engine.
     """
-    last_part = placing.ready_of[unread.work.attempt_id]
-    ready = max(last_part, unread.ready_seconds + delay) + seen.pass_seconds
-    return lateness((unread.waited_seconds + ready) / unread.work.objective_seconds)
-
-
-def longest_pass(seen: Seen, backlog: float, chunks: int) -> float:
-    """Return the longest pass that reading a backlog makes."""
-    share = min(1.0, seen.steps_per_pass / chunks) if chunks else 0.0
-    return seen.pass_seconds + backlog * share
-
-
-def held_up(pass_time: float, pause: float) -> float:
-    """Return how likely a pass makes a pause that is too long, or loses the caller."""
-    late = lateness(pass_time / pause * (LATE_FROM / HARM_FROM))
-    return late + (LOST_COST if pass_time > CALLERS_LEAVE_SECONDS else 0.0)
-
-
-def lateness(ratio: float) -> float:
-    """Return how likely something is late, from its predicted share of the bound.
-
-    Rises from nearly 0 to 1 between the two shares.
-    """
-    early = EARLIER_IS_BETTER * min(ratio, LATE_FROM)
-    if ratio <= LATE_FROM:
-        return early
-    if ratio < LATE_SURELY:
-        return early + (ratio - LATE_FROM) / (LATE_SURELY - LATE_FROM)
-    return early + 1.0 + LATER_IS_WORSE * math.log(ratio / LATE_SURELY)
+    last_part = max(placing.ready_of[unread.work.attempt_id], ready)
+    first_token = last_part + seen.pace.writing_seconds
+    return lateness(
+        (unread.waited_seconds + first_token) / unread.work.objective_seconds
+    )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -227,10 +227,8 @@
         try:
             connection.patience_seconds = placement.patience.first
             if placement.work is not None:
-                connection.is_excused = partial(
-                    self.view.board.reads_for_others,
-                    upstream.upstream_id,
-                    placement.work.attempt_id,
+                connection.excused_seconds = partial(
+                    self.excused_seconds, task, placement
                 )
             outcome = await self.talk(task, placement, connection)
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
@@ -243,6 +241,18 @@
             else:
                 connection.abort()
 
+    def excused_seconds(self, task: AttemptTask, placement: Placement) -> float:
+        """Return how much longer engines may be silent, since they read."""
+        attempt_id = placement.work.attempt_id
+        seconds = self.view.board.excused_seconds(attempt_id, time.monotonic())
+        LOG.info(
+            "Silence excused." if seconds else "Silence not excused.",
+            request=task.facts.attempt_id,
+            upstream=placement.upstream.upstream_id,
+            seconds=round(seconds, 3),
+        )
+        return seconds
+
     async def talk(
         self,
         task: AttemptTask,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -164,9 +164,9 @@
         for work in message.begun:
             self.board.begin(work, owner, now)
         for attempt_id in message.first_tokens:
-            self.board.first_token(attempt_id)
+            self.board.first_token(attempt_id, now)
         for attempt_id in message.ended:
-            self.board.end(attempt_id)
+            self.board.end(attempt_id, now)
 
     def begin_work(self, work: EngineWork) -> None:
         """Note work that this gateway places, and tell the others."""
@@ -175,12 +175,12 @@
 
     def first_token(self, attempt_id: AttemptId) -> None:
         """Note a first token, and tell the others."""
-        self.board.first_token(attempt_id)
+        self.board.first_token(attempt_id, time.monotonic())
         self.tell_work(WorkChanged(first_tokens=(attempt_id,)))
 
     def end_work(self, attempt_id: AttemptId) -> None:
         """Note the end of work, and tell the others."""
-        self.board.end(attempt_id)
+        self.board.end(attempt_id, time.monotonic())
         self.tell_work(WorkChanged(ended=(attempt_id,)))
 
     def upstreams_of(self, service: ServiceName) -> list[UpstreamHeartbeat]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -236,7 +236,7 @@
         sender = delivered.sender
         news = self.view.peers.heard(sender, alive, now)
         if news is PeerNews.RESTARTED:
-            self.view.board.forget_owner(sender)
+            self.view.board.forget_owner(sender, now)
             self.progress.forget(sender)
         if news is not PeerNews.NONE:
             LOG.info("Gateway heard.", peer=sender, news=news.name, epoch=alive.epoch)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -51,9 +51,8 @@
         self.keep_alive_seconds: float | None = None
         self.patience_seconds: float | None = None
         """Silence after which the upstream is given up; nothing waits without end."""
-        self.is_excused: Callable[[], bool] = never_excused
-        """Tells whether a silence so long has a reason; then it is waited for again."""
-        self.used = 0
+        self.excused_seconds: Callable[[], float] = no_excuse
+        """Tells how much longer a silence has a reason; zero where it has none."""
 
     @classmethod
     async def connect(cls, address: str, seconds: float) -> "UpstreamConnection":
@@ -77,7 +76,6 @@
         if request.body:
             parts.append(self.parser.send(h11.Data(data=request.body)))
         parts.append(self.parser.send(h11.EndOfMessage()))
-        self.used += 1
         try:
             self.writer.write(b"".join(part for part in parts if part))
         except OSError as error:
@@ -130,12 +128,14 @@
 
     async def read(self) -> bytes:
         """Wait for bytes; raise `TimeoutError` after a silence without excuse."""
+        patience = self.patience_seconds
         while True:
             try:
-                async with asyncio.timeout(self.patience_seconds):
+                async with asyncio.timeout(patience):
                     return await self.reader.read(READ_BYTES)
             except TimeoutError:
-                if not self.is_excused():
+                patience = self.excused_seconds()
+                if not patience:
                     raise
 
     def lost(self, step: str, detail: str) -> UpstreamLostError:
@@ -159,7 +159,7 @@
     def prepare_next(self) -> None:
         """Make ready for the next exchange."""
         self.parser.start_next_cycle()
-        self.is_excused = never_excused
+        self.excused_seconds = no_excuse
 
     def is_quiet(self) -> bool:
         """Tell whether an idle connection has neither been closed nor been sent to."""
@@ -174,9 +174,9 @@
         self.writer.transport.abort()
 
 
-def never_excused() -> bool:
+def no_excuse() -> float:
     """Excuse no silence."""
-    return False
+    return 0.0
 
 
 def set_socket_options(sock: socket.socket) -> None:
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -56,7 +56,7 @@
         self.breaks = breaks
         self.keep_alive_seconds = None
         self.patience_seconds = None
-        self.is_excused = None
+        self.excused_seconds = None
 
     def send(self, request) -> None:
         return None
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -88,7 +88,7 @@
         writing = set()
         for number in range(20):
             short = load.short(number * 0.05)
-            load.board.first_token(short.work.attempt_id)
+            load.board.first_token(short.work.attempt_id, number * 0.05)
             writing.add(short.upstream_id)
         long = load.long(1.2)
         assert not writing & {long.upstream_id, *long.helpers}
@@ -140,7 +140,7 @@
         assert len(set(used)) == len(used)
         assert len(chosen.helpers) <= 16
     for candidate in load.candidates:
-        view = load.board.view(candidate.upstream_id, 0.0)
+        view = load.board.view(candidate.upstream_id, ENGINE, 0.0)
         assert view.memory_tokens <= ENGINE.memory_tokens
 
 
@@ -156,12 +156,12 @@
                 chosen = load.long(number * 0.05)
             case 2:
                 if running:
-                    load.board.end(running.pop(0))
+                    load.board.end(running.pop(0), number * 0.05)
                 continue
         if isinstance(chosen, EnginesChosen):
             running.append(chosen.work.attempt_id)
     for attempt_id in running:
-        load.board.end(attempt_id)
+        load.board.end(attempt_id, 9.0)
     assert load.board.placed == {}
     assert not any(load.board.by_engine.values())
 
@@ -175,7 +175,7 @@
     load = Load(engines=2)
     load.long(0.0)
     assert load.board.placed
-    load.board.forget_owner("gateway")
+    load.board.forget_owner("gateway", 1.0)
     assert load.board.placed == {}
     assert not any(load.board.by_engine.values())
 
@@ -186,8 +186,8 @@
     long = old.long(0.0)
     new.board.replace("gateway", old.board.held_by("gateway", 0.3), 10.0)
     for candidate in old.candidates:
-        seen = old.board.view(candidate.upstream_id, 0.3)
-        told = new.board.view(candidate.upstream_id, 10.0)
+        seen = old.board.view(candidate.upstream_id, ENGINE, 0.3)
+        told = new.board.view(candidate.upstream_id, ENGINE, 10.0)
         assert told.backlog_seconds == pytest.approx(seen.backlog_seconds)
     short = new.short(10.0)
     assert short.upstream_id not in {long.upstream_id, *long.helpers}
@@ -212,11 +212,11 @@
     board.begin(EngineWork("first", (own,), 1.0, 4.0, 1.0), "g", 0.0)
     board.begin(EngineWork("second", (other,), 1.0, 4.0, 1.0), "g", 0.2)
     board.begin(EngineWork("third", (other,), 1.0, 4.0, 1.0), "g", 0.4)
-    unread = board.view("e", 0.5).unread
+    unread = board.view("e", ENGINE, 0.5).unread
     order = [each.work.attempt_id for each in unread]
-    ready = [each.ready_seconds for each in unread]
+    left = [each.left_seconds for each in unread]
     assert order == ["third", "second", "first"]
-    assert ready == pytest.approx([0.4, 0.7, 1.5])
+    assert left == pytest.approx([0.4, 0.3, 0.8])
 
 
 def test_parts_do_not_proceed_side_by_side():
@@ -226,7 +226,18 @@
         part = EnginePart("e", 1.0, 10, writes=False)
         work = EngineWork(f"a-{number}", (part,), 1.0, 4.0, 1.0)
         board.begin(work, "g", 0.0)
-    assert board.view("e", 1.5).backlog_seconds == pytest.approx(2.5)
+    assert board.view("e", ENGINE, 1.5).backlog_seconds == pytest.approx(2.5)
+
+
+def board_with_a_long_read_beside_a_writer() -> EngineBoard:
+    board = EngineBoard()
+    own = EnginePart("e", 0.1, 1, writes=True)
+    other = EnginePart("e", 1.9, 30, writes=False)
+    board.begin(EngineWork("own", (own,), 1.0, 0.3, 0.25), "g", 0.0)
+    board.view("e", ENGINE, 0.0)
+    assert board.excused_seconds("own", 0.05) == 0.0
+    board.begin(EngineWork("long", (other,), 1.0, 4.0, 1.0), "g", 0.2)
+    return board
 
 
 def test_a_silence_is_excused_while_the_engine_reads_for_others():
@@ -235,12 +246,70 @@
     An engine that reads a very long prompt gives nobody an event for two seconds; its
     writers' gateways took that for its death.
     """
+    board = board_with_a_long_read_beside_a_writer()
+    assert 1.0 < board.excused_seconds("own", 0.9) < 2.0
+    board.first_token("long", 2.2)
+    assert board.excused_seconds("own", 2.3) == 0.0
+
+
+def test_a_question_that_comes_in_mid_pass_goes_to_an_engine_whose_pass_ends_sooner():
+    """A desk question waits a second for its first word beside idle engines.
+
+    An engine with writers has just begun a pass that reads a long prompt. Nothing is
+    left unread there, so it looked as free as any other.
+    """
+    for seed in range(20):
+        load = Load(engines=2, seed=seed)
+        busy = EnginePart("e-0", 0.02, 1, writes=True)
+        load.board.begin(EngineWork("w", (busy,), 1.5, 0.3, 0.25), "g", 0.0)
+        load.board.first_token("w", 0.1)
+        load.board.view("e-0", ENGINE, 0.15)
+        part = EnginePart("e-0", 1.2, 30, writes=False)
+        load.board.begin(EngineWork("long", (part,), 5.0, 4.0, 1.0), "g", 0.2)
+        short = load.short(0.4)
+        assert short.upstream_id == "e-1"
+        assert short.first_token_seconds < 0.2
+
+
+def test_a_writer_that_is_late_already_no_longer_keeps_a_long_prompt_away():
+    """Each long prompt spoils the answers of a few more engines.
+
+    Once an engine's answers came too late, reading there spoils nothing more.
+    """
+    load = Load(engines=3)
+    for number in range(3):
+        part = EnginePart(f"e-{number}", 0.02, 1, writes=True)
+        name = f"w-{number}"
+        load.board.begin(EngineWork(name, (part,), 6.0, 0.3, 0.25), "g", 0.0)
+        load.board.first_token(name, 0.9 if number == 1 else 0.1)
+    chosen = load.place(PromptSize(60_000, 700), 1.0, objective=6.0, pause=1.0)
+    assert [part.upstream_id for part in chosen.work.parts] == ["e-1"]
+
+
+def test_those_who_wait_on_a_dead_engine_do_not_excuse_each_other():
+    """Two questions wait on an engine that went dark until their callers leave.
+
+    Each gateway excuses the silence by the other's prompt, which is never read either.
+    """
+    board = board_with_a_long_read_beside_a_writer()
+    assert board.excused_seconds("own", 2.6) == 0.0
+    assert board.excused_seconds("long", 2.6) == 0.0
+
+
+def test_a_silence_is_excused_by_what_a_helping_engine_has_to_read_first():
+    """A dossier is given up after three seconds and read once more elsewhere.
+
+    Its own engine has nothing to do; one that helps it was given parts of others,
+    which go ahead.
+    """
     board = EngineBoard()
-    own = EnginePart("e", 0.1, 1, writes=True)
-    other = EnginePart("e", 1.9, 30, writes=False)
-    board.begin(EngineWork("own", (own,), 1.0, 4.0, 1.0), "g", 0.0)
-    assert not board.reads_for_others("e", "own")
-    board.begin(EngineWork("long", (other,), 1.0, 4.0, 1.0), "g", 0.2)
-    assert board.reads_for_others("e", "own")
-    board.first_token("long")
-    assert not board.reads_for_others("e", "own")
+    writer = EnginePart("writer", 0.5, 8, writes=True)
+    helper = EnginePart("helper", 0.5, 8, writes=False)
+    board.begin(EngineWork("dossier", (writer, helper), 1.0, 4.0, 1.0), "g", 0.0)
+    ahead = EnginePart("helper", 3.0, 40, writes=False)
+    board.begin(EngineWork("later", (ahead,), 1.0, 4.0, 1.0), "g", 0.1)
+    for engine in ("writer", "helper"):
+        board.view(engine, ENGINE, 0.2)
+    assert board.excused_seconds("dossier", 2.0) > 1.0
+    assert board.excused_seconds("dossier", 4.0) == 0.0
+    assert board.excused_seconds("unknown", 2.0) == 0.0
