Emulate the engines, to measure placing by load in seconds

Change: packages/emulator plays both fleets' swinging loads on engines that work in passes, with the gateways' own decisions or baselines, and compares emulated with logged times.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV ?= .venv
 BIN := $(VENV)/bin
-PACKAGES := core host fleet callers operators upstreams weightstore daemon cli standins
+PACKAGES := core host fleet callers operators upstreams weightstore daemon cli standins emulator
 
 .PHONY: run test bench bench-real-path slopes format settings-page
 
--- /dev/null
+++ b/packages/emulator/src/cowslipshelf_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Play loads on emulated engines, to measure how prompts are placed."""
--- /dev/null
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what is not meant for other packages."""
--- /dev/null
+++ b/packages/emulator/src/cowslipshelf_emulator/program.py
@@ -0,0 +1,77 @@
+"""Play loads on emulated engines, and print what callers got."""
+
+import json
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+from cowslipshelf_emulator.internal.comparing import compare, read_attempts
+from cowslipshelf_emulator.internal.fleet import build
+from cowslipshelf_emulator.internal.load import FLEETS, draw
+from cowslipshelf_emulator.internal.measures import Figures, figures
+from cowslipshelf_emulator.internal.policies import POLICIES
+
+HEADER = "kind     asked  in time  late  refused  left  first p50  p95  pause p95 (ms)"
+
+
+@cappa.command(name="play")
+@dataclass
+class Play:
+    """Play a fleet's load under some policies."""
+
+    fleet: Annotated[str, cappa.Arg(help=f"one of {', '.join(FLEETS)}")]
+    policies: Annotated[
+        list[str], cappa.Arg(short="-p", long="--policy", help="; ".join(POLICIES))
+    ]
+    seconds: Annotated[float, cappa.Arg(long=True)] = 40.0
+    load: Annotated[float, cappa.Arg(long=True, help="times the usual rates")] = 1.0
+    seed: Annotated[int, cappa.Arg(long=True)] = 1
+
+    def __call__(self) -> None:
+        """Print a table for each policy."""
+        fleet = FLEETS[self.fleet]
+        for policy in self.policies or list(POLICIES):
+            arrivals = draw(fleet, self.seconds, self.load, self.seed)
+            outcomes = build(fleet, POLICIES[policy], self.seed).play(arrivals)
+            print_figures(f"{fleet.name}, {policy}", figures(outcomes))
+
+
+@cappa.command(name="check")
+@dataclass
+class Check:
+    """Compare the emulated engines with what gateways logged."""
+
+    logs: Annotated[list[str], cappa.Arg(help="files of gateways' logs")]
+    fleet: Annotated[str, cappa.Arg(long=True, help="whose engines ran")] = "nilegate"
+
+    def __call__(self) -> None:
+        """Print the measured and the emulated times."""
+        attempts = [one for path in self.logs for one in read_attempts(path)]
+        json.dump(compare(FLEETS[self.fleet], attempts), sys.stdout, indent=2)
+        print()
+
+
+@dataclass
+class Emulator:
+    """Emulate engines and the gateways before them."""
+
+    command: cappa.Subcommands[Play | Check]
+
+
+def print_figures(title: str, played: Figures) -> None:
+    """Print the figures of one play."""
+    print(f"{title}: worth {played.worth:.3f}")
+    print(HEADER)
+    for name, kind in sorted(played.kinds.items()):
+        print(
+            f"{name:8} {kind.requests:5}  {kind.in_time:7.3f} {kind.late:5.3f}"
+            f"  {kind.refused:7.3f} {kind.left:5.3f}  {kind.first_p50:9.0f}"
+            f" {kind.first_p95:4.0f}  {kind.pause_p95:9.0f}"
+        )
+
+
+def main() -> None:
+    """Run the program."""
+    cappa.invoke(Emulator)
