Weigh 24 engines, drawn anew for each prompt, instead of all

Cause: gateways that weigh all engines of a large fleet choose the same cheapest one within the milliseconds that their word takes, and weighing 78 takes 8 ms of a processor.

Change: prompts that one engine can hold are weighed on 24 engines drawn at random; others on all. Sites of up to 24 engines are not touched.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -49,6 +49,12 @@
 SHORT_READ_SECONDS = 0.12
 """A prompt read faster than this keeps within the pauses of those who write (250 ms,
 of which a pass takes 50 to 100), so it may share engines with them."""
+MOST_LOOKED_AT = 24
+"""Engines that are weighed for a prompt which any of them can hold, drawn anew each
+time. Gateways that weigh all of 78 meet on the same cheapest one within the 7 ms that
+their word takes: 0.89 of short prompts were in time, 0.95 with a draw of 24, in 25 s
+of the grown cooperative's load on emulated engines. Weighing takes 3 instead of 8 ms
+of a processor."""
 RESERVED_MARGIN = 1.03
 """Memory reserved over what is counted: engines set it aside in blocks, and a prompt
 that lacks one is cut off."""
@@ -172,9 +178,9 @@
     """Choose the engines that cost least, or say that there are none in time."""
     if not candidates:
         return NoEngine("no engine of the service is known", 1.0)
-    seen = [look_at(candidate, model, board, now) for candidate in candidates]
-    random.shuffle(seen)
     needed = asked.size.prompt_tokens + asked.size.most_output_tokens
+    looked_at = draw_candidates(candidates, needed <= model.memory_tokens, random)
+    seen = [look_at(candidate, model, board, now) for candidate in looked_at]
     roomy = [each for each in seen if free_memory(each, model) >= needed]
     work = EngineWork(
         asked.attempt_id,
@@ -201,6 +207,14 @@
     return best
 
 
+def draw_candidates(
+    candidates: list[Candidate], fits_one: bool, random: Random
+) -> list[Candidate]:
+    """Draw the engines to weigh; a prompt that fits none alone may need any."""
+    most = MOST_LOOKED_AT if fits_one else len(candidates)
+    return random.sample(candidates, min(most, len(candidates)))
+
+
 def look_at(
     candidate: Candidate, model: EngineModel, board: EngineBoard, now: float
 ) -> Seen:
--- a/tests/common/routed.py
+++ b/tests/common/routed.py
@@ -1,7 +1,6 @@
 """Make routes, engines and upstreams for tests of requests that are served by route."""
 
 from cowslipshelf_core.routed import (
-    EngineModel,
     Route,
     RouteConfiguration,
     RouteKind,
@@ -10,20 +9,9 @@
     UpstreamPhase,
     WeightedService,
 )
+from cowslipshelf_emulator.loads import ENGINE
 
-ENGINE = EngineModel(
-    slots=8,
-    memory_tokens=405_000,
-    steps_per_pass=34,
-    step_seconds=1.31e-3,
-    step_seconds_per_writer=1.834e-6,
-    step_seconds_per_context_token=2.13e-9,
-    read_seconds_per_token=1 / 154_000,
-    seconds_per_pair=1.62e-10,
-    chunk_tokens=2048,
-    hop_seconds=1e-4,
-)
-"""The engines of both users' sheets."""
+__all__ = ["ENGINE", "configuration", "heartbeat", "route"]
 
 
 def route(**changes) -> Route:
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -102,6 +102,34 @@
     assert second.upstream_id not in {first.upstream_id, *first.helpers}
 
 
+def test_gateways_that_place_at_the_same_moment_rarely_meet_on_one_engine():
+    """Twenty gateways send a question to the one engine that looks cheapest to all.
+
+    None has heard of the others' yet. One engine is a little cheaper than the rest,
+    since somebody writes there already.
+    """
+    chosen = []
+    for seed in range(20):
+        load = Load(engines=78, seed=seed)
+        part = EnginePart("e-5", 0.02, 1, writes=True)
+        load.board.begin(EngineWork("w", (part,), 1.5, 0.3, 0.25), "g", 0.0)
+        load.board.first_token("w", 0.1)
+        chosen.append(load.short(0.2).upstream_id)
+    assert chosen.count("e-5") <= 10
+    assert len(set(chosen)) >= 10
+
+
+def test_a_prompt_that_needs_many_memories_is_placed_where_few_engines_are_free():
+    """A ledger is refused for want of memory though enough engines have it."""
+    for seed in range(10):
+        load = Load(engines=78, seed=seed)
+        for number in range(74):
+            part = EnginePart(f"e-{number}", 0.0, 1, True, ENGINE.memory_tokens)
+            load.board.begin(EngineWork(f"w-{number}", (part,), 1, 1, 1), "g", 0.0)
+        chosen = load.place(PromptSize(600_000, 700), 1.0, objective=4.0, pause=1.0)
+        assert isinstance(chosen, EnginesChosen)
+
+
 def test_a_prompt_above_every_memory_is_held_by_several_engines_together():
     """A ledger of half a million tokens is refused although engines are idle."""
     load = Load(engines=4)
