Hold replicas in memory where no machine has a disk

Cause: on a deployment of our own without disks nothing was served: the folder for temporary files, which stood in for a disk, knows neither locks nor renames there, and no replica started.

Change: such a replica keeps nothing; each start has a new identity, like an empty disk. The core keeps it in memory anyway.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -61,7 +61,7 @@
 from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_host.logs import part_logger
-from cowslipshelf_host.storage import ReplicaStorage, StorageError
+from cowslipshelf_host.storage import ReplicaStorage, StorageError, VolatileStorage
 
 LOG = part_logger("replica")
 
@@ -80,7 +80,7 @@
     """Be what the replica's actor works with."""
 
     replica: Replica
-    storage: ReplicaStorage
+    storage: ReplicaStorage | VolatileStorage
     state: ControlState
     post: Post
     configuration: ActorRef
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -308,7 +308,8 @@
         "Started.",
         instance=settings.instance,
         name=settings.name,
-        replica=settings.data_folder is not None,
+        replica=settings.holds_replica,
+        disk=settings.data_folder is not None,
         first_start=settings.first_start,
         seeds=settings.seeds,
     )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -81,7 +81,7 @@
                     settings.instance,
                     Epoch(uuid.uuid4().hex),
                     settings.data_centre,
-                    settings.data_folder is not None,
+                    settings.holds_replica,
                     settings.seeds,
                 )
             ),
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
@@ -1,10 +1,11 @@
-"""Keep a replica running on this machine's disk, and start it again after a failure."""
+"""Keep this machine's replica running, and start it again after a failure."""
 
 import asyncio
 import time
 from pathlib import Path
 
 from pykka import ActorRef
+from result import Ok, Result
 
 from cowslipshelf_core.agreement import (
     FoundCluster,
@@ -28,7 +29,12 @@
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_host.logs import part_logger
 from cowslipshelf_host.metrics import Metrics
-from cowslipshelf_host.storage import ReplicaStorage, ReplicaStorageConfig
+from cowslipshelf_host.storage import (
+    ReplicaStorage,
+    ReplicaStorageConfig,
+    StorageError,
+    VolatileStorage,
+)
 
 LOG = part_logger("replica_keeper")
 
@@ -45,7 +51,7 @@
 
 
 class ReplicaKeeper:
-    """Own this machine's replica, if it has a disk."""
+    """Own this machine's replica, if it holds one."""
 
     def __init__(
         self,
@@ -70,7 +76,7 @@
     @property
     def wanted(self) -> bool:
         """Tell whether this machine holds a replica."""
-        return self.view.settings.data_folder is not None
+        return self.view.settings.holds_replica
 
     def tick(self) -> None:
         """Start what is missing, tell who else holds replicas, and let time pass."""
@@ -89,12 +95,9 @@
         self.actor.tell(Tick())
 
     def start(self) -> None:
-        """Load the data folder and start the replica that it holds."""
+        """Load what is stored and start the replica that it holds."""
         settings = self.view.settings
-        folder = Path(settings.data_folder)
-        opened = ReplicaStorage.from_config(
-            ReplicaStorageConfig(folder, settings.instance)
-        )
+        opened = self.open_storage()
         loaded = opened.and_then(lambda storage: storage.load())
         if loaded.is_err():
             LOG.error("Replica not started.", error=str(loaded.err_value))
@@ -122,6 +125,16 @@
         )
         LOG.info("Replica started.", folder=stored.replica_id.folder)
 
+    def open_storage(self) -> Result[ReplicaStorage | VolatileStorage, StorageError]:
+        """Open the data folder; without a disk the replica is in memory alone."""
+        settings = self.view.settings
+        if settings.data_folder is None:
+            return Ok(VolatileStorage(settings.instance))
+        folder = Path(settings.data_folder)
+        return ReplicaStorage.from_config(
+            ReplicaStorageConfig(folder, settings.instance)
+        )
+
     def ask_status_when_due(self, now: float) -> None:
         """Ask the replica how it is; the answer comes on the loop."""
         if now < self.status_due:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -20,7 +20,7 @@
     first_start: bool
     """Whether the whole system starts for the first time, with empty disks."""
     data_folder: str | None
-    """Holds a replica of what must survive; nothing on machines without a disk."""
+    """Where data outlives the process; nothing on machines without a disk."""
     most_lost: int
     """Replicas that may be lost at once."""
     callers_address: str | None
@@ -37,6 +37,13 @@
     repeat_slack: float = 10.0
     """Repeats allowed besides, in each window."""
     repeat_window_seconds: float = 10.0
+    replica_in_memory: bool = False
+    """Whether a replica is held without a disk, where no machine has one."""
+
+    @property
+    def holds_replica(self) -> bool:
+        """Tell whether a replica of what must survive is held here."""
+        return self.data_folder is not None or self.replica_in_memory
 
     def peer_address(self, instance: InstanceId) -> str:
         """Return where a gateway listens for its peers."""
--- a/packages/host/src/cowslipshelf_host/storage.py
+++ b/packages/host/src/cowslipshelf_host/storage.py
@@ -10,12 +10,14 @@
     ReplicaStorageConfig,
     new_identity,
 )
+from cowslipshelf_host.internal.storage.volatile_storage import VolatileStorage
 
 __all__ = [
     "ForcedFolder",
     "ReplicaStorage",
     "ReplicaStorageConfig",
     "StorageError",
+    "VolatileStorage",
     "force_members_in_folder",
     "new_identity",
 ]
