Bound idle connections to an upstream by all gateways together

Cause: each gateway kept up to eight idle connections to an upstream; 25 gateways would keep 200 where an upstream takes 71 from all callers, and it resets what is beyond. The pool's counters were written and never read.

Change: idle ones of all gateways take half of the bound at most. Opened and reused connections are on the metrics address.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -96,7 +96,7 @@
         self.loop = asyncio.get_running_loop()
         self.metrics = Metrics()
         self.view = FleetView.from_settings(settings)
-        self.pool = UpstreamPool()
+        self.pool = UpstreamPool(self.metrics, self.view.idle_connections)
         own_address = settings.peer_address(settings.instance)
         self.post = Post(settings.instance, own_address)
         for seed in settings.seeds:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -192,6 +192,19 @@
         known = self.registry.known.get(upstream.upstream_id)
         return 0.0 if known is None else time.monotonic() - known.heard_at
 
+    def idle_connections(self, upstream_id: UpstreamId) -> int:
+        """Return how many idle connections to an upstream this gateway may keep.
+
+        An upstream resets connections beyond its bound, whoever they are from; kept
+        ones of all gateways take half of it at most.
+        """
+        known = self.registry.known.get(upstream_id)
+        services = {} if self.table is None else self.table.services
+        service = None if known is None else services.get(known.heartbeat.service)
+        if service is None:
+            return 1
+        return max(1, service.most_connections // (2 * self.gateways()))
+
     def gateways(self) -> int:
         """Return how many gateways there seem to be, this one included."""
         return len(self.peers.alive(time.monotonic())) + 1
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_pool.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_pool.py
@@ -1,11 +1,13 @@
 """Keep idle connections to upstreams for the next request."""
 
 import asyncio
+from collections.abc import Callable
 
 from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     UpstreamConnection,
 )
+from cowslipshelf_host.metrics import Metrics
 
 CONNECT_SECONDS = 0.6
 """Time for a new connection: several round trips within a region, and less than the
@@ -17,16 +19,21 @@
 UNANNOUNCED_IDLE_SECONDS = 1.0
 """Idle time for which a connection is used again where none is announced."""
 MOST_IDLE = 8
-"""Idle connections kept for one upstream; it bounds those of all callers."""
+"""Idle connections kept for one upstream, where its bound on all callers' connections
+leaves room for so many."""
+CONNECTIONS = "cowslipshelf_upstream_connections_total"
 
 
 class UpstreamPool:
     """Hold the idle connections of each upstream."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, metrics: Metrics, most_idle: Callable[[UpstreamId], int]
+    ) -> None:
         self.idle: dict[UpstreamId, list[UpstreamConnection]] = {}
-        self.opened = 0
-        self.reused = 0
+        self.metrics = metrics
+        self.most_idle = most_idle
+        """Tells how many idle connections an upstream leaves to this gateway."""
 
     async def take(
         self, upstream_id: UpstreamId, address: str, fresh: bool
@@ -36,10 +43,10 @@
             connection = self.idle[upstream_id].pop()
             if is_usable(connection) and connection.address == address:
                 connection.prepare_next()
-                self.reused += 1
+                self.metrics.count(CONNECTIONS, way="reused")
                 return connection
             connection.abort()
-        self.opened += 1
+        self.metrics.count(CONNECTIONS, way="opened")
         return await UpstreamConnection.connect(address, CONNECT_SECONDS)
 
     def give_back(
@@ -47,7 +54,8 @@
     ) -> None:
         """Keep a connection whose exchange is over, or close it."""
         idle = self.idle.setdefault(upstream_id, [])
-        if not connection.can_be_reused() or len(idle) >= MOST_IDLE:
+        most = min(MOST_IDLE, self.most_idle(upstream_id))
+        if not connection.can_be_reused() or len(idle) >= most:
             connection.abort()
             return
         connection.idle_since = asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/cover/gateway/test_upstream_pool.py
@@ -0,0 +1,77 @@
+"""Check which connections to upstreams are kept for the next request."""
+
+import asyncio
+
+import pytest
+
+from common.routed import configuration, heartbeat, route
+from cowslipshelf_core.messages import RoutesDocument
+from cowslipshelf_daemon.gateway import GatewaySettings
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.upstream_pool import MOST_IDLE, UpstreamPool
+from cowslipshelf_host.metrics import Metrics
+
+SETTINGS = GatewaySettings(
+    "10.0.0.1", "g", "here", 7000, (), False, None, 1, None, None, None
+)
+
+
+class UsedConnection:
+    """Be a connection whose exchange is over."""
+
+    keep_alive_seconds = 30.0
+    idle_since = 0.0
+    address = "10.0.0.1:80"
+    aborted = False
+
+    def can_be_reused(self) -> bool:
+        return True
+
+    def is_quiet(self) -> bool:
+        return True
+
+    def prepare_next(self) -> None:
+        return None
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+@pytest.mark.parametrize("room", [1, 3, MOST_IDLE + 5])
+def test_no_more_idle_connections_are_kept_than_the_upstream_leaves_room_for(room):
+    async def keep() -> list[UsedConnection]:
+        pool = UpstreamPool(Metrics(), lambda _upstream_id: room)
+        used = [UsedConnection() for _ in range(MOST_IDLE + 3)]
+        for connection in used:
+            pool.give_back("u-1", connection)
+        return used
+
+    kept = [each for each in asyncio.run(keep()) if not each.aborted]
+    assert len(kept) == min(room, MOST_IDLE)
+
+
+def test_a_connection_is_used_again_and_counted_as_such():
+    async def use_again() -> tuple[object, object, str]:
+        metrics = Metrics()
+        pool = UpstreamPool(metrics, lambda _upstream_id: 2)
+        connection = UsedConnection()
+        pool.give_back("u-1", connection)
+        again = await pool.take("u-1", connection.address, fresh=False)
+        return connection, again, metrics.prometheus_text()
+
+    connection, again, text = asyncio.run(use_again())
+    assert again is connection
+    assert 'cowslipshelf_upstream_connections_total{way="reused"} 1' in text
+
+
+def test_all_gateways_together_keep_half_of_an_upstreams_connections_at_most():
+    """An application's instance resets new calls: its connections are all taken.
+
+    It takes 100 from all callers together. Two dozen gateways each kept as many idle
+    ones as they liked.
+    """
+    view = FleetView.from_settings(SETTINGS)
+    view.put_in_force(RoutesDocument(1, "d", b""), configuration(route()))
+    view.take_heartbeat(heartbeat("u-1"), 0.0)
+    assert view.idle_connections("u-1") == 50
+    assert view.idle_connections("unknown") == 1
