Stop trying more engines once one more can't cost less

Change: each further engine costs something by itself, so numbers of engines whose share of that is above the best cost are not tried. The choice is the same.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -190,23 +190,32 @@
         asked.pause_seconds or UNKNOWN_PAUSE_SECONDS,
     )
     placing = Placing(asked, model, seen, roomy, ready_times(seen), work)
-    choices = []
-    for parts in PART_COUNTS:
-        if parts > len(seen) or (parts > 1 and is_short(asked, model, parts // 2)):
-            break
-        choice = choose_parts(placing, parts) if roomy else share_memory(placing, parts)
-        if choice is not None:
-            choices.append(choice)
-    if not choices:
+    best = cheapest_choice(placing)
+    if best is None:
         reason = "the engines together have no memory for the prompt"
         return NoEngine(reason, shortest_wait(seen))
-    best = min(choices, key=lambda choice: choice.cost)
     if best.first_token_seconds > asked.left_seconds:
         wait = best.first_token_seconds - asked.left_seconds
         return NoEngine("no engine can answer in time", wait)
     return best
 
 
+def cheapest_choice(placing: Placing) -> EnginesChosen | None:
+    """Try numbers of engines, as long as one more might cost less."""
+    best: EnginesChosen | None = None
+    choose = choose_parts if placing.roomy else share_memory
+    for parts in PART_COUNTS:
+        least = SPREAD_COST * (parts - 1)
+        if parts > len(placing.seen) or (best is not None and best.cost <= least):
+            break
+        if parts > 1 and is_short(placing.asked, placing.model, parts // 2):
+            break
+        choice = choose(placing, parts)
+        if choice is not None and (best is None or choice.cost < best.cost):
+            best = choice
+    return best
+
+
 def draw_candidates(
     candidates: list[Candidate], fits_one: bool, random: Random
 ) -> list[Candidate]:
