--- a/tests/nocover/daemon/test_faults_on_processes.py
+++ b/tests/nocover/daemon/test_faults_on_processes.py
@@ -244,7 +244,7 @@
     path = f"/v1/explain/request/{request_id}"
     _, explained = fleet.operator_call("entry-1", "GET", path)
     placed = [line for line in explained["lines"] if " placed on " in line]
-    assert len(placed) == 1, explained
+    assert len(placed) == 1, "\n".join(explained["lines"])
 
 
 def test_a_wiped_disk_is_repaired_and_a_second_loss_right_after_is_survived(fleet):
