Let the interrupt's test not depend on who starts the tests

Shown by running the test alone with interrupts ignored (fails) and without (passes).

Change: the test's program heeds interrupts as a terminal's does. What is checked stays as it was.

Result: passes both ways.

--- a/tests/nocover/cli/test_program.py
+++ b/tests/nocover/cli/test_program.py
@@ -27,10 +27,17 @@
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
         env=environment,
+        # Whoever runs the tests in the background may have interrupts ignored, which
+        # the program would inherit, and rightly go on.
+        preexec_fn=heed_interrupts,
         **streams,
     )
 
 
+def heed_interrupts() -> None:
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 @pytest.mark.parametrize(("role", "code"), [("entry", 0), ("nobody", 6)])
 def test_the_exit_code_reaches_the_shell(tmp_path: Path, role: str, code: int) -> None:
     file = tmp_path / "settings.json"
