--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -67,6 +67,9 @@
 MAILBOX_SILENCE_SECONDS = 3.0
 TICK_SECONDS = 0.05
 FORGET_SECONDS = 5.0
+RECALL_SECONDS = 1.0
+"""Age of what a restart recalls of the upstreams: those that left since are tried in
+vain, each for the time of a lost connection."""
 RELOAD_SECONDS = 1.0
 """Pause between looks at the settings' file, which may change without a signal."""
 RESERVED_DESCRIPTORS = 600
@@ -219,7 +222,7 @@
 
     async def run(self) -> None:
         """Do what the time demands until the gateway has ended."""
-        alive_due = full_due = forget_due = reload_due = 0.0
+        alive_due = full_due = forget_due = reload_due = recall_due = 0.0
         while not self.ended.is_set():
             now = time.monotonic()
             self.keeper.tick()
@@ -233,8 +236,9 @@
             if now >= full_due:
                 full_due = now + FULL_SECONDS
                 self.gossip.tell_everything()
-                if self.upstreams_file is not None:
-                    self.upstreams_file.write_soon(self.view.all_heartbeats())
+            if self.upstreams_file is not None and now >= recall_due:
+                recall_due = now + RECALL_SECONDS
+                self.upstreams_file.write_soon(self.view.all_heartbeats())
             if now >= forget_due:
                 forget_due = now + FORGET_SECONDS
                 self.view.forget_old()
