Keep what runs on engines once, and survive a forgotten engine

Cause: the board held an index of parts beside the engines it follows, which only a baseline and tests still read. Word of a first token for a prompt that a forgotten engine had helped to read raised an error and cut its answer; a configuration whose steps take no time failed every placing.

Change: the index and fields that nobody read are gone; writers carry whether they are late; a pass has a least length. The tests of an empty board look at the engines' views instead of the index.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -5,6 +5,7 @@
 and all work from the same picture, a few milliseconds old.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -12,7 +13,6 @@
 from cowslipshelf_core.internal.routed.configuration import EngineModel
 from cowslipshelf_core.internal.routed.engine_passes import EnginePasses
 from cowslipshelf_core.internal.routed.messages import (
-    EnginePart,
     EngineWork,
     HeldWork,
     WorkHeld,
@@ -46,7 +46,6 @@
     """Be a part of a prompt that no pass of its engine has taken up yet."""
 
     work: EngineWork
-    part: EnginePart
     waited_seconds: float
     left_seconds: float
     """Time that the rest of it takes to read."""
@@ -57,11 +56,18 @@
     """Be a part that the pass under way reads to its end, or should have read."""
 
     work: EngineWork
-    waited_seconds: float
     ready_seconds: float
     """Time until the end of the pass."""
 
 
+class Writer(NamedTuple):
+    """Be an attempt that writes on an engine, or will once it is read."""
+
+    work: EngineWork
+    late: bool
+    """Whether it came too late already, and loses little by further delay."""
+
+
 @dataclass(slots=True)
 class EngineView:
     """Be what one engine is about to do."""
@@ -71,10 +77,7 @@
     unread: list[UnreadPart] = field(default_factory=list)
     """In the order in which they will be read."""
     in_pass: list[PartInPass] = field(default_factory=list)
-    writers: list[EngineWork] = field(default_factory=list)
-    """Attempts that write here, or will once they are read."""
-    late_writers: list[EngineWork] = field(default_factory=list)
-    """Those of them that came too late already, and lose little by further delay."""
+    writers: list[Writer] = field(default_factory=list)
     writes: bool = False
     """Whether any of them writes already."""
     helping: int = 0
@@ -93,9 +96,6 @@
     """Hold the attempts on engines, by attempt and by engine."""
 
     placed: dict[AttemptId, PlacedWork] = field(default_factory=dict)
-    by_engine: dict[UpstreamId, dict[AttemptId, EnginePart]] = field(
-        default_factory=dict
-    )
     passes: dict[UpstreamId, EnginePasses] = field(default_factory=dict)
 
     def begin(self, work: EngineWork, owner: InstanceId, now: float) -> None:
@@ -104,8 +104,6 @@
             return
         self.placed[work.attempt_id] = PlacedWork(work, owner, now)
         for part in work.parts:
-            engine = self.by_engine.setdefault(part.upstream_id, {})
-            engine[work.attempt_id] = part
             passes = self.passes.setdefault(part.upstream_id, EnginePasses())
             passes.place(work, part, now)
 
@@ -115,20 +113,22 @@
         if placed is None:
             return
         placed.first_token = True
-        for part in placed.work.parts:
-            self.passes[part.upstream_id].first_token(attempt_id, now)
-            if not part.writes and not part.memory_tokens:
-                self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
+        for passes in self.passes_of(placed.work):
+            passes.first_token(attempt_id, now)
 
     def end(self, attempt_id: AttemptId, now: float) -> None:
         """Forget an attempt that is over."""
         placed = self.placed.pop(attempt_id, None)
         if placed is None:
             return
-        for part in placed.work.parts:
-            self.by_engine.get(part.upstream_id, {}).pop(attempt_id, None)
+        for passes in self.passes_of(placed.work):
+            passes.end(attempt_id, now)
+
+    def passes_of(self, work: EngineWork) -> Iterator[EnginePasses]:
+        """Go through the engines of an attempt; some may be forgotten by now."""
+        for part in work.parts:
             if part.upstream_id in self.passes:
-                self.passes[part.upstream_id].end(attempt_id, now)
+                yield self.passes[part.upstream_id]
 
     def forget_owner(self, owner: InstanceId, now: float) -> None:
         """Forget the attempts of a gateway that has ended, whose engines dropped them.
@@ -183,7 +183,6 @@
 
     def forget_engine(self, upstream_id: UpstreamId) -> None:
         """Forget an engine that has gone."""
-        self.by_engine.pop(upstream_id, None)
         self.passes.pop(upstream_id, None)
 
     def view(
@@ -201,9 +200,7 @@
             view.memory_tokens += part.memory_tokens
             view.writes |= followed.writing
             if part.writes:
-                view.writers.append(followed.work)
-                if followed.late:
-                    view.late_writers.append(followed.work)
+                view.writers.append(Writer(followed.work, followed.late))
             placed = self.placed.get(followed.work.attempt_id)
             if placed is None or placed.first_token:
                 continue
@@ -212,13 +209,11 @@
                 # What should be done by now and is not told as done is still to come.
                 overrun = OVERRUN_SECONDS if part.writes else 0.0
                 ready = max(view.pass_left_seconds, overrun)
-                waited = now - followed.begun_at
-                view.in_pass.append(PartInPass(followed.work, waited, ready))
+                view.in_pass.append(PartInPass(followed.work, ready))
         for followed in passes.unread():
             view.unread.append(
                 UnreadPart(
                     followed.work,
-                    followed.part,
                     now - followed.begun_at,
                     followed.left_seconds,
                     followed.left_chunks,
@@ -236,11 +231,7 @@
         placed = self.placed.get(attempt_id)
         if placed is None:
             return 0.0
-        left = (
-            self.passes[part.upstream_id].reading_left(now)
-            for part in placed.work.parts
-            if part.upstream_id in self.passes
-        )
+        left = (passes.reading_left(now) for passes in self.passes_of(placed.work))
         longest = max(left, default=0.0)
         if longest <= LONG_READ_SECONDS:
             return 0.0
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_passes.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_passes.py
@@ -16,6 +16,12 @@
 from cowslipshelf_core.internal.routed.engine_cost import pass_seconds
 from cowslipshelf_core.internal.routed.messages import EnginePart, EngineWork
 
+ROUNDING_CHUNKS = 1e-9
+"""Rest of a part that is only a rounding error."""
+LEAST_PASS_SECONDS = 1e-4
+"""Length of a pass whose steps take no time by their model: following such an engine
+would come to no end. A real pass takes four hundred times as long."""
+
 
 @dataclass(slots=True)
 class FollowedPart:
@@ -45,10 +51,6 @@
         return seconds
 
 
-ROUNDING_CHUNKS = 1e-9
-"""Rest of a part that is only a rounding error."""
-
-
 class DueChange(NamedTuple):
     """Be a change that happened since the engine was last looked at."""
 
@@ -105,7 +107,7 @@
         Only where nothing is read, as else its word may come late of a pass that is
         over; so the passes of an engine that only writes are met within milliseconds.
         """
-        if not self.unread() and all(each.is_read for each in self.parts.values()):
+        if not self.unread():
             self.pass_ends_at = min(self.pass_ends_at, at)
 
     # The passes.
@@ -141,7 +143,7 @@
             self.begin_writing(followed)
             if chunks <= 0.0:
                 break
-        seconds = reading + self.writing_seconds(model)
+        seconds = max(LEAST_PASS_SECONDS, reading + self.writing_seconds(model))
         self.note_late(seconds)
         if not unread:
             seconds *= math.floor(max(0.0, now - begins_at) / seconds) + 1
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -414,8 +414,7 @@
     if not seen.pace.writes or longest <= before:
         return 0.0
     harm = 0.0
-    for work in seen.view.writers:
-        late = work in seen.view.late_writers
+    for work, late in seen.view.writers:
         more = held_up(longest, work, late) - held_up(before, work, late)
         harm += work.value * max(0.0, more)
     return harm
--- a/packages/emulator/src/cowslipshelf_emulator/internal/policies.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/policies.py
@@ -1,6 +1,7 @@
 """Choose the engines of a prompt: as the product does, or as simple routers do."""
 
 from abc import ABC, abstractmethod
+from collections import Counter
 from dataclasses import dataclass, field
 from random import Random
 
@@ -89,10 +90,13 @@
 
     def pick(self) -> UpstreamId:
         """Choose the least loaded engine; ties are drawn."""
-        board = self.board.by_engine
+        running = Counter(
+            part.upstream_id
+            for placed in self.board.placed.values()
+            for part in placed.work.parts
+        )
         return min(
-            self.engines,
-            key=lambda engine: (len(board.get(engine, ())), self.random.random()),
+            self.engines, key=lambda engine: (running[engine], self.random.random())
         )
 
 
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -12,6 +12,7 @@
     EngineBoard,
     EnginePart,
     EnginesChosen,
+    EngineView,
     EngineWork,
     NoEngine,
     PromptAsked,
@@ -23,6 +24,8 @@
 
 SHORT = PromptSize(5_000, 1_300)
 LONG = PromptSize(182_000, 700)
+LONG_AFTER = 60.0
+"""Time at which every pass under way has ended, in seconds."""
 
 
 class Load:
@@ -46,6 +49,12 @@
             self.board.begin(chosen.work, "gateway", now)
         return chosen
 
+    def views(self, now: float) -> list[EngineView]:
+        return [
+            self.board.view(candidate.upstream_id, ENGINE, now)
+            for candidate in self.candidates
+        ]
+
     def short(self, now: float) -> EnginesChosen | NoEngine:
         return self.place(SHORT, now, objective=0.3, pause=0.25)
 
@@ -191,7 +200,7 @@
     for attempt_id in running:
         load.board.end(attempt_id, 9.0)
     assert load.board.placed == {}
-    assert not any(load.board.by_engine.values())
+    assert load.views(LONG_AFTER) == [EngineView()] * 6
 
 
 def test_work_of_a_gateway_that_started_again_no_longer_counts():
@@ -205,7 +214,36 @@
     assert load.board.placed
     load.board.forget_owner("gateway", 1.0)
     assert load.board.placed == {}
-    assert not any(load.board.by_engine.values())
+    assert load.views(LONG_AFTER) == [EngineView()] * 2
+
+
+def test_word_of_an_engine_that_was_forgotten_changes_nothing():
+    """A stream is cut although its own engine is well.
+
+    An engine that helped to read its prompt fell silent and was forgotten; the word
+    that the prompt has been read names it still.
+    """
+    load = Load(engines=4)
+    long = load.long(0.0)
+    assert long.helpers
+    load.board.forget_engine(long.helpers[0])
+    load.board.first_token(long.work.attempt_id, 1.0)
+    load.board.end(long.work.attempt_id, 2.0)
+    assert load.views(LONG_AFTER) == [EngineView()] * 4
+
+
+def test_engines_whose_steps_take_no_time_are_placed_on_all_the_same():
+    """Each placing fails, by a configuration that gives no time to a step."""
+    model = ENGINE._replace(
+        step_seconds=0.0,
+        step_seconds_per_writer=0.0,
+        step_seconds_per_context_token=0.0,
+    )
+    board = EngineBoard()
+    part = EnginePart("e", 0.02, 1, writes=True)
+    board.begin(EngineWork("w", (part,), 1.5, 0.3, 0.25), "g", 0.0)
+    board.first_token("w", 0.1)
+    assert board.view("e", model, 0.5).writes
 
 
 def test_a_gateway_that_has_just_started_learns_what_runs():
