Part the weighing of engines from the choice among them

Change: engine_weighing.py says what an engine's part costs; both ways of choosing share their end. No cost changes.

--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -21,12 +21,11 @@
     worth_of,
 )
 from cowslipshelf_core.internal.routed.engine_placing import (
-    Candidate,
     EnginesChosen,
     NoEngine,
-    PromptAsked,
     place_prompt,
 )
+from cowslipshelf_core.internal.routed.engine_weighing import Candidate, PromptAsked
 from cowslipshelf_core.internal.routed.matching import RouteTable, choose_service
 from cowslipshelf_core.internal.routed.messages import (
     EnginePart,
