Take ranks, callers' patience and pass times from where gateways do

Cause: the emulator wrote again how prompts are ranked at an engine, when callers leave and how long a step takes.

Change: the rank moves from the daemon into the core; emulator and gateways call the same functions.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_cost.py
@@ -53,3 +53,17 @@
 """Prompt tokens that are worth as much as a question of none. The users' sheets give
 1.3 to questions of 5,000 tokens, 3.9 to 45,000 and 24 to 182,000, and this gives 1.5,
 5.5 and 19."""
+
+
+def admission_priority(size: PromptSize) -> int:
+    """Return a prompt's rank where an engine has no slot free; low ones go first."""
+    long = size.prompt_tokens > LONG_PROMPT_TOKENS
+    return LONG_PROMPT_PRIORITY if long else SHORT_PROMPT_PRIORITY
+
+
+SHORT_PROMPT_PRIORITY = 3
+LONG_PROMPT_PRIORITY = 5
+"""Ranks at an engine's admission, from 0 to 9: a short prompt goes before a long one,
+which waits a few passes longer at most. Five is an engine's default."""
+LONG_PROMPT_TOKENS = 24_000
+"""Prompts above this take longer to read than a pass of an engine that writes."""
--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_outlook.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_outlook.py
@@ -100,19 +100,20 @@
     It may make a pause that is too long, or the caller leave. One that is late already
     keeps a late answer's worth, and can only lose that.
     """
-    leaves = pass_time > LEAVE_FROM * leaves_after(work)
+    silence = leaves_after(work.objective_seconds, work.pause_seconds)
+    leaves = pass_time > LEAVE_FROM * silence
     if late:
         return LATE_SHARE if leaves else 0.0
     delayed = lateness(pass_time / work.pause_seconds * (LATE_FROM / HARM_FROM))
     return delayed + (LOST_COST if leaves else 0.0)
 
 
-def leaves_after(work: EngineWork) -> float:
+def leaves_after(objective_seconds: float, pause_seconds: float) -> float:
     """Return the silence after which a caller leaves, in seconds."""
     return max(
         LEAVE_SECONDS,
-        LEAVE_OBJECTIVES * work.objective_seconds,
-        LEAVE_PAUSES * work.pause_seconds,
+        LEAVE_OBJECTIVES * objective_seconds,
+        LEAVE_PAUSES * pause_seconds,
     )
 
 
--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -15,11 +15,13 @@
 from cowslipshelf_core.internal.routed.engine_board import EngineBoard, EngineView
 from cowslipshelf_core.internal.routed.engine_cost import (
     PromptSize,
+    admission_priority,
     pass_seconds,
     read_chunks,
     read_seconds,
     worth_of,
 )
+from cowslipshelf_core.internal.routed.engine_outlook import leaves_after
 from cowslipshelf_core.internal.routed.engine_placing import (
     EnginesChosen,
     NoEngine,
@@ -105,9 +107,11 @@
     "WorkChanged",
     "WorkHeld",
     "WorkProgress",
+    "admission_priority",
     "choose_service",
     "choose_upstream",
     "configuration_problem",
+    "leaves_after",
     "pass_seconds",
     "place_prompt",
     "read_chunks",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -17,6 +17,7 @@
     PromptAsked,
     Route,
     UpstreamHeartbeat,
+    admission_priority,
     choose_upstream,
     place_prompt,
 )
@@ -24,12 +25,6 @@
 
 RETRY_SECONDS = 1.0
 """Pause told to a caller where no upstream is known: a heartbeat's time."""
-SHORT_PROMPT_PRIORITY = 3
-LONG_PROMPT_PRIORITY = 5
-"""Ranks at an engine's admission, from 0 to 9: a short prompt goes before a long one,
-which waits a few passes longer at most. Five is an engine's default."""
-LONG_PROMPT_TOKENS = 24_000
-"""Prompts above this take longer to read than a pass of an engine that writes."""
 
 
 class Patience(NamedTuple):
@@ -140,7 +135,6 @@
     by_id = {each.upstream_id: each for each in upstreams}
     tickets = tickets_of(chosen, by_id)
     names = {ticket.upstream_id: ticket.name for ticket in tickets}
-    long = facts.prompt.prompt_tokens > LONG_PROMPT_TOKENS
     return Placement(
         by_id[chosen.upstream_id],
         chosen.work,
@@ -150,7 +144,7 @@
         ),
         tickets,
         chosen.first_token_seconds,
-        LONG_PROMPT_PRIORITY if long else SHORT_PROMPT_PRIORITY,
+        admission_priority(facts.prompt),
         len(candidates),
         chosen.cost,
     )
--- a/packages/emulator/src/cowslipshelf_emulator/internal/engine.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/engine.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from cowslipshelf_core.routed import EngineModel
+from cowslipshelf_core.routed import EngineModel, pass_seconds
 
 
 @dataclass(slots=True)
@@ -129,13 +129,9 @@
 
     def step_seconds(self) -> float:
         """Return the time of a step that reads nothing."""
-        model = self.model
         context = sum(each.context_tokens for each in self.writing)
-        return (
-            model.step_seconds
-            + len(self.writing) * model.step_seconds_per_writer
-            + context * model.step_seconds_per_context_token
-        )
+        whole = pass_seconds(self.model, len(self.writing), context)
+        return whole / self.model.steps_per_pass
 
     def fill_slots(self) -> None:
         """Admit those that wait, the most urgent first."""
--- a/packages/emulator/src/cowslipshelf_emulator/internal/fleet.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/fleet.py
@@ -12,17 +12,13 @@
     EngineWork,
     NoEngine,
     PromptAsked,
+    admission_priority,
 )
 from cowslipshelf_emulator.internal.engine import EmulatedEngine, Reading
 from cowslipshelf_emulator.internal.load import Arrival, Fleet
 from cowslipshelf_emulator.internal.policies import Policy
 from cowslipshelf_emulator.internal.timeline import Timeline
 
-SHORT_PROMPT_TOKENS = 24_000
-SHORT_PRIORITY = 3
-LONG_PRIORITY = 5
-"""As the gateways rank prompts at an engine's admission."""
-
 CLOCK_ERROR_SECONDS = 1e-6
 """Sums of times differ by rounding; a caller that is looked at a moment too early
 would be looked at again at the same time for ever."""
@@ -135,14 +131,13 @@
     def begin(self, arrival: Arrival, work: EngineWork) -> None:
         """Let the engines take a request's parts."""
         tokens = arrival.size.prompt_tokens
-        long = tokens > SHORT_PROMPT_TOKENS
         for number, part in enumerate(work.parts):
             engine = self.engines[part.upstream_id]
             reading = Reading(
                 arrival.request, tokens, arrival.output_tokens, len(work.parts)
             )
             if number == 0:
-                engine.admit(reading, LONG_PRIORITY if long else SHORT_PRIORITY)
+                engine.admit(reading, admission_priority(arrival.size))
             elif not engine.help(reading):
                 self.end(self.running[arrival.request], "refused")
                 return
--- a/packages/emulator/src/cowslipshelf_emulator/internal/load.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/load.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from cowslipshelf_core.routed import EngineModel, PromptSize
+from cowslipshelf_core.routed import EngineModel, PromptSize, leaves_after
 
 
 class Lengths(NamedTuple):
@@ -38,7 +38,7 @@
     @property
     def leave_seconds(self) -> float:
         """Return the silence after which a caller leaves."""
-        return max(2.0, 4 * self.objective_seconds, 8 * self.pause_seconds)
+        return leaves_after(self.objective_seconds, self.pause_seconds)
 
 
 class Fleet(NamedTuple):
