Read logs in one place, for stories and for the emulator's check

Cause: the emulator parsed gateways' log lines by itself, beside the reader that explains a request from them.

Change: the reader of entries is a public module of cowslipshelf_host; both use it. The emulator's made-up lines carry a time, as real ones do.

--- a/packages/cli/src/cowslipshelf_cli/internal/log_story.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/log_story.py
@@ -1,15 +1,13 @@
 """Tell one request's story from the logs of several processes."""
 
-import json
-from collections.abc import Iterable, Iterator
-from datetime import datetime, timedelta
-from pathlib import Path
+from datetime import timedelta
 from typing import NamedTuple
 
 from cowslipshelf_cli.exit_codes import ExitCode
 from cowslipshelf_cli.internal.commands import Explain
 from cowslipshelf_cli.internal.failures import CommandFailedError
 from cowslipshelf_cli.internal.writing import Writer
+from cowslipshelf_host.log_entries import LogEntry, read_entries
 
 AROUND = timedelta(seconds=5)
 """Time before and after a request in which the fate of its upstreams and of its own
@@ -17,30 +15,6 @@
 OF_PROCESSES = frozenset(
     {"gateway: Started.", "gateway: Leaving.", "gateway: Left.", "gateway: Ended."}
 )
-HIDDEN = frozenset({"event", "timestamp", "level", "part", "request"})
-
-
-class LogEntry(NamedTuple):
-    """Be one line of a log."""
-
-    at: datetime
-    source: str
-    """What stands before the entry on its line, or else the file it came from."""
-    fields: dict
-
-    @property
-    def event(self) -> str:
-        """Return what happened."""
-        return str(self.fields.get("event", ""))
-
-    def text(self) -> str:
-        """Write the entry as one line."""
-        shown = " ".join(
-            f"{name}={value}"
-            for name, value in self.fields.items()
-            if name not in HIDDEN and value not in (None, "", [])
-        )
-        return f"{self.at:%H:%M:%S.%f} {self.source} {self.event} {shown}".rstrip()
 
 
 class Story(NamedTuple):
@@ -74,28 +48,6 @@
     return ExitCode.DONE
 
 
-def read_entries(paths: Iterable[Path]) -> Iterator[LogEntry]:
-    """Read the entries of some files; lines that hold none are passed over."""
-    for path in paths:
-        with path.open(encoding="utf-8", errors="replace") as lines:
-            for line in lines:
-                entry = entry_of(line, str(path))
-                if entry is not None:
-                    yield entry
-
-
-def entry_of(line: str, file_name: str) -> LogEntry | None:
-    """Read one line; whoever collects logs may have put a name before the entry."""
-    before, brace, rest = line.partition("{")
-    try:
-        fields = json.loads(brace + rest)
-        at = datetime.fromisoformat(fields["timestamp"])
-    except (ValueError, KeyError, TypeError):
-        return None
-    words = before.split()
-    return LogEntry(at, words[-1] if words else file_name, fields)
-
-
 def story_of(request: str, entries: list[LogEntry]) -> Story | None:
     """Pick what belongs to a request, in order, and say what it came to."""
     own = [entry for entry in entries if entry.fields.get("request") == request]
--- a/packages/emulator/src/cowslipshelf_emulator/internal/comparing.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/comparing.py
@@ -3,10 +3,8 @@
 Only the engines are compared: which engines read each prompt is taken from the log.
 """
 
-import json
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from datetime import datetime
 from pathlib import Path
 from typing import NamedTuple, TypedDict
 
@@ -18,6 +16,7 @@
 from cowslipshelf_emulator.internal.fleet import Delays, EmulatedFleet, Outcome
 from cowslipshelf_emulator.internal.load import Arrival, Fleet, Kind, Lengths
 from cowslipshelf_emulator.internal.policies import LeastOutstanding
+from cowslipshelf_host.log_entries import LogEntry, read_entries
 
 BEGINS = "request: Attempt begins."
 ENDED = "request: Attempt ended."
@@ -50,33 +49,27 @@
     pause_p95: tuple[float, float]
 
 
-def read_attempts(path: str) -> Iterator[LoggedAttempt]:
+def read_attempts(paths: Iterable[Path]) -> Iterator[LoggedAttempt]:
     """Read the whole answers that engines gave; other lines are passed over."""
-    begun: dict[str, dict] = {}
-    for line in Path(path).read_text(errors="replace").splitlines():
-        start = line.find("{")
-        if start < 0 or "request: Attempt" not in line:
-            continue
-        try:
-            entry = json.loads(line[start:])
-        except json.JSONDecodeError:
-            continue
-        if entry.get("event") == BEGINS and entry.get("tokens"):
-            begun[entry["request"]] = entry
-        elif entry.get("event") == ENDED:
-            first = begun.pop(entry["request"], None)
-            if first is not None and entry.get("outcome") == "Answered":
-                yield logged(first, entry)
-
-
-def logged(begins: dict, ended: dict) -> LoggedAttempt:
+    begun: dict[str, LogEntry] = {}
+    for entry in read_entries(paths):
+        fields = entry.fields
+        if entry.event == BEGINS and fields.get("tokens"):
+            begun[fields["request"]] = entry
+        elif entry.event == ENDED:
+            first = begun.pop(fields["request"], None)
+            if first is not None and fields.get("outcome") == "Answered":
+                yield logged(first, fields)
+
+
+def logged(begins: LogEntry, ended: dict) -> LoggedAttempt:
     """Join an attempt's two lines."""
-    at = datetime.fromisoformat(begins["timestamp"].replace("Z", "+00:00"))
+    fields = begins.fields
     return LoggedAttempt(
-        begins["request"],
-        at.timestamp(),
-        begins["tokens"],
-        (UpstreamId(begins["upstream"]), *map(UpstreamId, begins["helpers"])),
+        fields["request"],
+        begins.at.timestamp(),
+        fields["tokens"],
+        (UpstreamId(fields["upstream"]), *map(UpstreamId, fields["helpers"])),
         ended["first"],
         ended["pause"] or 0.0,
         ended["seconds"],
--- a/packages/emulator/src/cowslipshelf_emulator/program.py
+++ b/packages/emulator/src/cowslipshelf_emulator/program.py
@@ -3,6 +3,7 @@
 import json
 import sys
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Annotated
 
 import cappa
@@ -43,12 +44,12 @@
 class Check:
     """Compare the emulated engines with what gateways logged."""
 
-    logs: Annotated[list[str], cappa.Arg(help="files of gateways' logs")]
+    logs: Annotated[list[Path], cappa.Arg(help="files of gateways' logs")]
     fleet: Annotated[str, cappa.Arg(long=True, help="whose engines ran")] = "nilegate"
 
     def __call__(self) -> None:
         """Print the measured and the emulated times."""
-        attempts = [one for path in self.logs for one in read_attempts(path)]
+        attempts = list(read_attempts(self.logs))
         json.dump(compare(FLEETS[self.fleet], attempts), sys.stdout, indent=2)
         print()
 
--- a/tests/cover/cli/test_recorded_failures.py
+++ b/tests/cover/cli/test_recorded_failures.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from cowslipshelf_cli.internal.log_story import read_entries, story_of
+from cowslipshelf_cli.internal.log_story import story_of
+from cowslipshelf_host.log_entries import read_entries
 
 LOG = Path(__file__).parent / "recorded" / "failed_requests.log"
 CAUSES = {
--- a/tests/cover/emulator/test_comparing.py
+++ b/tests/cover/emulator/test_comparing.py
@@ -10,6 +10,7 @@
 
 def line(event: str, **facts) -> str:
     facts["event"] = f"request: {event}"
+    facts.setdefault("timestamp", "2026-04-06T09:20:09Z")
     return f"   0.0664 front-1 {json.dumps(facts)}"
 
 
@@ -44,7 +45,7 @@
             ]
         )
     )
-    (attempt,) = read_attempts(str(path))
+    (attempt,) = read_attempts([path])
     assert attempt.name == "whole"
     assert attempt.engines == ("e-1", "e-2")
 
@@ -55,6 +56,6 @@
     alone = [begins("alone", 1.0, 1_319, "e-1")]
     alone.append(ended("alone", first=0.013, pause=0.0868, seconds=3.7746))
     path.write_text("\n".join(alone))
-    compared = compare(NILEGATE, list(read_attempts(str(path))))
+    compared = compare(NILEGATE, list(read_attempts([path])))
     measured, emulated = compared["short"]["first_p50"]
     assert emulated == pytest.approx(measured, abs=3)
