--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -4,6 +4,8 @@
 import signal
 import socket
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from pykka import ActorRef
 
@@ -87,6 +89,21 @@
 """Bound on a configuration: a hundred thousand routes take about as much."""
 
 
+@dataclass(slots=True)
+class RegularDuty:
+    """Be something to be done again after a pause, in seconds."""
+
+    pause: float
+    act: Callable[[], None]
+    due: float = 0.0
+
+    def do_when_due(self, now: float) -> None:
+        """Do it, unless the pause has yet to pass."""
+        if now >= self.due:
+            self.due = now + self.pause
+            self.act()
+
+
 class Gateway:
     """Own the parts of one gateway; they live on one event loop."""
 
@@ -222,29 +239,36 @@
 
     async def run(self) -> None:
         """Do what the time demands until the gateway has ended."""
-        alive_due = full_due = forget_due = reload_due = recall_due = 0.0
+        duties = self.duties()
         while not self.ended.is_set():
             now = time.monotonic()
             self.keeper.tick()
             self.control_actor.tell(Tick())
-            if now >= alive_due:
-                alive_due = now + ALIVE_SECONDS
-                self.gossip.tick()
-            if now >= reload_due:
-                reload_due = now + RELOAD_SECONDS
-                self.reload()
-            if now >= full_due:
-                full_due = now + FULL_SECONDS
-                self.gossip.tell_everything()
-            if self.upstreams_file is not None and now >= recall_due:
-                recall_due = now + RECALL_SECONDS
-                self.upstreams_file.write_soon(self.view.all_heartbeats())
-            if now >= forget_due:
-                forget_due = now + FORGET_SECONDS
-                self.view.forget_old()
-                self.pool.close_stale()
+            for duty in duties:
+                duty.do_when_due(now)
             await asyncio.sleep(TICK_SECONDS)
 
+    def duties(self) -> list[RegularDuty]:
+        """List what is done at regular times, in this order."""
+        duties = [
+            RegularDuty(ALIVE_SECONDS, self.gossip.tick),
+            RegularDuty(RELOAD_SECONDS, self.reload),
+            RegularDuty(FULL_SECONDS, self.gossip.tell_everything),
+            RegularDuty(FORGET_SECONDS, self.forget_old),
+        ]
+        if self.upstreams_file is not None:
+            duties.append(RegularDuty(RECALL_SECONDS, self.write_upstreams))
+        return duties
+
+    def forget_old(self) -> None:
+        """Forget what is too old to matter, and close what nobody will use."""
+        self.view.forget_old()
+        self.pool.close_stale()
+
+    def write_upstreams(self) -> None:
+        """Write down what a restart will recall."""
+        self.upstreams_file.write_soon(self.view.all_heartbeats())
+
     def reload(self) -> None:
         """Take over what may change while the process runs, if anything has."""
         loaded = self.source.load_if_changed()
