Encode a message to several peers once

Cause: words between gateways go to each peer in turn, and were packed and tagged anew for each, on every request's way.

Change: mailbox and post send to several addresses; one address is the case of one. The whole list of upstreams is told in one place.

Result: the tests of mailboxes, daemons and gateways pass; bytes on the wire are the same, the gain in processor time was not measured.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 from cowslipshelf_core.dialect import Dialect
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
@@ -78,12 +79,16 @@
 
     def tell_all(self, message: Message) -> None:
         """Send to every other gateway that was heard of lately."""
-        for peer in self.view.peers.alive(time.monotonic()):
-            self.send(peer, message)
+        self.send_to(self.view.peers.alive(time.monotonic()), message)
 
     def send(self, peer: InstanceId, message: Message) -> None:
         """Send to one gateway."""
-        self.post.send(self.view.settings.peer_address(peer), message)
+        self.send_to((peer,), message)
+
+    def send_to(self, peers: Iterable[InstanceId], message: Message) -> None:
+        """Send to some gateways."""
+        settings = self.view.settings
+        self.post.send_to_all([settings.peer_address(p) for p in peers], message)
 
     def spread(self, message: WorkChanged | HeartbeatsSeen, turn: int) -> None:
         """Send to every other gateway, to far ones by way of one in each data centre.
@@ -93,11 +98,9 @@
         """
         now = time.monotonic()
         peers = self.view.peers
-        for peer in peers.neighbours(now):
-            self.send(peer, message)
+        self.send_to(peers.neighbours(now), message)
         relayed = Relayed(self.view.settings.instance, message, True)
-        for peer in peers.relays(now, turn):
-            self.send(peer, relayed)
+        self.send_to(peers.relays(now, turn), relayed)
 
     def tick(self) -> None:
         """Tell what is told at regular times."""
@@ -109,8 +112,7 @@
         """Say that this gateway is there, to all that it knows and to the seeds."""
         peers = self.view.peers
         message = self.alive_message(self.words % PEERS_TOLD_EACH == 0)
-        for peer in peers.near() if near_only else peers.to_tell():
-            self.send(peer, message)
+        self.send_to(peers.near() if near_only else peers.to_tell(), message)
 
     def alive_message(self, with_peers: bool) -> PeerAlive:
         """Return a word that this gateway is there."""
@@ -171,12 +173,15 @@
         peers = self.view.peers.alive(time.monotonic())
         if peers:
             self.turn += 1
-            peer = peers[self.turn % len(peers)]
-            self.send(peer, HeartbeatsSeen(self.view.all_heartbeats()))
+            self.tell_upstreams(peers[self.turn % len(peers)])
+
+    def tell_upstreams(self, peer: InstanceId) -> None:
+        """Tell one gateway all upstreams."""
+        self.send(peer, HeartbeatsSeen(self.view.all_heartbeats()))
 
     def tell_everything_to(self, peer: InstanceId) -> None:
         """Tell one gateway all upstreams, and what this one has on engines."""
-        self.send(peer, HeartbeatsSeen(self.view.all_heartbeats()))
+        self.tell_upstreams(peer)
         self.tell_work_held(peer)
 
     def tell_work_held(self, peer: InstanceId) -> None:
@@ -226,9 +231,9 @@
     def pass_on(self, sender: InstanceId, relayed: Relayed) -> None:
         """Pass a message on in this data centre."""
         onward = Relayed(relayed.origin, relayed.message, False)
-        for peer in self.view.peers.neighbours(time.monotonic()):
-            if peer not in (sender, relayed.origin):
-                self.send(peer, onward)
+        neighbours = self.view.peers.neighbours(time.monotonic())
+        known = (sender, relayed.origin)
+        self.send_to([peer for peer in neighbours if peer not in known], onward)
 
     def heard(self, delivered: Delivered, alive: PeerAlive) -> None:
         """Note a gateway, and ask it for a newer configuration."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/post.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/post.py
@@ -1,7 +1,7 @@
 """Deliver messages to instances by name or address, this one included."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from cowslipshelf_core.announcing import EntryPlace, roster_digest
@@ -61,15 +61,18 @@
 
     def send(self, address: str, message: Message) -> None:
         """Send to an address, without the network where it is this process's own."""
+        self.send_to_all((address,), message)
+
+    def send_to_all(self, addresses: Collection[str], message: Message) -> None:
+        """Send to some addresses; the message is encoded once."""
         if self.mailbox is None:
             return
-        if address == self.address:
-            self.deliver_here(Delivered(self.instance, address, message))
-        else:
-            self.mailbox.send(address, message)
+        others = [address for address in addresses if address != self.address]
+        if len(others) < len(addresses):
+            self.deliver_here(Delivered(self.instance, self.address, message))
+        self.mailbox.send_to_all(others, message)
 
     def tell_other_entries(self, message: Message) -> None:
         """Send to every other entry instance."""
-        for instance, address in self.entries():
-            if instance != self.instance:
-                self.send(address, message)
+        others = [each for each in self.entries() if each[0] != self.instance]
+        self.send_to_all([address for _, address in others], message)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/mailbox.py
@@ -2,7 +2,7 @@
 
 import atexit
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from functools import cache
 from random import Random, SystemRandom
 from threading import Event, Lock, Thread
@@ -158,11 +158,18 @@
 
     def send(self, address: str, message: Message) -> None:
         """Send a message to the mailbox at the address; never wait, may lose it."""
-        data = self.encode(message)
-        if len(data) > self.config.most_message_bytes:
-            self.counter_table.add(CountedEvent.TOO_LARGE)
+        self.send_to_all((address,), message)
+
+    def send_to_all(self, addresses: Collection[str], message: Message) -> None:
+        """Send a message to several mailboxes; it is encoded and tagged once."""
+        if not addresses:
             return
-        self.peer_at(address).send(data)
+        data = self.encode(message)
+        for address in addresses:
+            if len(data) > self.config.most_message_bytes:
+                self.counter_table.add(CountedEvent.TOO_LARGE)
+            else:
+                self.peer_at(address).send(data)
 
     def stop(self) -> None:
         """Let what was sent arrive, within a short time, and close everything.
