--- a/tests/common/routed.py
+++ b/tests/common/routed.py
@@ -9,9 +9,15 @@
     UpstreamPhase,
     WeightedService,
 )
+from cowslipshelf_daemon.gateway import GatewaySettings
 from cowslipshelf_emulator.loads import ENGINE
 
-__all__ = ["ENGINE", "configuration", "heartbeat", "route"]
+__all__ = ["ENGINE", "GATEWAY_SETTINGS", "configuration", "heartbeat", "route"]
+
+GATEWAY_SETTINGS = GatewaySettings(
+    "10.0.0.1", "g", "here", 7000, (), False, None, 1, None, None, None
+)
+"""A gateway alone, without a disk and without an address to listen at."""
 
 
 def route(**changes) -> Route:
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -5,11 +5,10 @@
 
 import pytest
 
-from common.routed import heartbeat, route
+from common.routed import GATEWAY_SETTINGS, heartbeat, route
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import CallerFacts
 from cowslipshelf_core.routed import EnginePart, EngineWork, RouteKind, WorkChanged
-from cowslipshelf_daemon.gateway import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.attempt import (
     Answered,
     AttemptRunner,
@@ -26,9 +25,6 @@
     UpstreamLostError,
 )
 
-SETTINGS = GatewaySettings(
-    "10.0.0.1", "g", "here", 7000, (), False, None, 1, None, None, None
-)
 HEADERS = [(b"x-attempt-id", b"a-1")]
 
 
@@ -115,7 +111,7 @@
     """Run an attempt for each connection; return the outcomes and what was told."""
 
     async def attempts():
-        view = FleetView.from_settings(SETTINGS)
+        view = FleetView.from_settings(GATEWAY_SETTINGS)
         told: list[WorkChanged] = []
         view.tell_work = told.append
         runner = AttemptRunner(view, PlayedPool(*connections), MachinesDialect())
--- a/tests/cover/gateway/test_upstream_pool.py
+++ b/tests/cover/gateway/test_upstream_pool.py
@@ -4,17 +4,12 @@
 
 import pytest
 
-from common.routed import configuration, heartbeat, route
+from common.routed import GATEWAY_SETTINGS, configuration, heartbeat, route
 from cowslipshelf_core.messages import RoutesDocument
-from cowslipshelf_daemon.gateway import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.upstream_pool import MOST_IDLE, UpstreamPool
 from cowslipshelf_host.metrics import Metrics
 
-SETTINGS = GatewaySettings(
-    "10.0.0.1", "g", "here", 7000, (), False, None, 1, None, None, None
-)
-
 
 class UsedConnection:
     """Be a connection whose exchange is over."""
@@ -70,7 +65,7 @@
     It takes 100 from all callers together. Two dozen gateways each kept as many idle
     ones as they liked.
     """
-    view = FleetView.from_settings(SETTINGS)
+    view = FleetView.from_settings(GATEWAY_SETTINGS)
     view.put_in_force(RoutesDocument(1, "d", b""), configuration(route()))
     view.take_heartbeat(heartbeat("u-1"), 0.0)
     assert view.idle_connections("u-1") == 50
