Don't take writers for late because they are told of again

Cause: a whole list of a gateway's work repeats first tokens, and each was noted with the present time; after lost word was asked for, writers counted as late, and long prompts were read beside them.

Change: a first token counts once; one that a list tells of has no time.

Result: the new test fails before and passes after.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_board.py
@@ -110,7 +110,7 @@
     def first_token(self, attempt_id: AttemptId, now: float) -> None:
         """Note that an attempt's prompt has been read, by all engines."""
         placed = self.placed.get(attempt_id)
-        if placed is None:
+        if placed is None or placed.first_token:
             return
         placed.first_token = True
         for passes in self.passes_of(placed.work):
@@ -166,9 +166,11 @@
             if attempt_id not in told:
                 self.end(attempt_id, now)
         for held in message.held:
-            self.begin(held.work, owner, now - held.age_seconds)
+            begun_at = now - held.age_seconds
+            self.begin(held.work, owner, begun_at)
             if held.first_token:
-                self.first_token(held.work.attempt_id, now)
+                # When it came is not told; by the present time it would seem late.
+                self.first_token(held.work.attempt_id, begun_at)
 
     def forget_old(self, now: float) -> int:
         """Forget attempts whose end was never told; return how many."""
--- a/tests/cover/routed/test_engine_placing.py
+++ b/tests/cover/routed/test_engine_placing.py
@@ -259,6 +259,23 @@
     assert short.upstream_id not in {long.upstream_id, *long.helpers}
 
 
+def test_writers_that_are_told_of_again_do_not_become_late_by_it():
+    """Questions stall after word of work was lost and asked for.
+
+    Their first events had come in time. Told of again seconds later, they counted as
+    spoilt already, and a long prompt was read beside them.
+    """
+    old, new = Load(engines=1), Load(engines=1)
+    short = old.short(0.0)
+    old.board.first_token(short.work.attempt_id, 0.1)
+    for board in (old.board, new.board):
+        board.replace("gateway", old.board.held_by("gateway", 2.0), 2.0)
+        board.replace("gateway", old.board.held_by("gateway", 3.0), 3.0)
+        (writer,) = board.view("e-0", ENGINE, 3.0).writers
+        assert not writer.late
+        assert board.view("e-0", ENGINE, 3.0).writes
+
+
 def test_what_a_gateway_no_longer_tells_of_has_ended():
     load = Load(engines=4)
     load.long(0.0)
