Tell an upstream's starts apart, and refuse word that isn't its own

Cause: the registry went by id and number alone. An upstream that started again under its id was dropped until its count had passed the former one; one that had left never returned. Word of another writer was taken in: a state that isn't named counted as leaving, and a number beyond 64 bits could not be encoded for the other gateways, which ended the process in its run loop.

Change: each start has its own id (name and time), so that work, memory, health and connections of one are never believed of the next. Later starts win, then numbers, then phases, in any order of arrival. Idle connections and repeatable attempts at a former start are dropped. Types and bounds are checked at the edge; duties and messages that fail are logged, counted and passed over.

--- a/packages/core/src/cowslipshelf_core/identifiers.py
+++ b/packages/core/src/cowslipshelf_core/identifiers.py
@@ -11,7 +11,11 @@
 ModelName = NewType("ModelName", str)
 
 UpstreamId = NewType("UpstreamId", str)
-"""One upstream instance; it keeps this name over restarts."""
+"""One upstream instance; on machines whose upstreams tell of their starts, one start
+of it, see `UpstreamStart`."""
+
+UpstreamName = NewType("UpstreamName", str)
+"""What an upstream calls itself, the same over its restarts."""
 
 Epoch = NewType("Epoch", str)
 """One start of one process: random, new after every restart."""
--- a/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
@@ -9,7 +9,7 @@
 
 from result import Result
 
-from cowslipshelf_core.identifiers import CustomerName, UpstreamId
+from cowslipshelf_core.identifiers import CustomerName, UpstreamId, UpstreamName
 from cowslipshelf_core.internal.routed.configuration import RouteConfiguration
 from cowslipshelf_core.internal.routed.engine_cost import PromptSize
 from cowslipshelf_core.internal.routed.registry import UpstreamHeartbeat
@@ -100,14 +100,14 @@
 class TakeHeartbeat:
     """Bring an upstream's heartbeat."""
 
-    upstream_id: UpstreamId
+    name: UpstreamName
 
 
 @dataclass(frozen=True, slots=True)
 class TakeLeaving:
     """Say that an upstream leaves for good."""
 
-    upstream_id: UpstreamId
+    name: UpstreamName
 
 
 ControlCall = PutConfiguration | ReadConfiguration | TakeHeartbeat | TakeLeaving
@@ -133,10 +133,16 @@
         """Decode a configuration, or say what can't be read in it."""
 
     def read_heartbeat(
-        self, upstream_id: UpstreamId, body: bytes
+        self, name: UpstreamName, body: bytes
     ) -> Result[UpstreamHeartbeat, str]:
         """Decode a heartbeat, or say what can't be read in it."""
 
+    def read_leaving(self, body: bytes) -> Result[int, str]:
+        """Decode when the start that leaves began, in milliseconds since 1970.
+
+        Zero where that is not told; an error says what can't be read.
+        """
+
     def caller_facts(self, headers: Headers) -> CallerFacts:
         """Decode the headers of a caller's request."""
 
--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -51,6 +51,7 @@
 )
 from cowslipshelf_core.internal.routed.registry import (
     HeartbeatSeen,
+    KnownUpstream,
     RegistryConfig,
     UpstreamHeartbeat,
     UpstreamPhase,
@@ -64,6 +65,7 @@
     HealthSeen,
     UpstreamHealth,
 )
+from cowslipshelf_core.internal.routed.upstream_start import NOT_TOLD, UpstreamStart
 from cowslipshelf_core.internal.routed.work_progress import WorkProgress
 
 __all__ = [
@@ -82,6 +84,8 @@
     "HeartbeatsSeen",
     "HeldWork",
     "KnownPeer",
+    "KnownUpstream",
+    "NOT_TOLD",
     "NoEngine",
     "PeerBook",
     "PeerBookConfig",
@@ -103,6 +107,7 @@
     "UpstreamHeartbeat",
     "UpstreamPhase",
     "UpstreamRegistry",
+    "UpstreamStart",
     "WeightedService",
     "WorkChanged",
     "WorkHeld",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -97,11 +97,20 @@
     act: Callable[[], None]
     due: float = 0.0
 
-    def do_when_due(self, now: float) -> None:
-        """Do it, unless the pause has yet to pass."""
-        if now >= self.due:
-            self.due = now + self.pause
+    def do_when_due(self, now: float, metrics: Metrics) -> None:
+        """Do it, unless the pause has yet to pass.
+
+        One that fails is done again at its next time: what made it fail, such as word
+        of an upstream that can't be told on, must not end a process that serves.
+        """
+        if now < self.due:
+            return
+        self.due = now + self.pause
+        try:
             self.act()
+        except Exception:
+            metrics.count("cowslipshelf_duties_failed_total")
+            LOG.exception("Duty failed.", duty=self.act.__qualname__)
 
 
 class Gateway:
@@ -126,7 +135,7 @@
         self.client = ControlClient(self.control_actor, self.post)
         self.gossip = Gossip(self.view, self.post, self.client, dialect)
         self.view.tell_work = self.gossip.tell_work
-        self.inbox = LoopInbox(self.loop, self.gossip.receive)
+        self.inbox = LoopInbox(self.loop, self.gossip.receive, self.metrics)
         self.keeper = ReplicaKeeper(
             self.view, self.post, self.inbox, self.control_actor, self.metrics
         )
@@ -138,6 +147,7 @@
         self.leaving = False
         self.ended = asyncio.Event()
         runner = AttemptRunner(self.view, self.pool, dialect)
+        self.view.drop_start = runner.drop_start
         self.callers = HttpServer(
             "callers",
             RequestHandler(self.view, runner, dialect, self.metrics),
@@ -146,7 +156,7 @@
         )
         self.control = HttpServer(
             "control",
-            ControlHandler(self.view, self.client, self.gossip, dialect),
+            ControlHandler(self.view, self.client, self.gossip, dialect, self.metrics),
             lambda: CallerLimits(body_bytes=CONTROL_BODY_BYTES),
             CONTROL_CONNECTIONS,
         )
@@ -242,15 +252,14 @@
         duties = self.duties()
         while not self.ended.is_set():
             now = time.monotonic()
-            self.keeper.tick()
-            self.control_actor.tell(Tick())
             for duty in duties:
-                duty.do_when_due(now)
+                duty.do_when_due(now, self.metrics)
             await asyncio.sleep(TICK_SECONDS)
 
     def duties(self) -> list[RegularDuty]:
         """List what is done at regular times, in this order."""
         duties = [
+            RegularDuty(0.0, self.tick),
             RegularDuty(ALIVE_SECONDS, self.gossip.tick),
             RegularDuty(RELOAD_SECONDS, self.reload),
             RegularDuty(FULL_SECONDS, self.gossip.tell_everything),
@@ -260,6 +269,11 @@
             duties.append(RegularDuty(RECALL_SECONDS, self.write_upstreams))
         return duties
 
+    def tick(self) -> None:
+        """Let time pass for the replica and for the commands that wait for it."""
+        self.keeper.tick()
+        self.control_actor.tell(Tick())
+
     def forget_old(self) -> None:
         """Forget what is too old to matter, and close what nobody will use."""
         self.view.forget_old()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
@@ -14,11 +16,14 @@
     Headers,
     OutgoingRequest,
 )
-from cowslipshelf_core.identifiers import CustomerName
-from cowslipshelf_core.routed import Route, RouteKind
+from cowslipshelf_core.identifiers import CustomerName, UpstreamId
+from cowslipshelf_core.routed import Route, RouteKind, UpstreamStart
 from cowslipshelf_daemon.internal.gateway.engine_memory import EngineMemory
 from cowslipshelf_daemon.internal.gateway.event_stream import EventCutter
-from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.fleet_view import (
+    NANOSECONDS_OF_MILLISECOND,
+    FleetView,
+)
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.placement import Placement
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
@@ -112,6 +117,23 @@
     deadline: float
 
 
+class OpenAttempt(NamedTuple):
+    """Be an attempt whose answer is awaited."""
+
+    request: str
+    upstream_ids: frozenset[UpstreamId]
+    """The upstream that answers, and those that read for it."""
+    connection: UpstreamConnection
+    opened_ms: int
+    """Milliseconds since 1970."""
+
+    def is_over(self, former: UpstreamStart, later: UpstreamStart) -> bool:
+        """Tell whether it needs a start that has given way to a later one."""
+        return (
+            former.upstream_id in self.upstream_ids and self.opened_ms < later.began_ms
+        )
+
+
 @dataclass(slots=True)
 class Delivered:
     """Hold how far the caller's answer has come, over all attempts."""
@@ -127,13 +149,34 @@
         self.memory = EngineMemory(pool, dialect)
         self.pool = pool
         self.dialect = dialect
+        self.open: set[OpenAttempt] = set()
+        """Attempts that may be sent again, with their connections."""
+
+    def drop_start(self, former: UpstreamStart, later: UpstreamStart) -> None:
+        """End what is open at a start of an upstream that gave way to a later one.
+
+        Its process is gone, which a connection that went silent shows only after
+        seconds; the events that were to come will not come. What was connected since
+        the later start is at that one, whichever was believed. Only for what may be
+        sent again: clocks are off by seconds at times.
+        """
+        self.pool.forget(former.upstream_id)
+        for attempt in list(self.open):
+            if not attempt.is_over(former, later):
+                continue
+            LOG.info(
+                "Attempt dropped.",
+                request=attempt.request,
+                upstream=former.upstream_id,
+                reason=f"{later.upstream_id} began there",
+            )
+            attempt.connection.abort()
 
     async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Run one attempt, and learn from it about the upstream."""
         began = time.monotonic()
         upstream = placement.upstream
-        running = self.view.running
-        running[upstream.upstream_id] = running.get(upstream.upstream_id, 0) + 1
+        self.view.request_begins(upstream.upstream_id)
         if placement.work is not None:
             self.view.begin_work(placement.work)
         try:
@@ -142,7 +185,7 @@
             self.learn_of_silence(task, placement, began)
             raise
         finally:
-            running[upstream.upstream_id] -= 1
+            self.view.request_ends(upstream.upstream_id)
             if placement.work is not None:
                 self.view.end_work(placement.work.attempt_id)
         self.learn(placement, outcome, time.monotonic() - began)
@@ -230,7 +273,8 @@
                 connection.excused_seconds = partial(
                     self.excused_seconds, task, placement
                 )
-            outcome = await self.talk(task, placement, connection)
+            with self.opened(task, placement, connection):
+                outcome = await self.talk(task, placement, connection)
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
             return outcome
         except UpstreamLostError as error:
@@ -241,6 +285,25 @@
             else:
                 connection.abort()
 
+    @contextmanager
+    def opened(
+        self, task: AttemptTask, placement: Placement, connection: UpstreamConnection
+    ) -> Iterator[None]:
+        """Know an attempt as open meanwhile, if it may be sent again."""
+        helping = (part.upstream_id for part in placement.helping_parts)
+        attempt = OpenAttempt(
+            task.facts.attempt_id,
+            frozenset((placement.upstream.upstream_id, *helping)),
+            connection,
+            time.time_ns() // NANOSECONDS_OF_MILLISECOND,
+        )
+        if task.route.repeatable:
+            self.open.add(attempt)
+        try:
+            yield
+        finally:
+            self.open.discard(attempt)
+
     def excused_seconds(self, task: AttemptTask, placement: Placement) -> float:
         """Return how much longer engines may be silent, since they read."""
         attempt_id = placement.work.attempt_id
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -1,8 +1,6 @@
 """Answer operators and upstreams at the control address."""
 
-import time
-
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from cowslipshelf_core.control import PutRoutes, RoutesConflict, RoutesHeld
 from cowslipshelf_core.dialect import (
@@ -12,12 +10,14 @@
     TakeHeartbeat,
     TakeLeaving,
 )
-from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_core.identifiers import UpstreamName
+from cowslipshelf_core.routed import UpstreamHeartbeat
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.gossip import Gossip
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
 
 LOG = part_logger("control")
 
@@ -27,6 +27,8 @@
 CONFLICT = 409
 UNAVAILABLE = 503
 JSON = (b"content-type", b"application/json")
+LOGGED_PATH = 120
+"""Characters of a refused call's path that are logged; strangers may send any."""
 
 
 class ControlHandler:
@@ -38,11 +40,13 @@
         client: ControlClient,
         gossip: Gossip,
         dialect: Dialect,
+        metrics: Metrics,
     ) -> None:
         self.view = view
         self.client = client
         self.gossip = gossip
         self.dialect = dialect
+        self.metrics = metrics
 
     async def __call__(self, request: HttpRequest, responder: Responder) -> None:
         """Answer one call."""
@@ -52,13 +56,10 @@
                 await self.put_configuration(request, responder)
             case ReadConfiguration():
                 await self.read_configuration(responder)
-            case TakeHeartbeat(upstream_id):
-                await self.take_heartbeat(upstream_id, request, responder)
-            case TakeLeaving(upstream_id):
-                seen = self.view.registry.leave(upstream_id, time.monotonic())
-                LOG.info("Upstream left.", upstream=upstream_id)
-                self.gossip.tell_heartbeat(seen.heartbeat, urgent=True)
-                await responder.whole(DONE, [JSON], b"{}")
+            case TakeHeartbeat(name):
+                await self.take_heartbeat(name, request, responder)
+            case TakeLeaving(name):
+                await self.take_leaving(name, request, responder)
             case None:
                 await responder.whole(UNKNOWN, [])
 
@@ -106,14 +107,46 @@
             await responder.whole(DONE, [JSON], document.body)
 
     async def take_heartbeat(
-        self, upstream_id: UpstreamId, request: HttpRequest, responder: Responder
+        self, name: UpstreamName, request: HttpRequest, responder: Responder
     ) -> None:
         """Take in a heartbeat and pass it on."""
-        match self.dialect.read_heartbeat(upstream_id, request.body):
+        read = self.dialect.read_heartbeat(name, request.body).and_then(self.own_word)
+        match read:
             case Err(problem):
-                LOG.warning("Heartbeat refused.", peer=request.peer, reason=problem)
-                await responder.whole(BAD_REQUEST, [], problem.encode())
+                await self.refuse_word(
+                    "Heartbeat refused.", problem, request, responder
+                )
             case Ok(heartbeat):
                 news = self.view.take_heartbeat(heartbeat, 0.0)
                 self.gossip.tell_heartbeat(heartbeat, urgent=news)
                 await responder.whole(DONE, [JSON], b"{}")
+
+    def own_word(self, heartbeat: UpstreamHeartbeat) -> Result[UpstreamHeartbeat, str]:
+        """Pass on a heartbeat that may be its upstream's own, or say why it can't."""
+        problem = self.view.foreign_heartbeat(heartbeat)
+        return Ok(heartbeat) if problem is None else Err(problem)
+
+    async def take_leaving(
+        self, name: UpstreamName, request: HttpRequest, responder: Responder
+    ) -> None:
+        """Take an upstream out for good, and tell the others."""
+        match self.dialect.read_leaving(request.body):
+            case Err(problem):
+                await self.refuse_word("Leaving refused.", problem, request, responder)
+            case Ok(began_ms):
+                seen = self.view.take_leaving(name, began_ms)
+                self.gossip.tell_heartbeat(seen.of_start, urgent=True)
+                await responder.whole(DONE, [JSON], b"{}")
+
+    async def refuse_word(
+        self, event: str, problem: str, request: HttpRequest, responder: Responder
+    ) -> None:
+        """Answer word of an upstream that can't be believed; it changes nothing."""
+        LOG.warning(
+            event,
+            peer=request.peer,
+            path=request.path[:LOGGED_PATH],
+            reason=problem,
+        )
+        self.metrics.count("cowslipshelf_refused_words_total")
+        await responder.whole(BAD_REQUEST, [], problem.encode("utf-8", "replace"))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -14,14 +14,17 @@
     InstanceId,
     ServiceName,
     UpstreamId,
+    UpstreamName,
 )
 from cowslipshelf_core.messages import RoutesDocument
 from cowslipshelf_core.routed import (
+    NOT_TOLD,
     AnswerTimes,
     EngineBoard,
     EngineWork,
     HeartbeatSeen,
     HeartbeatsSeen,
+    KnownUpstream,
     PeerBook,
     PeerBookConfig,
     RegistryConfig,
@@ -31,7 +34,9 @@
     RouteTable,
     UpstreamHealth,
     UpstreamHeartbeat,
+    UpstreamPhase,
     UpstreamRegistry,
+    UpstreamStart,
     WorkChanged,
 )
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
@@ -45,6 +50,7 @@
 RECALLED_SECONDS = 2.5
 """Time for which upstreams known before a restart count: two heartbeats, and the time
 that an upstream takes to find a gateway that answers again."""
+NANOSECONDS_OF_MILLISECOND = 1_000_000
 NO_DOCUMENT = RoutesDocument(RouteConfiguration(0).version, "", b"")
 
 
@@ -58,6 +64,8 @@
     budget: RepeatBudget
     tell_work: Callable[[WorkChanged], None]
     """Tells the other gateways; set once the process is put together."""
+    drop_start: Callable[[UpstreamStart, UpstreamStart], None]
+    """Ends what is open at a start that gave way to a later one; set likewise."""
     board: EngineBoard = field(default_factory=EngineBoard)
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     times: AnswerTimes = field(default_factory=AnswerTimes)
@@ -87,6 +95,7 @@
             ),
             RepeatBudget.from_config(budget_config(settings)),
             tell_work=lambda _changed: None,
+            drop_start=lambda _former, _later: None,
         )
 
     def use_settings(self, settings: GatewaySettings) -> None:
@@ -120,6 +129,7 @@
 
     def take_heartbeat(self, heartbeat: UpstreamHeartbeat, age: float) -> bool:
         """Take in an upstream's heartbeat; return whether its phase is news."""
+        known = self.registry.latest_start(heartbeat.upstream_id)
         changed = self.registry.take(heartbeat, time.monotonic() - age)
         if changed:
             self.wake_waiting()
@@ -132,8 +142,72 @@
                 sequence=heartbeat.sequence,
                 age_seconds=round(age, 3),
             )
+        if known is not None:
+            self.forget_if_over(known, heartbeat, age)
         return changed
 
+    def forget_if_over(
+        self, former: KnownUpstream, heartbeat: UpstreamHeartbeat, age: float
+    ) -> None:
+        """Forget all that is believed of a start, if it gave way to a later one.
+
+        The later one has its own id, so nothing of this is believed of it; but what
+        is open at the former one would wait for a silence to be noticed.
+        """
+        upstream_id = former.start.upstream_id
+        if upstream_id in self.registry.known:
+            return
+        if heartbeat.phase is not UpstreamPhase.LEFT:
+            LOG.info(
+                "Upstream started again.",
+                upstream=heartbeat.upstream_id,
+                former=upstream_id,
+                former_age_seconds=round(time.monotonic() - former.heard_at, 3),
+                former_sequence=former.heartbeat.sequence,
+                sequence=heartbeat.sequence,
+                age_seconds=round(age, 3),
+            )
+        self.forget_upstream(upstream_id)
+        self.drop_start(former.start, UpstreamStart.of(heartbeat.upstream_id))
+
+    def foreign_heartbeat(self, heartbeat: UpstreamHeartbeat) -> str | None:
+        """Say why a heartbeat can't be the upstream's own, if that is plain.
+
+        Somebody else may write under the id of a sound upstream; taken in, that would
+        take it out of use at all gateways. A service may be unknown here because its
+        configuration is still on its way, so only one that contradicts what is known
+        tells.
+        """
+        known = self.registry.latest_start(heartbeat.upstream_id)
+        if known is None or known.heartbeat.phase is UpstreamPhase.LEFT:
+            return None
+        if known.heartbeat.service != heartbeat.service:
+            return f"the upstream is known to serve {known.heartbeat.service}"
+        start = UpstreamStart.of(heartbeat.upstream_id)
+        if known.start.is_told and not start.is_told:
+            return "the time of the start is missing, and was told before"
+        return None
+
+    def take_leaving(self, name: UpstreamName, began_ms: int) -> HeartbeatSeen:
+        """Take an upstream out for good; return what to tell the other gateways.
+
+        Where the start is not told, the latest one leaves; one that was never heard of
+        began before now, and word of it that comes late must not bring it back.
+        """
+        start = UpstreamStart(name, began_ms)
+        known = self.registry.latest_start(UpstreamId(name))
+        if not start.is_told and known is not None:
+            start = known.start
+        elif not start.is_told:
+            start = UpstreamStart(name, time.time_ns() // NANOSECONDS_OF_MILLISECOND)
+        seen = self.registry.leave(start, time.monotonic())
+        if known is not None:
+            self.forget_if_over(known, seen.of_start, 0.0)
+        LOG.info(
+            "Upstream left.", upstream=start.upstream_id, told=began_ms != NOT_TOLD
+        )
+        return seen
+
     def wake_waiting(self) -> None:
         """Wake the requests that wait for what this gateway has yet to learn."""
         self.learned.set()
@@ -156,7 +230,7 @@
     def take_heartbeats(self, message: HeartbeatsSeen) -> None:
         """Take in heartbeats that another gateway passes on."""
         for seen in message.seen:
-            self.take_heartbeat(seen.heartbeat, seen.age_seconds)
+            self.take_heartbeat(seen.of_start, seen.age_seconds)
 
     def take_work(self, owner: InstanceId, message: WorkChanged) -> None:
         """Take in what another gateway does on engines."""
@@ -213,20 +287,33 @@
         """Forget what is too old to matter."""
         now = time.monotonic()
         for upstream_id in self.registry.forget_old(now):
-            self.health.forget(upstream_id)
-            self.board.forget_engine(upstream_id)
-            self.running.pop(upstream_id, None)
+            self.forget_upstream(upstream_id)
         self.peers.forget_old(now)
         forgotten = self.board.forget_old(now)
         if forgotten:
             LOG.warning("Work forgotten whose end was not told.", attempts=forgotten)
 
+    def forget_upstream(self, upstream_id: UpstreamId) -> None:
+        """Forget what was learned of an upstream; attempts there end by themselves."""
+        self.health.forget(upstream_id)
+        self.board.forget_engine(upstream_id)
+
+    def request_begins(self, upstream_id: UpstreamId) -> None:
+        """Count a request that this gateway has at an upstream."""
+        self.running[upstream_id] = self.running.get(upstream_id, 0) + 1
+
+    def request_ends(self, upstream_id: UpstreamId) -> None:
+        """Count it no longer; the last one leaves nothing behind."""
+        self.running[upstream_id] -= 1
+        if not self.running[upstream_id]:
+            del self.running[upstream_id]
+
     def recall(self, seen: tuple[HeartbeatSeen, ...]) -> None:
         """Take upstreams known before a restart for there, until they are silent."""
         silence = self.registry.config.silence_seconds
         recent = max(0.0, silence - RECALLED_SECONDS)
         for each in seen:
-            self.take_heartbeat(each.heartbeat, recent)
+            self.take_heartbeat(each.of_start, recent)
 
     def seen_of(self, upstream_ids: Iterable[UpstreamId]) -> tuple[HeartbeatSeen, ...]:
         """List the newest heartbeats of some upstreams."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -122,7 +122,8 @@
     def tell_heartbeat(self, heartbeat: UpstreamHeartbeat, urgent: bool) -> None:
         """Pass a heartbeat on, soon, or at once and more than once."""
         if urgent:
-            self.tell_all(HeartbeatsSeen((HeartbeatSeen(heartbeat, 0.0),)))
+            seen = HeartbeatSeen.from_heartbeat(heartbeat, 0.0)
+            self.tell_all(HeartbeatsSeen((seen,)))
             self.urgent[heartbeat.upstream_id] = URGENT_REPEATS - 1
         else:
             self.heartbeats.add(heartbeat.upstream_id)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/loop_post.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/loop_post.py
@@ -5,21 +5,41 @@
 from typing import Any
 
 from cowslipshelf_daemon.internal.post import Delivered
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
+
+LOG = part_logger("inbox")
 
 
 class LoopInbox:
     """Take messages as an actor's reference does, and handle them on the loop."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, receive: Callable[[Delivered], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        receive: Callable[[Delivered], None],
+        metrics: Metrics,
     ) -> None:
         self.loop = loop
         self.receive = receive
+        self.metrics = metrics
 
     def tell(self, message: Any) -> None:
         """Hand a message over from any thread; a loop that has ended drops it."""
         if not self.loop.is_closed():
-            self.loop.call_soon_threadsafe(self.receive, message)
+            self.loop.call_soon_threadsafe(self.handle, message)
+
+    def handle(self, message: Delivered) -> None:
+        """Handle one message; one that fails takes no other one with it."""
+        try:
+            self.receive(message)
+        except Exception:
+            self.metrics.count("cowslipshelf_messages_failed_total")
+            LOG.exception(
+                "Message failed.",
+                peer=message.sender,
+                message=type(message.message).__name__,
+            )
 
 
 class LoopReply:
