--- a/packages/core/src/cowslipshelf_core/dialect.py
+++ b/packages/core/src/cowslipshelf_core/dialect.py
@@ -13,7 +13,6 @@
     PutConfiguration,
     ReadConfiguration,
     ReadDocument,
-    ReportedLoad,
     TakeHeartbeat,
     TakeLeaving,
 )
@@ -31,7 +30,6 @@
     "PutConfiguration",
     "ReadConfiguration",
     "ReadDocument",
-    "ReportedLoad",
     "TakeHeartbeat",
     "TakeLeaving",
 ]
--- a/packages/core/src/cowslipshelf_core/internal/routed/configuration.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/configuration.py
@@ -70,17 +70,12 @@
     """Added for each pair of a prompt token and an earlier one."""
     chunk_tokens: int
     """Most prompt tokens read in one step."""
-    hop_seconds: float
-    """Added to each step of a prompt that is held by several engines."""
-    usual_prompt_tokens: int = 0
-    usual_output_tokens: int = 0
 
 
 class ServiceConfiguration(NamedTuple):
     """Describe the upstreams of a service."""
 
     name: ServiceName
-    health_path: str
     most_connections: int
     """Connections that one upstream accepts from all callers together."""
     engine: EngineModel | None = None
--- a/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
@@ -67,21 +67,12 @@
     tokens: int
 
 
-class ReportedLoad(NamedTuple):
-    """Be what an upstream says of its load in an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 class AnswerFacts(NamedTuple):
     """Be what an upstream's headers say of its answer."""
 
     attempt_id: str | None
     not_run: bool
     """Whether the upstream promises that the request did not run."""
-    load: ReportedLoad | None
     keep_alive_seconds: float | None
     """Time for which it keeps an idle connection open."""
 
--- a/packages/core/src/cowslipshelf_core/internal/routed/plain_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/plain_placing.py
@@ -20,7 +20,7 @@
     upstream_id: UpstreamId
     slots: int
     running: int
-    """Requests that this gateway has there, or all that it lately told, if more."""
+    """Requests that this gateway has there."""
     failing: float
     slowness: float
     avoided: bool
--- a/packages/emulator/src/cowslipshelf_emulator/internal/load.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/load.py
@@ -81,7 +81,6 @@
     read_seconds_per_token=1 / 154_000,
     seconds_per_pair=0.162e-9,
     chunk_tokens=2048,
-    hop_seconds=1e-4,
 )
 GROWN_ENGINE = ENGINE._replace(slots=6, memory_tokens=344_250, steps_per_pass=38)
 
@@ -122,6 +121,8 @@
 NILEGATE = Fleet(
     "nilegate", 14, 7, ENGINE, (SHORT, MIDDLE, LONG), (LONG_SWING, SHORT_SWING)
 )
+CODELIJN = NILEGATE._replace(name="codelijn", gateways=8)
+"""Asks the same of its engines, by one gateway more."""
 COOPERATIVE = Fleet(
     "cooperative",
     23,
@@ -171,7 +172,7 @@
 )
 FLEETS = {
     fleet.name: fleet
-    for fleet in (NILEGATE, COOPERATIVE, NILEGATE_GROWN, COOPERATIVE_GROWN)
+    for fleet in (NILEGATE, CODELIJN, COOPERATIVE, NILEGATE_GROWN, COOPERATIVE_GROWN)
 }
 
 
--- a/packages/emulator/src/cowslipshelf_emulator/program.py
+++ b/packages/emulator/src/cowslipshelf_emulator/program.py
@@ -2,12 +2,13 @@
 
 import json
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
 import cappa
 
+from cowslipshelf_emulator.internal.ablation import ablate
 from cowslipshelf_emulator.internal.comparing import compare, read_attempts
 from cowslipshelf_emulator.internal.fleet import build
 from cowslipshelf_emulator.internal.load import FLEETS, draw
@@ -54,11 +55,37 @@
         print()
 
 
+@cappa.command(name="ablate")
+@dataclass
+class Ablate:
+    """Play a fleet's load with one mechanism of placing off at a time."""
+
+    fleet: Annotated[str, cappa.Arg(help=f"one of {', '.join(FLEETS)}")]
+    seconds: Annotated[float, cappa.Arg(long=True)] = 40.0
+    load: Annotated[float, cappa.Arg(long=True, help="times the usual rates")] = 1.0
+    seeds: Annotated[list[int], cappa.Arg(long="--seed")] = field(
+        default_factory=lambda: [1, 2, 3, 4]
+    )
+    processes: Annotated[int, cappa.Arg(long=True)] = 4
+
+    def __call__(self) -> None:
+        """Print a row for each mechanism."""
+        print("worth  short in time  by seed  off")
+        for row in ablate(
+            self.fleet, self.seconds, self.load, self.seeds, self.processes
+        ):
+            by_seed = " ".join(f"{worth:.3f}" for worth in row.worths)
+            print(
+                f"{row.worth:.3f}  {row.short_in_time:.3f}  {by_seed}  {row.off}",
+                flush=True,
+            )
+
+
 @dataclass
 class Emulator:
     """Emulate engines and the gateways before them."""
 
-    command: cappa.Subcommands[Play | Check]
+    command: cappa.Subcommands[Play | Check | Ablate]
 
 
 def print_figures(title: str, played: Figures) -> None:
