Sync what a gateway remembers of the upstreams, once something in it has changed

Hypothesis: after a loss of power all gateways forget the upstreams, since the file that recalls them is torn; synced, it would spread the first requests over all engines.

--- a/packages/host/src/cowslipshelf_host/storage.py
+++ b/packages/host/src/cowslipshelf_host/storage.py
@@ -1,6 +1,7 @@
 """Store a replica's log, hard state and snapshots durably."""
 
 from cowslipshelf_host.internal.storage.errors import StorageError
+from cowslipshelf_host.internal.storage.files import read_file, replace_file
 from cowslipshelf_host.internal.storage.recovery import (
     ForcedFolder,
     force_members_in_folder,
@@ -20,4 +21,6 @@
     "VolatileStorage",
     "force_members_in_folder",
     "new_identity",
+    "read_file",
+    "replace_file",
 ]
--- a/tests/cover/gateway/test_upstreams_file.py
+++ b/tests/cover/gateway/test_upstreams_file.py
@@ -1,12 +1,15 @@
 """Check what a gateway remembers of the upstreams over a restart."""
 
+import asyncio
+import os
+import stat
 import time
 
 import msgspec
 import pytest
 
 from common.routed import heartbeat
-from cowslipshelf_core.routed import HeartbeatSeen
+from cowslipshelf_core.routed import HeartbeatSeen, UpstreamPhase
 from cowslipshelf_daemon.internal.gateway.upstreams_file import (
     UpstreamsDocument,
     UpstreamsFile,
@@ -17,7 +20,7 @@
 
 def written(tmp_path) -> UpstreamsFile:
     file = UpstreamsFile(str(tmp_path))
-    file.write(encoded(SEEN))
+    file.write(encoded(SEEN), frozenset())
     return file
 
 
@@ -37,7 +40,7 @@
 def test_a_torn_file_is_no_reason_not_to_start(tmp_path, keep):
     """A gateway never comes back after a loss of power.
 
-    The file is not synced, so any part of it may be missing afterwards.
+    A disk that does not keep what it has synced may lose any part of the file.
     """
     file = written(tmp_path)
     file.path.write_bytes(file.path.read_bytes()[:keep])
@@ -46,5 +49,40 @@
 
 def test_a_folder_that_takes_no_writes_is_no_reason_to_fail(tmp_path):
     file = UpstreamsFile(str(tmp_path / "missing"))
-    file.write(b"")
+    file.write(b"", frozenset())
     assert file.read() == ()
+
+
+def test_what_was_written_outlives_a_loss_of_power(tmp_path, monkeypatch):
+    """Callers wait for engines that left long ago, one after the other.
+
+    Every instance lost power. A file that was not synced came back as it had been
+    fifteen seconds before, and named seven engines that had left since.
+    """
+    synced = []
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_mode))
+    written(tmp_path)
+    assert [stat.S_ISDIR(mode) for mode in synced] == [False, True]
+
+
+def test_the_file_is_written_where_something_in_it_has_changed(tmp_path):
+    """A disk that others wait for is synced each second for nothing."""
+
+    async def write(file: UpstreamsFile, seen) -> bytes:
+        file.write_soon(seen)
+        await file.writing
+        return file.path.read_bytes()
+
+    async def write_in_turn() -> list[bytes]:
+        file = UpstreamsFile(str(tmp_path))
+        first = await write(file, SEEN)
+        later = tuple(
+            HeartbeatSeen(each.heartbeat._replace(sequence=9), 0.1) for each in SEEN
+        )
+        same = await write(file, later)
+        leaves = later[0].heartbeat._replace(phase=UpstreamPhase.LEAVING)
+        changed = await write(file, (HeartbeatSeen(leaves, 0.0), later[1]))
+        return [first, same, changed]
+
+    first, same, changed = asyncio.run(write_in_turn())
+    assert first == same != changed
