--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -8,10 +8,10 @@
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.identifiers import ServiceName, UpstreamId
 from cowslipshelf_core.routed import RoutedCustomer, RouteTable, choose_service
-from cowslipshelf_daemon.internal.gateway.attempt import (
+from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
+from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
     AttemptOutcome,
-    AttemptRunner,
     AttemptTask,
     Broken,
     Delivered,
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -9,9 +9,9 @@
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import CallerFacts
 from cowslipshelf_core.routed import EnginePart, EngineWork, RouteKind, WorkChanged
-from cowslipshelf_daemon.internal.gateway.attempt import (
+from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
+from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
-    AttemptRunner,
     AttemptTask,
     Broken,
     Delivered,
