Don't hold a route's slow work against the upstream

Change: a silence counts only on a route of which an answer was seen. The test fails before for such a route; one that was answered before still counts.

--- a/packages/core/src/cowslipshelf_core/internal/routed/answer_times.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/answer_times.py
@@ -30,6 +30,9 @@
     """Hold the answer times of all services."""
 
     services: dict[ServiceName, ServiceTimes] = field(default_factory=dict)
+    answered_routes: set[str] = field(default_factory=set)
+    """Routes of which an answer was seen. A route may ask for work that takes longer
+    than its callers wait; the silence of a sound upstream is then no sign."""
 
     def add(self, service: ServiceName, seconds: float) -> None:
         """Note a whole answer."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -100,6 +100,8 @@
             self.view.request_ends(upstream.upstream_id)
             if placement.work is not None:
                 self.view.end_work(placement.work.attempt_id)
+        if isinstance(outcome, Answered):
+            self.view.times.answered_routes.add(task.route.name)
         self.learn(placement, outcome, time.monotonic() - began)
         return outcome
 
@@ -109,13 +111,17 @@
         """Note an upstream that let the caller's time pass without a word.
 
         One that hangs while it says that it is well is found by nothing else, where
-        its requests may not be sent again.
+        its requests may not be sent again. Not where no upstream ever answered the
+        route: its work takes longer than callers wait, and sound upstreams were avoided
+        for it, one of three at some gateway in most seconds of a played day.
         """
         upstream = placement.upstream
         now = time.monotonic()
         usual = self.view.times.longest_wait(upstream.service)
         if placement.first_token_seconds is not None or usual is None:
             return
+        if task.route.name not in self.view.times.answered_routes:
+            return
         if now - began > usual:
             LOG.info(
                 "Upstream silent.",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -117,6 +117,7 @@
         before = self.document.version
         self.document = document
         self.table = RouteTable.from_configuration(configuration)
+        self.times.answered_routes &= {route.name for route in configuration.routes}
         self.wake_waiting()
         LOG.info(
             "Configuration in force.",
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -158,3 +158,36 @@
     outcomes, _, view = run(PlayedConnection(status, b"data: x\n\n"))
     assert isinstance(outcomes[0], NotRun) is avoided
     assert view.health.seen("u-1", time.monotonic()).avoided is avoided
+
+
+class HangingConnection(PlayedConnection):
+    """Take a request and never answer it."""
+
+    async def head(self) -> UpstreamHead:
+        await asyncio.Event().wait()
+
+
+@pytest.mark.parametrize("answered_before", [True, False])
+def test_a_route_that_nobody_ever_answers_speaks_against_no_upstream(answered_before):
+    """Every other call goes to a far data centre, past the upstream that is near.
+
+    One route asks for work that takes longer than its callers wait. Each of them that
+    gave up counted against the upstream, which answers all other routes at once.
+    """
+
+    async def wait_in_vain() -> bool:
+        view = FleetView.from_settings(GATEWAY_SETTINGS)
+        for _ in range(10):
+            view.times.add("s", 0.001)
+        pool = PlayedPool(PlayedConnection(200, b"data: x\n\n"), HangingConnection(200))
+        runner = AttemptRunner(view, pool, MachinesDialect())
+        if answered_before:
+            await runner.run(task(), Placement(heartbeat()))
+        else:
+            pool.connections.pop(0)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.4):
+                await runner.run(task(), Placement(heartbeat()))
+        return view.health.seen("u-1", time.monotonic()).avoided
+
+    assert asyncio.run(wait_in_vain()) is answered_before
