--- a/packages/cli/src/cowslipshelf_cli/internal/log_story.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/log_story.py
@@ -72,7 +72,8 @@
     """Tell whether an entry without a request's id is part of the story."""
     if entry.source not in sources:
         return False
-    return entry.event in OF_PROCESSES or entry.fields.get("upstream") in upstreams
+    named = {entry.fields.get("upstream"), entry.fields.get("former")}
+    return entry.event in OF_PROCESSES or bool(named & upstreams)
 
 
 def cause_of(ordered: list[LogEntry], own: list[LogEntry]) -> str:
--- a/tests/cover/cli/test_log_story.py
+++ b/tests/cover/cli/test_log_story.py
@@ -89,6 +89,26 @@
         "the caller left",
         [begins(6.0, "left", "u-1"), ended(6.5, "left", "caller left")],
     ),
+    "restarted": (
+        "cut after event 4",
+        [
+            begins(6.6, "restarted", "u-8#1764700000000"),
+            entry(
+                6.7,
+                "fleet_view: Upstream started again.",
+                upstream="u-8#1764700060000",
+                former="u-8#1764700000000",
+            ),
+            entry(
+                6.71,
+                "request: Answer cut.",
+                request="restarted",
+                last_event="4",
+                reason="every upstream was tried",
+            ),
+            ended(6.72, "restarted", "cut"),
+        ],
+    ),
     "stranger": ("no customer has the key", [ended(7.0, "stranger", "401")]),
     "nowhere": ("no route", [ended(8.0, "nowhere", "404")]),
 }
@@ -121,6 +141,12 @@
     assert "phase=left" in output
 
 
+def test_the_next_start_of_the_upstream_is_part_of_the_story(tmp_path):
+    _, output = explain(tmp_path, "restarted")
+    assert "Upstream started again." in output
+    assert "upstream=u-8#1764700060000" in output
+
+
 def test_a_request_that_no_log_names_is_said_to_be_unknown(tmp_path):
     code, _ = explain(tmp_path, "never-seen")
     assert code is ExitCode.REFUSED
