Split what callers lost by cause, from the gateways' logs

The account of what binds needs each lost request under one cause, from log lines alone. 'Attempt begins.' now says the objective and the longest pause that are in time, without which lateness can't be told from a log.

--- a/packages/cli/src/cowslipshelf_cli/internal/commands.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/commands.py
@@ -45,6 +45,11 @@
     cowslipshelf explain upstream runner-1
     cowslipshelf explain change ticket-1042
 """
+LOSSES_EXAMPLES = """\
+Examples:
+
+    cowslipshelf losses --log gateway-1.log --log gateway-2.log
+"""
 AUDIT_EXAMPLES = """\
 Examples:
 
@@ -136,6 +141,21 @@
     ] = field(default_factory=list)
 
 
+@cappa.command(help="Split what callers lost by cause.", epilog=LOSSES_EXAMPLES)
+@dataclass
+class Losses:
+    """Split what callers lost by cause."""
+
+    log: Annotated[
+        list[Path],
+        cappa.Arg(
+            long=True,
+            required=True,
+            help="A gateway's log; give those of all. No process is asked.",
+        ),
+    ]
+
+
 @cappa.command(help="Read the audit trail of changes.", epilog=AUDIT_EXAMPLES)
 @dataclass
 class Audit:
@@ -216,7 +236,7 @@
     ] = None
 
 
-Command = Check | AskPlan | Confirm | Status | Explain | Audit | Drain | Load
+Command = Check | AskPlan | Confirm | Status | Explain | Losses | Audit | Drain | Load
 
 
 @cappa.command(
--- /dev/null
+++ b/packages/cli/src/cowslipshelf_cli/internal/log_losses.py
@@ -0,0 +1,154 @@
+"""Say from gateways' logs on what the worth of callers' requests was lost."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from cowslipshelf_cli.exit_codes import ExitCode
+from cowslipshelf_cli.internal.commands import Losses
+from cowslipshelf_cli.internal.failures import CommandFailedError
+from cowslipshelf_cli.internal.writing import Writer
+from cowslipshelf_core.routed import PromptSize, worth_of
+from cowslipshelf_host.log_entries import LogEntry, read_entries
+
+LATE_LOSS = 0.75
+"""Share of the worth that a late answer loses, by all users' sheets."""
+NO_ROUTE = "-"
+
+BEGINS = "request: Attempt begins."
+ATTEMPT_ENDED = "request: Attempt ended."
+REFUSED = "request: Request refused."
+CUT = "request: Answer cut."
+ENDED = "request: Request ended."
+UNCONFIGURED = "request: No configuration."
+
+
+class Loss(NamedTuple):
+    """Be what one request lost, and why; no cause where it lost nothing."""
+
+    route: str
+    worth: float
+    """Of a whole answer in time, in short questions."""
+    share: float = 0.0
+    cause: str = ""
+
+
+class LossRow(NamedTuple):
+    """Be what the requests of one route lost for one cause."""
+
+    route: str
+    cause: str
+    requests: int
+    share: float
+    """Part of the worth of all requests."""
+
+
+def losses_from_logs(command: Losses, writer: Writer) -> ExitCode:
+    """Show what was lost on what."""
+    rows = loss_rows(losses_of(read_entries(command.log)))
+    if not rows:
+        raise CommandFailedError(
+            ExitCode.REFUSED,
+            "these logs name no request",
+            "give the logs of all processes that callers reach",
+        )
+    lines = [
+        f"{row.share:7.4f} {row.requests:6} {row.route:12} {row.cause}" for row in rows
+    ]
+    document = {"losses": [row._asdict() for row in rows]}
+    writer.show(document, ["  share requests route    cause", *lines])
+    return ExitCode.DONE
+
+
+def losses_of(entries: Iterable[LogEntry]) -> list[Loss]:
+    """Say of each request in the logs what it lost."""
+    by_request: dict[str, list[LogEntry]] = defaultdict(list)
+    for entry in entries:
+        if "request" in entry.fields:
+            by_request[entry.fields["request"]].append(entry)
+    return [loss_of(own) for own in by_request.values()]
+
+
+def loss_rows(losses: list[Loss]) -> list[LossRow]:
+    """Add up losses by route and cause, the greatest first."""
+    owed = sum(loss.worth for loss in losses)
+    groups: dict[tuple[str, str], list[Loss]] = defaultdict(list)
+    for loss in losses:
+        groups[loss.route, loss.cause or "in time"].append(loss)
+    rows = [
+        LossRow(
+            route,
+            cause,
+            len(group),
+            sum(loss.worth * loss.share for loss in group) / owed,
+        )
+        for (route, cause), group in groups.items()
+    ]
+    return sorted(rows, key=lambda row: -row.share)
+
+
+def loss_of(own: list[LogEntry]) -> Loss:
+    """Find the one cause for which a request lost worth, if it did."""
+    begun = fields_of(own, BEGINS)
+    if not begun:
+        return Loss(NO_ROUTE, 1.0, 1.0, cause_without_attempt(own))
+    first = begun[0]
+    whole = Loss(
+        str(first.get("route")), worth_of(PromptSize(first.get("tokens") or 0, 0))
+    )
+    ended = fields_of(own, ENDED)
+    if not ended:
+        return whole._replace(share=1.0, cause="the gateway ended")
+    outcome = str(ended[-1].get("outcome"))
+    if not outcome.startswith("2"):
+        return whole._replace(share=1.0, cause=cause_of_failure(own, outcome))
+    cause = cause_of_lateness(begun, fields_of(own, ATTEMPT_ENDED), ended[-1])
+    return whole if cause is None else whole._replace(share=LATE_LOSS, cause=cause)
+
+
+def fields_of(own: list[LogEntry], event: str) -> list[dict[str, Any]]:
+    """Return the fields of all entries of an event, in order."""
+    return [entry.fields for entry in own if entry.event == event]
+
+
+def cause_without_attempt(own: list[LogEntry]) -> str:
+    """Say why a request was given to no upstream."""
+    if fields_of(own, UNCONFIGURED):
+        return "no configuration"
+    refused = fields_of(own, REFUSED)
+    if refused:
+        return f"refused: {refused[-1].get('reason')}"
+    ended = fields_of(own, ENDED)
+    return f"answered {ended[-1].get('outcome')}" if ended else "the gateway ended"
+
+
+def cause_of_failure(own: list[LogEntry], outcome: str) -> str:
+    """Say why a request that was given to an upstream got no answer of worth."""
+    for event in (REFUSED, CUT):
+        given_up = fields_of(own, event)
+        if given_up:
+            return f"given up: {given_up[-1].get('reason')}"
+    if outcome == "caller left":
+        return outcome
+    attempts = fields_of(own, ATTEMPT_ENDED)
+    return f"the upstream answered {outcome}, attempt {len(attempts)}"
+
+
+def cause_of_lateness(
+    begun: list[dict], attempts: list[dict], ended: dict
+) -> str | None:
+    """Say why an answer came late, or nothing where it was in time."""
+    objective, pause = begun[0].get("objective"), begun[0].get("pause_allowed")
+    last = attempts[-1] if attempts else {}
+    since_first = last.get("first")
+    total = ended.get("seconds", 0.0)
+    waited = total if since_first is None else total - last["seconds"] + since_first
+    if objective is not None and waited > objective:
+        if len(attempts) > 1:
+            return f"late after {attempts[0].get('outcome')}"
+        if begun[0].get("predicted", 0.0) > objective:
+            return "late, as foreseen"
+        return "late, not foreseen"
+    if pause is not None and (last.get("pause") or 0.0) > pause:
+        return "held up while writing"
+    return None
--- a/packages/cli/src/cowslipshelf_cli/program.py
+++ b/packages/cli/src/cowslipshelf_cli/program.py
@@ -17,11 +17,13 @@
     Drain,
     Explain,
     Load,
+    Losses,
     Program,
     Status,
 )
 from cowslipshelf_cli.internal.failures import CommandFailedError, failure_of
 from cowslipshelf_cli.internal.load.command import run_load
+from cowslipshelf_cli.internal.log_losses import losses_from_logs
 from cowslipshelf_cli.internal.log_story import explain_from_logs
 from cowslipshelf_cli.internal.reading import explain, show_audit, show_status
 from cowslipshelf_cli.internal.surroundings import Surroundings, connect
@@ -69,6 +71,8 @@
             return run_load(command, surroundings, writer)
         case Explain(kind="request", log=[_, *_]) as command:
             return explain_from_logs(command, writer)
+        case Losses() as command:
+            return losses_from_logs(command, writer)
     fleet = connect(program, surroundings)
     match program.command:
         case AskPlan() as command:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -266,6 +266,8 @@
             "Attempt begins.",
             request=task.facts.attempt_id,
             route=task.route.name,
+            objective=round(task.route.objective_seconds, 4),
+            pause_allowed=task.route.pause_seconds,
             upstream=placement.upstream.upstream_id,
             address=placement.upstream.address,
             heartbeat_age=round(self.view.heartbeat_age(placement.upstream), 3),
