--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -41,14 +41,6 @@
 SPREAD_COST = 0.016
 """Charged for each further engine, in short questions; parts of a few milliseconds
 gain less than the extra passes cost."""
-UNANSWERED_COST = 0.5
-"""Cost of an answer that is not whole when the caller's time is up, beyond that of a
-late one, as a share of the worth: it loses the quarter that a late one keeps, and its
-engines read in vain. Without it, a prompt that is late on any choice of engines was
-read by as few as cost least, until its time was up. On emulated engines, 32 seeds of
-40 s, it brings 0.005 of all worth at the usual load and 0.006 at 1.2 times of it (each
-0.0025 standard error), and 0.952 of long prompts in time instead of 0.933; half or
-twice as much brings less."""
 MOST_LOOKED_AT = 24
 """Engines that are weighed for a prompt which any of them can hold, drawn anew each
 time. Gateways that weigh all of 78 meet on the same cheapest one within the 7 ms that
@@ -134,23 +126,11 @@
         if parts > 1 and is_short(placing.asked, placing.model, parts // 2):
             break
         choice = choose(placing, parts)
-        if choice is not None and (
-            best is None or rank(choice, placing.asked) < rank(best, placing.asked)
-        ):
+        if choice is not None and (best is None or choice.cost < best.cost):
             best = choice
     return best
 
 
-def rank(choice: EnginesChosen, asked: PromptAsked) -> tuple[bool, float]:
-    """Order choices: those that answer while the caller waits, then by their cost.
-
-    A very long prompt harms writers on each of the engines that read it, so that few
-    engines cost least. Taken by cost alone, those few would not have answered before
-    the caller gave up, and a prompt was refused that more engines could serve.
-    """
-    return choice.first_token_seconds > asked.left_seconds, choice.cost
-
-
 def draw_candidates(
     candidates: list[Candidate], fits_one: bool, random: Random
 ) -> list[Candidate]:
@@ -233,12 +213,9 @@
     shares = (writer, *helpers)
     until_read = max(share.ready_seconds for share in shares)
     first_token = until_read + until_written(writer.seen, alone=not helpers)
-    asked, worth = placing.asked, placing.work.value
-    written = asked.size.most_output_tokens * placing.model.step_seconds
-    unanswered = lateness((first_token + written) / asked.left_seconds)
+    worth = placing.work.value
     cost = (
-        worth * lateness(first_token / asked.objective_seconds)
-        + worth * UNANSWERED_COST * unanswered
+        worth * lateness(first_token / placing.asked.objective_seconds)
         + worth * max(share.seen.candidate.penalty for share in shares)
         + sum(share.harm for share in shares)
         + SPREAD_COST * len(helpers)
