Don't take a dropped answer for whole, nor a leaving for a new start

An answer without a length ends with its connection; an exchange that the gateway itself ended, since the upstream had started again, looked the same and would have been given to the caller as whole. And a leaving heard by a gateway that knew nothing of the upstream bears the present time as its start, by which others would have cut what the leaving upstream still finished. Both tests fail before.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -82,7 +82,7 @@
                 upstream=former.upstream_id,
                 reason=f"{later.upstream_id} began there",
             )
-            attempt.connection.abort()
+            attempt.connection.drop(f"{later.upstream_id} began there")
 
     async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Run one attempt, and learn from it about the upstream."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -153,22 +153,25 @@
         """Forget all that is believed of a start, if it gave way to a later one.
 
         The later one has its own id, so nothing of this is believed of it; but what
-        is open at the former one would wait for a silence to be noticed.
+        is open at the former one would wait for a silence to be noticed. Not where the
+        later one is only known to have left: its time may be that at which a gateway
+        that knew nothing heard so, and the upstream still finishes what is open there.
         """
         upstream_id = former.start.upstream_id
         if upstream_id in self.registry.known:
             return
-        if heartbeat.phase is not UpstreamPhase.LEFT:
-            LOG.info(
-                "Upstream started again.",
-                upstream=heartbeat.upstream_id,
-                former=upstream_id,
-                former_age_seconds=round(time.monotonic() - former.heard_at, 3),
-                former_sequence=former.heartbeat.sequence,
-                sequence=heartbeat.sequence,
-                age_seconds=round(age, 3),
-            )
         self.forget_upstream(upstream_id)
+        if heartbeat.phase is UpstreamPhase.LEFT:
+            return
+        LOG.info(
+            "Upstream started again.",
+            upstream=heartbeat.upstream_id,
+            former=upstream_id,
+            former_age_seconds=round(time.monotonic() - former.heard_at, 3),
+            former_sequence=former.heartbeat.sequence,
+            sequence=heartbeat.sequence,
+            age_seconds=round(age, 3),
+        )
         self.drop_start(former.start, UpstreamStart.of(heartbeat.upstream_id))
 
     def foreign_heartbeat(self, heartbeat: UpstreamHeartbeat) -> str | None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -53,6 +53,8 @@
         """Silence after which the upstream is given up; nothing waits without end."""
         self.excused_seconds: Callable[[], float] = no_excuse
         """Tells how much longer a silence has a reason; zero where it has none."""
+        self.dropped: str | None = None
+        """Why this side has ended the exchange, if it has."""
 
     @classmethod
     async def connect(cls, address: str, seconds: float) -> "UpstreamConnection":
@@ -127,6 +129,13 @@
             raise self.lost(step, str(error) or type(error).__name__) from error
 
     async def read(self) -> bytes:
+        """Wait for bytes; raise `OSError` after a silence without excuse or a drop."""
+        data = await self.read_patiently()
+        if self.dropped is not None:
+            raise ConnectionAbortedError(self.dropped)
+        return data
+
+    async def read_patiently(self) -> bytes:
         """Wait for bytes; raise `TimeoutError` after a silence without excuse."""
         patience = self.patience_seconds
         while True:
@@ -169,6 +178,15 @@
             or self.writer.transport.is_closing()
         )
 
+    def drop(self, reason: str) -> None:
+        """End an exchange from outside the task that reads its answer.
+
+        The task sees the end of the bytes, as it does where an answer without a length
+        is complete; what came until then must not be taken for the whole answer.
+        """
+        self.dropped = reason
+        self.abort()
+
     def abort(self) -> None:
         """Drop the connection, which makes the upstream drop the request."""
         self.writer.transport.abort()
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -8,7 +8,14 @@
 from common.routed import GATEWAY_SETTINGS, heartbeat, route
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import CallerFacts
-from cowslipshelf_core.routed import EnginePart, EngineWork, RouteKind, WorkChanged
+from cowslipshelf_core.routed import (
+    EnginePart,
+    EngineWork,
+    RouteKind,
+    UpstreamPhase,
+    UpstreamStart,
+    WorkChanged,
+)
 from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
@@ -191,3 +198,27 @@
         return view.health.seen("u-1", time.monotonic()).avoided
 
     assert asyncio.run(wait_in_vain()) is answered_before
+
+
+@pytest.mark.parametrize(
+    ("later", "phase", "dropped"),
+    [
+        (UpstreamStart("u-1", 2), UpstreamPhase.READY, ["u-1#1"]),
+        (UpstreamStart("u-1", 2), UpstreamPhase.LEFT, []),
+        (UpstreamStart("u-1", 1), UpstreamPhase.LEAVING, []),
+    ],
+)
+def test_what_is_open_ends_with_a_later_start_and_not_with_a_leaving(
+    later, phase, dropped
+):
+    """Streams are cut at an upstream that leaves and would have finished them.
+
+    A gateway that had just started heard that it leaves, knew nothing of its start,
+    and told the others of one that left just now.
+    """
+    view = FleetView.from_settings(GATEWAY_SETTINGS)
+    ended = []
+    view.drop_start = lambda former, _later: ended.append(former.upstream_id)
+    view.take_heartbeat(heartbeat(UpstreamStart("u-1", 1).upstream_id), 0.0)
+    view.take_heartbeat(heartbeat(later.upstream_id, 9, phase), 0.0)
+    assert ended == dropped
--- /dev/null
+++ b/tests/cover/gateway/test_upstream_connection.py
@@ -0,0 +1,56 @@
+"""Check what is taken for a whole answer on a real connection."""
+
+import asyncio
+
+import pytest
+
+from cowslipshelf_core.dialect import OutgoingRequest
+from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    UpstreamConnection,
+    UpstreamLostError,
+)
+
+WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+
+
+async def answer_without_length(end_it) -> bytes:
+    """Take an answer that ends with its connection; `end_it` ends that."""
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(WITHOUT_LENGTH)
+        await writer.drain()
+        served.set_result(writer)
+
+    served = asyncio.get_running_loop().create_future()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connection = await UpstreamConnection.connect(f"{host}:{port}", 10.0)
+    connection.send(OutgoingRequest("GET", "/", [(b"host", b"h")], b""))
+    await connection.head()
+    reading = asyncio.create_task(connection.whole_body())
+    end_it(connection, await served)
+    try:
+        return await reading
+    finally:
+        connection.abort()
+        server.close()
+
+
+def test_an_answer_without_a_length_is_whole_once_its_upstream_closes():
+    body = asyncio.run(answer_without_length(lambda _, writer: writer.close()))
+    assert body == b"half"
+
+
+def test_an_answer_that_was_dropped_is_not_taken_for_whole():
+    """A caller gets half of a suggestion as if it were all.
+
+    The upstream sends no length, so that the end of its bytes ends the answer. Its
+    gateway heard that it had started again, and ended the exchange itself.
+    """
+    with pytest.raises(UpstreamLostError, match="began there"):
+        asyncio.run(
+            answer_without_length(
+                lambda connection, _: connection.drop("u-1#2 began there")
+            )
+        )
