--- a/tests/nocover/gateway/test_words_of_upstreams.py
+++ b/tests/nocover/gateway/test_words_of_upstreams.py
@@ -62,6 +62,18 @@
     return answers == [200] * 4 and len(upstream.seen) == before + 4
 
 
+def ask_meanwhile(
+    gateway: GatewayProcess, path: str
+) -> tuple[threading.Thread, list[bytes]]:
+    """Make a request on a thread; its answer's body comes into the list."""
+    bodies: list[bytes] = []
+    caller = threading.Thread(
+        target=lambda: bodies.append(ask(gateway, path, "POST", **LONG_DEADLINE).read())
+    )
+    caller.start()
+    return caller, bodies
+
+
 def test_a_new_start_is_used_at_once_by_all_gateways_and_the_former_never(fleet):
     """A sound upstream gets nothing for minutes, after a crash.
 
@@ -116,13 +128,7 @@
 
     gateway = fleet.gateways[0]
     started(begin_and_hang, now_ms()).tell(gateway.control)
-    bodies = []
-    caller = threading.Thread(
-        target=lambda: bodies.append(
-            ask(gateway, "/stream/x", "POST", **LONG_DEADLINE).read()
-        )
-    )
-    caller.start()
+    caller, bodies = ask_meanwhile(gateway, "/stream/x")
     assert begun.wait(30)
     started(go_on, now_ms() + 1).tell(gateway.control)
     caller.join(30)
@@ -145,13 +151,7 @@
 
     gateway = fleet.gateways[0]
     started(wait_and_answer, now_ms()).tell(gateway.control)
-    bodies = []
-    caller = threading.Thread(
-        target=lambda: bodies.append(
-            ask(gateway, "/once/x", "POST", **LONG_DEADLINE).read()
-        )
-    )
-    caller.start()
+    caller, bodies = ask_meanwhile(gateway, "/once/x")
     assert begun.wait(30)
     later = started(say_hello, now_ms() + 1)
     later.tell(gateway.control)
