--- a/tests/cover/adapter/test_wire.py
+++ b/tests/cover/adapter/test_wire.py
@@ -3,6 +3,8 @@
 import json
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import (
@@ -159,3 +161,39 @@
 def test_helpers_are_named_with_their_tickets():
     helpers = (Helper("10.0.0.1:80", "t-1"), Helper("10.0.0.2:80"))
     assert forwarded(helpers=helpers)[b"x-helpers"] == b"10.0.0.1:80/t-1,10.0.0.2:80"
+
+
+NAMES = st.sampled_from(
+    [
+        b"x-attempt-id",
+        b"x-deadline-ms",
+        b"x-token-count",
+        b"x-not-run",
+        b"keep-alive",
+        b"authorization",
+        b"last-event-id",
+        b"connection",
+        b"x-other",
+    ]
+)
+VALUES = st.binary(max_size=30) | st.sampled_from(
+    [b"1e999", b"nan", b"-0", b"9" * 400, b"timeout=inf", b"timeout=1e999", b"1,1e9"]
+)
+HEADERS = st.lists(st.tuples(NAMES, VALUES), max_size=8)
+
+
+@given(HEADERS)
+def test_no_header_of_a_caller_fails_or_gives_a_number_without_bounds(headers):
+    facts = DIALECT.caller_facts(headers)
+    deadline = facts.deadline_seconds
+    assert deadline is None or deadline >= 0.0
+    assert facts.prompt is None or all(0 <= count < 2**53 for count in facts.prompt)
+    DIALECT.forwarded_headers(headers, ForwardFacts("i", None, 1.0, None))
+    DIALECT.refusal_headers(facts.attempt_id)
+
+
+@given(st.integers(100, 999), HEADERS)
+def test_no_header_of_an_upstream_fails(status, headers):
+    facts = DIALECT.answer_facts(status, headers)
+    assert facts.keep_alive_seconds is None or facts.keep_alive_seconds >= 0.0
+    DIALECT.answer_headers(headers)
--- a/tests/cover/gateway/test_upstreams_file.py
+++ b/tests/cover/gateway/test_upstreams_file.py
@@ -4,9 +4,12 @@
 import os
 import stat
 import time
+from tempfile import TemporaryDirectory
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from common.routed import heartbeat
 from cowslipshelf_core.routed import HeartbeatSeen, UpstreamPhase
@@ -86,3 +89,13 @@
 
     first, same, changed = asyncio.run(write_in_turn())
     assert first == same != changed
+
+
+@given(st.binary(max_size=200))
+def test_whatever_a_disk_gives_back_is_no_reason_not_to_start(data):
+    with TemporaryDirectory() as folder:
+        file = UpstreamsFile(folder)
+        file.path.write_bytes(data)
+        assert file.read() == ()
+        file.write(data, frozenset())
+        assert file.read() == ()
