End a daemon whose work was cut or that did not start, whatever threads are left

Callers and operators saw a process that had logged `Work was cut.` or `Not started.`, kept its ports and served nobody until it was killed. Cause: threads of the three servers are no daemon threads, and only the graceful path stopped them; the interpreter waited for the rest for ever. run_daemon now ends the process itself on every path, so no thread can hold it; a stop that hangs after finished work is bounded by 6 s and names the stack of each thread.

--- a/benchmarks/real_path_entry.py
+++ b/benchmarks/real_path_entry.py
@@ -6,6 +6,7 @@
 import argparse
 from collections.abc import Callable
 from pathlib import Path
+from typing import NoReturn
 
 from policy_baselines import Baseline, LeastOutstanding, RoundRobin
 
@@ -19,8 +20,8 @@
 }
 
 
-def main() -> int:
-    """Run the entry; return its exit code."""
+def main() -> NoReturn:
+    """Run the entry, and end the process with its exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--choice", choices=sorted(BASELINES), required=True)
     parser.add_argument("--settings", type=Path, required=True)
@@ -31,8 +32,8 @@
     def start(settings: DaemonSettings) -> EntryRole:
         return start_entry(settings, lambda _: baseline())
 
-    return run_daemon(settings, start)
+    run_daemon(settings, start)
 
 
 if __name__ == "__main__":
-    raise SystemExit(main())
+    main()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/running.py
@@ -1,7 +1,12 @@
 """Run one role until a signal asks it to end."""
 
+import os
+import sys
 import threading
+import time
+import traceback
 from collections.abc import Callable
+from typing import NoReturn
 
 from cowslipshelf_daemon.internal.entry.assembly import EntryRole, start_entry
 from cowslipshelf_daemon.internal.errors import StartError
@@ -16,6 +21,10 @@
 EXIT_CUT = 1
 EXIT_NOT_STARTED = 7
 
+STOP_SECONDS = 6.0
+"""Time for closing what no work needs any more: the operators' server gives its last
+answers 5 s, the mailbox its last messages 0.5 s, and all else waits for neither."""
+
 
 class Shutdown:
     """Bring the signals' callbacks to the main thread."""
@@ -47,8 +56,28 @@
 def run_daemon(
     settings: DaemonSettings,
     start_role: Callable[[DaemonSettings], EntryRole | SidecarRole] = start_role,
+) -> NoReturn:
+    """Run the role of the settings, and end the process with its exit code.
+
+    The threads of the servers are no daemon threads: an interpreter that ends by
+    itself waits for them for ever where they were not stopped, since work was cut or
+    a part did not start. The process then logs its end, serves nobody and stays until
+    it is killed, and whoever watches processes starts no other one. Everything that
+    must outlive the process was synced before it was acted on, so nothing is lost by
+    an end without the interpreter's own.
+    """
+    code = run_role(settings, start_role)
+    LOG.info("Ended.", code=code)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
+def run_role(
+    settings: DaemonSettings,
+    start_role: Callable[[DaemonSettings], EntryRole | SidecarRole],
 ) -> int:
-    """Run the role of the settings; return the process's exit code."""
+    """Run the role until it has left or was cut; return the process's exit code."""
     configure_logs(settings.log)
     shutdown = Shutdown()
     signals = ShutdownSignals.from_callbacks(shutdown.begin, shutdown.end)
@@ -67,6 +96,7 @@
     """Leave gracefully, or at once after a second signal."""
     finished = threading.Event()
     outcome: list[bool] = []
+    began = time.monotonic()
 
     def finish() -> None:
         outcome.append(role.leave())
@@ -78,6 +108,28 @@
     if not finished.is_set() or not outcome[0]:
         LOG.warning("Work was cut.", requests=role.running_work())
         return EXIT_CUT
-    role.stop()
-    LOG.info("Ended.")
+    LOG.info("Work finished.", seconds=round(time.monotonic() - began, 3))
+    stop(role)
     return EXIT_DONE
+
+
+def stop(role: EntryRole | SidecarRole) -> None:
+    """Close what is left of a role whose work is done, or say what holds that up.
+
+    A socket or thread that does not close must not keep a process that has left: its
+    grace would run out, and it would be killed as if it had cut something.
+    """
+    stopping = threading.Thread(target=role.stop, name="stop", daemon=True)
+    stopping.start()
+    stopping.join(STOP_SECONDS)
+    if stopping.is_alive():
+        LOG.error("Stop not finished.", threads=stacks())
+
+
+def stacks() -> dict[str, str]:
+    """Return where each thread of this process is."""
+    names = {thread.ident: thread.name for thread in threading.enumerate()}
+    return {
+        names.get(ident, str(ident)): "".join(traceback.format_stack(frame))
+        for ident, frame in sys._current_frames().items()
+    }
--- a/tests/nocover/daemon/test_shutdowns_on_processes.py
+++ b/tests/nocover/daemon/test_shutdowns_on_processes.py
@@ -54,8 +54,9 @@
 
     Or a second signal asks it to end at once. The log said `Work was cut.`, and then
     the process stayed, serving nobody, until it was killed: its servers' threads are
-    no daemon threads, so the interpreter waited for them for ever. Seen as -9, 40 s
-    later, in each of the four cases.
+    no daemon threads, so the interpreter waited for them for ever. Shown by -9, 40 s
+    later, in each of the four cases, and by `role changed`, logged 19 s after
+    `Work was cut.` by an entry that should have been gone.
     """
     sidecar = streaming_sidecar(fleet)
     name = ENTRY if role == "entry" else sidecar
