Log commands without an outcome, late ticks, slow batches and given-up attempts

Two known failures can't be told from the logs: an operator's 503 (which replica was asked, how often, who led) and a stream placed twice (what the sidecar gave up, and whether the process had stood still).

--- a/packages/core/src/cowslipshelf_core/internal/agreement/proposals.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/proposals.py
@@ -77,6 +77,10 @@
     may_take_effect: bool
     last_refusal: ProposalRefusal | None
     last_asked: InstanceId | None
+    attempts: int = 0
+    """How often it was sent."""
+    leader: InstanceId | None = None
+    """Who was believed to lead at the end."""
 
 
 ProposalClientEffect = SendTo | ProposalAnswered | ProposalFailed
@@ -158,6 +162,8 @@
             submission.may_take_effect or unanswered,
             submission.last_refusal,
             submission.last_asked,
+            submission.attempts,
+            self.leader,
         )
 
     def send(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/control_gateway.py
@@ -31,6 +31,9 @@
 from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_daemon.internal.ticker import Tick
+from cowslipshelf_host.logs import part_logger
+
+LOG = part_logger("control")
 
 STEP = "ask_control_state"
 ELECTIONS_PER_WAIT = 5
@@ -78,6 +81,7 @@
                 case ProposalAnswered(proposal_id, _, outcome):
                     self.answer(proposal_id, decode_outcome(outcome))
                 case ProposalFailed():
+                    log_failure(effect)
                     self.answer(effect.proposal_id, refusal_of(effect))
 
     def answer(self, proposal_id: str, outcome: ControlOutcome | Refusal) -> None:
@@ -87,6 +91,19 @@
             reply.put(outcome)
 
 
+def log_failure(failed: ProposalFailed) -> None:
+    """Say how a command was left without an outcome."""
+    LOG.warning(
+        "Command not answered.",
+        proposal=failed.proposal_id,
+        attempts=failed.attempts,
+        last_asked=failed.last_asked,
+        last_refusal=failed.last_refusal,
+        leader=failed.leader,
+        may_take_effect=failed.may_take_effect,
+    )
+
+
 def refusal_of(failed: ProposalFailed) -> Refusal:
     """Describe a command that got no outcome in time."""
     code = (
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -67,6 +67,9 @@
 LOG = part_logger("replica")
 
 MOST_EVENTS_PER_SYNC = 512
+SLOW_BATCH_SECONDS = 0.1
+"""Time for one batch, its sync included, above which it is logged. A leader whose
+batches take longer than its followers' patience is replaced, without any error."""
 MOST_READS_WAITING = 4096
 
 
@@ -179,6 +182,13 @@
         """Handle what was collected, make it durable, and only then act on it."""
         events, self.events = self.events, []
         now = time.monotonic()
+        self.handle_batch(events, now)
+        took = time.monotonic() - now
+        if took >= SLOW_BATCH_SECONDS:
+            LOG.warning("Slow batch.", events=len(events), seconds=round(took, 3))
+
+    def handle_batch(self, events: list[Event], now: float) -> None:
+        """Handle one batch of events at `now` (monotonic seconds)."""
         effects = self.replica.handle_batch(events, now, self.random)
         failure = self.make_durable(effects)
         if failure is not None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/sidecar_actor.py
@@ -277,6 +277,13 @@
 
     def end_attempt(self, attempt_id: AttemptId, refusal: Refusal) -> None:
         """End the frames of an attempt that was given up, wherever it had got to."""
+        LOG.info(
+            "Attempt given up.",
+            attempt=attempt_id,
+            code=refusal.code,
+            reason=refusal.reason,
+            step=refusal.step,
+        )
         buffer = self.attempts.find(attempt_id)
         if buffer is not None:
             buffer.end(refusal)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/ticker.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/ticker.py
@@ -1,10 +1,20 @@
 """Tell actors that time has passed."""
 
 import threading
+import time
 from collections.abc import Sequence
 
 from pykka import ActorDeadError, ActorRef
 
+from cowslipshelf_host.logs import part_logger
+
+LOG = part_logger("ticker")
+
+LATE_SECONDS = 0.25
+"""Lateness of a tick that is logged: a quarter of the shortest silence by which tests
+and deployments take a peer for lost, so that a process that was not run, or whose
+threads waited for each other, shows before it acts on what it missed."""
+
 
 class Tick:
     """Ask an actor to let its decider look at the clock."""
@@ -33,7 +43,13 @@
 
     def run(self) -> None:
         """Tick until stopped."""
+        before = time.monotonic()
         while not self.stopped.wait(self.tick_seconds):
+            now = time.monotonic()
+            late = now - before - self.tick_seconds
+            before = now
+            if late >= LATE_SECONDS:
+                LOG.warning("Tick late.", seconds=round(late, 3))
             for actor in self.actors:
                 self.tell(actor)
 
