Hear a signal in whichever thread it comes

Callers and operators saw a process that had been asked to end, took work on and was killed with it. Cause: after a pause the kernel gives SIGTERM to another thread than the main one, Python runs handlers in the main thread only, and that waited in a lock for ever. The number now goes to a socket by set_wakeup_fd, from any thread, and the watching thread reads it, so no thread has to wake.

--- a/packages/host/src/cowslipshelf_host/internal/signals.py
+++ b/packages/host/src/cowslipshelf_host/internal/signals.py
@@ -1,10 +1,9 @@
 """Turn signals into a graceful shutdown, and a second one into its end."""
 
 import signal
+import socket
 from collections.abc import Callable
-from queue import SimpleQueue
 from threading import Thread
-from typing import NamedTuple
 
 from cowslipshelf_host.logs import part_logger
 
@@ -13,26 +12,32 @@
 LOG = part_logger("signals")
 
 
-class SignalSeen(NamedTuple):
-    """Be a signal that arrived."""
-
-    name: str
-
-
-class StopWatching(NamedTuple):
-    """Ask the watching thread to end."""
+STOP_WATCHING = 0
+"""Asks the watching thread to end; no signal has this number."""
+MOST_NUMBERS = 64
+"""Signals taken at once."""
 
 
 class ShutdownSignals:
-    """Begin a shutdown at the first signal and end it at the second."""
+    """Begin a shutdown at the first signal and end it at the second.
+
+    The kernel may give a signal to any thread, and does so where the main one has
+    another still to take, as after a pause of the process. Python runs its handlers in
+    the main thread alone, which waits in a lock that such a signal does not interrupt:
+    the process would never hear that it is to end, and be killed with its work when
+    its grace is over. So the interpreter writes each signal's number to a socket, in
+    whichever thread it comes, and a thread that reads the socket calls back.
+    """
 
     def __init__(
         self, begin: Callable[[str], object], end: Callable[[str], object]
     ) -> None:
         self.begin = begin
         self.end = end
-        self.arrived: SimpleQueue[SignalSeen | StopWatching] = SimpleQueue()
+        self.arrivals, self.arrived = socket.socketpair()
+        self.arrived.setblocking(False)
         self.previous: dict[int, object] = {}
+        self.previous_wakeup = -1
         self.thread = Thread(target=self.watch, name="signals", daemon=True)
 
     @classmethod
@@ -45,35 +50,41 @@
     def install(self) -> None:
         """Start to watch; call it from the main thread."""
         self.thread.start()
+        self.previous_wakeup = signal.set_wakeup_fd(self.arrived.fileno())
         for number in SHUTDOWN_SIGNALS:
-            self.previous[number] = signal.signal(number, self.receive)
-
-    def receive(self, number: int, _frame: object = None) -> None:
-        """Take a signal.
+            self.previous[number] = signal.signal(number, leave_to_watcher)
 
-        The interpreter calls this between two steps of the main thread, which may
-        hold any lock at that time; a callback that wants the same lock would then
-        wait for ever. A `SimpleQueue` may be put to even so, and the callbacks run
-        in a thread of their own.
-        """
-        self.arrived.put(SignalSeen(signal.Signals(number).name))
+    def receive(self, number: int) -> None:
+        """Take a signal's number, as the interpreter gives it."""
+        self.arrived.send(bytes((number,)))
 
     def watch(self) -> None:
-        """Call back for each signal until asked to stop."""
+        """Call back for each signal until asked to stop.
+
+        The callbacks run in this thread: the main one may hold any lock while it takes
+        a signal, and a callback that wants the same lock would wait for ever.
+        """
         callbacks = iter((self.begin, self.end))
         while True:
-            match self.arrived.get():
-                case StopWatching():
+            for number in self.arrivals.recv(MOST_NUMBERS):
+                if number == STOP_WATCHING:
                     return
-                case SignalSeen(name):
-                    call_back(next(callbacks, None), name)
+                if number in SHUTDOWN_SIGNALS:
+                    call_back(next(callbacks, None), signal.Signals(number).name)
 
     def stop(self) -> None:
         """Stop to watch and give the signals back to who had them before."""
         for number, handler in self.previous.items():
             signal.signal(number, handler)  # type: ignore[arg-type]
-        self.arrived.put(StopWatching())
+        signal.set_wakeup_fd(self.previous_wakeup)
+        self.receive(STOP_WATCHING)
         self.thread.join()
+        self.arrivals.close()
+        self.arrived.close()
+
+
+def leave_to_watcher(_number: int, _frame: object) -> None:
+    """Keep a signal from its default, which ends the process."""
 
 
 def call_back(callback: Callable[[str], object] | None, name: str) -> None:
