--- a/tests/common/daemon_fleet.py
+++ b/tests/common/daemon_fleet.py
@@ -53,6 +53,12 @@
         )
 
 
+def put_weight(weight: int) -> dict[str, Any]:
+    """Describe a change of one customer, which shows in nothing but its weight."""
+    customer = {"name": "mill", "services": ["scribe"], "key_hash": "0" * 64}
+    return {"put_customers": [customer | {"weight": weight}]}
+
+
 def state(fleet: LocalFleet, name: str) -> dict[str, Any]:
     """Read what an entry knows."""
     return fleet.operator_call(name, "GET", "/v1/state")[1]
--- a/tests/nocover/daemon/test_disks_on_processes.py
+++ b/tests/nocover/daemon/test_disks_on_processes.py
@@ -15,6 +15,7 @@
     TIMINGS,
     StreamedCall,
     leader,
+    put_weight,
     start_fleet,
     state,
     version,
@@ -29,11 +30,6 @@
         yield fleet
 
 
-def put_weight(weight: int) -> dict:
-    customer = {"name": "mill", "services": ["scribe"], "key_hash": "0" * 64}
-    return {"put_customers": [customer | {"weight": weight}]}
-
-
 def test_an_entry_with_a_full_disk_serves_callers_and_votes_no_more(fleet):
     """The leader's disk becomes full, its log lines included.
 
--- a/tests/nocover/daemon/test_recovery_on_processes.py
+++ b/tests/nocover/daemon/test_recovery_on_processes.py
@@ -20,6 +20,7 @@
     TIMINGS,
     StreamedCall,
     leader,
+    put_weight,
     start_fleet,
     state,
     version,
@@ -56,11 +57,6 @@
     return sum(engines) + sum(reported)
 
 
-def put_weight(weight: int) -> dict:
-    customer = {"name": "mill", "services": ["scribe"], "key_hash": "0" * 64}
-    return {"put_customers": [customer | {"weight": weight}]}
-
-
 def test_an_entry_catches_up_with_hundreds_of_changes_that_passed_it_by(fleet):
     """An entry is down while operators make hundreds of changes.
 
