Count no pause of an own process against the leases that it keeps for others

Cause: a gap between ticks counted as a standstill from 5 s on only, and leases may be shorter (3 s here; 3 s by default for upstreams, 5 s for owners). Whatever a gap has beyond 0.5 s now prolongs them, in the sidecar and in the entry's directory; the rest always counts, so that leases of the dead end.

--- a/packages/core/src/cowslipshelf_core/internal/directory/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/config.py
@@ -40,8 +40,6 @@
     flap_forgotten_seconds: float = 300.0
     """Time without a loss after which pauses begin anew; removed ones are kept so."""
     retired_epochs_kept: int = 8
-    freeze_seconds: float = 5.0
-    """A longer gap between ticks means that this process itself stood still."""
 
     def drop_seconds(self, lease_seconds: float) -> float:
         """Return the longest silence before a single dead upstream gets no new work."""
--- a/packages/core/src/cowslipshelf_core/internal/directory/directory.py
+++ b/packages/core/src/cowslipshelf_core/internal/directory/directory.py
@@ -53,7 +53,7 @@
     @classmethod
     def from_config(cls, config: DirectoryConfig) -> Self:
         """Start knowing no upstream."""
-        watch = StandstillWatch(config.freeze_seconds)
+        watch = StandstillWatch()
         return cls(config, watch, MassLossJudge(config))
 
     def handle(self, event: DirectoryEvent, now: float) -> list[DirectoryEffect]:
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/config.py
@@ -41,8 +41,6 @@
     most_finished: int = 512
     """Finished attempts whose frames are kept."""
     ask_fencing_seconds: float = 2.0
-    freeze_seconds: float = 5.0
-    """A longer gap between ticks means that this process itself stood still."""
 
     def leak_seconds(self, deadline_seconds: float) -> float:
         """Return the longest time for which a lost attempt's reservation lasts.
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/owners.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/owners.py
@@ -19,7 +19,7 @@
     @classmethod
     def from_config(cls, config: SidecarConfig) -> Self:
         """Start knowing no owner."""
-        return cls(config, StandstillWatch(config.freeze_seconds))
+        return cls(config, StandstillWatch())
 
     def renew(self, owner: InstanceId, now: float) -> None:
         """Prolong an owner's lease."""
