Count no pause of an entry as the silence of the sidecar that it waits for

Cause: the wait for the answer ends with the pause, before a sidecar that was paused too can answer.

--- a/packages/fleet/src/cowslipshelf_fleet/internal/fresh_connections.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/fresh_connections.py
@@ -5,6 +5,8 @@
 from urllib3 import HTTPConnectionPool
 from urllib3.connection import HTTPConnection
 
+from cowslipshelf_fleet.internal.running_time_socket import RunningTimeSocket
+
 MOST_IDLE_SECONDS = 2.0
 SEND_SECONDS = 30.0
 """Longest time for sending one request's body."""
@@ -29,6 +31,7 @@
     def connect(self) -> None:
         """Connect; then give a large body more time than connecting may take."""
         super().connect()
+        self.sock = RunningTimeSocket.from_connected(self.sock)
         self.sock.settimeout(SEND_SECONDS)
 
     @property
