--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -27,12 +27,10 @@
 )
 from cowslipshelf_daemon.internal.gateway.engine_memory import EngineMemory
 from cowslipshelf_daemon.internal.gateway.event_stream import EventCutter
-from cowslipshelf_daemon.internal.gateway.fleet_view import (
-    NANOSECONDS_OF_MILLISECOND,
-    FleetView,
-)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.placement import Placement
+from cowslipshelf_daemon.internal.gateway.time_of_day import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     MOST_BUFFERED_BYTES,
     UpstreamConnection,
@@ -213,7 +211,7 @@
             task.facts.attempt_id,
             frozenset((placement.upstream.upstream_id, *helping)),
             connection,
-            time.time_ns() // NANOSECONDS_OF_MILLISECOND,
+            unix_milliseconds(),
         )
         if task.route.repeatable:
             self.open.add(attempt)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -40,6 +40,7 @@
     WorkChanged,
 )
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
+from cowslipshelf_daemon.internal.gateway.time_of_day import unix_milliseconds
 from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("fleet_view")
@@ -50,7 +51,6 @@
 RECALLED_SECONDS = 2.5
 """Time for which upstreams known before a restart count: two heartbeats, and the time
 that an upstream takes to find a gateway that answers again."""
-NANOSECONDS_OF_MILLISECOND = 1_000_000
 NO_DOCUMENT = RoutesDocument(RouteConfiguration(0).version, "", b"")
 
 
@@ -208,7 +208,7 @@
         if not start.is_told and known is not None:
             start = known.start
         elif not start.is_told:
-            start = UpstreamStart(name, time.time_ns() // NANOSECONDS_OF_MILLISECOND)
+            start = UpstreamStart(name, unix_milliseconds())
         seen = self.registry.leave(start, time.monotonic())
         if known is not None:
             self.forget_if_over(known, seen.of_start, 0.0)
--- a/packages/fleet/src/cowslipshelf_fleet/internal/running_time_socket.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/running_time_socket.py
@@ -16,9 +16,10 @@
     A machine that is paused, or starved, wakes with every wait on it over, before a
     peer that was paused with it can have sent a byte. Taken for that peer's silence, it
     makes an entry give a hand-over up and place the stream again, at a second engine:
-    three of twenty pauses of 1.3 and 2.3 s did so at a silence of 1 s. Waited for in
-    slices, a peer that is there has four fifths of the time left after a pause, and one
-    that is silent is given up after the whole, as before.
+    three of sixteen pauses of 1.3 and 2.3 s within a hand-over did so at a silence of
+    1 s. Waited for in slices, a peer that is there has four fifths of the time left
+    after a pause, and one that is silent is given up after the whole, as before; then
+    none of forty such pauses did.
     """
 
     @classmethod
--- a/tests/cover/fleet/test_standstills.py
+++ b/tests/cover/fleet/test_standstills.py
@@ -58,7 +58,7 @@
     The entry's wait for the answer is over with the pause, before the sidecar, paused
     with it, can have answered. Shown by `goes to scribe-1` at 0.001 s, `hand-over
     failed: Read timed out. (read timeout=1.0)` at 1.304 s and `goes to scribe-2` at
-    1.312 s, after a pause of 1.3 s; three of twenty pauses did it.
+    1.312 s, after a pause of 1.3 s; three of sixteen pauses did it.
     """
     assert "AttemptStream" in outcome_of(PAUSE_SECONDS, LATE_SECONDS)
 
--- a/tests/nocover/daemon/test_faults_on_processes.py
+++ b/tests/nocover/daemon/test_faults_on_processes.py
@@ -240,8 +240,9 @@
     At times the stream was placed twice: a pause of the machine, within the hand-over,
     counted as the sidecar's silence (`Read timed out. (read timeout=1.0)` at 1.304 s,
     `trying elsewhere` at 1.308 s), or in the sidecar as the silence of its owner
-    (`trying elsewhere after cancelled`). Once the sidecar stayed and was killed: its
-    signal had come in a thread that Python does not look at (no `Signal taken.`).
+    (`trying elsewhere after cancelled`). Once the sidecar stayed and was killed;
+    a pause shows how: its signal comes in a thread that Python does not look at, and
+    `Signal taken.` is missing.
     """
     call = StreamedCall(fleet, "entry-1", PROMPT, 60)
     call.wait_for_tokens(3)
