--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -51,8 +51,8 @@
 COMMAND_SECONDS = 8.0
 """Time for a change to be committed, below the 10 s that operators' programs wait at
 least. A change has no deadline, and one whose outcome is unknown has to be sent again:
-bounded like a caller's wait, by five elections, a pause of the quorum of 1.8 s left
-the operator without the outcome of a change that came into force 0.2 s later."""
+bounded like a caller's wait, by five elections of 0.3 s, a pause of the quorum of 1.3 s
+left the operator without the outcome of a change that was in force 0.2 s later."""
 READ_SECONDS = 5.0
 
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/ticker.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/ticker.py
@@ -11,9 +11,9 @@
 LOG = part_logger("ticker")
 
 LATE_SECONDS = 0.25
-"""Lateness of a tick that is logged: a quarter of the shortest silence by which tests
-and deployments take a peer for lost, so that a process that was not run, or whose
-threads waited for each other, shows before it acts on what it missed."""
+"""Lateness of a tick that is logged: a quarter of the shortest silence after which a
+peer counts as lost, so that a process that stood still shows in its log before it, or
+another, acts on what it missed."""
 
 
 class Tick:
--- a/packages/daemon/src/cowslipshelf_daemon/program.py
+++ b/packages/daemon/src/cowslipshelf_daemon/program.py
@@ -42,7 +42,7 @@
 
 
 def main() -> int:
-    """Run the daemon that the command line asks for; return why it did not start."""
+    """Run the daemon that the command line asks for; return only where it runs none."""
     arguments = cappa.parse(Arguments)
     if not arguments.force_members and (arguments.operator or arguments.yes):
         return say(EXIT_BAD_ARGUMENTS, "--operator and --yes need --force-members.")
