--- /dev/null
+++ b/tests/nocover/gateway/test_memory_of_silent_engines.py
@@ -0,0 +1,173 @@
+"""Check for how long engines hold memory for a prompt whose own engine is silent."""
+
+import asyncio
+import json
+import time
+from typing import NamedTuple
+
+from common.routed import GATEWAY_SETTINGS, heartbeat, route
+from cowslipshelf_adapter.wire import MachinesDialect
+from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, OutgoingRequest
+from cowslipshelf_core.routed import EnginePart, EngineWork, RouteKind
+from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
+from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
+    AttemptOutcome,
+    AttemptTask,
+    Broken,
+    Delivered,
+)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
+from cowslipshelf_daemon.internal.gateway.placement import Placement
+from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    UpstreamHead,
+    UpstreamLostError,
+)
+
+HEAD, HOLDER = "10.0.0.1:80", "10.0.0.2:80"
+FREE_SECONDS = 4.0
+"""Time that operators leave between the end of a request and that of its memory."""
+WATCHED_SECONDS = 6.0
+
+
+class HeldOrder(NamedTuple):
+    """Be an order to hold memory, as an engine got it."""
+
+    at: float
+    hold_seconds: float
+
+    @property
+    def ends_at(self) -> float:
+        return self.at + self.hold_seconds
+
+
+class Engine:
+    """Answer orders and questions, unless it is dark; answer no prompt."""
+
+    def __init__(self, dark: bool) -> None:
+        self.dark = dark
+        self.held: list[HeldOrder] = []
+
+    async def status_of(self, request: OutgoingRequest) -> int:
+        if self.dark or request.target == "/prompt":
+            await asyncio.Event().wait()
+        if request.method == "POST":
+            order = json.loads(request.body)
+            if order["op"] == "reserve":
+                held = HeldOrder(time.monotonic(), order["hold_ms"] / 1000)
+                self.held.append(held)
+        return 200
+
+
+class EngineConnection:
+    """Be one connection to an engine."""
+
+    keep_alive_seconds = None
+    patience_seconds = None
+    excused_seconds = None
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.request: OutgoingRequest | None = None
+        self.dropped = asyncio.Event()
+
+    def send(self, request: OutgoingRequest) -> None:
+        self.request = request
+
+    async def head(self) -> UpstreamHead:
+        answer = asyncio.create_task(self.engine.status_of(self.request))
+        dropped = asyncio.create_task(self.dropped.wait())
+        tasks = {answer, dropped}
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if dropped.done():
+                raise UpstreamLostError("wait for answer", "peer", "dropped")
+            return UpstreamHead(answer.result(), [])
+        finally:
+            for task in tasks:
+                task.cancel()
+
+    async def whole_body(self) -> bytes:
+        return b""
+
+    def drop(self, _reason: str) -> None:
+        self.dropped.set()
+
+    def abort(self) -> None:
+        return None
+
+
+class Engines:
+    """Connect to engines by their addresses."""
+
+    def __init__(self, **engines: Engine) -> None:
+        self.engines = {HEAD: engines["head"], HOLDER: engines["holder"]}
+
+    async def take(self, _upstream_id, address, fresh) -> EngineConnection:
+        return EngineConnection(self.engines[address])
+
+    def give_back(self, upstream_id, connection) -> None:
+        return None
+
+
+def spread_prompt() -> Placement:
+    """Place a prompt on one engine whose memory lies at another one too."""
+    parts = (EnginePart("u-1", 9.0, 1, writes=True), EnginePart("u-2", 9.0, 1, False))
+    work = EngineWork("w-1", parts, 9.0, 4.0, 1.0)
+    ticket = MemoryTicket("u-2", HOLDER, "w-1-0", 150_000)
+    head = heartbeat("u-1", address=HEAD)
+    return Placement(head, work, tickets=(ticket,), first_token_seconds=9.0)
+
+
+def long_task() -> AttemptTask:
+    return AttemptTask(
+        HttpRequest("POST", "/prompt", [], b"", "host", "peer"),
+        CallerFacts("a-1", None, None, None, None),
+        route(kind=RouteKind.STREAM, resumable=True),
+        None,
+        None,
+        Delivered(None),
+        time.monotonic() + 15.0,
+    )
+
+
+def watch(head: Engine, holder: Engine) -> AttemptOutcome | None:
+    """Run the prompt for a while; return what came of it until then."""
+
+    async def attempt() -> AttemptOutcome | None:
+        view = FleetView.from_settings(GATEWAY_SETTINGS)
+        view.take_heartbeat(heartbeat("u-1", address=HEAD), 0.0)
+        pool = Engines(head=head, holder=holder)
+        runner = AttemptRunner(view, pool, MachinesDialect())
+        running = asyncio.create_task(runner.run(long_task(), spread_prompt()))
+        done, _ = await asyncio.wait({running}, timeout=WATCHED_SECONDS)
+        if done:
+            return running.result()
+        running.cancel()
+        await asyncio.wait({running})
+        return None
+
+    return asyncio.run(attempt())
+
+
+def test_memory_ends_soon_after_the_last_word_of_the_engine_that_it_is_for():
+    """Memory of an engine is lost to others for seconds, and so is a caller's time.
+
+    A prompt is read by one engine and lies in part at another one. The first is gone
+    without a word. Its silence was excused for as long as such a prompt is read, and
+    all the while the gateway went on to renew the memory at the other engine.
+    """
+    head, holder = Engine(dark=True), Engine(dark=False)
+    began = time.monotonic()
+    outcome = watch(head, holder)
+    assert max(order.ends_at for order in holder.held) <= began + FREE_SECONDS
+    assert isinstance(outcome, Broken)
+
+
+def test_memory_is_kept_for_an_engine_that_reads_for_long_and_answers_questions():
+    head, holder = Engine(dark=False), Engine(dark=False)
+    began = time.monotonic()
+    assert watch(head, holder) is None
+    for earlier, later in zip(holder.held, holder.held[1:], strict=False):
+        assert later.at < earlier.ends_at
+    assert max(order.ends_at for order in holder.held) > began + WATCHED_SECONDS
