Lease engines' memory by the signs of life of the engine that it is for

Cause: memory was renewed for as long as an attempt was open, and a silence is excused for as long as a prompt of that size is read. Ruled out: a lost release alone, which adds 3 s at most. Change: the engine that uses the memory is asked each second; a pure lease bounds each order by its last answer, and the attempt ends with the lease.

--- a/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/dialect.py
@@ -155,6 +155,9 @@
     def release_memory(self, ticket: MemoryTicket) -> OutgoingRequest:
         """Tell an engine that its memory is wanted no more."""
 
+    def ask_report(self, upstream_id: UpstreamId, address: str) -> OutgoingRequest:
+        """Ask an engine how it is, which it answers whatever it works on."""
+
     def is_memory_granted(self, status: int) -> bool:
         """Tell whether an engine has set the memory aside."""
 
--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -29,6 +29,10 @@
 )
 from cowslipshelf_core.internal.routed.engine_weighing import Candidate, PromptAsked
 from cowslipshelf_core.internal.routed.matching import RouteTable, choose_service
+from cowslipshelf_core.internal.routed.memory_lease import (
+    MemoryLease,
+    MemoryLeaseConfig,
+)
 from cowslipshelf_core.internal.routed.messages import (
     EnginePart,
     EngineWork,
@@ -87,6 +91,8 @@
     "HeldWork",
     "KnownPeer",
     "KnownUpstream",
+    "MemoryLease",
+    "MemoryLeaseConfig",
     "NOT_TOLD",
     "NoEngine",
     "PeerBook",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -25,7 +25,10 @@
     OpenAttempt,
     StreamPace,
 )
-from cowslipshelf_daemon.internal.gateway.engine_memory import EngineMemory
+from cowslipshelf_daemon.internal.gateway.engine_memory import (
+    EngineMemory,
+    ReservedMemory,
+)
 from cowslipshelf_daemon.internal.gateway.event_stream import EventCutter
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
@@ -56,7 +59,7 @@
 
     def __init__(self, view: FleetView, pool: UpstreamPool, dialect: Dialect) -> None:
         self.view = view
-        self.memory = EngineMemory(pool, dialect)
+        self.memory = EngineMemory(view, pool, dialect)
         self.pool = pool
         self.dialect = dialect
         self.open: set[OpenAttempt] = set()
@@ -163,13 +166,14 @@
 
     async def exchange(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Send the request and take the answer."""
-        async with self.memory.reserved(placement.tickets) as granted:
-            if not granted:
+        tickets, upstream = placement.tickets, placement.upstream
+        async with self.memory.reserved(tickets, upstream) as memory:
+            if not memory.granted:
                 return NotRun(MEMORY_REFUSED)
-            return await self.connect_and_talk(task, placement)
+            return await self.connect_and_talk(task, placement, memory)
 
     async def connect_and_talk(
-        self, task: AttemptTask, placement: Placement
+        self, task: AttemptTask, placement: Placement, memory: ReservedMemory
     ) -> AttemptOutcome:
         """Get a connection, use it, and keep it if it is fit for another request."""
         upstream = placement.upstream
@@ -183,6 +187,7 @@
         except UpstreamLostError as error:
             return NotReached(str(error))
         kept = False
+        memory.on_lapse = connection.drop
         try:
             connection.patience_seconds = placement.patience.first
             if placement.work is not None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/engine_memory.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/engine_memory.py
@@ -1,64 +1,116 @@
 """Reserve memory on engines for one prompt, keep it reserved, and give it back."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
 
 from cowslipshelf_core.dialect import Dialect, MemoryTicket, OutgoingRequest
+from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_core.routed import MemoryLease, MemoryLeaseConfig, UpstreamHeartbeat
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.upstream_connection import UpstreamLostError
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
 from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("engine_memory")
 
-HOLD_SECONDS = 3.0
-"""Time for which memory is reserved at once. Should this process die, the engine has
-it back after this, which must stay below the 4 s that engines' operators allow."""
-RENEW_SECONDS = 1.0
-"""Pause between renewals: two may be lost before the memory is."""
 ORDER_SECONDS = 0.8
-"""Time for an engine to answer an order, which needs no slot."""
+"""Time for an engine to answer an order or a question, which needs no slot."""
 RELEASE_TRIES = 2
 
 
+def ignore_lapse(_reason: str) -> None:
+    """Do nothing where memory lapses before a request uses it."""
+
+
+@dataclass(slots=True)
+class ReservedMemory:
+    """Be what was reserved for one prompt."""
+
+    granted: bool
+    on_lapse: Callable[[str], None] = ignore_lapse
+    """Ends the request, whose memory is not renewed any more."""
+
+
 class EngineMemory:
     """Send the orders that concern memory."""
 
-    def __init__(self, pool: UpstreamPool, dialect: Dialect) -> None:
+    def __init__(self, view: FleetView, pool: UpstreamPool, dialect: Dialect) -> None:
+        self.view = view
         self.pool = pool
         self.dialect = dialect
         self.releasing: set[asyncio.Task[None]] = set()
 
     @asynccontextmanager
-    async def reserved(self, tickets: tuple[MemoryTicket, ...]) -> AsyncIterator[bool]:
-        """Hold memory during the context, all of it or none; say whether it is held."""
+    async def reserved(
+        self, tickets: tuple[MemoryTicket, ...], user: UpstreamHeartbeat
+    ) -> AsyncIterator[ReservedMemory]:
+        """Hold memory for an engine during the context, all of it or none."""
         if not tickets:
-            yield True
+            yield ReservedMemory(granted=True)
             return
+        config = MemoryLeaseConfig(self.view.settings.memory_free_seconds)
+        lease = MemoryLease.from_config(config, time.monotonic())
         renewing: asyncio.Task[None] | None = None
         try:
-            answers = await asyncio.gather(*map(self.reserve, tickets))
-            granted = all(answers)
+            answers = await self.reserve_all(tickets, lease)
+            memory = ReservedMemory(granted=all(answers))
             LOG.info(
-                "Memory reserved." if granted else "Memory refused.",
+                "Memory reserved." if memory.granted else "Memory refused.",
                 tickets=[ticket.name for ticket in tickets],
                 upstreams=[ticket.upstream_id for ticket in tickets],
                 tokens=[ticket.tokens for ticket in tickets],
                 granted=answers,
             )
-            if granted:
-                renewing = asyncio.create_task(self.renew(tickets))
-            yield granted
+            if memory.granted:
+                renewing = asyncio.create_task(self.renew(tickets, user, lease, memory))
+            yield memory
         finally:
             if renewing is not None:
                 renewing.cancel()
             self.release_soon(tickets)
 
-    async def renew(self, tickets: tuple[MemoryTicket, ...]) -> None:
-        """Go on to reserve: a prompt whose memory expires is cut off."""
+    async def renew(
+        self,
+        tickets: tuple[MemoryTicket, ...],
+        user: UpstreamHeartbeat,
+        lease: MemoryLease,
+        memory: ReservedMemory,
+    ) -> None:
+        """Go on to reserve while the engine that uses the memory lives.
+
+        A prompt whose memory expires is cut off by the engines; so the request ends
+        with the lease, and goes on elsewhere as soon as that is sure.
+        """
         while True:
-            await asyncio.sleep(RENEW_SECONDS)
-            await asyncio.gather(*map(self.reserve, tickets))
+            await asyncio.sleep(lease.config.renew_seconds)
+            await self.ask_for_life(user, lease)
+            now = time.monotonic()
+            if not lease.hold_seconds(now):
+                break
+            await self.reserve_all(tickets, lease)
+        LOG.warning(
+            "Memory not renewed.",
+            tickets=[ticket.name for ticket in tickets],
+            upstream=user.upstream_id,
+            silent_seconds=round(now - lease.heard_at, 3),
+        )
+        memory.on_lapse("its engine gives no sign of life")
+
+    async def ask_for_life(self, user: UpstreamHeartbeat, lease: MemoryLease) -> None:
+        """Ask an engine for a sign of life.
+
+        Its heartbeats are none: they come by way of other gateways and seconds late,
+        so that one may be older than the engine's end.
+        """
+        asked_at = time.monotonic()
+        request = self.dialect.ask_report(user.upstream_id, user.address)
+        status = await self.exchange(user.upstream_id, user.address, request)
+        if status is not None and status < HTTPStatus.MULTIPLE_CHOICES:
+            lease.heard(asked_at)
 
     def release_soon(self, tickets: tuple[MemoryTicket, ...]) -> None:
         """Give memory back in a task of its own, which a caller's leaving spares."""
@@ -67,29 +119,38 @@
             self.releasing.add(task)
             task.add_done_callback(self.releasing.discard)
 
-    async def reserve(self, ticket: MemoryTicket) -> bool:
+    async def reserve_all(
+        self, tickets: tuple[MemoryTicket, ...], lease: MemoryLease
+    ) -> list[bool]:
+        """Reserve memory on each engine for as long as the lease allows."""
+        seconds = lease.hold_seconds(time.monotonic())
+        reserving = (self.reserve(ticket, seconds) for ticket in tickets)
+        return await asyncio.gather(*reserving)
+
+    async def reserve(self, ticket: MemoryTicket, seconds: float) -> bool:
         """Reserve memory on one engine; return whether it is held."""
-        request = self.dialect.reserve_memory(ticket, HOLD_SECONDS)
-        status = await self.order(ticket, request)
+        request = self.dialect.reserve_memory(ticket, seconds)
+        status = await self.exchange(ticket.upstream_id, ticket.address, request)
         return status is not None and self.dialect.is_memory_granted(status)
 
     async def release(self, ticket: MemoryTicket) -> None:
         """Give memory back; an engine that does not hear it takes it back by itself."""
         request = self.dialect.release_memory(ticket)
         for _ in range(RELEASE_TRIES):
-            if await self.order(ticket, request) is not None:
+            status = await self.exchange(ticket.upstream_id, ticket.address, request)
+            if status is not None:
                 return
         LOG.warning("Memory not released.", ticket=ticket.name, peer=ticket.address)
 
-    async def order(self, ticket: MemoryTicket, request: OutgoingRequest) -> int | None:
-        """Give one order; return its status, or nothing where no answer came."""
+    async def exchange(
+        self, upstream_id: UpstreamId, address: str, request: OutgoingRequest
+    ) -> int | None:
+        """Send an order or a question; return the status of the answer, if any came."""
         connection = None
         answered = False
         try:
             async with asyncio.timeout(ORDER_SECONDS):
-                connection = await self.pool.take(
-                    ticket.upstream_id, ticket.address, fresh=False
-                )
+                connection = await self.pool.take(upstream_id, address, fresh=False)
                 connection.send(request)
                 head = await connection.head()
                 await connection.whole_body()
@@ -98,13 +159,14 @@
         except (UpstreamLostError, TimeoutError) as error:
             LOG.warning(
                 "Order not answered.",
-                ticket=ticket.name,
-                peer=ticket.address,
+                upstream=upstream_id,
+                peer=address,
+                target=request.target,
                 error=str(error) or type(error).__name__,
             )
             return None
         finally:
             if connection is not None and answered:
-                self.pool.give_back(ticket.upstream_id, connection)
+                self.pool.give_back(upstream_id, connection)
             elif connection is not None:
                 connection.abort()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -37,6 +37,8 @@
     repeat_slack: float = 10.0
     """Repeats allowed besides, in each window."""
     repeat_window_seconds: float = 10.0
+    memory_free_seconds: float = 4.0
+    """Time after the end of a request within which its engine memory must be free."""
     replica_in_memory: bool = False
     """Whether a replica is held without a disk, where no machine has one."""
 
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -79,6 +79,9 @@
     def lost(self, step, detail) -> UpstreamLostError:
         return UpstreamLostError(step, "peer", detail)
 
+    def drop(self, reason) -> None:
+        return None
+
     def abort(self) -> None:
         return None
 
--- a/tests/nocover/gateway/test_memory_of_silent_engines.py
+++ b/tests/nocover/gateway/test_memory_of_silent_engines.py
@@ -136,7 +136,6 @@
 
     async def attempt() -> AttemptOutcome | None:
         view = FleetView.from_settings(GATEWAY_SETTINGS)
-        view.take_heartbeat(heartbeat("u-1", address=HEAD), 0.0)
         pool = Engines(head=head, holder=holder)
         runner = AttemptRunner(view, pool, MachinesDialect())
         running = asyncio.create_task(runner.run(long_task(), spread_prompt()))
