End a gateway whose grace is over at once, without waiting for peers that are gone

Cause: the mailbox waits 0.5 s for every peer to confirm the last bytes, and at this size some peer is always restarting; then the interpreter's own end. Change: 0.1 s for peers, replica and loop are not waited for, and the process ends as the other roles do (process_end.py, one place now).

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -67,6 +67,10 @@
 gateways know, so it keeps out accidents, not attackers; see docs/QUESTIONS.md."""
 MAILBOX_HEARTBEAT_SECONDS = 1.0
 MAILBOX_SILENCE_SECONDS = 3.0
+FLUSH_SECONDS = 0.1
+"""Wait for the last messages to arrive as the process ends: several round trips of a
+region. A peer that has not answered by then is gone, and whoever missed the last word
+of this gateway learns of its end by its silence."""
 TICK_SECONDS = 0.05
 FORGET_SECONDS = 5.0
 RECALL_SECONDS = 1.0
@@ -178,6 +182,7 @@
             silence_seconds=MAILBOX_SILENCE_SECONDS,
             message_types=MailboxMessage,
             idle_seconds=20.0,
+            flush_seconds=FLUSH_SECONDS,
         )
         return Mailbox.from_config(
             config, self.receive, lambda: self.view.document.version
@@ -319,13 +324,17 @@
         self.ended.set()
 
     def stop(self) -> None:
-        """Close everything that is left."""
+        """Close everything that is left, without waiting for a disk.
+
+        What must outlive the process was synced before it was acted on. A thread that
+        waits for a disk that stalls would keep the process beyond its grace.
+        """
         for server in (self.callers, self.control, self.ready, self.shown):
             server.stop_listening()
             server.abort_all()
         self.pool.close_all()
         self.keeper.stop()
-        self.control_actor.stop()
+        self.control_actor.stop(block=False)
         self.mailbox.stop()
 
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
@@ -196,6 +196,6 @@
             self.actor.tell(TransferLeadership())
 
     def stop(self) -> None:
-        """End the replica."""
+        """End the replica, which may be waiting for its disk."""
         if self.actor is not None and self.actor.is_alive():
-            self.actor.stop()
+            self.actor.stop(block=False)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/running.py
@@ -1,6 +1,5 @@
 """Run one role until a signal asks it to end."""
 
-import os
 import sys
 import threading
 import time
@@ -10,6 +9,7 @@
 
 from cowslipshelf_daemon.internal.entry.assembly import EntryRole, start_entry
 from cowslipshelf_daemon.internal.errors import StartError
+from cowslipshelf_daemon.internal.process_end import end_process
 from cowslipshelf_daemon.internal.sidecar.assembly import SidecarRole, start_sidecar
 from cowslipshelf_host.logs import configure_logs, part_logger
 from cowslipshelf_host.settings import DaemonSettings
@@ -59,18 +59,12 @@
 ) -> NoReturn:
     """Run the role of the settings, and end the process with its exit code.
 
-    The threads of the servers are no daemon threads: an interpreter that ends by
-    itself waits for them for ever where they were not stopped, since work was cut or
-    a part did not start. The process then logs its end, serves nobody and stays until
-    it is killed, and whoever watches processes starts no other one. Everything that
-    must outlive the process was synced before it was acted on, so nothing is lost by
-    an end without the interpreter's own.
+    The threads of the servers are no daemon threads, and run on where they were not
+    stopped, since work was cut or a part did not start.
     """
     code = run_role(settings, start_role)
     LOG.info("Ended.", code=code)
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
+    end_process(code)
 
 
 def run_role(
