--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -72,6 +72,7 @@
     ports: Ports
     seeds: list[str]
     holds_replica: bool = True
+    replica_in_memory: bool = False
     process: subprocess.Popen | None = None
 
     @property
@@ -111,6 +112,8 @@
         """Write the settings as the machines do."""
         seeds = ", ".join(f'"{seed}:{self.ports.control}"' for seed in self.seeds)
         disk = f'data_dir = "{self.folder / "data"}"\n' if self.holds_replica else ""
+        if self.replica_in_memory:
+            disk = "counts_as_loss = true\n"
         return (
             f'node = "gateway-{self.host}"\nip = "{self.host}"\nzone = "here"\n'
             f"peer_port_range = [{self.ports.peers}, {self.ports.peers}]\n"
--- a/tests/nocover/gateway/test_gateway_processes.py
+++ b/tests/nocover/gateway/test_gateway_processes.py
@@ -152,6 +152,31 @@
     return b"cowslipshelf_replica_voters 3" in text
 
 
+def test_without_disks_a_lost_configuration_is_sent_again_to_a_new_cluster(fleet):
+    """Nothing is served any more after a loss of power, whatever operators send.
+
+    All replicas were in memory. Started as after any restart, none founds a cluster,
+    since another one might still live; started as for the first time, they found one.
+    """
+    for gateway in fleet.gateways:
+        gateway.replica_in_memory = True
+    for first in (False, True):
+        for gateway in fleet.gateways:
+            gateway.kill()
+            gateway.start(first=first)
+        if not first:
+            wait_for(lambda: any(serves_nothing(each) for each in fleet.gateways))
+    fleet.accept(document(9, *ROUTES))
+
+
+def serves_nothing(gateway: GatewayProcess) -> bool:
+    """Tell whether a gateway listens and knows no configuration."""
+    try:
+        return ask(gateway, "/safe/x").status == 503
+    except ConnectionRefusedError:
+        return False
+
+
 def test_a_request_that_may_run_once_is_not_sent_again_after_a_cut(fleet):
     """A payment line is doubled.
 
