Ask an engine for signs of life in time although questions are lost

Found on reading the lease again: an unanswered question took 0.8 s of the round, so that after two lost ones the memory had expired and the prompt was cut off while its engine read. Rounds begin a second apart now, whatever the question takes. The test with two lost questions failed before; log lines of orders name the memory again.

--- a/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/engine_placing.py
@@ -50,6 +50,7 @@
 each other: each further one waits there for a slot. A few drawn at random are nearly as
 cheap, and seldom the same."""
 NO_BOUND = 1 << 30
+"""More engines than any fleet has."""
 RESERVED_MARGIN = 1.03
 """Memory reserved over what is counted: engines set it aside in blocks, and a prompt
 that lacks one is cut off."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/engine_memory.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/engine_memory.py
@@ -83,15 +83,19 @@
         """Go on to reserve while the engine that uses the memory lives.
 
         A prompt whose memory expires is cut off by the engines; so the request ends
-        with the lease, and goes on elsewhere as soon as that is sure.
+        with the lease, and goes on elsewhere as soon as that is sure. A question that
+        is not answered does not delay the next one, so that two may be lost.
         """
+        due = now = time.monotonic()
         while True:
-            await asyncio.sleep(lease.config.renew_seconds)
+            due = max(due + lease.config.renew_seconds, now)
+            await asyncio.sleep(due - now)
             await self.ask_for_life(user, lease)
             now = time.monotonic()
             if not lease.hold_seconds(now):
                 break
             await self.reserve_all(tickets, lease)
+            now = time.monotonic()
         LOG.warning(
             "Memory not renewed.",
             tickets=[ticket.name for ticket in tickets],
@@ -130,18 +134,24 @@
     async def reserve(self, ticket: MemoryTicket, seconds: float) -> bool:
         """Reserve memory on one engine; return whether it is held."""
         request = self.dialect.reserve_memory(ticket, seconds)
-        status = await self.exchange(ticket.upstream_id, ticket.address, request)
+        status = await self.order(ticket, request)
         return status is not None and self.dialect.is_memory_granted(status)
 
     async def release(self, ticket: MemoryTicket) -> None:
         """Give memory back; an engine that does not hear it takes it back by itself."""
         request = self.dialect.release_memory(ticket)
         for _ in range(RELEASE_TRIES):
-            status = await self.exchange(ticket.upstream_id, ticket.address, request)
-            if status is not None:
+            if await self.order(ticket, request) is not None:
                 return
         LOG.warning("Memory not released.", ticket=ticket.name, peer=ticket.address)
 
+    async def order(self, ticket: MemoryTicket, request: OutgoingRequest) -> int | None:
+        """Give an order on some memory; return the answer's status, if any came."""
+        status = await self.exchange(ticket.upstream_id, ticket.address, request)
+        if status is None:
+            LOG.warning("Order not answered.", ticket=ticket.name, peer=ticket.address)
+        return status
+
     async def exchange(
         self, upstream_id: UpstreamId, address: str, request: OutgoingRequest
     ) -> int | None:
@@ -158,7 +168,7 @@
                 return head.status
         except (UpstreamLostError, TimeoutError) as error:
             LOG.warning(
-                "Order not answered.",
+                "Engine not reached.",
                 upstream=upstream_id,
                 peer=address,
                 target=request.target,
--- a/tests/nocover/gateway/test_memory_of_silent_engines.py
+++ b/tests/nocover/gateway/test_memory_of_silent_engines.py
@@ -5,6 +5,8 @@
 import time
 from typing import NamedTuple
 
+import pytest
+
 from common.routed import GATEWAY_SETTINGS, heartbeat, route
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, OutgoingRequest
@@ -44,11 +46,16 @@
 class Engine:
     """Answer orders and questions, unless it is dark; answer no prompt."""
 
-    def __init__(self, dark: bool) -> None:
+    def __init__(self, dark: bool, lost_questions: int = 0) -> None:
         self.dark = dark
+        self.lost_questions = lost_questions
+        """Questions that are lost on their way before one arrives."""
         self.held: list[HeldOrder] = []
 
     async def status_of(self, request: OutgoingRequest) -> int:
+        if request.method == "GET" and self.lost_questions:
+            self.lost_questions -= 1
+            await asyncio.Event().wait()
         if self.dark or request.target == "/prompt":
             await asyncio.Event().wait()
         if request.method == "POST":
@@ -163,8 +170,10 @@
     assert isinstance(outcome, Broken)
 
 
-def test_memory_is_kept_for_an_engine_that_reads_for_long_and_answers_questions():
-    head, holder = Engine(dark=False), Engine(dark=False)
+@pytest.mark.parametrize("lost", [0, 1, 2])
+def test_memory_is_kept_for_an_engine_that_reads_for_long_and_answers_questions(lost):
+    """A prompt is read for seconds behind a link that loses a packet now and then."""
+    head, holder = Engine(dark=False, lost_questions=lost), Engine(dark=False)
     began = time.monotonic()
     assert watch(head, holder) is None
     for earlier, later in zip(holder.held, holder.held[1:], strict=False):
