Remember a revoked attempt whose load report is not known

Symptom: the sidecar's state machine failed in the whole suite: an attempt ran after the promise that it never would. Cause: an unknown load report, told as 0, was compared with the watermark of forgotten attempts, so the attempt counted as kept out already and was not remembered; its hand-over, chosen on the present report, was taken. The same where a cancel overtakes its hand-over. Ruled out: load (no clock or process takes part). Change: what keeps a late copy out is asked for by itself, and an unknown report keeps out nothing. Gateways don't load this code.

--- a/packages/core/src/cowslipshelf_core/internal/sidecar/spent.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/spent.py
@@ -8,6 +8,9 @@
 from cowslipshelf_core.identifiers import AttemptId
 
 NOTHING_FORGOTTEN = -1
+NOT_KNOWN = 0
+"""Stands for the load report of an attempt whose asker does not know it; reports are
+counted from one."""
 
 
 class Fate(Enum):
@@ -61,6 +64,18 @@
             return Fate.NEVER_RAN
         return Fate.UNKNOWN
 
+    def keeps_out(self, attempt_id: AttemptId, load_sequence: int) -> bool:
+        """Tell whether no late copy of an attempt's hand-over would be taken.
+
+        A watermark says so only of an attempt whose load report is known: one that is
+        not may have been chosen on a later report, and its copy would run after the
+        promise that it never will.
+        """
+        if attempt_id in self.fates:
+            return True
+        watermark = max(self.ran_watermark, self.tombstone_watermark)
+        return NOT_KNOWN < load_sequence <= watermark
+
     def _forget_oldest(self) -> None:
         _, spent = self.fates.popitem(last=False)
         if spent.fate is Fate.MAY_HAVE_RUN:
--- a/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/sidecar/state.py
@@ -39,7 +39,7 @@
 )
 from cowslipshelf_core.internal.sidecar.orders import OrderGate
 from cowslipshelf_core.internal.sidecar.owners import OwnerLeases
-from cowslipshelf_core.internal.sidecar.spent import Fate
+from cowslipshelf_core.internal.sidecar.spent import NOT_KNOWN, Fate
 from cowslipshelf_core.messages import AttemptRefused, MayHaveRun, NeverRan
 from cowslipshelf_core.upstream import HandOver, LoadReport
 
@@ -245,7 +245,7 @@
         fate = self.table.spent.fate_of(attempt_id, event.load_sequence)
         if fate is Fate.MAY_HAVE_RUN:
             return MayHaveRun(attempt_id, known=False)
-        if fate is Fate.UNKNOWN:
+        if not self.table.spent.keeps_out(attempt_id, event.load_sequence):
             self._tombstone(attempt_id, self.sequence)
         return NeverRan(attempt_id)
 
@@ -253,10 +253,13 @@
         attempt = self.table.alive.get(attempt_id)
         if attempt is not None:
             return self.table.give_up(attempt, RefusalReason.CANCELLED, now)
-        # A cancel can overtake its hand-over, which nobody would wait for any more.
-        unheard_of = self.table.spent.fate_of(attempt_id, 0) is Fate.UNKNOWN
-        if unheard_of:
-            self._tombstone(attempt_id, self.sequence)
+        # A cancel can overtake its hand-over, which nobody would wait for any more; or
+        # come for one that ran and was forgotten, of which nothing may be promised.
+        spent = self.table.spent
+        if not spent.keeps_out(attempt_id, NOT_KNOWN):
+            known = spent.fate_of(attempt_id, NOT_KNOWN)
+            fate = Fate.NEVER_RAN if known is Fate.UNKNOWN else known
+            spent.remember(attempt_id, fate, self.sequence)
         return []
 
     def _compare(self, held: tuple[HeldMemory, ...], now: float) -> list[SidecarEffect]:
--- a/tests/cover/sidecar/test_promises.py
+++ b/tests/cover/sidecar/test_promises.py
@@ -41,6 +41,13 @@
 LONGEST_DEADLINE = 30.0
 TICK_SECONDS = 0.5
 INVENTORY_TICKS = 2
+BOOKING = {
+    "deadline_seconds": LONGEST_DEADLINE,
+    "non_idempotent": True,
+    "owner": "entry-1",
+    "priority": 0,
+    "prompt_tokens": 300,
+}
 
 indexes = st.integers(0, 7)
 
@@ -253,3 +260,43 @@
             max_examples=300, stateful_step_count=50, derandomize=True, deadline=None
         ),
     )
+
+
+def test_a_promise_holds_where_the_asker_did_not_know_the_load_report():
+    """A payment line runs although its caller was told that it never would.
+
+    More attempts were revoked than the sidecar remembers, so that it goes by load
+    reports for those that it forgot. The next one is revoked by an asker that does not
+    know its report. It counted as chosen on one long ago, was not remembered, and a
+    late copy of its hand-over, chosen on the present report, was taken.
+    """
+    machine = SidecarMachine()
+    machine.begin()
+    for forgotten in (2, 0):
+        machine.hand_over(arrives=False, **BOOKING)
+        machine.revoke_and_deliver_a_late_copy(index=0, others=forgotten)
+        machine.no_attempt_runs_twice_or_after_a_promise()
+    machine.teardown()
+
+
+def test_a_cancel_that_overtakes_its_hand_over_holds_where_much_was_forgotten():
+    """An engine works for nobody: the caller left before the hand-over arrived."""
+    machine = SidecarMachine()
+    machine.begin()
+    machine.hand_over(arrives=False, **BOOKING)
+    machine.revoke_and_deliver_a_late_copy(index=0, others=2)
+    machine.hand_over(arrives=False, **BOOKING)
+    machine.cancel(index=0)
+    machine.deliver_a_copy(index=0)
+    assert not machine.started
+
+
+def test_a_cancel_of_an_attempt_that_ran_and_was_forgotten_promises_nothing():
+    machine = SidecarMachine()
+    machine.begin()
+    machine.hand_over(arrives=True, **BOOKING)
+    machine.hear_the_end(index=0, whole=False, engine_ended=False)
+    machine.revoke_and_deliver_a_late_copy(index=0, others=2)
+    machine.cancel(index=0)
+    machine.deliver_a_copy(index=0)
+    machine.no_attempt_runs_twice_or_after_a_promise()
