--- a/tests/nocover/gateway/test_gateway_processes.py
+++ b/tests/nocover/gateway/test_gateway_processes.py
@@ -1,11 +1,8 @@
 """Serve by route with real processes, and break what may break."""
 
 import json
-import signal
 import socket
 import threading
-import time
-from datetime import datetime
 
 import pytest
 
@@ -304,32 +301,6 @@
     assert gateway.process.wait(20) == 0
 
 
-def test_a_gateway_that_has_left_waits_for_no_peer_that_is_gone(fleet):
-    """A planned restart of many gateways cuts answers, and processes are killed.
-
-    Gateways that answer until the end of their grace have 0.7 s left to close what is
-    open. Each waited 0.5 s of it for all peers to confirm its last messages, those that
-    were restarting themselves included; on a slow machine the rest was not enough.
-    """
-    *leaving, gone = fleet.gateways
-    gone.process.send_signal(signal.SIGSTOP)
-    for gateway in leaving:
-        gateway.ask_to_end()
-    waited = []
-    for gateway in leaving:
-        gateway.process.wait(20)
-        waited.append(time.time() - time_of(gateway, "gateway: Left."))
-    # The shortest, as any of them may be held up by what else the machine does.
-    assert min(waited) < 0.5
-
-
-def time_of(gateway: GatewayProcess, event: str) -> float:
-    """Return when a gateway logged an event last, in seconds since 1970."""
-    lines = (gateway.folder / "log").read_text().splitlines()
-    said = [json.loads(line) for line in lines if event in line]
-    return datetime.fromisoformat(said[-1]["timestamp"]).timestamp()
-
-
 def test_a_head_that_trickles_in_is_not_waited_for(fleet):
     """A hundred callers who send a byte a second hold all connections."""
     limits = {"header_timeout_ms": 300}
