Close a connection with its answer once a gateway ends

Cause: an answer whose head went out before the signal doesn't announce the close; its caller asked again on the connection before the next look at idle ones, and was served until the grace was over. Change: after an answer the connection is closed where nothing of a further request has arrived.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
@@ -223,6 +223,11 @@
                     break
                 if not await self.answer(request):
                     break
+                if self.server.closing and not self.has_begun:
+                    # The head of an answer that began before does not say that the
+                    # connection closes. Left open, it brings requests until the grace
+                    # is over, and the last of them is cut.
+                    break
                 self.parser.start_next_cycle()
             await self.finish()
         except asyncio.CancelledError:
