Log whose request an attempt is of, and a digest of its content

The gateways' logs could not tell whether engines ended under one request that came again under other ids, or under different ones. Each attempt's line names the customer and a digest of customer, method, host, path and body now.

--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -66,6 +66,10 @@
     RepeatBudget,
     RepeatBudgetConfig,
 )
+from cowslipshelf_core.internal.routed.request_digest import (
+    RequestDigest,
+    request_digest,
+)
 from cowslipshelf_core.internal.routed.routes_fetch import RoutesFetch
 from cowslipshelf_core.internal.routed.upstream_health import (
     HealthSeen,
@@ -105,6 +109,7 @@
     "Relayed",
     "RepeatBudget",
     "RepeatBudgetConfig",
+    "RequestDigest",
     "Route",
     "RouteConfiguration",
     "RouteKind",
@@ -131,6 +136,7 @@
     "place_prompt",
     "read_chunks",
     "read_seconds",
+    "request_digest",
     "unpacked",
     "worth_of",
 ]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -5,7 +5,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts
 from cowslipshelf_core.identifiers import CustomerName, UpstreamId
-from cowslipshelf_core.routed import Route, UpstreamStart
+from cowslipshelf_core.routed import RequestDigest, Route, UpstreamStart
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     UpstreamConnection,
@@ -89,6 +89,8 @@
     responder: Responder
     delivered: Delivered
     deadline: float
+    digest: RequestDigest
+    """Equal for requests that are sent again, by whichever way they come."""
 
 
 class OpenAttempt(NamedTuple):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -7,7 +7,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.identifiers import ServiceName, UpstreamId
-from cowslipshelf_core.routed import choose_service
+from cowslipshelf_core.routed import choose_service, request_digest
 from cowslipshelf_daemon.internal.gateway.admission import (
     MOST_WAITED_SHARE,
     NOT_RUN,
@@ -127,14 +127,18 @@
         left = route.timeout_seconds
         if facts.deadline_seconds is not None:
             left = min(left, facts.deadline_seconds)
+        name = customer.name if customer else None
         task = AttemptTask(
             request,
             facts,
             route,
-            customer.name if customer else None,
+            name,
             responder,
             Delivered(facts.last_event_id),
             began + left,
+            request_digest(
+                name, request.method, request.host, request.target, request.body
+            ),
         )
         return await self.serve(task)
 
@@ -250,6 +254,8 @@
         LOG.info(
             "Attempt begins.",
             request=task.facts.attempt_id,
+            digest=task.digest,
+            customer=task.customer,
             route=task.route.name,
             objective=round(task.route.objective_seconds, 4),
             pause_allowed=task.route.pause_seconds,
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -114,6 +114,7 @@
         SilentResponder(),
         Delivered(None),
         time.monotonic() + 5.0,
+        "digest-1",
     )
 
 
--- a/tests/nocover/gateway/test_memory_of_silent_engines.py
+++ b/tests/nocover/gateway/test_memory_of_silent_engines.py
@@ -135,6 +135,7 @@
         None,
         Delivered(None),
         time.monotonic() + 15.0,
+        "digest-1",
     )
 
 
