--- /dev/null
+++ b/tests/common/ending_upstreams.py
@@ -0,0 +1,124 @@
+"""Run upstreams whose process ends under one body and starts again soon after."""
+
+import socket
+import struct
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from common.gateway_fleet import Fleet
+from common.scripted_upstream import Exchange, ScriptedUpstream
+
+FATAL = b"fatal"
+"""Ends each upstream that runs it."""
+RESTART_SECONDS = 1.5
+RUN_SECONDS = 0.05
+"""Time for which a request runs before its upstream ends or answers."""
+RESET = struct.pack("ii", 1, 0)
+
+
+class Arrival(NamedTuple):
+    """Be a fatal request that reached an upstream."""
+
+    at: float
+    upstream_id: str
+    request: str
+
+
+@dataclass
+class EndingUpstream(ScriptedUpstream):
+    """Be one start of an upstream; its connections end with it."""
+
+    connections: list[socket.socket] = field(default_factory=list)
+
+    def serve(self, connection: socket.socket) -> None:
+        """Remember a connection, to end it with the process."""
+        self.connections.append(connection)
+        super().serve(connection)
+
+    def end(self) -> None:
+        """End as a process does: nothing listens, and every peer is reset."""
+        self.stop()
+        for connection in self.connections:
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+
+class EndingUpstreams:
+    """Own the upstreams of a service, and judge what reaches them."""
+
+    def __init__(
+        self, fleet: Fleet, count: int, is_fatal: Callable[[Exchange], bool]
+    ) -> None:
+        self.fleet = fleet
+        self.is_fatal = is_fatal
+        self.lock = threading.Lock()
+        self.arrivals: list[Arrival] = []
+        self.ended_at: list[float] = []
+        self.stopping = threading.Event()
+        self.starts = 0
+        for _ in range(count):
+            self.start()
+
+    def start(self) -> None:
+        """Start an upstream under a new id, and let it be heard of."""
+        with self.lock:
+            self.starts += 1
+            name = f"u-{self.starts}"
+        upstream = EndingUpstream(name, "plain", self.serve)
+        for gateway in self.fleet.gateways:
+            upstream.tell(gateway.control)
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer, or end under a fatal request."""
+        request, upstream = exchange.request, exchange.upstream
+        stream = request.target.startswith("/stream/")
+        fatal = self.is_fatal(exchange)
+        if fatal:
+            with self.lock:
+                self.arrivals.append(
+                    Arrival(
+                        time.monotonic(),
+                        upstream.upstream_id,
+                        request.headers["x-attempt-id"],
+                    )
+                )
+        if stream:
+            exchange.begin_stream()
+            exchange.chunk(b"id: 1\ndata: one\n\n")
+        time.sleep(RUN_SECONDS)
+        if fatal:
+            self.end(upstream)
+        elif stream:
+            exchange.end_stream()
+        else:
+            exchange.answer(200, b"hello")
+
+    def end(self, upstream: EndingUpstream) -> None:
+        """End an upstream once, and start it again after a while."""
+        with self.lock:
+            if upstream.stopped.is_set():
+                return
+            self.ended_at.append(time.monotonic())
+            upstream.end()
+        if not self.stopping.is_set():
+            threading.Timer(RESTART_SECONDS, self.start_again).start()
+
+    def start_again(self) -> None:
+        """Start one again, unless the test is over."""
+        if not self.stopping.is_set():
+            self.start()
+
+    def stop(self) -> None:
+        """Start no more of them."""
+        self.stopping.set()
+
+    def arrived_after(self, moment: float) -> int:
+        """Count the fatal requests that reached an upstream after a moment."""
+        with self.lock:
+            return sum(arrival.at > moment for arrival in self.arrivals)
