Hold back requests under which three upstreams have ended

Cause: what a request does to upstreams was remembered nowhere. A gateway noted the loss of each upstream, and never of the request; each return under a new id, and each second attempt, took another upstream.

Change: a gateway notes under which request (customer, method, host, path, body) an upstream closed its connection, and tells the others at once, again twice, and whole to whoever starts. After two ends a request runs at one upstream at a time, after three it is refused with a true "not run" and without a time to come back; a whole answer clears it. It is probed after 20 to 60 s, by one gateway, then ever more rarely. Known ends only grow, so words may come late, twice or in any order. Gateways with a disk write them down.

--- a/packages/core/src/cowslipshelf_core/internal/routed/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/messages.py
@@ -4,6 +4,7 @@
 
 from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
 from cowslipshelf_core.internal.routed.registry import HeartbeatSeen
+from cowslipshelf_core.internal.routed.request_digest import RequestDigest
 from cowslipshelf_core.messages import Message
 
 
@@ -70,10 +71,47 @@
     """Counts the sender's changes, from one on."""
 
 
+class UpstreamEnd(NamedTuple):
+    """Name one end of an upstream's process."""
+
+    upstream_id: UpstreamId
+    number: int
+    """Counts its ends, from zero on, where it keeps its id over them."""
+
+
+class EndTold(NamedTuple):
+    """Tell of an end under a request."""
+
+    end: UpstreamEnd
+    age_seconds: float
+    cleared: bool
+    """Whether the request was answered whole after it."""
+
+
+class SuspectTold(NamedTuple):
+    """Tell all that a gateway knows of a request under which upstreams ended."""
+
+    digest: RequestDigest
+    ends: tuple[EndTold, ...]
+    trials: int
+    """Trials of it that were begun."""
+    over: int
+    """Number of the last trial that is over."""
+    trial_age_seconds: float
+    probes: int
+    """Trials that were begun while it was held back."""
+
+
+class SuspectsTold(Message, frozen=True):
+    """Tell of requests under which upstreams ended."""
+
+    suspects: tuple[SuspectTold, ...]
+
+
 class Relayed(Message, frozen=True):
     """Carry a gateway's message by way of another one."""
 
     origin: InstanceId
-    message: HeartbeatsSeen | WorkChanged
+    message: HeartbeatsSeen | WorkChanged | SuspectsTold
     pass_on: bool
     """Whether the receiver passes it on to the others of its data centre."""
--- a/packages/core/src/cowslipshelf_core/internal/routed/request_digest.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/request_digest.py
@@ -1,5 +1,6 @@
 """Tell whether two requests are the same, whatever their ids."""
 
+import re
 from hashlib import blake2b
 from typing import NewType
 
@@ -10,6 +11,7 @@
 
 DIGEST_BYTES = 16
 LENGTH_BYTES = 8
+FORM = re.compile(f"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
 
 
 def request_digest(
@@ -28,3 +30,8 @@
         digest.update(data)
     digest.update(body)
     return RequestDigest(digest.hexdigest())
+
+
+def is_request_digest(text: str) -> bool:
+    """Tell whether a text has the form of a digest."""
+    return FORM.fullmatch(text) is not None
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -26,6 +26,7 @@
     FetchWork,
     HeartbeatsSeen,
     Relayed,
+    SuspectsTold,
     WorkChanged,
     WorkHeld,
 )
@@ -51,6 +52,8 @@
     GatewaySettings,
     SettingsSource,
 )
+from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
+from cowslipshelf_daemon.internal.gateway.suspects_file import SuspectsFile
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
 from cowslipshelf_daemon.internal.gateway.upstreams_file import UpstreamsFile
 from cowslipshelf_daemon.internal.post import Delivered, Post
@@ -76,6 +79,9 @@
 RECALL_SECONDS = 1.0
 """Age of what a restart recalls of the upstreams: those that left since are tried in
 vain, each for the time of a lost connection."""
+SUSPECTS_SECONDS = 0.2
+"""Pause between two looks at whether the suspects have changed since they were written
+down: each that is forgotten by all gateways at once ends three more upstreams."""
 RELOAD_SECONDS = 1.0
 """Pause between looks at the settings' file, which may change without a signal."""
 RESERVED_DESCRIPTORS = 600
@@ -147,6 +153,11 @@
         if settings.data_folder is not None:
             self.upstreams_file = UpstreamsFile(settings.data_folder)
             self.view.recall(self.upstreams_file.read())
+        self.suspects = SuspectRequests(
+            self.view, self.metrics, self.make_suspects_file()
+        )
+        self.gossip.suspects = self.suspects
+        self.view.tell_suspect = self.gossip.tell_suspect
         self.mailbox = self.make_mailbox(own_address)
         self.leaving = False
         self.ended = asyncio.Event()
@@ -154,7 +165,7 @@
         self.view.drop_start = runner.drop_start
         self.callers = HttpServer(
             "callers",
-            RequestHandler(self.view, runner, dialect, self.metrics),
+            RequestHandler(self.view, runner, dialect, self.metrics, self.suspects),
             self.limits,
             max(64, (settings.most_descriptors - RESERVED_DESCRIPTORS) // 2),
         )
@@ -171,6 +182,11 @@
             "metrics", self.answer_metrics, CallerLimits, CONTROL_CONNECTIONS
         )
 
+    def make_suspects_file(self) -> SuspectsFile | None:
+        """Make the file of suspects, where there is a disk."""
+        folder = self.settings.data_folder
+        return None if folder is None else SuspectsFile(folder)
+
     def make_mailbox(self, address: str) -> Mailbox:
         """Make the mailbox through which gateways talk."""
         config = MailboxConfig(
@@ -204,6 +220,7 @@
                 | WorkChanged()
                 | WorkHeld()
                 | RoutesSnapshot()
+                | SuspectsTold()
                 | FetchRoutes(question="")
             ):
                 self.inbox.tell(delivered)
@@ -272,6 +289,7 @@
         ]
         if self.upstreams_file is not None:
             duties.append(RegularDuty(RECALL_SECONDS, self.write_upstreams))
+            duties.append(RegularDuty(SUSPECTS_SECONDS, self.suspects.write))
         return duties
 
     def tick(self) -> None:
@@ -283,6 +301,7 @@
     def forget_old(self) -> None:
         """Forget what is too old to matter, and close what nobody will use."""
         self.view.forget_old()
+        self.suspects.forget_old()
         self.pool.close_stale()
 
     def write_upstreams(self) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -83,7 +83,7 @@
                 upstream=former.upstream_id,
                 reason=f"{later.upstream_id} began there",
             )
-            attempt.connection.drop(f"{later.upstream_id} began there")
+            attempt.connection.drop(f"{later.upstream_id} began there", True)
 
     async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
         """Run one attempt, and learn from it about the upstream."""
@@ -199,7 +199,7 @@
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
             return outcome
         except UpstreamLostError as error:
-            return Broken(error.step, str(error))
+            return Broken(error.step, str(error), error.upstream_ended)
         finally:
             if kept:
                 self.pool.give_back(upstream.upstream_id, connection)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -67,6 +67,8 @@
 
     step: str
     detail: str
+    upstream_ended: bool = False
+    """Whether the upstream closed the connection, as one that ends does."""
 
 
 AttemptOutcome = Answered | NotReached | NotRun | FailedThere | Broken
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -18,6 +18,8 @@
     HeartbeatsSeen,
     PeerNews,
     Relayed,
+    RequestDigest,
+    SuspectsTold,
     UpstreamHeartbeat,
     WorkChanged,
     WorkHeld,
@@ -26,6 +28,7 @@
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.routes_exchange import RoutesExchange
+from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
 from cowslipshelf_daemon.internal.post import Delivered, Post
 from cowslipshelf_host.logs import part_logger
 
@@ -48,6 +51,9 @@
 gateway that starts or was cut off gets one at once, and what was lost otherwise is
 told again by the next heartbeat."""
 
+Spread = HeartbeatsSeen | SuspectsTold | WorkChanged
+"""What is told to far gateways by way of one in their data centre."""
+
 
 class Gossip:
     """Own what waits to be told."""
@@ -68,6 +74,12 @@
         self.first_tokens: list = []
         self.ended: list = []
         self.work_due = False
+        self.suspects: SuspectRequests | None = None
+        """Takes in word of suspects; set once the process is put together."""
+        self.changed_suspects: set[RequestDigest] = set()
+        """Suspects of whom there is news that was not told yet."""
+        self.urgent_suspects: dict[RequestDigest, int] = {}
+        """News that is told more than once, with how often it still is."""
         self.routes = RoutesExchange(view, post, client, dialect, self.tell_alive)
         self.turn = 0
 
@@ -86,7 +98,7 @@
         settings = self.view.settings
         self.post.send_to_all([settings.peer_address(p) for p in peers], message)
 
-    def spread(self, message: WorkChanged | HeartbeatsSeen, turn: int) -> None:
+    def spread(self, message: Spread, turn: int) -> None:
         """Send to every other gateway, to far ones by way of one in each data centre.
 
         Told to each of them, messages about work and heartbeats were nearly all bytes
@@ -103,6 +115,7 @@
         self.words += 1
         self.tell_alive(near_only=self.words % 2 == 1)
         self.flush_heartbeats()
+        self.repeat_suspects()
 
     def tell_alive(self, near_only: bool = False) -> None:
         """Say that this gateway is there, to all that it knows and to the seeds."""
@@ -141,6 +154,37 @@
         if news:
             self.tell_all(HeartbeatsSeen(news))
 
+    def tell_suspect(self, digest: RequestDigest) -> None:
+        """Collect news of a suspect for a moment, then tell it."""
+        if not self.changed_suspects:
+            loop = asyncio.get_running_loop()
+            loop.call_later(WORK_BATCH_SECONDS, self.flush_suspects)
+        self.changed_suspects.add(digest)
+
+    def flush_suspects(self) -> None:
+        """Tell the news of suspects, and what is urgent more than once.
+
+        A single end is rarely the request's fault, and most news is of one.
+        """
+        quarantine = self.view.quarantine
+        changed, self.changed_suspects = self.changed_suspects, set()
+        urgent = {digest for digest in changed if quarantine.is_urgent(digest)}
+        self.urgent_suspects |= dict.fromkeys(urgent, URGENT_REPEATS - 1)
+        now = time.monotonic()
+        if urgent:
+            self.tell_all(SuspectsTold(quarantine.told(urgent, now)))
+        if changed - urgent:
+            told = quarantine.told(changed - urgent, now)
+            self.spread(SuspectsTold(told), self.words)
+
+    def repeat_suspects(self) -> None:
+        """Tell urgent news of suspects again."""
+        repeated, left = tuple(self.urgent_suspects), self.urgent_suspects.items()
+        self.urgent_suspects = {digest: n - 1 for digest, n in left if n > 1}
+        if repeated:
+            told = self.view.quarantine.told(repeated, time.monotonic())
+            self.tell_all(SuspectsTold(told))
+
     def tell_work(self, changed: WorkChanged) -> None:
         """Collect a change of work for a moment, then tell it."""
         self.begun += changed.begun
@@ -172,7 +216,9 @@
         peers = self.view.peers.alive(time.monotonic())
         if peers:
             self.turn += 1
-            self.tell_upstreams(peers[self.turn % len(peers)])
+            peer = peers[self.turn % len(peers)]
+            self.tell_upstreams(peer)
+            self.tell_suspects(peer)
 
     def tell_upstreams(self, peer: InstanceId) -> None:
         """Tell one gateway all upstreams."""
@@ -182,6 +228,14 @@
         """Tell one gateway all upstreams, and what this one has on engines."""
         self.tell_upstreams(peer)
         self.tell_work_held(peer)
+        self.tell_suspects(peer)
+
+    def tell_suspects(self, peer: InstanceId) -> None:
+        """Tell one gateway all suspects."""
+        quarantine = self.view.quarantine
+        if quarantine.suspects:
+            told = quarantine.told(quarantine.suspects, time.monotonic())
+            self.send(peer, SuspectsTold(told))
 
     def tell_work_held(self, peer: InstanceId) -> None:
         """Tell one gateway all that this one has on engines."""
@@ -199,7 +253,7 @@
                 self.take_spread(origin, message)
                 if relayed.pass_on:
                     self.pass_on(delivered.sender, relayed)
-            case HeartbeatsSeen() | WorkChanged() as message:
+            case HeartbeatsSeen() | WorkChanged() | SuspectsTold() as message:
                 self.take_spread(delivered.sender, message)
             case WorkHeld(number=number) as message:
                 if self.progress.all_heard(delivered.sender, number):
@@ -212,11 +266,11 @@
             case RoutesSnapshot() as snapshot:
                 self.routes.take_snapshot(delivered.sender, snapshot)
 
-    def take_spread(
-        self, origin: InstanceId, message: WorkChanged | HeartbeatsSeen
-    ) -> None:
+    def take_spread(self, origin: InstanceId, message: Spread) -> None:
         """Take in what a gateway tells all others."""
         match message:
+            case SuspectsTold() if self.suspects is not None:
+                self.suspects.take(origin, message)
             case HeartbeatsSeen():
                 self.view.take_heartbeats(message)
             case WorkChanged(number=number):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -7,7 +7,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.identifiers import ServiceName, UpstreamId
-from cowslipshelf_core.routed import choose_service, request_digest
+from cowslipshelf_core.routed import HeldBack, choose_service, request_digest
 from cowslipshelf_daemon.internal.gateway.admission import (
     MOST_WAITED_SHARE,
     NOT_RUN,
@@ -38,6 +38,7 @@
     Placement,
     place,
 )
+from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
 from cowslipshelf_host.logs import part_logger
 from cowslipshelf_host.metrics import Metrics
 
@@ -65,7 +66,8 @@
     """Whether it has waited for a first upstream."""
     last_failure: FailedThere | None = None
     last_reason: str = ""
-    retry_after_seconds: float = BUSY_RETRY_SECONDS
+    retry_after_seconds: float | None = BUSY_RETRY_SECONDS
+    """When to come back; nothing where that would not help."""
 
 
 class RequestHandler:
@@ -77,9 +79,11 @@
         runner: AttemptRunner,
         dialect: Dialect,
         metrics: Metrics,
+        suspects: SuspectRequests,
     ) -> None:
         self.view = view
         self.runner = runner
+        self.suspects = suspects
         self.dialect = dialect
         self.metrics = metrics
 
@@ -169,6 +173,12 @@
             if left < LEAST_LEFT_SECONDS:
                 progress.last_reason = "out of time"
                 return None
+            verdict = self.suspects.verdict(task)
+            if isinstance(verdict, HeldBack):
+                count = len(verdict.upstreams)
+                progress.last_reason = f"{count} upstreams ended under this request"
+                progress.retry_after_seconds = verdict.retry_after_seconds
+                return None
             placement = place(
                 self.view,
                 task.route,
@@ -187,7 +197,8 @@
             if progress.sent and not self.may_repeat(service):
                 progress.last_reason = "no repeats are left in the budget"
                 return None
-            outcome = await self.attempt(task, placement, progress)
+            with self.suspects.trial(task, verdict):
+                outcome = await self.attempt(task, placement, progress)
             if isinstance(outcome, Answered):
                 return outcome
             if not may_go_on(task, outcome, progress):
@@ -245,6 +256,7 @@
             case Broken():
                 progress.last_reason = f"{outcome.step} failed"
         self.note_attempt(task, placement, outcome, began)
+        self.suspects.learn(task, placement, outcome)
         return outcome
 
     def note_begin(
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspects_file.py
@@ -0,0 +1,52 @@
+"""Remember over a restart which requests ended upstreams."""
+
+import time
+
+import msgspec
+
+from cowslipshelf_core.routed import SuspectTold
+from cowslipshelf_daemon.internal.gateway.hint_file import HintFile
+
+FILE_NAME = "suspects"
+
+
+class SuspectsDocument(msgspec.Struct, frozen=True, array_like=True):
+    """Be what a gateway knew of requests under which upstreams ended."""
+
+    written_at: float
+    """Seconds since 1970."""
+    suspects: tuple[SuspectTold, ...]
+
+
+class SuspectsFile(HintFile[SuspectsDocument]):
+    """Own one file in the data folder.
+
+    After all gateways were killed at once, none is left to tell the others.
+    """
+
+    def __init__(self, folder: str) -> None:
+        super().__init__(folder, FILE_NAME, SuspectsDocument)
+
+    def read(self) -> tuple[SuspectTold, ...]:
+        """Return what was written last, with ages as of now."""
+        document = self.read_document()
+        if document is None:
+            return ()
+        # The time of day may have been put back since.
+        passed = max(0.0, time.time() - document.written_at)
+        return tuple(aged(suspect, passed) for suspect in document.suspects)
+
+    def write_soon(self, suspects: tuple[SuspectTold, ...], changes: int) -> None:
+        """Write what has changed since the last write."""
+        if not self.is_writing() and changes != (self.written or 0):
+            self.begin_write(SuspectsDocument(time.time(), suspects), changes)
+
+
+def aged(suspect: SuspectTold, seconds: float) -> SuspectTold:
+    """Return word of a request as it would be told some seconds later."""
+    ends = tuple(
+        each._replace(age_seconds=each.age_seconds + seconds) for each in suspect.ends
+    )
+    return suspect._replace(
+        ends=ends, trial_age_seconds=suspect.trial_age_seconds + seconds
+    )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -23,11 +23,15 @@
 class UpstreamLostError(Exception):
     """Say at which step a connection to an upstream was lost."""
 
-    def __init__(self, step: str, peer: str, detail: str) -> None:
+    def __init__(
+        self, step: str, peer: str, detail: str, upstream_ended: bool = False
+    ) -> None:
         super().__init__(f"{step} {peer}: {detail}")
         self.step = step
         self.peer = peer
         self.detail = detail
+        self.upstream_ended = upstream_ended
+        """Whether the upstream closed the connection, as one that ends does."""
 
 
 class UpstreamHead(NamedTuple):
@@ -55,6 +59,8 @@
         """Tells how much longer a silence has a reason; zero where it has none."""
         self.dropped: str | None = None
         """Why this side has ended the exchange, if it has."""
+        self.upstream_restarted = False
+        """Whether it did so since the upstream was heard to have started again."""
 
     @classmethod
     async def connect(cls, address: str, seconds: float) -> "UpstreamConnection":
@@ -94,7 +100,7 @@
                 case h11.InformationalResponse():
                     continue
                 case _:
-                    raise self.lost("wait for answer", "closed")
+                    raise self.lost("wait for answer", "closed", True)
 
     async def body(self) -> AsyncIterator[bytes]:
         """Go through the body; raise `UpstreamLostError` where it is cut."""
@@ -106,7 +112,7 @@
                 case h11.EndOfMessage():
                     return
                 case _:
-                    raise self.lost("read answer", "closed")
+                    raise self.lost("read answer", "closed", True)
 
     async def whole_body(self) -> bytes:
         """Read the whole body; one that is too long to be held counts as lost."""
@@ -126,7 +132,16 @@
                     return event
                 self.parser.receive_data(await self.read())
         except (OSError, h11.RemoteProtocolError) as error:
-            raise self.lost(step, str(error) or type(error).__name__) from error
+            detail = str(error) or type(error).__name__
+            raise self.lost(step, detail, self.closed_by_upstream(error)) from error
+
+    def closed_by_upstream(self, error: Exception) -> bool:
+        """Tell whether the upstream broke the exchange off, or ended meanwhile."""
+        if self.dropped is not None:
+            return self.upstream_restarted
+        if isinstance(error, h11.RemoteProtocolError):
+            return self.reader.at_eof()
+        return isinstance(error, ConnectionResetError | BrokenPipeError)
 
     async def read(self) -> bytes:
         """Wait for bytes; raise `OSError` after a silence without excuse or a drop."""
@@ -147,9 +162,11 @@
                 if not patience:
                     raise
 
-    def lost(self, step: str, detail: str) -> UpstreamLostError:
+    def lost(
+        self, step: str, detail: str, upstream_ended: bool = False
+    ) -> UpstreamLostError:
         """Return the error of this connection."""
-        return UpstreamLostError(step, self.address, detail)
+        return UpstreamLostError(step, self.address, detail, upstream_ended)
 
     def can_be_reused(self) -> bool:
         """Tell whether the exchange is over and left nothing behind.
@@ -178,13 +195,14 @@
             or self.writer.transport.is_closing()
         )
 
-    def drop(self, reason: str) -> None:
+    def drop(self, reason: str, upstream_restarted: bool = False) -> None:
         """End an exchange from outside the task that reads its answer.
 
         The task sees the end of the bytes, as it does where an answer without a length
         is complete; what came until then must not be taken for the whole answer.
         """
         self.dropped = reason
+        self.upstream_restarted = upstream_restarted
         self.abort()
 
     def abort(self) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstreams_file.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstreams_file.py
@@ -1,15 +1,12 @@
 """Remember the upstreams over a restart, so that the first requests find them all."""
 
-import asyncio
-import math
 import time
-from pathlib import Path
 
 import msgspec
 
 from cowslipshelf_core.routed import HeartbeatSeen
+from cowslipshelf_daemon.internal.gateway.hint_file import HintFile
 from cowslipshelf_host.logs import part_logger
-from cowslipshelf_host.storage import StorageError, read_file, replace_file
 
 LOG = part_logger("upstreams_file")
 
@@ -30,7 +27,7 @@
     seen: tuple[HeartbeatSeen, ...]
 
 
-class UpstreamsFile:
+class UpstreamsFile(HintFile[UpstreamsDocument]):
     """Own one file in the data folder; what is in it is a hint and may be lost.
 
     After all gateways were killed at once, each upstream is heard of only with its
@@ -44,22 +41,12 @@
     """
 
     def __init__(self, folder: str) -> None:
-        self.path = Path(folder) / FILE_NAME
-        self.writing: asyncio.Future[None] | None = None
-        self.written: frozenset[tuple[str, int, str]] = frozenset()
-        self.written_at = -math.inf
+        super().__init__(folder, FILE_NAME, UpstreamsDocument)
 
     def read(self) -> tuple[HeartbeatSeen, ...]:
         """Return what was written last, or nothing."""
-        try:
-            document = msgspec.msgpack.decode(
-                read_file(self.path), type=UpstreamsDocument
-            )
-        except FileNotFoundError:
-            return ()
-        except (OSError, StorageError, msgspec.MsgspecError) as error:
-            # A disk that lost it or spoilt it is no reason not to start.
-            LOG.warning("Upstreams not read.", path=str(self.path), error=str(error))
+        document = self.read_document()
+        if document is None:
             return ()
         age = time.time() - document.written_at
         if abs(age) > OLDEST_SECONDS:
@@ -68,28 +55,14 @@
         return document.seen
 
     def write_soon(self, seen: tuple[HeartbeatSeen, ...]) -> None:
-        """Write what has changed, on another thread.
-
-        A disk that hangs must not hold up requests.
-        """
-        if self.writing is not None and not self.writing.done():
+        """Write what has changed."""
+        if self.is_writing():
             return
         phases = frozenset(phase_of(each) for each in seen)
         now = time.monotonic()
         if phases == self.written and now - self.written_at < REFRESH_SECONDS:
             return
-        data = msgspec.msgpack.encode(UpstreamsDocument(time.time(), seen))
-        loop = asyncio.get_running_loop()
-        self.writing = loop.run_in_executor(None, self.write, data, phases)
-
-    def write(self, data: bytes, phases: frozenset[tuple[str, int, str]]) -> None:
-        """Replace the file."""
-        try:
-            replace_file(self.path, data)
-        except OSError as error:
-            LOG.warning("Upstreams not written.", path=str(self.path), error=str(error))
-            return
-        self.written, self.written_at = phases, time.monotonic()
+        self.begin_write(UpstreamsDocument(time.time(), seen), phases)
 
 
 def phase_of(seen: HeartbeatSeen) -> tuple[str, int, str]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
@@ -22,6 +22,7 @@
     FetchWork,
     HeartbeatsSeen,
     Relayed,
+    SuspectsTold,
     WorkChanged,
     WorkHeld,
 )
@@ -42,6 +43,7 @@
     Relayed,
     RoutesSnapshot,
     Suspect,
+    SuspectsTold,
     Withdraw,
     WorkChanged,
     WorkHeld,
--- a/tests/cover/gateway/test_behind.py
+++ b/tests/cover/gateway/test_behind.py
@@ -18,6 +18,7 @@
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
+from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
 from cowslipshelf_host.metrics import Metrics
 
 OLD = configuration(route(prefix="/old/", public=True))
@@ -62,7 +63,9 @@
     answer = Answer()
     headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", DEADLINE_MS), *KEY]
     request = HttpRequest("GET", path, headers, b"", "host.example", "caller")
-    handler = RequestHandler(view, None, MachinesDialect(), Metrics())
+    metrics = Metrics()
+    suspects = SuspectRequests(view, metrics, None)
+    handler = RequestHandler(view, None, MachinesDialect(), metrics, suspects)
 
     async def play() -> float:
         began = time.monotonic()
