--- a/packages/core/src/cowslipshelf_core/internal/routed/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/messages.py
@@ -88,7 +88,7 @@
     """Whether the request was answered whole after it."""
 
 
-class SuspectTold(NamedTuple):
+class SuspectRequestTold(NamedTuple):
     """Tell all that a gateway knows of a request under which upstreams ended."""
 
     digest: RequestDigest
@@ -102,16 +102,16 @@
     """Trials that were begun while it was held back."""
 
 
-class SuspectsTold(Message, frozen=True):
+class SuspectRequestsTold(Message, frozen=True):
     """Tell of requests under which upstreams ended."""
 
-    suspects: tuple[SuspectTold, ...]
+    suspects: tuple[SuspectRequestTold, ...]
 
 
 class Relayed(Message, frozen=True):
     """Carry a gateway's message by way of another one."""
 
     origin: InstanceId
-    message: HeartbeatsSeen | WorkChanged | SuspectsTold
+    message: HeartbeatsSeen | WorkChanged | SuspectRequestsTold
     pass_on: bool
     """Whether the receiver passes it on to the others of its data centre."""
--- a/packages/core/src/cowslipshelf_core/internal/routed/quarantine.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/quarantine.py
@@ -14,7 +14,7 @@
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.internal.routed.messages import (
     EndTold,
-    SuspectTold,
+    SuspectRequestTold,
     UpstreamEnd,
 )
 from cowslipshelf_core.internal.routed.request_digest import (
@@ -89,7 +89,7 @@
 
 
 @dataclass(slots=True)
-class Suspect:
+class SuspectRequest:
     """Be a request under which upstreams ended."""
 
     changed_at: float
@@ -151,15 +151,17 @@
         spread = 1.0 + config.hold_spread * share_of(config.instance, digest)
         return self.last_event() + config.hold_seconds * growth * spread
 
-    def told(self, digest: RequestDigest, now: float) -> SuspectTold:
+    def told(self, digest: RequestDigest, now: float) -> SuspectRequestTold:
         """Write what is known of it for another gateway."""
         ends = tuple(
             EndTold(end, now - at, end in self.cleared) for end, at in self.ends.items()
         )
         age = now - self.tried_at if self.trials else 0.0
-        return SuspectTold(digest, ends, self.trials, self.over, age, self.probes)
+        return SuspectRequestTold(
+            digest, ends, self.trials, self.over, age, self.probes
+        )
 
-    def take(self, told: SuspectTold, now: float) -> bool:
+    def take(self, told: SuspectRequestTold, now: float) -> bool:
         """Take in what another gateway knows of it; return whether any of it is news.
 
         Of two times of one event the earlier one counts: each message adds its way.
@@ -186,7 +188,7 @@
     """Hold the requests under which upstreams ended."""
 
     config: QuarantineConfig
-    suspects: dict[RequestDigest, Suspect] = field(default_factory=dict)
+    suspects: dict[RequestDigest, SuspectRequest] = field(default_factory=dict)
 
     @classmethod
     def from_config(cls, config: QuarantineConfig) -> Self:
@@ -235,7 +237,7 @@
         self, digest: RequestDigest, upstream_id: UpstreamId, now: float
     ) -> bool:
         """Note that an upstream ended under a request; return whether it is news."""
-        suspect = self.suspects.setdefault(digest, Suspect(now))
+        suspect = self.suspects.setdefault(digest, SuspectRequest(now))
         news = suspect.note_end(upstream_id, now)
         if news:
             suspect.changed_at = now
@@ -264,14 +266,14 @@
 
     def told(
         self, digests: Iterable[RequestDigest], now: float
-    ) -> tuple[SuspectTold, ...]:
+    ) -> tuple[SuspectRequestTold, ...]:
         """Write what is known of some requests for other gateways."""
         known = [digest for digest in digests if digest in self.suspects]
         return tuple(self.suspects[digest].told(digest, now) for digest in known)
 
-    def take(self, told: SuspectTold, now: float) -> bool:
+    def take(self, told: SuspectRequestTold, now: float) -> bool:
         """Take in word of a request; return whether any of it is news."""
-        suspect = self.suspects.setdefault(told.digest, Suspect(now))
+        suspect = self.suspects.setdefault(told.digest, SuspectRequest(now))
         news = suspect.take(told, now)
         if news:
             suspect.changed_at = max(suspect.changed_at, suspect.last_event())
@@ -314,7 +316,7 @@
     return drawn / 256**SHARE_BYTES
 
 
-def problem_of(told: SuspectTold) -> str | None:
+def problem_of(told: SuspectRequestTold) -> str | None:
     """Say what is wrong with word of another gateway, if anything is."""
     if not is_request_digest(told.digest):
         return "the digest is none"
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -26,7 +26,7 @@
     FetchWork,
     HeartbeatsSeen,
     Relayed,
-    SuspectsTold,
+    SuspectRequestsTold,
     WorkChanged,
     WorkHeld,
 )
@@ -53,7 +53,9 @@
     SettingsSource,
 )
 from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
-from cowslipshelf_daemon.internal.gateway.suspects_file import SuspectsFile
+from cowslipshelf_daemon.internal.gateway.suspect_requests_file import (
+    SuspectRequestsFile,
+)
 from cowslipshelf_daemon.internal.gateway.upstream_pool import UpstreamPool
 from cowslipshelf_daemon.internal.gateway.upstreams_file import UpstreamsFile
 from cowslipshelf_daemon.internal.post import Delivered, Post
@@ -182,10 +184,10 @@
             "metrics", self.answer_metrics, CallerLimits, CONTROL_CONNECTIONS
         )
 
-    def make_suspects_file(self) -> SuspectsFile | None:
+    def make_suspects_file(self) -> SuspectRequestsFile | None:
         """Make the file of suspects, where there is a disk."""
         folder = self.settings.data_folder
-        return None if folder is None else SuspectsFile(folder)
+        return None if folder is None else SuspectRequestsFile(folder)
 
     def make_mailbox(self, address: str) -> Mailbox:
         """Make the mailbox through which gateways talk."""
@@ -220,7 +222,7 @@
                 | WorkChanged()
                 | WorkHeld()
                 | RoutesSnapshot()
-                | SuspectsTold()
+                | SuspectRequestsTold()
                 | FetchRoutes(question="")
             ):
                 self.inbox.tell(delivered)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -19,7 +19,7 @@
     PeerNews,
     Relayed,
     RequestDigest,
-    SuspectsTold,
+    SuspectRequestsTold,
     UpstreamHeartbeat,
     WorkChanged,
     WorkHeld,
@@ -51,7 +51,7 @@
 gateway that starts or was cut off gets one at once, and what was lost otherwise is
 told again by the next heartbeat."""
 
-Spread = HeartbeatsSeen | SuspectsTold | WorkChanged
+Spread = HeartbeatsSeen | SuspectRequestsTold | WorkChanged
 """What is told to far gateways by way of one in their data centre."""
 
 
@@ -172,10 +172,10 @@
         self.urgent_suspects |= dict.fromkeys(urgent, URGENT_REPEATS - 1)
         now = time.monotonic()
         if urgent:
-            self.tell_all(SuspectsTold(quarantine.told(urgent, now)))
+            self.tell_all(SuspectRequestsTold(quarantine.told(urgent, now)))
         if changed - urgent:
             told = quarantine.told(changed - urgent, now)
-            self.spread(SuspectsTold(told), self.words)
+            self.spread(SuspectRequestsTold(told), self.words)
 
     def repeat_suspects(self) -> None:
         """Tell urgent news of suspects again."""
@@ -183,7 +183,7 @@
         self.urgent_suspects = {digest: n - 1 for digest, n in left if n > 1}
         if repeated:
             told = self.view.quarantine.told(repeated, time.monotonic())
-            self.tell_all(SuspectsTold(told))
+            self.tell_all(SuspectRequestsTold(told))
 
     def tell_work(self, changed: WorkChanged) -> None:
         """Collect a change of work for a moment, then tell it."""
@@ -235,7 +235,7 @@
         quarantine = self.view.quarantine
         if quarantine.suspects:
             told = quarantine.told(quarantine.suspects, time.monotonic())
-            self.send(peer, SuspectsTold(told))
+            self.send(peer, SuspectRequestsTold(told))
 
     def tell_work_held(self, peer: InstanceId) -> None:
         """Tell one gateway all that this one has on engines."""
@@ -253,7 +253,7 @@
                 self.take_spread(origin, message)
                 if relayed.pass_on:
                     self.pass_on(delivered.sender, relayed)
-            case HeartbeatsSeen() | WorkChanged() | SuspectsTold() as message:
+            case HeartbeatsSeen() | WorkChanged() | SuspectRequestsTold() as message:
                 self.take_spread(delivered.sender, message)
             case WorkHeld(number=number) as message:
                 if self.progress.all_heard(delivered.sender, number):
@@ -269,7 +269,7 @@
     def take_spread(self, origin: InstanceId, message: Spread) -> None:
         """Take in what a gateway tells all others."""
         match message:
-            case SuspectsTold() if self.suspects is not None:
+            case SuspectRequestsTold() if self.suspects is not None:
                 self.suspects.take(origin, message)
             case HeartbeatsSeen():
                 self.view.take_heartbeats(message)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests.py
@@ -9,8 +9,8 @@
     Alone,
     HeldBack,
     RequestDigest,
-    SuspectsTold,
-    SuspectTold,
+    SuspectRequestsTold,
+    SuspectRequestTold,
     Verdict,
     problem_of,
 )
@@ -23,7 +23,9 @@
 )
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.placement import Placement
-from cowslipshelf_daemon.internal.gateway.suspects_file import SuspectsFile
+from cowslipshelf_daemon.internal.gateway.suspect_requests_file import (
+    SuspectRequestsFile,
+)
 from cowslipshelf_host.logs import part_logger
 from cowslipshelf_host.metrics import Metrics
 
@@ -37,7 +39,7 @@
     """Keep what one gateway knows of requests that end upstreams."""
 
     def __init__(
-        self, view: FleetView, metrics: Metrics, file: SuspectsFile | None
+        self, view: FleetView, metrics: Metrics, file: SuspectRequestsFile | None
     ) -> None:
         self.view = view
         self.quarantine = view.quarantine
@@ -46,7 +48,7 @@
         self.changes = 0
         """Counts what was learned, to know when the file is behind."""
         if file is not None:
-            self.take(view.settings.instance, SuspectsTold(file.read()))
+            self.take(view.settings.instance, SuspectRequestsTold(file.read()))
 
     def verdict(self, task: AttemptTask) -> Verdict:
         """Decide whether a request may run now."""
@@ -127,7 +129,7 @@
         self.changes += 1
         self.view.tell_suspect(digest)
 
-    def take(self, sender: InstanceId, message: SuspectsTold) -> None:
+    def take(self, sender: InstanceId, message: SuspectRequestsTold) -> None:
         """Take in what another gateway tells, or what this one knew before."""
         for told in message.suspects[:MOST_TAKEN]:
             problem = problem_of(told)
@@ -136,7 +138,7 @@
                 continue
             self.take_suspect(sender, told)
 
-    def take_suspect(self, sender: InstanceId, told: SuspectTold) -> None:
+    def take_suspect(self, sender: InstanceId, told: SuspectRequestTold) -> None:
         """Take in word of one request."""
         before = self.quarantine.ends_of(told.digest)
         if not self.quarantine.take(told, time.monotonic()):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspects_file.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests_file.py
@@ -4,30 +4,30 @@
 
 import msgspec
 
-from cowslipshelf_core.routed import SuspectTold
+from cowslipshelf_core.routed import SuspectRequestTold
 from cowslipshelf_daemon.internal.gateway.hint_file import HintFile
 
 FILE_NAME = "suspects"
 
 
-class SuspectsDocument(msgspec.Struct, frozen=True, array_like=True):
+class SuspectRequestsDocument(msgspec.Struct, frozen=True, array_like=True):
     """Be what a gateway knew of requests under which upstreams ended."""
 
     written_at: float
     """Seconds since 1970."""
-    suspects: tuple[SuspectTold, ...]
+    suspects: tuple[SuspectRequestTold, ...]
 
 
-class SuspectsFile(HintFile[SuspectsDocument]):
+class SuspectRequestsFile(HintFile[SuspectRequestsDocument]):
     """Own one file in the data folder.
 
     After all gateways were killed at once, none is left to tell the others.
     """
 
     def __init__(self, folder: str) -> None:
-        super().__init__(folder, FILE_NAME, SuspectsDocument)
+        super().__init__(folder, FILE_NAME, SuspectRequestsDocument)
 
-    def read(self) -> tuple[SuspectTold, ...]:
+    def read(self) -> tuple[SuspectRequestTold, ...]:
         """Return what was written last, with ages as of now."""
         document = self.read_document()
         if document is None:
@@ -36,13 +36,15 @@
         passed = max(0.0, time.time() - document.written_at)
         return tuple(aged(suspect, passed) for suspect in document.suspects)
 
-    def write_soon(self, suspects: tuple[SuspectTold, ...], changes: int) -> None:
+    def write_soon(
+        self, suspects: tuple[SuspectRequestTold, ...], changes: int
+    ) -> None:
         """Write what has changed since the last write."""
         if not self.is_writing() and changes != (self.written or 0):
-            self.begin_write(SuspectsDocument(time.time(), suspects), changes)
+            self.begin_write(SuspectRequestsDocument(time.time(), suspects), changes)
 
 
-def aged(suspect: SuspectTold, seconds: float) -> SuspectTold:
+def aged(suspect: SuspectRequestTold, seconds: float) -> SuspectRequestTold:
     """Return word of a request as it would be told some seconds later."""
     ends = tuple(
         each._replace(age_seconds=each.age_seconds + seconds) for each in suspect.ends
--- a/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
@@ -22,7 +22,7 @@
     FetchWork,
     HeartbeatsSeen,
     Relayed,
-    SuspectsTold,
+    SuspectRequestsTold,
     WorkChanged,
     WorkHeld,
 )
@@ -43,7 +43,7 @@
     Relayed,
     RoutesSnapshot,
     Suspect,
-    SuspectsTold,
+    SuspectRequestsTold,
     Withdraw,
     WorkChanged,
     WorkHeld,
--- a/tests/common/ending_upstreams.py
+++ b/tests/common/ending_upstreams.py
@@ -60,6 +60,7 @@
         self.lock = threading.Lock()
         self.arrivals: list[Arrival] = []
         self.ended_at: list[float] = []
+        self.running: list[EndingUpstream] = []
         self.stopping = threading.Event()
         self.starts = 0
         for _ in range(count):
@@ -71,8 +72,15 @@
             self.starts += 1
             name = f"u-{self.starts}"
         upstream = EndingUpstream(name, "plain", self.serve)
-        for gateway in self.fleet.gateways:
-            upstream.tell(gateway.control)
+        with self.lock:
+            self.running.append(upstream)
+        self.tell_all(upstream)
+
+    def tell_all(self, *upstreams: EndingUpstream) -> None:
+        """Let some upstreams be heard of by each gateway, or all that run."""
+        for upstream in upstreams or tuple(self.running):
+            for gateway in self.fleet.gateways:
+                upstream.tell(gateway.control)
 
     def serve(self, exchange: Exchange) -> None:
         """Answer, or end under a fatal request."""
@@ -105,6 +113,7 @@
             if upstream.stopped.is_set():
                 return
             self.ended_at.append(time.monotonic())
+            self.running.remove(upstream)
             upstream.end()
         if not self.stopping.is_set():
             threading.Timer(RESTART_SECONDS, self.start_again).start()
--- /dev/null
+++ b/tests/cover/gateway/test_suspect_requests.py
@@ -0,0 +1,203 @@
+"""Check what a gateway does with requests under which upstreams ended."""
+
+import asyncio
+import time
+
+import msgspec
+import pytest
+
+from common.routed import GATEWAY_SETTINGS, configuration, heartbeat, route
+from cowslipshelf_adapter.wire import MachinesDialect
+from cowslipshelf_core.messages import RoutesDocument
+from cowslipshelf_core.routed import (
+    Alone,
+    EndTold,
+    HeldBack,
+    SuspectRequestsTold,
+    SuspectRequestTold,
+    UpstreamEnd,
+    request_digest,
+)
+from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
+    Answered,
+    AttemptOutcome,
+    Broken,
+    NotRun,
+)
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
+from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
+from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
+from cowslipshelf_daemon.internal.gateway.suspect_requests_file import (
+    SuspectRequestsDocument,
+    SuspectRequestsFile,
+)
+from cowslipshelf_host.metrics import Metrics
+
+BODY = b"fatal"
+DIGEST = request_digest(None, "POST", "host.example", "/x", BODY)
+ENDED = Broken("read answer", "closed", upstream_ended=True)
+LOST = Broken("read answer", "silent")
+
+
+class PlayedRunner:
+    """Give one outcome after the other, each at the upstream that was chosen."""
+
+    def __init__(self, *outcomes: AttemptOutcome) -> None:
+        self.outcomes = list(outcomes)
+        self.sent = 0
+
+    async def run(self, task, placement) -> AttemptOutcome:
+        self.sent += 1
+        return self.outcomes.pop(0)
+
+
+class KeptAnswer:
+    """Keep the status and headers of an answer of our own."""
+
+    begun = False
+    status: int | None = None
+    headers: dict[bytes, bytes] = {}
+
+    async def whole(self, status, headers, body=b"") -> None:
+        self.status, self.headers = status, dict(headers)
+
+
+class PlayedGateway:
+    """Be a gateway whose attempts end as a test says."""
+
+    def __init__(self, *outcomes: AttemptOutcome, **changes) -> None:
+        self.view = FleetView.from_settings(GATEWAY_SETTINGS)
+        self.told: list[str] = []
+        self.view.tell_suspect = self.told.append
+        usual = {"most_attempts": 3}
+        routes = configuration(route(**(usual | changes)))
+        self.view.put_in_force(RoutesDocument(1, "", b""), routes)
+        for number in range(8):
+            address = f"10.0.0.{number + 1}:80"
+            self.view.take_heartbeat(heartbeat(f"u-{number}", address=address), 0.0)
+        self.runner = PlayedRunner(*outcomes)
+        metrics = Metrics()
+        self.suspects = SuspectRequests(self.view, metrics, None)
+        self.handler = RequestHandler(
+            self.view, self.runner, MachinesDialect(), metrics, self.suspects
+        )
+
+    def ask(self, body: bytes = BODY) -> KeptAnswer:
+        answer = KeptAnswer()
+        headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", b"3000")]
+        request = HttpRequest("POST", "/x", headers, body, "host.example", "caller")
+        asyncio.run(self.handler(request, answer))
+        return answer
+
+
+def test_what_ended_three_upstreams_is_refused_without_a_time_to_come_back():
+    """Guards against callers told to send again what ends every upstream."""
+    gateway = PlayedGateway(ENDED, ENDED, ENDED)
+    assert gateway.ask().status == 502
+    answer = gateway.ask()
+    assert answer.status == 503
+    assert b"retry-after" not in answer.headers
+    assert gateway.runner.sent == 3
+
+
+def test_another_body_of_the_same_caller_is_served():
+    """Guards against a customer shut out for one of its requests."""
+    gateway = PlayedGateway(ENDED, ENDED, ENDED, Answered(200))
+    gateway.ask()
+    gateway.ask(b"harmless")
+    assert gateway.runner.sent == 4
+
+
+@pytest.mark.parametrize("outcome", [LOST, NotRun(503)])
+def test_attempts_that_were_lost_otherwise_do_not_speak_against_a_request(outcome):
+    gateway = PlayedGateway(*[outcome] * 6)
+    for _ in range(2):
+        gateway.ask()
+    assert gateway.runner.sent == 6
+
+
+def test_all_gateways_are_told_of_each_end_and_of_each_trial():
+    gateway = PlayedGateway(ENDED, ENDED, ENDED)
+    gateway.ask()
+    ends, trial_begins, trial_ends = 3, 1, 1
+    assert gateway.told == [DIGEST] * (ends + trial_begins + trial_ends)
+
+
+def test_a_suspect_that_is_tried_elsewhere_is_to_come_back_soon():
+    gateway = PlayedGateway()
+    now = time.monotonic()
+    for upstream in ("u-1", "u-2"):
+        gateway.view.quarantine.upstream_ended(DIGEST, upstream, now)
+    gateway.view.quarantine.begin_trial(DIGEST, Alone(probe=False), now)
+    answer = gateway.ask()
+    assert answer.status == 503
+    assert answer.headers[b"retry-after"] == b"0.5"
+    assert gateway.runner.sent == 0
+
+
+def test_a_caller_that_leaves_ends_the_trial_of_its_request():
+    """Guards against a suspect that nobody may try since its caller left."""
+    gateway = PlayedGateway()
+    now = time.monotonic()
+    for upstream in ("u-1", "u-2"):
+        gateway.view.quarantine.upstream_ended(DIGEST, upstream, now)
+
+    async def never_end(task, placement) -> AttemptOutcome:
+        await asyncio.Event().wait()
+
+    gateway.runner.run = never_end
+
+    async def leave() -> None:
+        headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", b"3000")]
+        request = HttpRequest("POST", "/x", headers, BODY, "host.example", "caller")
+        serving = asyncio.create_task(gateway.handler(request, KeptAnswer()))
+        await asyncio.sleep(0.01)
+        assert isinstance(
+            gateway.view.quarantine.verdict(DIGEST, time.monotonic()), HeldBack
+        )
+        serving.cancel()
+        await asyncio.wait({serving})
+
+    asyncio.run(leave())
+    assert gateway.view.quarantine.verdict(DIGEST, time.monotonic()) == Alone(False)
+
+
+def told(*upstreams: str, age: float = 1.0) -> SuspectRequestTold:
+    ends = tuple(EndTold(UpstreamEnd(each, 0), age, False) for each in upstreams)
+    return SuspectRequestTold(DIGEST, ends, 0, 0, 0.0, 0)
+
+
+def test_odd_word_beside_sound_word_changes_nothing():
+    """Guards against a gateway that one broken peer makes refuse requests."""
+    gateway = PlayedGateway()
+    odd = told("u-1", "u-2", "u-3", age=float("nan"))
+    gateway.suspects.take("peer", SuspectRequestsTold((odd, told("u-1"))))
+    assert gateway.view.quarantine.ends_of(DIGEST) == 1
+
+
+def test_a_restart_recalls_what_is_held_back(tmp_path):
+    file = SuspectRequestsFile(str(tmp_path))
+    document = SuspectRequestsDocument(time.time() - 5.0, (told("u-1", age=1.0),))
+    file.write(msgspec.msgpack.encode(document), 1)
+    (recalled,) = SuspectRequestsFile(str(tmp_path)).read()
+    assert recalled.ends[0].age_seconds == pytest.approx(6.0, abs=1.0)
+    view = FleetView.from_settings(GATEWAY_SETTINGS)
+    SuspectRequests(view, Metrics(), SuspectRequestsFile(str(tmp_path)))
+    assert view.quarantine.ends_of(DIGEST) == 1
+
+
+def test_a_time_of_day_that_was_put_back_makes_no_end_lie_in_the_future(tmp_path):
+    file = SuspectRequestsFile(str(tmp_path))
+    document = SuspectRequestsDocument(time.time() + 900.0, (told("u-1"),))
+    file.write(msgspec.msgpack.encode(document), 1)
+    assert file.read()[0].ends[0].age_seconds == 1.0
+
+
+@pytest.mark.parametrize("keep", [0, 1, 7, 20])
+def test_a_torn_file_is_no_reason_not_to_start(tmp_path, keep):
+    """Guards against a gateway that never comes back after a loss of power."""
+    file = SuspectRequestsFile(str(tmp_path))
+    document = SuspectRequestsDocument(time.time(), (told("u-1"),))
+    file.write(msgspec.msgpack.encode(document)[:keep], 1)
+    assert file.read() == ()
--- a/tests/cover/gateway/test_upstream_connection.py
+++ b/tests/cover/gateway/test_upstream_connection.py
@@ -1,6 +1,7 @@
 """Check what is taken for a whole answer on a real connection."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -54,3 +55,56 @@
                 lambda connection, _: connection.drop("u-1#2 began there")
             )
         )
+
+
+async def loss_of(act, patience: float = 10.0) -> UpstreamLostError:
+    """Wait for an answer's head while `act` ends the wait."""
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        served.set_result(writer)
+
+    served = asyncio.get_running_loop().create_future()
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connection = await UpstreamConnection.connect(f"{host}:{port}", 10.0)
+    connection.patience_seconds = patience
+    connection.send(OutgoingRequest("GET", "/", [(b"host", b"h")], b""))
+    waiting = asyncio.create_task(connection.head())
+    act(connection, await served)
+    try:
+        await waiting
+    except UpstreamLostError as error:
+        return error
+    finally:
+        connection.abort()
+        server.close()
+    raise AssertionError("the answer was not lost")
+
+
+def reset(_connection, writer) -> None:
+    sock = writer.get_extra_info("socket")
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ("act", "ended"),
+    [
+        (lambda _, writer: writer.close(), True),
+        (reset, True),
+        (lambda connection, _: connection.drop("began there", True), True),
+        (lambda connection, _: connection.drop("memory lapsed"), False),
+        (lambda _, writer: writer.write(b"no answer at all\r\n\r\n"), False),
+    ],
+)
+def test_only_what_the_upstream_ended_counts_as_its_end(act, ended):
+    """Guards against requests blamed for what this side or a garbled answer ended."""
+    assert asyncio.run(loss_of(act)).upstream_ended is ended
+
+
+def test_a_silence_does_not_count_as_the_end_of_an_upstream():
+    """Guards against slow requests held back as if they ended upstreams."""
+    loss = asyncio.run(loss_of(lambda _connection, _writer: None, patience=0.05))
+    assert loss.upstream_ended is False
--- a/tests/cover/routed/test_quarantine.py
+++ b/tests/cover/routed/test_quarantine.py
@@ -17,7 +17,7 @@
     QuarantineConfig,
     RequestDigest,
     RequestQuarantine,
-    SuspectTold,
+    SuspectRequestTold,
     UpstreamEnd,
     problem_of,
     request_digest,
@@ -175,7 +175,9 @@
     assert held.suspects == {}
 
 
-GOOD = SuspectTold(FATAL, (EndTold(UpstreamEnd("u-1", 0), 1.0, False),), 1, 0, 1.0, 0)
+GOOD = SuspectRequestTold(
+    FATAL, (EndTold(UpstreamEnd("u-1", 0), 1.0, False),), 1, 0, 1.0, 0
+)
 
 
 @pytest.mark.parametrize(
@@ -210,7 +212,7 @@
 def test_gateways_that_heard_the_same_words_believe_the_same(steps, random):
     """Guards against gateways that never agree which requests are held back."""
     gateways = [quarantine() for _ in range(4)]
-    words: list[SuspectTold] = []
+    words: list[SuspectRequestTold] = []
     for now, (step, number, upstream) in enumerate(steps):
         gateway = gateways[number]
         match step:
@@ -243,7 +245,7 @@
 
     arrives: float
     to: int
-    told: SuspectTold
+    told: SuspectRequestTold
 
 
 WAY_SECONDS = 0.3
--- a/tests/nocover/gateway/test_requests_that_end_upstreams.py
+++ b/tests/nocover/gateway/test_requests_that_end_upstreams.py
@@ -1,5 +1,6 @@
 """Send a request that ends each upstream that runs it to real gateways."""
 
+import threading
 import time
 from http.client import HTTPException
 from itertools import count
@@ -14,7 +15,9 @@
     document,
     route,
     running_fleet,
+    serves,
 )
+from common.polling import wait_for
 
 UPSTREAMS = 8
 PAUSE_SECONDS = 0.3
@@ -48,10 +51,12 @@
     upstreams.stop()
 
 
-def send(gateway: GatewayProcess, path: str, number: int) -> int | None:
-    """Send the request under an id of its own; return the status of a whole answer."""
+def send(
+    gateway: GatewayProcess, path: str, name: str, body: bytes = FATAL
+) -> int | None:
+    """Send a request under an id of its own; return the status of a whole answer."""
     try:
-        answer = ask(gateway, path, "POST", FATAL, X_Attempt_Id=f"fatal-{number}")
+        answer = ask(gateway, path, "POST", body, X_Attempt_Id=name)
         answer.read()
     except (OSError, HTTPException):
         return None
@@ -63,7 +68,7 @@
     numbers, began = count(), time.monotonic()
     while time.monotonic() < began + THIRD_END_SECONDS:
         number = next(numbers)
-        send(fleet.gateways[number % len(fleet.gateways)], path, number)
+        send(fleet.gateways[number % len(fleet.gateways)], path, f"fatal-{number}")
         time.sleep(PAUSE_SECONDS)
         ended = upstreams.ended_at[2:3]
         if ended and time.monotonic() > ended[0] + KNOWN_SECONDS:
@@ -76,7 +81,7 @@
     began, statuses = time.monotonic(), []
     while time.monotonic() < began + WATCHED_SECONDS:
         gateway = fleet.gateways[len(statuses) % len(fleet.gateways)]
-        statuses.append(send(gateway, path, 1000 + len(statuses)))
+        statuses.append(send(gateway, path, f"late-{len(statuses)}"))
         time.sleep(PAUSE_SECONDS)
     return statuses
 
@@ -88,3 +93,61 @@
     statuses = keep_sending(fleet, path)
     assert upstreams.arrived_after(known_at) <= MOST_RETRIES
     assert statuses[-1] == 503
+
+
+def restart_all(fleet: Fleet) -> None:
+    """Kill all gateways at once and start them again."""
+    for gateway in fleet.gateways:
+        gateway.kill()
+    for gateway in fleet.gateways:
+        gateway.start(first=False)
+    for gateway in fleet.gateways:
+        wait_for(lambda gateway=gateway: serves(gateway, 1))
+
+
+def test_what_is_held_back_stays_so_when_all_gateways_start_again(fleet, upstreams):
+    """Guards against a request that ends three more upstreams after each restart."""
+    known_at = send_until_known(fleet, upstreams, "/safe/x")
+    restart_all(fleet)
+    upstreams.tell_all()
+    keep_sending(fleet, "/safe/x")
+    assert upstreams.arrived_after(known_at) <= MOST_RETRIES
+
+
+class HarmlessCaller(threading.Thread):
+    """Send one harmless request again and again."""
+
+    def __init__(self, fleet: Fleet, number: int) -> None:
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.number = number
+        self.ending = threading.Event()
+        self.answers: list[tuple[float, int | None]] = []
+
+    def run(self) -> None:
+        """Send until the end, to each gateway in turn."""
+        for number in count(self.number):
+            if self.ending.is_set():
+                return
+            gateway = self.fleet.gateways[number % len(self.fleet.gateways)]
+            name = f"harmless-{self.number}-{number}"
+            status = send(gateway, "/safe/x", name, b"harmless")
+            self.answers.append((time.monotonic(), status))
+
+    def unserved_after(self, moment: float) -> int:
+        """Count the requests that were answered otherwise after a moment."""
+        return sum(at > moment and status != 200 for at, status in self.answers)
+
+
+def test_a_harmless_request_beside_it_is_served(fleet, upstreams):
+    """Guards against callers that are refused for what ran beside their request."""
+    callers = [HarmlessCaller(fleet, number) for number in range(6)]
+    for caller in callers:
+        caller.start()
+    known_at = send_until_known(fleet, upstreams, "/safe/x")
+    keep_sending(fleet, "/safe/x")
+    for caller in callers:
+        caller.ending.set()
+        caller.join(10)
+    assert sum(caller.unserved_after(known_at) for caller in callers) == 0
+    assert min(len(caller.answers) for caller in callers) > 20
