--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -52,7 +52,6 @@
     GatewaySettings,
     SettingsSource,
 )
-from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
 from cowslipshelf_daemon.internal.gateway.suspect_requests_file import (
     SuspectRequestsFile,
 )
@@ -145,21 +144,20 @@
         proposals = ProposalClient.from_config(ProposalClientConfig(()))
         self.control_actor: ActorRef = GatewayActor.start(proposals, self.post)
         self.client = ControlClient(self.control_actor, self.post)
-        self.gossip = Gossip(self.view, self.post, self.client, dialect)
+        self.gossip = Gossip(self.view, self.post, self.client, dialect, self.metrics)
         self.view.tell_work = self.gossip.tell_work
         self.inbox = LoopInbox(self.loop, self.gossip.receive, self.metrics)
         self.keeper = ReplicaKeeper(
             self.view, self.post, self.inbox, self.control_actor, self.metrics
         )
+        self.suspects = self.gossip.suspects
         self.upstreams_file: UpstreamsFile | None = None
+        self.suspects_file: SuspectRequestsFile | None = None
         if settings.data_folder is not None:
             self.upstreams_file = UpstreamsFile(settings.data_folder)
             self.view.recall(self.upstreams_file.read())
-        self.suspects = SuspectRequests(
-            self.view, self.metrics, self.make_suspects_file()
-        )
-        self.gossip.suspects = self.suspects
-        self.view.tell_suspect = self.gossip.tell_suspect
+            self.suspects_file = SuspectRequestsFile(settings.data_folder)
+            self.suspects.take(settings.instance, self.suspects_file.read())
         self.mailbox = self.make_mailbox(own_address)
         self.leaving = False
         self.ended = asyncio.Event()
@@ -184,11 +182,6 @@
             "metrics", self.answer_metrics, CallerLimits, CONTROL_CONNECTIONS
         )
 
-    def make_suspects_file(self) -> SuspectRequestsFile | None:
-        """Make the file of suspects, where there is a disk."""
-        folder = self.settings.data_folder
-        return None if folder is None else SuspectRequestsFile(folder)
-
     def make_mailbox(self, address: str) -> Mailbox:
         """Make the mailbox through which gateways talk."""
         config = MailboxConfig(
@@ -291,7 +284,7 @@
         ]
         if self.upstreams_file is not None:
             duties.append(RegularDuty(RECALL_SECONDS, self.write_upstreams))
-            duties.append(RegularDuty(SUSPECTS_SECONDS, self.suspects.write))
+            duties.append(RegularDuty(SUSPECTS_SECONDS, self.write_suspects))
         return duties
 
     def tick(self) -> None:
@@ -310,6 +303,10 @@
         """Write down what a restart will recall."""
         self.upstreams_file.write_soon(self.view.all_heartbeats())
 
+    def write_suspects(self) -> None:
+        """Write down which requests a restart will suspect."""
+        self.suspects_file.write_soon(self.suspects.told_all(), self.suspects.changes)
+
     def reload(self) -> None:
         """Take over what may change while the process runs, if anything has."""
         loaded = self.source.load_if_changed()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -5,12 +5,13 @@
 
 from cowslipshelf_core.dialect import CallerFacts
 from cowslipshelf_core.identifiers import CustomerName, UpstreamId
-from cowslipshelf_core.routed import RequestDigest, Route, UpstreamStart
+from cowslipshelf_core.routed import Route, UpstreamStart
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     UpstreamConnection,
     UpstreamHead,
 )
+from cowslipshelf_daemon.internal.suspect_requests import JudgedRequest
 
 
 @dataclass(slots=True)
@@ -91,8 +92,7 @@
     responder: Responder
     delivered: Delivered
     deadline: float
-    digest: RequestDigest
-    """Equal for requests that are sent again, by whichever way they come."""
+    judged: JudgedRequest
 
 
 class OpenAttempt(NamedTuple):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -27,12 +27,9 @@
     KnownUpstream,
     PeerBook,
     PeerBookConfig,
-    QuarantineConfig,
     RegistryConfig,
     RepeatBudget,
     RepeatBudgetConfig,
-    RequestDigest,
-    RequestQuarantine,
     RouteConfiguration,
     RouteTable,
     UpstreamHealth,
@@ -69,9 +66,6 @@
     """Tells the other gateways; set once the process is put together."""
     drop_start: Callable[[UpstreamStart, UpstreamStart], None]
     """Ends what is open at a start that gave way to a later one; set likewise."""
-    tell_suspect: Callable[[RequestDigest], None]
-    """Tells the other gateways of a request that ended upstreams; set likewise."""
-    quarantine: RequestQuarantine
     board: EngineBoard = field(default_factory=EngineBoard)
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     times: AnswerTimes = field(default_factory=AnswerTimes)
@@ -102,10 +96,6 @@
             RepeatBudget.from_config(budget_config(settings)),
             tell_work=lambda _changed: None,
             drop_start=lambda _former, _later: None,
-            tell_suspect=lambda _digest: None,
-            quarantine=RequestQuarantine.from_config(
-                QuarantineConfig(settings.instance)
-            ),
         )
 
     def use_settings(self, settings: GatewaySettings) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -28,9 +28,10 @@
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.routes_exchange import RoutesExchange
-from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
 from cowslipshelf_daemon.internal.post import Delivered, Post
+from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
 
 LOG = part_logger("gossip")
 
@@ -59,7 +60,12 @@
     """Own what waits to be told."""
 
     def __init__(
-        self, view: FleetView, post: Post, client: ControlClient, dialect: Dialect
+        self,
+        view: FleetView,
+        post: Post,
+        client: ControlClient,
+        dialect: Dialect,
+        metrics: Metrics,
     ) -> None:
         self.view = view
         self.post = post
@@ -74,8 +80,8 @@
         self.first_tokens: list = []
         self.ended: list = []
         self.work_due = False
-        self.suspects: SuspectRequests | None = None
-        """Takes in word of suspects; set once the process is put together."""
+        instance = view.settings.instance
+        self.suspects = SuspectRequests(instance, metrics, self.tell_suspect)
         self.changed_suspects: set[RequestDigest] = set()
         """Suspects of whom there is news that was not told yet."""
         self.urgent_suspects: dict[RequestDigest, int] = {}
@@ -166,24 +172,21 @@
 
         A single end is rarely the request's fault, and most news is of one.
         """
-        quarantine = self.view.quarantine
+        quarantine = self.suspects.quarantine
         changed, self.changed_suspects = self.changed_suspects, set()
-        urgent = {digest for digest in changed if quarantine.is_urgent(digest)}
+        urgent = frozenset(filter(quarantine.is_urgent, changed))
         self.urgent_suspects |= dict.fromkeys(urgent, URGENT_REPEATS - 1)
-        now = time.monotonic()
         if urgent:
-            self.tell_all(SuspectRequestsTold(quarantine.told(urgent, now)))
+            self.tell_all(self.suspects.told(urgent))
         if changed - urgent:
-            told = quarantine.told(changed - urgent, now)
-            self.spread(SuspectRequestsTold(told), self.words)
+            self.spread(self.suspects.told(changed - urgent), self.words)
 
     def repeat_suspects(self) -> None:
         """Tell urgent news of suspects again."""
-        repeated, left = tuple(self.urgent_suspects), self.urgent_suspects.items()
+        repeated, left = frozenset(self.urgent_suspects), self.urgent_suspects.items()
         self.urgent_suspects = {digest: n - 1 for digest, n in left if n > 1}
         if repeated:
-            told = self.view.quarantine.told(repeated, time.monotonic())
-            self.tell_all(SuspectRequestsTold(told))
+            self.tell_all(self.suspects.told(repeated))
 
     def tell_work(self, changed: WorkChanged) -> None:
         """Collect a change of work for a moment, then tell it."""
@@ -232,10 +235,9 @@
 
     def tell_suspects(self, peer: InstanceId) -> None:
         """Tell one gateway all suspects."""
-        quarantine = self.view.quarantine
-        if quarantine.suspects:
-            told = quarantine.told(quarantine.suspects, time.monotonic())
-            self.send(peer, SuspectRequestsTold(told))
+        message = self.suspects.told_all()
+        if message.suspects:
+            self.send(peer, message)
 
     def tell_work_held(self, peer: InstanceId) -> None:
         """Tell one gateway all that this one has on engines."""
@@ -269,7 +271,7 @@
     def take_spread(self, origin: InstanceId, message: Spread) -> None:
         """Take in what a gateway tells all others."""
         match message:
-            case SuspectRequestsTold() if self.suspects is not None:
+            case SuspectRequestsTold():
                 self.suspects.take(origin, message)
             case HeartbeatsSeen():
                 self.view.take_heartbeats(message)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -38,7 +38,10 @@
     Placement,
     place,
 )
-from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
+from cowslipshelf_daemon.internal.suspect_requests import (
+    JudgedRequest,
+    SuspectRequests,
+)
 from cowslipshelf_host.logs import part_logger
 from cowslipshelf_host.metrics import Metrics
 
@@ -140,8 +143,12 @@
             responder,
             Delivered(facts.last_event_id),
             began + left,
-            request_digest(
-                name, request.method, request.host, request.target, request.body
+            JudgedRequest(
+                facts.attempt_id,
+                request_digest(
+                    name, request.method, request.host, request.target, request.body
+                ),
+                name,
             ),
         )
         return await self.serve(task)
@@ -173,7 +180,7 @@
             if left < LEAST_LEFT_SECONDS:
                 progress.last_reason = "out of time"
                 return None
-            verdict = self.suspects.verdict(task)
+            verdict = self.suspects.verdict(task.judged)
             if isinstance(verdict, HeldBack):
                 count = len(verdict.upstreams)
                 progress.last_reason = f"{count} upstreams ended under this request"
@@ -197,7 +204,7 @@
             if progress.sent and not self.may_repeat(service):
                 progress.last_reason = "no repeats are left in the budget"
                 return None
-            with self.suspects.trial(task, verdict):
+            with self.suspects.trial(task.judged, verdict):
                 outcome = await self.attempt(task, placement, progress)
             if isinstance(outcome, Answered):
                 return outcome
@@ -256,9 +263,20 @@
             case Broken():
                 progress.last_reason = f"{outcome.step} failed"
         self.note_attempt(task, placement, outcome, began)
-        self.suspects.learn(task, placement, outcome)
+        self.learn_of_request(task, placement, outcome)
         return outcome
 
+    def learn_of_request(
+        self, task: AttemptTask, placement: Placement, outcome: AttemptOutcome
+    ) -> None:
+        """Note whether an upstream ended under a request, or answered it."""
+        match outcome:
+            case Broken(upstream_ended=True):
+                upstream_id = placement.upstream.upstream_id
+                self.suspects.upstream_ended(task.judged, upstream_id)
+            case Answered() | FailedThere():
+                self.suspects.answered(task.judged)
+
     def note_begin(
         self, task: AttemptTask, placement: Placement, progress: Progress
     ) -> None:
@@ -266,7 +284,7 @@
         LOG.info(
             "Attempt begins.",
             request=task.facts.attempt_id,
-            digest=task.digest,
+            digest=task.judged.digest,
             customer=task.customer,
             route=task.route.name,
             objective=round(task.route.objective_seconds, 4),
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests_file.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests_file.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cowslipshelf_core.routed import SuspectRequestTold
+from cowslipshelf_core.routed import SuspectRequestsTold, SuspectRequestTold
 from cowslipshelf_daemon.internal.gateway.hint_file import HintFile
 
 FILE_NAME = "suspects"
@@ -15,7 +15,7 @@
 
     written_at: float
     """Seconds since 1970."""
-    suspects: tuple[SuspectRequestTold, ...]
+    told: SuspectRequestsTold
 
 
 class SuspectRequestsFile(HintFile[SuspectRequestsDocument]):
@@ -27,21 +27,20 @@
     def __init__(self, folder: str) -> None:
         super().__init__(folder, FILE_NAME, SuspectRequestsDocument)
 
-    def read(self) -> tuple[SuspectRequestTold, ...]:
+    def read(self) -> SuspectRequestsTold:
         """Return what was written last, with ages as of now."""
         document = self.read_document()
         if document is None:
-            return ()
+            return SuspectRequestsTold(())
         # The time of day may have been put back since.
         passed = max(0.0, time.time() - document.written_at)
-        return tuple(aged(suspect, passed) for suspect in document.suspects)
+        suspects = document.told.suspects
+        return SuspectRequestsTold(tuple(aged(each, passed) for each in suspects))
 
-    def write_soon(
-        self, suspects: tuple[SuspectRequestTold, ...], changes: int
-    ) -> None:
+    def write_soon(self, told: SuspectRequestsTold, changes: int) -> None:
         """Write what has changed since the last write."""
         if not self.is_writing() and changes != (self.written or 0):
-            self.begin_write(SuspectRequestsDocument(time.time(), suspects), changes)
+            self.begin_write(SuspectRequestsDocument(time.time(), told), changes)
 
 
 def aged(suspect: SuspectRequestTold, seconds: float) -> SuspectRequestTold:
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
@@ -0,0 +1,193 @@
+"""Decide by the ends of upstreams which requests may run, and tell others of them."""
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from threading import RLock
+from typing import NamedTuple
+
+from cowslipshelf_core.identifiers import CustomerName, InstanceId, UpstreamId
+from cowslipshelf_core.routed import (
+    Alone,
+    HeldBack,
+    QuarantineConfig,
+    RequestDigest,
+    RequestQuarantine,
+    SuspectRequestsTold,
+    SuspectRequestTold,
+    Verdict,
+    problem_of,
+)
+from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
+
+LOG = part_logger("suspect_requests")
+
+HELD = "cowslipshelf_requests_held"
+HELD_BACK = "cowslipshelf_requests_held_back_total"
+UPSTREAM_ENDS = "cowslipshelf_upstream_ends_total"
+HELPS = {
+    HELD: "Requests that are held back since upstreams ended under them.",
+    HELD_BACK: "Times that such a request was refused.",
+    UPSTREAM_ENDS: "Upstreams that ended under a request, as seen here.",
+}
+MOST_TAKEN = 4_000
+"""Requests that one message may tell of; a process remembers fewer."""
+
+
+class JudgedRequest(NamedTuple):
+    """Be what tells whether a request may run, and whose it is."""
+
+    request: str
+    """The caller's id of it, for the log."""
+    digest: RequestDigest
+    customer: CustomerName | None
+
+
+class SuspectRequests:
+    """Keep what one process knows of requests that end upstreams; any thread may ask.
+
+    What it learns it tells by `tell`, which is given the digest of what has changed.
+    """
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        metrics: Metrics,
+        tell: Callable[[RequestDigest], None],
+    ) -> None:
+        self.quarantine = RequestQuarantine.from_config(QuarantineConfig(instance))
+        self.metrics = metrics
+        self.tell_others = tell
+        self.lock = RLock()
+        self.changes = 0
+        """Counts what was learned."""
+        for name, text in HELPS.items():
+            metrics.describe(name, text)
+
+    def verdict(self, asked: JudgedRequest) -> Verdict:
+        """Decide whether a request may run now."""
+        with self.lock:
+            verdict = self.quarantine.verdict(asked.digest, time.monotonic())
+        if isinstance(verdict, HeldBack):
+            self.metrics.count(HELD_BACK)
+            LOG.info(
+                "Request held back.",
+                request=asked.request,
+                digest=asked.digest,
+                customer=asked.customer,
+                upstreams=verdict.upstreams,
+                left_seconds=round(verdict.left_seconds, 3),
+                retry_after=verdict.retry_after_seconds,
+            )
+        return verdict
+
+    @contextmanager
+    def trial(self, asked: JudgedRequest, verdict: Verdict) -> Iterator[None]:
+        """Keep a suspect from running elsewhere meanwhile."""
+        if not isinstance(verdict, Alone):
+            yield
+            return
+        self.begin_trial(asked, verdict)
+        try:
+            yield
+        finally:
+            self.end_trial(asked)
+
+    def begin_trial(self, asked: JudgedRequest, verdict: Alone) -> None:
+        """Note that a suspect is tried here."""
+        LOG.info(
+            "Suspect tried.",
+            request=asked.request,
+            digest=asked.digest,
+            customer=asked.customer,
+            upstreams=self.quarantine.upstreams_of(asked.digest),
+            probe=verdict.probe,
+        )
+        with self.lock:
+            self.quarantine.begin_trial(asked.digest, verdict, time.monotonic())
+        self.tell(asked.digest)
+
+    def end_trial(self, asked: JudgedRequest) -> None:
+        """Note that a trial is over, whatever came of it."""
+        with self.lock:
+            self.quarantine.end_trial(asked.digest)
+        self.tell(asked.digest)
+
+    def upstream_ended(self, asked: JudgedRequest, upstream_id: UpstreamId) -> None:
+        """Note that an upstream ended under a request."""
+        now = time.monotonic()
+        with self.lock:
+            if not self.quarantine.upstream_ended(asked.digest, upstream_id, now):
+                return
+        self.metrics.count(UPSTREAM_ENDS)
+        LOG.info(
+            "Upstream ended.",
+            request=asked.request,
+            digest=asked.digest,
+            customer=asked.customer,
+            upstream=upstream_id,
+            ends=self.quarantine.ends_of(asked.digest),
+        )
+        self.tell(asked.digest)
+
+    def answered(self, asked: JudgedRequest) -> None:
+        """Clear a request that an upstream has answered whole."""
+        with self.lock:
+            cleared = self.quarantine.answered(asked.digest, time.monotonic())
+        if cleared:
+            LOG.info("Suspect cleared.", request=asked.request, digest=asked.digest)
+            self.tell(asked.digest)
+
+    def tell(self, digest: RequestDigest) -> None:
+        """Tell the others what has changed."""
+        self.changes += 1
+        self.tell_others(digest)
+
+    def take(self, sender: InstanceId, message: SuspectRequestsTold) -> None:
+        """Take in what another process tells, or what this one knew before."""
+        for told in message.suspects[:MOST_TAKEN]:
+            problem = problem_of(told)
+            if problem is not None:
+                LOG.warning("Word of a suspect refused.", peer=sender, problem=problem)
+                continue
+            self.take_one(sender, told)
+
+    def take_one(self, sender: InstanceId, told: SuspectRequestTold) -> None:
+        """Take in word of one request."""
+        with self.lock:
+            before = self.quarantine.ends_of(told.digest)
+            if not self.quarantine.take(told, time.monotonic()):
+                return
+            self.changes += 1
+            ends = self.quarantine.ends_of(told.digest)
+        if ends != before:
+            LOG.info(
+                "Suspect heard of.",
+                peer=sender,
+                digest=told.digest,
+                upstreams=self.quarantine.upstreams_of(told.digest),
+                ends=ends,
+                before=before,
+            )
+
+    def forget_old(self) -> None:
+        """Forget what is too old to matter, and show how many are held back."""
+        with self.lock:
+            forgotten = self.quarantine.forget_old(time.monotonic())
+            held = len(self.quarantine.held())
+        for digest in forgotten:
+            LOG.info("Request let go.", digest=digest)
+        self.metrics.gauge(HELD, held)
+
+    def told(self, digests: frozenset[RequestDigest]) -> SuspectRequestsTold:
+        """Write what is known of some requests."""
+        with self.lock:
+            suspects = self.quarantine.told(digests, time.monotonic())
+        return SuspectRequestsTold(suspects)
+
+    def told_all(self) -> SuspectRequestsTold:
+        """Write what is known of all requests."""
+        with self.lock:
+            digests = frozenset(self.quarantine.suspects)
+        return self.told(digests)
--- a/tests/common/slow_links.py
+++ b/tests/common/slow_links.py
@@ -156,7 +156,7 @@
             )
             view = FleetView.from_settings(settings)
             post = LinkPost(self, name)
-            self.gateways[name] = Gossip(view, post, None, MachinesDialect())
+            self.gateways[name] = Gossip(view, post, None, MachinesDialect(), Metrics())
             # They don't all speak at the same moment.
             self.at(self.clock.now + number * 0.01, self.speak, name)
 
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -31,6 +31,7 @@
     UpstreamHead,
     UpstreamLostError,
 )
+from cowslipshelf_daemon.internal.suspect_requests import JudgedRequest
 
 HEADERS = [(b"x-attempt-id", b"a-1")]
 
@@ -114,7 +115,7 @@
         SilentResponder(),
         Delivered(None),
         time.monotonic() + 5.0,
-        "digest-1",
+        JudgedRequest("a-1", "digest-1", None),
     )
 
 
--- a/tests/cover/gateway/test_behind.py
+++ b/tests/cover/gateway/test_behind.py
@@ -18,7 +18,7 @@
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
-from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
+from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_host.metrics import Metrics
 
 OLD = configuration(route(prefix="/old/", public=True))
@@ -64,7 +64,7 @@
     headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", DEADLINE_MS), *KEY]
     request = HttpRequest("GET", path, headers, b"", "host.example", "caller")
     metrics = Metrics()
-    suspects = SuspectRequests(view, metrics, None)
+    suspects = SuspectRequests("10.0.0.1", metrics, lambda _digest: None)
     handler = RequestHandler(view, None, MachinesDialect(), metrics, suspects)
 
     async def play() -> float:
--- a/tests/cover/gateway/test_large_changes.py
+++ b/tests/cover/gateway/test_large_changes.py
@@ -104,7 +104,7 @@
         view.peers.heard(REPLICA, alive, time.monotonic())
         self.client = ControlClient(None, self)
         post = LinkPost(None, self.instance)
-        told = Gossip(view, post, self.client, MachinesDialect())
+        told = Gossip(view, post, self.client, MachinesDialect(), Metrics())
         self.handler = ControlHandler(
             view, self.client, told, MachinesDialect(), Metrics()
         )
--- a/tests/cover/gateway/test_suspect_requests.py
+++ b/tests/cover/gateway/test_suspect_requests.py
@@ -27,11 +27,11 @@
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
-from cowslipshelf_daemon.internal.gateway.suspect_requests import SuspectRequests
 from cowslipshelf_daemon.internal.gateway.suspect_requests_file import (
     SuspectRequestsDocument,
     SuspectRequestsFile,
 )
+from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_host.metrics import Metrics
 
 BODY = b"fatal"
@@ -69,7 +69,6 @@
     def __init__(self, *outcomes: AttemptOutcome, **changes) -> None:
         self.view = FleetView.from_settings(GATEWAY_SETTINGS)
         self.told: list[str] = []
-        self.view.tell_suspect = self.told.append
         usual = {"most_attempts": 3}
         routes = configuration(route(**(usual | changes)))
         self.view.put_in_force(RoutesDocument(1, "", b""), routes)
@@ -78,7 +77,7 @@
             self.view.take_heartbeat(heartbeat(f"u-{number}", address=address), 0.0)
         self.runner = PlayedRunner(*outcomes)
         metrics = Metrics()
-        self.suspects = SuspectRequests(self.view, metrics, None)
+        self.suspects = SuspectRequests("10.0.0.1", metrics, self.told.append)
         self.handler = RequestHandler(
             self.view, self.runner, MachinesDialect(), metrics, self.suspects
         )
@@ -128,8 +127,8 @@
     gateway = PlayedGateway()
     now = time.monotonic()
     for upstream in ("u-1", "u-2"):
-        gateway.view.quarantine.upstream_ended(DIGEST, upstream, now)
-    gateway.view.quarantine.begin_trial(DIGEST, Alone(probe=False), now)
+        gateway.suspects.quarantine.upstream_ended(DIGEST, upstream, now)
+    gateway.suspects.quarantine.begin_trial(DIGEST, Alone(probe=False), now)
     answer = gateway.ask()
     assert answer.status == 503
     assert answer.headers[b"retry-after"] == b"0.5"
@@ -141,7 +140,7 @@
     gateway = PlayedGateway()
     now = time.monotonic()
     for upstream in ("u-1", "u-2"):
-        gateway.view.quarantine.upstream_ended(DIGEST, upstream, now)
+        gateway.suspects.quarantine.upstream_ended(DIGEST, upstream, now)
 
     async def never_end(task, placement) -> AttemptOutcome:
         await asyncio.Event().wait()
@@ -154,13 +153,13 @@
         serving = asyncio.create_task(gateway.handler(request, KeptAnswer()))
         await asyncio.sleep(0.01)
         assert isinstance(
-            gateway.view.quarantine.verdict(DIGEST, time.monotonic()), HeldBack
+            gateway.suspects.quarantine.verdict(DIGEST, time.monotonic()), HeldBack
         )
         serving.cancel()
         await asyncio.wait({serving})
 
     asyncio.run(leave())
-    assert gateway.view.quarantine.verdict(DIGEST, time.monotonic()) == Alone(False)
+    assert gateway.suspects.quarantine.verdict(DIGEST, time.monotonic()) == Alone(False)
 
 
 def told(*upstreams: str, age: float = 1.0) -> SuspectRequestTold:
@@ -168,36 +167,41 @@
     return SuspectRequestTold(DIGEST, ends, 0, 0, 0.0, 0)
 
 
+def written(suspect: SuspectRequestTold, at: float) -> SuspectRequestsDocument:
+    return SuspectRequestsDocument(at, SuspectRequestsTold((suspect,)))
+
+
 def test_odd_word_beside_sound_word_changes_nothing():
     """Guards against a gateway that one broken peer makes refuse requests."""
     gateway = PlayedGateway()
     odd = told("u-1", "u-2", "u-3", age=float("nan"))
     gateway.suspects.take("peer", SuspectRequestsTold((odd, told("u-1"))))
-    assert gateway.view.quarantine.ends_of(DIGEST) == 1
+    assert gateway.suspects.quarantine.ends_of(DIGEST) == 1
 
 
 def test_a_restart_recalls_what_is_held_back(tmp_path):
     file = SuspectRequestsFile(str(tmp_path))
-    document = SuspectRequestsDocument(time.time() - 5.0, (told("u-1", age=1.0),))
+    document = written(told("u-1", age=1.0), time.time() - 5.0)
     file.write(msgspec.msgpack.encode(document), 1)
-    (recalled,) = SuspectRequestsFile(str(tmp_path)).read()
+    told_again = SuspectRequestsFile(str(tmp_path)).read()
+    (recalled,) = told_again.suspects
     assert recalled.ends[0].age_seconds == pytest.approx(6.0, abs=1.0)
-    view = FleetView.from_settings(GATEWAY_SETTINGS)
-    SuspectRequests(view, Metrics(), SuspectRequestsFile(str(tmp_path)))
-    assert view.quarantine.ends_of(DIGEST) == 1
+    suspects = SuspectRequests("10.0.0.1", Metrics(), lambda _digest: None)
+    suspects.take("10.0.0.1", told_again)
+    assert suspects.quarantine.ends_of(DIGEST) == 1
 
 
 def test_a_time_of_day_that_was_put_back_makes_no_end_lie_in_the_future(tmp_path):
     file = SuspectRequestsFile(str(tmp_path))
-    document = SuspectRequestsDocument(time.time() + 900.0, (told("u-1"),))
+    document = written(told("u-1"), time.time() + 900.0)
     file.write(msgspec.msgpack.encode(document), 1)
-    assert file.read()[0].ends[0].age_seconds == 1.0
+    assert file.read().suspects[0].ends[0].age_seconds == 1.0
 
 
 @pytest.mark.parametrize("keep", [0, 1, 7, 20])
 def test_a_torn_file_is_no_reason_not_to_start(tmp_path, keep):
     """Guards against a gateway that never comes back after a loss of power."""
     file = SuspectRequestsFile(str(tmp_path))
-    document = SuspectRequestsDocument(time.time(), (told("u-1"),))
+    document = written(told("u-1"), time.time())
     file.write(msgspec.msgpack.encode(document)[:keep], 1)
-    assert file.read() == ()
+    assert file.read() == SuspectRequestsTold(())
--- a/tests/nocover/gateway/test_memory_of_silent_engines.py
+++ b/tests/nocover/gateway/test_memory_of_silent_engines.py
@@ -25,6 +25,7 @@
     UpstreamHead,
     UpstreamLostError,
 )
+from cowslipshelf_daemon.internal.suspect_requests import JudgedRequest
 
 HEAD, HOLDER = "10.0.0.1:80", "10.0.0.2:80"
 FREE_SECONDS = 4.0
@@ -135,7 +136,7 @@
         None,
         Delivered(None),
         time.monotonic() + 15.0,
-        "digest-1",
+        JudgedRequest("a-1", "digest-1", None),
     )
 
 
