Hold back requests that end upstreams at entries, too

Twelve sends of one call ended 5 of 6 plain services where it may run once, 6 of 6 where it may be repeated, and one prompt 6 of 6 engines.

Change: a sidecar whose upstream's connection breaks off looks whether anything still listens there, says so with the end of the frames, and takes no work until it does again. Entries note the ends in the class that gateways use, tell each other at once and twice again, and tell all to an entry that starts. A request that is held back gets 502 with the code not_run, which invites no retry. Stand-ins can end on a text in a body.

Result: three of six end, and no more once word of them has had three seconds.

--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -294,6 +294,8 @@
 
     last_sequence: int
     refusal: Refusal | None = None
+    upstream_ended: bool = False
+    """Whether the upstream's process was gone as the answer broke off."""
 
 
 class AttemptReserved(Message, frozen=True):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -51,6 +51,7 @@
     RoutingDesk,
     RoutingParts,
 )
+from cowslipshelf_daemon.internal.entry.suspect_news import SuspectNews
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.process_parts import (
     make_mailbox,
@@ -135,6 +136,7 @@
     records: RequestRecords
     metrics: EntryMetrics
     router: Router
+    news: SuspectNews
 
 
 def make_router(settings: DaemonSettings) -> Router:
@@ -162,15 +164,17 @@
     A measurement gives another way to make the router, to compare the two.
     """
     metrics = EntryMetrics()
+    post = make_post(settings)
     parts = EntryParts(
         settings,
         Epoch(uuid.uuid4().hex),
         ConfigurationInForce(),
         FleetStatus(settings),
-        make_post(settings),
+        post,
         RequestRecords(metrics),
         metrics,
         make_router(settings),
+        SuspectNews(settings.instance, post, metrics.metrics),
     )
     actors = start_actors(parts)
     dispatch = Dispatch(
@@ -179,6 +183,7 @@
         actors.gateway,
         actors.replica,
         parts.in_force,
+        parts.news.suspects,
     )
     mailbox = make_mailbox(
         settings, parts.epoch, dispatch.receive, parts.in_force.version
@@ -229,6 +234,7 @@
             parts.in_force,
             parts.status,
             parts.post,
+            parts.news,
         )
     )
     configuration = ConfigurationActor.start(
@@ -265,6 +271,7 @@
         SharedRetryBudget(RetryBudget.from_config(RetryBudgetConfig())),
         new_attempt_id,
         parts.metrics,
+        parts.news.suspects,
     )
     stored = settings.entry.limits.largest_stored_answer_bytes
     config = RequestConfig(stored_answer_bytes=stored)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/dispatch.py
@@ -14,8 +14,10 @@
     Suspect,
     Withdraw,
 )
+from cowslipshelf_core.routed import SuspectRequestsTold
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
 from cowslipshelf_daemon.internal.post import Delivered
+from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_fleet.mailboxes import Received
 
 
@@ -27,6 +29,7 @@
     gateway: ActorRef
     replica: ActorRef | None
     in_force: ConfigurationInForce
+    suspects: SuspectRequests
 
     def receive(self, received: Received) -> None:
         """Take a message from another process; runs on the mailbox's thread."""
@@ -37,6 +40,8 @@
         match received.message:
             case Announce() | Withdraw() | Suspect() | EntryAlive():
                 self.routing.tell(received)
+            case SuspectRequestsTold() as told:
+                self.suspects.take(received.sender, told)
             case message:
                 delivered = Delivered(received.sender, received.sender_address, message)
                 self.deliver(delivered)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -10,7 +10,7 @@
 from cowslipshelf_callers import AnswerWriter, CallerGoneError
 from cowslipshelf_core.chosen_upstream import ChosenUpstream
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
-from cowslipshelf_core.identifiers import AttemptId, InstanceId
+from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
 from cowslipshelf_core.messages import (
     AttemptRefused,
     ClaimAbsent,
@@ -61,6 +61,7 @@
     Wait,
     WaitElapsed,
 )
+from cowslipshelf_core.routed import Alone, HeldBack, request_digest
 from cowslipshelf_core.upstream import HandOver
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
 from cowslipshelf_daemon.internal.entry.cancel_desk import CancelDesk
@@ -73,6 +74,10 @@
     STEP,
     SpreadServices,
 )
+from cowslipshelf_daemon.internal.suspect_requests import (
+    JudgedRequest,
+    SuspectRequests,
+)
 from cowslipshelf_fleet.attempts import (
     AttemptsClient,
     AttemptStream,
@@ -112,6 +117,7 @@
     retry_budget: SharedRetryBudget
     new_attempt_id: Callable[[], AttemptId]
     metrics: EntryMetrics
+    suspects: SuspectRequests
 
 
 class RequestDriver:
@@ -136,6 +142,10 @@
         self.frames: Iterator[Frame] = iter(())
         self.streaming: AttemptId | None = None
         self.chosen: ChosenUpstream | None = None
+        self.read_from: UpstreamId | None = None
+        """The upstream whose answer is read."""
+        self.judged = judged_request(request)
+        self.on_trial = False
         self.spreads = SpreadDesk(
             SpreadServices(
                 services.attempts, services.cancels, record.note, self.still_wanted
@@ -154,6 +164,7 @@
         finally:
             self.close_stream()
             self.spreads.release()
+            self.end_trial()
 
     def step(self) -> None:
         """Carry out the next effect, or else read the open stream."""
@@ -206,6 +217,14 @@
     def choose_placement(self, effect: ChoosePlacement) -> None:
         """Ask the router and wait for its one answer."""
         self.spreads.release()
+        self.end_trial()
+        verdict = self.services.suspects.verdict(self.judged)
+        if isinstance(verdict, HeldBack):
+            self.handle(PlacementRefused(refusal_of(verdict)))
+            return
+        if isinstance(verdict, Alone):
+            self.on_trial = True
+            self.services.suspects.begin_trial(self.judged, verdict)
         attempt_id = self.services.new_attempt_id()
         answer = self.services.routing.place(
             self.request, attempt_id, effect.excluded, self.seconds_left()
@@ -221,6 +240,19 @@
             case Refusal() as refusal:
                 self.handle(PlacementRefused(refusal))
 
+    def end_trial(self) -> None:
+        """Let the request be tried elsewhere, if it was tried here."""
+        if self.on_trial:
+            self.on_trial = False
+            self.services.suspects.end_trial(self.judged)
+
+    def learn_from_end(self, end: StreamEnd) -> None:
+        """Note whether the upstream ended under the request, or answered it."""
+        if end.upstream_ended and self.read_from is not None:
+            self.services.suspects.upstream_ended(self.judged, self.read_from)
+        elif end.refusal is None:
+            self.services.suspects.answered(self.judged)
+
     def ask_claim(self, claim: Message) -> None:
         """Put a claim to the replicated state."""
         match self.services.control.ask(claim, self.seconds_left()):
@@ -236,6 +268,7 @@
         """Hand an attempt over; this is its only sending."""
         self.close_stream()
         attempt_id = hand_over.attempt_id
+        self.read_from = hand_over.upstream_id
         answer = self.spreads.hand_over(self.chosen, hand_over)
         match answer:
             case AttemptRefused():
@@ -273,6 +306,7 @@
     def resume(self, asked: Resume) -> None:
         """Read an attempt's frames from where they were cut."""
         self.close_stream()
+        self.read_from = asked.upstream_id
         where = self.address_of(asked)
         stream = None
         if where:
@@ -332,6 +366,7 @@
                 self.handle(DeadlinePassed())
             case StreamEnd():
                 self.close_stream()
+                self.learn_from_end(frame)
                 self.handle(FrameArrived(frame, self.streaming))
             case _ if lost := self.lost_part():
                 self.end_without_part(lost)
@@ -379,3 +414,35 @@
             case AnswerRefusal(refusal, head_sent):
                 self.record.end(f"{refusal.code}_{refusal.reason}")
                 self.writer.refusal(refusal, head_sent)
+
+
+def judged_request(request: CallerRequest) -> JudgedRequest:
+    """Return what the ends of upstreams are noted by.
+
+    The body's digest takes in method, service, path and body.
+    """
+    digest = request_digest(
+        request.customer,
+        request.method,
+        request.service,
+        request.path,
+        request.body_digest.encode(),
+    )
+    return JudgedRequest(request.request_id, digest, request.customer)
+
+
+def refusal_of(verdict: HeldBack) -> Refusal:
+    """Refuse a request under which upstreams ended; it did not run again.
+
+    Without a time to come back the reason is one whose status invites no retry.
+    """
+    again = verdict.retry_after_seconds
+    reason = RefusalReason.UPSTREAM_FAILED if again is None else RefusalReason.BUSY
+    detail = f"upstreams ended under this request: {', '.join(verdict.upstreams)}"
+    return Refusal(
+        RefusalCode.NOT_RUN,
+        reason,
+        "place",
+        detail=detail,
+        retry_after_seconds=again,
+    )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/routing_actor.py
@@ -52,6 +52,7 @@
 from cowslipshelf_core.upstream import UpstreamDescription
 from cowslipshelf_daemon.internal.actor import DaemonActor
 from cowslipshelf_daemon.internal.entry.in_force import ConfigurationInForce
+from cowslipshelf_daemon.internal.entry.suspect_news import SuspectNews
 from cowslipshelf_daemon.internal.post import Post
 from cowslipshelf_daemon.internal.ticker import Tick
 from cowslipshelf_fleet.mailboxes import Received
@@ -87,6 +88,7 @@
     configuration_version: ConfigurationVersion
     in_force_since: float
     heard_at: float
+    epoch: str = ""
 
 
 class PlacementRequest(NamedTuple):
@@ -175,6 +177,13 @@
         heard_at = self.started_at if entry is None else entry.heard_at
         return at - heard_at < self.gone_seconds
 
+    def was_heard(self, instance: InstanceId, epoch: str, at: float) -> bool:
+        """Tell whether this start of an entry was heard within the owner's lease."""
+        entry = self.entries.get(instance)
+        if entry is None or entry.epoch != epoch:
+            return False
+        return at - entry.heard_at < self.gone_seconds
+
     def living_entries(self, at: float) -> frozenset[InstanceId]:
         """Return the other entries heard lately."""
         return frozenset(
@@ -212,6 +221,7 @@
     in_force: ConfigurationInForce
     status: FleetStatus
     post: Post
+    news: SuspectNews
 
 
 class RoutingActor(DaemonActor):
@@ -225,6 +235,7 @@
         self.in_force = parts.in_force
         self.status = parts.status
         self.post = parts.post
+        self.news = parts.news
         self.random = random.Random()
         self.replies: dict[AskId, SimpleQueue[PlacementAnswered]] = {}
         self.next_directory_tick = 0.0
@@ -273,6 +284,7 @@
             index.since,
         )
         self.post.tell_other_entries(alive)
+        self.news.repeat()
 
     def forget_silent_upstreams(self) -> None:
         """Drop from the status what has not been heard for many leases."""
@@ -297,14 +309,22 @@
                 self.direct(SuspectArrived(received.sender, suspect), now)
             case EntryAlive() as alive:
                 self.post.learn(received.sender, received.sender_address)
+                self.greet(received)
                 self.status.entries[received.sender] = EntryStatus(
                     alive.data_centre,
                     alive.holds_replica,
                     alive.configuration_version,
                     alive.in_force_since,
                     time.time(),
+                    received.sender_epoch,
                 )
 
+    def greet(self, received: Received) -> None:
+        """Tell an entry that was not heard for a while what it may have missed."""
+        sender, epoch = received.sender, received.sender_epoch
+        if not self.status.was_heard(sender, epoch, time.time()):
+            self.news.tell_all_to(received.sender_address)
+
     def answer_announcement(self, announce: Announce, address: str) -> None:
         """Tell a sidecar which entries there are."""
         upstream_id = announce.description.upstream_id
--- /dev/null
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/suspect_news.py
@@ -0,0 +1,49 @@
+"""Tell the other entries of requests under which upstreams ended."""
+
+from threading import Lock
+
+from cowslipshelf_core.identifiers import InstanceId
+from cowslipshelf_core.routed import RequestDigest
+from cowslipshelf_daemon.internal.post import Post
+from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
+from cowslipshelf_host.metrics import Metrics
+
+REPEATS = 2
+"""Times that news is told again, since a message may be lost."""
+FORGET_WORDS = 16
+"""Words to the others between two looks for what is too old."""
+
+
+class SuspectNews:
+    """Own what waits to be told again; any thread may use it."""
+
+    def __init__(self, instance: InstanceId, post: Post, metrics: Metrics) -> None:
+        self.post = post
+        self.suspects = SuspectRequests(instance, metrics, self.tell)
+        self.lock = Lock()
+        self.repeats: dict[RequestDigest, int] = {}
+        self.words = 0
+
+    def tell(self, digest: RequestDigest) -> None:
+        """Tell all other entries what is known of a request, and remember to repeat."""
+        with self.lock:
+            self.repeats[digest] = REPEATS
+        self.post.tell_other_entries(self.suspects.told(frozenset((digest,))))
+
+    def repeat(self) -> None:
+        """Tell the news again, with this entry's regular word to the others."""
+        self.words += 1
+        if self.words % FORGET_WORDS == 0:
+            self.suspects.forget_old()
+        with self.lock:
+            digests = frozenset(self.repeats)
+            left = {digest: n - 1 for digest, n in self.repeats.items() if n > 1}
+            self.repeats = left
+        if digests:
+            self.post.tell_other_entries(self.suspects.told(digests))
+
+    def tell_all_to(self, address: str) -> None:
+        """Tell one entry, which may know nothing, of all requests."""
+        message = self.suspects.told_all()
+        if message.suspects:
+            self.post.send(address, message)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/sidecar/attempt_runner.py
@@ -62,6 +62,8 @@
         self.output_tokens = 0
         self.first_token_seen = False
         self.overflowed = False
+        self.connection_lost = False
+        """Whether the answer broke off with its connection."""
 
     def start(self) -> None:
         """Begin to run the attempt."""
@@ -80,7 +82,7 @@
             # An engine that breaks its own numbering must not leave the caller
             # waiting for an end that nobody writes.
             refusal = self.failure(str(error))
-        self.buffer.end(refusal)
+        self.buffer.end(refusal, self.upstream_ended())
         whole = refusal is None
         finished = UpstreamFinished(self.attempt_id, whole, self.output_tokens)
         self.services.sidecar.tell(finished)
@@ -96,6 +98,7 @@
         try:
             stream = self.open_stream()
         except UpstreamLostError as error:
+            self.connection_lost = error.may_have_arrived
             return self.failed_start(error)
         if stream.status >= SERVER_ERROR and self.is_engine():
             return self.failure(f"the engine answered with status {stream.status}")
@@ -116,8 +119,18 @@
             if resumed is None:
                 break
             stream = resumed
+        self.connection_lost = True
         return self.failure(detail)
 
+    def upstream_ended(self) -> bool:
+        """Tell whether the upstream's process ended under the attempt."""
+        if not self.connection_lost or self.cancelled.is_set():
+            return False
+        gone = self.services.client.is_gone()
+        if gone:
+            self.services.sidecar.tell(UpstreamUnreachable())
+        return gone
+
     def open_stream(self) -> UpstreamStream:
         """Hand the request to the upstream, once."""
         match self.services.client:
--- a/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
+++ b/packages/fleet/src/cowslipshelf_fleet/internal/frame_buffer.py
@@ -65,10 +65,11 @@
             self.changed.notify_all()
             return True
 
-    def end(self, refusal: Refusal | None = None) -> bool:
+    def end(self, refusal: Refusal | None = None, upstream_ended: bool = False) -> bool:
         """End the stream after all that was added; False where it had ended."""
         with self.changed:
-            return self.append(StreamEnd(self.last_sequence, refusal))
+            end = StreamEnd(self.last_sequence, refusal, upstream_ended)
+            return self.append(end)
 
     def read_after(self, sequence: int, timeout: float) -> list[Frame]:
         """Return the next frames after a chunk; wait `timeout` seconds for one.
--- a/packages/standins/src/cowslipshelf_standins/internal/faults.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/faults.py
@@ -20,6 +20,8 @@
     """Confirm cancellations and do not carry them out."""
     drop_before_answer: bool = False
     """Run a request, then cut its connection instead of answering."""
+    end_on: str | None = None
+    """End the process under a request whose body has this text."""
 
 
 class FaultSwitch:
--- a/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
+++ b/packages/standins/src/cowslipshelf_standins/internal/http_serving.py
@@ -1,5 +1,6 @@
 """Serve HTTP for stand-ins: one thread a connection, JSON, chunked streams."""
 
+import os
 import sys
 from abc import ABC, abstractmethod
 from contextlib import suppress
@@ -16,6 +17,8 @@
 
 FAULTS_PATH = "/_faults"
 WRITE_BUFFER_BYTES = 65_536
+CRASHED = 139
+"""Exit code of a process that a signal for bad memory ended, as shells show it."""
 SHUTDOWN_POLL_SECONDS = 1.0
 """Rare, so that idle stand-ins cost nothing."""
 MOST_BODY_BYTES = 64 * 1024 * 1024
@@ -75,6 +78,7 @@
             switch.wait_while_frozen()
             if switch.faults.refuse:
                 raise BadRequestError(503, "overloaded", "the stand-in refuses")
+            self.end_if_fatal(body)
             self.respond(body)
         except BadRequestError as error:
             self.answer_error(error)
@@ -84,6 +88,12 @@
             # The peer is gone; what it asked for goes on without it.
             self.close_connection = True
 
+    def end_if_fatal(self, body: bytes) -> None:
+        """End as a process that crashes does, under a body that is to end it."""
+        text = self.server.switch.faults.end_on
+        if text is not None and text.encode() in body:
+            os._exit(CRASHED)
+
     @property
     def path_only(self) -> str:
         """Return the path without its query."""
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/connections.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/connections.py
@@ -3,6 +3,7 @@
 import socket
 from contextlib import suppress
 from http.client import HTTPException
+from time import sleep
 from typing import NamedTuple
 from urllib.parse import urlsplit
 
@@ -30,6 +31,7 @@
 MOST_DETAIL_BYTES = 2_000
 CONTROL_POOL_SIZE = 4
 FIRST_ERROR_STATUS = 400
+PROBE_PAUSES_SECONDS = (0.0, 0.02, 0.05)
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -156,6 +158,23 @@
         detail = str(error) or type(error).__name__
         return UpstreamLostError(step, self.peer, detail, may_have_arrived)
 
+    def is_refused(self) -> bool:
+        """Tell whether nothing listens at the upstream's address any more.
+
+        A process that ends closes its sockets one after the other, so that a probe
+        right after a lost connection may still be accepted.
+        """
+        for pause in PROBE_PAUSES_SECONDS:
+            sleep(pause)
+            try:
+                address = (self.host, self.port)
+                socket.create_connection(address, self.connect_seconds).close()
+            except ConnectionRefusedError:
+                return True
+            except OSError:
+                return False
+        return False
+
     def drop_idle(self) -> None:
         """Close idle connections: what silenced one has probably silenced all."""
         self.pool.close()
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/engine_client.py
@@ -244,6 +244,10 @@
             peer = self.connections.peer
             raise UpstreamLostError(request.step, peer, str(error)) from error
 
+    def is_gone(self) -> bool:
+        """Tell whether nothing listens at the upstream's address any more."""
+        return self.connections.is_refused()
+
     def close(self) -> None:
         """Close idle connections; streams that run are not touched."""
         self.connections.close()
--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/plain_client.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/plain_client.py
@@ -57,6 +57,10 @@
         response = self.connections.open(request, wait)
         return UpstreamStream(response, self.connections.peer)
 
+    def is_gone(self) -> bool:
+        """Tell whether nothing listens at the upstream's address any more."""
+        return self.connections.is_refused()
+
     def close(self) -> None:
         """Close idle connections; calls that run are not touched."""
         self.connections.close()
--- /dev/null
+++ b/tests/nocover/daemon/test_requests_that_end_upstreams.py
@@ -0,0 +1,130 @@
+"""Send a request that ends each upstream that runs it to real entries."""
+
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import urllib3
+
+from common.daemon_fleet import (
+    CUSTOMER_KEY,
+    MODEL,
+    TIMINGS,
+    available,
+    set_faults,
+    start_fleet,
+)
+from local_fleet import LocalFleet, Upstream, wait_until
+
+FATAL = "fatal-7c1e"
+UPSTREAMS = 6
+LEAST_ENDED = 3
+"""Upstreams that have to end before a request is held back."""
+KNOWN_SECONDS = 3.0
+"""Time after the third end by which each entry must know."""
+SENT = 12
+PLAIN = tuple(Upstream(f"echo-{n}", "echo", "plain") for n in range(UPSTREAMS))
+ENGINES = tuple(
+    Upstream(f"scribe-{n}", "scribe", "model", (MODEL,)) for n in range(UPSTREAMS)
+)
+
+
+def change(idempotent: bool) -> dict:
+    return {
+        "put_models": [{"name": MODEL, "version": "1"}],
+        "put_services": [
+            {"name": "scribe", "kind": "model", "models": [MODEL]},
+            {"name": "echo", "kind": "plain", "idempotent": idempotent},
+        ],
+        "put_customers": [
+            {"name": "desk", "key": CUSTOMER_KEY, "services": ["scribe", "echo"]}
+        ],
+    }
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[LocalFleet]:
+    with LocalFleet(tmp_path, timings=TIMINGS) as fleet:
+        yield fleet
+
+
+def start(fleet: LocalFleet, upstreams: tuple[Upstream, ...], idempotent: bool) -> None:
+    """Start a fleet whose upstreams end under the fatal text."""
+    start_fleet(fleet, ())
+    fleet.change("echo", change(idempotent))
+    for upstream in upstreams:
+        fleet.start_upstream(upstream)
+        set_faults(fleet, upstream.name, end_on=FATAL)
+    for name in fleet.entry_names:
+        wait_until(
+            lambda name=name: len(available(fleet, name)) == len(upstreams),
+            f"announcements at {name}",
+        )
+
+
+def send(fleet: LocalFleet, entry: str, path: str, body: dict) -> tuple[int, dict]:
+    """Send one request; return the status and the document of its answer."""
+    response = fleet.http.request(
+        "POST",
+        f"http://{fleet.callers[entry]}{path}",
+        body=json.dumps(body).encode(),
+        headers={"Authorization": f"Bearer {CUSTOMER_KEY}"},
+        timeout=urllib3.Timeout(connect=5.0, read=60.0),
+    )
+    return response.status, json.loads(response.data or b"{}")
+
+
+def send_to_each(
+    fleet: LocalFleet, path: str, body: dict, times: int
+) -> list[tuple[int, dict]]:
+    """Send it again and again, to each entry in turn."""
+    names = fleet.entry_names
+    return [
+        send(fleet, names[number % len(names)], path, body) for number in range(times)
+    ]
+
+
+def ended(fleet: LocalFleet, upstreams: tuple[Upstream, ...]) -> int:
+    """Count the upstreams whose process has ended."""
+    return sum(not fleet.is_running(each.name) for each in upstreams)
+
+
+def send_until_known(
+    fleet: LocalFleet, upstreams: tuple[Upstream, ...], path: str, body: dict
+) -> int:
+    """Send it until three upstreams have ended and word of it has had time.
+
+    Return how many have ended.
+    """
+    while ended(fleet, upstreams) < LEAST_ENDED:
+        send(fleet, fleet.entry_names[0], path, body)
+    time.sleep(KNOWN_SECONDS)
+    return ended(fleet, upstreams)
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_a_call_that_ended_three_plain_services_ends_few_more(fleet, idempotent):
+    """Guards against one call that ends every upstream of a service."""
+    start(fleet, PLAIN, idempotent)
+    fatal = {"text": FATAL}
+    known = send_until_known(fleet, PLAIN, "/services/echo/x", fatal)
+    answers = send_to_each(fleet, "/services/echo/x", fatal, SENT)
+    assert ended(fleet, PLAIN) == known == LEAST_ENDED
+    status, document = answers[-1]
+    assert (status, document["error"]["code"]) == (502, "not_run")
+    assert send(fleet, "entry-1", "/services/echo/x", {"text": "sound"})[0] == 200
+
+
+def test_a_prompt_that_ended_three_engines_ends_few_more(fleet):
+    """Guards against one prompt that ends every engine of a model."""
+    start(fleet, ENGINES, idempotent=True)
+    body = {"model": MODEL, "prompt": FATAL, "max_tokens": 4}
+    known = send_until_known(fleet, ENGINES, "/v1/completions", body)
+    answers = send_to_each(fleet, "/v1/completions", body, SENT)
+    assert ended(fleet, ENGINES) == known == LEAST_ENDED
+    assert answers[-1][1]["error"]["code"] == "not_run"
+    sound = body | {"prompt": "sound"}
+    status, document = send(fleet, "entry-1", "/v1/completions", sound)
+    assert status == 200, document
