Try a suspect by one thread of an entry at a time, and bound its regular word

Two threads of one entry could both find that a suspect may be tried before either had begun; the decision and the beginning are one step now. Test first seen to need it by reading; it passes with 16 threads.

One gateway is told the 200 worst suspects by turns instead of all: 2,000 of them take 252 kB, which each four seconds is beyond 21 kB/s.

--- a/packages/core/src/cowslipshelf_core/internal/routed/quarantine.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/quarantine.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from heapq import nlargest
 from typing import NamedTuple, Self
 
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
@@ -254,9 +255,10 @@
 
     def begin_trial(self, digest: RequestDigest, verdict: Alone, now: float) -> None:
         """Note that a request is tried."""
-        suspect = self.suspects[digest]
-        suspect.begin_trial(verdict.probe, now)
-        suspect.changed_at = now
+        suspect = self.suspects.get(digest)
+        if suspect is not None:
+            suspect.begin_trial(verdict.probe, now)
+            suspect.changed_at = now
 
     def end_trial(self, digest: RequestDigest) -> None:
         """Note that a trial is over, whatever came of it."""
@@ -295,6 +297,12 @@
         bound = config.forget_held_seconds if held else config.forget_seconds
         return now - self.suspects[digest].changed_at > bound
 
+    def worst(self, most: int) -> frozenset[RequestDigest]:
+        """Name the requests against which most speaks."""
+        if len(self.suspects) <= most:
+            return frozenset(self.suspects)
+        return frozenset(nlargest(most, self.suspects, key=self.weight))
+
     def keep_bounds(self) -> None:
         """Forget the requests against which least speaks, the oldest first.
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -218,13 +218,11 @@
         """Ask the router and wait for its one answer."""
         self.spreads.release()
         self.end_trial()
-        verdict = self.services.suspects.verdict(self.judged)
+        verdict = self.services.suspects.claim(self.judged)
         if isinstance(verdict, HeldBack):
             self.handle(PlacementRefused(refusal_of(verdict)))
             return
-        if isinstance(verdict, Alone):
-            self.on_trial = True
-            self.services.suspects.begin_trial(self.judged, verdict)
+        self.on_trial = isinstance(verdict, Alone)
         attempt_id = self.services.new_attempt_id()
         answer = self.services.routing.place(
             self.request, attempt_id, effect.excluded, self.seconds_left()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -47,6 +47,8 @@
 URGENT_REPEATS = 3
 """Times that news of an upstream is told: a message may be lost, and an upstream that
 leaves must get no new work two seconds later."""
+REGULARLY_TOLD = 200
+"""Suspects that one gateway is told by turns, whatever it knows: some 25 kB."""
 FULL_SECONDS = 4.0
 """Pause between two whole lists of upstreams, each to one other gateway by turns. A
 gateway that starts or was cut off gets one at once, and what was lost otherwise is
@@ -221,7 +223,7 @@
             self.turn += 1
             peer = peers[self.turn % len(peers)]
             self.tell_upstreams(peer)
-            self.tell_suspects(peer)
+            self.send_suspects(peer, self.suspects.told_worst(REGULARLY_TOLD))
 
     def tell_upstreams(self, peer: InstanceId) -> None:
         """Tell one gateway all upstreams."""
@@ -231,11 +233,10 @@
         """Tell one gateway all upstreams, and what this one has on engines."""
         self.tell_upstreams(peer)
         self.tell_work_held(peer)
-        self.tell_suspects(peer)
+        self.send_suspects(peer, self.suspects.told_all())
 
-    def tell_suspects(self, peer: InstanceId) -> None:
-        """Tell one gateway all suspects."""
-        message = self.suspects.told_all()
+    def send_suspects(self, peer: InstanceId, message: SuspectRequestsTold) -> None:
+        """Tell one gateway of suspects, if there are any."""
         if message.suspects:
             self.send(peer, message)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
@@ -82,6 +82,17 @@
             )
         return verdict
 
+    def claim(self, asked: JudgedRequest) -> Verdict:
+        """Decide whether a request may run now, and begin its trial if it needs one.
+
+        Of two threads that ask for one suspect, one may try it.
+        """
+        with self.lock:
+            verdict = self.verdict(asked)
+            if isinstance(verdict, Alone):
+                self.begin_trial(asked, verdict)
+        return verdict
+
     @contextmanager
     def trial(self, asked: JudgedRequest, verdict: Verdict) -> Iterator[None]:
         """Keep a suspect from running elsewhere meanwhile."""
@@ -188,6 +199,9 @@
 
     def told_all(self) -> SuspectRequestsTold:
         """Write what is known of all requests."""
+        return self.told_worst(len(self.quarantine.suspects))
+
+    def told_worst(self, most: int) -> SuspectRequestsTold:
+        """Write what is known of the requests against which most speaks."""
         with self.lock:
-            digests = frozenset(self.quarantine.suspects)
-        return self.told(digests)
+            return self.told(self.quarantine.worst(most))
--- a/tests/common/daemon_fleet.py
+++ b/tests/common/daemon_fleet.py
@@ -70,8 +70,8 @@
 
 
 def available(fleet: LocalFleet, name: str) -> list[str]:
-    """List the upstreams that an entry hears."""
-    upstreams = state(fleet, name)["upstreams"]
+    """List the upstreams that an entry hears; none where it can't tell yet."""
+    upstreams = state(fleet, name).get("upstreams", ())
     return [one["upstream_id"] for one in upstreams if one["available"]]
 
 
--- /dev/null
+++ b/tests/cover/daemon/test_suspect_requests.py
@@ -0,0 +1,34 @@
+"""Check that the threads of one process try a suspect one at a time."""
+
+import threading
+import time
+
+from cowslipshelf_core.routed import Alone, request_digest
+from cowslipshelf_daemon.internal.suspect_requests import (
+    JudgedRequest,
+    SuspectRequests,
+)
+from cowslipshelf_host.metrics import Metrics
+
+DIGEST = request_digest("c", "POST", "host", "/x", b"fatal")
+THREADS = 16
+
+
+def test_of_many_threads_that_ask_for_a_suspect_one_may_try_it():
+    """Guards against a suspect that one entry hands to several upstreams at once."""
+    suspects = SuspectRequests("entry-1", Metrics(), lambda _digest: None)
+    for upstream in ("u-1", "u-2"):
+        suspects.quarantine.upstream_ended(DIGEST, upstream, time.monotonic())
+    barrier, verdicts = threading.Barrier(THREADS), []
+
+    def claim(number: int) -> None:
+        barrier.wait(10)
+        verdicts.append(suspects.claim(JudgedRequest(f"r-{number}", DIGEST, "c")))
+
+    threads = [threading.Thread(target=claim, args=(n,)) for n in range(THREADS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(10)
+    assert len(verdicts) == THREADS
+    assert verdicts.count(Alone(probe=False)) == 1
--- a/tests/cover/routed/test_quarantine.py
+++ b/tests/cover/routed/test_quarantine.py
@@ -175,6 +175,14 @@
     assert held.suspects == {}
 
 
+def test_the_worst_are_those_with_most_ends():
+    held = quarantine()
+    ended(held, "u-1", "u-2", "u-3")
+    held.upstream_ended(OTHER, "u-1", 0.0)
+    assert held.worst(1) == {FATAL}
+    assert held.worst(5) == {FATAL, OTHER}
+
+
 GOOD = SuspectRequestTold(
     FATAL, (EndTold(UpstreamEnd("u-1", 0), 1.0, False),), 1, 0, 1.0, 0
 )
