List and release requests that are held back, from the command line

Once an engine is mended, a request that it no longer ends under stayed refused until its next probe, which may be hours away. `cowslipshelf suspects` lists what an entry knows, `cowslipshelf release DIGEST` clears it; the clearing is told like that of a whole answer. Seen on real entries: released at one, it runs at another.

--- a/packages/cli/src/cowslipshelf_cli/internal/commands.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/commands.py
@@ -56,6 +56,15 @@
     cowslipshelf audit
     cowslipshelf audit --since 1200 --limit 500 --json
 """
+SUSPECTS_EXAMPLES = """\
+Examples:
+
+    cowslipshelf suspects
+    cowslipshelf release 4f14b897bb8ce6b7ecdcd46c96342b62
+
+A request under which three upstreams have ended is refused. Released, it runs again,
+until three more have ended.
+"""
 DRAIN_EXAMPLES = """\
 Examples:
 
@@ -169,6 +178,22 @@
     )
 
 
+@cappa.command(
+    help="List the requests under which upstreams ended.", epilog=SUSPECTS_EXAMPLES
+)
+@dataclass
+class Suspects:
+    """List the requests under which upstreams ended."""
+
+
+@cappa.command(help="Let a request run that is held back.", epilog=SUSPECTS_EXAMPLES)
+@dataclass
+class Release:
+    """Let a request run that is held back."""
+
+    digest: Annotated[str, cappa.Arg(help="As `cowslipshelf suspects` shows it.")]
+
+
 @cappa.command(help="Take an upstream out of service.", epilog=DRAIN_EXAMPLES)
 @dataclass
 class Drain:
@@ -236,7 +261,19 @@
     ] = None
 
 
-Command = Check | AskPlan | Confirm | Status | Explain | Losses | Audit | Drain | Load
+Command = (
+    Check
+    | AskPlan
+    | Confirm
+    | Status
+    | Explain
+    | Losses
+    | Audit
+    | Suspects
+    | Release
+    | Drain
+    | Load
+)
 
 
 @cappa.command(
--- a/packages/cli/src/cowslipshelf_cli/internal/surroundings.py
+++ b/packages/cli/src/cowslipshelf_cli/internal/surroundings.py
@@ -22,6 +22,7 @@
     OutdatedAnswer,
     PlanAnswer,
     StateAnswer,
+    SuspectsAnswer,
 )
 
 ENTRIES_VARIABLE = "COWSLIPSHELF_ENTRIES"
@@ -48,6 +49,12 @@
     def explain(self, kind: ExplainKind, name: str) -> ExplainAnswer:
         """Tell what happened to something."""
 
+    def suspects(self) -> SuspectsAnswer:
+        """List the requests under which upstreams ended."""
+
+    def release(self, digest: str) -> SuspectsAnswer:
+        """Let a request go that is held back."""
+
 
 class Surroundings(NamedTuple):
     """Be the environment, the streams and the way to the fleet."""
--- a/packages/cli/src/cowslipshelf_cli/program.py
+++ b/packages/cli/src/cowslipshelf_cli/program.py
@@ -19,7 +19,9 @@
     Load,
     Losses,
     Program,
+    Release,
     Status,
+    Suspects,
 )
 from cowslipshelf_cli.internal.failures import CommandFailedError, failure_of
 from cowslipshelf_cli.internal.load.command import run_load
@@ -27,6 +29,7 @@
 from cowslipshelf_cli.internal.log_story import explain_from_logs
 from cowslipshelf_cli.internal.reading import explain, show_audit, show_status
 from cowslipshelf_cli.internal.surroundings import Surroundings, connect
+from cowslipshelf_cli.internal.suspects import release, show_suspects
 from cowslipshelf_cli.internal.writing import Writer
 from cowslipshelf_operators.errors import ClientError
 
@@ -85,6 +88,10 @@
             return show_status(fleet, writer)
         case Explain() as command:
             return explain(command, fleet, writer)
+        case Suspects():
+            return show_suspects(fleet, writer)
+        case Release(digest=digest):
+            return release(digest, fleet, writer)
         case Audit() as command:
             return show_audit(command, fleet, writer)
     raise AssertionError(f"no such command: {program.command}")
--- a/packages/core/src/cowslipshelf_core/internal/routed/quarantine.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/quarantine.py
@@ -89,6 +89,18 @@
 Verdict = Free | Alone | HeldBack
 
 
+class ListedSuspect(NamedTuple):
+    """Describe a request against which something speaks."""
+
+    digest: RequestDigest
+    upstreams: tuple[UpstreamId, ...]
+    held: bool
+    last_event_seconds: float
+    """Age of its last end or trial."""
+    left_seconds: float
+    """Time until it may be tried here; zero where it runs."""
+
+
 @dataclass(slots=True)
 class SuspectRequest:
     """Be a request under which upstreams ended."""
@@ -303,6 +315,20 @@
             return frozenset(self.suspects)
         return frozenset(nlargest(most, self.suspects, key=self.weight))
 
+    def listed(self, now: float) -> tuple[ListedSuspect, ...]:
+        """List the requests against which something speaks, the worst first."""
+        open_ones = [each for each in self.suspects if self.ends_of(each)]
+        open_ones.sort(key=self.weight, reverse=True)
+        return tuple(self.describe(digest, now) for digest in open_ones)
+
+    def describe(self, digest: RequestDigest, now: float) -> ListedSuspect:
+        """Describe one request."""
+        suspect = self.suspects[digest]
+        held = self.is_held(digest)
+        left = suspect.held_until(digest, self.config) - now if held else 0.0
+        age = now - suspect.last_event()
+        return ListedSuspect(digest, suspect.upstreams(), held, age, max(0.0, left))
+
     def keep_bounds(self) -> None:
         """Forget the requests against which least speaks, the oldest first.
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/assembly.py
@@ -206,6 +206,7 @@
             metrics,
             mailbox,
             callers_handler.open_requests,
+            parts.news.suspects,
         )
     )
     operators = make_operators_server(settings, operators_handler)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/operators_handler.py
@@ -28,6 +28,7 @@
 )
 from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.identifiers import ChangeId, OperatorName, PlanId, RequestId
+from cowslipshelf_core.routed import RequestDigest
 from cowslipshelf_daemon.internal.control_gateway import ControlGateway
 from cowslipshelf_daemon.internal.entry.entry_metrics import EntryMetrics
 from cowslipshelf_daemon.internal.entry.explanations import RequestRecords
@@ -35,6 +36,7 @@
 from cowslipshelf_daemon.internal.entry.open_requests import OpenRequests
 from cowslipshelf_daemon.internal.entry.replica_actor import ControlStateAsked, leads
 from cowslipshelf_daemon.internal.entry.routing_actor import FleetStatus
+from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_fleet.mailboxes import Mailbox
 from cowslipshelf_host.settings import DaemonSettings
 from cowslipshelf_operators import (
@@ -43,6 +45,8 @@
     HealthAnswer,
     InstanceStatus,
     StateAnswer,
+    SuspectsAnswer,
+    SuspectStatus,
     UpstreamStatus,
     order_status,
 )
@@ -68,6 +72,7 @@
     metrics: EntryMetrics
     mailbox: Mailbox
     open_requests: OpenRequests
+    suspects: SuspectRequests
 
 
 class ControlView(NamedTuple):
@@ -272,6 +277,25 @@
         )
         return (first, *records)
 
+    def suspects(self) -> SuspectsAnswer:
+        """List the requests under which upstreams ended."""
+        listed = self.parts.suspects.listed()
+        suspects = tuple(
+            SuspectStatus(
+                each.digest,
+                each.upstreams,
+                each.last_event_seconds,
+                each.held,
+                each.left_seconds,
+            )
+            for each in listed
+        )
+        return SuspectsAnswer(self.parts.settings.instance, suspects)
+
+    def release(self, operator: OperatorName, digest: str) -> bool:
+        """Let a request go that is held back."""
+        return self.parts.suspects.release(RequestDigest(digest), operator)
+
     def health(self) -> HealthAnswer:
         """Tell whether the process works at all."""
         view = self.control_view()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
@@ -10,6 +10,7 @@
 from cowslipshelf_core.routed import (
     Alone,
     HeldBack,
+    ListedSuspect,
     QuarantineConfig,
     RequestDigest,
     RequestQuarantine,
@@ -182,6 +183,20 @@
                 before=before,
             )
 
+    def release(self, digest: RequestDigest, by: str) -> bool:
+        """Clear a request on somebody's word; return whether anything was known."""
+        with self.lock:
+            released = self.quarantine.answered(digest, time.monotonic())
+        if released:
+            LOG.info("Suspect released.", digest=digest, by=by)
+            self.tell(digest)
+        return released
+
+    def listed(self) -> tuple[ListedSuspect, ...]:
+        """List the requests against which something speaks, the worst first."""
+        with self.lock:
+            return self.quarantine.listed(time.monotonic())
+
     def forget_old(self) -> None:
         """Forget what is too old to matter, and show how many are held back."""
         with self.lock:
--- a/packages/operators/src/cowslipshelf_operators/__init__.py
+++ b/packages/operators/src/cowslipshelf_operators/__init__.py
@@ -15,6 +15,8 @@
     OutdatedAnswer,
     PlanAnswer,
     StateAnswer,
+    SuspectsAnswer,
+    SuspectStatus,
     UpstreamStatus,
 )
 from cowslipshelf_operators.internal.handler import OperatorsHandler
@@ -44,6 +46,8 @@
     "OutdatedAnswer",
     "PlanAnswer",
     "StateAnswer",
+    "SuspectStatus",
+    "SuspectsAnswer",
     "UpstreamStatus",
     "order_status",
 ]
--- a/packages/operators/src/cowslipshelf_operators/internal/application.py
+++ b/packages/operators/src/cowslipshelf_operators/internal/application.py
@@ -108,6 +108,10 @@
                 )
             case ("v1", "state"):
                 return self.get(environ, lambda: json_answer(self.handler.state()))
+            case ("v1", "suspects"):
+                return self.get(environ, lambda: json_answer(self.handler.suspects()))
+            case ("v1", "suspects", digest, "release"):
+                return self.post(environ, lambda: self.release(operator, digest))
             case ("v1", "audit"):
                 return self.get(environ, lambda: self.audit(environ))
             case ("v1", "explain", kind, *name) if kind in EXPLAIN_KINDS and name:
@@ -189,6 +193,17 @@
             code="unknown_name",
         )
 
+    def release(self, operator: OperatorName, digest: str) -> HttpAnswer:
+        """Let a request go, and tell which are left."""
+        if self.handler.release(operator, digest):
+            return json_answer(self.handler.suspects())
+        raise RequestError(
+            "release",
+            f"nothing speaks against a request {digest!r} here",
+            status=HTTPStatus.NOT_FOUND,
+            code="unknown_name",
+        )
+
     def health(self) -> HttpAnswer:
         """Tell whether the process works."""
         return health_answer(self.handler.health())
--- a/packages/operators/src/cowslipshelf_operators/internal/client.py
+++ b/packages/operators/src/cowslipshelf_operators/internal/client.py
@@ -22,6 +22,7 @@
     OutdatedAnswer,
     PlanAnswer,
     StateAnswer,
+    SuspectsAnswer,
 )
 from cowslipshelf_operators.internal.settings import (
     DEFAULT_AUDIT_PAGE,
@@ -96,6 +97,15 @@
         path = f"/v1/explain/{kind}/{quote(name, safe='')}"
         return decode_success(self.ask("GET", path), ExplainAnswer)
 
+    def suspects(self) -> SuspectsAnswer:
+        """List the requests under which upstreams ended."""
+        return decode_success(self.ask("GET", "/v1/suspects"), SuspectsAnswer)
+
+    def release(self, digest: str) -> SuspectsAnswer:
+        """Let a request go that is held back, and tell which are left."""
+        path = f"/v1/suspects/{quote(digest, safe='')}/release"
+        return decode_success(self.ask("POST", path), SuspectsAnswer)
+
     def ready(self, address: str) -> HealthAnswer:
         """Tell whether one instance is ready."""
         reply = self.ask_address(address, "GET", "/readyz", None)
--- a/packages/operators/src/cowslipshelf_operators/internal/documents.py
+++ b/packages/operators/src/cowslipshelf_operators/internal/documents.py
@@ -138,6 +138,28 @@
     lines: tuple[str, ...]
 
 
+class SuspectStatus(Document, frozen=True):
+    """Describe a request under which upstreams ended."""
+
+    digest: str
+    """Names customer, method, service, path and body, as logs do."""
+    upstreams: tuple[UpstreamId, ...]
+    """Those whose ends speak against it."""
+    last_end_seconds: float
+    """Age of the last end or trial."""
+    held: bool
+    """Whether it is refused."""
+    probe_in_seconds: float
+    """Time until the answering instance may try it again; zero where it runs."""
+
+
+class SuspectsAnswer(Document, frozen=True):
+    """List the requests under which upstreams ended, the worst first."""
+
+    answered_by: InstanceId
+    suspects: tuple[SuspectStatus, ...]
+
+
 class HealthAnswer(Document, frozen=True):
     """Tell whether a process is healthy, or ready, and why not."""
 
--- a/packages/operators/src/cowslipshelf_operators/internal/handler.py
+++ b/packages/operators/src/cowslipshelf_operators/internal/handler.py
@@ -18,6 +18,7 @@
     ExplainKind,
     HealthAnswer,
     StateAnswer,
+    SuspectsAnswer,
 )
 
 
@@ -43,6 +44,12 @@
     def explain(self, kind: ExplainKind, name: str) -> ExplainAnswer | None:
         """Tell what happened to a request, an upstream or a change; None if unknown."""
 
+    def suspects(self) -> SuspectsAnswer:
+        """List the requests under which upstreams ended."""
+
+    def release(self, operator: OperatorName, digest: str) -> bool:
+        """Let a request go that is held back; false where none is known."""
+
     def health(self) -> HealthAnswer:
         """Tell whether the process works at all."""
 
--- a/tests/common/operators.py
+++ b/tests/common/operators.py
@@ -24,6 +24,8 @@
     OperatorsServer,
     OperatorsServerConfig,
     StateAnswer,
+    SuspectsAnswer,
+    SuspectStatus,
 )
 
 OPERATOR_KEY = "an-operators-key-for-tests"
@@ -38,6 +40,9 @@
     state_machine: ControlState = field(default_factory=ControlState)
     lock: threading.Lock = field(default_factory=threading.Lock)
     failure: Exception | None = None
+    held: set[str] = field(default_factory=set)
+    """Digests of requests that are held back."""
+    released_by: list[OperatorName] = field(default_factory=list)
 
     def apply(self, command: ControlCommand) -> ControlOutcome:
         if self.failure is not None:
@@ -68,6 +73,20 @@
             kind, name, tuple(record.action for record in explained.audit)
         )
 
+    def suspects(self) -> SuspectsAnswer:
+        listed = tuple(
+            SuspectStatus(digest, ("u-1", "u-2", "u-3"), 4.0, True, 30.0)
+            for digest in sorted(self.held)
+        )
+        return SuspectsAnswer(InstanceId("entry-1"), listed)
+
+    def release(self, operator: OperatorName, digest: str) -> bool:
+        known = digest in self.held
+        self.held.discard(digest)
+        if known:
+            self.released_by.append(operator)
+        return known
+
     def health(self) -> HealthAnswer:
         return HealthAnswer(True)
 
--- a/tests/cover/cli/test_commands.py
+++ b/tests/cover/cli/test_commands.py
@@ -310,3 +310,29 @@
 @given(st.text())
 def test_text_from_peers_cannot_steer_the_terminal(text: str) -> None:
     assert one_line(text).isprintable()
+
+
+def test_a_request_that_is_held_back_is_listed_and_released() -> None:
+    handler = StateHandler(held={"4f14", "77ab"})
+    with serving(handler) as server:
+
+        def line(*arguments: str) -> Ran:
+            return command_line(*arguments, entries=[server.address])
+
+        listed = line("suspects")
+        assert listed.code is ExitCode.DONE
+        assert "4f14    held back  30 s" in listed.output
+        assert "u-1, u-2, u-3" in listed.output
+        released = line("release", "4f14")
+        assert released.code is ExitCode.DONE
+        assert "released 4f14" in released.output
+        assert [each["digest"] for each in line("suspects", "--json").json["suspects"]]
+        assert handler.held == {"77ab"}
+        assert handler.released_by == ["rita"]
+
+
+def test_a_release_of_what_is_not_held_back_says_so() -> None:
+    with serving(StateHandler()) as server:
+        refused = command_line("release", "no/such", entries=[server.address])
+    assert refused.code is not ExitCode.DONE
+    assert "nothing speaks against" in refused.errors
--- a/tests/nocover/daemon/test_requests_that_end_upstreams.py
+++ b/tests/nocover/daemon/test_requests_that_end_upstreams.py
@@ -117,6 +117,27 @@
     assert send(fleet, "entry-1", "/services/echo/x", {"text": "sound"})[0] == 200
 
 
+def held_digests(fleet: LocalFleet, entry: str) -> list[str]:
+    """List the requests that an entry holds back."""
+    _, document = fleet.operator_call(entry, "GET", "/v1/suspects")
+    return [each["digest"] for each in document["suspects"] if each["held"]]
+
+
+def test_a_released_call_runs_again_at_every_entry(fleet):
+    """Guards against a call that stays refused after its service was mended."""
+    start(fleet, PLAIN, idempotent=True)
+    fatal = {"text": FATAL}
+    send_until_known(fleet, PLAIN, "/services/echo/x", fatal)
+    for upstream in PLAIN:
+        if fleet.is_running(upstream.name):
+            set_faults(fleet, upstream.name)
+    (digest,) = held_digests(fleet, "entry-2")
+    path = f"/v1/suspects/{digest}/release"
+    assert fleet.operator_call("entry-2", "POST", path)[0] == 200
+    wait_until(lambda: held_digests(fleet, "entry-3") == [], "word of the release")
+    assert send(fleet, "entry-3", "/services/echo/x", fatal)[0] == 200
+
+
 def test_a_prompt_that_ended_three_engines_ends_few_more(fleet):
     """Guards against one prompt that ends every engine of a model."""
     start(fleet, ENGINES, idempotent=True)
