Write out the suspects for the file only once they have changed

Every 0.2 s a gateway with a disk wrote all suspects it knows into a message, mostly to throw it away since nothing had changed. The file is asked first; what is written, and when, stays as it was.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -305,7 +305,9 @@
 
     def write_suspects(self) -> None:
         """Write down which requests a restart will suspect."""
-        self.suspects_file.write_soon(self.suspects.told_all(), self.suspects.changes)
+        changes = self.suspects.changes
+        if self.suspects_file.is_behind(changes):
+            self.suspects_file.write_soon(self.suspects.told_all(), changes)
 
     def reload(self) -> None:
         """Take over what may change while the process runs, if anything has."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests_file.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/suspect_requests_file.py
@@ -37,10 +37,13 @@
         suspects = document.told.suspects
         return SuspectRequestsTold(tuple(aged(each, passed) for each in suspects))
 
+    def is_behind(self, changes: int) -> bool:
+        """Tell whether anything has changed since it was written, and may be."""
+        return not self.is_writing() and changes != (self.written or 0)
+
     def write_soon(self, told: SuspectRequestsTold, changes: int) -> None:
-        """Write what has changed since the last write."""
-        if not self.is_writing() and changes != (self.written or 0):
-            self.begin_write(SuspectRequestsDocument(time.time(), told), changes)
+        """Write what is known after so many changes."""
+        self.begin_write(SuspectRequestsDocument(time.time(), told), changes)
 
 
 def aged(suspect: SuspectRequestTold, seconds: float) -> SuspectRequestTold:
