Hold up to nine replicas where no machine has a disk

Callers of a fleet without disks were served on, but no operator could read the configuration back or change it once the three gateways that the settings count had been killed together: a change that was acknowledged was gone for operators, with four gateways alive that held it.

Cause: only those three held replicas, in memory. Back with nothing, none of them founds a cluster, since another might live; the others had no replica and so no vote.

Now every gateway without a disk holds one, up to nine, spread over the data centres, once a configuration is in force and as long as nobody has a disk. Only those of the settings found. A read asks replicas that were heard lately first.

--- a/packages/core/src/cowslipshelf_core/internal/routed/peer_book.py
+++ b/packages/core/src/cowslipshelf_core/internal/routed/peer_book.py
@@ -4,6 +4,7 @@
 whom it knows; so a gateway that reaches any other soon knows all of them.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum, auto
 from typing import NamedTuple, Self
@@ -17,6 +18,10 @@
 )
 from cowslipshelf_core.messages import PeerAlive
 
+MOST_REPLICAS_IN_MEMORY = 9
+"""Replicas that a fleet without disks holds: four may be lost at once, and a change
+still waits for five gateways only, however many there are."""
+
 
 class PeerBookConfig(NamedTuple):
     """Say who this gateway is and whom it may ask."""
@@ -25,7 +30,9 @@
     epoch: Epoch
     data_centre: DataCentre
     holds_replica: bool
+    """Whether a replica is held from the start on."""
     seeds: tuple[InstanceId, ...]
+    has_disk: bool = True
     silence_seconds: float = 3.0
     """Silence after which a peer counts as gone: six messages lost in a row."""
     forget_seconds: float = 30.0
@@ -57,12 +64,13 @@
 
     config: PeerBookConfig
     seeds: tuple[InstanceId, ...]
+    holds_replica: bool
     known: dict[InstanceId, KnownPeer] = field(default_factory=dict)
 
     @classmethod
     def from_config(cls, config: PeerBookConfig) -> Self:
         """Begin with the seeds only."""
-        return cls(config, config.seeds)
+        return cls(config, config.seeds, config.holds_replica)
 
     def heard(self, sender: InstanceId, alive: PeerAlive, now: float) -> PeerNews:
         """Take in a message; return what it says of the sender."""
@@ -128,15 +136,45 @@
 
     def replicas(self) -> tuple[InstanceId, ...]:
         """List the gateways known to hold replicas, this one included."""
-        holders = [
-            peer
-            for peer, known in self.known.items()
-            if known.alive is not None and known.alive.holds_replica
-        ]
-        if self.config.holds_replica:
+        holders = [peer for peer, alive in self.spoken() if alive.holds_replica]
+        if self.holds_replica:
             holders.append(self.config.instance)
         return tuple(sorted(holders))
 
+    def replicas_to_ask(self, now: float) -> tuple[InstanceId, ...]:
+        """List the replicas: the own one first, then those that were heard lately."""
+        own = self.config.instance
+        return tuple(
+            sorted(self.replicas(), key=lambda p: (p != own, not self.is_alive(p, now)))
+        )
+
+    def spoken(self) -> list[tuple[InstanceId, PeerAlive]]:
+        """List the last word of every other gateway that has spoken."""
+        return [(p, known.alive) for p, known in self.known.items() if known.alive]
+
+    def wants_own_replica(self) -> bool:
+        """Tell whether this gateway is to hold a replica beside those of the settings.
+
+        Where no gateway has a disk, what was acknowledged lives as long as more than
+        half of the replicas do. All gateways agree on who joins, without a word, as
+        far as they know the same ones; one too many does no harm.
+        """
+        spoken = self.spoken()
+        holders = [alive for _, alive in spoken if alive.holds_replica]
+        if self.config.has_disk or not holders:
+            return False
+        if not all(alive.replica_in_memory for alive in holders):
+            return False
+        others = {p: a.data_centre for p, a in spoken if not a.holds_replica}
+        others[self.config.instance] = self.config.data_centre
+        taken = Counter(alive.data_centre for alive in holders)
+        for _ in range(MOST_REPLICAS_IN_MEMORY - len(holders)):
+            chosen = min(others, key=lambda p: (taken[others[p]], p), default=None)
+            if chosen in (None, self.config.instance):
+                return chosen is not None
+            taken[others.pop(chosen)] += 1
+        return False
+
     def holders(
         self, version: ConfigurationVersion, now: float
     ) -> tuple[InstanceId, ...]:
@@ -165,11 +203,12 @@
         return PeerAlive(
             self.config.epoch,
             self.config.data_centre,
-            self.config.holds_replica,
+            self.holds_replica,
             version,
             tuple(peers) if with_peers else (),
             work_number,
             routes_bytes,
+            self.holds_replica and not self.config.has_disk,
         )
 
     def forget_old(self, now: float) -> list[InstanceId]:
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -94,6 +94,8 @@
     """Number of the last change of work that it has told."""
     routes_bytes: int = 0
     """Size of its configuration, as it would send it."""
+    replica_in_memory: bool = False
+    """Whether the replica that it holds ends with its process."""
 
 
 # Spreading the configuration.
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_client.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_client.py
@@ -60,6 +60,7 @@
     ) -> RoutesDocument | None:
         """Return what a quorum holds; nothing where none confirms it in time.
 
+        The replicas are asked in their order.
         Where that is what this gateway holds, only a digest of it travels.
         """
         ends = time.monotonic() + READ_SECONDS
@@ -83,12 +84,11 @@
         )
         self.reads[question] = future
         began = time.monotonic()
-        own_first = sorted(replicas, key=lambda each: each != self.post.instance)
         try:
             turn = 0
             replica = None
-            while own_first and time.monotonic() < ends:
-                replica = own_first[turn % len(own_first)]
+            while replicas and time.monotonic() < ends:
+                replica = replicas[turn % len(replicas)]
                 turn += 1
                 self.post.send_to_instance(replica, FetchRoutes(have, question))
                 done, _ = await asyncio.wait({future}, timeout=READ_ASK_SECONDS)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -1,5 +1,7 @@
 """Answer operators and upstreams at the control address."""
 
+import time
+
 from result import Err, Ok, Result
 
 from cowslipshelf_core.control import (
@@ -138,7 +140,7 @@
 
     async def read_configuration(self, responder: Responder) -> None:
         """Return what a quorum holds, or refuse where that is not certain."""
-        replicas = self.view.peers.replicas()
+        replicas = self.view.peers.replicas_to_ask(time.monotonic())
         document = await self.client.read(replicas, self.view.document)
         if document is None:
             LOG.warning("Read not confirmed.", replicas=len(replicas))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -91,6 +91,7 @@
                     settings.data_centre,
                     settings.holds_replica,
                     settings.seeds,
+                    settings.data_folder is not None,
                 )
             ),
             RepeatBudget.from_config(budget_config(settings)),
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_keeper.py
@@ -76,13 +76,14 @@
     @property
     def wanted(self) -> bool:
         """Tell whether this machine holds a replica."""
-        return self.view.settings.holds_replica
+        return self.view.peers.holds_replica
 
     def tick(self) -> None:
         """Start what is missing, tell who else holds replicas, and let time pass."""
         now = time.monotonic()
         if not self.wanted:
             self.tell_replicas()
+            self.join_when_wanted(now)
             return
         if self.actor is None or not self.actor.is_alive():
             if now >= self.start_due:
@@ -94,6 +95,19 @@
         self.ask_status_when_due(now)
         self.actor.tell(Tick())
 
+    def join_when_wanted(self, now: float) -> None:
+        """Hold a replica, too, where none has a disk and more are wanted.
+
+        Only once a configuration is in force: then the cluster is founded, and it is
+        found by those that the settings name alone.
+        """
+        if now < self.status_due or self.view.table is None:
+            return
+        self.status_due = now + STATUS_SECONDS
+        if self.view.peers.wants_own_replica():
+            LOG.info("Replica wanted here.", replicas=self.replicas)
+            self.view.peers.holds_replica = True
+
     def start(self) -> None:
         """Load what is stored and start the replica that it holds."""
         settings = self.view.settings
@@ -181,7 +195,7 @@
     def found_when_due(self, now: float) -> None:
         """Found the cluster, once, where it falls to this gateway."""
         settings = self.view.settings
-        if self.founded or not settings.first_start:
+        if self.founded or not (settings.first_start and settings.holds_replica):
             return
         if now - self.started < FOUND_AFTER_SECONDS:
             return
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -40,11 +40,11 @@
     memory_free_seconds: float = 4.0
     """Time after the end of a request within which its engine memory must be free."""
     replica_in_memory: bool = False
-    """Whether a replica is held without a disk, where no machine has one."""
+    """Whether a replica is held without a disk, from the start on."""
 
     @property
     def holds_replica(self) -> bool:
-        """Tell whether a replica of what must survive is held here."""
+        """Tell whether a replica is held here from the start on."""
         return self.data_folder is not None or self.replica_in_memory
 
     def peer_address(self, instance: InstanceId) -> str:
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -219,13 +219,22 @@
 
 
 @contextmanager
-def running_fleet(folder: Path, size: int = 3) -> Iterator[Fleet]:
-    """Run gateways with replicas until the test is over."""
+def running_fleet(
+    folder: Path, size: int = 3, in_memory: int | None = None
+) -> Iterator[Fleet]:
+    """Run gateways with replicas until the test is over.
+
+    With `in_memory`, none has a disk, and so many hold a replica from the start on.
+    """
     hosts = own_hosts(size + 1)
     ports = free_ports(hosts)
     gateways = [
         GatewayProcess(folder / host, host, ports, hosts[:3]) for host in hosts[:size]
     ]
+    for number, gateway in enumerate(gateways):
+        if in_memory is not None:
+            gateway.holds_replica = False
+            gateway.replica_in_memory = number < in_memory
     for gateway in gateways:
         gateway.start(first=True)
     try:
--- a/tests/cover/routed/test_peer_book.py
+++ b/tests/cover/routed/test_peer_book.py
@@ -1,5 +1,7 @@
 """Check how gateways find each other, and who of them founds the cluster."""
 
+import pytest
+
 from cowslipshelf_core.messages import PeerAlive
 from cowslipshelf_core.routed import PeerBook, PeerBookConfig, PeerNews
 
@@ -108,3 +110,66 @@
             own.heard(peer, known.alive, 5.0)
     assert silent not in own.relays(5.0)
     assert len(own.relays(5.0)) == 2
+
+
+DATA_CENTRES = ("east", "north", "west")
+
+
+def diskless_books(size: int) -> dict[str, PeerBook]:
+    """Make gateways without disks, of which the first three hold a replica."""
+    return {
+        f"10.0.0.{number:03}": PeerBook.from_config(
+            PeerBookConfig(
+                f"10.0.0.{number:03}",
+                f"epoch-{number}",
+                DATA_CENTRES[number % 3],
+                number < 3,
+                (),
+                has_disk=False,
+            )
+        )
+        for number in range(size)
+    }
+
+
+def tell_each_other(books: dict[str, PeerBook]) -> None:
+    for sender, book_of_sender in books.items():
+        word = book_of_sender.own_message(1, 100, 0, False)
+        for receiver, book_of_receiver in books.items():
+            if receiver != sender:
+                book_of_receiver.heard(sender, word, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("size", "expected"), [(3, 3), (4, 4), (7, 7), (9, 9), (10, 9), (70, 9)]
+)
+def test_without_disks_up_to_nine_gateways_hold_replicas(size, expected):
+    """A configuration is gone with three of many gateways that serve by it."""
+    books = diskless_books(size)
+    tell_each_other(books)
+    chosen = {name for name, each in books.items() if each.wants_own_replica()}
+    for name in chosen:
+        books[name].holds_replica = True
+    tell_each_other(books)
+    holders = books["10.0.0.000"].replicas()
+    assert len(holders) == expected
+    centres = [books[name].config.data_centre for name in holders]
+    assert {centres.count(centre) for centre in DATA_CENTRES} <= {
+        expected // 3,
+        -(-expected // 3),
+    }
+    assert not any(
+        each.wants_own_replica() for each in books.values() if not each.holds_replica
+    )
+
+
+def test_beside_a_disk_no_further_replica_is_held_in_memory():
+    books = diskless_books(7)
+    books["10.0.0.000"].config = books["10.0.0.000"].config._replace(has_disk=True)
+    tell_each_other(books)
+    assert not any(each.wants_own_replica() for each in books.values())
+
+
+def test_nobody_holds_a_replica_for_a_fleet_that_has_none():
+    alone = diskless_books(7)["10.0.0.005"]
+    assert not alone.wants_own_replica()
