Refuse a prompt for now, not for good, while one of its engines is silent

Callers of a prompt for several engines heard 413, too_large, which nobody repeats, while one of the engines that held it before and after was silent beyond its lease, restarted, held back or set aside.

Cause: the router counted only what takes work at that moment. It remembers now what is expected back, until it is withdrawn or silent for good, and refuses as not run with a time to come back what would fit with it.

Seen: test_a_prompt_that_fits_with_an_upstream_that_returns_may_come_back fails before for suspected, restarted and held_back.

--- a/packages/core/src/cowslipshelf_core/directory_events.py
+++ b/packages/core/src/cowslipshelf_core/directory_events.py
@@ -22,6 +22,16 @@
     """Back again, but it comes and goes too often, or many come back at once."""
 
 
+RETURNING_REASONS = frozenset(
+    {
+        UnavailableReason.SUSPECTED,
+        UnavailableReason.RESTARTED,
+        UnavailableReason.HELD_BACK,
+    }
+)
+"""Reasons after which the same upstream is expected to take work again."""
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamAvailable:
     """Say that an upstream may be given work, under this start of its sidecar."""
--- a/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/fleet.py
@@ -61,10 +61,13 @@
     configuration: FleetConfiguration = field(default_factory=FleetConfiguration)
     views: dict[UpstreamId, UpstreamView] = field(default_factory=dict)
     groups: dict[GroupKey, Group] = field(default_factory=dict)
+    absent: dict[UpstreamId, UpstreamView] = field(default_factory=dict)
+    """Upstreams that take no work now and are expected back."""
 
     def add(self, event: UpstreamAvailable, now: float) -> None:
         """Take in an upstream, or news of a known one."""
         upstream_id = event.description.upstream_id
+        self.absent.pop(upstream_id, None)
         known = self.views.get(upstream_id)
         if known is not None and known.epoch == event.epoch:
             before = known.description
@@ -82,12 +85,24 @@
         self.views[upstream_id] = view
         self.rebuild_groups_of(event.description)
 
-    def remove(self, upstream_id: UpstreamId) -> UpstreamView | None:
-        """Forget an upstream that must not be given new work."""
+    def remove(self, upstream_id: UpstreamId, may_return: bool) -> None:
+        """Give an upstream no new work; forget it unless it is expected back."""
         view = self.views.pop(upstream_id, None)
         if view is not None:
             self.rebuild_groups_of(view.description)
-        return view
+            self.absent[upstream_id] = view
+        if not may_return:
+            self.absent.pop(upstream_id, None)
+
+    def expected_back(self, key: GroupKey) -> list[UpstreamView]:
+        """List the upstreams of a group that take no work only for a while."""
+        set_aside = [v for v in self.views.values() if v.set_aside_until is not None]
+        return [
+            view
+            for view in (*self.absent.values(), *set_aside)
+            if key in keys_of(view.description)
+            and view.description.upstream_id not in self.configuration.draining
+        ]
 
     def take_load(
         self, upstream_id: UpstreamId, epoch: Epoch, load: LoadReport, now: float
--- a/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/refusals.py
@@ -1,11 +1,14 @@
 """Word the refusals of the router; all of them are true: nothing has run."""
 
+from collections.abc import Sequence
+
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
 from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_core.internal.routing.cost import RequestCost
 from cowslipshelf_core.internal.routing.events import PlacementFacts
 from cowslipshelf_core.internal.routing.fleet import Group
 from cowslipshelf_core.internal.routing.spreading import MOST_PARTS, is_needed, plan
+from cowslipshelf_core.internal.routing.upstream_view import UpstreamView
 
 STEP = "placement"
 
@@ -28,6 +31,7 @@
     request: RequestCost,
     excluded: frozenset[UpstreamId],
     retry_after_seconds: float,
+    expected_back: Sequence[UpstreamView] = (),
 ) -> Refusal | None:
     """Return why no upstream of a group can take a request however long it waits."""
     facts = request.facts
@@ -39,6 +43,14 @@
             retry_after_seconds,
         )
     if is_needed(group, request) and plan(group, request, frozenset()) is None:
+        if expected_back and could_hold([*group.members, *expected_back], request):
+            return not_run(
+                RefusalReason.NO_UPSTREAM,
+                f"{request.memory_tokens} tokens of memory are needed, which the "
+                f"upstreams of service {facts.service} have only together with "
+                f"{len(expected_back)} that take no work now",
+                retry_after_seconds,
+            )
         return too_large(group, request)
     if excluded and all(v.description.upstream_id in excluded for v in group.members):
         return not_run(
@@ -49,6 +61,12 @@
     return None
 
 
+def could_hold(views: list[UpstreamView], request: RequestCost) -> bool:
+    """Tell whether upstreams have the memory for a request, whole or in parts."""
+    limits = sorted((view.memory_limit() for view in views), reverse=True)
+    return sum(limits[:MOST_PARTS]) >= request.memory_tokens
+
+
 def too_large(group: Group, request: RequestCost) -> Refusal:
     """Refuse a request that all upstreams can't hold; coming back does not help."""
     facts = request.facts
--- a/packages/core/src/cowslipshelf_core/internal/routing/router.py
+++ b/packages/core/src/cowslipshelf_core/internal/routing/router.py
@@ -5,6 +5,7 @@
 
 from cowslipshelf_core.configuration import Customer, Service
 from cowslipshelf_core.directory_events import (
+    RETURNING_REASONS,
     LoadUpdated,
     UpstreamAvailable,
     UpstreamUnavailable,
@@ -96,8 +97,8 @@
                 self.fleet.add(event, now)
                 answers += self.after_change(now)
                 answers += self.dispatcher.serve_upstream(description.upstream_id, now)
-            case UpstreamUnavailable(upstream_id=upstream_id):
-                self.fleet.remove(upstream_id)
+            case UpstreamUnavailable(upstream_id=upstream_id, reason=reason):
+                self.fleet.remove(upstream_id, reason in RETURNING_REASONS)
                 answers += self.after_change(now)
             case LoadUpdated(upstream_id=upstream_id, epoch=epoch, load=load):
                 self.fleet.take_load(upstream_id, epoch, load, now)
@@ -201,7 +202,10 @@
             running = self.ledger.running[name] + self.room.waiting_of[name]
             if running >= customer.most_concurrent:
                 return refusals.customer_limit(customer.most_concurrent, retry_after)
-        return refusals.impossible(group, cost, asked.excluded, retry_after)
+        expected_back = self.fleet.expected_back(GroupKey(facts.service, facts.model))
+        return refusals.impossible(
+            group, cost, asked.excluded, retry_after, expected_back
+        )
 
     def cost_of(self, facts: PlacementFacts) -> RequestCost:
         """Return what a request needs, wherever it goes."""
--- a/tests/cover/routing/test_placement.py
+++ b/tests/cover/routing/test_placement.py
@@ -18,6 +18,10 @@
     load,
     refusals,
 )
+from cowslipshelf_core.directory_events import (
+    UnavailableReason,
+    UpstreamUnavailable,
+)
 from cowslipshelf_core.errors import RefusalCode, RefusalReason
 from cowslipshelf_core.internal.routing.fleet import GroupKey
 from cowslipshelf_core.routing import (
@@ -181,6 +185,43 @@
     assert str(upstreams * 480_000) in refusal.detail
 
 
+@pytest.mark.parametrize(
+    ("reason", "refused_for"),
+    [
+        (UnavailableReason.SUSPECTED, RefusalReason.NO_UPSTREAM),
+        (UnavailableReason.RESTARTED, RefusalReason.NO_UPSTREAM),
+        (UnavailableReason.HELD_BACK, RefusalReason.NO_UPSTREAM),
+        (UnavailableReason.REMOVED, RefusalReason.TOO_LARGE),
+        (UnavailableReason.LEAVING, RefusalReason.TOO_LARGE),
+        (UnavailableReason.DRAINING, RefusalReason.TOO_LARGE),
+    ],
+)
+def test_a_prompt_that_fits_with_an_upstream_that_returns_may_come_back(
+    reason, refused_for
+):
+    """A prompt is refused for good because one of its engines was silent."""
+    router, random = started(3)
+    router.handle(UpstreamUnavailable("upstream-1", reason), START, random)
+    (answer,) = router.handle(asked(1, 1_200_000, deadline=3600.0), START, random)
+    assert answer.answer.reason is refused_for
+    comes_back = answer.answer.retry_after_seconds is not None
+    assert comes_back == (refused_for is RefusalReason.NO_UPSTREAM)
+    (answer,) = router.handle(asked(2, 1_500_000, deadline=3600.0), START, random)
+    assert answer.answer.reason is RefusalReason.TOO_LARGE
+    router.handle(available("upstream-1"), START, random)
+    (answer,) = router.handle(asked(3, 1_200_000, deadline=3600.0), START, random)
+    check_spread(answer.answer, 1_200_200)
+
+
+def test_a_silent_upstream_that_is_gone_for_good_is_not_waited_for():
+    """Callers come back for ever to a prompt that nothing will hold."""
+    router, random = started(3)
+    for reason in (UnavailableReason.SUSPECTED, UnavailableReason.REMOVED):
+        router.handle(UpstreamUnavailable("upstream-1", reason), START, random)
+    (answer,) = router.handle(asked(1, 1_200_000, deadline=3600.0), START, random)
+    assert answer.answer.reason is RefusalReason.TOO_LARGE
+
+
 @PROPERTY
 @given(st.floats(0.1, 200.0), st.sampled_from([2_000, 90_000, 400_000]))
 def test_what_cannot_finish_in_time_is_refused_at_once(deadline, prompt):
