--- a/packages/core/src/cowslipshelf_core/routed.py
+++ b/packages/core/src/cowslipshelf_core/routed.py
@@ -63,10 +63,8 @@
     Free,
     HeldBack,
     ListedSuspect,
-    QuarantineConfig,
     RequestQuarantine,
     Verdict,
-    problem_of,
 )
 from cowslipshelf_core.internal.routed.registry import (
     HeartbeatSeen,
@@ -85,6 +83,10 @@
     request_digest,
 )
 from cowslipshelf_core.internal.routed.routes_fetch import RoutesFetch
+from cowslipshelf_core.internal.routed.suspect_request import (
+    QuarantineConfig,
+    problem_of,
+)
 from cowslipshelf_core.internal.routed.upstream_health import (
     HealthSeen,
     UpstreamHealth,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/suspect_news.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/suspect_news.py
@@ -5,6 +5,7 @@
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_core.routed import RequestDigest
 from cowslipshelf_daemon.internal.post import Post
+from cowslipshelf_daemon.internal.repeated_news import RepeatedNews
 from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_host.metrics import Metrics
 
@@ -21,13 +22,13 @@
         self.post = post
         self.suspects = SuspectRequests(instance, metrics, self.tell)
         self.lock = Lock()
-        self.repeats: dict[RequestDigest, int] = {}
+        self.repeats: RepeatedNews[RequestDigest] = RepeatedNews()
         self.words = 0
 
     def tell(self, digest: RequestDigest) -> None:
         """Tell all other entries what is known of a request, and remember to repeat."""
         with self.lock:
-            self.repeats[digest] = REPEATS
+            self.repeats.add((digest,), REPEATS)
         self.post.tell_other_entries(self.suspects.told(frozenset((digest,))))
 
     def repeat(self) -> None:
@@ -36,9 +37,7 @@
         if self.words % FORGET_WORDS == 0:
             self.suspects.forget_old()
         with self.lock:
-            digests = frozenset(self.repeats)
-            left = {digest: n - 1 for digest, n in self.repeats.items() if n > 1}
-            self.repeats = left
+            digests = self.repeats.take()
         if digests:
             self.post.tell_other_entries(self.suspects.told(digests))
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -29,6 +29,7 @@
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.routes_exchange import RoutesExchange
 from cowslipshelf_daemon.internal.post import Delivered, Post
+from cowslipshelf_daemon.internal.repeated_news import RepeatedNews
 from cowslipshelf_daemon.internal.suspect_requests import SuspectRequests
 from cowslipshelf_host.logs import part_logger
 from cowslipshelf_host.metrics import Metrics
@@ -73,8 +74,7 @@
         self.post = post
         self.heartbeats: set[UpstreamId] = set()
         """Upstreams that were heard and are to be told of."""
-        self.urgent: dict[UpstreamId, int] = {}
-        """News, with how often it is still to be told."""
+        self.urgent: RepeatedNews[UpstreamId] = RepeatedNews()
         self.progress = WorkProgress()
         self.work_number = 0
         self.words = 0
@@ -86,8 +86,7 @@
         self.suspects = SuspectRequests(instance, metrics, self.tell_suspect)
         self.changed_suspects: set[RequestDigest] = set()
         """Suspects of whom there is news that was not told yet."""
-        self.urgent_suspects: dict[RequestDigest, int] = {}
-        """News that is told more than once, with how often it still is."""
+        self.urgent_suspects: RepeatedNews[RequestDigest] = RepeatedNews()
         self.routes = RoutesExchange(view, post, client, dialect, self.tell_alive)
         self.turn = 0
 
@@ -143,7 +142,7 @@
         if urgent:
             seen = HeartbeatSeen.from_heartbeat(heartbeat, 0.0)
             self.tell_all(HeartbeatsSeen((seen,)))
-            self.urgent[heartbeat.upstream_id] = URGENT_REPEATS - 1
+            self.urgent.add((heartbeat.upstream_id,), URGENT_REPEATS - 1)
         else:
             self.heartbeats.add(heartbeat.upstream_id)
 
@@ -157,8 +156,7 @@
         self.heartbeats = set()
         if collected:
             self.spread(HeartbeatsSeen(collected), self.words)
-        news = self.view.seen_of(self.urgent)
-        self.urgent = {name: left - 1 for name, left in self.urgent.items() if left > 1}
+        news = self.view.seen_of(self.urgent.take())
         if news:
             self.tell_all(HeartbeatsSeen(news))
 
@@ -177,7 +175,7 @@
         quarantine = self.suspects.quarantine
         changed, self.changed_suspects = self.changed_suspects, set()
         urgent = frozenset(filter(quarantine.is_urgent, changed))
-        self.urgent_suspects |= dict.fromkeys(urgent, URGENT_REPEATS - 1)
+        self.urgent_suspects.add(urgent, URGENT_REPEATS - 1)
         if urgent:
             self.tell_all(self.suspects.told(urgent))
         if changed - urgent:
@@ -185,8 +183,7 @@
 
     def repeat_suspects(self) -> None:
         """Tell urgent news of suspects again."""
-        repeated, left = frozenset(self.urgent_suspects), self.urgent_suspects.items()
-        self.urgent_suspects = {digest: n - 1 for digest, n in left if n > 1}
+        repeated = self.urgent_suspects.take()
         if repeated:
             self.tell_all(self.suspects.told(repeated))
 
