--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,7 +5,7 @@
 import tempfile
 from pathlib import Path
 
-from soak.world import run_seed
+from soak.world import FleetKind, run_seed
 
 
 def main() -> int:
@@ -14,11 +14,12 @@
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--fleet", type=FleetKind, default=FleetKind.DISKS)
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.first, arguments.first + arguments.seeds):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        broken = run_seed(seed, arguments.seconds, folder)
+        broken = run_seed(seed, arguments.seconds, folder, arguments.fleet)
         failed += bool(broken)
         print(f"seed {seed}: {broken[:5] or 'held'} {folder if broken else ''}")
     return 1 if failed else 0
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,6 +8,7 @@
 import uuid
 from collections.abc import Callable
 from contextlib import ExitStack
+from enum import StrEnum
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
@@ -43,11 +44,37 @@
 )
 
 
+MOST_LOST_IN_MEMORY = 3
+"""Gateways that seven without disks may lose at once."""
+
+
+class FleetKind(StrEnum):
+    """Say on what the gateways keep their configuration."""
+
+    DISKS = "disks"
+    SLOW_DISKS = "slow-disks"
+    MEMORY = "memory"
+
+    @property
+    def arguments(self) -> dict[str, float]:
+        """Return how such a fleet is run."""
+        match self:
+            case FleetKind.DISKS:
+                return {}
+            case FleetKind.SLOW_DISKS:
+                return {"most_sync_seconds": 0.2}
+            case FleetKind.MEMORY:
+                return {"size": 7, "in_memory": 3}
+
+
 class SoakWorld:
     """Own everything that runs for one seed."""
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(
+        self, fleet: Fleet, seed: int, kind: FleetKind = FleetKind.DISKS
+    ) -> None:
         self.fleet = fleet
+        self.kind = kind
         self.random = random.Random(seed)
         self.witness = Witness()
         self.ending = threading.Event()
@@ -165,6 +192,8 @@
             self.kill_all,
             self.restart_upstream,
         ]
+        if self.kind is FleetKind.MEMORY:
+            kinds[0], kinds[5] = self.kill_some, self.kill_some
         while not self.ending.is_set():
             harm = self.random.choice(kinds)
             self.faults.append(harm.__name__)
@@ -180,6 +209,25 @@
         time.sleep(self.random.uniform(0, 0.5))
         gateway.start(first=False)
 
+    def kill_some(self) -> None:
+        """Kill as many gateways without disks as may be lost, if all are well."""
+        count = self.random.randint(1, MOST_LOST_IN_MEMORY)
+        killed = self.random.sample(self.fleet.gateways, count)
+        pause = self.random.uniform(0, 0.5)
+        if not self.all_vote_in_memory():
+            return
+        for gateway in killed:
+            gateway.kill()
+        time.sleep(pause)
+        for gateway in killed:
+            gateway.start(first=False)
+
+    def all_vote_in_memory(self) -> bool:
+        """Tell whether every gateway's replica counts all of them as voters."""
+        shown = b"cowslipshelf_replica_voters %d" % len(self.fleet.gateways)
+        texts = [call(g.metrics, "GET", "/metrics") for g in self.fleet.gateways]
+        return all(status == 200 and shown in text for status, text in texts)
+
     def all_voted(self) -> bool:
         """Tell whether each gateway that runs counts three voters and all is synced."""
         texts = [
@@ -210,6 +258,8 @@
     def restart_gracefully(self) -> None:
         """Ask a gateway to end, and start it again."""
         gateway = self.random.choice(self.fleet.gateways)
+        if self.kind is FleetKind.MEMORY and not self.all_vote_in_memory():
+            return
         gateway.ask_to_end()
         gateway.process.wait()
         gateway.start(first=False)
@@ -287,10 +337,12 @@
     return Told(attempt_id, kind, status, body, whole)
 
 
-def run_seed(seed: int, seconds: float, folder: Path) -> list[str]:
+def run_seed(
+    seed: int, seconds: float, folder: Path, kind: FleetKind = FleetKind.DISKS
+) -> list[str]:
     """Run one seed; return the promises that were broken."""
     with ExitStack() as stack:
-        fleet = stack.enter_context(running_fleet(folder))
-        world = SoakWorld(fleet, seed)
+        fleet = stack.enter_context(running_fleet(folder, **kind.arguments))
+        world = SoakWorld(fleet, seed, kind)
         stack.callback(world.stop)
         return world.run(seconds)
