Wait in a test until paused followers have stopped

Cause: its setup took the followers for stopped as soon as SIGSTOP was sent.

Change: the setup waits until all threads of the followers are in the state 'stopped'. The checks and the bound of the test are as they were.

--- a/tests/nocover/daemon/test_recovery_on_processes.py
+++ b/tests/nocover/daemon/test_recovery_on_processes.py
@@ -25,6 +25,7 @@
     state,
     version,
 )
+from common.process_pauses import pause_processes
 from local_fleet import LocalFleet, Upstream, wait_until
 
 PROMPT = "an old lease " * 40
@@ -137,8 +138,7 @@
     isolated = leader(fleet)
     others = [name for name in fleet.entry_names if name != isolated]
     base = version(fleet, isolated)
-    for name in others:
-        fleet.send_signal(name, signal.SIGSTOP)
+    pause_processes(fleet, others)
     try:
         began = time.monotonic()
         document = {"change_id": "cut", "based_on": base, "change": put_weight(6)}
