Judge a silent engine by the present forecast of its work

Change: FirstEventWait, a decision without input or output. The first check comes at the prediction and a margin (0.5 s, or a quarter of the objective); then the present forecast counts, which includes what other gateways placed since, and in no case does it wait longer than lets another engine answer while the caller is there. Bytes that came with the timeout are read first.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -20,6 +20,7 @@
 )
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
+from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
 from cowslipshelf_core.internal.gateway.memory_lease import (
     MemoryLease,
     MemoryLeaseConfig,
@@ -118,6 +119,7 @@
     "EngineWork",
     "EnginesChosen",
     "FetchWork",
+    "FirstEventWait",
     "Allowed",
     "HealthEstimate",
     "HeartbeatSeen",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
@@ -35,6 +35,8 @@
     decoding: bool = False
     late: bool = False
     """Whether its first event or a later one came too late already."""
+    prefilled_at: float = math.inf
+    """End of the pass that prefills its last chunk, once that pass has begun."""
 
     @property
     def is_prefilled(self) -> bool:
@@ -160,6 +162,13 @@
         if not pending:
             seconds *= math.floor(max(0.0, now - begins_at) / seconds) + 1
         self.pass_ends_at = begins_at + seconds
+        self.mark_prefilled(pending, self.pass_ends_at)
+
+    def mark_prefilled(self, parts: list[TrackedPart], at: float) -> None:
+        """Record when the parts that a pass finishes are prefilled."""
+        for tracked in parts:
+            if tracked.is_prefilled:
+                tracked.prefilled_at = at
 
     def mark_late(self, seconds: float) -> None:
         """Mark the attempts for which a pass makes a pause too long."""
@@ -186,6 +195,7 @@
             else:
                 tracked.prefill(tracked.left_chunks * seconds / tracked.left_seconds)
             left -= seconds
+            self.mark_prefilled([tracked], now - left)
             self.start_decoding(tracked)
             if tracked.decoding:
                 self.pass_ends_at = now - left
@@ -224,3 +234,11 @@
         self.advance(self.model, now)
         pending = sum(tracked.left_seconds for tracked in self.pending_parts())
         return self.time_to_pass_end(now) + pending
+
+    def prefilled_at(self, attempt_id: AttemptId, now: float) -> float | None:
+        """Return when a part is or will be prefilled; None if it is not tracked."""
+        left_seconds = self.prefill_left_seconds(now)
+        tracked = self.parts.get(attempt_id)
+        if tracked is None:
+            return None
+        return min(tracked.prefilled_at, now + left_seconds)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
@@ -250,3 +250,22 @@
             return 0.0
         margin = SILENCE_MARGIN_OBJECTIVES * placed.work.objective_seconds
         return longest + margin
+
+    def has_first_token(self, attempt_id: AttemptId) -> bool:
+        """Return whether the first token of an attempt was reported."""
+        placed = self.placed.get(attempt_id)
+        return placed is not None and placed.first_token
+
+    def prefill_due_seconds(self, attempt_id: AttemptId, now: float) -> float:
+        """Return the time until an attempt should be prefilled; negative if overdue.
+
+        Counts what other gateways have placed on its engines since.
+        """
+        placed = self.placed.get(attempt_id)
+        if placed is None:
+            return 0.0
+        due_at = (
+            simulation.prefilled_at(attempt_id, now)
+            for simulation in self.simulations_of(placed.work)
+        )
+        return max((at for at in due_at if at is not None), default=now) - now
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -196,7 +196,7 @@
             )
             if placement.work is not None:
                 connection.excused_seconds = partial(
-                    self.excused_seconds, task, placement
+                    self.excused_seconds, task, placement, time.monotonic()
                 )
             with self.tracked_as_open(task, placement, connection):
                 outcome = await self.exchange(task, placement, connection)
@@ -229,10 +229,18 @@
         finally:
             self.open_attempts.discard(attempt)
 
-    def excused_seconds(self, task: AttemptTask, placement: Placement) -> float:
+    def excused_seconds(
+        self, task: AttemptTask, placement: Placement, sent_at: float
+    ) -> float:
         """Return how much longer engines may stay silent because they prefill."""
+        now, engines = time.monotonic(), self.view.engines
         attempt_id = placement.work.attempt_id
-        seconds = self.view.engines.excused_seconds(attempt_id, time.monotonic())
+        wait = placement.silence_limits.first_event_wait
+        if wait is None or engines.has_first_token(attempt_id):
+            seconds = engines.excused_seconds(attempt_id, now)
+        else:
+            due_seconds = engines.prefill_due_seconds(attempt_id, now)
+            seconds = wait.left_seconds(now - sent_at, due_seconds)
         LOG.info(
             "Silence excused." if seconds else "Silence not excused.",
             request=task.facts.attempt_id,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -11,6 +11,7 @@
     EnginePart,
     EnginesChosen,
     EngineWork,
+    FirstEventWait,
     NoEngine,
     PromptToPlace,
     Route,
@@ -32,6 +33,8 @@
 
     first_event_seconds: float | None = None
     between_events_seconds: float | None = None
+    first_event_wait: FirstEventWait | None = None
+    """Decides about a longer wait for the first event; None without a forecast."""
 
 
 class Placement(NamedTuple):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -158,8 +158,9 @@
                 async with asyncio.timeout(seconds):
                     return await self.reader.read(READ_BYTES)
             except TimeoutError:
-                seconds = self.excused_seconds()
-                if not seconds:
+                # Bytes may have come with the timeout, after a pause of this process.
+                seconds = self.excused_seconds() if self.is_quiet() else None
+                if seconds == 0.0:
                     raise
 
     def lost(
