Place short prompts on the fullest engine that keeps a slot free

A short prompt cost nothing on any engine that decodes, so it went to the emptiest of these.

Change: the charge for an empty engine falls with the answers that an engine decodes, and is whole again at its last slot, which other gateways may use in the same milliseconds.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -31,6 +31,9 @@
 """Cost of placing a short prompt on an engine without requests, in units of the value
 of a short prompt's answer. It keeps empty engines free for long prefills, and is lower
 than the cost of any lateness."""
+RESERVED_SLOTS = 1
+"""Slots of an engine that short prompts leave free as long as others have room: another
+gateway may place a prompt there in the same milliseconds."""
 SHORT_PREFILL_SECONDS = 0.12
 """A prompt prefilled faster than this fits into the allowed pauses of decoding requests
 (250 ms, of which a pass takes 50 to 100), so it may share engines with them."""
@@ -213,8 +216,21 @@
     full = FULL_ENGINE_COST * work.value * max(0, decoding + 1 - model.slots)
     tokens = placing.prompt.size.prompt_tokens
     short = prefill_seconds(model, tokens) < SHORT_PREFILL_SECONDS
-    empty = EMPTY_ENGINE_COST if short and not decoding else 0.0
-    return full + empty + work.value * pause_cost(engine.pace.decode_pass_seconds, work)
+    apart = spreading_cost(decoding, model.slots) if short else 0.0
+    return full + apart + work.value * pause_cost(engine.pace.decode_pass_seconds, work)
+
+
+def spreading_cost(decoding: int, slots: int) -> float:
+    """Return the cost of a short prompt on an engine by the requests that it decodes.
+
+    Answers that are decoded together cost a pass little, while each engine that decodes
+    any delays them by seconds when a long prompt is prefilled there. So short prompts
+    fill engines one after the other, and leave the others to long ones.
+    """
+    room = max(1, slots - RESERVED_SLOTS)
+    if decoding >= room:
+        return EMPTY_ENGINE_COST
+    return EMPTY_ENGINE_COST * (1.0 - decoding / room)
 
 
 def harm_to_decoding(engine: AssessedEngine, after: Forecast) -> float:
--- a/tests/cover/gateway_core/test_prompt_placement.py
+++ b/tests/cover/gateway_core/test_prompt_placement.py
@@ -397,3 +397,19 @@
     assert tracker.excused_seconds("dossier", 2.0) > 1.0
     assert tracker.excused_seconds("dossier", 4.0) == 0.0
     assert tracker.excused_seconds("unknown", 2.0) == 0.0
+
+
+def test_a_short_prompt_goes_to_the_fullest_engine_that_keeps_a_slot_free():
+    """Guards against a few short answers on every engine when long prompts come.
+
+    Each pass that prefills a part of a long prompt then delays them all by seconds,
+    and their callers leave. The last slot is left to what other gateways place.
+    """
+    load = Load(engines=4)
+    for engine, decoding in (("e-0", 4), ("e-1", 1), ("e-2", ENGINE.slots - 1)):
+        for number in range(decoding):
+            part = EnginePart(engine, 0.02, 1, decodes=True)
+            work = EngineWork(f"{engine}-{number}", (part,), 1.5, 0.3, 0.25)
+            load.tracker.begin(work, "g", 0.0)
+            load.tracker.first_token(work.attempt_id, 0.2)
+    assert load.short(0.5).upstream_id == "e-0"
