--- a/packages/emulator/src/cowslipshelf_emulator/internal/load.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/load.py
@@ -211,6 +211,46 @@
     ),
     (LONG_PEAK, SHORT_PEAK),
 )
+SHIFTED_ENGINE = EngineModel(
+    slots=6,
+    memory_tokens=267_750,
+    steps_per_pass=57,
+    step_seconds=0.85e-3,
+    step_seconds_per_decode=4.25e-6,
+    step_seconds_per_context_token=2.85e-9,
+    prefill_seconds_per_token=1 / 177_000,
+    prefill_seconds_per_pair=0.184e-9,
+    chunk_tokens=2048,
+)
+NILEGATE_SHIFTED = Fleet(
+    "nilegate-shifted",
+    54,
+    23,
+    SHIFTED_ENGINE,
+    (
+        SHORT._replace(
+            events=LengthDistribution(31.7, 0.7, 79.3),
+            objective_seconds=0.321,
+            per_second=32.6,
+        ),
+        MIDDLE._replace(
+            events=LengthDistribution(19.0, 0.6, 47.6),
+            objective_seconds=1.533,
+            value=3.5,
+            late_value=0.88,
+            per_second=3.59,
+        ),
+        LONG._replace(
+            prompt=LengthDistribution(220_000, 0.55, 700_000),
+            events=LengthDistribution(15.9, 0.5, 39.6),
+            objective_seconds=4.057,
+            value=29.0,
+            late_value=7.4,
+            per_second=0.884,
+        ),
+    ),
+    (LONG_PEAK, SHORT_PEAK),
+)
 FLEETS = {
     fleet.name: fleet
     for fleet in (
@@ -220,6 +260,7 @@
         NILEGATE_GROWN,
         COOPERATIVE_GROWN,
         NILEGATE_LARGE,
+        NILEGATE_SHIFTED,
     )
 }
 
