Let an unserved request cost more than a late one

Cause: a pass that makes a caller leave cost twice the value of its answer, 3 for a short one, while a long prompt that is late cost 20 to 50.

Its caller has nothing, and a late answer still serves.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_forecast.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_forecast.py
@@ -29,6 +29,9 @@
 ABANDON_COST = 1.0
 """Cost of an abandoned request beyond that of a late answer, as a share of its value: a
 late answer keeps a quarter of it, and what was decoded is thrown away."""
+UNSERVED_COST = 10.0
+"""Cost of any request that ends unserved, in units of the value of a short prompt's
+answer: its caller has nothing, however little the answer was worth."""
 
 
 class PrefillWork(NamedTuple):
@@ -103,10 +106,11 @@
     """
     silence = abandon_seconds(work.objective_seconds, work.pause_seconds)
     abandons = pass_time > ABANDON_FROM * silence
+    unserved = UNSERVED_COST / work.value if abandons else 0.0
     if late:
-        return LATE_VALUE_SHARE if abandons else 0.0
+        return LATE_VALUE_SHARE + unserved if abandons else 0.0
     delayed = lateness(pass_time / work.pause_seconds * (LATE_FROM / PAUSE_LATE_FROM))
-    return delayed + (ABANDON_COST if abandons else 0.0)
+    return delayed + (ABANDON_COST + unserved if abandons else 0.0)
 
 
 def abandon_seconds(objective_seconds: float, pause_seconds: float) -> float:
--- a/packages/emulator/src/cowslipshelf_emulator/internal/ablation.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/ablation.py
@@ -56,6 +56,10 @@
             ("prompt_placement.MAX_ENGINES_WEIGHED_FOR_SHORT", 10_000),
         )
     ),
+    "short prompts fill engines": Ablation(
+        (("placement_cost.spreading_cost", zero_cost),)
+    ),
+    "cost of an unserved request": Ablation((("engine_forecast.UNSERVED_COST", 0.0),)),
     "late writers count less": Ablation(
         (("engine_simulation.EngineSimulation.mark_late", zero_cost),)
     ),
--- a/tests/cover/gateway_core/test_prompt_placement.py
+++ b/tests/cover/gateway_core/test_prompt_placement.py
@@ -413,3 +413,21 @@
             load.tracker.begin(work, "g", 0.0)
             load.tracker.first_token(work.attempt_id, 0.2)
     assert load.short(0.5).upstream_id == "e-0"
+
+
+def test_a_pass_that_makes_callers_leave_costs_more_than_a_late_answer():
+    """Guards against a long prompt in time at the cost of callers that get nothing.
+
+    An engine writes two short answers; a long prompt there makes passes of nearly two
+    seconds. The only other engine would answer it a little late.
+    """
+    load = Load(engines=2)
+    for number in range(2):
+        part = EnginePart("e-0", 0.02, 1, decodes=True)
+        work = EngineWork(f"w-{number}", (part,), 1.5, 0.3, 0.25)
+        load.tracker.begin(work, "g", 0.0)
+        load.tracker.first_token(work.attempt_id, 0.1)
+    part = EnginePart("e-1", 2.5, 80, decodes=True)
+    load.tracker.begin(EngineWork("long", (part,), 15.0, 8.0, 1.0), "g", 0.0)
+    chosen = load.place(PromptSize(240_000, 700), 0.2, objective=8.0, pause=1.0)
+    assert [part.upstream_id for part in chosen.work.parts] == ["e-1"]
