Keep a silent engine when no other could answer in time

Cause: the wait for a first event was bounded by what leaves another engine its predicted time, also where that was over before the first look.

Change: the bound holds only where the first look comes before it. Otherwise the present forecast alone decides.

Tried beside it and dropped: a choice that answers after the caller has given up costs the rest of its value and 10 more, so that it is made only where all others cost more still.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/first_event_wait.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/first_event_wait.py
@@ -41,15 +41,19 @@
         """Return the silence after which the forecast is looked at."""
         return self.predicted_seconds + self.margin_seconds
 
+    @property
+    def latest_move_seconds(self) -> float:
+        """Return the silence after which another engine would answer too late."""
+        patience = abandon_seconds(self.objective_seconds, self.pause_seconds)
+        return patience - self.predicted_seconds - RETRY_SECONDS
+
     def left_seconds(self, waited_seconds: float, due_seconds: float) -> float:
         """Return how much longer to wait; zero if another engine is to be tried.
 
         `due_seconds` is the time until the engine should be ready by the present
         forecast, negative if it is overdue.
         """
-        elsewhere = self.predicted_seconds + RETRY_SECONDS
-        patience = abandon_seconds(self.objective_seconds, self.pause_seconds)
-        left = min(
-            due_seconds + self.margin_seconds, patience - elsewhere - waited_seconds
-        )
+        left = due_seconds + self.margin_seconds
+        if self.first_check_seconds < self.latest_move_seconds:
+            left = min(left, self.latest_move_seconds - waited_seconds)
         return left if left > MIN_WAIT_SECONDS else 0.0
--- a/tests/cover/gateway_core/test_first_event_wait.py
+++ b/tests/cover/gateway_core/test_first_event_wait.py
@@ -61,6 +61,14 @@
     assert time_of_giving_up(SHORT, ready_at=SHORT.predicted_seconds) < 1.0
 
 
+def test_an_engine_is_kept_when_no_other_could_answer_before_the_caller_leaves():
+    """Guards against a very long prompt that is moved, read again and then refused."""
+    dossier = FirstEventWait(
+        objective_seconds=4.0, pause_seconds=1.0, predicted_seconds=11.3
+    )
+    assert time_of_giving_up(dossier, ready_at=13.0) >= 14.0
+
+
 @given(wait=waits, waited=SECONDS, due=st.floats(-5.0, 20.0))
 def test_a_wait_is_never_longer_than_the_forecast_allows(wait, waited, due):
     left = wait.left_seconds(waited, due)
