Look at a silent engine no earlier than before

Suspected, not shown: in a fleet that is late everywhere, attempts that are moved half a second after their prediction have prompts prefilled twice.

Change: the first look is again at twice the prediction and 1 s.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/first_event_wait.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/first_event_wait.py
@@ -10,6 +10,10 @@
 
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 
+FIRST_CHECK_FACTOR = 2.0
+FIRST_CHECK_SECONDS = 1.0
+"""Added to twice the prediction, after which the forecast is looked at: a busy fleet
+answers late everywhere, and moving its attempts early has prompts prefilled twice."""
 MARGIN_SECONDS = 0.5
 """Time beyond the forecast after which an engine counts as silent: several passes and a
 packet that was lost on the way."""
@@ -39,7 +43,7 @@
     @property
     def first_check_seconds(self) -> float:
         """Return the silence after which the forecast is looked at."""
-        return self.predicted_seconds + self.margin_seconds
+        return FIRST_CHECK_FACTOR * self.predicted_seconds + FIRST_CHECK_SECONDS
 
     @property
     def latest_move_seconds(self) -> float:
