--- a/packages/core/src/cowslipshelf_core/internal/gateway/first_event_wait.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/first_event_wait.py
@@ -12,8 +12,8 @@
 
 FIRST_CHECK_FACTOR = 2.0
 FIRST_CHECK_SECONDS = 1.0
-"""Added to twice the prediction, after which the forecast is looked at: a busy fleet
-answers late everywhere, and moving its attempts early has prompts prefilled twice."""
+"""Added to twice the prediction, after which the forecast is looked at: an attempt that
+is moved has its prompt prefilled twice."""
 MARGIN_SECONDS = 0.5
 """Time beyond the forecast after which an engine counts as silent: several passes and a
 packet that was lost on the way."""
