--- a/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
@@ -1,7 +1,10 @@
 """Define the messages between gateways about upstreams and the attempts on them."""
 
+from enum import StrEnum
 from typing import NamedTuple
 
+import msgspec
+
 from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
 from cowslipshelf_core.internal.gateway.registry import HeartbeatSeen
 from cowslipshelf_core.internal.gateway.request_digest import RequestDigest
@@ -108,10 +111,38 @@
     suspects: tuple[SuspectRequestReport, ...]
 
 
+class UpstreamOutcome(StrEnum):
+    """Name what an attempt shows about an upstream."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    """It answered that it failed, or that it did not run the request."""
+    LOST = "lost"
+    """It could not be reached, or closed the connection without an answer."""
+
+
+class UpstreamObservation(msgspec.Struct, frozen=True, array_like=True):
+    """Report what one gateway observed of an upstream."""
+
+    upstream_id: UpstreamId
+    outcome: UpstreamOutcome
+    slowness: float | None
+    """Duration as a multiple of the expected one, if it is known."""
+    age_seconds: float
+
+
+class UpstreamObservations(Message, frozen=True):
+    """Report observations of upstreams that fail, are slow, or were so lately."""
+
+    observations: tuple[UpstreamObservation, ...]
+    answered_upstreams: int = 0
+    """Number of distinct upstreams that answered the sender within some seconds."""
+
+
 class Relayed(Message, frozen=True):
     """Relay a gateway's message through another one."""
 
     origin: InstanceId
-    message: HeartbeatsSeen | WorkChanged | SuspectRequestsTold
+    message: HeartbeatsSeen | WorkChanged | SuspectRequestsTold | UpstreamObservations
     pass_on: bool
     """Whether the receiver forwards it to the other gateways of its data centre."""
--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cowslipshelf_core.identifiers import AttemptId, UpstreamId
+from cowslipshelf_core.identifiers import AttemptId, DataCentre, UpstreamId
 from cowslipshelf_core.internal.gateway.configuration import EngineModel
 from cowslipshelf_core.internal.gateway.engine_forecast import (
     EnginePace,
@@ -50,6 +50,10 @@
     """Recent durations as a multiple of those of the engine's model."""
     penalty: float = 0.0
     """Share of a prompt's value that is likely lost there, from recent failures."""
+    data_centre: DataCentre = DataCentre("")
+    surcharge: float = 0.0
+    """Cost of using the engine at all, in units of the value of a short prompt's
+    answer."""
 
 
 class PromptToPlace(NamedTuple):
@@ -183,6 +187,7 @@
     """Return the cost if an engine prefills a part and decodes the answer."""
     after = forecast([*engine.pending, part.on(engine)], engine.pace)
     harm = harm_to_decoding(engine, after) + sharing_cost(engine, placing)
+    harm += engine.candidate.surcharge
     ready = after.ready_seconds[-1]
     first_token = ready + first_event_delay(engine, alone=True)
     return PartCost(engine, ready, harm, harm + own_cost(engine, first_token, placing))
@@ -192,6 +197,7 @@
     """Return the cost if an engine prefills a part for another engine."""
     after = forecast([part.on(engine), *engine.pending], engine.pace)
     harm = harm_to_decoding(engine, after) + harm_to_queued(engine, after, placing)
+    harm += engine.candidate.surcharge
     # An engine refuses more parts of other engines' prompts than it has slots.
     refused = engine.view.helping_parts >= placing.model.slots
     rank = harm + own_cost(engine, after.ready_seconds[0], placing)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -22,6 +22,7 @@
     HeartbeatsSeen,
     Relayed,
     SuspectRequestsTold,
+    UpstreamObservations,
     WorkChanged,
     WorkHeld,
 )
@@ -219,6 +220,7 @@
                 | WorkHeld()
                 | RoutesSnapshot()
                 | SuspectRequestsTold()
+                | UpstreamObservations()
                 | FetchRoutes(query_id="")
             ):
                 self.inbox.tell(delivered)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -13,7 +13,7 @@
     Headers,
     OutgoingRequest,
 )
-from cowslipshelf_core.gateway import RouteKind, UpstreamStart
+from cowslipshelf_core.gateway import RouteKind, UpstreamOutcome, UpstreamStart
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
     AttemptOutcome,
@@ -130,27 +130,24 @@
                 seconds=round(now - began, 3),
                 usual=round(usual, 3),
             )
-            self.view.health.record_lost(upstream.upstream_id, now)
+            self.view.observe(upstream.upstream_id, UpstreamOutcome.LOST)
 
     def record_outcome(
         self, placement: Placement, outcome: AttemptOutcome, seconds: float
     ) -> None:
         """Update the health of the upstream by the outcome of an attempt."""
         upstream_id = placement.upstream.upstream_id
-        now = time.monotonic()
         match outcome:
             case NotReached() | Broken() | NotRun(HTTPStatus.MISDIRECTED_REQUEST):
-                self.view.health.record_lost(upstream_id, now)
+                self.view.observe(upstream_id, UpstreamOutcome.LOST)
             case NotReserved(silent=silent):
                 for engine in silent:
-                    self.view.health.record_lost(engine, now)
-            case FailedThere():
-                self.view.health.record_answer(upstream_id, True, None, now)
-            case NotRun():
-                self.view.health.record_answer(upstream_id, True, None, now)
+                    self.view.observe(engine, UpstreamOutcome.LOST)
+            case FailedThere() | NotRun():
+                self.view.observe(upstream_id, UpstreamOutcome.FAILED)
             case Answered(pace=pace):
                 slowness = self.slowness_of(placement, pace, seconds)
-                self.view.health.record_answer(upstream_id, False, slowness, now)
+                self.view.observe(upstream_id, UpstreamOutcome.ANSWERED, slowness)
 
     def slowness_of(
         self, placement: Placement, pace: StreamPace | None, seconds: float
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -25,6 +25,8 @@
     ServiceRetryBudgetConfig,
     UpstreamHealth,
     UpstreamHeartbeat,
+    UpstreamObservations,
+    UpstreamOutcome,
     UpstreamPhase,
     UpstreamRegistry,
     UpstreamStart,
@@ -255,6 +257,25 @@
         for attempt_id in message.ended:
             self.engines.end(attempt_id, now)
 
+    def observe(
+        self,
+        upstream_id: UpstreamId,
+        outcome: UpstreamOutcome,
+        slowness: float | None = None,
+    ) -> None:
+        """Record what an attempt of this gateway showed about an upstream."""
+        now = time.monotonic()
+        if outcome is UpstreamOutcome.LOST:
+            self.health.record_lost(upstream_id, now)
+        else:
+            failed = outcome is UpstreamOutcome.FAILED
+            self.health.record_answer(upstream_id, failed, slowness, now)
+
+    def record_observations(
+        self, reporter: InstanceId, message: UpstreamObservations
+    ) -> None:
+        """Record what another gateway observed of upstreams."""
+
     def begin_work(self, work: EngineWork) -> None:
         """Record work that this gateway places, and tell the others."""
         self.engines.begin(work, self.settings.instance, time.monotonic())
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -14,6 +14,7 @@
     RequestDigest,
     SuspectRequestsTold,
     UpstreamHeartbeat,
+    UpstreamObservations,
     WorkChanged,
     WorkGapDetector,
     WorkHeld,
@@ -55,7 +56,7 @@
 gateway that starts or was partitioned gets one at once, and the next heartbeat makes up
 for other losses."""
 
-Broadcast = HeartbeatsSeen | SuspectRequestsTold | WorkChanged
+Broadcast = HeartbeatsSeen | SuspectRequestsTold | UpstreamObservations | WorkChanged
 """Messages relayed to remote gateways through one in their data centre."""
 
 
@@ -258,7 +259,12 @@
                 self.handle_broadcast(origin, message)
                 if relayed.pass_on:
                     self.relay(delivered.sender, relayed)
-            case HeartbeatsSeen() | WorkChanged() | SuspectRequestsTold() as message:
+            case (
+                HeartbeatsSeen()
+                | WorkChanged()
+                | SuspectRequestsTold()
+                | UpstreamObservations()
+            ) as message:
                 self.handle_broadcast(delivered.sender, message)
             case WorkHeld(number=number) as message:
                 if self.work_gaps.record_snapshot(delivered.sender, number):
@@ -278,6 +284,8 @@
                 self.suspects.merge_reports(origin, message)
             case HeartbeatsSeen():
                 self.view.record_heartbeats(message)
+            case UpstreamObservations():
+                self.view.record_observations(origin, message)
             case WorkChanged(number=number):
                 self.work_gaps.record_change(origin, number)
                 self.view.record_work(origin, message)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -123,7 +123,12 @@
         if health.avoided and len(upstreams) > 1:
             continue
         candidates.append(
-            EngineCandidate(upstream.upstream_id, health.slowness, health.failure_rate)
+            EngineCandidate(
+                upstream.upstream_id,
+                health.slowness,
+                health.failure_rate,
+                upstream.data_centre,
+            )
         )
     asked = PromptToPlace(
         AttemptId(uuid.uuid4().hex),
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -42,6 +42,12 @@
     replica_in_memory: bool = False
     """Whether this gateway holds a replica without a disk from the start."""
 
+    shares_health: bool = False
+    """Whether gateways report failing and slow upstreams to each other."""
+    crossing_cost: float = 0.0
+    """Cost of an answer that crosses data centres, in units of the value of a short
+    prompt's answer; zero if the distance does not matter."""
+
     @property
     def holds_replica(self) -> bool:
         """Return whether this gateway holds a replica from the start."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/wire.py
@@ -8,6 +8,7 @@
     HeartbeatsSeen,
     Relayed,
     SuspectRequestsTold,
+    UpstreamObservations,
     WorkChanged,
     WorkHeld,
 )
@@ -44,6 +45,7 @@
     RoutesSnapshot,
     Suspect,
     SuspectRequestsTold,
+    UpstreamObservations,
     Withdraw,
     WorkChanged,
     WorkHeld,
