Share what gateways observe of failing and slow upstreams

Each gateway judged upstreams by its own requests alone, so every one of them had to fail by itself before a bad upstream was avoided. Gateways that share health now send failures, losses, slow answers and the answers of marked upstreams to each other, batched for 20 ms.

Messages carry a number, so that a doubled one counts once, and an observation states whether its answer goes on. Without shares_health, nothing changes.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -91,6 +91,10 @@
 )
 from cowslipshelf_core.internal.gateway.route_table import RouteTable, choose_service
 from cowslipshelf_core.internal.gateway.routes_fetch import RoutesFetch
+from cowslipshelf_core.internal.gateway.shared_health import (
+    ReportsOutcome,
+    SharedHealth,
+)
 from cowslipshelf_core.internal.gateway.suspect_request import (
     QuarantineConfig,
     suspect_report_problem,
@@ -145,8 +149,10 @@
     "QuarantineConfig",
     "RegistryConfig",
     "Relayed",
+    "ReportsOutcome",
     "ServiceRetryBudget",
     "ServiceRetryBudgetConfig",
+    "SharedHealth",
     "RequestDigest",
     "RequestQuarantine",
     "Route",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
@@ -129,6 +129,8 @@
     slowness: float | None
     """Duration as a multiple of the expected one, if it is known."""
     age_seconds: float
+    running: bool = False
+    """Whether the answer goes on, so that only its slowness is known yet."""
 
 
 class UpstreamObservations(Message, frozen=True):
@@ -136,7 +138,10 @@
 
     observations: tuple[UpstreamObservation, ...]
     answered_upstreams: int = 0
-    """Number of distinct upstreams that answered the sender within some seconds."""
+    """Number of distinct upstreams that answered the sender within some seconds, and
+    were not lost since."""
+    number: int = 0
+    """Sequence number of the message, from one on for each start of a sender."""
 
 
 class Relayed(Message, frozen=True):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -150,6 +150,7 @@
             self.view, self.messenger, self.client, dialect, self.metrics
         )
         self.view.on_work_changed = self.gossip.queue_work
+        self.view.on_observed = self.gossip.queue_observations
         self.inbox = LoopInbox(self.loop, self.gossip.receive, self.metrics)
         self.supervisor = ReplicaSupervisor(
             self.view, self.messenger, self.inbox, self.proposal_client, self.metrics
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -19,12 +19,15 @@
     PeerTable,
     PeerTableConfig,
     RegistryConfig,
+    ReportsOutcome,
     RouteConfiguration,
     RouteTable,
     ServiceRetryBudget,
     ServiceRetryBudgetConfig,
+    SharedHealth,
     UpstreamHealth,
     UpstreamHeartbeat,
+    UpstreamObservation,
     UpstreamObservations,
     UpstreamOutcome,
     UpstreamPhase,
@@ -68,8 +71,12 @@
     """Sends a change of engine work to the other gateways; set in assembly."""
     on_start_replaced: Callable[[UpstreamStart, UpstreamStart], None]
     """Drops attempts on a replaced start, given with its successor; set in assembly."""
+    shared_health: SharedHealth
+    on_observed: Callable[[], None] = lambda: None
+    """Sends the collected observations of upstreams soon; set in assembly."""
+    marked: set[UpstreamId] = field(default_factory=set)
+    """Upstreams that fail, are slow or avoided, as last logged."""
     engines: EngineTracker = field(default_factory=EngineTracker)
-    health: UpstreamHealth = field(default_factory=UpstreamHealth)
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
@@ -99,8 +106,14 @@
             ServiceRetryBudget.from_config(retry_budget_config(settings)),
             on_work_changed=lambda _changed: None,
             on_start_replaced=lambda _former, _later: None,
+            shared_health=SharedHealth(settings.instance, UpstreamHealth()),
         )
 
+    @property
+    def health(self) -> UpstreamHealth:
+        """Return the health estimates of all upstreams."""
+        return self.shared_health.health
+
     def use_settings(self, settings: GatewaySettings) -> None:
         """Apply new settings; addresses and the data folder do not change."""
         self.settings = settings
@@ -262,19 +275,68 @@
         upstream_id: UpstreamId,
         outcome: UpstreamOutcome,
         slowness: float | None = None,
+        running: bool = False,
     ) -> None:
-        """Record what an attempt of this gateway showed about an upstream."""
+        """Record what an attempt of this gateway showed about an upstream.
+
+        While an answer is `running`, only its slowness is known.
+        """
         now = time.monotonic()
-        if outcome is UpstreamOutcome.LOST:
-            self.health.record_lost(upstream_id, now)
-        else:
-            failed = outcome is UpstreamOutcome.FAILED
-            self.health.record_answer(upstream_id, failed, slowness, now)
+        observation = UpstreamObservation(upstream_id, outcome, slowness, 0.0, running)
+        if not self.settings.shares_health:
+            self.health.record_own(observation, now)
+            return
+        if self.shared_health.observe(observation, now):
+            self.on_observed()
+        self.log_mark(upstream_id, now)
 
     def record_observations(
         self, reporter: InstanceId, message: UpstreamObservations
-    ) -> None:
-        """Record what another gateway observed of upstreams."""
+    ) -> ReportsOutcome:
+        """Record what another gateway observed of upstreams; return what became of it.
+
+        Gateways that share nothing ignore it.
+        """
+        own = self.settings.instance
+        if not self.settings.shares_health or reporter == own:
+            return ReportsOutcome.IGNORED
+        now = time.monotonic()
+        outcome = self.shared_health.receive(
+            reporter, message, self.registry.known, now
+        )
+        self.log_trust(reporter, outcome)
+        if outcome is ReportsOutcome.RECORDED:
+            for observation in message.observations:
+                self.log_mark(observation.upstream_id, now)
+        return outcome
+
+    def log_mark(self, upstream_id: UpstreamId, now: float) -> None:
+        """Log that an upstream came to be marked, or is no longer."""
+        marked = self.health.is_marked(upstream_id, now)
+        if marked == (upstream_id in self.marked):
+            return
+        estimate = self.health.estimate(upstream_id, now)
+        if marked:
+            self.marked.add(upstream_id)
+        else:
+            self.marked.discard(upstream_id)
+        LOG.info(
+            "Upstream marked." if marked else "Upstream healthy.",
+            upstream=upstream_id,
+            slowness=round(estimate.slowness, 2),
+            failure_rate=round(estimate.failure_rate, 3),
+            avoided=estimate.avoided,
+        )
+
+    def log_trust(self, reporter: InstanceId, outcome: ReportsOutcome) -> None:
+        """Log that a reporter's observations are left out, or count again."""
+        left_out = self.shared_health.trust.left_out
+        if outcome is ReportsOutcome.LEFT_OUT and reporter not in left_out:
+            left_out.add(reporter)
+            LOG.warning("Observations left out.", reporter=reporter)
+        elif outcome is ReportsOutcome.RECORDED and reporter in left_out:
+            left_out.discard(reporter)
+            LOG.info("Observations count again.", reporter=reporter)
 
     def begin_work(self, work: EngineWork) -> None:
         """Record work that this gateway places, and tell the others."""
@@ -323,6 +385,7 @@
         for upstream_id in self.registry.forget_old(now):
             self.forget_upstream(upstream_id)
         self.peers.forget_old(now)
+        self.shared_health.forget_old(now)
         forgotten = self.engines.forget_old(now)
         if forgotten:
             LOG.warning("Work forgotten whose end was not told.", attempts=forgotten)
@@ -330,6 +393,7 @@
     def forget_upstream(self, upstream_id: UpstreamId) -> None:
         """Forget the health and work of an upstream; its attempts end on their own."""
         self.health.forget(upstream_id)
+        self.marked.discard(upstream_id)
         self.engines.forget_engine(upstream_id)
 
     def request_started(self, upstream_id: UpstreamId) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Iterable
 
 from cowslipshelf_core.dialect import Dialect
@@ -46,6 +47,11 @@
 at once; this one merges groups that don't know of each other."""
 WORK_BATCH_SECONDS = 0.005
 """Time for which work changes are batched; about the latency of one message."""
+OBSERVATIONS_BATCH_SECONDS = 0.02
+"""Time for which observations of upstreams are batched: a slow engine shows itself in
+many streams at once, and what is decided by them changes in tenths of a second."""
+OBSERVATIONS_METRIC = "cowslipshelf_upstream_observations_total"
+DROPPED_METRIC = "cowslipshelf_upstream_observations_dropped_total"
 URGENT_SENDS = 3
 """Times that a changed upstream is sent: a message may be lost, and an upstream that
 leaves must get no new work two seconds later."""
@@ -73,6 +79,7 @@
     ) -> None:
         self.view = view
         self.messenger = messenger
+        self.metrics = metrics
         self.heartbeats: set[UpstreamId] = set()
         """Upstreams whose heartbeats wait to be sent."""
         self.urgent_upstreams: RetransmitQueue[UpstreamId] = RetransmitQueue()
@@ -83,6 +90,7 @@
         self.first_tokens: list = []
         self.ended: list = []
         self.work_due = False
+        self.observations_due = False
         instance = view.settings.instance
         self.suspects = SuspectRequests(instance, metrics, self.queue_suspect)
         self.changed_suspects: set[RequestDigest] = set()
@@ -217,6 +225,41 @@
         self.begun, self.first_tokens, self.ended = [], [], []
         self.broadcast(message, 0)
 
+    def queue_observations(self) -> None:
+        """Send the observations of upstreams with the next batch."""
+        if not self.observations_due:
+            self.observations_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(OBSERVATIONS_BATCH_SECONDS, self.flush_observations)
+
+    def flush_observations(self) -> None:
+        """Send the collected observations of upstreams.
+
+        The relays change, as for heartbeats: the order of observations matters little.
+        """
+        self.observations_due = False
+        shared = self.view.shared_health
+        if shared.dropped:
+            self.metrics.count(DROPPED_METRIC, shared.dropped)
+        message = shared.take(time.monotonic())
+        self.count_observations("sent", message)
+        self.broadcast(message, self.ticks)
+
+    def count_observations(self, fate: str, message: UpstreamObservations) -> None:
+        """Count observations of upstreams by what became of them."""
+        outcomes = Counter(each.outcome for each in message.observations)
+        for outcome, amount in outcomes.items():
+            self.metrics.count(
+                OBSERVATIONS_METRIC, amount, fate=fate, outcome=str(outcome)
+            )
+
+    def receive_observations(
+        self, origin: InstanceId, message: UpstreamObservations
+    ) -> None:
+        """Record what another gateway observed of upstreams."""
+        fate = self.view.record_observations(origin, message)
+        self.count_observations(str(fate), message)
+
     def tell_everything(self) -> None:
         """Send all upstreams and the worst suspects to one other gateway, in turn."""
         peers = self.view.peers.alive(time.monotonic())
@@ -285,7 +328,7 @@
             case HeartbeatsSeen():
                 self.view.record_heartbeats(message)
             case UpstreamObservations():
-                self.view.record_observations(origin, message)
+                self.receive_observations(origin, message)
             case WorkChanged(number=number):
                 self.work_gaps.record_change(origin, number)
                 self.view.record_work(origin, message)
--- /dev/null
+++ b/tests/cover/gateway/test_observations_exchange.py
@@ -0,0 +1,97 @@
+"""Check how gateways exchange observations of upstreams."""
+
+import asyncio
+import time
+
+from common.gateway_samples import GATEWAY_SETTINGS, heartbeat
+from cowslipshelf_adapter.wire import MachinesDialect
+from cowslipshelf_core.gateway import (
+    Relayed,
+    ReportsOutcome,
+    UpstreamObservation,
+    UpstreamObservations,
+    UpstreamOutcome,
+)
+from cowslipshelf_core.identifiers import DataCentre, Epoch
+from cowslipshelf_core.messages import PeerAlive
+from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.gossip import Gossip
+from cowslipshelf_daemon.internal.messenger import Delivered
+from cowslipshelf_host.metrics import Metrics
+
+SHARING = GATEWAY_SETTINGS._replace(shares_health=True)
+FAILURE = UpstreamObservation("u-1", UpstreamOutcome.FAILED, None, 0.0)
+
+
+class RecordingMessenger:
+    """Record what is sent, and to which addresses."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[list[str], object]] = []
+
+    def send_to_all(self, addresses, message) -> None:
+        if addresses:
+            self.sent.append((list(addresses), message))
+
+
+def gossip_of(settings) -> Gossip:
+    view = FleetView.from_settings(settings)
+    view.record_heartbeat(heartbeat("u-1"), 0.0)
+    for name, place in (("10.0.0.2", "here"), ("10.1.0.1", "far"), ("10.1.0.2", "far")):
+        alive = PeerAlive(Epoch("e"), DataCentre(place), True, 0, ())
+        view.peers.record_alive(name, alive, time.monotonic())
+    gossip = Gossip(view, RecordingMessenger(), None, MachinesDialect(), Metrics())
+    view.on_observed = gossip.queue_observations
+    return gossip
+
+
+def sent_after_failures(settings) -> list:
+    async def fail() -> list:
+        gossip = gossip_of(settings)
+        for _ in range(5):
+            gossip.view.observe("u-1", UpstreamOutcome.FAILED)
+        gossip.view.observe("u-2", UpstreamOutcome.ANSWERED)
+        await asyncio.sleep(0.1)
+        return gossip.messenger.sent
+
+    return asyncio.run(fail())
+
+
+def test_observations_are_batched_and_reach_remote_gateways_through_one():
+    """Guards against a message for each failure and gateway on links of 10 Mbit/s."""
+    (near, message), (far, relayed) = sent_after_failures(SHARING)
+    assert [address.split(":")[0] for address in near] == ["10.0.0.2"]
+    assert len(far) == 1
+    assert isinstance(relayed, Relayed)
+    assert relayed.message == message
+    assert [each.outcome for each in message.observations] == ["failed"] * 5
+    assert message.answered_upstreams == 2
+
+
+def test_a_gateway_that_shares_nothing_sends_nothing_and_ignores_what_it_receives():
+    """Guards against a deployment that is served differently without asking for it."""
+    assert sent_after_failures(GATEWAY_SETTINGS) == []
+    gossip = gossip_of(GATEWAY_SETTINGS)
+    received = Delivered("10.0.0.2", "a", UpstreamObservations((FAILURE,) * 9))
+    gossip.receive(received)
+    assert gossip.view.health.records == {}
+    assert gossip.view.shared_health.trust.reporters == {}
+
+
+def test_received_observations_count_and_are_passed_on():
+    """Guards against a remote data centre of which only one gateway learns."""
+    gossip = gossip_of(SHARING)
+    message = UpstreamObservations((FAILURE,), 3, 1)
+    gossip.receive(Delivered("10.1.0.1", "a", Relayed("10.1.0.2", message, True)))
+    assert gossip.view.health.estimate("u-1", time.monotonic()).failure_rate > 0.2
+    assert [each.pass_on for _, each in gossip.messenger.sent] == [False]
+    text = gossip.metrics.prometheus_text()
+    assert 'cowslipshelf_upstream_observations_total{fate="recorded"' in text
+
+
+def test_own_observations_that_come_back_count_once():
+    """Guards against a relay that returns a message to its sender."""
+    view = gossip_of(SHARING).view
+    own = view.record_observations("10.0.0.1", UpstreamObservations((FAILURE,)))
+    assert own is ReportsOutcome.IGNORED
+    assert view.health.records == {}
