Learn from the pauses of running streams which engines are slow

An engine that became several times slower was noticed only by a first event, and recorded when its stream had ended. Where gateways share health, the shortest of three consecutive pauses, compared with the forecast pass, is now recorded while the stream runs, at most every 0.4 s. Pauses after a slow caller and passes that prefill show nothing, and events that arrive together count as their average.

If there are none, a late one counts as at most 1.3, since a pass that prefills another prompt may be the cause. A plain answer is slow only if it is beyond the usual spread of its service.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -95,6 +95,7 @@
     ReportsOutcome,
     SharedHealth,
 )
+from cowslipshelf_core.internal.gateway.stream_slowness import StreamSlowness
 from cowslipshelf_core.internal.gateway.suspect_request import (
     QuarantineConfig,
     suspect_report_problem,
@@ -162,6 +163,7 @@
     "GatewayCustomer",
     "RoutesFetch",
     "ServiceConfiguration",
+    "StreamSlowness",
     "SuspectRequestReport",
     "SuspectRequestsTold",
     "UpstreamExit",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/answer_times.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/answer_times.py
@@ -10,6 +10,8 @@
 TIMEOUT_DEVIATIONS = 8.0
 """Deviations above the mean after which an answer times out. TCP uses four for round
 trips; request durations vary more, and one in a hundred takes five times the mean."""
+USUAL_DEVIATIONS = 4.0
+"""Deviations above the mean up to which an answer is usual, as in TCP."""
 MIN_TIMEOUT_SECONDS = 0.25
 """Lower bound on the timeout: a pause of the interpreter or a lost packet delays an
 answer by about as long."""
@@ -61,3 +63,10 @@
         if times is None or times.answers < MIN_ANSWERS:
             return None
         return seconds / max(times.mean, 1e-3)
+
+    def is_usual(self, service: ServiceName, seconds: float) -> bool:
+        """Return whether an answer took no longer than many of its service do."""
+        times = self.services.get(service)
+        if times is None:
+            return True
+        return seconds <= times.mean + USUAL_DEVIATIONS * times.deviation
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
@@ -69,6 +69,8 @@
     pending_changes: list[PendingChange] = field(default_factory=list)
     clock: float = -math.inf
     pass_ends_at: float = -math.inf
+    prefill_ends_at: float = -math.inf
+    """End of the last pass that prefills while other attempts decode."""
     model: EngineModel | None = None
     """Model used when the simulation last advanced."""
 
@@ -162,6 +164,8 @@
         if not pending:
             seconds *= math.floor(max(0.0, now - begins_at) / seconds) + 1
         self.pass_ends_at = begins_at + seconds
+        if pending:
+            self.prefill_ends_at = self.pass_ends_at
         self.mark_prefilled(pending, self.pass_ends_at)
 
     def mark_prefilled(self, parts: list[TrackedPart], at: float) -> None:
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
@@ -11,7 +11,10 @@
 
 from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
 from cowslipshelf_core.internal.gateway.configuration import EngineModel
-from cowslipshelf_core.internal.gateway.engine_simulation import EngineSimulation
+from cowslipshelf_core.internal.gateway.engine_simulation import (
+    MIN_PASS_SECONDS,
+    EngineSimulation,
+)
 from cowslipshelf_core.internal.gateway.messages import (
     EngineWork,
     HeldWork,
@@ -230,6 +233,31 @@
             )
         return view
 
+    def usual_pass_seconds(
+        self, upstream_id: UpstreamId, model: EngineModel, now: float
+    ) -> float | None:
+        """Return the length of an engine's passes that only decode, if it is known."""
+        simulation = self.simulations.get(upstream_id)
+        if simulation is None:
+            return None
+        simulation.advance(model, now)
+        return max(MIN_PASS_SECONDS, simulation.decode_seconds(model))
+
+    def decode_pass_seconds(
+        self, upstream_id: UpstreamId, model: EngineModel, since: float, now: float
+    ) -> float | None:
+        """Return the length of an engine's passes, or None if any prefills since then.
+
+        Passes that prefill vary in length, so they don't show how slow an engine is.
+        """
+        seconds = self.usual_pass_seconds(upstream_id, model, now)
+        if seconds is None:
+            return None
+        simulation = self.simulations[upstream_id]
+        if simulation.prefill_ends_at > since or simulation.pending_parts():
+            return None
+        return seconds
+
     def excused_seconds(self, attempt_id: AttemptId, now: float) -> float:
         """Return how long an attempt's engines may still be silent due to prefills.
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -13,7 +13,13 @@
     Headers,
     OutgoingRequest,
 )
-from cowslipshelf_core.gateway import RouteKind, UpstreamOutcome, UpstreamStart
+from cowslipshelf_core.gateway import (
+    EngineModel,
+    RouteKind,
+    StreamSlowness,
+    UpstreamOutcome,
+    UpstreamStart,
+)
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
     AttemptOutcome,
@@ -30,7 +36,10 @@
     EngineMemory,
     ReservedMemory,
 )
-from cowslipshelf_daemon.internal.gateway.event_stream import EventSplitter
+from cowslipshelf_daemon.internal.gateway.event_stream import (
+    EventSplitter,
+    count_events,
+)
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.placement import Placement
@@ -51,6 +60,10 @@
 """Delay of a first token that is not counted as slowness: a prefill pass for another
 prompt placed in the same milliseconds. When it counted, prompts avoided engines that
 were as fast as the others."""
+MAX_FIRST_EVENT_SLOWNESS = 1.3
+"""Slowness that a late first event counts as at most where gateways share health: a
+pass that prefills another prompt may be the cause, and would condemn the engine at all
+gateways."""
 
 
 class AttemptRunner:
@@ -153,15 +166,73 @@
         self, placement: Placement, pace: StreamPace | None, seconds: float
     ) -> float | None:
         """Return how many times longer than predicted an answer took, if known."""
+        shares_health = self.view.settings.shares_health
         if pace is None:
-            service = placement.upstream.service
-            slowness = self.view.answer_times.slowness(service, seconds)
-            self.view.answer_times.add(service, seconds)
+            service, times = placement.upstream.service, self.view.answer_times
+            slowness = times.slowness(service, seconds)
+            if shares_health and slowness is not None:
+                # Where durations vary, every other answer would be reported as slow.
+                usual = times.is_usual(service, seconds)
+                slowness = min(1.0, slowness) if usual else slowness
+            times.add(service, seconds)
             return slowness
-        predicted = placement.first_token_seconds
-        if predicted is None or pace.first is None:
+        if shares_health:
+            # Recorded while the stream ran.
             return None
-        return max(0.0, pace.first - FIRST_TOKEN_SLACK_SECONDS) / predicted
+        return first_event_slowness(placement, pace)
+
+    def observe_first_event(self, placement: Placement, pace: StreamPace) -> None:
+        """Record a late first event, unless it may be due to an engine that helped.
+
+        One in time shows nothing: the slack hides how slow an engine reads a short
+        prompt.
+        """
+        if placement.helpers:
+            return
+        slowness = first_event_slowness(placement, pace)
+        if slowness is not None and slowness > 1.0:
+            self.view.observe(
+                placement.upstream.upstream_id,
+                UpstreamOutcome.ANSWERED,
+                min(slowness, MAX_FIRST_EVENT_SLOWNESS),
+                running=True,
+            )
+
+    def engine_model(self, placement: Placement) -> EngineModel | None:
+        """Return the model by which a stream's pauses are judged, if they are."""
+        table = self.view.table
+        if not self.view.settings.shares_health or table is None:
+            return None
+        service = table.services.get(placement.upstream.service)
+        if service is None or placement.work is None:
+            return None
+        return service.engine
+
+    def stream_slowness(
+        self, placement: Placement, model: EngineModel, now: float
+    ) -> StreamSlowness | None:
+        """Start to judge a stream at its first event, if its engine is tracked."""
+        upstream_id = placement.upstream.upstream_id
+        seconds = self.view.engines.usual_pass_seconds(upstream_id, model, now)
+        return None if seconds is None else StreamSlowness(seconds, now)
+
+    def observe_slowness(
+        self,
+        placement: Placement,
+        model: EngineModel,
+        slowness: StreamSlowness,
+        now: float,
+    ) -> None:
+        """Record how slow the engine of a running stream is, if that shows."""
+        upstream_id = placement.upstream.upstream_id
+        seconds = self.view.engines.decode_pass_seconds(
+            upstream_id, model, slowness.last_pause_began, now
+        )
+        estimate = slowness.estimate(seconds, now)
+        if estimate is not None:
+            self.view.observe(
+                upstream_id, UpstreamOutcome.ANSWERED, estimate, running=True
+            )
 
     async def reserve_and_send(
         self, task: AttemptTask, placement: Placement
@@ -312,15 +383,26 @@
         """Forward events as they arrive; only the first attempt's head is sent."""
         splitter = EventSplitter()
         pace = StreamPace(began)
+        model = self.engine_model(placement)
+        slowness: StreamSlowness | None = None
         async for data in connection.body():
             batch = splitter.feed(data)
             if len(splitter.buffer) > MAX_BUFFERED_BYTES:
                 raise connection.lost("read answer", "an event is too long to be held")
             if batch is None:
                 continue
-            if placement.work is not None and pace.first is None:
+            is_first = pace.first is None
+            if placement.work is not None and is_first:
                 self.view.first_token(placement.work.attempt_id)
-            pace.record_event(time.monotonic())
+            now = time.monotonic()
+            pace.record_event(now)
+            if model is not None and is_first:
+                self.observe_first_event(placement, pace)
+                slowness = self.stream_slowness(placement, model, now)
+            elif slowness is not None and slowness.record_events(
+                count_events(batch.data), now
+            ):
+                self.observe_slowness(placement, model, slowness, now)
             connection.max_silence_seconds = (
                 placement.silence_limits.between_events_seconds
             )
@@ -328,6 +410,8 @@
             if batch.last_id is not None:
                 task.delivery.last_event_id = batch.last_id
             await task.responder.write(batch.data)
+            if slowness is not None:
+                slowness.record_taken(time.monotonic())
         self.begin_stream(task, head)
         await task.responder.write(splitter.take_rest())
         await task.responder.end()
@@ -340,6 +424,14 @@
             task.responder.begin(head.status, headers)
 
 
+def first_event_slowness(placement: Placement, pace: StreamPace) -> float | None:
+    """Return how many times longer than predicted the first event took, if known."""
+    predicted = placement.first_token_seconds
+    if predicted is None or pace.first is None:
+        return None
+    return max(0.0, pace.first - FIRST_TOKEN_SLACK_SECONDS) / predicted
+
+
 def not_reserved(memory: ReservedMemory) -> NotReserved:
     """Tell the engines that gave no answer from those that had no memory."""
     missing = [answer for answer in memory.answers if not answer.granted]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
@@ -56,3 +56,8 @@
         if line.startswith(ID_FIELD):
             return line[len(ID_FIELD) :].strip().decode("latin-1")
     return None
+
+
+def count_events(data: bytes) -> int:
+    """Return how many events some complete ones are."""
+    return sum(data.count(mark) for mark in LINE_ENDS)
--- a/tests/cover/gateway_core/test_answer_times.py
+++ b/tests/cover/gateway_core/test_answer_times.py
@@ -34,3 +34,13 @@
 def test_slowness_is_relative_to_the_mean_time():
     learned = times(*[0.1] * 20)
     assert 7.9 < learned.slowness("s", 0.8) < 8.1
+
+
+def test_answers_within_the_usual_spread_are_usual():
+    """Guards against reports of slow upstreams where durations vary."""
+    times = AnswerTimes()
+    for number in range(30):
+        times.add("s", 0.05 if number % 2 else 0.15)
+    assert times.is_usual("s", 0.25)
+    assert not times.is_usual("s", 0.6)
+    assert times.is_usual("unknown", 9.0)
--- a/tests/cover/gateway_core/test_shared_health.py
+++ b/tests/cover/gateway_core/test_shared_health.py
@@ -9,6 +9,7 @@
 from cowslipshelf_core.gateway import (
     ReportsOutcome,
     SharedHealth,
+    StreamSlowness,
     UpstreamCandidate,
     UpstreamHealth,
     UpstreamObservation,
@@ -276,6 +277,65 @@
     assert sum(apart) / 10 >= 12
 
 
+PASS = 0.05
+STREAM_SECONDS = 3.0
+STREAMS_PER_SECOND = 0.7
+
+
+class RunningStream:
+    """Run a stream on an engine whose passes take a time that changes."""
+
+    def __init__(self, owner: SharedHealth, now: float) -> None:
+        self.owner = owner
+        self.ends_at = now + STREAM_SECONDS
+        self.next_at = now + PASS
+        self.slowness = StreamSlowness(PASS, now)
+
+    def advance(self, now: float, factor: float) -> UpstreamObservations | None:
+        """Receive an event if it is due; return what is reported then."""
+        if now < self.next_at:
+            return None
+        self.next_at = now + PASS * factor
+        if not self.slowness.record_events(1, now):
+            return None
+        estimate = self.slowness.estimate(PASS, now)
+        observation = seen(slowness=estimate, running=True)
+        return self.owner.take(now) if self.owner.observe(observation, now) else None
+
+
+def slowness_over_time(slow_from: float, slow_until: float, end: float):
+    """Return the lowest and highest slowness that gateways believe, by time in ms."""
+    gateways = [gateway(f"g-{number}") for number in range(22)]
+    streams: list[RunningStream] = []
+    believed, started = {}, 0
+    for now_ms in range(0, int(end * 1000), 10):
+        now = now_ms / 1000
+        if now >= started / STREAMS_PER_SECOND:
+            streams.append(RunningStream(gateways[started % 22], now))
+            started += 1
+        factor = 3.0 if slow_from <= now < slow_until else 1.0
+        for stream in [each for each in streams if now < each.ends_at]:
+            message = stream.advance(now, factor)
+            for other in gateways if message else ():
+                if other is not stream.owner:
+                    receive(other, stream.owner.own, message, now)
+        known = [each.health.estimate("u-1", now).slowness for each in gateways]
+        believed[now_ms] = min(known), max(known)
+    return believed
+
+
+def test_all_gateways_know_a_slow_engine_in_a_second_and_use_it_again_after_six():
+    """Guards against long prompts that are lost on an engine that others know is slow.
+
+    The engine decodes 0.7 short streams a second and is slow from 10 to 18 s.
+    """
+    believed = slowness_over_time(10.0, 18.0, 25.0)
+    assert believed[9_900][1] < 1.001
+    assert believed[11_100][0] > 1.5
+    assert believed[17_900][0] > 2.0
+    assert believed[24_000][1] < 1.15
+
+
 @given(
     st.lists(
         st.tuples(
