Attribute a refusal to the upstream that it names

The adapter now decodes the address of the upstream at fault from the answer. Its failure or loss is recorded for that upstream, and that one is excluded. If the address belongs to no known upstream, or to one that was already excluded, the upstream that answered is, as before.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
@@ -77,6 +77,8 @@
     """Whether the upstream guarantees that the request did not run."""
     keep_alive_seconds: float | None
     """Time for which the upstream keeps an idle connection open."""
+    at_fault: str | None = None
+    """Address of the upstream that is the reason why the request did not run."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -8,6 +8,7 @@
 from http import HTTPStatus
 
 from cowslipshelf_core.dialect import (
+    AnswerFacts,
     Dialect,
     ForwardFacts,
     Headers,
@@ -20,6 +21,7 @@
     UpstreamOutcome,
     UpstreamStart,
 )
+from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
     AttemptOutcome,
@@ -151,12 +153,16 @@
         """Update the health of the upstream by the outcome of an attempt."""
         upstream_id = placement.upstream.upstream_id
         match outcome:
-            case NotReached() | Broken() | NotRun(HTTPStatus.MISDIRECTED_REQUEST):
+            case NotReached() | Broken():
                 self.view.observe(upstream_id, UpstreamOutcome.LOST)
+            case NotRun(HTTPStatus.MISDIRECTED_REQUEST, at_fault):
+                self.view.observe(at_fault or upstream_id, UpstreamOutcome.LOST)
             case NotReserved(silent=silent):
                 for engine in silent:
                     self.view.observe(engine, UpstreamOutcome.LOST)
-            case FailedThere() | NotRun():
+            case NotRun(_, at_fault):
+                self.view.observe(at_fault or upstream_id, UpstreamOutcome.FAILED)
+            case FailedThere():
                 self.view.observe(upstream_id, UpstreamOutcome.FAILED)
             case Answered(pace=pace):
                 slowness = self.slowness_of(placement, pace, seconds)
@@ -334,7 +340,7 @@
             connection.keep_alive_seconds = facts.keep_alive_seconds
         if facts.not_run:
             await connection.whole_body()
-            return NotRun(head.status)
+            return NotRun(head.status, self.upstream_at_fault(placement, facts))
         if facts.attempt_id != task.facts.attempt_id:
             # This is the late answer to an earlier request on the connection.
             raise connection.lost("match answer", f"answers {facts.attempt_id}")
@@ -346,6 +352,19 @@
         await self.deliver(task, head, body)
         return Answered(head.status)
 
+    def upstream_at_fault(
+        self, placement: Placement, facts: AnswerFacts
+    ) -> UpstreamId | None:
+        """Return the upstream that an answer names as the reason, if it is known."""
+        if facts.at_fault is None:
+            return None
+        service = placement.upstream.service
+        named = self.view.upstreams_at(service, facts.at_fault)
+        used = {placement.upstream.upstream_id}
+        used.update(part.upstream_id for part in placement.helper_parts)
+        first = named[0] if named else None
+        return next((each for each in named if each in used), first)
+
     def outgoing_request(
         self, task: AttemptTask, placement: Placement
     ) -> OutgoingRequest:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -67,6 +67,13 @@
     """Report that the upstream guarantees that it did not run the request."""
 
     status: int
+    at_fault: UpstreamId | None = None
+    """Upstream that is the reason, if the answer names one that is known."""
+
+    @property
+    def detail(self) -> str:
+        """Name the upstream at fault."""
+        return "" if self.at_fault is None else f"at fault: {self.at_fault}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -357,6 +357,17 @@
         """List the upstreams of a service that accept new work."""
         return self.registry.ready_upstreams(service, time.monotonic())
 
+    def upstreams_at(self, service: ServiceName, address: str) -> list[UpstreamId]:
+        """List the upstreams of a service at an address.
+
+        There may be two, since one that crashed is known until it counts as silent.
+        """
+        return [
+            upstream.upstream_id
+            for upstream in self.upstreams_of(service)
+            if upstream.address == address
+        ]
+
     def heartbeat_age(self, upstream: UpstreamHeartbeat) -> float:
         """Return the age of the last heartbeat of an upstream, in seconds."""
         known = self.registry.known.get(upstream.upstream_id)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -252,7 +252,10 @@
             may_retry,
         )
         outcome = await self.runner.run(task, placement._replace(silence_limits=limits))
-        if not isinstance(outcome, NotReserved):
+        at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
+        if at_fault is not None and at_fault not in progress.excluded:
+            progress.excluded.add(at_fault)
+        elif not isinstance(outcome, NotReserved):
             progress.excluded.add(upstream_id)
         match outcome:
             case NotReached():
--- a/tests/cover/adapter/test_wire.py
+++ b/tests/cover/adapter/test_wire.py
@@ -119,6 +119,24 @@
     assert not DIALECT.answer_facts(200, []).not_run
 
 
+@pytest.mark.parametrize(
+    ("status", "not_run", "at_fault"),
+    [
+        (503, True, "10.0.0.2:80"),
+        (421, True, "10.0.0.2:80"),
+        (421, False, "10.0.0.2:80"),
+        (503, False, None),
+        (429, True, None),
+        (200, False, None),
+    ],
+)
+def test_only_a_refusal_names_an_upstream_at_fault(status, not_run, at_fault):
+    """Guards against an upstream that is blamed for an answer that it gave."""
+    headers = [(b"at-server", b"10.0.0.2:80")]
+    headers += [(b"x-not-run", b"1")] if not_run else []
+    assert DIALECT.answer_facts(status, headers).at_fault == at_fault
+
+
 def test_the_idle_time_of_an_upstream_is_decoded():
     facts = DIALECT.answer_facts(200, [(b"keep-alive", b"max=5, timeout=7")])
     assert facts.keep_alive_seconds == 7.0
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -54,8 +54,11 @@
 class FakeConnection:
     """Answer with a head and some body pieces, and optionally break off."""
 
-    def __init__(self, status: int, *pieces: bytes, breaks: bool = False) -> None:
+    def __init__(
+        self, status: int, *pieces: bytes, breaks: bool = False, headers=HEADERS
+    ) -> None:
         self.status = status
+        self.headers = headers
         self.pieces = pieces
         self.breaks = breaks
         self.keep_alive_seconds = None
@@ -66,7 +69,7 @@
         return None
 
     async def head(self) -> UpstreamHead:
-        return UpstreamHead(self.status, HEADERS)
+        return UpstreamHead(self.status, self.headers)
 
     async def body(self):
         for piece in self.pieces:
@@ -172,6 +175,52 @@
     assert view.health.estimate("u-1", time.monotonic()).avoided is avoided
 
 
+def refused_by(
+    status: int, address: bytes, *known: tuple[str, str]
+) -> tuple[NotRun, FleetView]:
+    """Run an attempt that is refused, naming an address; u-2 helps u-1."""
+
+    async def attempt():
+        view = FleetView.from_settings(GATEWAY_SETTINGS)
+        for upstream_id, at in known:
+            view.record_heartbeat(heartbeat(upstream_id, address=at), 0.0)
+        headers = [*HEADERS, (b"x-not-run", b"1"), (b"at-server", address)]
+        pool = FakePool(FakeConnection(status, headers=headers))
+        runner = AttemptRunner(view, pool, MachinesDialect())
+        placed = placement("w-0")
+        helper = EnginePart("u-2", 0.1, 1, decodes=False)
+        work = placed.work._replace(parts=(*placed.work.parts, helper))
+        return await runner.run(task(), placed._replace(work=work)), view
+
+    return asyncio.run(attempt())
+
+
+@pytest.mark.parametrize(("status", "avoided"), [(421, True), (503, False)])
+def test_a_refusal_speaks_against_the_upstream_that_it_names(status, avoided):
+    """Guards against a decoder that is avoided for a helper that is full or gone."""
+    known = ("u-1", "10.0.0.1:80"), ("u-2", "10.0.0.2:80")
+    outcome, view = refused_by(status, b"10.0.0.2:80", *known)
+    now = time.monotonic()
+    assert outcome == NotRun(status, "u-2")
+    assert view.health.estimate("u-1", now) == (1.0, 0.0, False)
+    assert view.health.estimate("u-2", now).failure_rate > 0.2
+    assert view.health.estimate("u-2", now).avoided is avoided
+
+
+def test_a_refusal_that_names_no_known_upstream_speaks_against_its_sender():
+    """Guards against a refusal that counts for nobody, and an endless repetition."""
+    outcome, view = refused_by(503, b"10.9.9.9:80", ("u-1", "10.0.0.1:80"))
+    assert outcome == NotRun(503, None)
+    assert view.health.estimate("u-1", time.monotonic()).failure_rate > 0.2
+
+
+def test_of_two_upstreams_at_an_address_the_one_that_was_used_is_at_fault():
+    """Guards against a new upstream that is avoided for the crashed one before it."""
+    known = ("u-0", "10.0.0.2:80"), ("u-2", "10.0.0.2:80")
+    outcome, _ = refused_by(421, b"10.0.0.2:80", *known)
+    assert outcome.at_fault == "u-2"
+
+
 class HangingConnection(FakeConnection):
     """Accept a request and never answer it."""
 
