Forecast the queue of a slow engine by its slowness

A new part and the passes of an engine were forecast by its slowness, but the parts that already waited there by the model alone, so a prompt was placed behind a queue that took several times its forecast. Where gateways share health, waiting parts take as much longer. Other deployments forecast them as before.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -54,6 +54,8 @@
     surcharge: float = 0.0
     """Cost of using the engine at all, in units of the value of a short prompt's
     answer."""
+    pending_slowness: float = 1.0
+    """Slowness by which the parts that wait there take longer than their model says."""
 
 
 class PromptToPlace(NamedTuple):
@@ -142,7 +144,8 @@
         view.is_decoding,
     )
     pending = [
-        PrefillWork(each.left_seconds, each.left_chunks) for each in view.pending_parts
+        PrefillWork(each.left_seconds * candidate.pending_slowness, each.left_chunks)
+        for each in view.pending_parts
     ]
     return AssessedEngine(candidate, view, pace, pending, forecast(pending, pace))
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -117,6 +117,7 @@
 ) -> Placement | NoPlacement:
     """Choose the engines with the lowest cost."""
     now = time.monotonic()
+    shares_health = view.settings.shares_health
     candidates = []
     for upstream in upstreams:
         health = view.health.estimate(upstream.upstream_id, now)
@@ -128,6 +129,7 @@
                 health.slowness,
                 health.failure_rate,
                 upstream.data_centre,
+                pending_slowness=health.slowness if shares_health else 1.0,
             )
         )
     asked = PromptToPlace(
--- a/tests/cover/gateway_core/test_prompt_placement.py
+++ b/tests/cover/gateway_core/test_prompt_placement.py
@@ -431,3 +431,32 @@
     load.tracker.begin(EngineWork("long", (part,), 15.0, 8.0, 1.0), "g", 0.0)
     chosen = load.place(PromptSize(240_000, 700), 0.2, objective=8.0, pause=1.0)
     assert [part.upstream_id for part in chosen.work.parts] == ["e-1"]
+
+
+def test_a_long_prompt_is_split_among_engines_that_are_not_slow():
+    """Guards against a prompt of which one part waits for an engine at a third."""
+    for seed in range(20):
+        load = Load(engines=24, seed=seed)
+        load.candidates = [
+            EngineCandidate(f"e-{number}", 3.0 if number % 4 == 0 else 1.0)
+            for number in range(24)
+        ]
+        chosen = load.place(PromptSize(250_000, 700), 0.0, objective=4.0, pause=1.0)
+        used = {chosen.upstream_id, *chosen.helpers}
+        slow = {each.upstream_id for each in load.candidates if each.slowness > 1.0}
+        assert not used & slow
+
+
+def test_the_parts_that_wait_on_a_slow_engine_take_longer_too():
+    """Guards against a prompt behind a queue that takes three times its forecast."""
+
+    def first_token_seconds(pending_slowness: float) -> float:
+        load = Load(engines=1)
+        load.place(PromptSize(40_000, 100), 0.0, objective=4.0, pause=1.0)
+        load.candidates = [
+            EngineCandidate("e-0", 3.0, pending_slowness=pending_slowness)
+        ]
+        return load.short(0.001).first_token_seconds
+
+    waiting = prefill_seconds(ENGINE, 40_000)
+    assert first_token_seconds(3.0) - first_token_seconds(1.0) > waiting
