--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -91,6 +91,11 @@
 )
 from cowslipshelf_core.internal.gateway.route_table import RouteTable, choose_service
 from cowslipshelf_core.internal.gateway.routes_fetch import RoutesFetch
+from cowslipshelf_core.internal.gateway.shared_health import (
+    ReportsOutcome,
+    SharedHealth,
+)
+from cowslipshelf_core.internal.gateway.stream_slowness import StreamSlowness
 from cowslipshelf_core.internal.gateway.suspect_request import (
     QuarantineConfig,
     suspect_report_problem,
@@ -145,8 +150,10 @@
     "QuarantineConfig",
     "RegistryConfig",
     "Relayed",
+    "ReportsOutcome",
     "ServiceRetryBudget",
     "ServiceRetryBudgetConfig",
+    "SharedHealth",
     "RequestDigest",
     "RequestQuarantine",
     "Route",
@@ -156,6 +163,7 @@
     "GatewayCustomer",
     "RoutesFetch",
     "ServiceConfiguration",
+    "StreamSlowness",
     "SuspectRequestReport",
     "SuspectRequestsTold",
     "UpstreamExit",
