Record evacuations of data centres in the replicated control state

Operators are to take a data centre out of service by an order that no loss of a leader or of power undoes. PeerAlive has two fields for it at its end, which earlier versions skip.

--- a/packages/core/src/cowslipshelf_core/control.py
+++ b/packages/core/src/cowslipshelf_core/control.py
@@ -18,6 +18,7 @@
     RecordPlan,
     RequestOrder,
     ReturnLoadGrant,
+    SetEvacuation,
 )
 from cowslipshelf_core.internal.control.documents import (
     ChangeDocument,
@@ -32,9 +33,12 @@
     ControlCodecError,
     ControlError,
 )
+from cowslipshelf_core.internal.control.evacuation_register import EvacuationRegister
 from cowslipshelf_core.internal.control.grants import OpenGrant
 from cowslipshelf_core.internal.control.outcomes import (
     ControlOutcome,
+    EvacuationRecorded,
+    EvacuationRefused,
     LoadGranted,
     LoadGrantRefused,
     LoadGrantReturned,
@@ -84,6 +88,9 @@
     "ControlOutcome",
     "ControlState",
     "CustomerDocument",
+    "EvacuationRecorded",
+    "EvacuationRefused",
+    "EvacuationRegister",
     "PlanDraft",
     "FieldChange",
     "LoadGrantRefused",
@@ -112,6 +119,7 @@
     "RouteRegister",
     "RoutesConflict",
     "RoutesHeld",
+    "SetEvacuation",
     "AffectedSubject",
     "WantedDocument",
     "WantedState",
--- a/packages/core/src/cowslipshelf_core/dialect.py
+++ b/packages/core/src/cowslipshelf_core/dialect.py
@@ -5,6 +5,7 @@
     CallerFacts,
     ControlCall,
     Dialect,
+    EvacuateDataCentre,
     ForwardFacts,
     Headers,
     MemoryTicket,
@@ -13,8 +14,10 @@
     PrefillHelper,
     PutConfiguration,
     ReadConfiguration,
+    ReadEvacuations,
     RecordHeartbeat,
     RemoveUpstream,
+    WithdrawEvacuation,
 )
 
 __all__ = [
@@ -22,6 +25,7 @@
     "CallerFacts",
     "ControlCall",
     "Dialect",
+    "EvacuateDataCentre",
     "ForwardFacts",
     "Headers",
     "PrefillHelper",
@@ -29,7 +33,9 @@
     "OutgoingRequest",
     "PutConfiguration",
     "ReadConfiguration",
+    "ReadEvacuations",
     "ParsedConfiguration",
     "RecordHeartbeat",
     "RemoveUpstream",
+    "WithdrawEvacuation",
 ]
--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -21,6 +21,7 @@
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
+from cowslipshelf_core.internal.gateway.known_evacuations import KnownEvacuations
 from cowslipshelf_core.internal.gateway.memory_lease import (
     MemoryLease,
     MemoryLeaseConfig,
@@ -129,6 +130,7 @@
     "HeartbeatsSeen",
     "HeldBack",
     "HeldWork",
+    "KnownEvacuations",
     "KnownPeer",
     "KnownUpstream",
     "ListedSuspect",
--- a/packages/core/src/cowslipshelf_core/internal/control/commands.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/commands.py
@@ -5,6 +5,7 @@
 from cowslipshelf_core.identifiers import (
     ChangeId,
     ConfigurationVersion,
+    DataCentre,
     FencingNumber,
     GrantId,
     InstanceId,
@@ -101,6 +102,18 @@
     document: RoutesDocument
 
 
+class SetEvacuation(Message, frozen=True):
+    """Evacuate a data centre, or withdraw its evacuation."""
+
+    data_centre: DataCentre
+    evacuated: bool
+    known_revision: int = 0
+    """Highest revision of the evacuations that the sender knows.
+
+    It is below the index of this command, unless the log was lost and begun again.
+    """
+
+
 ControlCommand = (
     RecordPlan
     | ConfirmPlan
@@ -110,6 +123,7 @@
     | ReturnLoadGrant
     | RecordMembership
     | PutRoutes
+    | SetEvacuation
     | ClaimAsked
     | ClaimMoved
     | ClaimFinished
--- a/packages/core/src/cowslipshelf_core/internal/control/limits.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/limits.py
@@ -34,4 +34,7 @@
 
 MAX_GRANT_SECONDS = 3_600.0
 
+MAX_EVACUATED_DATA_CENTRES = 64
+"""Every alive message of a gateway lists the evacuated data centres."""
+
 MAX_NAME_CHARACTERS = 128
--- a/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
@@ -120,6 +120,18 @@
     version: ConfigurationVersion
 
 
+class EvacuationRecorded(Message, frozen=True):
+    """Report that an order about an evacuation is in force from a revision on."""
+
+    revision: int
+
+
+class EvacuationRefused(Message, frozen=True):
+    """Report why a data centre can't be evacuated."""
+
+    reason: str
+
+
 ControlOutcome = (
     PlanRecorded
     | PlanRefused
@@ -135,6 +147,8 @@
     | MembershipRecorded
     | RoutesHeld
     | RoutesConflict
+    | EvacuationRecorded
+    | EvacuationRefused
     | ClaimGranted
     | ClaimHeld
     | ClaimRefused
--- a/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/snapshots.py
@@ -9,7 +9,12 @@
 from cowslipshelf_core.internal.control.grants import OpenGrant
 from cowslipshelf_core.internal.control.orders import OrderSlot
 from cowslipshelf_core.internal.control.route_register import NO_ROUTES
-from cowslipshelf_core.messages import Message, RoutesDocument
+from cowslipshelf_core.messages import (
+    NO_EVACUATIONS,
+    EvacuationState,
+    Message,
+    RoutesDocument,
+)
 
 SNAPSHOT_FORMAT = 1
 
@@ -39,6 +44,8 @@
     audit: tuple[AuditRecord, ...]
     routes: RoutesDocument = NO_ROUTES
     """Absent from snapshots written before replicas stored routes."""
+    evacuations: EvacuationState = NO_EVACUATIONS
+    """Absent from snapshots written before replicas stored evacuations."""
 
 
 SNAPSHOT_DECODER = msgspec.msgpack.Decoder(ControlSnapshot)
--- a/packages/core/src/cowslipshelf_core/internal/control/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/state.py
@@ -27,12 +27,16 @@
     RecordPlan,
     RequestOrder,
     ReturnLoadGrant,
+    SetEvacuation,
 )
 from cowslipshelf_core.internal.control.errors import AppliedOutOfOrderError
+from cowslipshelf_core.internal.control.evacuation_register import EvacuationRegister
 from cowslipshelf_core.internal.control.grants import LoadGrants, OpenGrant
 from cowslipshelf_core.internal.control.orders import OrderTable
 from cowslipshelf_core.internal.control.outcomes import (
     ControlOutcome,
+    EvacuationRecorded,
+    EvacuationRefused,
     LoadGranted,
     MembershipRecorded,
     OrderClosed,
@@ -56,6 +60,8 @@
 
 ROUTES_OPERATOR = OperatorName("routes")
 """Operator in the audit trail of commands that don't name one."""
+EVACUATION_OPERATOR = OperatorName("evacuation")
+"""Operator in the audit trail of evacuations, whose orders don't name one."""
 
 
 class ChangeExplanation(NamedTuple):
@@ -85,6 +91,7 @@
     grants: LoadGrants = field(default_factory=LoadGrants)
     audit_trail: AuditTrail = field(default_factory=AuditTrail)
     routes: RouteRegister = field(default_factory=RouteRegister)
+    evacuations: EvacuationRegister = field(default_factory=EvacuationRegister)
 
     @property
     def configuration(self) -> FleetConfiguration:
@@ -128,6 +135,8 @@
                 return self.record_membership(command)
             case PutRoutes():
                 return self.put_routes(command)
+            case SetEvacuation():
+                return self.set_evacuation(command)
 
     def record_plan(self, command: RecordPlan) -> ControlOutcome:
         """Record a plan without applying it."""
@@ -224,6 +233,19 @@
             self.add_audit_record(ROUTES_OPERATOR, "put_routes", None, detail)
         return outcome
 
+    def set_evacuation(
+        self, command: SetEvacuation
+    ) -> EvacuationRecorded | EvacuationRefused:
+        """Evacuate a data centre, or withdraw its evacuation."""
+        before = self.evacuations.state
+        outcome = self.evacuations.set(command, self.applied_index)
+        if self.evacuations.state != before:
+            action = "evacuate" if command.evacuated else "withdraw_evacuation"
+            self.add_audit_record(
+                EVACUATION_OPERATOR, action, None, command.data_centre
+            )
+        return outcome
+
     def add_audit_record(
         self,
         operator: OperatorName,
@@ -297,6 +319,7 @@
             grants_filled_at=self.grants.filled_at,
             audit=tuple(self.audit_trail.records),
             routes=self.routes.document,
+            evacuations=self.evacuations.state,
         )
         return msgspec.msgpack.encode(snapshot)
 
@@ -318,4 +341,5 @@
         state.grants.filled_at = snapshot.grants_filled_at
         state.audit_trail.restore(snapshot.audit)
         state.routes.document = snapshot.routes
+        state.evacuations.state = snapshot.evacuations
         return state
--- a/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
@@ -10,7 +10,12 @@
 
 from result import Result
 
-from cowslipshelf_core.identifiers import CustomerName, UpstreamId, UpstreamName
+from cowslipshelf_core.identifiers import (
+    CustomerName,
+    DataCentre,
+    UpstreamId,
+    UpstreamName,
+)
 from cowslipshelf_core.internal.gateway.configuration import RouteConfiguration
 from cowslipshelf_core.internal.gateway.prompt_cost import PromptSize
 from cowslipshelf_core.internal.gateway.registry import UpstreamHeartbeat
@@ -103,7 +108,34 @@
     name: UpstreamName
 
 
-ControlCall = PutConfiguration | ReadConfiguration | RecordHeartbeat | RemoveUpstream
+@dataclass(frozen=True, slots=True)
+class EvacuateDataCentre:
+    """Request that nothing more be sent to the upstreams of a data centre."""
+
+    data_centre: DataCentre
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawEvacuation:
+    """Request that the upstreams of a data centre be used again."""
+
+    data_centre: DataCentre
+
+
+@dataclass(frozen=True, slots=True)
+class ReadEvacuations:
+    """Request the names of the evacuated data centres."""
+
+
+ControlCall = (
+    PutConfiguration
+    | ReadConfiguration
+    | RecordHeartbeat
+    | RemoveUpstream
+    | EvacuateDataCentre
+    | WithdrawEvacuation
+    | ReadEvacuations
+)
 
 
 class ParsedConfiguration(NamedTuple):
@@ -140,6 +172,9 @@
         the reason why the body is invalid.
         """
 
+    def evacuations_body(self, data_centres: tuple[DataCentre, ...]) -> bytes:
+        """Encode the answer that lists the evacuated data centres."""
+
     def caller_facts(self, headers: Headers) -> CallerFacts:
         """Decode the headers of a caller's request."""
 
--- a/packages/core/src/cowslipshelf_core/internal/gateway/peer_table.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/peer_table.py
@@ -17,7 +17,7 @@
     Epoch,
     InstanceId,
 )
-from cowslipshelf_core.messages import PeerAlive
+from cowslipshelf_core.messages import NO_EVACUATIONS, EvacuationState, PeerAlive
 
 MAX_REPLICAS_IN_MEMORY = 9
 """Replicas in a fleet without disks: four may be lost at once, and a change still waits
@@ -201,6 +201,7 @@
         routes_bytes: int,
         work_number: int,
         with_peers: bool,
+        evacuations: EvacuationState = NO_EVACUATIONS,
     ) -> PeerAlive:
         """Build the alive message of this gateway."""
         peers = (peer for peer, known in self.known.items() if known.alive)
@@ -213,6 +214,8 @@
             work_number,
             routes_bytes,
             self.holds_replica and not self.config.has_disk,
+            evacuations.revision,
+            evacuations.data_centres,
         )
 
     def forget_old(self, now: float) -> list[InstanceId]:
--- a/packages/core/src/cowslipshelf_core/messages.py
+++ b/packages/core/src/cowslipshelf_core/messages.py
@@ -96,6 +96,21 @@
     """Size of its configuration as it is sent, in bytes."""
     replica_in_memory: bool = False
     """Whether its replica is kept only in memory, and lost when its process ends."""
+    evacuation_revision: int = 0
+    """Revision of the evacuations that it knows."""
+    evacuated: tuple[DataCentre, ...] = ()
+    """Data centres that are evacuated at that revision."""
+
+
+class EvacuationState(Message, frozen=True):
+    """Hold the evacuated data centres at one revision, from a gateway's replica."""
+
+    revision: int
+    """Log index of the last change; the highest revision is in force."""
+    data_centres: tuple[DataCentre, ...]
+
+
+NO_EVACUATIONS = EvacuationState(0, ())
 
 
 # Distribution of the configuration.
