Send nothing to the upstreams of an evacuated data centre

A replica reports evacuations to its gateway, and alive messages carry them to the others, where the highest revision is in force. Upstreams of an evacuated data centre are no candidates for any attempt, a request that was placed before is checked once more before it is sent, and a service whose upstreams are all evacuated refuses at once. Operators send the orders to the control address of any gateway.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -115,8 +115,9 @@
         self.read_count = 0
 
     def on_start(self) -> None:
-        """Publish the configuration and the routes of the stored snapshot."""
+        """Publish the configuration, evacuations and routes of the stored snapshot."""
         self.publish_configuration()
+        self.publish_evacuations()
         self.publish_routes()
 
     def on_receive(self, message: Any) -> None:
@@ -194,8 +195,12 @@
         if failure is not None:
             effects = self.fail_replica(effects, failure)
         routes_before = self.state.routes.document.version
+        evacuations_before = self.state.evacuations.state
         for effect in effects:
             self.perform(effect)
+        # Before the routes: a gateway that just started serves from their arrival on.
+        if self.state.evacuations.state != evacuations_before:
+            self.publish_evacuations()
         # Once for a batch: a replica that starts applies its whole log at once, and
         # all configurations in it but the last would be decoded in vain.
         if self.state.routes.document.version != routes_before:
@@ -373,6 +378,13 @@
             Delivered(self.messenger.instance, self.messenger.address, snapshot)
         )
 
+    def publish_evacuations(self) -> None:
+        """Send the applied evacuations to this process's view."""
+        state = self.state.evacuations.state
+        self.configuration.tell(
+            Delivered(self.messenger.instance, self.messenger.address, state)
+        )
+
     def publish_configuration(self) -> None:
         """Send the applied configuration to this process's view."""
         snapshot = ConfigurationSnapshot(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -138,6 +138,8 @@
         """Update the health of the upstream by the outcome of an attempt."""
         upstream_id = placement.upstream.upstream_id
         match outcome:
+            case NotReached(evacuated=True):
+                pass
             case NotReached() | Broken() | NotRun(HTTPStatus.MISDIRECTED_REQUEST):
                 self.view.observe(upstream_id, UpstreamOutcome.LOST)
             case NotReserved(silent=silent):
@@ -187,6 +189,13 @@
             )
         except UpstreamLostError as error:
             return NotReached(str(error))
+        # Reserving memory and connecting take up to seconds, in which an evacuation may
+        # become known.
+        helpers = (part.upstream_id for part in placement.helper_parts)
+        evacuated = self.view.evacuated_among(upstream, helpers)
+        if evacuated is not None:
+            connection.abort()
+            return NotReached(f"{evacuated} is evacuated", evacuated=True)
         kept = False
         memory.on_expiry = connection.drop
         try:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -45,6 +45,8 @@
     """Report that no byte of the request reached the upstream."""
 
     detail: str
+    evacuated: bool = False
+    """Whether it was not sent because of an evacuation, so that nothing was lost."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -5,24 +5,30 @@
 from result import Err, Ok, Result
 
 from cowslipshelf_core.control import (
+    EvacuationRecorded,
+    EvacuationRefused,
     PutRoutes,
     RouteRegister,
     RoutesConflict,
     RoutesHeld,
+    SetEvacuation,
 )
 from cowslipshelf_core.dialect import (
     Dialect,
+    EvacuateDataCentre,
     PutConfiguration,
     ReadConfiguration,
+    ReadEvacuations,
     RecordHeartbeat,
     RemoveUpstream,
+    WithdrawEvacuation,
 )
 from cowslipshelf_core.gateway import (
     UpstreamHeartbeat,
     compress_configuration,
     decompress_configuration,
 )
-from cowslipshelf_core.identifiers import UpstreamName
+from cowslipshelf_core.identifiers import DataCentre, UpstreamName
 from cowslipshelf_core.messages import RoutesDocument
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
@@ -49,7 +55,7 @@
 
 
 class ControlHandler:
-    """Serve configuration changes and reads, and heartbeats of upstreams."""
+    """Serve configuration changes and reads, evacuations, and upstream heartbeats."""
 
     def __init__(
         self,
@@ -77,6 +83,12 @@
                 await self.record_heartbeat(name, request, responder)
             case RemoveUpstream(name):
                 await self.remove_upstream(name, request, responder)
+            case EvacuateDataCentre(name):
+                await self.set_evacuation(name, True, responder)
+            case WithdrawEvacuation(name):
+                await self.set_evacuation(name, False, responder)
+            case ReadEvacuations():
+                await self.read_evacuations(responder)
             case None:
                 await responder.respond(UNKNOWN, [])
 
@@ -169,6 +181,57 @@
                 )
                 await responder.respond(UNAVAILABLE, [])
 
+    async def set_evacuation(
+        self, data_centre: DataCentre, evacuated: bool, responder: Responder
+    ) -> None:
+        """Submit an order about an evacuation and answer with the outcome.
+
+        It goes through the log even if it asks for what is in force here, since this
+        gateway may not know of a later order yet.
+        """
+        if not self.is_known(data_centre):
+            problem = f"the settings name no data centre {data_centre}"
+            LOG.warning("Evacuation refused.", reason=problem, evacuated=evacuated)
+            await responder.respond(UNKNOWN, [], problem.encode())
+            return
+        known = self.view.evacuations.state.revision
+        outcome = await self.client.change(SetEvacuation(data_centre, evacuated, known))
+        body = b""
+        match outcome:
+            case EvacuationRecorded():
+                status, body = DONE, b"{}"
+            case EvacuationRefused(reason=reason):
+                status, body = CONFLICT, reason.encode()
+            case _:
+                status = UNAVAILABLE
+        LOG.info(
+            "Evacuation answered.",
+            data_centre=data_centre,
+            evacuated=evacuated,
+            status=status,
+            outcome=type(outcome).__name__,
+            revision=getattr(outcome, "revision", None),
+            known=known,
+            detail=getattr(outcome, "detail", ""),
+        )
+        headers = [JSON] if status == DONE else []
+        await responder.respond(status, headers, body)
+
+    def is_known(self, data_centre: DataCentre) -> bool:
+        """Return whether an order may name a data centre.
+
+        One that was removed from the settings while evacuated can still be withdrawn.
+        """
+        named = self.view.settings.data_centres
+        evacuated = self.view.evacuations.data_centres
+        return not named or data_centre in named or data_centre in evacuated
+
+    async def read_evacuations(self, responder: Responder) -> None:
+        """Answer with the data centres that this gateway assumes to be evacuated."""
+        data_centres = self.view.evacuations.state.data_centres
+        body = self.dialect.evacuations_body(data_centres)
+        await responder.respond(DONE, [JSON], body)
+
     async def record_heartbeat(
         self, name: UpstreamName, request: HttpRequest, responder: Responder
     ) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -15,6 +15,7 @@
     EngineWork,
     HeartbeatSeen,
     HeartbeatsSeen,
+    KnownEvacuations,
     KnownUpstream,
     PeerTable,
     PeerTableConfig,
@@ -34,13 +35,14 @@
 )
 from cowslipshelf_core.identifiers import (
     AttemptId,
+    DataCentre,
     Epoch,
     InstanceId,
     ServiceName,
     UpstreamId,
     UpstreamName,
 )
-from cowslipshelf_core.messages import RoutesDocument
+from cowslipshelf_core.messages import EvacuationState, RoutesDocument
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_host.logs import part_logger
@@ -71,13 +73,15 @@
     engines: EngineTracker = field(default_factory=EngineTracker)
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
+    evacuations: KnownEvacuations = field(default_factory=KnownEvacuations)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
     random: Random = field(default_factory=Random)
     table: RouteTable | None = None
     document: RoutesDocument = NO_DOCUMENT
     changed: asyncio.Event = field(default_factory=asyncio.Event)
-    """Set and replaced when a configuration comes into force or an upstream changes."""
+    """Set and replaced when a configuration comes into force, an upstream changes, or
+    the evacuations change."""
 
     @classmethod
     def from_settings(cls, settings: GatewaySettings) -> Self:
@@ -133,6 +137,25 @@
         )
         return True
 
+    def apply_evacuations(self, source: InstanceId, reported: EvacuationState) -> bool:
+        """Put evacuations of a higher revision in force; return whether it is higher.
+
+        Requests that run in a data centre that is now evacuated run to completion.
+        """
+        before = self.evacuations.state
+        if not self.evacuations.merge(reported):
+            return False
+        self.notify_waiters()
+        LOG.info(
+            "Evacuations changed.",
+            revision=reported.revision,
+            before=before.revision,
+            evacuated=reported.data_centres,
+            evacuated_before=before.data_centres,
+            peer=source,
+        )
+        return True
+
     def is_behind(self) -> bool:
         """Return whether another gateway has a newer configuration than this one."""
         now = time.monotonic()
@@ -292,8 +315,28 @@
         self.on_work_changed(WorkChanged(ended=(attempt_id,)))
 
     def upstreams_of(self, service: ServiceName) -> list[UpstreamHeartbeat]:
-        """List the upstreams of a service that accept new work."""
-        return self.registry.ready_upstreams(service, time.monotonic())
+        """List the upstreams of a service that accept new work and may be used."""
+        ready = self.registry.ready_upstreams(service, time.monotonic())
+        evacuated = self.evacuations.data_centres
+        return [each for each in ready if each.data_centre not in evacuated]
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Return whether all upstreams of a service are in evacuated data centres."""
+        if not self.evacuations.data_centres or self.upstreams_of(service):
+            return False
+        return bool(self.registry.ready_upstreams(service, time.monotonic()))
+
+    def evacuated_among(
+        self, upstream: UpstreamHeartbeat, helpers: Iterable[UpstreamId]
+    ) -> DataCentre | None:
+        """Return an evacuated data centre that a placed request would use, or None."""
+        evacuated = self.evacuations.data_centres
+        if not evacuated:
+            return None
+        known = map(self.registry.known.get, helpers)
+        used = [upstream, *(each.heartbeat for each in known if each is not None)]
+        found = (each.data_centre for each in used if each.data_centre in evacuated)
+        return next(found, None)
 
     def heartbeat_age(self, upstream: UpstreamHeartbeat) -> float:
         """Return the age of the last heartbeat of an upstream, in seconds."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -21,6 +21,7 @@
 )
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.messages import (
+    EvacuationState,
     FetchRoutes,
     Message,
     PeerAlive,
@@ -73,6 +74,7 @@
     ) -> None:
         self.view = view
         self.messenger = messenger
+        self.metrics = metrics
         self.heartbeats: set[UpstreamId] = set()
         """Upstreams whose heartbeats wait to be sent."""
         self.urgent_upstreams: RetransmitQueue[UpstreamId] = RetransmitQueue()
@@ -137,7 +139,11 @@
         """Return the alive message of this gateway."""
         held = self.view.document
         return self.view.peers.alive_message(
-            held.version, len(held.body), self.work_number, with_peers
+            held.version,
+            len(held.body),
+            self.work_number,
+            with_peers,
+            self.view.evacuations.state,
         )
 
     def forward_heartbeat(self, heartbeat: UpstreamHeartbeat, urgent: bool) -> None:
@@ -274,6 +280,8 @@
                 self.send_work_snapshot(delivered.sender)
             case FetchRoutes() as query:
                 self.routes.answer(delivered.sender_address, query)
+            case EvacuationState() as reported:
+                self.apply_evacuations(delivered.sender, reported)
             case RoutesSnapshot() as snapshot:
                 self.routes.receive_snapshot(delivered.sender, snapshot)
 
@@ -290,6 +298,15 @@
                 self.work_gaps.record_change(origin, number)
                 self.view.record_work(origin, message)
 
+    def apply_evacuations(self, source: InstanceId, reported: EvacuationState) -> None:
+        """Put newer evacuations in force, and announce them at once."""
+        if not self.view.apply_evacuations(source, reported):
+            return
+        self.metrics.gauge(
+            "cowslipshelf_evacuated_data_centres", len(reported.data_centres)
+        )
+        self.send_alive()
+
     def relay(self, sender: InstanceId, relayed: Relayed) -> None:
         """Relay a message to the gateways of this data centre."""
         onward = Relayed(relayed.origin, relayed.message, False)
@@ -301,6 +318,10 @@
         """Record that a gateway is alive; fetch its configuration if newer."""
         now = time.monotonic()
         sender = delivered.sender
+        # Before its configuration, since a gateway serves from the first one on.
+        self.apply_evacuations(
+            sender, EvacuationState(alive.evacuation_revision, alive.evacuated)
+        )
         news = self.view.peers.record_alive(sender, alive, now)
         if news is PeerChange.RESTARTED:
             self.view.engines.forget_owner(sender, now)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -78,6 +78,8 @@
     upstreams = [each for each in known if each.upstream_id not in excluded]
     if not upstreams:
         reason = "every upstream was tried" if known else "no upstream is known"
+        if view.is_evacuated(service):
+            reason = "every upstream is evacuated"
         return NoPlacement(reason, RETRY_AFTER_SECONDS)
     model = view.table.services[service].engine
     if model is not None and facts.prompt is not None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -216,13 +216,18 @@
     async def wait_for_upstream(
         self, service: ServiceName, left: float, progress: RequestProgress
     ) -> bool:
-        """Wait, once per request, until an upstream of the service is known."""
-        if progress.waited or self.view.upstreams_of(service):
+        """Wait, once per request, until an upstream of the service is known.
+
+        If the known ones are evacuated, waiting would only delay the refusal.
+        """
+        view = self.view
+        if progress.waited or view.upstreams_of(service) or view.is_evacuated(service):
             return False
         progress.waited = True
         seconds = min(STARTUP_WAIT_SECONDS, left * MAX_WAIT_SHARE)
-        return await self.view.wait_until(
-            lambda: bool(self.view.upstreams_of(service)), seconds
+        return await view.wait_until(
+            lambda: bool(view.upstreams_of(service)) or view.is_evacuated(service),
+            seconds,
         )
 
     def may_retry(self, service: ServiceName) -> bool:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -47,6 +47,8 @@
     crossing_cost: float = 0.0
     """Cost of an answer that crosses data centres, in units of the value of a short
     prompt's answer; zero if the distance does not matter."""
+    data_centres: tuple[DataCentre, ...] = ()
+    """Data centres of the deployment; empty if the settings don't list them."""
 
     @property
     def holds_replica(self) -> bool:
