--- a/tests/common/gateway_requests.py
+++ b/tests/common/gateway_requests.py
@@ -33,14 +33,15 @@
 
 
 class RecordedAnswer:
-    """Record the status and headers of a refusal."""
+    """Record an answer of the gateway itself."""
 
     begun = False
     status: int | None = None
     headers: dict[bytes, bytes] = {}
+    body = b""
 
     async def respond(self, status, headers, body=b"") -> None:
-        self.status, self.headers = status, dict(headers)
+        self.status, self.headers, self.body = status, dict(headers), body
 
 
 class GatewayWithFakeRunner:
--- a/tests/common/scripted_upstream.py
+++ b/tests/common/scripted_upstream.py
@@ -93,6 +93,7 @@
     sequence: int = 0
     born: int | None = None
     """Reported start time, as Unix time in milliseconds, or None."""
+    zone: str = "here"
 
     def __post_init__(self) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -142,7 +143,7 @@
         return started | {
             "service": self.service,
             "address": self.address,
-            "zone": "here",
+            "zone": self.zone,
             "version": "v1",
             "slots": 4,
             "state": state,
--- a/tests/cover/adapter/test_machine_settings.py
+++ b/tests/cover/adapter/test_machine_settings.py
@@ -15,6 +15,9 @@
 data_dir = "/data/my-front"
 heartbeat_ms = 1200
 field_of_tomorrow = 1
+[zones]
+maadi = "10.1.0.0/16"
+zeitoun = "10.2.0.0/16"
 [listen]
 front = "10.1.0.40:8227"
 ready = "10.1.0.40:8220"
@@ -41,6 +44,7 @@
     settings = source.load().unwrap()
     assert settings.instance == "10.1.0.40"
     assert settings.data_centre == "maadi"
+    assert settings.data_centres == ("maadi", "zeitoun")
     assert settings.peer_address("10.2.0.29") == "10.2.0.29:7340"
     assert settings.seeds == ("10.1.0.40", "10.2.0.29")
     assert settings.first_start
--- a/tests/cover/adapter/test_wire.py
+++ b/tests/cover/adapter/test_wire.py
@@ -8,13 +8,16 @@
 
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import (
+    EvacuateDataCentre,
     ForwardFacts,
     MemoryTicket,
     PrefillHelper,
     PutConfiguration,
     ReadConfiguration,
+    ReadEvacuations,
     RecordHeartbeat,
     RemoveUpstream,
+    WithdrawEvacuation,
 )
 from cowslipshelf_core.gateway import PromptSize
 
@@ -131,6 +134,12 @@
         ("GET", "/api/config", ReadConfiguration()),
         ("PUT", "/api/runners/i-1", RecordHeartbeat("i-1")),
         ("DELETE", "/api/runners/i-1", RemoveUpstream("i-1")),
+        ("POST", "/api/evac/west-1", EvacuateDataCentre("west-1")),
+        ("DELETE", "/api/evac/west-1", WithdrawEvacuation("west-1")),
+        ("GET", "/api/evac", ReadEvacuations()),
+        ("POST", "/api/evac/", None),
+        ("POST", "/api/evac/a/b", None),
+        ("PUT", "/api/evac/west-1", None),
         ("PUT", "/api/runners/", None),
         ("POST", "/api/config", None),
         ("GET", "/else", None),
--- /dev/null
+++ b/tests/cover/control/test_evacuations.py
@@ -0,0 +1,63 @@
+"""Check the register of evacuated data centres in the replicated control state."""
+
+import msgspec
+import pytest
+
+from cowslipshelf_core.control import (
+    ControlState,
+    EvacuationRecorded,
+    EvacuationRefused,
+    SetEvacuation,
+)
+from cowslipshelf_core.messages import NO_EVACUATIONS, EvacuationState
+
+
+def state_after(*orders: tuple[str, bool]) -> ControlState:
+    """Apply orders from log index 1 on."""
+    state = ControlState()
+    for index, (name, evacuated) in enumerate(orders, 1):
+        state.apply(SetEvacuation(name, evacuated), index, 0.0)
+    return state
+
+
+@pytest.mark.parametrize(
+    ("orders", "held", "audited"),
+    [
+        ([("b", True), ("a", True)], EvacuationState(2, ("a", "b")), 2),
+        ([("a", True), ("a", False)], EvacuationState(2, ()), 2),
+        ([("a", True), ("a", True)], EvacuationState(1, ("a",)), 1),
+        ([("a", False)], NO_EVACUATIONS, 0),
+    ],
+)
+def test_only_a_change_has_a_new_revision_and_an_audit_record(orders, held, audited):
+    """Guards against resent orders that are refused or that look like a change."""
+    state = state_after(*orders)
+    assert state.evacuations.state == held
+    assert len(state.audit(0, 10)) == audited
+    again = state.apply(SetEvacuation(*orders[-1]), 9, 0.0)
+    assert again == EvacuationRecorded(held.revision)
+
+
+def test_snapshots_keep_evacuations_and_may_come_from_before_them():
+    """Guards against an evacuation lost with the log that a snapshot replaces."""
+    state = state_after(("a", True))
+    data = state.to_snapshot()
+    assert ControlState.from_snapshot(data).evacuations == state.evacuations
+    older = msgspec.msgpack.encode(msgspec.msgpack.decode(data)[:-1])
+    assert ControlState.from_snapshot(older).evacuations.state == NO_EVACUATIONS
+
+
+def test_a_log_that_begins_again_continues_the_revisions_that_gateways_know():
+    """Guards against orders that gateways ignore after the loss of all replicas."""
+    state = ControlState()
+    for index, expected in ((1, 501), (2, 502)):
+        order = SetEvacuation(f"a-{index}", True, known_revision=500)
+        assert state.apply(order, index, 0.0) == EvacuationRecorded(expected)
+
+
+def test_the_number_of_evacuated_data_centres_is_limited():
+    """Guards against alive messages that grow with every name anybody sends."""
+    state = state_after(*((f"a-{number}", True) for number in range(64)))
+    refused = state.apply(SetEvacuation("more", True), 65, 0.0)
+    assert isinstance(refused, EvacuationRefused)
+    assert len(state.evacuations.state.data_centres) == 64
