Keep late copies of an order from undoing a later evacuation

A proposal may be committed more than once, and one that an operator gave up on may be committed seconds later. The register does not apply one that would change anything but was sent before the last change; a gateway whose operator still waits submits it again.

--- a/packages/core/src/cowslipshelf_core/control.py
+++ b/packages/core/src/cowslipshelf_core/control.py
@@ -37,6 +37,7 @@
 from cowslipshelf_core.internal.control.grants import OpenGrant
 from cowslipshelf_core.internal.control.outcomes import (
     ControlOutcome,
+    EvacuationOutdated,
     EvacuationRecorded,
     EvacuationRefused,
     LoadGranted,
@@ -88,6 +89,7 @@
     "ControlOutcome",
     "ControlState",
     "CustomerDocument",
+    "EvacuationOutdated",
     "EvacuationRecorded",
     "EvacuationRefused",
     "EvacuationRegister",
--- a/packages/core/src/cowslipshelf_core/internal/control/commands.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/commands.py
@@ -108,9 +108,10 @@
     data_centre: DataCentre
     evacuated: bool
     known_revision: int = 0
-    """Highest revision of the evacuations that the sender knows.
+    """Highest revision of the evacuations that the sender knew when it sent this.
 
-    It is below the index of this command, unless the log was lost and begun again.
+    A copy of the command that arrives late is recognised by it; see
+    `EvacuationRegister.set`.
     """
 
 
--- a/packages/core/src/cowslipshelf_core/internal/control/evacuation_register.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/evacuation_register.py
@@ -5,6 +5,7 @@
 from cowslipshelf_core.internal.control.commands import SetEvacuation
 from cowslipshelf_core.internal.control.limits import MAX_EVACUATED_DATA_CENTRES
 from cowslipshelf_core.internal.control.outcomes import (
+    EvacuationOutdated,
     EvacuationRecorded,
     EvacuationRefused,
 )
@@ -19,9 +20,13 @@
 
     def set(
         self, command: SetEvacuation, index: int
-    ) -> EvacuationRecorded | EvacuationRefused:
+    ) -> EvacuationRecorded | EvacuationOutdated | EvacuationRefused:
         """Apply an order; one that asks for what is in force changes nothing.
 
+        A command may be committed more than once, seconds later. A late copy must not
+        undo the orders acknowledged since, so an order whose sender did not know the
+        present revision is not applied; a sender that still waits submits it again.
+
         The revision is the log index of the change. Gateways ignore a revision below
         the one that they know, so it exceeds that one even if the log was lost and its
         indexes begin again.
@@ -36,7 +41,9 @@
                 f"{MAX_EVACUATED_DATA_CENTRES} data centres are evacuated already"
             )
         data_centres = tuple(sorted(names))
-        known = max(self.state.revision, command.known_revision)
-        if known > self.state.revision or data_centres != self.state.data_centres:
+        known, changed = command.known_revision, data_centres != self.state.data_centres
+        if changed and known < self.state.revision:
+            return EvacuationOutdated(self.state.revision)
+        if changed or known > self.state.revision:
             self.state = EvacuationState(max(index, known + 1), data_centres)
         return EvacuationRecorded(self.state.revision)
--- a/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
@@ -126,6 +126,13 @@
     revision: int
 
 
+class EvacuationOutdated(Message, frozen=True):
+    """Report that an order changed nothing, since a later change came before it."""
+
+    revision: int
+    """Revision that a sender must know to submit the order again."""
+
+
 class EvacuationRefused(Message, frozen=True):
     """Report why a data centre can't be evacuated."""
 
@@ -148,6 +155,7 @@
     | RoutesHeld
     | RoutesConflict
     | EvacuationRecorded
+    | EvacuationOutdated
     | EvacuationRefused
     | ClaimGranted
     | ClaimHeld
--- a/packages/core/src/cowslipshelf_core/internal/control/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/state.py
@@ -35,8 +35,6 @@
 from cowslipshelf_core.internal.control.orders import OrderTable
 from cowslipshelf_core.internal.control.outcomes import (
     ControlOutcome,
-    EvacuationRecorded,
-    EvacuationRefused,
     LoadGranted,
     MembershipRecorded,
     OrderClosed,
@@ -233,9 +231,7 @@
             self.add_audit_record(ROUTES_OPERATOR, "put_routes", None, detail)
         return outcome
 
-    def set_evacuation(
-        self, command: SetEvacuation
-    ) -> EvacuationRecorded | EvacuationRefused:
+    def set_evacuation(self, command: SetEvacuation) -> ControlOutcome:
         """Evacuate a data centre, or withdraw its evacuation."""
         before = self.evacuations.state
         outcome = self.evacuations.set(command, self.applied_index)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -5,6 +5,8 @@
 from result import Err, Ok, Result
 
 from cowslipshelf_core.control import (
+    ControlOutcome,
+    EvacuationOutdated,
     EvacuationRecorded,
     EvacuationRefused,
     PutRoutes,
@@ -23,6 +25,7 @@
     RemoveUpstream,
     WithdrawEvacuation,
 )
+from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.gateway import (
     UpstreamHeartbeat,
     compress_configuration,
@@ -50,6 +53,9 @@
 """Largest compressed configuration: a message between gateways has at most 4 MiB.
 Larger ones were dropped silently on the way, and the operator was told that no replica
 answered. It holds some 150,000 routes of 21 bytes each, compressed."""
+MAX_EVACUATION_SUBMISSIONS = 4
+"""Times that an order about an evacuation is submitted: once more for each change that
+this gateway has not heard of and that is committed meanwhile."""
 MAX_LOGGED_PATH_CHARACTERS = 120
 """Characters of a refused call's path that are logged; anybody may send any path."""
 
@@ -194,8 +200,7 @@
             LOG.warning("Evacuation refused.", reason=problem, evacuated=evacuated)
             await responder.respond(UNKNOWN, [], problem.encode())
             return
-        known = self.view.evacuations.state.revision
-        outcome = await self.client.change(SetEvacuation(data_centre, evacuated, known))
+        outcome = await self.submit_evacuation(data_centre, evacuated)
         body = b""
         match outcome:
             case EvacuationRecorded():
@@ -211,12 +216,27 @@
             status=status,
             outcome=type(outcome).__name__,
             revision=getattr(outcome, "revision", None),
-            known=known,
             detail=getattr(outcome, "detail", ""),
         )
         headers = [JSON] if status == DONE else []
         await responder.respond(status, headers, body)
 
+    async def submit_evacuation(
+        self, data_centre: DataCentre, evacuated: bool
+    ) -> ControlOutcome | Refusal | None:
+        """Commit an order, again if this gateway did not know the latest change.
+
+        An operator that gave up has closed its connection, which ends this.
+        """
+        known = self.view.evacuations.state.revision
+        for _ in range(MAX_EVACUATION_SUBMISSIONS):
+            command = SetEvacuation(data_centre, evacuated, known)
+            outcome = await self.client.change(command)
+            if not isinstance(outcome, EvacuationOutdated):
+                break
+            known = outcome.revision
+        return outcome
+
     def is_known(self, data_centre: DataCentre) -> bool:
         """Return whether an order may name a data centre.
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -218,10 +218,10 @@
     ) -> bool:
         """Wait, once per request, until an upstream of the service is known.
 
-        If the known ones are evacuated, waiting would only delay the refusal.
+        An evacuated one ends the wait too, since the refusal is then certain.
         """
         view = self.view
-        if progress.waited or view.upstreams_of(service) or view.is_evacuated(service):
+        if progress.waited or view.upstreams_of(service):
             return False
         progress.waited = True
         seconds = min(STARTUP_WAIT_SECONDS, left * MAX_WAIT_SHARE)
