--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -52,6 +52,7 @@
 leaves must get no new work two seconds later."""
 MAX_SUSPECTS_PER_SYNC = 200
 """Suspects in each periodic full list to one gateway: some 25 kB."""
+EVACUATED_METRIC = "cowslipshelf_evacuated_data_centres"
 FULL_SYNC_SECONDS = 4.0
 """Interval between full lists of upstreams, each to one other gateway in turn. A
 gateway that starts or was partitioned gets one at once, and the next heartbeat makes up
@@ -75,6 +76,7 @@
         self.view = view
         self.messenger = messenger
         self.metrics = metrics
+        metrics.gauge(EVACUATED_METRIC, 0)
         self.heartbeats: set[UpstreamId] = set()
         """Upstreams whose heartbeats wait to be sent."""
         self.urgent_upstreams: RetransmitQueue[UpstreamId] = RetransmitQueue()
@@ -302,9 +304,7 @@
         """Put newer evacuations in force, and announce them at once."""
         if not self.view.apply_evacuations(source, reported):
             return
-        self.metrics.gauge(
-            "cowslipshelf_evacuated_data_centres", len(reported.data_centres)
-        )
+        self.metrics.gauge(EVACUATED_METRIC, len(reported.data_centres))
         self.send_alive()
 
     def relay(self, sender: InstanceId, relayed: Relayed) -> None:
