--- a/packages/core/src/cowslipshelf_core/internal/control/commands.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/commands.py
@@ -5,6 +5,7 @@
 from cowslipshelf_core.identifiers import (
     ChangeId,
     ConfigurationVersion,
+    DataCentre,
     FencingNumber,
     GrantId,
     InstanceId,
@@ -101,6 +102,19 @@
     document: RoutesDocument
 
 
+class SetEvacuation(Message, frozen=True):
+    """Evacuate a data centre, or withdraw its evacuation."""
+
+    data_centre: DataCentre
+    evacuated: bool
+    known_revision: int = 0
+    """Highest revision of the evacuations that the sender knew when it sent this.
+
+    A copy of the command that arrives late is recognised by it; see
+    `EvacuationRegister.set`.
+    """
+
+
 ControlCommand = (
     RecordPlan
     | ConfirmPlan
@@ -110,6 +124,7 @@
     | ReturnLoadGrant
     | RecordMembership
     | PutRoutes
+    | SetEvacuation
     | ClaimAsked
     | ClaimMoved
     | ClaimFinished
--- a/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/outcomes.py
@@ -120,6 +120,25 @@
     version: ConfigurationVersion
 
 
+class EvacuationRecorded(Message, frozen=True):
+    """Report that an order about an evacuation is in force from a revision on."""
+
+    revision: int
+
+
+class EvacuationOutdated(Message, frozen=True):
+    """Report that an order changed nothing, since a later change came before it."""
+
+    revision: int
+    """Revision that a sender must know to submit the order again."""
+
+
+class EvacuationRefused(Message, frozen=True):
+    """Report why a data centre can't be evacuated."""
+
+    reason: str
+
+
 ControlOutcome = (
     PlanRecorded
     | PlanRefused
@@ -135,6 +154,9 @@
     | MembershipRecorded
     | RoutesHeld
     | RoutesConflict
+    | EvacuationRecorded
+    | EvacuationOutdated
+    | EvacuationRefused
     | ClaimGranted
     | ClaimHeld
     | ClaimRefused
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -5,24 +5,33 @@
 from result import Err, Ok, Result
 
 from cowslipshelf_core.control import (
+    ControlOutcome,
+    EvacuationOutdated,
+    EvacuationRecorded,
+    EvacuationRefused,
     PutRoutes,
     RouteRegister,
     RoutesConflict,
     RoutesHeld,
+    SetEvacuation,
 )
 from cowslipshelf_core.dialect import (
     Dialect,
+    EvacuateDataCentre,
     PutConfiguration,
     ReadConfiguration,
+    ReadEvacuations,
     RecordHeartbeat,
     RemoveUpstream,
+    WithdrawEvacuation,
 )
+from cowslipshelf_core.errors import Refusal
 from cowslipshelf_core.gateway import (
     UpstreamHeartbeat,
     compress_configuration,
     decompress_configuration,
 )
-from cowslipshelf_core.identifiers import UpstreamName
+from cowslipshelf_core.identifiers import DataCentre, UpstreamName
 from cowslipshelf_core.messages import RoutesDocument
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
@@ -44,12 +53,15 @@
 """Largest compressed configuration: a message between gateways has at most 4 MiB.
 Larger ones were dropped silently on the way, and the operator was told that no replica
 answered. It holds some 150,000 routes of 21 bytes each, compressed."""
+MAX_EVACUATION_SUBMISSIONS = 4
+"""Times that an order about an evacuation is submitted: once more for each change that
+this gateway has not heard of and that is committed meanwhile."""
 MAX_LOGGED_PATH_CHARACTERS = 120
 """Characters of a refused call's path that are logged; anybody may send any path."""
 
 
 class ControlHandler:
-    """Serve configuration changes and reads, and heartbeats of upstreams."""
+    """Serve configuration changes and reads, evacuations, and upstream heartbeats."""
 
     def __init__(
         self,
@@ -77,6 +89,12 @@
                 await self.record_heartbeat(name, request, responder)
             case RemoveUpstream(name):
                 await self.remove_upstream(name, request, responder)
+            case EvacuateDataCentre(name):
+                await self.set_evacuation(name, True, responder)
+            case WithdrawEvacuation(name):
+                await self.set_evacuation(name, False, responder)
+            case ReadEvacuations():
+                await self.read_evacuations(responder)
             case None:
                 await responder.respond(UNKNOWN, [])
 
@@ -169,6 +187,71 @@
                 )
                 await responder.respond(UNAVAILABLE, [])
 
+    async def set_evacuation(
+        self, data_centre: DataCentre, evacuated: bool, responder: Responder
+    ) -> None:
+        """Submit an order about an evacuation and answer with the outcome.
+
+        It goes through the log even if it asks for what is in force here, since this
+        gateway may not know of a later order yet.
+        """
+        if not self.is_known(data_centre):
+            problem = f"the settings name no data centre {data_centre}"
+            LOG.warning("Evacuation refused.", reason=problem, evacuated=evacuated)
+            await responder.respond(UNKNOWN, [], problem.encode())
+            return
+        outcome = await self.submit_evacuation(data_centre, evacuated)
+        body = b""
+        match outcome:
+            case EvacuationRecorded():
+                status, body = DONE, b"{}"
+            case EvacuationRefused(reason=reason):
+                status, body = CONFLICT, reason.encode()
+            case _:
+                status = UNAVAILABLE
+        LOG.info(
+            "Evacuation answered.",
+            data_centre=data_centre,
+            evacuated=evacuated,
+            status=status,
+            outcome=type(outcome).__name__,
+            revision=getattr(outcome, "revision", None),
+            detail=getattr(outcome, "detail", ""),
+        )
+        headers = [JSON] if status == DONE else []
+        await responder.respond(status, headers, body)
+
+    async def submit_evacuation(
+        self, data_centre: DataCentre, evacuated: bool
+    ) -> ControlOutcome | Refusal | None:
+        """Commit an order, again if this gateway did not know the latest change.
+
+        An operator that gave up has closed its connection, which ends this.
+        """
+        known = self.view.evacuations.state.revision
+        for _ in range(MAX_EVACUATION_SUBMISSIONS):
+            command = SetEvacuation(data_centre, evacuated, known)
+            outcome = await self.client.change(command)
+            if not isinstance(outcome, EvacuationOutdated):
+                break
+            known = outcome.revision
+        return outcome
+
+    def is_known(self, data_centre: DataCentre) -> bool:
+        """Return whether an order may name a data centre.
+
+        One that was removed from the settings while evacuated can still be withdrawn.
+        """
+        named = self.view.settings.data_centres
+        evacuated = self.view.evacuations.data_centres
+        return not named or data_centre in named or data_centre in evacuated
+
+    async def read_evacuations(self, responder: Responder) -> None:
+        """Answer with the data centres that this gateway assumes to be evacuated."""
+        data_centres = self.view.evacuations.state.data_centres
+        body = self.dialect.evacuations_body(data_centres)
+        await responder.respond(DONE, [JSON], body)
+
     async def record_heartbeat(
         self, name: UpstreamName, request: HttpRequest, responder: Responder
     ) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -22,6 +22,7 @@
 )
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.messages import (
+    EvacuationState,
     FetchRoutes,
     Message,
     PeerAlive,
@@ -57,6 +58,7 @@
 leaves must get no new work two seconds later."""
 MAX_SUSPECTS_PER_SYNC = 200
 """Suspects in each periodic full list to one gateway: some 25 kB."""
+EVACUATED_METRIC = "cowslipshelf_evacuated_data_centres"
 FULL_SYNC_SECONDS = 4.0
 """Interval between full lists of upstreams, each to one other gateway in turn. A
 gateway that starts or was partitioned gets one at once, and the next heartbeat makes up
@@ -80,6 +82,7 @@
         self.view = view
         self.messenger = messenger
         self.metrics = metrics
+        metrics.gauge(EVACUATED_METRIC, 0)
         self.heartbeats: set[UpstreamId] = set()
         """Upstreams whose heartbeats wait to be sent."""
         self.urgent_upstreams: RetransmitQueue[UpstreamId] = RetransmitQueue()
@@ -145,7 +148,11 @@
         """Return the alive message of this gateway."""
         held = self.view.document
         return self.view.peers.alive_message(
-            held.version, len(held.body), self.work_number, with_peers
+            held.version,
+            len(held.body),
+            self.work_number,
+            with_peers,
+            self.view.evacuations.state,
         )
 
     def forward_heartbeat(self, heartbeat: UpstreamHeartbeat, urgent: bool) -> None:
@@ -317,6 +324,8 @@
                 self.send_work_snapshot(delivered.sender)
             case FetchRoutes() as query:
                 self.routes.answer(delivered.sender_address, query)
+            case EvacuationState() as reported:
+                self.apply_evacuations(delivered.sender, reported)
             case RoutesSnapshot() as snapshot:
                 self.routes.receive_snapshot(delivered.sender, snapshot)
 
@@ -333,6 +342,13 @@
                 self.work_gaps.record_change(origin, number)
                 self.view.record_work(origin, message)
 
+    def apply_evacuations(self, source: InstanceId, reported: EvacuationState) -> None:
+        """Put newer evacuations in force, and announce them at once."""
+        if not self.view.apply_evacuations(source, reported):
+            return
+        self.metrics.gauge(EVACUATED_METRIC, len(reported.data_centres))
+        self.send_alive()
+
     def relay(self, sender: InstanceId, relayed: Relayed) -> None:
         """Relay a message to the gateways of this data centre."""
         onward = Relayed(relayed.origin, relayed.message, False)
@@ -344,6 +360,10 @@
         """Record that a gateway is alive; fetch its configuration if newer."""
         now = time.monotonic()
         sender = delivered.sender
+        # Before its configuration, since a gateway serves from the first one on.
+        self.apply_evacuations(
+            sender, EvacuationState(alive.evacuation_revision, alive.evacuated)
+        )
         news = self.view.peers.record_alive(sender, alive, now)
         if news is PeerChange.RESTARTED:
             self.view.engines.forget_owner(sender, now)
