Avoid a data centre whose upstreams are lost together

Gateways found the dead upstreams of a failed data centre one by one: long prompts were offered to four choices with a dead engine each and refused while 39 engines elsewhere were healthy. A few losses within a second now make all upstreams of the data centre a last choice until they are heard again, or two seconds after the last loss. Losses that only one gateway, or only gateways of one other data centre, report are taken for a fault of their own link. Takes effect only where gateways share health.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -18,6 +18,13 @@
 from cowslipshelf_core.internal.gateway.configuration_checks import (
     configuration_problem,
 )
+from cowslipshelf_core.internal.gateway.data_centre_outages import (
+    DataCentreOutages,
+    OutageBegan,
+    OutageChange,
+    OutageEnded,
+    OutagesConfig,
+)
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
@@ -113,6 +120,7 @@
     "AllowedAlone",
     "AnswerTimes",
     "CallerLimits",
+    "DataCentreOutages",
     "EngineCandidate",
     "ExitReport",
     "EngineTracker",
@@ -136,6 +144,10 @@
     "MemoryLeaseConfig",
     "START_UNKNOWN",
     "NoEngine",
+    "OutageBegan",
+    "OutageChange",
+    "OutageEnded",
+    "OutagesConfig",
     "PeerTable",
     "PeerTableConfig",
     "PeerChange",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -96,6 +96,7 @@
 SHUTDOWN_MARGIN_SECONDS = 0.7
 """Time reserved at the end of the shutdown to close connections before the kill."""
 DRAIN_CHECK_SECONDS = 0.05
+DOUBTFUL = "cowslipshelf_doubtful_data_centres"
 METRICS_PATH = "/metrics"
 METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4")
 CONTROL_BODY_BYTES = 32 * 1024 * 1024
@@ -293,10 +294,12 @@
         return tasks
 
     def tick(self) -> None:
-        """Advance the replica, pending commands and configuration fetches."""
+        """Advance the replica, pending commands, configuration fetches and outages."""
         self.supervisor.tick()
         self.proposal_client.tell(Tick())
         self.gossip.routes.fetch_when_due()
+        self.view.log_outages()
+        self.metrics.gauge(DOUBTFUL, len(self.view.outages.ongoing))
 
     def forget_old(self) -> None:
         """Drop expired state and close connections that will not be reused."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -11,11 +11,15 @@
 from cowslipshelf_core.gateway import (
     START_UNKNOWN,
     AnswerTimes,
+    DataCentreOutages,
     EngineTracker,
     EngineWork,
     HeartbeatSeen,
     HeartbeatsSeen,
     KnownUpstream,
+    OutageBegan,
+    OutageEnded,
+    OutagesConfig,
     PeerTable,
     PeerTableConfig,
     RegistryConfig,
@@ -34,6 +38,7 @@
 )
 from cowslipshelf_core.identifiers import (
     AttemptId,
+    DataCentre,
     Epoch,
     InstanceId,
     ServiceName,
@@ -64,6 +69,8 @@
     registry: UpstreamRegistry
     peers: PeerTable
     retry_budget: ServiceRetryBudget
+    outages: DataCentreOutages
+    """Data centres that may have failed; empty unless gateways share health."""
     on_work_changed: Callable[[WorkChanged], None]
     """Sends a change of engine work to the other gateways; set in assembly."""
     on_start_replaced: Callable[[UpstreamStart, UpstreamStart], None]
@@ -97,6 +104,9 @@
                 )
             ),
             ServiceRetryBudget.from_config(retry_budget_config(settings)),
+            DataCentreOutages.from_config(
+                OutagesConfig(settings.instance, settings.data_centre, silence)
+            ),
             on_work_changed=lambda _changed: None,
             on_start_replaced=lambda _former, _later: None,
         )
@@ -155,8 +165,28 @@
             )
         if known is not None:
             self.forget_replaced_start(known, heartbeat, age)
+        self.record_sign_of_life(heartbeat.upstream_id)
         return changed
 
+    def record_sign_of_life(self, upstream_id: UpstreamId) -> None:
+        """Record the newest heartbeat of an upstream for the detection of outages.
+
+        One that leaves announces its end, which is no sign of an outage.
+        """
+        known = self.registry.latest_start(upstream_id)
+        if known is None or not self.settings.shares_health:
+            return
+        heartbeat = known.heartbeat
+        if heartbeat.phase is UpstreamPhase.READY:
+            self.outages.record_heartbeat(
+                heartbeat.upstream_id,
+                heartbeat.data_centre,
+                heartbeat.sequence,
+                known.heard_at,
+            )
+        else:
+            self.outages.forget(heartbeat.upstream_id)
+
     def forget_replaced_start(
         self, former: KnownUpstream, heartbeat: UpstreamHeartbeat, age: float
     ) -> None:
@@ -218,6 +248,7 @@
         seen = self.registry.leave(start, time.monotonic())
         if known is not None:
             self.forget_replaced_start(known, seen.with_start_id, 0.0)
+        self.record_sign_of_life(start.upstream_id)
         LOG.info(
             "Upstream left.", upstream=start.upstream_id, told=began_ms != START_UNKNOWN
         )
@@ -270,11 +301,72 @@
         else:
             failed = outcome is UpstreamOutcome.FAILED
             self.health.record_answer(upstream_id, failed, slowness, now)
+        settings = self.settings
+        self.record_for_outages(
+            upstream_id, outcome, settings.instance, settings.data_centre, now
+        )
 
     def record_observations(
         self, reporter: InstanceId, message: UpstreamObservations
     ) -> None:
         """Record what another gateway observed of upstreams."""
+        self.record_reported_for_outages(reporter, message)
+
+    def record_reported_for_outages(
+        self, reporter: InstanceId, message: UpstreamObservations
+    ) -> None:
+        """Record the losses and answers of another gateway for outages.
+
+        Those of a gateway whose data centre is not known yet are ignored, since a loss
+        counts by where it was seen.
+        """
+        peer = self.peers.known.get(reporter)
+        if peer is None or peer.alive is None:
+            return
+        now = time.monotonic()
+        for each in message.observations:
+            at = now - max(0.0, each.age_seconds)
+            self.record_for_outages(
+                each.upstream_id, each.outcome, reporter, peer.alive.data_centre, at
+            )
+
+    def record_for_outages(
+        self,
+        upstream_id: UpstreamId,
+        outcome: UpstreamOutcome,
+        reporter: InstanceId,
+        data_centre: DataCentre,
+        at: float,
+    ) -> None:
+        """Record a loss or an answer that a gateway of a data centre saw."""
+        if not self.settings.shares_health:
+            return
+        if outcome is UpstreamOutcome.LOST:
+            now = time.monotonic()
+            self.outages.record_loss(upstream_id, reporter, data_centre, at, now)
+        else:
+            self.outages.record_answer(upstream_id, at)
+
+    def log_outages(self) -> None:
+        """End the outages that are over, and log the changes since the last call."""
+        for change in self.outages.take_changes(time.monotonic()):
+            match change:
+                case OutageBegan():
+                    LOG.warning(
+                        "Data centre doubtful.",
+                        data_centre=change.data_centre,
+                        lost=list(change.lost),
+                        upstreams=change.avoided,
+                        seconds=change.doubt_seconds,
+                    )
+                case OutageEnded():
+                    LOG.info(
+                        "Data centre believed again.",
+                        data_centre=change.data_centre,
+                        seconds=round(change.seconds, 3),
+                        upstreams=change.avoided,
+                        heard=change.heard,
+                    )
 
     def begin_work(self, work: EngineWork) -> None:
         """Record work that this gateway places, and tell the others."""
@@ -330,6 +422,7 @@
     def forget_upstream(self, upstream_id: UpstreamId) -> None:
         """Forget the health and work of an upstream; its attempts end on their own."""
         self.health.forget(upstream_id)
+        self.outages.forget(upstream_id)
         self.engines.forget_engine(upstream_id)
 
     def request_started(self, upstream_id: UpstreamId) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -98,7 +98,7 @@
                 view.open_requests.get(upstream.upstream_id, 0),
                 health.failure_rate,
                 health.slowness,
-                health.avoided,
+                health.avoided or view.outages.is_doubtful(upstream.upstream_id, now),
                 upstream.data_centre == view.settings.data_centre,
             )
         )
@@ -115,14 +115,19 @@
     upstreams: list[UpstreamHeartbeat],
     model: EngineModel,
 ) -> Placement | NoPlacement:
-    """Choose the engines with the lowest cost."""
+    """Choose the engines with the lowest cost.
+
+    Engines of a data centre that may have failed are used if the others can't answer:
+    it may be a false alarm, and the request would be refused.
+    """
     now = time.monotonic()
-    candidates = []
+    candidates, doubtful = [], []
     for upstream in upstreams:
         health = view.health.estimate(upstream.upstream_id, now)
         if health.avoided and len(upstreams) > 1:
             continue
-        candidates.append(
+        is_doubtful = view.outages.is_doubtful(upstream.upstream_id, now)
+        (doubtful if is_doubtful else candidates).append(
             EngineCandidate(
                 upstream.upstream_id,
                 health.slowness,
@@ -138,6 +143,9 @@
         left_seconds,
     )
     chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
+    if isinstance(chosen, NoEngine) and doubtful:
+        candidates += doubtful
+        chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
     if isinstance(chosen, NoEngine):
         return NoPlacement(chosen.reason, chosen.retry_after_seconds)
     by_id = {each.upstream_id: each for each in upstreams}
