Serve a request that met an outage by the other data centres

A request that found dead engines used up its four tries within 0.2 s and was refused, and its caller returned 0.2 s later into the same outage. Engines of a failed choice that an outage makes doubtful are now left out of the next try, up to eight tries are made once an outage is known, and the refusal names 0.5 s, or the end of the doubt if no upstream is elsewhere.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -57,6 +57,12 @@
         """Return the parts of the prompt that other engines prefill."""
         return () if self.work is None else self.work.parts[1:]
 
+    @property
+    def upstream_ids(self) -> tuple[UpstreamId, ...]:
+        """Return the upstream that gets the request, and those that prefill for it."""
+        helping = (part.upstream_id for part in self.helper_parts)
+        return (self.upstream.upstream_id, *helping)
+
 
 class NoPlacement(NamedTuple):
     """Report why there is no upstream, and when to retry."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -57,6 +57,13 @@
 MAX_UNREACHED = 4
 """Times that one request may find upstreams that can't be reached or reserve no memory;
 they don't count as attempts."""
+MAX_UNREACHED_IN_OUTAGE = 8
+"""The same if a data centre turned out to be doubtful meanwhile: the tries before that
+were spent on upstreams that ended together, and further ones avoid them."""
+OUTAGE_RETRY_SECONDS = 0.5
+"""Minimum retry-after if a data centre is doubtful and others have upstreams. By then
+all gateways have the reports of the losses, which are batched for 20 ms and relayed
+once, also if a packet is lost on the way."""
 
 
 @dataclass(slots=True)
@@ -69,6 +76,8 @@
     may_have_run: bool = False
     waited: bool = False
     """Whether the request has waited for a first upstream."""
+    met_outage: bool = False
+    """Whether it was offered to upstreams of a data centre that is doubtful now."""
     last_failure: FailedThere | None = None
     last_reason: str = ""
     retry_after_seconds: float | None = BUSY_RETRY_SECONDS
@@ -273,10 +282,36 @@
                 progress.last_failure = outcome
             case Broken():
                 progress.last_reason = f"{outcome.step} failed"
+        if not isinstance(outcome, Answered):
+            self.exclude_doubtful(placement, progress)
         self.log_attempt_end(task, placement, outcome, began)
         self.record_for_quarantine(task, placement, outcome)
         return outcome
 
+    def exclude_doubtful(self, placement: Placement, progress: RequestProgress) -> None:
+        """Exclude the upstreams of a failed choice that an outage makes doubtful.
+
+        Only one of them may have shown its loss. If there is no upstream elsewhere they
+        remain a last choice. If the request is refused, the caller is to come back when
+        the other gateways know of the outage, or with no upstream elsewhere at the end
+        of the doubt.
+        """
+        now, outages = time.monotonic(), self.view.outages
+        doubtful = {
+            each for each in placement.upstream_ids if outages.is_doubtful(each, now)
+        }
+        if not doubtful:
+            return
+        known = self.view.upstreams_of(placement.upstream.service)
+        doubts = [outages.doubt_seconds(each.upstream_id, now) for each in known]
+        shortest_doubt = min(doubts, default=0.0)
+        if not shortest_doubt:
+            progress.excluded |= doubtful
+        progress.met_outage = True
+        progress.retry_after_seconds = max(
+            progress.retry_after_seconds, OUTAGE_RETRY_SECONDS, shortest_doubt
+        )
+
     def record_for_quarantine(
         self, task: AttemptTask, placement: Placement, outcome: AttemptOutcome
     ) -> None:
@@ -406,7 +441,10 @@
     """Return whether another upstream may be tried after this outcome."""
     match outcome:
         case NotReached() | NotReserved():
-            return progress.unreached < MAX_UNREACHED
+            in_outage = progress.met_outage
+            return progress.unreached < (
+                MAX_UNREACHED_IN_OUTAGE if in_outage else MAX_UNREACHED
+            )
         case NotRun():
             return progress.sent < task.route.max_attempts
         case _:
