--- a/packages/core/src/cowslipshelf_core/internal/gateway/data_centre_outages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/data_centre_outages.py
@@ -12,8 +12,8 @@
 from cowslipshelf_core.identifiers import DataCentre, InstanceId, UpstreamId
 
 WINDOW_SECONDS = 1.0
-"""Time within which losses count as one event: reports of other gateways take some 0.1
-s, and open streams of upstreams that end at once break within that time."""
+"""Time within which losses count as one event; reports of other gateways are batched
+and relayed once."""
 MIN_LOST = 3
 """Fewest lost upstreams; one or two at once are ordinary crashes."""
 LOST_SHARE = 0.1
@@ -30,6 +30,9 @@
 MAX_DOUBT_SECONDS = 8.0
 RECURRENCE_SECONDS = 10.0
 """An outage that begins this soon after the end of the last one lasts twice as long."""
+RECOUNT_SECONDS = 0.1
+"""Interval of losses that extend an outage. Counting each of 3,136 (112 upstreams lost
+by 28 gateways) took 0.46 s of processor time."""
 NEVER = -math.inf
 
 
@@ -84,7 +87,6 @@
 
     data_centre: DataCentre
     sequence: int
-    first_sent_at: float
     sent_at: float
     """Time at which the newest heartbeat was sent."""
     answered_at: float = NEVER
@@ -95,11 +97,8 @@
 
     def was_heard_since(self, loss_at: float) -> bool:
         """Return whether the upstream has been alive after a loss."""
-        return (
-            self.answered_at > loss_at
-            or self.first_sent_at > loss_at
-            or self.sent_at > loss_at + HEARTBEAT_MARGIN_SECONDS
-        )
+        heartbeat_proves = self.sent_at > loss_at + HEARTBEAT_MARGIN_SECONDS
+        return heartbeat_proves or self.answered_at > loss_at
 
 
 @dataclass(slots=True)
@@ -129,6 +128,11 @@
         """Return whether half of the avoided upstreams have been heard."""
         return 2 * self.heard >= len(self.avoided)
 
+    def covers(self, upstream_id: UpstreamId, lost_at: float) -> bool:
+        """Return whether a loss tells nothing new."""
+        is_late = lost_at >= self.last_loss_at + RECOUNT_SECONDS
+        return upstream_id in self.unheard and not is_late
+
 
 class PastOutage(NamedTuple):
     """Hold the end of a data centre's last outage."""
@@ -171,7 +175,7 @@
         """
         known = self.upstreams.get(upstream_id)
         if known is None:
-            known = WatchedUpstream(data_centre, sequence, sent_at, sent_at)
+            known = WatchedUpstream(data_centre, sequence, sent_at)
             self.upstreams[upstream_id] = known
         if sequence > known.sequence:
             known.sequence = sequence
@@ -227,11 +231,16 @@
         source = self.source_of(reporter, reporter_data_centre, data_centre)
         lost = self.losses.setdefault(data_centre, {}).setdefault(source, {})
         lost[upstream_id] = max(lost.get(upstream_id, NEVER), min(lost_at, now))
+        if source.trusted:
+            known.lost_at = max(known.lost_at, lost[upstream_id])
+        outage = self.ongoing.get(data_centre)
+        if outage is not None and outage.covers(upstream_id, lost_at):
+            return
         counted = self.counted_losses(data_centre, now)
         for each, at in counted.items():
             self.upstreams[each].lost_at = max(self.upstreams[each].lost_at, at)
-        if data_centre in self.ongoing:
-            self.extend(self.ongoing[data_centre], counted)
+        if outage is not None:
+            self.extend(outage, counted)
         else:
             self.begin_if_lost(data_centre, counted, now)
 
