--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -343,3 +343,16 @@
     answer = ask(view, runner, int(2.7 * ENGINE.memory_tokens))
     assert answer.status == 503
     assert float(answer.headers[b"retry-after"]) == 0.5
+
+
+def test_operators_see_when_a_data_centre_is_doubtful_and_when_not(capsys):
+    """Guards against requests that avoid a data centre for no visible reason."""
+    view = view_of("here", "far")
+    report(view, "10.0.1.1", 0, 1, 2)
+    view.log_outages()
+    view.log_outages()
+    assert capsys.readouterr().out.count("Data centre doubtful.") == 1
+    Clock.now += 2.1
+    view.log_outages()
+    assert capsys.readouterr().out.count("Data centre believed again.") == 1
+    assert not view.outages.ongoing
