--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -57,6 +57,12 @@
         """Return the parts of the prompt that other engines prefill."""
         return () if self.work is None else self.work.parts[1:]
 
+    @property
+    def upstream_ids(self) -> tuple[UpstreamId, ...]:
+        """Return the upstream that gets the request, and those that prefill for it."""
+        helping = (part.upstream_id for part in self.helper_parts)
+        return (self.upstream.upstream_id, *helping)
+
 
 class NoPlacement(NamedTuple):
     """Report why there is no upstream, and when to retry."""
@@ -100,7 +106,7 @@
                 view.open_requests.get(upstream.upstream_id, 0),
                 health.failure_rate,
                 health.slowness,
-                health.avoided,
+                health.avoided or view.outages.is_doubtful(upstream.upstream_id, now),
                 upstream.data_centre == view.settings.data_centre,
             )
         )
@@ -117,15 +123,20 @@
     upstreams: list[UpstreamHeartbeat],
     model: EngineModel,
 ) -> Placement | NoPlacement:
-    """Choose the engines with the lowest cost."""
+    """Choose the engines with the lowest cost.
+
+    Engines of a data centre that may have failed are used if the others can't answer:
+    it may be a false alarm, and the request would be refused.
+    """
     now = time.monotonic()
     shares_health = view.settings.shares_health
-    candidates = []
+    candidates, doubtful = [], []
     for upstream in upstreams:
         health = view.health.estimate(upstream.upstream_id, now)
         if health.avoided and len(upstreams) > 1:
             continue
-        candidates.append(
+        is_doubtful = view.outages.is_doubtful(upstream.upstream_id, now)
+        (doubtful if is_doubtful else candidates).append(
             EngineCandidate(
                 upstream.upstream_id,
                 health.slowness,
@@ -142,6 +153,9 @@
         left_seconds,
     )
     chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
+    if isinstance(chosen, NoEngine) and doubtful:
+        candidates += doubtful
+        chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
     if isinstance(chosen, NoEngine):
         return NoPlacement(chosen.reason, chosen.retry_after_seconds)
     by_id = {each.upstream_id: each for each in upstreams}
