--- a/packages/core/src/cowslipshelf_core/internal/gateway/reporter_trust.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/reporter_trust.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -132,15 +131,10 @@
         """Drop reporters that said nothing within the window."""
         for record in self.reporters.values():
             record.drop_old(now)
-        self.keep(name for name, each in self.reporters.items() if each.upstreams)
-
-    def keep(self, names: Iterable[InstanceId]) -> None:
-        """Drop all reporters but some."""
-        kept = set(names)
         self.reporters = {
-            name: each for name, each in self.reporters.items() if name in kept
+            name: each for name, each in self.reporters.items() if each.upstreams
         }
-        self.left_out &= kept
+        self.left_out.intersection_update(self.reporters)
 
 
 def marks(observation: UpstreamObservation) -> bool:
