Prefer engines of the own data centre and avoid lossy links

Placement ignored where engines are: events of most streams crossed data centres, and while a link lost packets, short answers paused for 0.25 s and more beside engines whose links were sound.

Half of the engines weighed for a short prompt are near ones. LinkLoss finds pairs of data centres that lose packets from the pauses of streams, apart from slow engines, passes that prefill, slow callers and stalls of the gateway; streams with short allowed pauses avoid them. Without a crossing cost, choices and random draws are as before.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -21,6 +21,11 @@
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
+from cowslipshelf_core.internal.gateway.link_loss import (
+    LinkLoss,
+    StreamPauses,
+    link_surcharge,
+)
 from cowslipshelf_core.internal.gateway.memory_lease import (
     MemoryLease,
     MemoryLeaseConfig,
@@ -49,6 +54,7 @@
     PeerTableConfig,
 )
 from cowslipshelf_core.internal.gateway.placement_cost import (
+    Distance,
     EngineCandidate,
     PromptToPlace,
 )
@@ -113,6 +119,7 @@
     "AllowedAlone",
     "AnswerTimes",
     "CallerLimits",
+    "Distance",
     "EngineCandidate",
     "ExitReport",
     "EngineTracker",
@@ -131,7 +138,10 @@
     "HeldWork",
     "KnownPeer",
     "KnownUpstream",
+    "LinkLoss",
     "ListedSuspect",
+    "StreamPauses",
+    "link_surcharge",
     "MemoryLease",
     "MemoryLeaseConfig",
     "START_UNKNOWN",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
@@ -69,6 +69,8 @@
     pending_changes: list[PendingChange] = field(default_factory=list)
     clock: float = -math.inf
     pass_ends_at: float = -math.inf
+    prefilled_until: float = -math.inf
+    """End of the latest pass that prefills anything."""
     model: EngineModel | None = None
     """Model used when the simulation last advanced."""
 
@@ -162,6 +164,8 @@
         if not pending:
             seconds *= math.floor(max(0.0, now - begins_at) / seconds) + 1
         self.pass_ends_at = begins_at + seconds
+        if pending:
+            self.prefilled_until = self.pass_ends_at
         self.mark_prefilled(pending, self.pass_ends_at)
 
     def mark_prefilled(self, parts: list[TrackedPart], at: float) -> None:
@@ -235,6 +239,13 @@
         pending = sum(tracked.left_seconds for tracked in self.pending_parts())
         return self.time_to_pass_end(now) + pending
 
+    def prefilled_since(self, since: float, now: float) -> bool:
+        """Return whether a pass that decodes has prefilled anything since a time."""
+        if self.model is None:
+            return False
+        self.advance(self.model, now)
+        return self.prefilled_until > since or bool(self.pending_parts())
+
     def prefilled_at(self, attempt_id: AttemptId, now: float) -> float | None:
         """Return when a part is or will be prefilled; None if it is not tracked."""
         left_seconds = self.prefill_left_seconds(now)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
@@ -251,6 +251,13 @@
         margin = SILENCE_MARGIN_OBJECTIVES * placed.work.objective_seconds
         return longest + margin
 
+    def prefilled_since(
+        self, upstream_id: UpstreamId, since: float, now: float
+    ) -> bool:
+        """Return whether an engine has prefilled beside its decodes since a time."""
+        simulation = self.simulations.get(upstream_id)
+        return simulation is not None and simulation.prefilled_since(since, now)
+
     def has_first_token(self, attempt_id: AttemptId) -> bool:
         """Return whether the first token of an attempt was reported."""
         placed = self.placed.get(attempt_id)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -56,6 +56,22 @@
     answer."""
 
 
+class Distance(NamedTuple):
+    """Hold where a gateway is, and what an answer costs that crosses data centres."""
+
+    data_centre: DataCentre = DataCentre("")
+    crossing_cost: float = 0.0
+    """In units of the value of a short prompt's answer; zero if distance does not
+    matter."""
+
+    def cost(self, one: DataCentre, other: DataCentre) -> float:
+        """Return the cost of events or prompt parts between two data centres."""
+        return 0.0 if one == other else self.crossing_cost
+
+
+NO_DISTANCE = Distance()
+
+
 class PromptToPlace(NamedTuple):
     """Describe a prompt to be placed on engines."""
 
@@ -95,6 +111,7 @@
     """Time until the last part of each attempt on these engines is prefilled."""
     work: EngineWork
     """The prompt as it is reported to other gateways, without its parts."""
+    distance: Distance = NO_DISTANCE
 
     @property
     def needed_tokens(self) -> int:
@@ -188,16 +205,24 @@
     after = forecast([*engine.pending, part.on(engine)], engine.pace)
     harm = harm_to_decoding(engine, after) + sharing_cost(engine, placing)
     harm += engine.candidate.surcharge
+    harm += placing.distance.cost(
+        placing.distance.data_centre, engine.candidate.data_centre
+    )
     ready = after.ready_seconds[-1]
     first_token = ready + first_event_delay(engine, alone=True)
     return PartCost(engine, ready, harm, harm + own_cost(engine, first_token, placing))
 
 
-def helper_cost(engine: AssessedEngine, part: PromptPart, placing: Placing) -> PartCost:
-    """Return the cost if an engine prefills a part for another engine."""
+def helper_cost(
+    engine: AssessedEngine, part: PromptPart, placing: Placing, decoder: AssessedEngine
+) -> PartCost:
+    """Return the cost if an engine prefills a part for the engine that decodes."""
     after = forecast([part.on(engine), *engine.pending], engine.pace)
     harm = harm_to_decoding(engine, after) + harm_to_queued(engine, after, placing)
     harm += engine.candidate.surcharge
+    harm += placing.distance.cost(
+        decoder.candidate.data_centre, engine.candidate.data_centre
+    )
     # An engine refuses more parts of other engines' prompts than it has slots.
     refused = engine.view.helping_parts >= placing.model.slots
     rank = harm + own_cost(engine, after.ready_seconds[0], placing)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
@@ -17,8 +17,10 @@
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker
 from cowslipshelf_core.internal.gateway.messages import EnginePart, EngineWork
 from cowslipshelf_core.internal.gateway.placement_cost import (
+    NO_DISTANCE,
     SHORT_PREFILL_SECONDS,
     AssessedEngine,
+    Distance,
     EngineCandidate,
     PartCost,
     Placing,
@@ -95,13 +97,14 @@
     tracker: EngineTracker,
     now: float,
     random: Random,
+    distance: Distance = NO_DISTANCE,
 ) -> EnginesChosen | NoEngine:
     """Choose the engines with the lowest cost, if any can answer in time."""
     if not candidates:
         return NoEngine("no engine of the service is known", 1.0)
     needed = prompt.needed_tokens
     most = max_engines_weighed(prompt, model)
-    sampled = random.sample(candidates, min(most, len(candidates)))
+    sampled = sample_engines(candidates, most, distance, random)
     engines = [assess_engine(candidate, model, tracker, now) for candidate in sampled]
     roomy = [each for each in engines if free_memory(each, model) >= needed]
     work = EngineWork(
@@ -111,7 +114,9 @@
         prompt.objective_seconds,
         prompt.pause_seconds or DEFAULT_PAUSE_SECONDS,
     )
-    placing = Placing(prompt, model, engines, roomy, ready_times(engines), work)
+    placing = Placing(
+        prompt, model, engines, roomy, ready_times(engines), work, distance
+    )
     best = cheapest_choice(placing)
     if best is None:
         reason = "the engines together have no memory for the prompt"
@@ -146,6 +151,23 @@
     return MAX_ENGINES_WEIGHED_FOR_SHORT if short else MAX_ENGINES_WEIGHED
 
 
+def sample_engines(
+    candidates: list[EngineCandidate], most: int, distance: Distance, random: Random
+) -> list[EngineCandidate]:
+    """Draw the engines to weigh; for a short prompt, half from the own data centre.
+
+    A sample over all data centres may hold hardly any near engine, and then the answer
+    crosses although near engines are as good.
+    """
+    if not distance.crossing_cost or most != MAX_ENGINES_WEIGHED_FOR_SHORT:
+        return random.sample(candidates, min(most, len(candidates)))
+    near = [each for each in candidates if each.data_centre == distance.data_centre]
+    far = [each for each in candidates if each.data_centre != distance.data_centre]
+    from_near = min(len(near), max(most // 2, most - len(far)))
+    from_far = min(len(far), most - from_near)
+    return random.sample(near, from_near) + random.sample(far, from_far)
+
+
 def shortest_wait(engines: list[AssessedEngine]) -> float:
     """Return the time until the first engine has prefilled its pending parts."""
     return max(0.1, min(each.view.backlog_seconds for each in engines))
@@ -213,7 +235,7 @@
 ) -> list[PartCost]:
     """Return the other engines in the order of their cost as helpers."""
     others = (each for each in engines if each is not decoder.engine)
-    costs = [helper_cost(each, part, placing) for each in others]
+    costs = [helper_cost(each, part, placing, decoder.engine) for each in others]
     return sorted(costs, key=lambda cost: cost.rank)
 
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -248,6 +248,8 @@
         if request.path != METRICS_PATH:
             await responder.respond(404, [])
             return
+        lossy = len(self.view.lossy_data_centres())
+        self.metrics.gauge("cowslipshelf_lossy_links", lossy)
         text = self.metrics.prometheus_text()
         await responder.respond(200, [METRICS_TYPE], text.encode())
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -33,6 +33,7 @@
 from cowslipshelf_daemon.internal.gateway.event_stream import EventSplitter
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
+from cowslipshelf_daemon.internal.gateway.link_watch import LinkWatch
 from cowslipshelf_daemon.internal.gateway.placement import Placement
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
@@ -312,6 +313,7 @@
         """Forward events as they arrive; only the first attempt's head is sent."""
         splitter = EventSplitter()
         pace = StreamPace(began)
+        link_watch = LinkWatch.of(self.view, placement)
         async for data in connection.body():
             batch = splitter.feed(data)
             if len(splitter.buffer) > MAX_BUFFERED_BYTES:
@@ -328,6 +330,7 @@
             if batch.last_id is not None:
                 task.delivery.last_event_id = batch.last_id
             await task.responder.write(batch.data)
+            link_watch.record_event(pace.last_at, time.monotonic())
         self.begin_stream(task, head)
         await task.responder.write(splitter.take_rest())
         await task.responder.end()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -16,6 +16,7 @@
     HeartbeatSeen,
     HeartbeatsSeen,
     KnownUpstream,
+    LinkLoss,
     PeerTable,
     PeerTableConfig,
     RegistryConfig,
@@ -34,6 +35,7 @@
 )
 from cowslipshelf_core.identifiers import (
     AttemptId,
+    DataCentre,
     Epoch,
     InstanceId,
     ServiceName,
@@ -71,6 +73,7 @@
     engines: EngineTracker = field(default_factory=EngineTracker)
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
+    link_loss: LinkLoss = field(default_factory=LinkLoss)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
     random: Random = field(default_factory=Random)
@@ -276,6 +279,16 @@
     ) -> None:
         """Record what another gateway observed of upstreams."""
 
+    def lossy_data_centres(self) -> frozenset[DataCentre]:
+        """Return the data centres whose links to the own one lose packets now."""
+        if not self.settings.crossing_cost:
+            return frozenset()
+        before = self.link_loss.lossy
+        lossy = self.link_loss.update(self.settings.data_centre, time.monotonic())
+        if lossy != before:
+            LOG.info("Lossy links changed.", lossy=sorted(lossy), before=sorted(before))
+        return lossy
+
     def begin_work(self, work: EngineWork) -> None:
         """Record work that this gateway places, and tell the others."""
         self.engines.begin(work, self.settings.instance, time.monotonic())
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -6,6 +6,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, PrefillHelper
 from cowslipshelf_core.gateway import (
+    Distance,
     EngineCandidate,
     EngineModel,
     EnginePart,
@@ -19,6 +20,7 @@
     UpstreamHeartbeat,
     admission_priority,
     choose_upstream,
+    link_surcharge,
     place_prompt,
 )
 from cowslipshelf_core.identifiers import AttemptId, ServiceName, UpstreamId
@@ -117,6 +119,7 @@
 ) -> Placement | NoPlacement:
     """Choose the engines with the lowest cost."""
     now = time.monotonic()
+    lossy = view.lossy_data_centres()
     candidates = []
     for upstream in upstreams:
         health = view.health.estimate(upstream.upstream_id, now)
@@ -128,6 +131,7 @@
                 health.slowness,
                 health.failure_rate,
                 upstream.data_centre,
+                link_surcharge(route.pause_seconds, upstream.data_centre in lossy),
             )
         )
     asked = PromptToPlace(
@@ -137,7 +141,10 @@
         route.pause_seconds,
         left_seconds,
     )
-    chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
+    distance = Distance(view.settings.data_centre, view.settings.crossing_cost)
+    chosen = place_prompt(
+        asked, candidates, model, view.engines, now, view.random, distance
+    )
     if isinstance(chosen, NoEngine):
         return NoPlacement(chosen.reason, chosen.retry_after_seconds)
     by_id = {each.upstream_id: each for each in upstreams}
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -240,6 +240,7 @@
         upstream_id = placement.upstream.upstream_id
         progress.sent += 1
         self.log_attempt_begin(task, placement, progress)
+        self.count_engine_attempt(placement)
         # Until the outcome is known, the upstream may be running the request: an answer
         # to a timeout in between must not say that nothing ran.
         ran_before, progress.may_have_run = progress.may_have_run, True
@@ -288,6 +289,14 @@
             case Answered() | FailedThere():
                 self.suspects.record_answer(task.identity)
 
+    def count_engine_attempt(self, placement: Placement) -> None:
+        """Count an attempt on an engine by whether its events cross data centres."""
+        if placement.work is not None:
+            near = placement.upstream.data_centre == self.view.settings.data_centre
+            self.metrics.count(
+                "cowslipshelf_engine_attempts_total", place="near" if near else "far"
+            )
+
     def log_attempt_begin(
         self, task: AttemptTask, placement: Placement, progress: RequestProgress
     ) -> None:
