Weigh requests by the rank of their route and customer

Priorities of routes and customers were read and never used, so long prompts of the lowest rank competed with short ones of the highest by their length alone.

Steps are capped at 6, so a lower rank keeps at least 1/64 of its value. Services whose routes have one rank are served as before.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -91,6 +91,11 @@
     RequestDigest,
     request_digest,
 )
+from cowslipshelf_core.internal.gateway.request_rank import (
+    UNRANKED,
+    RequestRank,
+    RequestRanks,
+)
 from cowslipshelf_core.internal.gateway.retry_budget import (
     ServiceRetryBudget,
     ServiceRetryBudgetConfig,
@@ -158,6 +163,9 @@
     "ServiceRetryBudget",
     "ServiceRetryBudgetConfig",
     "RequestDigest",
+    "RequestRank",
+    "RequestRanks",
+    "UNRANKED",
     "RequestQuarantine",
     "Route",
     "RouteConfiguration",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -81,6 +81,8 @@
     pause_seconds: float | None
     left_seconds: float
     """Time until the caller gives up."""
+    weight: float = 1.0
+    """Factor on the value of the answer, by the rank of the request."""
 
     @property
     def needed_tokens(self) -> int:
--- a/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
@@ -110,7 +110,7 @@
     work = EngineWork(
         prompt.attempt_id,
         (),
-        answer_value(prompt.size),
+        answer_value(prompt.size) * prompt.weight,
         prompt.objective_seconds,
         prompt.pause_seconds or DEFAULT_PAUSE_SECONDS,
     )
--- a/packages/core/src/cowslipshelf_core/internal/gateway/route_table.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/route_table.py
@@ -11,6 +11,7 @@
     RouteConfiguration,
     ServiceConfiguration,
 )
+from cowslipshelf_core.internal.gateway.request_rank import RequestRanks
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,6 +22,7 @@
     routes: dict[tuple[str, str], Route]
     customers: dict[str, GatewayCustomer]
     services: dict[ServiceName, ServiceConfiguration]
+    ranks: RequestRanks
 
     @classmethod
     def from_configuration(cls, configuration: RouteConfiguration) -> Self:
@@ -37,6 +39,7 @@
                 for key in customer.keys
             },
             {service.name: service for service in configuration.services},
+            RequestRanks.from_configuration(configuration),
         )
 
     def route_of(self, host: str, path: str) -> Route | None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -133,6 +133,7 @@
             before=before,
             routes=len(configuration.routes),
             customers=len(configuration.customers),
+            ranked_services=sorted(self.table.ranks.highest),
         )
         return True
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -6,6 +6,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, PrefillHelper
 from cowslipshelf_core.gateway import (
+    UNRANKED,
     Distance,
     EngineCandidate,
     EngineModel,
@@ -15,10 +16,10 @@
     FirstEventWait,
     NoEngine,
     PromptToPlace,
+    RequestRank,
     Route,
     UpstreamCandidate,
     UpstreamHeartbeat,
-    admission_priority,
     choose_upstream,
     link_surcharge,
     place_prompt,
@@ -74,6 +75,7 @@
     facts: CallerFacts,
     left_seconds: float,
     excluded: frozenset[UpstreamId],
+    rank: RequestRank = UNRANKED,
 ) -> Placement | NoPlacement:
     """Choose an upstream that was not tried before."""
     known = view.upstreams_of(service)
@@ -83,7 +85,9 @@
         return NoPlacement(reason, RETRY_AFTER_SECONDS)
     model = view.table.services[service].engine
     if model is not None and facts.prompt is not None:
-        return place_on_engines(view, route, facts, left_seconds, upstreams, model)
+        return place_on_engines(
+            view, route, facts, left_seconds, upstreams, model, rank
+        )
     return place_by_load(view, upstreams)
 
 
@@ -116,6 +120,7 @@
     left_seconds: float,
     upstreams: list[UpstreamHeartbeat],
     model: EngineModel,
+    rank: RequestRank,
 ) -> Placement | NoPlacement:
     """Choose the engines with the lowest cost."""
     now = time.monotonic()
@@ -140,6 +145,7 @@
         route.objective_seconds,
         route.pause_seconds,
         left_seconds,
+        rank.weight,
     )
     distance = Distance(view.settings.data_centre, view.settings.crossing_cost)
     chosen = place_prompt(
@@ -159,7 +165,7 @@
         ),
         tickets,
         chosen.first_token_seconds,
-        admission_priority(facts.prompt),
+        rank.admission_priority(facts.prompt),
         len(candidates),
         chosen.cost,
     )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -6,7 +6,13 @@
 from dataclasses import dataclass, field
 
 from cowslipshelf_core.dialect import CallerFacts, Dialect
-from cowslipshelf_core.gateway import HeldBack, choose_service, request_digest
+from cowslipshelf_core.gateway import (
+    UNRANKED,
+    HeldBack,
+    RequestRank,
+    choose_service,
+    request_digest,
+)
 from cowslipshelf_core.identifiers import ServiceName, UpstreamId
 from cowslipshelf_daemon.internal.gateway.admission import (
     MAX_WAIT_SHARE,
@@ -73,6 +79,9 @@
     last_reason: str = ""
     retry_after_seconds: float | None = BUSY_RETRY_SECONDS
     """Retry-after in seconds; None if a retry would not help."""
+    rank: RequestRank = UNRANKED
+    held_back: bool = False
+    """Whether upstreams ended under the request, so that no capacity would help."""
 
 
 class RequestHandler:
@@ -159,6 +168,8 @@
         """Try upstreams until one answers or the deadline passes; return the status."""
         progress = RequestProgress()
         service = choose_service(task.route, self.view.random)
+        ranks = self.view.table.ranks
+        progress.rank = ranks.rank_of(task.route, service, task.customer)
         self.view.retry_budget.count_request(service, time.monotonic())
         left = task.deadline - time.monotonic()
         try:
@@ -187,6 +198,7 @@
                 count = len(verdict.upstreams)
                 progress.last_reason = f"{count} upstreams ended under this request"
                 progress.retry_after_seconds = verdict.retry_after_seconds
+                progress.held_back = True
                 return None
             placement = place(
                 self.view,
@@ -195,6 +207,7 @@
                 task.facts,
                 left,
                 frozenset(progress.excluded),
+                progress.rank,
             )
             if isinstance(placement, NoPlacement) and await self.wait_for_upstream(
                 service, left, progress
@@ -318,6 +331,7 @@
             predicted=round(placement.first_token_seconds or 0.0, 4),
             cost=round(placement.cost, 3),
             candidates=placement.candidates,
+            rank=progress.rank.steps if progress.rank.in_force else None,
             helpers=[part.upstream_id for part in placement.helper_parts],
             sent=progress.sent,
         )
@@ -382,7 +396,7 @@
                 sent=progress.sent,
             )
             raise AnswerCutError(progress.last_reason)
-        pause = progress.retry_after_seconds if status == NOT_RUN else None
+        pause = self.retry_after_of(progress) if status == NOT_RUN else None
         LOG.info(
             "Request refused.",
             request=task.facts.attempt_id,
@@ -390,9 +404,22 @@
             reason=progress.last_reason,
             sent=progress.sent,
             may_have_run=progress.may_have_run,
+            rank=progress.rank.steps if progress.rank.in_force else None,
+            retry_after=pause,
         )
         return await self.refuse(task.responder, task.facts, status, pause)
 
+    def retry_after_of(self, progress: RequestProgress) -> float | None:
+        """Return the retry-after of a refused request; count it by its rank, if any."""
+        seconds, rank = progress.retry_after_seconds, progress.rank
+        if seconds is None:
+            return None
+        if progress.held_back or not rank.in_force:
+            return math.ceil(seconds * 10) / 10
+        self.metrics.count("cowslipshelf_rank_refusals_total", steps=str(rank.steps))
+        # In hundredths, since a fifth of the shortest retry-after is 0.04 s.
+        return round(rank.retry_after_seconds(seconds, self.view.random), 2)
+
     async def refuse(
         self,
         responder: Responder,
@@ -403,8 +430,7 @@
         """Send a refusal from the gateway itself; return its status."""
         headers = self.dialect.refusal_headers(facts.attempt_id)
         if retry_after_seconds is not None:
-            tenths = math.ceil(retry_after_seconds * 10) / 10
-            headers.append((b"retry-after", f"{tenths:g}".encode()))
+            headers.append((b"retry-after", f"{retry_after_seconds:g}".encode()))
         await responder.respond(status, headers)
         return status
 
