--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -29,6 +29,11 @@
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
 from cowslipshelf_core.internal.gateway.known_evacuations import KnownEvacuations
+from cowslipshelf_core.internal.gateway.link_loss import (
+    LinkLoss,
+    StreamPauses,
+    link_surcharge,
+)
 from cowslipshelf_core.internal.gateway.memory_lease import (
     MemoryLease,
     MemoryLeaseConfig,
@@ -57,6 +62,7 @@
     PeerTableConfig,
 )
 from cowslipshelf_core.internal.gateway.placement_cost import (
+    Distance,
     EngineCandidate,
     PromptToPlace,
 )
@@ -93,6 +99,11 @@
     RequestDigest,
     request_digest,
 )
+from cowslipshelf_core.internal.gateway.request_rank import (
+    UNRANKED,
+    RequestRank,
+    RequestRanks,
+)
 from cowslipshelf_core.internal.gateway.retry_budget import (
     ServiceRetryBudget,
     ServiceRetryBudgetConfig,
@@ -127,6 +138,7 @@
     "AnswerTimes",
     "CallerLimits",
     "DataCentreOutages",
+    "Distance",
     "EngineCandidate",
     "ExitReport",
     "EngineTracker",
@@ -146,7 +158,10 @@
     "KnownEvacuations",
     "KnownPeer",
     "KnownUpstream",
+    "LinkLoss",
     "ListedSuspect",
+    "StreamPauses",
+    "link_surcharge",
     "MemoryLease",
     "MemoryLeaseConfig",
     "START_UNKNOWN",
@@ -169,6 +184,9 @@
     "ServiceRetryBudgetConfig",
     "SharedHealth",
     "RequestDigest",
+    "RequestRank",
+    "RequestRanks",
+    "UNRANKED",
     "RequestQuarantine",
     "Route",
     "RouteConfiguration",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
@@ -239,6 +239,13 @@
         pending = sum(tracked.left_seconds for tracked in self.pending_parts())
         return self.time_to_pass_end(now) + pending
 
+    def prefilled_since(self, since: float, now: float) -> bool:
+        """Return whether a pass that decodes has prefilled anything since a time."""
+        if self.model is None:
+            return False
+        self.advance(self.model, now)
+        return self.prefill_ends_at > since or bool(self.pending_parts())
+
     def prefilled_at(self, attempt_id: AttemptId, now: float) -> float | None:
         """Return when a part is or will be prefilled; None if it is not tracked."""
         left_seconds = self.prefill_left_seconds(now)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
@@ -253,10 +253,8 @@
         seconds = self.usual_pass_seconds(upstream_id, model, now)
         if seconds is None:
             return None
-        simulation = self.simulations[upstream_id]
-        if simulation.prefill_ends_at > since or simulation.pending_parts():
-            return None
-        return seconds
+        prefilled = self.simulations[upstream_id].prefilled_since(since, now)
+        return None if prefilled else seconds
 
     def excused_seconds(self, attempt_id: AttemptId, now: float) -> float:
         """Return how long an attempt's engines may still be silent due to prefills.
@@ -279,6 +277,13 @@
         margin = SILENCE_MARGIN_OBJECTIVES * placed.work.objective_seconds
         return longest + margin
 
+    def prefilled_since(
+        self, upstream_id: UpstreamId, since: float, now: float
+    ) -> bool:
+        """Return whether an engine has prefilled beside its decodes since a time."""
+        simulation = self.simulations.get(upstream_id)
+        return simulation is not None and simulation.prefilled_since(since, now)
+
     def has_first_token(self, attempt_id: AttemptId) -> bool:
         """Return whether the first token of an attempt was reported."""
         placed = self.placed.get(attempt_id)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -44,6 +44,7 @@
 )
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
+from cowslipshelf_daemon.internal.gateway.link_watch import LinkWatch
 from cowslipshelf_daemon.internal.gateway.placement import Placement
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
@@ -413,6 +414,7 @@
         pace = StreamPace(began)
         model = self.engine_model(placement)
         slowness: StreamSlowness | None = None
+        link_watch = LinkWatch.of(self.view, placement)
         async for data in connection.body():
             batch = splitter.feed(data)
             if len(splitter.buffer) > MAX_BUFFERED_BYTES:
@@ -440,6 +442,7 @@
             await task.responder.write(batch.data)
             if slowness is not None:
                 slowness.record_taken(time.monotonic())
+            link_watch.record_event(pace.last_at, time.monotonic())
         self.begin_stream(task, head)
         await task.responder.write(splitter.take_rest())
         await task.responder.end()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -18,6 +18,7 @@
     HeartbeatsSeen,
     KnownEvacuations,
     KnownUpstream,
+    LinkLoss,
     OutageBegan,
     OutageEnded,
     OutagesConfig,
@@ -87,6 +88,7 @@
     engines: EngineTracker = field(default_factory=EngineTracker)
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     evacuations: KnownEvacuations = field(default_factory=KnownEvacuations)
+    link_loss: LinkLoss = field(default_factory=LinkLoss)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
     random: Random = field(default_factory=Random)
@@ -156,6 +158,7 @@
             before=before,
             routes=len(configuration.routes),
             customers=len(configuration.customers),
+            ranked_services=sorted(self.table.ranks.highest),
         )
         return True
 
@@ -453,6 +456,16 @@
                         heard=change.heard,
                     )
 
+    def lossy_data_centres(self) -> frozenset[DataCentre]:
+        """Return the data centres whose links to the own one lose packets now."""
+        if not self.settings.crossing_cost:
+            return frozenset()
+        before = self.link_loss.lossy
+        lossy = self.link_loss.update(self.settings.data_centre, time.monotonic())
+        if lossy != before:
+            LOG.info("Lossy links changed.", lossy=sorted(lossy), before=sorted(before))
+        return lossy
+
     def begin_work(self, work: EngineWork) -> None:
         """Record work that this gateway places, and tell the others."""
         self.engines.begin(work, self.settings.instance, time.monotonic())
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -6,6 +6,8 @@
 
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, PrefillHelper
 from cowslipshelf_core.gateway import (
+    UNRANKED,
+    Distance,
     EngineCandidate,
     EngineModel,
     EnginePart,
@@ -14,11 +16,12 @@
     FirstEventWait,
     NoEngine,
     PromptToPlace,
+    RequestRank,
     Route,
     UpstreamCandidate,
     UpstreamHeartbeat,
-    admission_priority,
     choose_upstream,
+    link_surcharge,
     place_prompt,
 )
 from cowslipshelf_core.identifiers import AttemptId, ServiceName, UpstreamId
@@ -78,6 +81,7 @@
     facts: CallerFacts,
     left_seconds: float,
     excluded: frozenset[UpstreamId],
+    rank: RequestRank = UNRANKED,
 ) -> Placement | NoPlacement:
     """Choose an upstream that was not tried before."""
     known = view.upstreams_of(service)
@@ -89,7 +93,9 @@
         return NoPlacement(reason, RETRY_AFTER_SECONDS)
     model = view.table.services[service].engine
     if model is not None and facts.prompt is not None:
-        return place_on_engines(view, route, facts, left_seconds, upstreams, model)
+        return place_on_engines(
+            view, route, facts, left_seconds, upstreams, model, rank
+        )
     return place_by_load(view, upstreams)
 
 
@@ -122,6 +128,7 @@
     left_seconds: float,
     upstreams: list[UpstreamHeartbeat],
     model: EngineModel,
+    rank: RequestRank,
 ) -> Placement | NoPlacement:
     """Choose the engines with the lowest cost.
 
@@ -129,6 +136,7 @@
     it may be a false alarm, and the request would be refused.
     """
     now = time.monotonic()
+    lossy = view.lossy_data_centres()
     shares_health = view.settings.shares_health
     candidates, doubtful = [], []
     for upstream in upstreams:
@@ -142,6 +150,7 @@
                 health.slowness,
                 health.failure_rate,
                 upstream.data_centre,
+                link_surcharge(route.pause_seconds, upstream.data_centre in lossy),
                 pending_slowness=health.slowness if shares_health else 1.0,
             )
         )
@@ -151,11 +160,17 @@
         route.objective_seconds,
         route.pause_seconds,
         left_seconds,
+        rank.weight,
+    )
+    distance = Distance(view.settings.data_centre, view.settings.crossing_cost)
+    chosen = place_prompt(
+        asked, candidates, model, view.engines, now, view.random, distance
     )
-    chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
     if isinstance(chosen, NoEngine) and doubtful:
         candidates += doubtful
-        chosen = place_prompt(asked, candidates, model, view.engines, now, view.random)
+        chosen = place_prompt(
+            asked, candidates, model, view.engines, now, view.random, distance
+        )
     if isinstance(chosen, NoEngine):
         return NoPlacement(chosen.reason, chosen.retry_after_seconds)
     by_id = {each.upstream_id: each for each in upstreams}
@@ -170,7 +185,7 @@
         ),
         tickets,
         chosen.first_token_seconds,
-        admission_priority(facts.prompt),
+        rank.admission_priority(facts.prompt),
         len(candidates),
         chosen.cost,
     )
--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -274,7 +274,7 @@
         """Choose dead engines for as long as they are not doubtful."""
         for number in range(PER_DATA_CENTRE):
             name = f"far-{number}"
-            if name not in arguments[-1] and not doubtful(view):
+            if name not in arguments[5] and not doubtful(view):
                 placed.append(name)
                 found = {each.upstream_id: each for each in view.upstreams_of("s")}
                 return Placement(found[name])
