Limit the requests that cold upstreams get from all gateways

An upstream that has just started sustains few requests per second and crashes well above that, and each gateway sent it as many as any other one. Without cold_over in the settings, or with cold_per_s 0, nothing changes.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -1,6 +1,12 @@
 """Export the decision logic of gateways, which serve requests by configured routes."""
 
 from cowslipshelf_core.internal.gateway.answer_times import AnswerTimes
+from cowslipshelf_core.internal.gateway.cold_limiter import (
+    UNLIMITED,
+    ColdChoice,
+    ColdLimiter,
+    ColdLimiterConfig,
+)
 from cowslipshelf_core.internal.gateway.compression import (
     compress_configuration,
     decompress_configuration,
@@ -74,8 +80,11 @@
     Verdict,
 )
 from cowslipshelf_core.internal.gateway.registry import (
+    MAX_COLD_SECONDS,
+    ColdReport,
     HeartbeatSeen,
     KnownUpstream,
+    ReceivedHeartbeat,
     RegistryConfig,
     UpstreamHeartbeat,
     UpstreamPhase,
@@ -113,6 +122,10 @@
     "AllowedAlone",
     "AnswerTimes",
     "CallerLimits",
+    "ColdChoice",
+    "ColdLimiter",
+    "ColdLimiterConfig",
+    "ColdReport",
     "EngineCandidate",
     "ExitReport",
     "EngineTracker",
@@ -132,6 +145,7 @@
     "KnownPeer",
     "KnownUpstream",
     "ListedSuspect",
+    "MAX_COLD_SECONDS",
     "MemoryLease",
     "MemoryLeaseConfig",
     "START_UNKNOWN",
@@ -139,10 +153,12 @@
     "PeerTable",
     "PeerTableConfig",
     "PeerChange",
+    "UNLIMITED",
     "UpstreamCandidate",
     "PromptToPlace",
     "PromptSize",
     "QuarantineConfig",
+    "ReceivedHeartbeat",
     "RegistryConfig",
     "Relayed",
     "ServiceRetryBudget",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/configuration.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/configuration.py
@@ -82,6 +82,10 @@
     max_connections: int
     """Connections that one upstream accepts from all gateways together."""
     engine: EngineModel | None = None
+    cold_seconds: float = 0.0
+    """Time for which an upstream is cold after its start; zero: never cold."""
+    cold_requests_per_second: float = 0.0
+    """Requests that a cold upstream sustains; zero: no limit."""
 
 
 class CallerLimits(NamedTuple):
--- a/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
@@ -13,7 +13,7 @@
 from cowslipshelf_core.identifiers import CustomerName, UpstreamId, UpstreamName
 from cowslipshelf_core.internal.gateway.configuration import RouteConfiguration
 from cowslipshelf_core.internal.gateway.prompt_cost import PromptSize
-from cowslipshelf_core.internal.gateway.registry import UpstreamHeartbeat
+from cowslipshelf_core.internal.gateway.registry import ReceivedHeartbeat
 from cowslipshelf_core.messages import RoutesDocument
 
 Headers = list[tuple[bytes, bytes]]
@@ -130,7 +130,7 @@
 
     def read_heartbeat(
         self, name: UpstreamName, body: bytes
-    ) -> Result[UpstreamHeartbeat, str]:
+    ) -> Result[ReceivedHeartbeat, str]:
         """Decode a heartbeat, or return the reason why it is invalid."""
 
     def read_leaving(self, body: bytes) -> Result[int, str]:
--- a/packages/core/src/cowslipshelf_core/internal/gateway/registry.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/registry.py
@@ -36,6 +36,9 @@
 """Time without heartbeats after which an upstream is forgotten, also one that has left:
 heartbeats arrive seconds late, and instances that were partitioned may repeat them
 after the partition."""
+MAX_COLD_SECONDS = 60.0
+"""Longest cold time that one heartbeat may give. A larger value is an error of its
+sender, and would keep the upstream nearly unused until its next heartbeat."""
 
 
 class UpstreamPhase(StrEnum):
@@ -63,6 +66,41 @@
     sequence: int
 
 
+class ReceivedHeartbeat(NamedTuple):
+    """Hold a heartbeat as an upstream sent it, with what only some messages carry."""
+
+    heartbeat: UpstreamHeartbeat
+    cold_left_seconds: float = 0.0
+    """Time for which the upstream is still cold."""
+
+
+class ColdReport(NamedTuple):
+    """Hold the remaining cold time that one heartbeat of a start gave."""
+
+    sequence: int
+    heard_at: float
+    left_seconds: float
+
+    @property
+    def until(self) -> float:
+        """Return the end of the cold time."""
+        return self.heard_at + self.left_seconds
+
+    def left_at(self, now: float) -> float:
+        """Return the cold time that remains."""
+        return max(0.0, self.until - now)
+
+    def merged_with(self, other: "ColdReport | None") -> "ColdReport":
+        """Return the report of the later heartbeat.
+
+        Copies of one heartbeat differ by their time on the way, which only ever adds to
+        the cold time, so the earlier end is nearer to what the upstream said.
+        """
+        if other is None:
+            return self
+        return min(self, other, key=lambda report: (-report.sequence, report.until))
+
+
 class HeartbeatSeen(msgspec.Struct, frozen=True, array_like=True):
     """Forward a heartbeat to another gateway, with its age.
 
@@ -74,13 +112,21 @@
     heartbeat: UpstreamHeartbeat
     age_seconds: float
     began_ms: int = START_UNKNOWN
+    cold_left: float | None = None
+    """Cold time in seconds that remains when the message is sent; the age is already
+    subtracted. None if it is not known, as from gateways of the previous version."""
 
     @classmethod
-    def from_heartbeat(cls, heartbeat: UpstreamHeartbeat, age_seconds: float) -> Self:
+    def from_heartbeat(
+        cls,
+        heartbeat: UpstreamHeartbeat,
+        age_seconds: float,
+        cold_left: float | None = None,
+    ) -> Self:
         """Build the message from a heartbeat under the id of a start."""
         start = UpstreamStart.of(heartbeat.upstream_id)
         named = heartbeat._replace(upstream_id=UpstreamId(start.name))
-        return cls(named, age_seconds, start.began_ms)
+        return cls(named, age_seconds, start.began_ms, cold_left)
 
     @property
     def with_start_id(self) -> UpstreamHeartbeat:
@@ -97,6 +143,10 @@
     start: UpstreamStart
     heartbeat: UpstreamHeartbeat
     heard_at: float
+    first_heard_at: float
+    """Time at which the first heartbeat of this start was heard."""
+    cold: ColdReport | None = None
+    """The newest cold time that a heartbeat gave; None if none did."""
 
     def replaces_at_address(self, other: "KnownUpstream") -> bool:
         """Return whether this one, not the other, runs at their common address.
@@ -110,8 +160,12 @@
                 return began > other_began
         return self.heard_at > other.heard_at
 
-    def merge(self, heartbeat: UpstreamHeartbeat, heard_at: float) -> None:
+    def merge(
+        self, heartbeat: UpstreamHeartbeat, heard_at: float, cold: ColdReport | None
+    ) -> None:
         """Merge a heartbeat of this start, which may be late."""
+        if cold is not None:
+            self.cold = cold.merged_with(self.cold)
         phase = max(self.heartbeat.phase, heartbeat.phase, key=PHASE_ORDER.index)
         if heartbeat.sequence > self.heartbeat.sequence:
             self.heartbeat = heartbeat
@@ -148,7 +202,12 @@
         latest = self.latest.get(UpstreamStart.of(upstream_id).name)
         return None if latest is None else self.known[latest]
 
-    def record(self, heartbeat: UpstreamHeartbeat, heard_at: float) -> bool:
+    def record(
+        self,
+        heartbeat: UpstreamHeartbeat,
+        heard_at: float,
+        cold: ColdReport | None = None,
+    ) -> bool:
         """Record a heartbeat heard at a time; return whether it changes the phase.
 
         A new upstream or a new start counts as a change of phase. A heartbeat without a
@@ -161,23 +220,29 @@
             start = known.start
             heartbeat = heartbeat._replace(upstream_id=start.upstream_id)
         if known is None or start > known.start:
-            self.add_start(start, heartbeat, heard_at)
+            self.add_start(start, heartbeat, heard_at, cold)
             return True
         if start < known.start:
             return False
         before = known.heartbeat.phase
-        known.merge(heartbeat, heard_at)
+        known.merge(heartbeat, heard_at, cold)
         return known.heartbeat.phase is not before
 
     def add_start(
-        self, start: UpstreamStart, heartbeat: UpstreamHeartbeat, heard_at: float
+        self,
+        start: UpstreamStart,
+        heartbeat: UpstreamHeartbeat,
+        heard_at: float,
+        cold: ColdReport | None,
     ) -> None:
         """Add a start in place of any earlier one of its upstream."""
         former = self.latest.get(start.name)
         if former is not None:
             del self.known[former]
         self.latest[start.name] = start.upstream_id
-        self.known[start.upstream_id] = KnownUpstream(start, heartbeat, heard_at)
+        self.known[start.upstream_id] = KnownUpstream(
+            start, heartbeat, heard_at, heard_at, cold
+        )
 
     def leave(self, start: UpstreamStart, now: float) -> HeartbeatSeen:
         """Mark a start as left; return the message for the other gateways."""
@@ -228,6 +293,11 @@
             del self.latest[self.known.pop(upstream_id).start.name]
         return old
 
+    def cold_left(self, upstream_id: UpstreamId, now: float) -> float | None:
+        """Return the cold time that remains by an upstream's heartbeats, if known."""
+        known = self.known.get(upstream_id)
+        return None if known is None or known.cold is None else known.cold.left_at(now)
+
     def all_heartbeats(self, now: float) -> tuple[HeartbeatSeen, ...]:
         """Return all heartbeats, for a gateway that may have missed some."""
         return self.heartbeats_of(self.known, now)
@@ -239,7 +309,9 @@
         found = (self.known.get(upstream_id) for upstream_id in upstream_ids)
         return tuple(
             HeartbeatSeen.from_heartbeat(
-                known.heartbeat, max(0.0, now - known.heard_at)
+                known.heartbeat,
+                max(0.0, now - known.heard_at),
+                self.cold_left(known.start.upstream_id, now),
             )
             for known in found
             if known is not None
--- a/packages/core/src/cowslipshelf_core/internal/gateway/upstream_choice.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/upstream_choice.py
@@ -25,6 +25,8 @@
     slowness: float
     avoided: bool
     local: bool
+    surcharge: float = 0.0
+    """Cost of using the upstream at all, as a share of the slots."""
 
 
 def choose_upstream(
@@ -41,6 +43,7 @@
     """Return a cost that grows with load, failures, slowness and distance."""
     load = (candidate.running + 1) / max(1, candidate.slots)
     cost = load * candidate.slowness + FAILURE_COST * candidate.failure_rate
+    cost += candidate.surcharge
     if candidate.avoided:
         cost += AVOIDED_COST
     if not candidate.local:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -26,6 +26,7 @@
     WorkChanged,
     WorkHeld,
 )
+from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_core.messages import (
     FetchRoutes,
     PeerAlive,
@@ -85,6 +86,9 @@
 SUSPECTS_WRITE_SECONDS = 0.2
 """Interval between checks whether the suspect requests changed since the last write.
 A suspect that all gateways forget at once ends three more upstreams."""
+COLD_REPORT_SECONDS = 0.5
+"""Interval between reports of upstreams that became cold or warm; cold times last
+seconds."""
 RELOAD_INTERVAL_SECONDS = 1.0
 """Interval between checks of the settings file, which may change without a signal."""
 RESERVED_DESCRIPTORS = 600
@@ -163,6 +167,8 @@
             self.suspects_file = SuspectRequestsFile(settings.data_folder)
             self.suspects.merge_reports(settings.instance, self.suspects_file.read())
         self.mailbox = self.make_mailbox(own_address)
+        self.cold_upstreams: frozenset[UpstreamId] = frozenset()
+        """Upstreams that were last reported as cold."""
         self.leaving = False
         self.ended = asyncio.Event()
         runner = AttemptRunner(self.view, self.pool, dialect)
@@ -286,6 +292,7 @@
             PeriodicTask(RELOAD_INTERVAL_SECONDS, self.reload),
             PeriodicTask(FULL_SYNC_SECONDS, self.gossip.tell_everything),
             PeriodicTask(FORGET_INTERVAL_SECONDS, self.forget_old),
+            PeriodicTask(COLD_REPORT_SECONDS, self.report_cold),
         ]
         if self.upstreams_file is not None:
             tasks.append(PeriodicTask(UPSTREAMS_WRITE_SECONDS, self.write_upstreams))
@@ -304,6 +311,16 @@
         self.suspects.forget_old()
         self.pool.close_stale()
 
+    def report_cold(self) -> None:
+        """Log which upstreams became cold or warm, and count the cold ones."""
+        cold = self.view.cold_upstreams()
+        if cold != self.cold_upstreams:
+            became_cold = sorted(cold - self.cold_upstreams)
+            became_warm = sorted(self.cold_upstreams - cold)
+            LOG.info("Cold upstreams changed.", cold=became_cold, warm=became_warm)
+            self.metrics.gauge("cowslipshelf_cold_upstreams", len(cold))
+        self.cold_upstreams = cold
+
     def write_upstreams(self) -> None:
         """Write the known upstreams for a restart, if they changed."""
         self.upstreams_file.write_soon(self.view.all_heartbeats())
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -89,6 +89,7 @@
         began = time.monotonic()
         upstream = placement.upstream
         self.view.request_started(upstream.upstream_id)
+        self.view.cold.reserve(placement.upstream_ids)
         if placement.work is not None:
             self.view.begin_work(placement.work)
         try:
@@ -98,6 +99,7 @@
             raise
         finally:
             self.view.request_ended(upstream.upstream_id)
+            self.view.cold.release(placement.upstream_ids)
             if placement.work is not None:
                 self.view.end_work(placement.work.attempt_id)
         if isinstance(outcome, Answered):
@@ -256,6 +258,7 @@
     ) -> AttemptOutcome:
         """Send the request, wait for the head, then forward or classify the answer."""
         began = time.monotonic()
+        self.view.cold.record_sent(placement.upstream_ids, began)
         connection.send(self.outgoing_request(task, placement))
         head = await connection.head()
         facts = self.dialect.answer_facts(head.status, head.headers)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -18,7 +18,7 @@
     RemoveUpstream,
 )
 from cowslipshelf_core.gateway import (
-    UpstreamHeartbeat,
+    ReceivedHeartbeat,
     compress_configuration,
     decompress_configuration,
 )
@@ -181,17 +181,17 @@
                 await self.refuse_message(
                     "Heartbeat refused.", problem, request, responder
                 )
-            case Ok(heartbeat):
-                changed = self.view.record_heartbeat(heartbeat, 0.0)
+            case Ok((heartbeat, cold_left)):
+                changed = self.view.record_heartbeat(heartbeat, 0.0, cold_left)
                 self.gossip.forward_heartbeat(heartbeat, urgent=changed)
                 await responder.respond(DONE, [JSON], b"{}")
 
     def check_heartbeat(
-        self, heartbeat: UpstreamHeartbeat
-    ) -> Result[UpstreamHeartbeat, str]:
+        self, received: ReceivedHeartbeat
+    ) -> Result[ReceivedHeartbeat, str]:
         """Return a heartbeat, or why it can't come from the upstream itself."""
-        problem = self.view.heartbeat_problem(heartbeat)
-        return Ok(heartbeat) if problem is None else Err(problem)
+        problem = self.view.heartbeat_problem(received.heartbeat)
+        return Ok(received) if problem is None else Err(problem)
 
     async def remove_upstream(
         self, name: UpstreamName, request: HttpRequest, responder: Responder
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -9,8 +9,14 @@
 from typing import Self
 
 from cowslipshelf_core.gateway import (
+    MAX_COLD_SECONDS,
     START_UNKNOWN,
+    UNLIMITED,
     AnswerTimes,
+    ColdChoice,
+    ColdLimiter,
+    ColdLimiterConfig,
+    ColdReport,
     EngineTracker,
     EngineWork,
     HeartbeatSeen,
@@ -64,6 +70,7 @@
     registry: UpstreamRegistry
     peers: PeerTable
     retry_budget: ServiceRetryBudget
+    cold: ColdLimiter
     on_work_changed: Callable[[WorkChanged], None]
     """Sends a change of engine work to the other gateways; set in assembly."""
     on_start_replaced: Callable[[UpstreamStart, UpstreamStart], None]
@@ -97,6 +104,7 @@
                 )
             ),
             ServiceRetryBudget.from_config(retry_budget_config(settings)),
+            ColdLimiter.from_config(cold_limiter_config(settings, time.monotonic())),
             on_work_changed=lambda _changed: None,
             on_start_replaced=lambda _former, _later: None,
         )
@@ -106,6 +114,8 @@
         self.settings = settings
         self.peers.seeds = settings.seeds
         self.retry_budget.config = retry_budget_config(settings)
+        started_at = self.cold.config.started_at
+        self.cold.config = cold_limiter_config(settings, started_at)
 
     def apply_configuration(
         self, document: RoutesDocument, configuration: RouteConfiguration
@@ -138,10 +148,20 @@
         now = time.monotonic()
         return bool(self.peers.peers_with_newer(self.document.version, now))
 
-    def record_heartbeat(self, heartbeat: UpstreamHeartbeat, age: float) -> bool:
-        """Record an upstream's heartbeat; return whether its phase changed."""
+    def record_heartbeat(
+        self, heartbeat: UpstreamHeartbeat, age: float, cold_left: float | None = None
+    ) -> bool:
+        """Record an upstream's heartbeat; return whether its phase changed.
+
+        `cold_left` is the cold time that remains now, whatever the heartbeat's age.
+        """
         known = self.registry.latest_start(heartbeat.upstream_id)
-        changed = self.registry.record(heartbeat, time.monotonic() - age)
+        now = time.monotonic()
+        cold = None
+        if cold_left is not None:
+            left = min(max(0.0, cold_left), MAX_COLD_SECONDS)
+            cold = ColdReport(heartbeat.sequence, now, left)
+        changed = self.registry.record(heartbeat, now - age, cold)
         if changed:
             self.notify_waiters()
             LOG.info(
@@ -245,7 +265,7 @@
     def record_heartbeats(self, message: HeartbeatsSeen) -> None:
         """Record heartbeats that another gateway forwarded."""
         for seen in message.seen:
-            self.record_heartbeat(seen.with_start_id, seen.age_seconds)
+            self.record_heartbeat(seen.with_start_id, seen.age_seconds, seen.cold_left)
 
     def record_work(self, owner: InstanceId, message: WorkChanged) -> None:
         """Record another gateway's work on engines."""
@@ -295,6 +315,28 @@
         """List the upstreams of a service that accept new work."""
         return self.registry.ready_upstreams(service, time.monotonic())
 
+    def cold_choice(
+        self, service: ServiceName, upstreams: list[UpstreamHeartbeat]
+    ) -> ColdChoice:
+        """Return which of all usable upstreams of a service are cold."""
+        configuration = self.table.services.get(service) if self.table else None
+        if configuration is None or not self.cold.is_limited(configuration):
+            return UNLIMITED
+        known = [self.registry.known[each.upstream_id] for each in upstreams]
+        others = self.peers.known.keys()
+        return self.cold.choose(configuration, known, others, time.monotonic())
+
+    def cold_upstreams(self) -> frozenset[UpstreamId]:
+        """Return the cold upstreams of all services."""
+        now = time.monotonic()
+        found: set[UpstreamId] = set()
+        for name, service in self.table.services.items() if self.table else ():
+            if self.cold.is_limited(service):
+                ready = self.registry.ready_upstreams(name, now)
+                known = [self.registry.known[each.upstream_id] for each in ready]
+                found |= self.cold.cold_upstreams(service, known, now).keys()
+        return frozenset(found)
+
     def heartbeat_age(self, upstream: UpstreamHeartbeat) -> float:
         """Return the age of the last heartbeat of an upstream, in seconds."""
         known = self.registry.known.get(upstream.upstream_id)
@@ -323,6 +365,7 @@
         for upstream_id in self.registry.forget_old(now):
             self.forget_upstream(upstream_id)
         self.peers.forget_old(now)
+        self.cold.forget_old(now)
         forgotten = self.engines.forget_old(now)
         if forgotten:
             LOG.warning("Work forgotten whose end was not told.", attempts=forgotten)
@@ -347,7 +390,7 @@
         silence = self.registry.config.silence_seconds
         recent = max(0.0, silence - RESTORED_SECONDS)
         for each in seen:
-            self.record_heartbeat(each.with_start_id, recent)
+            self.record_heartbeat(each.with_start_id, recent, each.cold_left)
 
     def heartbeats_of(
         self, upstream_ids: Iterable[UpstreamId]
@@ -355,6 +398,11 @@
         """List the latest heartbeats of some upstreams."""
         return self.registry.heartbeats_of(upstream_ids, time.monotonic())
 
+    def heartbeat_to_send(self, heartbeat: UpstreamHeartbeat) -> HeartbeatSeen:
+        """Return the message that forwards a heartbeat at once."""
+        cold_left = self.registry.cold_left(heartbeat.upstream_id, time.monotonic())
+        return HeartbeatSeen.from_heartbeat(heartbeat, 0.0, cold_left)
+
     def all_heartbeats(self) -> tuple[HeartbeatSeen, ...]:
         """List the latest heartbeats of all upstreams, for a peer or a restart."""
         return self.registry.all_heartbeats(time.monotonic())
@@ -367,3 +415,16 @@
         settings.retry_budget_ratio,
         settings.retry_budget_slack,
     )
+
+
+def cold_limiter_config(
+    settings: GatewaySettings, started_at: float
+) -> ColdLimiterConfig:
+    """Return the limit on cold upstreams that the settings define."""
+    return ColdLimiterConfig(
+        settings.instance,
+        started_at,
+        settings.upstream_heartbeat_seconds,
+        settings.cold_over,
+        settings.cold_slack,
+    )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -7,7 +7,6 @@
 from cowslipshelf_core.dialect import Dialect
 from cowslipshelf_core.gateway import (
     FetchWork,
-    HeartbeatSeen,
     HeartbeatsSeen,
     PeerChange,
     Relayed,
@@ -143,7 +142,7 @@
     def forward_heartbeat(self, heartbeat: UpstreamHeartbeat, urgent: bool) -> None:
         """Forward a heartbeat in the next batch; if urgent, at once and repeatedly."""
         if urgent:
-            seen = HeartbeatSeen.from_heartbeat(heartbeat, 0.0)
+            seen = self.view.heartbeat_to_send(heartbeat)
             self.send_to_all(HeartbeatsSeen((seen,)))
             self.urgent_upstreams.add((heartbeat.upstream_id,), URGENT_SENDS - 1)
         else:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -6,6 +6,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, PrefillHelper
 from cowslipshelf_core.gateway import (
+    ColdChoice,
     EngineCandidate,
     EngineModel,
     EnginePart,
@@ -27,6 +28,13 @@
 RETRY_AFTER_SECONDS = 1.0
 """Retry-after if no upstream is known: one heartbeat interval."""
 
+COLD_SURCHARGE = 0.1
+"""Cost of an engine that is cold, in units of the value of a short prompt's answer. It
+exceeds that of using an empty engine and that of crossing data centres, so that a warm
+engine is preferred when the forecasts are alike."""
+COLD_LOAD = 0.5
+"""The same for a plain upstream, as a share of its slots."""
+
 
 class SilenceLimits(NamedTuple):
     """Limit the silences of one attempt, in seconds; None means no limit."""
@@ -57,12 +65,20 @@
         """Return the parts of the prompt that other engines prefill."""
         return () if self.work is None else self.work.parts[1:]
 
+    @property
+    def upstream_ids(self) -> tuple[UpstreamId, ...]:
+        """Return all upstreams that get a request for this attempt."""
+        helpers = (part.upstream_id for part in self.helper_parts)
+        return self.upstream.upstream_id, *helpers
+
 
 class NoPlacement(NamedTuple):
     """Report why there is no upstream, and when to retry."""
 
     reason: str
     retry_after_seconds: float
+    cold: bool = False
+    """Whether only cold upstreams without room are left."""
 
 
 def place(
@@ -75,17 +91,26 @@
 ) -> Placement | NoPlacement:
     """Choose an upstream that was not tried before."""
     known = view.upstreams_of(service)
-    upstreams = [each for each in known if each.upstream_id not in excluded]
+    cold = view.cold_choice(service, known)
+    unused = excluded | cold.blocked
+    upstreams = [each for each in known if each.upstream_id not in unused]
+    if not upstreams and cold.blocked - excluded:
+        reason = "only cold upstreams without room are left"
+        return NoPlacement(reason, cold.retry_after_seconds, cold=True)
     if not upstreams:
         reason = "every upstream was tried" if known else "no upstream is known"
         return NoPlacement(reason, RETRY_AFTER_SECONDS)
     model = view.table.services[service].engine
     if model is not None and facts.prompt is not None:
-        return place_on_engines(view, route, facts, left_seconds, upstreams, model)
-    return place_by_load(view, upstreams)
+        return place_on_engines(
+            view, route, facts, left_seconds, upstreams, model, cold
+        )
+    return place_by_load(view, upstreams, cold)
 
 
-def place_by_load(view: FleetView, upstreams: list[UpstreamHeartbeat]) -> Placement:
+def place_by_load(
+    view: FleetView, upstreams: list[UpstreamHeartbeat], cold: ColdChoice
+) -> Placement:
     """Choose by load, failure rate and data centre."""
     now = time.monotonic()
     candidates = []
@@ -100,6 +125,7 @@
                 health.slowness,
                 health.avoided,
                 upstream.data_centre == view.settings.data_centre,
+                COLD_LOAD if upstream.upstream_id in cold.cold else 0.0,
             )
         )
     chosen = choose_upstream(candidates, view.random)
@@ -114,6 +140,7 @@
     left_seconds: float,
     upstreams: list[UpstreamHeartbeat],
     model: EngineModel,
+    cold: ColdChoice,
 ) -> Placement | NoPlacement:
     """Choose the engines with the lowest cost."""
     now = time.monotonic()
@@ -128,6 +155,7 @@
                 health.slowness,
                 health.failure_rate,
                 upstream.data_centre,
+                COLD_SURCHARGE if upstream.upstream_id in cold.cold else 0.0,
             )
         )
     asked = PromptToPlace(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -342,6 +342,8 @@
         progress.retry_after_seconds = max(
             progress.retry_after_seconds, placement.retry_after_seconds
         )
+        if placement.cold:
+            self.metrics.count("cowslipshelf_cold_refusals_total")
         LOG.info(
             "No upstream.",
             request=task.facts.attempt_id,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -47,6 +47,11 @@
     crossing_cost: float = 0.0
     """Cost of an answer that crosses data centres, in units of the value of a short
     prompt's answer; zero if the distance does not matter."""
+    cold_over: float = 0.0
+    """Requests that a cold upstream may get in a second from all gateways together, as
+    a multiple of what it sustains; zero: no limit."""
+    cold_slack: float = 0.0
+    """Requests allowed in addition, per second."""
 
     @property
     def holds_replica(self) -> bool:
--- a/tests/cover/adapter/test_configuration.py
+++ b/tests/cover/adapter/test_configuration.py
@@ -128,7 +128,7 @@
 
 
 def test_a_heartbeat_is_decoded():
-    read = decode_heartbeat("i-1", json.dumps(HEARTBEAT).encode()).unwrap()
+    read = decode_heartbeat("i-1", json.dumps(HEARTBEAT).encode()).unwrap().heartbeat
     assert (read.upstream_id, read.address, read.sequence) == (
         "i-1",
         "10.0.0.9:8080",
@@ -139,12 +139,12 @@
 
 def test_a_heartbeat_of_one_that_leaves_takes_it_out_of_use():
     text = json.dumps(HEARTBEAT | {"state": "draining"}).encode()
-    assert decode_heartbeat("i", text).unwrap().phase is UpstreamPhase.LEAVING
+    assert decode_heartbeat("i", text).unwrap().heartbeat.phase is UpstreamPhase.LEAVING
 
 
 def test_a_start_that_is_told_is_part_of_the_id():
     text = json.dumps(HEARTBEAT | {"born": BORN}).encode()
-    read = decode_heartbeat("i-1", text).unwrap()
+    read = decode_heartbeat("i-1", text).unwrap().heartbeat
     assert UpstreamStart.of(read.upstream_id) == UpstreamStart("i-1", BORN)
 
 
@@ -256,10 +256,12 @@
     text = json.dumps(HEARTBEAT | changes).encode()
     read = decode_heartbeat("i", text)
     if read.is_ok():
-        seen = HeartbeatSeen.from_heartbeat(read.ok_value, 0.0)
+        heartbeat, cold_left = read.ok_value
+        seen = HeartbeatSeen.from_heartbeat(heartbeat, 0.0, cold_left)
         data = msgspec.msgpack.encode(seen)
         again = msgspec.msgpack.decode(data, type=HeartbeatSeen)
-        assert again.with_start_id == read.ok_value
+        assert again.with_start_id == heartbeat
+        assert again.cold_left == cold_left
 
 
 ROUTES = st.lists(
