Test the limit on cold upstreams, and keep its interval exact

At exactly 1.25 s after a request the remaining wait was zero and counted as room, so that two arrivals could be one second apart. Room is now there only after the interval.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/cold_limiter.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/cold_limiter.py
@@ -155,7 +155,7 @@
                 max(waits.values()) if len(cold) == len(upstreams) else START_SECONDS
             )
             waits = dict.fromkeys(cold, alone)
-        blocked = frozenset(each for each, wait in waits.items() if wait > 0)
+        blocked = frozenset(each for each, wait in waits.items() if wait >= 0)
         retry_after = min((min(waits[each], cold[each]) for each in blocked), default=0)
         return ColdChoice(
             blocked,
@@ -170,10 +170,11 @@
         gateways: Set[InstanceId],
         now: float,
     ) -> float:
-        """Return the time until a cold upstream has room, zero if it has.
+        """Return the time until a cold upstream has room, below zero if it has.
 
-        For one that this gateway doesn't serve, it is the time after which another
-        gateway has room again.
+        Exactly at the end of the interval there is none yet, since two arrivals might
+        be one second apart. For an upstream that this gateway doesn't serve, it is the
+        time after which another gateway has room again.
         """
         name = UpstreamStart.of(upstream_id).name
         starting = self.is_starting(gateways, now)
@@ -183,9 +184,7 @@
             return SEND_INTERVAL_SECONDS
         # This process may have sent a request just before it was restarted.
         sent_at = max(self.sent_at.get(name, 0.0), self.config.started_at)
-        passed = now - sent_at
-        # An interval that is exact lets two arrivals be one second apart.
-        return 0.0 if passed > SEND_INTERVAL_SECONDS else SEND_INTERVAL_SECONDS - passed
+        return sent_at + SEND_INTERVAL_SECONDS - now
 
     def is_starting(self, gateways: Set[InstanceId], now: float) -> bool:
         """Return whether this gateway may not know enough of the other gateways."""
--- a/tests/cover/adapter/test_configuration.py
+++ b/tests/cover/adapter/test_configuration.py
@@ -137,6 +137,24 @@
     assert read.phase is UpstreamPhase.READY
 
 
+def test_the_cold_time_of_a_heartbeat_is_decoded_in_seconds():
+    text = json.dumps(HEARTBEAT | {"cold_left_ms": 2500}).encode()
+    assert decode_heartbeat("i-1", text).unwrap().cold_left_seconds == 2.5
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [({}, (0, 0)), ({"cold_s": 6, "cold_per_s": 26}, (6, 26))],
+)
+def test_a_service_without_a_cold_time_is_never_cold(fields, expected):
+    """Guards against a limit in deployments whose configuration names none."""
+    read = ConfigurationReader().read(
+        body(routes=[], services=[{"name": "s"} | fields])
+    )
+    service = read.unwrap().configuration.services[0]
+    assert (service.cold_seconds, service.cold_requests_per_second) == expected
+
+
 def test_a_heartbeat_of_one_that_leaves_takes_it_out_of_use():
     text = json.dumps(HEARTBEAT | {"state": "draining"}).encode()
     assert decode_heartbeat("i", text).unwrap().heartbeat.phase is UpstreamPhase.LEAVING
@@ -154,7 +172,7 @@
     "seq": NOT_COUNTS,
     "slots": (*NOT_COUNTS, 0),
     "born": (*NOT_COUNTS, 0, BORN * 1000),
-    "cold_left_ms": ("1", True, None, -1, 10**30),
+    "cold_left_ms": ("1", True, None, -1, -0.5, 10**30, [], {}),
     "state": ("resting", "", "READY", 1, None),
     "service": ("", 1, None, "s" * 300),
     "zone": ("", 1, None),
--- a/tests/cover/adapter/test_machine_settings.py
+++ b/tests/cover/adapter/test_machine_settings.py
@@ -83,3 +83,11 @@
     source.path.unlink()
     assert source.load().is_err()
     assert source.load_if_changed().is_err()
+
+
+def test_the_limit_on_cold_upstreams_is_off_unless_the_settings_name_it(source):
+    """Guards against a limit in deployments that don't ask for it."""
+    assert source.load().unwrap().cold_over == 0
+    source.path.write_text(SETTINGS + "cold_over = 1.5\ncold_slack = 5\n")
+    settings = source.load().unwrap()
+    assert (settings.cold_over, settings.cold_slack) == (1.5, 5)
