--- a/tests/cover/gateway_core/test_cold_limiter.py
+++ b/tests/cover/gateway_core/test_cold_limiter.py
@@ -26,7 +26,7 @@
     st.tuples(st.just("send_heartbeat"), NUMBERS),
     st.tuples(st.just("send_alive"), NUMBERS),
     st.tuples(st.just("deliver_all")),
-    st.tuples(st.just("restart"), NUMBERS),
+    st.tuples(st.just("restart"), NUMBERS, st.booleans()),
 )
 STEPS = ORDERLY_STEPS | st.one_of(
     st.tuples(st.just("deliver"), NUMBERS, st.booleans()),
@@ -44,8 +44,12 @@
             case "deliver_all", []:
                 for _ in range(len(fleet.pending)):
                     fleet.deliver(0, keep=False)
-            case (("send_heartbeat" | "send_alive" | "restart"), [number]):
+            case (("send_heartbeat" | "send_alive"), [number]):
                 getattr(fleet, name)(number % fleet.gateway_count)
+            case "restart", [number, hears]:
+                fleet.restart(number % fleet.gateway_count)
+                if hears:
+                    fleet.send_heartbeat(number % fleet.gateway_count)
             case _:
                 getattr(fleet, name)(*arguments)
 
@@ -67,7 +71,7 @@
     """
     fleet = ColdFleet(SERVICE, 4.0, 8, knows_warm)
     fleet.start(started_at, acquainted)
-    play(fleet, steps)
+    play(fleet, [("send_heartbeat", 0), ("deliver_all",), *steps])
     assert fleet.most_in_a_second() <= fleet.bound
 
 
