--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -1,6 +1,12 @@
 """Export the decision logic of gateways, which serve requests by configured routes."""
 
 from cowslipshelf_core.internal.gateway.answer_times import AnswerTimes
+from cowslipshelf_core.internal.gateway.cold_limiter import (
+    UNLIMITED,
+    ColdChoice,
+    ColdLimiter,
+    ColdLimiterConfig,
+)
 from cowslipshelf_core.internal.gateway.compression import (
     compress_configuration,
     decompress_configuration,
@@ -88,8 +94,11 @@
     Verdict,
 )
 from cowslipshelf_core.internal.gateway.registry import (
+    MAX_COLD_SECONDS,
+    ColdReport,
     HeartbeatSeen,
     KnownUpstream,
+    ReceivedHeartbeat,
     RegistryConfig,
     UpstreamHeartbeat,
     UpstreamPhase,
@@ -139,6 +148,10 @@
     "CallerLimits",
     "DataCentreOutages",
     "Distance",
+    "ColdChoice",
+    "ColdLimiter",
+    "ColdLimiterConfig",
+    "ColdReport",
     "EngineCandidate",
     "ExitReport",
     "EngineTracker",
@@ -162,6 +175,7 @@
     "ListedSuspect",
     "StreamPauses",
     "link_surcharge",
+    "MAX_COLD_SECONDS",
     "MemoryLease",
     "MemoryLeaseConfig",
     "START_UNKNOWN",
@@ -173,10 +187,12 @@
     "PeerTable",
     "PeerTableConfig",
     "PeerChange",
+    "UNLIMITED",
     "UpstreamCandidate",
     "PromptToPlace",
     "PromptSize",
     "QuarantineConfig",
+    "ReceivedHeartbeat",
     "RegistryConfig",
     "Relayed",
     "ReportsOutcome",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -7,6 +7,7 @@
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket, PrefillHelper
 from cowslipshelf_core.gateway import (
     UNRANKED,
+    ColdChoice,
     Distance,
     EngineCandidate,
     EngineModel,
@@ -30,6 +31,13 @@
 RETRY_AFTER_SECONDS = 1.0
 """Retry-after if no upstream is known: one heartbeat interval."""
 
+COLD_SURCHARGE = 0.1
+"""Cost of an engine that is cold, in units of the value of a short prompt's answer. It
+exceeds that of using an empty engine and that of crossing data centres, so that a warm
+engine is preferred when the forecasts are alike."""
+COLD_LOAD = 0.5
+"""The same for a plain upstream, as a share of its slots."""
+
 
 class SilenceLimits(NamedTuple):
     """Limit the silences of one attempt, in seconds; None means no limit."""
@@ -72,6 +80,8 @@
 
     reason: str
     retry_after_seconds: float
+    cold: bool = False
+    """Whether only cold upstreams without room are left."""
 
 
 def place(
@@ -85,7 +95,12 @@
 ) -> Placement | NoPlacement:
     """Choose an upstream that was not tried before."""
     known = view.upstreams_of(service)
-    upstreams = [each for each in known if each.upstream_id not in excluded]
+    cold = view.cold_choice(service, known)
+    unused = excluded | cold.blocked
+    upstreams = [each for each in known if each.upstream_id not in unused]
+    if not upstreams and cold.blocked - excluded:
+        reason = "only cold upstreams without room are left"
+        return NoPlacement(reason, cold.retry_after_seconds, cold=True)
     if not upstreams:
         reason = "every upstream was tried" if known else "no upstream is known"
         if view.is_evacuated(service):
@@ -94,12 +109,14 @@
     model = view.table.services[service].engine
     if model is not None and facts.prompt is not None:
         return place_on_engines(
-            view, route, facts, left_seconds, upstreams, model, rank
+            view, route, facts, left_seconds, upstreams, model, rank, cold
         )
-    return place_by_load(view, upstreams)
+    return place_by_load(view, upstreams, cold)
 
 
-def place_by_load(view: FleetView, upstreams: list[UpstreamHeartbeat]) -> Placement:
+def place_by_load(
+    view: FleetView, upstreams: list[UpstreamHeartbeat], cold: ColdChoice
+) -> Placement:
     """Choose by load, failure rate and data centre."""
     now = time.monotonic()
     candidates = []
@@ -114,6 +131,7 @@
                 health.slowness,
                 health.avoided or view.outages.is_doubtful(upstream.upstream_id, now),
                 upstream.data_centre == view.settings.data_centre,
+                COLD_LOAD if upstream.upstream_id in cold.cold else 0.0,
             )
         )
     chosen = choose_upstream(candidates, view.random)
@@ -129,6 +147,7 @@
     upstreams: list[UpstreamHeartbeat],
     model: EngineModel,
     rank: RequestRank,
+    cold: ColdChoice,
 ) -> Placement | NoPlacement:
     """Choose the engines with the lowest cost.
 
@@ -150,7 +169,8 @@
                 health.slowness,
                 health.failure_rate,
                 upstream.data_centre,
-                link_surcharge(route.pause_seconds, upstream.data_centre in lossy),
+                link_surcharge(route.pause_seconds, upstream.data_centre in lossy)
+                + (COLD_SURCHARGE if upstream.upstream_id in cold.cold else 0.0),
                 pending_slowness=health.slowness if shares_health else 1.0,
             )
         )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -49,6 +49,11 @@
     prompt's answer; zero if the distance does not matter."""
     data_centres: tuple[DataCentre, ...] = ()
     """Data centres of the deployment; empty if the settings don't list them."""
+    cold_over: float = 0.0
+    """Requests that a cold upstream may get in a second from all gateways together, as
+    a multiple of what it sustains; zero: no limit."""
+    cold_slack: float = 0.0
+    """Requests allowed in addition, per second."""
 
     @property
     def holds_replica(self) -> bool:
