Keep delayed orders and a lost log from withdrawing evacuations

A gateway submitted an outdated order again however old it was, so that one delayed by seconds undid what was acknowledged after its resend; now only within 0.9 s, before operators turn to another gateway. After a loss of all replicas, any first order replaced the list that gateways enforce; it now carries that list. Two tests could not fail for what they name: one passed on the reply to a new peer, the other sent the order again before it looked.

--- a/packages/core/src/cowslipshelf_core/internal/control/commands.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/commands.py
@@ -113,6 +113,8 @@
     A copy of the command that arrives late is recognised by it; see
     `EvacuationRegister.set`.
     """
+    known_data_centres: tuple[DataCentre, ...] = ()
+    """The evacuated data centres of that revision."""
 
 
 ControlCommand = (
--- a/packages/core/src/cowslipshelf_core/internal/control/evacuation_register.py
+++ b/packages/core/src/cowslipshelf_core/internal/control/evacuation_register.py
@@ -29,8 +29,13 @@
 
         The revision is the log index of the change. Gateways ignore a revision below
         the one that they know, so it exceeds that one even if the log was lost and its
-        indexes begin again.
+        indexes begin again. The evacuations that the gateways know then hold on.
         """
+        known = command.known_revision
+        if known > self.state.revision:
+            self.state = EvacuationState(
+                known, tuple(sorted(command.known_data_centres))
+            )
         names = set(self.state.data_centres)
         if command.evacuated:
             names.add(command.data_centre)
@@ -41,9 +46,9 @@
                 f"{MAX_EVACUATED_DATA_CENTRES} data centres are evacuated already"
             )
         data_centres = tuple(sorted(names))
-        known, changed = command.known_revision, data_centres != self.state.data_centres
+        changed = data_centres != self.state.data_centres
         if changed and known < self.state.revision:
             return EvacuationOutdated(self.state.revision)
-        if changed or known > self.state.revision:
+        if changed:
             self.state = EvacuationState(max(index, known + 1), data_centres)
         return EvacuationRecorded(self.state.revision)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/control_handler.py
@@ -56,6 +56,10 @@
 MAX_EVACUATION_SUBMISSIONS = 4
 """Times that an order about an evacuation is submitted: once more for each change that
 this gateway has not heard of and that is committed meanwhile."""
+RESUBMIT_SECONDS = 0.9
+"""Time after its arrival in which an order may be submitted again. Operators send an
+order to another gateway after a second; from then on it may be older than one that was
+acknowledged elsewhere, and would undo that one."""
 MAX_LOGGED_PATH_CHARACTERS = 120
 """Characters of a refused call's path that are logged; anybody may send any path."""
 
@@ -228,12 +232,16 @@
 
         An operator that gave up has closed its connection, which ends this.
         """
-        known = self.view.evacuations.state.revision
+        state = self.view.evacuations.state
+        known = state.revision
+        resubmit_until = time.monotonic() + RESUBMIT_SECONDS
         for _ in range(MAX_EVACUATION_SUBMISSIONS):
-            command = SetEvacuation(data_centre, evacuated, known)
+            command = SetEvacuation(data_centre, evacuated, known, state.data_centres)
             outcome = await self.client.change(command)
             if not isinstance(outcome, EvacuationOutdated):
                 break
+            if time.monotonic() > resubmit_until:
+                break
             known = outcome.revision
         return outcome
 
--- a/tests/cover/control/test_evacuations.py
+++ b/tests/cover/control/test_evacuations.py
@@ -57,6 +57,14 @@
         assert state.apply(order, index, 0.0) == EvacuationRecorded(known + 1)
 
 
+def test_a_log_that_begins_again_keeps_the_evacuations_that_gateways_know():
+    """Guards against a harmless order that withdraws all evacuations after a loss."""
+    state = ControlState()
+    order = SetEvacuation("c", False, 500, ("a", "b"))
+    assert state.apply(order, 1, 0.0) == EvacuationRecorded(500)
+    assert state.evacuations.state == EvacuationState(500, ("a", "b"))
+
+
 ORDERS = st.tuples(st.sampled_from("ab"), st.booleans(), st.integers(0, 9))
 
 
--- a/tests/cover/gateway/test_evacuation.py
+++ b/tests/cover/gateway/test_evacuation.py
@@ -45,6 +45,9 @@
     return view
 
 
+HANDLER = "cowslipshelf_daemon.internal.gateway.control_handler"
+
+
 class FakeReplicas:
     """Answer changes with the given outcomes in order."""
 
@@ -78,7 +81,8 @@
     """Guards against an order acknowledged by a gateway that knows of no later one."""
     answer, changes = operate(method, "/api/evac/here", outcome)
     assert answer.status == status
-    assert changes == [SetEvacuation("here", evacuated, known_revision=7)]
+    known = EVACUATED.revision, EVACUATED.data_centres
+    assert changes == [SetEvacuation("here", evacuated, *known)]
 
 
 def test_an_order_is_submitted_again_if_a_later_change_was_not_known():
@@ -89,6 +93,17 @@
     assert [each.known_revision for each in changes] == [7, 9]
 
 
+def test_an_order_that_the_operator_has_sent_elsewhere_is_not_submitted_again(
+    monkeypatch,
+):
+    """Guards against a delayed order that undoes one acknowledged after its resend."""
+    monkeypatch.setattr(f"{HANDLER}.RESUBMIT_SECONDS", -1.0)
+    outcomes = (EvacuationOutdated(9), EvacuationRecorded(10))
+    answer, changes = operate("DELETE", "/api/evac/here", *outcomes)
+    assert answer.status == 503
+    assert len(changes) == 1
+
+
 @pytest.mark.parametrize(
     ("method", "path", "status"),
     [
@@ -190,6 +205,10 @@
     """Guards against a gateway that stays behind, and against endless messages."""
     view, messages, metrics = view_with(NO_EVACUATIONS), SentMessages(), Metrics()
     gossip = Gossip(view, messages, None, MachinesDialect(), metrics)
+    # A gateway that is new here is sent an alive message in any case.
+    known = PeerAlive(Epoch("e"), "there", True, 0, ())
+    gossip.receive(Delivered("10.0.0.2", "10.0.0.2", known))
+    messages.sent.clear()
     for revision, names in ((7, ("here",)), (7, ("here",)), (6, ())):
         peer = f"10.0.0.{revision}"
         alive = PeerAlive(
--- a/tests/nocover/gateway/test_evacuation.py
+++ b/tests/nocover/gateway/test_evacuation.py
@@ -116,12 +116,13 @@
 ):
     """Guards against an order that only the ended leader knew.
 
-    The order is sent again to the others, as after an answer that was lost.
+    The order is then sent again to the others, as after an answer that was lost.
     """
     leader = leader_of(fleet)
     others = [each for each in fleet.gateways if each is not leader]
     order([leader], "POST", "there")
     leader.kill()
+    wait_until_in_force(others, "there", seconds=IN_FORCE_SECONDS)
     order(others, "POST", "there")
     wait_until_in_force(others, "there", seconds=IN_FORCE_SECONDS)
     leader.wipe()
