Believe fewer reports of a failed data centre

A reporter whose own link is suspected spoke for its data centre, copies of a message counted as new losses, a failure that names its cause counted as a sign of life of that cause, and upstreams heard since the losses were avoided all the same. Dead engines joined a choice as idle ones where the others were late; they now cost as much as a short answer.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/data_centre_outages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/data_centre_outages.py
@@ -217,18 +217,23 @@
         reporter_data_centre: DataCentre,
         lost_at: float,
         now: float,
+        suspected: bool = False,
     ) -> None:
         """Record that a gateway could not reach an upstream, or lost its answer.
 
         Losses of unknown upstreams are ignored, and so are those of upstreams that
-        leave: their end was announced.
+        leave: their end was announced. Losses of a reporter whose own link is suspected
+        need confirmation, whatever its data centre.
         """
         known = self.upstreams.get(upstream_id)
         if known is None or known.was_heard_since(lost_at):
             return
         self.end_outages(now)
         data_centre = known.data_centre
-        source = self.source_of(reporter, reporter_data_centre, data_centre)
+        if suspected:
+            source = LossSource(reporter_data_centre, reporter)
+        else:
+            source = self.source_of(reporter, reporter_data_centre, data_centre)
         lost = self.losses.setdefault(data_centre, {}).setdefault(source, {})
         lost[upstream_id] = max(lost.get(upstream_id, NEVER), min(lost_at, now))
         if source.trusted:
@@ -320,8 +325,15 @@
         if past is not None and now - past.ended_at < RECURRENCE_SECONDS:
             seconds = min(MAX_DOUBT_SECONDS, 2.0 * past.doubt_seconds)
         began_at = max(lost.values())
+        unheard = {
+            each
+            for each in avoided
+            if not self.upstreams[each].was_heard_since(
+                max(began_at, self.upstreams[each].lost_at)
+            )
+        }
         self.ongoing[data_centre] = Outage(
-            began_at, began_at, seconds, avoided, set(avoided)
+            began_at, began_at, seconds, avoided, unheard
         )
         self.changes.append(
             OutageBegan(data_centre, tuple(sorted(lost)), len(avoided), seconds)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -387,8 +387,9 @@
             reporter, message, self.registry.known, now
         )
         self.log_trust(reporter, outcome)
-        # Also of a reporter that is left out: outages tell its own link by other rules.
-        self.record_reported_for_outages(reporter, message)
+        if outcome is not ReportsOutcome.DOUBLED:
+            suspected = outcome is ReportsOutcome.LEFT_OUT
+            self.record_reported_for_outages(reporter, message, suspected)
         if outcome is ReportsOutcome.RECORDED:
             for observation in message.observations:
                 self.log_mark(observation.upstream_id, now)
@@ -423,7 +424,7 @@
             LOG.info("Observations count again.", reporter=reporter)
 
     def record_reported_for_outages(
-        self, reporter: InstanceId, message: UpstreamObservations
+        self, reporter: InstanceId, message: UpstreamObservations, suspected: bool
     ) -> None:
         """Record the losses and answers of another gateway for outages.
 
@@ -437,7 +438,12 @@
         for each in message.observations:
             at = now - max(0.0, each.age_seconds)
             self.record_for_outages(
-                each.upstream_id, each.outcome, reporter, peer.alive.data_centre, at
+                each.upstream_id,
+                each.outcome,
+                reporter,
+                peer.alive.data_centre,
+                at,
+                suspected,
             )
 
     def record_for_outages(
@@ -447,14 +453,20 @@
         reporter: InstanceId,
         data_centre: DataCentre,
         at: float,
+        suspected: bool = False,
     ) -> None:
-        """Record a loss or an answer that a gateway of a data centre saw."""
+        """Record a loss or an answer that a gateway of a data centre saw.
+
+        A failure is neither: another upstream may have named this one as its cause.
+        """
         if not self.settings.shares_health:
             return
         if outcome is UpstreamOutcome.LOST:
             now = time.monotonic()
-            self.outages.record_loss(upstream_id, reporter, data_centre, at, now)
-        else:
+            self.outages.record_loss(
+                upstream_id, reporter, data_centre, at, now, suspected
+            )
+        elif outcome is UpstreamOutcome.ANSWERED:
             self.outages.record_answer(upstream_id, at)
 
     def log_outages(self) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -37,6 +37,9 @@
 engine is preferred when the forecasts are alike."""
 COLD_LOAD = 0.5
 """The same for a plain upstream, as a share of its slots."""
+DOUBTFUL_SURCHARGE = 1.0
+"""Cost of an engine whose data centre may have failed, in units of the value of a short
+prompt's answer. It looks idle, and is only used where the others would answer late."""
 
 
 class SilenceLimits(NamedTuple):
@@ -187,7 +190,10 @@
         asked, candidates, model, view.engines, now, view.random, distance
     )
     if isinstance(chosen, NoEngine) and doubtful:
-        candidates += doubtful
+        candidates += [
+            each._replace(surcharge=each.surcharge + DOUBTFUL_SURCHARGE)
+            for each in doubtful
+        ]
         chosen = place_prompt(
             asked, candidates, model, view.engines, now, view.random, distance
         )
--- a/tests/cover/gateway_core/test_data_centre_outages.py
+++ b/tests/cover/gateway_core/test_data_centre_outages.py
@@ -152,6 +152,24 @@
     assert (doubtful(outages) == SIZE) is believed
 
 
+def test_a_suspected_reporter_in_the_data_centre_needs_confirmation(outages):
+    """Guards against one gateway without a link that speaks for its data centre."""
+    for number in range(6):
+        outages.record_loss(f"far-{number}", "g", "far", LOST_AT, LOST_AT, True)
+    assert doubtful(outages) == 0
+    lose(outages, [7, 8], reporter="h", seen_in="far")
+    assert doubtful(outages) == SIZE
+
+
+def test_an_upstream_that_answered_before_the_losses_were_told_is_believed(outages):
+    """Guards against avoiding what is known to be alive when a late report arrives."""
+    outages.record_answer("far-5", LOST_AT + 0.2)
+    for number in range(3):
+        outages.record_loss(f"far-{number}", "me", "own", LOST_AT, LOST_AT + 0.3)
+    assert doubtful(outages, LOST_AT + 0.3) == SIZE - 1
+    assert not outages.is_doubtful("far-5", LOST_AT + 0.3)
+
+
 def test_what_was_heard_after_the_losses_is_believed_at_once(outages):
     """Guards against avoiding sound upstreams, and believing old heartbeats."""
     lose(outages, range(3))
