Attribute dropped attempts to the upstream that restarted

The replaced start is now kept with the attempt: the exit counts for it, and the loss only if it is still known.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -86,11 +86,16 @@
         The former process is gone and will send nothing more, but a silent connection
         shows that only after seconds. Attempts opened after the later start reached
         that one, whichever start was believed then. Only attempts that may be retried
-        are dropped, since clocks differ by seconds at times.
+        are dropped, since clocks differ by seconds at times. After the first event,
+        helpers that hold no memory for the answer are done.
         """
         self.pool.forget(former.upstream_id)
         for attempt in list(self.open_attempts):
-            if not attempt.needs_replaced_start(former, later):
+            has_first_event = (
+                attempt.work_id is not None
+                and self.view.engines.has_first_token(attempt.work_id)
+            )
+            if not attempt.needs_replaced_start(former, later, has_first_event):
                 continue
             LOG.info(
                 "Attempt dropped.",
@@ -98,6 +103,7 @@
                 upstream=former.upstream_id,
                 reason=f"{later.upstream_id} began there",
             )
+            attempt.replaced = former.upstream_id
             attempt.connection.drop(f"{later.upstream_id} began there", True)
 
     async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
@@ -158,6 +164,11 @@
         match outcome:
             case NotReached(evacuated=True):
                 pass
+            case Broken(replaced=str(replaced)):
+                # The upstream that answers is healthy if a helper was replaced. A
+                # replaced start is usually gone, and then there is nothing to avoid.
+                if replaced in self.view.registry.known:
+                    self.view.observe(replaced, UpstreamOutcome.LOST)
             case NotReached() | Broken():
                 self.view.observe(upstream_id, UpstreamOutcome.LOST)
             case NotRun(HTTPStatus.MISDIRECTED_REQUEST, at_fault):
@@ -286,12 +297,14 @@
                 connection.excused_seconds = partial(
                     self.excused_seconds, task, placement, time.monotonic()
                 )
-            with self.tracked_as_open(task, placement, connection):
+            with self.tracked_as_open(task, placement, connection) as attempt:
                 outcome = await self.exchange(task, placement, connection)
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
             return outcome
         except UpstreamLostError as error:
-            return Broken(error.step, str(error), error.upstream_exited)
+            return Broken(
+                error.step, str(error), error.upstream_exited, attempt.replaced
+            )
         finally:
             if kept:
                 self.pool.release(upstream.upstream_id, connection)
@@ -301,19 +314,21 @@
     @contextmanager
     def tracked_as_open(
         self, task: AttemptTask, placement: Placement, connection: UpstreamConnection
-    ) -> Iterator[None]:
+    ) -> Iterator[OpenAttempt]:
         """Track an attempt as open during the context, if it may be retried."""
-        helping = (part.upstream_id for part in placement.helper_parts)
+        holding = (ticket.upstream_id for ticket in placement.tickets)
         attempt = OpenAttempt(
             task.facts.attempt_id,
-            frozenset((placement.upstream.upstream_id, *helping)),
+            frozenset(placement.upstream_ids),
+            frozenset((placement.upstream.upstream_id, *holding)),
             connection,
             unix_milliseconds(),
+            None if placement.work is None else placement.work.attempt_id,
         )
         if task.route.repeatable:
             self.open_attempts.add(attempt)
         try:
-            yield
+            yield attempt
         finally:
             self.open_attempts.discard(attempt)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -5,7 +5,7 @@
 
 from cowslipshelf_core.dialect import CallerFacts
 from cowslipshelf_core.gateway import Route, UpstreamStart
-from cowslipshelf_core.identifiers import CustomerName, UpstreamId
+from cowslipshelf_core.identifiers import AttemptId, CustomerName, UpstreamId
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     UpstreamConnection,
@@ -94,6 +94,9 @@
     detail: str
     upstream_exited: bool = False
     """Whether the upstream closed the connection, as a process that exits does."""
+    replaced: UpstreamId | None = None
+    """Start of an upstream whose replacement ended the attempt, if that was the reason.
+    It may have prefilled for the upstream that answers."""
 
 
 AttemptOutcome = Answered | NotReached | NotReserved | NotRun | FailedThere | Broken
@@ -119,18 +122,26 @@
     identity: RequestIdentity
 
 
-class OpenAttempt(NamedTuple):
+@dataclass(eq=False, slots=True)
+class OpenAttempt:
     """Hold an attempt whose answer is pending."""
 
     request: str
     upstream_ids: frozenset[UpstreamId]
     """The upstream that answers, and those that prefill for it."""
+    lasting_ids: frozenset[UpstreamId]
+    """Those still needed after the first event: the upstream that answers, and helpers
+    that hold memory for it."""
     connection: UpstreamConnection
     opened_ms: int
     """Unix time in milliseconds."""
+    work_id: AttemptId | None = None
+    replaced: UpstreamId | None = None
+    """Replaced start because of which the attempt was dropped, if it was."""
 
-    def needs_replaced_start(self, former: UpstreamStart, later: UpstreamStart) -> bool:
+    def needs_replaced_start(
+        self, former: UpstreamStart, later: UpstreamStart, has_first_event: bool
+    ) -> bool:
         """Return whether it uses a start of an upstream that a later one replaced."""
-        return (
-            former.upstream_id in self.upstream_ids and self.opened_ms < later.began_ms
-        )
+        needed = self.lasting_ids if has_first_event else self.upstream_ids
+        return former.upstream_id in needed and self.opened_ms < later.began_ms
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -339,8 +339,8 @@
     ) -> None:
         """Record whether an upstream exited under the request, or answered it."""
         match outcome:
-            case Broken(upstream_exited=True):
-                upstream_id = placement.upstream.upstream_id
+            case Broken(upstream_exited=True, replaced=replaced):
+                upstream_id = replaced or placement.upstream.upstream_id
                 self.suspects.record_exit(task.identity, upstream_id)
             case Answered() | FailedThere():
                 self.suspects.record_answer(task.identity)
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import time
+from contextlib import asynccontextmanager
 
 import pytest
 
 from common.gateway_samples import GATEWAY_SETTINGS, heartbeat, route
 from cowslipshelf_adapter.wire import MachinesDialect
-from cowslipshelf_core.dialect import CallerFacts
+from cowslipshelf_core.dialect import CallerFacts, MemoryTicket
 from cowslipshelf_core.gateway import (
     EnginePart,
     EngineWork,
@@ -24,9 +25,11 @@
     DeliveryProgress,
     NotRun,
 )
+from cowslipshelf_daemon.internal.gateway.engine_memory import ReservedMemory
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.placement import Placement
+from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     UpstreamHead,
     UpstreamLostError,
@@ -276,3 +279,103 @@
     view.record_heartbeat(heartbeat(UpstreamStart("u-1", 1).upstream_id), 0.0)
     view.record_heartbeat(heartbeat(later.upstream_id, 9, phase), 0.0)
     assert ended == dropped
+
+
+class DroppedConnection(FakeConnection):
+    """Send the pieces, then wait until the gateway drops the attempt or frees it."""
+
+    def __init__(self, *pieces: bytes) -> None:
+        super().__init__(200, *pieces)
+        self.sent_all = asyncio.Event()
+        self.freed = asyncio.Event()
+        self.dropped = False
+
+    async def body(self):
+        for piece in self.pieces:
+            yield piece
+        self.sent_all.set()
+        await self.freed.wait()
+        if self.dropped:
+            raise UpstreamLostError("read answer", "peer", "began there", True)
+
+    def drop(self, reason, upstream_restarted=False) -> None:
+        self.dropped = True
+        self.freed.set()
+
+
+class PoolThatForgets(FakePool):
+    """Accept that an upstream is forgotten."""
+
+    def forget(self, upstream_id) -> None:
+        return None
+
+
+class GrantedMemory:
+    """Grant all memory without asking an engine."""
+
+    @asynccontextmanager
+    async def reserved(self, tickets, upstream):
+        yield ReservedMemory()
+
+
+def replaced_during_attempt(
+    replaced: str, *pieces: bytes, holds_memory: bool = False
+) -> tuple[Answered | Broken, FleetView]:
+    """Run an attempt on u-1 with the helper u-2, and replace one of them meanwhile."""
+    decoder, helper = (UpstreamStart(name, 1).upstream_id for name in ("u-1", "u-2"))
+
+    async def attempt():
+        view = FleetView.from_settings(GATEWAY_SETTINGS._replace(shares_health=True))
+        connection = DroppedConnection(*pieces)
+        runner = AttemptRunner(view, PoolThatForgets(connection), MachinesDialect())
+        runner.memory = GrantedMemory()
+        view.on_start_replaced = runner.drop_replaced_start
+        for upstream_id in (decoder, helper):
+            view.record_heartbeat(heartbeat(upstream_id), 0.0)
+        parts = (
+            EnginePart(decoder, 0.1, 1, decodes=True),
+            EnginePart(helper, 0.1, 1, decodes=False),
+        )
+        work = EngineWork("w-0", parts, 1.0, 0.3, 0.25)
+        ticket = MemoryTicket(helper, "10.0.0.2:80", "w-0-0", 1)
+        placed = Placement(
+            heartbeat(decoder), work, tickets=(ticket,) if holds_memory else ()
+        )
+        running = asyncio.create_task(runner.run(task(), placed))
+        await connection.sent_all.wait()
+        later = UpstreamStart(replaced, unix_milliseconds() + 60_000)
+        view.record_heartbeat(heartbeat(later.upstream_id, 2), 0.0)
+        connection.freed.set()
+        return await running, view
+
+    return asyncio.run(attempt())
+
+
+def test_a_helper_that_restarts_leaves_no_mark_on_the_engine_that_answers():
+    """Guards against a data centre that is doubtful since one helper restarted.
+
+    Each joint prefill with that helper counted as a loss of the engine that answers.
+    """
+    outcome, view = replaced_during_attempt("u-2")
+    helper, decoder = (UpstreamStart(name, 1).upstream_id for name in ("u-2", "u-1"))
+    assert isinstance(outcome, Broken)
+    assert outcome.replaced == helper
+    assert outcome.upstream_exited
+    assert view.health.estimate(decoder, time.monotonic()) == (1.0, 0.0, False)
+    assert view.health.records == {}
+    assert view.shared_health.waiting == []
+
+
+def test_an_engine_that_restarts_ends_its_own_attempts():
+    """Guards against a stream that waits for a process that is gone."""
+    outcome, _ = replaced_during_attempt("u-1", b"id: 1\ndata: x\n\n")
+    assert isinstance(outcome, Broken)
+    assert outcome.replaced == UpstreamStart("u-1", 1).upstream_id
+
+
+@pytest.mark.parametrize(("holds_memory", "kind"), [(False, Answered), (True, Broken)])
+def test_after_the_first_event_only_helpers_with_memory_are_needed(holds_memory, kind):
+    """Guards against cut streams whose helper restarts after its prefill is done."""
+    first = b"id: 1\ndata: x\n\n"
+    outcome, _ = replaced_during_attempt("u-2", first, holds_memory=holds_memory)
+    assert isinstance(outcome, kind)
--- a/tests/cover/gateway/test_suspect_requests.py
+++ b/tests/cover/gateway/test_suspect_requests.py
@@ -61,6 +61,15 @@
     assert gateway.runner.sent == 6
 
 
+def test_a_helper_that_restarts_counts_instead_of_the_engines_that_answer():
+    """Guards against a request held back because one helper restarted."""
+    ended = Broken("read answer", "began there", upstream_exited=True, replaced="u-9")
+    gateway = GatewayWithFakeRunner(ended, ended, ended)
+    gateway.ask()
+    assert gateway.runner.sent == 3
+    assert gateway.suspects.quarantine.exit_count(DIGEST) == 1
+
+
 def test_each_exit_and_each_trial_is_reported_to_all_gateways():
     gateway = GatewayWithFakeRunner(ENDED, ENDED, ENDED)
     gateway.ask()
