--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -383,15 +383,19 @@
     def upstream_at_fault(
         self, placement: Placement, facts: AnswerFacts
     ) -> UpstreamId | None:
-        """Return the upstream that an answer names as the reason, if it is known."""
+        """Return the upstream that an answer names as the reason, if it is known.
+
+        Those of the placement come first, in any phase: one that began to leave or was
+        evacuated meanwhile is no longer among the usable ones.
+        """
         if facts.at_fault is None:
             return None
-        service = placement.upstream.service
-        named = self.view.upstreams_at(service, facts.at_fault)
-        used = {placement.upstream.upstream_id}
-        used.update(part.upstream_id for part in placement.helper_parts)
-        first = named[0] if named else None
-        return next((each for each in named if each in used), first)
+        for upstream_id in placement.upstream_ids:
+            known = self.view.registry.known.get(upstream_id)
+            if known is not None and known.heartbeat.address == facts.at_fault:
+                return upstream_id
+        named = self.view.upstreams_at(placement.upstream.service, facts.at_fault)
+        return named[0] if named else None
 
     def outgoing_request(
         self, task: AttemptTask, placement: Placement
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 
 import pytest
@@ -17,6 +18,7 @@
     UpstreamStart,
     WorkChanged,
 )
+from cowslipshelf_core.messages import EvacuationState
 from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
@@ -179,16 +181,24 @@
 
 
 def refused_by(
-    status: int, address: bytes, *known: tuple[str, str]
+    status: int,
+    address: bytes,
+    *known: tuple[str, str],
+    change: Callable[[FleetView], object] = lambda _view: None,
 ) -> tuple[NotRun, FleetView]:
-    """Run an attempt that is refused, naming an address; u-2 helps u-1."""
+    """Run an attempt that is refused, naming an address; u-2 helps u-1.
+
+    `change` is applied to the view before the refusal arrives.
+    """
 
     async def attempt():
         view = FleetView.from_settings(GATEWAY_SETTINGS)
         for upstream_id, at in known:
             view.record_heartbeat(heartbeat(upstream_id, address=at), 0.0)
         headers = [*HEADERS, (b"x-not-run", b"1"), (b"at-server", address)]
-        pool = FakePool(FakeConnection(status, headers=headers))
+        connection = FakeConnection(status, headers=headers)
+        connection.send = lambda _request: change(view)
+        pool = FakePool(connection)
         runner = AttemptRunner(view, pool, MachinesDialect())
         placed = placement("w-0")
         helper = EnginePart("u-2", 0.1, 1, decodes=False)
@@ -224,6 +234,24 @@
     assert outcome.at_fault == "u-2"
 
 
+def leave(view: FleetView) -> None:
+    leaving = heartbeat("u-2", 2, UpstreamPhase.LEAVING, "10.0.0.2:80")
+    view.record_heartbeat(leaving, 0.0)
+
+
+def evacuate(view: FleetView) -> None:
+    view.apply_evacuations("replica", EvacuationState(1, ("here",)))
+
+
+@pytest.mark.parametrize("change", [leave, evacuate])
+def test_a_helper_that_may_no_longer_be_used_is_still_found_at_fault(change):
+    """Guards against a decoder that is avoided for a helper that leaves."""
+    known = ("u-1", "10.0.0.1:80"), ("u-2", "10.0.0.2:80")
+    outcome, view = refused_by(421, b"10.0.0.2:80", *known, change=change)
+    assert outcome == NotRun(421, "u-2")
+    assert view.health.estimate("u-1", time.monotonic()) == (1.0, 0.0, False)
+
+
 class HangingConnection(FakeConnection):
     """Accept a request and never answer it."""
 
