Scale Retry-After by rank only for lack of capacity

Refusals because no upstream is known or all are evacuated grew by rank, too, though more capacity would not have helped; they keep the plain value and are no longer counted as refusals by rank.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -82,6 +82,8 @@
     retry_after_seconds: float
     cold: bool = False
     """Whether only cold upstreams without room are left."""
+    lacks_capacity: bool = True
+    """Whether there are upstreams that might have served it with more capacity."""
 
 
 def place(
@@ -105,7 +107,7 @@
         reason = "every upstream was tried" if known else "no upstream is known"
         if view.is_evacuated(service):
             reason = "every upstream is evacuated"
-        return NoPlacement(reason, RETRY_AFTER_SECONDS)
+        return NoPlacement(reason, RETRY_AFTER_SECONDS, lacks_capacity=bool(known))
     model = view.table.services[service].engine
     if model is not None and facts.prompt is not None:
         return place_on_engines(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -89,8 +89,9 @@
     retry_after_seconds: float | None = BUSY_RETRY_SECONDS
     """Retry-after in seconds; None if a retry would not help."""
     rank: RequestRank = UNRANKED
-    held_back: bool = False
-    """Whether upstreams ended under the request, so that no capacity would help."""
+    lacks_capacity: bool = True
+    """Whether a refusal counts as one for lack of capacity. It doesn't if upstreams
+    ended under the request, or if there is no upstream that may be used."""
 
 
 class RequestHandler:
@@ -207,7 +208,7 @@
                 count = len(verdict.upstreams)
                 progress.last_reason = f"{count} upstreams ended under this request"
                 progress.retry_after_seconds = verdict.retry_after_seconds
-                progress.held_back = True
+                progress.lacks_capacity = False
                 return None
             placement = place(
                 self.view,
@@ -405,6 +406,7 @@
     ) -> None:
         """Record and log why no upstream was chosen."""
         progress.last_reason = placement.reason
+        progress.lacks_capacity = placement.lacks_capacity
         progress.retry_after_seconds = max(
             progress.retry_after_seconds, placement.retry_after_seconds
         )
@@ -459,7 +461,7 @@
         seconds, rank = progress.retry_after_seconds, progress.rank
         if seconds is None:
             return None
-        if progress.held_back or not rank.in_force:
+        if not progress.lacks_capacity or not rank.in_force:
             return math.ceil(seconds * 10) / 10
         self.metrics.count("cowslipshelf_rank_refusals_total", steps=str(rank.steps))
         # In hundredths, since a fifth of the shortest retry-after is 0.04 s.
--- a/tests/cover/gateway/test_ranked_requests.py
+++ b/tests/cover/gateway/test_ranked_requests.py
@@ -12,7 +12,8 @@
     RouteKind,
     ServiceConfiguration,
 )
-from cowslipshelf_core.messages import RoutesDocument
+from cowslipshelf_core.messages import EvacuationState, RoutesDocument
+from cowslipshelf_daemon.internal.gateway import request_handler
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import NotRun
 
 CUSTOMERS = (GatewayCustomer("first", ("a",), 0), GatewayCustomer("usual", ("b",), 1))
@@ -65,6 +66,24 @@
     assert answer.headers[b"retry-after"] == b"0.2"
 
 
+@pytest.mark.parametrize("evacuated", [True, False])
+def test_without_an_upstream_to_use_the_retry_after_is_the_same_for_all_ranks(
+    evacuated, monkeypatch
+):
+    """Guards against low ranks that stay away longer after an evacuation ends."""
+    monkeypatch.setattr(request_handler, "STARTUP_WAIT_SECONDS", 0.01)
+    gateway = refused(2, 0, 1)
+    if evacuated:
+        gateway.view.apply_evacuations("replica", EvacuationState(1, ("here",)))
+    else:
+        gateway.view.registry.known.clear()
+    answer = gateway.ask()
+    assert answer.status == 503
+    assert answer.headers[b"retry-after"] == b"1"
+    assert gateway.runner.sent == 0
+    assert "rank_refusals" not in gateway.handler.metrics.prometheus_text()
+
+
 @pytest.mark.parametrize(
     ("priorities", "customer", "value", "priority"),
     [
