Keep the refusals of full engines from other gateways

An engine whose queue is full refuses with 503, which was reported as a failure to all gateways; they moved away from it together. The refusal now counts only at the gateway that got it. One that names another upstream is still reported, as are the refusals of plain services.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -177,7 +177,14 @@
                 for engine in silent:
                     self.view.observe(engine, UpstreamOutcome.LOST)
             case NotRun(_, at_fault):
-                self.view.observe(at_fault or upstream_id, UpstreamOutcome.FAILED)
+                # Told of a full queue, all gateways would leave the engine together,
+                # and fill the queues of others.
+                by_other = at_fault not in (None, upstream_id)
+                self.view.observe(
+                    at_fault or upstream_id,
+                    UpstreamOutcome.FAILED,
+                    local_only=placement.work is not None and not by_other,
+                )
             case FailedThere():
                 self.view.observe(upstream_id, UpstreamOutcome.FAILED)
             case Answered(pace=pace):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -354,17 +354,23 @@
         outcome: UpstreamOutcome,
         slowness: float | None = None,
         running: bool = False,
+        local_only: bool = False,
     ) -> None:
         """Record what an attempt of this gateway showed about an upstream.
 
-        While an answer is `running`, only its slowness is known.
+        While an answer is `running`, only its slowness is known. The other gateways are
+        not told what is `local_only`.
         """
         now = time.monotonic()
         observation = UpstreamObservation(upstream_id, outcome, slowness, 0.0, running)
         if not self.settings.shares_health:
             self.health.record_own(observation, now)
             return
-        if self.shared_health.observe(observation, now):
+        if local_only:
+            if outcome is not UpstreamOutcome.LOST:
+                self.shared_health.answered_at[upstream_id] = now
+            self.health.record_own(observation, now)
+        elif self.shared_health.observe(observation, now):
             self.on_observed()
         self.log_mark(upstream_id, now)
         settings = self.settings
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -185,6 +185,7 @@
     address: bytes,
     *known: tuple[str, str],
     change: Callable[[FleetView], object] = lambda _view: None,
+    **settings,
 ) -> tuple[NotRun, FleetView]:
     """Run an attempt that is refused, naming an address; u-2 helps u-1.
 
@@ -192,7 +193,7 @@
     """
 
     async def attempt():
-        view = FleetView.from_settings(GATEWAY_SETTINGS)
+        view = FleetView.from_settings(GATEWAY_SETTINGS._replace(**settings))
         for upstream_id, at in known:
             view.record_heartbeat(heartbeat(upstream_id, address=at), 0.0)
         headers = [*HEADERS, (b"x-not-run", b"1"), (b"at-server", address)]
@@ -234,6 +235,26 @@
     assert outcome.at_fault == "u-2"
 
 
+@pytest.mark.parametrize(
+    ("status", "address", "sent"),
+    [
+        (503, b"10.9.9.9:80", []),
+        (503, b"10.0.0.1:80", []),
+        (503, b"10.0.0.2:80", ["u-2"]),
+        (421, b"10.0.0.1:80", ["u-1"]),
+    ],
+)
+def test_a_full_queue_of_an_engine_is_not_told_to_other_gateways(status, address, sent):
+    """Guards against gateways that all leave a full engine for the same others."""
+    known = ("u-1", "10.0.0.1:80"), ("u-2", "10.0.0.2:80")
+    outcome, view = refused_by(status, address, *known, shares_health=True)
+    waiting = view.shared_health.waiting
+    assert [each.observation.upstream_id for each in waiting] == sent
+    upstream_id = outcome.at_fault or "u-1"
+    assert (upstream_id in view.shared_health.answered_at) is (status == 503)
+    assert view.health.estimate(upstream_id, time.monotonic()).failure_rate > 0.2
+
+
 def leave(view: FleetView) -> None:
     leaving = heartbeat("u-2", 2, UpstreamPhase.LEAVING, "10.0.0.2:80")
     view.record_heartbeat(leaving, 0.0)
