--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -593,6 +593,11 @@
         now = time.monotonic()
         for upstream_id in self.registry.forget_old(now):
             self.forget_upstream(upstream_id)
+        # Attempts that end after their upstream was forgotten record it once more.
+        recorded = self.health.records.keys() | self.marked
+        for upstream_id in recorded - self.registry.known.keys():
+            self.health.forget(upstream_id)
+            self.marked.discard(upstream_id)
         self.peers.forget_old(now)
         self.shared_health.forget_old(now)
         self.cold.forget_old(now)
--- a/tests/cover/gateway/test_observations_exchange.py
+++ b/tests/cover/gateway/test_observations_exchange.py
@@ -11,6 +11,7 @@
     UpstreamObservation,
     UpstreamObservations,
     UpstreamOutcome,
+    UpstreamStart,
 )
 from cowslipshelf_core.identifiers import DataCentre, Epoch
 from cowslipshelf_core.messages import PeerAlive
@@ -95,3 +96,21 @@
     own = view.record_observations("10.0.0.1", UpstreamObservations((FAILURE,)))
     assert own is ReportsOutcome.IGNORED
     assert view.health.records == {}
+
+
+def test_records_of_upstreams_that_are_gone_are_dropped():
+    """Guards against memory that grows with each upstream that ends under a request.
+
+    An attempt that ends after its upstream was forgotten records an outcome for it.
+    """
+    view = FleetView.from_settings(SHARING)
+    former, later = (UpstreamStart("u-1", start).upstream_id for start in (1, 2))
+    for upstream_id in (former, later):
+        view.record_heartbeat(heartbeat(upstream_id), 0.0)
+    for upstream_id in (former, later):
+        view.observe(upstream_id, UpstreamOutcome.LOST)
+    assert former in view.health.records
+    assert former in view.marked
+    view.forget_old()
+    assert view.health.records.keys() == {later}
+    assert view.marked == {later}
