Count refusals of full engines locally for prompts of unknown size, too

Whether a refusal is reported depended on the work placed, which a prompt of unknown size has none of. It now depends on whether the service is of engines.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -18,6 +18,7 @@
     EngineModel,
     RouteKind,
     StreamSlowness,
+    UpstreamHeartbeat,
     UpstreamOutcome,
     UpstreamStart,
 )
@@ -183,7 +184,7 @@
                 self.view.observe(
                     at_fault or upstream_id,
                     UpstreamOutcome.FAILED,
-                    local_only=placement.work is not None and not by_other,
+                    local_only=self.is_engine(placement.upstream) and not by_other,
                 )
             case FailedThere():
                 self.view.observe(upstream_id, UpstreamOutcome.FAILED)
@@ -191,6 +192,15 @@
                 slowness = self.slowness_of(placement, pace, seconds)
                 self.view.observe(upstream_id, UpstreamOutcome.ANSWERED, slowness)
 
+    def is_engine(self, upstream: UpstreamHeartbeat) -> bool:
+        """Return whether an upstream's service is one of engines.
+
+        Requests without a known prompt size are placed there without engine work.
+        """
+        table = self.view.table
+        service = None if table is None else table.services.get(upstream.service)
+        return service is not None and service.engine is not None
+
     def slowness_of(
         self, placement: Placement, pace: StreamPace | None, seconds: float
     ) -> float | None:
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -7,18 +7,26 @@
 
 import pytest
 
-from common.gateway_samples import GATEWAY_SETTINGS, heartbeat, route
+from common.gateway_samples import (
+    ENGINE,
+    GATEWAY_SETTINGS,
+    configuration,
+    heartbeat,
+    route,
+)
 from cowslipshelf_adapter.wire import MachinesDialect
 from cowslipshelf_core.dialect import CallerFacts, MemoryTicket
 from cowslipshelf_core.gateway import (
+    EngineModel,
     EnginePart,
     EngineWork,
     RouteKind,
+    ServiceConfiguration,
     UpstreamPhase,
     UpstreamStart,
     WorkChanged,
 )
-from cowslipshelf_core.messages import EvacuationState
+from cowslipshelf_core.messages import EvacuationState, RoutesDocument
 from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
@@ -185,15 +193,21 @@
     address: bytes,
     *known: tuple[str, str],
     change: Callable[[FleetView], object] = lambda _view: None,
+    engine: EngineModel | None = ENGINE,
+    sized: bool = True,
     **settings,
 ) -> tuple[NotRun, FleetView]:
     """Run an attempt that is refused, naming an address; u-2 helps u-1.
 
-    `change` is applied to the view before the refusal arrives.
+    `change` is applied to the view before the refusal arrives. Unless it is `sized`,
+    the request has no known prompt size, and so no work and no helper.
     """
 
     async def attempt():
         view = FleetView.from_settings(GATEWAY_SETTINGS._replace(**settings))
+        services = (ServiceConfiguration("s", 100, engine),)
+        routes = configuration(route(), services=services)
+        view.apply_configuration(RoutesDocument(1, "", b""), routes)
         for upstream_id, at in known:
             view.record_heartbeat(heartbeat(upstream_id, address=at), 0.0)
         headers = [*HEADERS, (b"x-not-run", b"1"), (b"at-server", address)]
@@ -204,7 +218,8 @@
         placed = placement("w-0")
         helper = EnginePart("u-2", 0.1, 1, decodes=False)
         work = placed.work._replace(parts=(*placed.work.parts, helper))
-        return await runner.run(task(), placed._replace(work=work)), view
+        placed = placed._replace(work=work if sized else None)
+        return await runner.run(task(), placed), view
 
     return asyncio.run(attempt())
 
@@ -255,6 +270,24 @@
     assert view.health.estimate(upstream_id, time.monotonic()).failure_rate > 0.2
 
 
+@pytest.mark.parametrize(("engine", "sent"), [(ENGINE, []), (None, ["u-1"])])
+def test_a_refusal_of_a_plain_service_is_told_and_one_of_an_engine_is_not(engine, sent):
+    """Guards against telling of full engines for prompts whose size is not known.
+
+    A plain upstream that fails is still to be avoided by all gateways at once.
+    """
+    _, view = refused_by(
+        503,
+        b"10.0.0.1:80",
+        ("u-1", "10.0.0.1:80"),
+        engine=engine,
+        sized=False,
+        shares_health=True,
+    )
+    waiting = view.shared_health.waiting
+    assert [each.observation.upstream_id for each in waiting] == sent
+
+
 def leave(view: FleetView) -> None:
     leaving = heartbeat("u-2", 2, UpstreamPhase.LEAVING, "10.0.0.2:80")
     view.record_heartbeat(leaving, 0.0)
