--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -18,6 +18,7 @@
     EngineModel,
     RouteKind,
     StreamSlowness,
+    UpstreamHeartbeat,
     UpstreamOutcome,
     UpstreamStart,
 )
@@ -86,11 +87,16 @@
         The former process is gone and will send nothing more, but a silent connection
         shows that only after seconds. Attempts opened after the later start reached
         that one, whichever start was believed then. Only attempts that may be retried
-        are dropped, since clocks differ by seconds at times.
+        are dropped, since clocks differ by seconds at times. After the first event,
+        helpers that hold no memory for the answer are done.
         """
         self.pool.forget(former.upstream_id)
         for attempt in list(self.open_attempts):
-            if not attempt.needs_replaced_start(former, later):
+            has_first_event = (
+                attempt.work_id is not None
+                and self.view.engines.has_first_token(attempt.work_id)
+            )
+            if not attempt.needs_replaced_start(former, later, has_first_event):
                 continue
             LOG.info(
                 "Attempt dropped.",
@@ -98,6 +104,7 @@
                 upstream=former.upstream_id,
                 reason=f"{later.upstream_id} began there",
             )
+            attempt.replaced = former.upstream_id
             attempt.connection.drop(f"{later.upstream_id} began there", True)
 
     async def run(self, task: AttemptTask, placement: Placement) -> AttemptOutcome:
@@ -158,6 +165,11 @@
         match outcome:
             case NotReached(evacuated=True):
                 pass
+            case Broken(replaced=str(replaced)):
+                # The upstream that answers is healthy if a helper was replaced. A
+                # replaced start is usually gone, and then there is nothing to avoid.
+                if replaced in self.view.registry.known:
+                    self.view.observe(replaced, UpstreamOutcome.LOST)
             case NotReached() | Broken():
                 self.view.observe(upstream_id, UpstreamOutcome.LOST)
             case NotRun(HTTPStatus.MISDIRECTED_REQUEST, at_fault):
@@ -166,13 +178,29 @@
                 for engine in silent:
                     self.view.observe(engine, UpstreamOutcome.LOST)
             case NotRun(_, at_fault):
-                self.view.observe(at_fault or upstream_id, UpstreamOutcome.FAILED)
+                # Told of a full queue, all gateways would leave the engine together,
+                # and fill the queues of others.
+                by_other = at_fault not in (None, upstream_id)
+                self.view.observe(
+                    at_fault or upstream_id,
+                    UpstreamOutcome.FAILED,
+                    local_only=self.is_engine(placement.upstream) and not by_other,
+                )
             case FailedThere():
                 self.view.observe(upstream_id, UpstreamOutcome.FAILED)
             case Answered(pace=pace):
                 slowness = self.slowness_of(placement, pace, seconds)
                 self.view.observe(upstream_id, UpstreamOutcome.ANSWERED, slowness)
 
+    def is_engine(self, upstream: UpstreamHeartbeat) -> bool:
+        """Return whether an upstream's service is one of engines.
+
+        Requests without a known prompt size are placed there without engine work.
+        """
+        table = self.view.table
+        service = None if table is None else table.services.get(upstream.service)
+        return service is not None and service.engine is not None
+
     def slowness_of(
         self, placement: Placement, pace: StreamPace | None, seconds: float
     ) -> float | None:
@@ -286,12 +314,14 @@
                 connection.excused_seconds = partial(
                     self.excused_seconds, task, placement, time.monotonic()
                 )
-            with self.tracked_as_open(task, placement, connection):
+            with self.tracked_as_open(task, placement, connection) as attempt:
                 outcome = await self.exchange(task, placement, connection)
             kept = isinstance(outcome, Answered | NotRun | FailedThere)
             return outcome
         except UpstreamLostError as error:
-            return Broken(error.step, str(error), error.upstream_exited)
+            return Broken(
+                error.step, str(error), error.upstream_exited, attempt.replaced
+            )
         finally:
             if kept:
                 self.pool.release(upstream.upstream_id, connection)
@@ -301,19 +331,21 @@
     @contextmanager
     def tracked_as_open(
         self, task: AttemptTask, placement: Placement, connection: UpstreamConnection
-    ) -> Iterator[None]:
+    ) -> Iterator[OpenAttempt]:
         """Track an attempt as open during the context, if it may be retried."""
-        helping = (part.upstream_id for part in placement.helper_parts)
+        holding = (ticket.upstream_id for ticket in placement.tickets)
         attempt = OpenAttempt(
             task.facts.attempt_id,
-            frozenset((placement.upstream.upstream_id, *helping)),
+            frozenset(placement.upstream_ids),
+            frozenset((placement.upstream.upstream_id, *holding)),
             connection,
             unix_milliseconds(),
+            None if placement.work is None else placement.work.attempt_id,
         )
         if task.route.repeatable:
             self.open_attempts.add(attempt)
         try:
-            yield
+            yield attempt
         finally:
             self.open_attempts.discard(attempt)
 
@@ -368,15 +400,19 @@
     def upstream_at_fault(
         self, placement: Placement, facts: AnswerFacts
     ) -> UpstreamId | None:
-        """Return the upstream that an answer names as the reason, if it is known."""
+        """Return the upstream that an answer names as the reason, if it is known.
+
+        Those of the placement come first, in any phase: one that began to leave or was
+        evacuated meanwhile is no longer among the usable ones.
+        """
         if facts.at_fault is None:
             return None
-        service = placement.upstream.service
-        named = self.view.upstreams_at(service, facts.at_fault)
-        used = {placement.upstream.upstream_id}
-        used.update(part.upstream_id for part in placement.helper_parts)
-        first = named[0] if named else None
-        return next((each for each in named if each in used), first)
+        for upstream_id in placement.upstream_ids:
+            known = self.view.registry.known.get(upstream_id)
+            if known is not None and known.heartbeat.address == facts.at_fault:
+                return upstream_id
+        named = self.view.upstreams_at(placement.upstream.service, facts.at_fault)
+        return named[0] if named else None
 
     def outgoing_request(
         self, task: AttemptTask, placement: Placement
