Ignore pauses while a prefill may run behind its simulation

A part that the simulation had finished, but whose first token was not reported yet, made the engine count as one that only decodes. The long passes of the real prefill then marked a healthy engine as slow.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_simulation.py
@@ -21,6 +21,9 @@
 MIN_PASS_SECONDS = 1e-4
 """Lower bound on the length of a pass: with a model whose steps take no time, the
 simulation would not end. A real pass takes four hundred times as long."""
+UNREPORTED_PREFILL_SECONDS = 1.0
+"""Time after a simulated prefill in which the real one may still run, if its first
+token was not reported. Passes of such prefills made healthy engines count as slow."""
 
 
 @dataclass(slots=True)
@@ -37,6 +40,7 @@
     """Whether its first event or a later one came too late already."""
     prefilled_at: float = math.inf
     """End of the pass that prefills its last chunk, once that pass has begun."""
+    first_token_reported: bool = False
 
     @property
     def is_prefilled(self) -> bool:
@@ -100,6 +104,7 @@
         tracked = self.parts.get(attempt_id)
         if tracked is None:
             return
+        tracked.first_token_reported = True
         tracked.left_seconds = tracked.left_chunks = 0.0
         if tracked.part.decodes:
             tracked.decoding = True
@@ -246,6 +251,18 @@
         self.advance(self.model, now)
         return self.prefill_ends_at > since or bool(self.pending_parts())
 
+    def may_have_prefilled_since(self, since: float, now: float) -> bool:
+        """Return whether the engine may have prefilled beside its decodes since a time.
+
+        Unlike `prefilled_since`, includes prefills that may run behind the simulation.
+        """
+        return self.prefilled_since(since, now) or any(
+            tracked.is_prefilled
+            and not tracked.first_token_reported
+            and since < tracked.prefilled_at + UNREPORTED_PREFILL_SECONDS
+            for tracked in self.parts.values()
+        )
+
     def prefilled_at(self, attempt_id: AttemptId, now: float) -> float | None:
         """Return when a part is or will be prefilled; None if it is not tracked."""
         left_seconds = self.prefill_left_seconds(now)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/engine_tracker.py
@@ -246,14 +246,14 @@
     def decode_pass_seconds(
         self, upstream_id: UpstreamId, model: EngineModel, since: float, now: float
     ) -> float | None:
-        """Return the length of an engine's passes, or None if any prefills since then.
+        """Return the length of an engine's passes, or None if any may prefill since.
 
         Passes that prefill vary in length, so they don't show how slow an engine is.
         """
         seconds = self.usual_pass_seconds(upstream_id, model, now)
         if seconds is None:
             return None
-        prefilled = self.simulations[upstream_id].prefilled_since(since, now)
+        prefilled = self.simulations[upstream_id].may_have_prefilled_since(since, now)
         return None if prefilled else seconds
 
     def excused_seconds(self, attempt_id: AttemptId, now: float) -> float:
--- a/tests/cover/gateway_core/test_stream_slowness.py
+++ b/tests/cover/gateway_core/test_stream_slowness.py
@@ -114,3 +114,27 @@
     assert tracker.decode_pass_seconds("u", ENGINE, 0.55, 0.6) is None
     assert tracker.decode_pass_seconds("u", ENGINE, 0.7, 3.0) is None
     assert tracker.decode_pass_seconds("u", ENGINE, 2.9, 3.0) is not None
+
+
+def test_the_forecast_is_unknown_while_a_prefill_may_run_behind_the_simulation():
+    """Guards against a healthy engine marked slow by a prefill that takes longer.
+
+    The simulation ends the prefill before 1.5 s; the first token comes at 1.9 s.
+    """
+    tracker = EngineTracker()
+    tracker.begin(work("short", 0.03, 1), "g", 0.0)
+    tracker.first_token("short", 0.1)
+    tracker.begin(work("long", 0.5, 40), "g", 0.5)
+    assert not tracker.prefilled_since("u", 1.5, 1.8)
+    assert tracker.decode_pass_seconds("u", ENGINE, 1.5, 1.8) is None
+    tracker.first_token("long", 1.9)
+    assert tracker.decode_pass_seconds("u", ENGINE, 1.9, 2.0) is not None
+
+
+def test_a_first_token_that_is_never_reported_hides_a_slow_engine_for_a_second():
+    """Guards against a slow engine that is not found because its prefills are slow."""
+    tracker = EngineTracker()
+    tracker.begin(work("short", 0.03, 1), "g", 0.0)
+    tracker.first_token("short", 0.1)
+    tracker.begin(work("long", 0.5, 40), "g", 0.5)
+    assert tracker.decode_pass_seconds("u", ENGINE, 2.5, 2.6) is not None
