--- a/packages/core/src/cowslipshelf_core/internal/gateway/stream_slowness.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/stream_slowness.py
@@ -20,6 +20,9 @@
 HELD_UP_SECONDS = 0.01
 """Time that a caller may take for events before the next pause is not counted. It is a
 fifth of the shortest pass, and a caller that reads takes far less."""
+MAX_SLOWNESS = 5.0
+"""Bound of one estimate: pauses that a slow engine does not explain made single ones
+so high that an engine stayed marked long after them."""
 
 
 class Pause(NamedTuple):
@@ -79,4 +82,5 @@
             return None
         self.pass_seconds = pass_seconds
         self.due_at = now + MIN_INTERVAL_SECONDS
-        return min(each.seconds / each.events for each in self.pauses) / pass_seconds
+        shortest = min(each.seconds / each.events for each in self.pauses)
+        return min(MAX_SLOWNESS, shortest / pass_seconds)
--- a/tests/cover/gateway_core/test_stream_slowness.py
+++ b/tests/cover/gateway_core/test_stream_slowness.py
@@ -38,6 +38,11 @@
     assert round(slowness, 6) == 3.0
 
 
+def test_a_stall_counts_as_a_slowness_of_at_most_five():
+    """Guards against an engine that one estimate marks as slow for many seconds."""
+    assert slownesses([40 * PASS] * 3) == [5.0]
+
+
 def test_a_stream_is_judged_at_most_every_four_tenths_of_a_second():
     """Guards against processor time and messages for each event."""
     times = [at for at, _ in estimates([2 * PASS] * 40)]
