Report prefill times without the slowness that receivers add

Where health is shared, gateways multiply the times of waiting parts by the slowness of the engine. The reported times contained it already, so it counted twice.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
@@ -239,6 +239,14 @@
     return sorted(costs, key=lambda cost: cost.rank)
 
 
+def reported_prefill_seconds(part: PromptPart, candidate: EngineCandidate) -> float:
+    """Return a part's prefill time without the slowness that each gateway adds itself.
+
+    Gateways multiply the time of waiting parts by the engine's pending slowness.
+    """
+    return part.prefill_seconds * candidate.slowness / candidate.pending_slowness
+
+
 def total_choice(
     placing: Placing,
     part: PromptPart,
@@ -260,7 +268,7 @@
     parts = tuple(
         EnginePart(
             each.engine.candidate.upstream_id,
-            part.on(each.engine).prefill_seconds,
+            reported_prefill_seconds(part, each.engine.candidate),
             part.chunks,
             each is decoder,
             tokens,
