Weight the fixed costs of placements by rank

Surcharges, crossing costs and the costs of empty and further engines stayed the same for requests whose value is halved, so they outweighed lateness. Without ranks the weight is 1 and nothing changes.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -84,7 +84,10 @@
     left_seconds: float
     """Time until the caller gives up."""
     weight: float = 1.0
-    """Factor on the value of the answer, by the rank of the request."""
+    """Factor on the value of the answer, by the rank of the request.
+
+    It applies to the fixed costs of engines too, or they would outweigh lateness.
+    """
 
     @property
     def needed_tokens(self) -> int:
@@ -209,10 +212,7 @@
     """Return the cost if an engine prefills a part and decodes the answer."""
     after = forecast([*engine.pending, part.on(engine)], engine.pace)
     harm = harm_to_decoding(engine, after) + sharing_cost(engine, placing)
-    harm += engine.candidate.surcharge
-    harm += placing.distance.cost(
-        placing.distance.data_centre, engine.candidate.data_centre
-    )
+    harm += fixed_cost(engine, placing, placing.distance.data_centre)
     ready = after.ready_seconds[-1]
     first_token = ready + first_event_delay(engine, alone=True)
     return PartCost(engine, ready, harm, harm + own_cost(engine, first_token, placing))
@@ -224,10 +224,7 @@
     """Return the cost if an engine prefills a part for the engine that decodes."""
     after = forecast([part.on(engine), *engine.pending], engine.pace)
     harm = harm_to_decoding(engine, after) + harm_to_queued(engine, after, placing)
-    harm += engine.candidate.surcharge
-    harm += placing.distance.cost(
-        decoder.candidate.data_centre, engine.candidate.data_centre
-    )
+    harm += fixed_cost(engine, placing, decoder.candidate.data_centre)
     # An engine refuses more parts of other engines' prompts than it has slots.
     refused = engine.view.helping_parts >= placing.model.slots
     rank = harm + own_cost(engine, after.ready_seconds[0], placing)
@@ -239,6 +236,15 @@
     )
 
 
+def fixed_cost(
+    engine: AssessedEngine, placing: Placing, data_centre: DataCentre
+) -> float:
+    """Return the cost of an engine used from a data centre, whatever runs there."""
+    candidate = engine.candidate
+    crossing = placing.distance.cost(data_centre, candidate.data_centre)
+    return (candidate.surcharge + crossing) * placing.prompt.weight
+
+
 def own_cost(engine: AssessedEngine, ready: float, placing: Placing) -> float:
     """Return the cost to the prompt itself if an engine is ready after a time."""
     late = lateness(ready / placing.prompt.objective_seconds)
@@ -253,6 +259,7 @@
     tokens = placing.prompt.size.prompt_tokens
     short = prefill_seconds(model, tokens) < SHORT_PREFILL_SECONDS
     apart = spreading_cost(decoding, model.slots) if short else 0.0
+    apart *= placing.prompt.weight
     return full + apart + work.value * pause_cost(engine.pace.decode_pass_seconds, work)
 
 
--- a/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
@@ -132,7 +132,7 @@
     best: EnginesChosen | None = None
     choose = split_prefill if placing.roomy else split_memory
     for parts in PART_COUNTS:
-        least = EXTRA_ENGINE_COST * (parts - 1)
+        least = EXTRA_ENGINE_COST * placing.prompt.weight * (parts - 1)
         if parts > len(placing.engines) or (best is not None and best.cost <= least):
             break
         if parts > 1 and is_short(placing.prompt, placing.model, parts // 2):
@@ -263,7 +263,7 @@
         value * lateness(first_token / placing.prompt.objective_seconds)
         + value * max(each.engine.candidate.penalty for each in chosen)
         + sum(each.harm for each in chosen)
-        + EXTRA_ENGINE_COST * len(helpers)
+        + EXTRA_ENGINE_COST * placing.prompt.weight * len(helpers)
     )
     parts = tuple(
         EnginePart(
--- a/tests/cover/gateway_core/test_near_engines.py
+++ b/tests/cover/gateway_core/test_near_engines.py
@@ -146,3 +146,18 @@
         tracker.first_token(f"l-{engine}", 0.1)
     far = place(SHORT, lossy, NEAR, seed, tracker, 0.5)
     assert far.upstream_id.startswith("far")
+
+
+@pytest.mark.parametrize("prompt", [SHORT, LONG])
+@pytest.mark.parametrize("seed", range(5))
+def test_all_costs_on_idle_engines_are_weighted_by_rank(prompt, seed):
+    """Guards against fixed costs that outweigh the lateness of low-ranked prompts.
+
+    Nothing else runs, so that the whole cost is that of the prompt itself.
+    """
+    candidates = engines(near=2, far=12, surcharge=0.1)
+    usual = place(prompt, candidates, NEAR, seed)
+    halved = place(prompt._replace(weight=0.5), candidates, NEAR, seed)
+    assert usual.cost > 0.0
+    assert halved.cost == pytest.approx(0.5 * usual.cost)
+    assert (halved.upstream_id, halved.helpers) == (usual.upstream_id, usual.helpers)
