--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -40,6 +40,9 @@
 MEAN_PASSES_TO_FIRST_EVENT = 1.5
 """Passes of a decoding engine from the last part prefilled to the first event: the rest
 of the current pass, half of it on average, and one that decodes the event."""
+HELPER_CROSSING_SHARE = 0.25
+"""Share of the crossing cost that a helper in another data centre than the decoder is
+charged: it sends far less between them than a stream of events."""
 
 
 class EngineCandidate(NamedTuple):
@@ -212,7 +215,7 @@
     """Return the cost if an engine prefills a part and decodes the answer."""
     after = forecast([*engine.pending, part.on(engine)], engine.pace)
     harm = harm_to_decoding(engine, after) + sharing_cost(engine, placing)
-    harm += fixed_cost(engine, placing, placing.distance.data_centre)
+    harm += fixed_cost(engine, placing, placing.distance.data_centre, 1.0)
     ready = after.ready_seconds[-1]
     first_token = ready + first_event_delay(engine, alone=True)
     return PartCost(engine, ready, harm, harm + own_cost(engine, first_token, placing))
@@ -224,7 +227,9 @@
     """Return the cost if an engine prefills a part for the engine that decodes."""
     after = forecast([part.on(engine), *engine.pending], engine.pace)
     harm = harm_to_decoding(engine, after) + harm_to_queued(engine, after, placing)
-    harm += fixed_cost(engine, placing, decoder.candidate.data_centre)
+    harm += fixed_cost(
+        engine, placing, decoder.candidate.data_centre, HELPER_CROSSING_SHARE
+    )
     # An engine refuses more parts of other engines' prompts than it has slots.
     refused = engine.view.helping_parts >= placing.model.slots
     rank = harm + own_cost(engine, after.ready_seconds[0], placing)
@@ -237,11 +242,16 @@
 
 
 def fixed_cost(
-    engine: AssessedEngine, placing: Placing, data_centre: DataCentre
+    engine: AssessedEngine,
+    placing: Placing,
+    data_centre: DataCentre,
+    crossing_share: float,
 ) -> float:
     """Return the cost of an engine used from a data centre, whatever runs there."""
     candidate = engine.candidate
-    crossing = placing.distance.cost(data_centre, candidate.data_centre)
+    crossing = crossing_share * placing.distance.cost(
+        data_centre, candidate.data_centre
+    )
     return (candidate.surcharge + crossing) * placing.prompt.weight
 
 
--- a/tests/cover/gateway_core/test_near_engines.py
+++ b/tests/cover/gateway_core/test_near_engines.py
@@ -161,3 +161,16 @@
     assert usual.cost > 0.0
     assert halved.cost == pytest.approx(0.5 * usual.cost)
     assert (halved.upstream_id, halved.helpers) == (usual.upstream_id, usual.helpers)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_far_helper_costs_a_quarter_of_a_stream_that_crosses(seed):
+    """Guards against long prompts kept from far helpers that are free."""
+    candidates = engines(near=1, far=15)
+    free = place(LONG, candidates, Distance("near", 0.0), seed)
+    charged = place(LONG, candidates, Distance("near", 0.001), seed)
+    assert charged.upstream_id == "near-0"
+    assert charged.helpers
+    assert len(charged.helpers) == len(free.helpers)
+    crossings = 0.001 * 0.25 * len(charged.helpers)
+    assert charged.cost - free.cost == pytest.approx(crossings)
