--- a/packages/core/src/cowslipshelf_core/internal/gateway/stream_slowness.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/stream_slowness.py
@@ -52,9 +52,11 @@
             self.held_up = False
             return False
         pauses = self.pauses
-        if pauses and seconds < MIN_PASS_SHARE * self.pass_seconds:
-            last = pauses[-1]
-            pauses[-1] = Pause(last.seconds + seconds, last.events + events)
+        if seconds < MIN_PASS_SHARE * self.pass_seconds:
+            # Without an earlier pause, its events belong to ones that were not counted.
+            if pauses:
+                last = pauses[-1]
+                pauses[-1] = Pause(last.seconds + seconds, last.events + events)
             return False
         pauses.append(Pause(seconds, max(1, events)))
         if len(pauses) > MIN_PAUSES:
--- a/tests/cover/gateway_core/test_stream_slowness.py
+++ b/tests/cover/gateway_core/test_stream_slowness.py
@@ -86,6 +86,20 @@
     assert min(slownesses(pauses)) >= 1.5
 
 
+def test_a_short_first_pause_does_not_hide_a_slow_engine():
+    """Guards against a slow engine that counts as fast after its pauses were cleared.
+
+    The rest of a group of events arrives just after the pauses were cleared.
+    """
+    stream, now = StreamSlowness(PASS, 0.0), 0.0
+    found = []
+    for pause in [0.002, *[3 * PASS] * 3]:
+        now += pause
+        found.append(stream.record_events(1, now))
+    assert found == [False, False, False, True]
+    assert round(stream.estimate(PASS, now), 6) == 3.0
+
+
 def test_a_slow_caller_does_not_mark():
     """Guards against an engine that is blamed for the time of a caller's link."""
     assert slownesses([0.001] * 20, taking=0.3) == []
