--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -40,6 +40,9 @@
 MEAN_PASSES_TO_FIRST_EVENT = 1.5
 """Passes of a decoding engine from the last part prefilled to the first event: the rest
 of the current pass, half of it on average, and one that decodes the event."""
+HELPER_CROSSING_SHARE = 0.25
+"""Share of the crossing cost that a helper in another data centre than the decoder is
+charged: it sends far less between them than a stream of events."""
 
 
 class EngineCandidate(NamedTuple):
@@ -84,7 +87,10 @@
     left_seconds: float
     """Time until the caller gives up."""
     weight: float = 1.0
-    """Factor on the value of the answer, by the rank of the request."""
+    """Factor on the value of the answer, by the rank of the request.
+
+    It applies to the fixed costs of engines too, or they would outweigh lateness.
+    """
 
     @property
     def needed_tokens(self) -> int:
@@ -209,10 +215,7 @@
     """Return the cost if an engine prefills a part and decodes the answer."""
     after = forecast([*engine.pending, part.on(engine)], engine.pace)
     harm = harm_to_decoding(engine, after) + sharing_cost(engine, placing)
-    harm += engine.candidate.surcharge
-    harm += placing.distance.cost(
-        placing.distance.data_centre, engine.candidate.data_centre
-    )
+    harm += fixed_cost(engine, placing, placing.distance.data_centre, 1.0)
     ready = after.ready_seconds[-1]
     first_token = ready + first_event_delay(engine, alone=True)
     return PartCost(engine, ready, harm, harm + own_cost(engine, first_token, placing))
@@ -224,9 +227,8 @@
     """Return the cost if an engine prefills a part for the engine that decodes."""
     after = forecast([part.on(engine), *engine.pending], engine.pace)
     harm = harm_to_decoding(engine, after) + harm_to_queued(engine, after, placing)
-    harm += engine.candidate.surcharge
-    harm += placing.distance.cost(
-        decoder.candidate.data_centre, engine.candidate.data_centre
+    harm += fixed_cost(
+        engine, placing, decoder.candidate.data_centre, HELPER_CROSSING_SHARE
     )
     # An engine refuses more parts of other engines' prompts than it has slots.
     refused = engine.view.helping_parts >= placing.model.slots
@@ -239,6 +241,20 @@
     )
 
 
+def fixed_cost(
+    engine: AssessedEngine,
+    placing: Placing,
+    data_centre: DataCentre,
+    crossing_share: float,
+) -> float:
+    """Return the cost of an engine used from a data centre, whatever runs there."""
+    candidate = engine.candidate
+    crossing = crossing_share * placing.distance.cost(
+        data_centre, candidate.data_centre
+    )
+    return (candidate.surcharge + crossing) * placing.prompt.weight
+
+
 def own_cost(engine: AssessedEngine, ready: float, placing: Placing) -> float:
     """Return the cost to the prompt itself if an engine is ready after a time."""
     late = lateness(ready / placing.prompt.objective_seconds)
@@ -253,6 +269,7 @@
     tokens = placing.prompt.size.prompt_tokens
     short = prefill_seconds(model, tokens) < SHORT_PREFILL_SECONDS
     apart = spreading_cost(decoding, model.slots) if short else 0.0
+    apart *= placing.prompt.weight
     return full + apart + work.value * pause_cost(engine.pace.decode_pass_seconds, work)
 
 
--- a/packages/core/src/cowslipshelf_core/internal/gateway/stream_slowness.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/stream_slowness.py
@@ -20,6 +20,9 @@
 HELD_UP_SECONDS = 0.01
 """Time that a caller may take for events before the next pause is not counted. It is a
 fifth of the shortest pass, and a caller that reads takes far less."""
+MAX_SLOWNESS = 5.0
+"""Bound of one estimate: pauses that a slow engine does not explain made single ones
+so high that an engine stayed marked long after them."""
 
 
 class Pause(NamedTuple):
@@ -49,9 +52,11 @@
             self.held_up = False
             return False
         pauses = self.pauses
-        if pauses and seconds < MIN_PASS_SHARE * self.pass_seconds:
-            last = pauses[-1]
-            pauses[-1] = Pause(last.seconds + seconds, last.events + events)
+        if seconds < MIN_PASS_SHARE * self.pass_seconds:
+            # Without an earlier pause, its events belong to ones that were not counted.
+            if pauses:
+                last = pauses[-1]
+                pauses[-1] = Pause(last.seconds + seconds, last.events + events)
             return False
         pauses.append(Pause(seconds, max(1, events)))
         if len(pauses) > MIN_PAUSES:
@@ -79,4 +84,5 @@
             return None
         self.pass_seconds = pass_seconds
         self.due_at = now + MIN_INTERVAL_SECONDS
-        return min(each.seconds / each.events for each in self.pauses) / pass_seconds
+        shortest = min(each.seconds / each.events for each in self.pauses)
+        return min(MAX_SLOWNESS, shortest / pass_seconds)
--- a/tests/cover/gateway_core/test_near_engines.py
+++ b/tests/cover/gateway_core/test_near_engines.py
@@ -146,3 +146,31 @@
         tracker.first_token(f"l-{engine}", 0.1)
     far = place(SHORT, lossy, NEAR, seed, tracker, 0.5)
     assert far.upstream_id.startswith("far")
+
+
+@pytest.mark.parametrize("prompt", [SHORT, LONG])
+@pytest.mark.parametrize("seed", range(5))
+def test_all_costs_on_idle_engines_are_weighted_by_rank(prompt, seed):
+    """Guards against fixed costs that outweigh the lateness of low-ranked prompts.
+
+    Nothing else runs, so that the whole cost is that of the prompt itself.
+    """
+    candidates = engines(near=2, far=12, surcharge=0.1)
+    usual = place(prompt, candidates, NEAR, seed)
+    halved = place(prompt._replace(weight=0.5), candidates, NEAR, seed)
+    assert usual.cost > 0.0
+    assert halved.cost == pytest.approx(0.5 * usual.cost)
+    assert (halved.upstream_id, halved.helpers) == (usual.upstream_id, usual.helpers)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_far_helper_costs_a_quarter_of_a_stream_that_crosses(seed):
+    """Guards against long prompts kept from far helpers that are free."""
+    candidates = engines(near=1, far=15)
+    free = place(LONG, candidates, Distance("near", 0.0), seed)
+    charged = place(LONG, candidates, Distance("near", 0.001), seed)
+    assert charged.upstream_id == "near-0"
+    assert charged.helpers
+    assert len(charged.helpers) == len(free.helpers)
+    crossings = 0.001 * 0.25 * len(charged.helpers)
+    assert charged.cost - free.cost == pytest.approx(crossings)
--- a/tests/cover/gateway_core/test_stream_slowness.py
+++ b/tests/cover/gateway_core/test_stream_slowness.py
@@ -38,6 +38,11 @@
     assert round(slowness, 6) == 3.0
 
 
+def test_a_stall_counts_as_a_slowness_of_at_most_five():
+    """Guards against an engine that one estimate marks as slow for many seconds."""
+    assert slownesses([40 * PASS] * 3) == [5.0]
+
+
 def test_a_stream_is_judged_at_most_every_four_tenths_of_a_second():
     """Guards against processor time and messages for each event."""
     times = [at for at, _ in estimates([2 * PASS] * 40)]
@@ -81,6 +86,20 @@
     assert min(slownesses(pauses)) >= 1.5
 
 
+def test_a_short_first_pause_does_not_hide_a_slow_engine():
+    """Guards against a slow engine that counts as fast after its pauses were cleared.
+
+    The rest of a group of events arrives just after the pauses were cleared.
+    """
+    stream, now = StreamSlowness(PASS, 0.0), 0.0
+    found = []
+    for pause in [0.002, *[3 * PASS] * 3]:
+        now += pause
+        found.append(stream.record_events(1, now))
+    assert found == [False, False, False, True]
+    assert round(stream.estimate(PASS, now), 6) == 3.0
+
+
 def test_a_slow_caller_does_not_mark():
     """Guards against an engine that is blamed for the time of a caller's link."""
     assert slownesses([0.001] * 20, taking=0.3) == []
@@ -114,3 +133,27 @@
     assert tracker.decode_pass_seconds("u", ENGINE, 0.55, 0.6) is None
     assert tracker.decode_pass_seconds("u", ENGINE, 0.7, 3.0) is None
     assert tracker.decode_pass_seconds("u", ENGINE, 2.9, 3.0) is not None
+
+
+def test_the_forecast_is_unknown_while_a_prefill_may_run_behind_the_simulation():
+    """Guards against a healthy engine marked slow by a prefill that takes longer.
+
+    The simulation ends the prefill before 1.5 s; the first token comes at 1.9 s.
+    """
+    tracker = EngineTracker()
+    tracker.begin(work("short", 0.03, 1), "g", 0.0)
+    tracker.first_token("short", 0.1)
+    tracker.begin(work("long", 0.5, 40), "g", 0.5)
+    assert not tracker.prefilled_since("u", 1.5, 1.8)
+    assert tracker.decode_pass_seconds("u", ENGINE, 1.5, 1.8) is None
+    tracker.first_token("long", 1.9)
+    assert tracker.decode_pass_seconds("u", ENGINE, 1.9, 2.0) is not None
+
+
+def test_a_first_token_that_is_never_reported_hides_a_slow_engine_for_a_second():
+    """Guards against a slow engine that is not found because its prefills are slow."""
+    tracker = EngineTracker()
+    tracker.begin(work("short", 0.03, 1), "g", 0.0)
+    tracker.first_token("short", 0.1)
+    tracker.begin(work("long", 0.5, 40), "g", 0.5)
+    assert tracker.decode_pass_seconds("u", ENGINE, 2.5, 2.6) is not None
