--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -282,9 +282,11 @@
         )
         outcome = await self.runner.run(task, placement._replace(silence_limits=limits))
         at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
+        # Only a helper may be evacuated; placing again avoids whatever is.
+        stopped_by_evacuation = isinstance(outcome, NotReached) and outcome.evacuated
         if at_fault is not None and at_fault not in progress.excluded:
             progress.excluded.add(at_fault)
-        elif not isinstance(outcome, NotReserved):
+        elif not stopped_by_evacuation and not isinstance(outcome, NotReserved):
             progress.excluded.add(upstream_id)
         match outcome:
             case NotReached():
--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -27,7 +27,11 @@
 )
 from cowslipshelf_core.identifiers import DataCentre, Epoch
 from cowslipshelf_core.messages import PeerAlive, RoutesDocument
-from cowslipshelf_daemon.internal.gateway.attempt_outcomes import Answered, NotReserved
+from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
+    Answered,
+    NotReached,
+    NotReserved,
+)
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.placement import Placement, place
@@ -249,6 +253,19 @@
         return NotReserved(frozenset(dead[:1]), frozenset())
 
 
+class EvacuatedHelper:
+    """Run attempts of which the first is stopped since a helper is evacuated."""
+
+    def __init__(self) -> None:
+        self.tried: list[str] = []
+
+    async def run(self, task, placement: Placement):
+        self.tried.append(placement.upstream.upstream_id)
+        if len(self.tried) == 1:
+            return NotReached("a helper is evacuated", evacuated=True)
+        return Answered(200)
+
+
 def handler_of(view: FleetView, runner: DeadFarEngines | None) -> RequestHandler:
     suspects = SuspectRequests("10.0.0.1", Metrics(), lambda _digest: None)
     return RequestHandler(view, runner, MachinesDialect(), Metrics(), suspects)
@@ -300,6 +317,14 @@
     assert progress.excluded == {"far-2", "far-3"}
 
 
+def test_an_engine_whose_helper_was_evacuated_is_tried_again():
+    """Guards against a refusal although the last healthy engine could answer."""
+    view, runner = view_of(), EvacuatedHelper()
+    hear(view, "here-0")
+    ask(view, runner, 1000)
+    assert runner.tried == ["here-0", "here-0"]
+
+
 @pytest.mark.parametrize(("met_outage", "tries"), [(False, 4), (True, 8)])
 def test_a_request_that_met_an_outage_has_more_tries(met_outage, tries):
     """Guards against a refusal before the first try that avoids the outage."""
