Compare link losses with another data centre if the own one has no pauses

Without streams in its own data centre the own share was zero, so stalls of the gateway itself made far links count as lossy. The lowest share of the other data centres takes its place; with one of them alone nothing counts as lossy.

Tests that had no streams in the own data centre get sound ones there, since their links could not be found lossy or sound otherwise.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/link_loss.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/link_loss.py
@@ -29,7 +29,7 @@
 MIN_PAUSES = 50
 MIN_LATE_SHARE = 0.02
 """Links of the deployments that have this fault lose 2 to 4 of 100 packets."""
-OWN_SHARE_FACTOR = 3.0
+REFERENCE_SHARE_FACTOR = 3.0
 """Multiple of the own data centre's share that another one needs: a share as high as
 the own one comes from this gateway or its engines, not from a link between them."""
 USUAL_PAUSES = 7
@@ -160,25 +160,39 @@
         self.drop_old(counts, now)
         return sum(each.pauses for each in counts), sum(each.late for each in counts)
 
-    def late_share(self, data_centre: DataCentre, now: float) -> float:
-        """Return the share of late pauses, zero without pauses."""
+    def late_share(self, data_centre: DataCentre, now: float) -> float | None:
+        """Return the share of late pauses, or None with too few pauses."""
         pauses, late = self.totals(data_centre, now)
-        return late / pauses if pauses else 0.0
+        return late / pauses if pauses >= MIN_PAUSES else None
+
+    def reference_share(self, own: DataCentre, now: float) -> float | None:
+        """Return the share of late pauses that does not come from a lossy link.
+
+        That is the own data centre's. If it has too few pauses, a stall of the gateway
+        shows in the lowest share of the others.
+        """
+        own_share = self.late_share(own, now)
+        if own_share is not None:
+            return own_share
+        shares = [self.late_share(other, now) for other in self.counts if other != own]
+        return min((share for share in shares if share is not None), default=None)
 
     def update(self, own: DataCentre, now: float) -> frozenset[DataCentre]:
         """Return the data centres whose links to the own one lose packets."""
-        own_share = self.late_share(own, now)
+        reference = self.reference_share(own, now)
         self.lossy = frozenset(
             other
             for other in self.counts
-            if other != own and self.is_lossy(other, own_share, now)
+            if other != own
+            and reference is not None
+            and self.is_lossy(other, reference, now)
         )
         return self.lossy
 
-    def is_lossy(self, other: DataCentre, own_share: float, now: float) -> bool:
+    def is_lossy(self, other: DataCentre, reference: float, now: float) -> bool:
         """Return whether the link to another data centre loses packets."""
         pauses, late = self.totals(other, now)
         if pauses < MIN_PAUSES or late < MIN_LATE_PAUSES:
             return False
         share = late / pauses
-        return share > MIN_LATE_SHARE and share >= OWN_SHARE_FACTOR * own_share
+        return share > MIN_LATE_SHARE and share >= REFERENCE_SHARE_FACTOR * reference
--- a/tests/cover/gateway_core/test_link_loss.py
+++ b/tests/cover/gateway_core/test_link_loss.py
@@ -66,6 +66,7 @@
 def test_a_link_counts_as_sound_again_four_seconds_after_its_losses():
     """Guards against engines that are avoided long after their link has recovered."""
     streams = Streams()
+    streams.steady("near", 0.0)
     streams.steady("far", 0.06)
     assert streams.lossy(4.0) == {"far"}
     assert streams.lossy(8.5) == frozenset()
@@ -75,6 +76,7 @@
 def test_an_engine_that_becomes_slow_is_no_lossy_link(slowness):
     """Guards against a whole data centre avoided because of one slow engine."""
     streams = Streams()
+    streams.steady("near", 0.0)
     for _ in range(20):
         slow = [PASS_SECONDS * slowness * factor for factor in (1.0, 0.95, 1.05) * 4]
         streams.stream("far", [PASS_SECONDS] * 8 + slow + [PASS_SECONDS] * 8)
@@ -85,6 +87,7 @@
     """Guards against links avoided because a prompt of 45,000 tokens was prefilled."""
     pauses = ([PASS_SECONDS] * 10 + [PASS_SECONDS + 0.46]) * 2 + [PASS_SECONDS]
     streams = Streams()
+    streams.steady("near", 0.0)
     for _ in range(10):
         streams.stream("far", pauses, has_prefilled=always)
     assert streams.lossy(4.0) == frozenset()
@@ -100,6 +103,7 @@
     """
     pauses = ([PASS_SECONDS] * 5 + [PASS_SECONDS + 0.25]) * 4 + [PASS_SECONDS]
     streams = Streams()
+    streams.steady("near", 0.0)
     for _ in range(10):
         streams.stream("far", pauses, forward=0.055)
     assert streams.lossy(4.0) == frozenset()
@@ -113,9 +117,31 @@
     assert streams.lossy(4.0) == frozenset()
 
 
+@pytest.mark.parametrize("near_streams", [0, 1])
+def test_a_gateway_without_streams_nearby_that_stalls_takes_no_link_for_lossy(
+    near_streams,
+):
+    """Guards against far engines avoided while the own data centre is evacuated."""
+    streams = Streams()
+    streams.steady("near", 0.0, near_streams)
+    streams.steady("far", 0.05)
+    assert streams.lossy(4.0) == frozenset()
+    streams.steady("third", 0.05)
+    assert streams.lossy(4.0) == frozenset()
+
+
+def test_a_lossy_link_is_found_beside_a_sound_one_without_streams_nearby():
+    """Guards against pauses on a lossy link while the own data centre is evacuated."""
+    streams = Streams()
+    streams.steady("far", 0.06)
+    streams.steady("third", 0.0)
+    assert streams.lossy(4.0) == {"far"}
+
+
 def test_few_pauses_show_nothing():
     """Guards against a link condemned by the few events of one answer."""
     streams = Streams()
+    streams.steady("near", 0.0)
     streams.stream("far", ([PASS_SECONDS] * 7 + [PASS_SECONDS + 0.2]) * 5)
     assert streams.lossy(4.0) == frozenset()
 
