Collect answers that confirm what is known of upstreams for longer

While an upstream was marked, its answers were sent in the short batches that are meant for new faults. Failures, losses and new slowness are still sent that soon, and so is a message that is full.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/shared_health.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/shared_health.py
@@ -23,6 +23,7 @@
     marks,
 )
 from cowslipshelf_core.internal.gateway.upstream_health import (
+    MARKED_SLOWNESS,
     MAX_REPORT_AGE_SECONDS,
     UpstreamHealth,
 )
@@ -63,12 +64,18 @@
     waiting: list[Waiting] = field(default_factory=list)
     dropped: int = 0
     """Number of observations that did not fit into the message that is collected."""
+    urgent: bool = False
+    """Whether what waits is new to others, or has filled the message."""
     number: int = 0
 
     def observe(self, observation: UpstreamObservation, now: float) -> bool:
         """Record an observation of this gateway; return whether it is to be sent."""
         upstream_id = observation.upstream_id
         was_marked = self.health.is_marked(upstream_id, now)
+        was_slow = (
+            was_marked
+            and self.health.estimate(upstream_id, now).slowness > MARKED_SLOWNESS
+        )
         if observation.outcome is UpstreamOutcome.LOST:
             self.answered_at.pop(upstream_id, None)
         else:
@@ -83,6 +90,9 @@
             self.dropped += 1
         else:
             self.waiting.append(Waiting(observation, now))
+        answered = observation.outcome is UpstreamOutcome.ANSWERED
+        self.urgent |= not answered or (bad and not was_slow)
+        self.urgent |= len(self.waiting) >= MAX_OBSERVATIONS
         return True
 
     def take(self, now: float) -> UpstreamObservations:
@@ -94,6 +104,7 @@
             for observation, at in self.waiting
         )
         self.waiting = []
+        self.urgent = False
         self.dropped = 0
         return UpstreamObservations(collected, len(self.answered_at), self.number)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -48,8 +48,12 @@
 WORK_BATCH_SECONDS = 0.005
 """Time for which work changes are batched; about the latency of one message."""
 OBSERVATIONS_BATCH_SECONDS = 0.02
-"""Time for which observations of upstreams are batched: a slow engine shows itself in
-many streams at once, and what is decided by them changes in tenths of a second."""
+"""Time for which failures, losses and new slowness of upstreams are batched: a slow
+engine shows itself in many streams at once, and what is decided by them changes in
+tenths of a second."""
+CONFIRMATIONS_BATCH_SECONDS = 0.2
+"""Time for which answers that confirm what is known of upstreams are batched. They are
+frequent while an upstream is marked, and change little."""
 OBSERVATIONS_METRIC = "cowslipshelf_upstream_observations_total"
 DROPPED_METRIC = "cowslipshelf_upstream_observations_dropped_total"
 URGENT_SENDS = 3
@@ -92,7 +96,7 @@
         self.first_tokens: list = []
         self.ended: list = []
         self.work_due = False
-        self.observations_due = False
+        self.observations_timer: asyncio.TimerHandle | None = None
         instance = view.settings.instance
         self.suspects = SuspectRequests(instance, metrics, self.queue_suspect)
         self.changed_suspects: set[RequestDigest] = set()
@@ -232,18 +236,23 @@
         self.broadcast(message, 0)
 
     def queue_observations(self) -> None:
-        """Send the observations of upstreams with the next batch."""
-        if not self.observations_due:
-            self.observations_due = True
-            loop = asyncio.get_running_loop()
-            loop.call_later(OBSERVATIONS_BATCH_SECONDS, self.flush_observations)
+        """Send the observations of upstreams with the next batch, soon if urgent."""
+        urgent = self.view.shared_health.urgent
+        delay = OBSERVATIONS_BATCH_SECONDS if urgent else CONFIRMATIONS_BATCH_SECONDS
+        loop = asyncio.get_running_loop()
+        due_at, timer = loop.time() + delay, self.observations_timer
+        if timer is not None:
+            if timer.when() <= due_at:
+                return
+            timer.cancel()
+        self.observations_timer = loop.call_at(due_at, self.flush_observations)
 
     def flush_observations(self) -> None:
         """Send the collected observations of upstreams.
 
         The relays change, as for heartbeats: the order of observations matters little.
         """
-        self.observations_due = False
+        self.observations_timer = None
         shared = self.view.shared_health
         if shared.dropped:
             self.metrics.count(DROPPED_METRIC, shared.dropped)
--- a/tests/cover/gateway/test_observations_exchange.py
+++ b/tests/cover/gateway/test_observations_exchange.py
@@ -68,6 +68,36 @@
     assert message.answered_upstreams == 2
 
 
+def test_confirmations_are_collected_longer_than_new_faults():
+    """Guards against fifty messages a second while a marked upstream answers."""
+
+    async def answer_and_fail() -> list[list]:
+        gossip = gossip_of(SHARING)
+        sent = gossip.messenger.sent
+        gossip.view.observe("u-1", UpstreamOutcome.FAILED)
+        await asyncio.sleep(0.06)
+        sent.clear()
+        gossip.view.observe("u-1", UpstreamOutcome.ANSWERED)
+        await asyncio.sleep(0.06)
+        early = list(sent)
+        gossip.view.observe("u-1", UpstreamOutcome.ANSWERED, 3.0)
+        await asyncio.sleep(0.06)
+        slow = list(sent)
+        sent.clear()
+        gossip.view.observe("u-1", UpstreamOutcome.ANSWERED, 3.0)
+        await asyncio.sleep(0.06)
+        confirmed = list(sent)
+        await asyncio.sleep(0.3)
+        return [early, slow, confirmed, list(sent)]
+
+    early, slow, confirmed, late = asyncio.run(answer_and_fail())
+    assert early == confirmed == []
+    assert [each.slowness for each in slow[0][1].observations] == [None, 3.0]
+    assert [each.slowness for each in late[0][1].observations] == [3.0]
+    # Two gateways are sent to, one of them through a relay; each message goes once.
+    assert len(slow) == len(late) == 2
+
+
 def test_a_gateway_that_shares_nothing_sends_nothing_and_ignores_what_it_receives():
     """Guards against a deployment that is served differently without asking for it."""
     assert sent_after_failures(GATEWAY_SETTINGS) == []
--- a/tests/cover/gateway_core/test_shared_health.py
+++ b/tests/cover/gateway_core/test_shared_health.py
@@ -67,6 +67,35 @@
     assert not reports[-1]
 
 
+def test_only_what_is_new_to_others_is_urgent():
+    """Guards against a fault that is sent late, and confirmations sent in haste."""
+    shared = gateway()
+
+    def is_urgent(observation, now):
+        assert shared.observe(observation, now)
+        urgent = shared.urgent
+        shared.take(now)
+        return urgent
+
+    assert is_urgent(seen(outcome=FAILED), 0.0)
+    assert not is_urgent(seen(), 0.1)
+    assert is_urgent(seen(slowness=3.0), 0.2)
+    assert not is_urgent(seen(slowness=3.0), 0.3)
+    assert is_urgent(seen(outcome=LOST), 0.4)
+    assert is_urgent(seen(outcome=FAILED), 0.5)
+
+
+def test_a_full_message_is_urgent():
+    """Guards against a failure that finds no room behind confirmations."""
+    shared = gateway()
+    shared.observe(seen(slowness=3.0), 0.0)
+    shared.take(0.0)
+    for _ in range(200):
+        assert not shared.urgent
+        shared.observe(seen(slowness=3.0), 0.1)
+    assert shared.urgent
+
+
 def test_a_message_is_bounded_and_states_ages():
     """Guards against a storm of failures that fills a slow link."""
     shared = gateway()
