--- a/packages/core/src/cowslipshelf_core/internal/gateway/reporter_trust.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/reporter_trust.py
@@ -18,6 +18,9 @@
 WINDOW_SECONDS = 3.0
 """Time for which a report counts: at the rates of the large deployments, a gateway
 hears from most of its upstreams within that time."""
+PRUNE_INTERVAL_SECONDS = 0.5
+"""Shortest time between two removals of old reports of one reporter: each one copies
+all of its reports, and it may send a message every 20 ms."""
 REPORTED_SLOWNESS = 1.3
 """Slowness from which an answer is reported and marks its upstream."""
 MIN_UPSTREAMS = 6
@@ -48,9 +51,16 @@
     answered_upstreams: int = 0
     numbers: dict[int, float] = field(default_factory=dict)
     """Numbers of its messages, with the times at which they came."""
+    pruned_at: float = -math.inf
+
+    def prune(self, now: float) -> None:
+        """Drop what lies before the window, unless that was done a short time ago."""
+        if now - self.pruned_at >= PRUNE_INTERVAL_SECONDS:
+            self.drop_old(now)
 
     def drop_old(self, now: float) -> None:
         """Drop what lies before the window."""
+        self.pruned_at = now
         oldest = now - WINDOW_SECONDS
         self.upstreams = {
             key: each for key, each in self.upstreams.items() if each.at > oldest
@@ -72,14 +82,19 @@
         oldest = now - WINDOW_SECONDS
         return {key for key, each in self.upstreams.items() if each.marked_at > oldest}
 
-    def used_upstreams(self) -> int:
+    def has_number(self, number: int, now: float) -> bool:
+        """Return whether a message of a number came within the window."""
+        return self.numbers.get(number, -math.inf) > now - WINDOW_SECONDS
+
+    def used_upstreams(self, now: float) -> int:
         """Return how many upstreams answered it or were reported by it.
 
         Upstreams count as answered unless they were lost since, so that adding the lost
         ones counts none twice.
         """
+        oldest = now - WINDOW_SECONDS
         return self.answered_upstreams + sum(
-            each.lost for each in self.upstreams.values()
+            each.lost and each.at > oldest for each in self.upstreams.values()
         )
 
 
@@ -102,8 +117,8 @@
     ) -> bool:
         """Record a message; return whether it is new."""
         record = self.reporters.setdefault(reporter, ReporterRecord())
-        record.drop_old(now)
-        if message.number and message.number in record.numbers:
+        record.prune(now)
+        if message.number and record.has_number(message.number, now):
             return False
         record.numbers[message.number] = now
         record.answered_upstreams = message.answered_upstreams
@@ -117,7 +132,7 @@
         if record is None:
             return True
         marked = record.marked(now)
-        used = record.used_upstreams()
+        used = record.used_upstreams(now)
         if used < MIN_UPSTREAMS or len(marked) <= SUSPECT_SHARE * used:
             return True
         needed = CONFIRMED_SHARE * len(marked)
--- a/tests/cover/gateway_core/test_shared_health.py
+++ b/tests/cover/gateway_core/test_shared_health.py
@@ -255,6 +255,33 @@
     assert receive(gateway(), "g-1", few) is ReportsOutcome.RECORDED
 
 
+def test_old_reports_are_removed_at_most_every_half_second():
+    """Guards against a copy of all reports of a gateway at each of its messages."""
+    shared = gateway()
+    removals = set()
+    for number in range(100):
+        now = 0.02 * number
+        receive(shared, "g-1", report(seen(outcome=LOST), number=number + 1), now)
+        record = shared.trust.reporters["g-1"]
+        removals.add(record.pruned_at)
+    assert len(removals) == 4
+    receive(shared, "g-1", report(number=101), 5.5)
+    assert record.upstreams == {}
+    assert list(record.numbers) == [101]
+
+
+def test_reports_before_the_window_do_not_count_though_not_yet_removed():
+    """Guards against a reporter that is judged, or ignored, by what it said long ago.
+
+    Old reports are removed at 2.8 s, when those of 0 s still count, but not at 3.1 s.
+    """
+    shared = gateway()
+    receive(shared, "g-1", report(*losses(4), answered=20, number=1), 0.0)
+    receive(shared, "g-1", report(answered=20, number=2), 2.8)
+    bad = report(*losses(4, first=4), answered=3, number=1)
+    assert receive(shared, "g-1", bad, 3.1) is ReportsOutcome.LEFT_OUT
+
+
 def test_old_reporters_are_forgotten():
     """Guards against memory that grows with the gateways that ever reported."""
     shared = gateway()
