Count only streams when ranks of a service are compared

Routes of other kinds often have the default priority, so that a plain route moved to an engine service, or one that operators use to look at a configuration, would have put rank in force for streams of equal rank.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/request_rank.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/request_rank.py
@@ -1,7 +1,8 @@
 """Weigh requests by the ranks that operators give to routes and customers.
 
-Rank takes effect only for services whose routes differ in it. Operators give all routes
-of a service the same priority where they mean none.
+Rank takes effect only for services whose streams differ in it. Operators give all
+streams of a service the same priority where they mean none; other routes of a service
+often have another one, such as the default, and do not compete for engines.
 """
 
 from collections.abc import Iterable
@@ -14,6 +15,7 @@
     GatewayCustomer,
     Route,
     RouteConfiguration,
+    RouteKind,
 )
 from cowslipshelf_core.internal.gateway.prompt_cost import (
     PromptSize,
@@ -38,7 +40,7 @@
     steps: int = 0
     """Steps below the highest rank, of the route and the customer together."""
     in_force: bool = False
-    """Whether the routes of the service differ in rank."""
+    """Whether the streams of the service differ in rank."""
 
     @property
     def weight(self) -> float:
@@ -68,7 +70,7 @@
     """Hold the highest ranks of a configuration."""
 
     highest: dict[ServiceName, int]
-    """Lowest priority number of the routes, by service; only where routes differ."""
+    """Lowest priority number of the streams, by service; only where they differ."""
     customer_steps: dict[CustomerName, int]
     """Steps of each customer below the highest of the customers' ranks."""
 
@@ -85,7 +87,7 @@
     ) -> RequestRank:
         """Return the rank of a request."""
         highest = self.highest.get(service)
-        if highest is None:
+        if highest is None or route.kind is not RouteKind.STREAM:
             return UNRANKED
         # The route may be one of an earlier configuration, above the highest of this.
         steps = max(0, route.priority - highest)
@@ -94,9 +96,11 @@
 
 
 def highest_ranks(routes: Iterable[Route]) -> dict[ServiceName, int]:
-    """Return the highest rank of each service whose routes differ in rank."""
+    """Return the highest rank of each service whose streams differ in rank."""
     priorities: dict[ServiceName, set[int]] = {}
     for route in routes:
+        if route.kind is not RouteKind.STREAM:
+            continue
         for weighted in route.services:
             priorities.setdefault(weighted.service, set()).add(route.priority)
     return {
--- a/tests/cover/gateway_core/test_request_rank.py
+++ b/tests/cover/gateway_core/test_request_rank.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from common.gateway_samples import ENGINE, configuration, route
+from common.gateway_samples import ENGINE, configuration
+from common.gateway_samples import route as plain_route
 from cowslipshelf_core.gateway import (
     UNRANKED,
     EngineCandidate,
@@ -19,6 +20,8 @@
     PromptToPlace,
     RequestRank,
     RequestRanks,
+    Route,
+    RouteKind,
     WeightedService,
     admission_priority,
     place_prompt,
@@ -36,6 +39,11 @@
 )
 
 
+def route(**changes) -> Route:
+    """Create a route of a stream."""
+    return plain_route(kind=RouteKind.STREAM, **changes)
+
+
 def ranks(*priorities: int, customers=CUSTOMERS) -> RequestRanks:
     routes = [
         route(name=f"r-{number}", prefix=f"/{number}/", priority=priority)
@@ -127,6 +135,18 @@
     assert known.rank_of(route(priority=1), "s", None).in_force
 
 
+def test_only_streams_of_different_rank_put_rank_in_force():
+    """Guards against rank by the default priority of a route that is no stream."""
+    other = plain_route(name="other", prefix="/other/", priority=0)
+    equal = configuration(route(priority=1), other)
+    known = RequestRanks.from_configuration(equal)
+    assert known.rank_of(route(priority=1), "s", None) == UNRANKED
+    ranked = RequestRanks.from_configuration(
+        configuration(route(priority=0), route(priority=1), other)
+    )
+    assert ranked.rank_of(other, "s", None) == UNRANKED
+
+
 def test_higher_ranks_return_first_and_not_all_at_once():
     """Guards against callers that return together to engines that are still full."""
     random = Random(0)
