--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -170,6 +170,10 @@
                 # replaced start is usually gone, and then there is nothing to avoid.
                 if replaced in self.view.registry.known:
                     self.view.observe(replaced, UpstreamOutcome.LOST)
+            case Broken(upstream_exited=False) if self.is_engine(placement.upstream):
+                # It was given up by this gateway's forecast. Engines that are slow or
+                # read for others are silent too, several of them at a time.
+                self.view.observe(upstream_id, UpstreamOutcome.LOST, local_only=True)
             case NotReached() | Broken():
                 self.view.observe(upstream_id, UpstreamOutcome.LOST)
             case NotRun(HTTPStatus.MISDIRECTED_REQUEST, at_fault):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -358,8 +358,8 @@
     ) -> None:
         """Record what an attempt of this gateway showed about an upstream.
 
-        While an answer is `running`, only its slowness is known. The other gateways are
-        not told what is `local_only`.
+        While an answer is `running`, only its slowness is known. What is `local_only`
+        is neither reported to the other gateways nor a sign of an outage.
         """
         now = time.monotonic()
         observation = UpstreamObservation(upstream_id, outcome, slowness, 0.0, running)
@@ -370,7 +370,9 @@
             if outcome is not UpstreamOutcome.LOST:
                 self.shared_health.answered_at[upstream_id] = now
             self.health.record_own(observation, now)
-        elif self.shared_health.observe(observation, now):
+            self.log_mark(upstream_id, now)
+            return
+        if self.shared_health.observe(observation, now):
             self.on_observed()
         self.log_mark(upstream_id, now)
         settings = self.settings
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -461,3 +461,29 @@
     first = b"id: 1\ndata: x\n\n"
     outcome, _ = replaced_during_attempt("u-2", first, holds_memory=holds_memory)
     assert isinstance(outcome, kind)
+
+
+@pytest.mark.parametrize(
+    ("engine", "exited", "told"),
+    [(ENGINE, False, False), (ENGINE, True, True), (None, False, True)],
+)
+def test_the_silence_of_an_engine_is_not_told_to_other_gateways(engine, exited, told):
+    """Guards against a data centre that is avoided because its engines are slow.
+
+    Several engines that read one prompt are silent together, and a gateway that gives
+    them up judges by its own forecast.
+    """
+    _, view = refused_by(
+        503,
+        b"10.9.9.9:80",
+        ("u-1", "10.0.0.1:80"),
+        engine=engine,
+        shares_health=True,
+    )
+    view.shared_health.waiting.clear()
+    runner = AttemptRunner(view, FakePool(None), MachinesDialect())
+    broken = Broken("wait for answer", "silent", exited)
+    runner.record_outcome(placement("w-0"), broken, 1.0)
+    assert bool(view.shared_health.waiting) is told
+    assert bool(view.outages.losses) is told
+    assert view.health.estimate("u-1", time.monotonic()).avoided
