--- a/packages/core/src/cowslipshelf_core/internal/gateway/link_loss.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/link_loss.py
@@ -28,7 +28,8 @@
 MIN_LATE_PAUSES = 4
 MIN_PAUSES = 50
 MIN_LATE_SHARE = 0.02
-"""Links of the deployments that have this fault lose 2 to 4 of 100 packets."""
+"""Share of late pauses from which a link matters: with it, half of the streams of 35
+events have one, and are late where such a pause is not allowed."""
 REFERENCE_SHARE_FACTOR = 3.0
 """Multiple of the own data centre's share that another one needs: a share as high as
 the own one comes from this gateway or its engines, not from a link between them."""
--- a/packages/core/src/cowslipshelf_core/internal/gateway/reporter_trust.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/reporter_trust.py
@@ -16,8 +16,8 @@
 )
 
 WINDOW_SECONDS = 3.0
-"""Time for which a report counts: at the rates of the large deployments, a gateway
-hears from most of its upstreams within that time."""
+"""Time for which a report counts. Longer than a message is late, so that two reporters
+of one fault confirm each other, and short enough that a repaired link counts again."""
 PRUNE_INTERVAL_SECONDS = 0.5
 """Shortest time between two removals of old reports of one reporter: each one copies
 all of its reports, and it may send a message every 20 ms."""
--- a/packages/core/src/cowslipshelf_core/internal/gateway/shared_health.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/shared_health.py
@@ -29,8 +29,8 @@
 )
 
 MAX_OBSERVATIONS = 200
-"""Most observations in one message: some 15 kB, which a link of 10 Mbit/s carries to
-all gateways of a data centre in a tenth of a second."""
+"""Most observations in one message: 11 kB, which a link of 10 Mbit/s carries to ten
+gateways in a tenth of a second."""
 
 
 class ReportsOutcome(StrEnum):
