Judge upstreams in a class of their own

FleetView had grown by the exchange of observations and the detection of outages; both are in UpstreamObserver now, which logs as upstream_observer. Nothing is decided differently, but that a loss which other gateways are not told takes its upstream from those that answered lately, as any other loss does.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/shared_health.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/shared_health.py
@@ -76,11 +76,7 @@
             was_marked
             and self.health.estimate(upstream_id, now).slowness > MARKED_SLOWNESS
         )
-        if observation.outcome is UpstreamOutcome.LOST:
-            self.answered_at.pop(upstream_id, None)
-        else:
-            self.answered_at[upstream_id] = now
-        self.health.record_own(observation, now)
+        self.record_own(observation, now)
         bad = marks(observation)
         if bad:
             self.trust.record_own(self.own, observation, now)
@@ -95,6 +91,14 @@
         self.urgent |= len(self.waiting) >= MAX_OBSERVATIONS
         return True
 
+    def record_own(self, observation: UpstreamObservation, now: float) -> None:
+        """Record an observation of this gateway that is not sent."""
+        if observation.outcome is UpstreamOutcome.LOST:
+            self.answered_at.pop(observation.upstream_id, None)
+        else:
+            self.answered_at[observation.upstream_id] = now
+        self.health.record_own(observation, now)
+
     def take(self, now: float) -> UpstreamObservations:
         """Return the message with the observations that wait, and clear them."""
         self.number += 1
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -155,7 +155,7 @@
             self.view, self.messenger, self.client, dialect, self.metrics
         )
         self.view.on_work_changed = self.gossip.queue_work
-        self.view.on_observed = self.gossip.queue_observations
+        self.view.observer.on_observed = self.gossip.queue_observations
         self.inbox = LoopInbox(self.loop, self.gossip.receive, self.metrics)
         self.supervisor = ReplicaSupervisor(
             self.view, self.messenger, self.inbox, self.proposal_client, self.metrics
@@ -308,7 +308,7 @@
         self.supervisor.tick()
         self.proposal_client.tell(Tick())
         self.gossip.routes.fetch_when_due()
-        self.view.log_outages()
+        self.view.observer.log_outages()
         self.metrics.gauge(DOUBTFUL, len(self.view.outages.ongoing))
 
     def forget_old(self) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -155,7 +155,7 @@
                 seconds=round(now - began, 3),
                 usual=round(usual, 3),
             )
-            self.view.observe(upstream.upstream_id, UpstreamOutcome.LOST)
+            self.view.observer.observe(upstream.upstream_id, UpstreamOutcome.LOST)
 
     def record_outcome(
         self, placement: Placement, outcome: AttemptOutcome, seconds: float
@@ -169,32 +169,38 @@
                 # The upstream that answers is healthy if a helper was replaced. A
                 # replaced start is usually gone, and then there is nothing to avoid.
                 if replaced in self.view.registry.known:
-                    self.view.observe(replaced, UpstreamOutcome.LOST)
+                    self.view.observer.observe(replaced, UpstreamOutcome.LOST)
             case Broken(upstream_exited=False) if self.is_engine(placement.upstream):
                 # It was given up by this gateway's forecast. Engines that are slow or
                 # read for others are silent too, several of them at a time.
-                self.view.observe(upstream_id, UpstreamOutcome.LOST, local_only=True)
+                self.view.observer.observe(
+                    upstream_id, UpstreamOutcome.LOST, local_only=True
+                )
             case NotReached() | Broken():
-                self.view.observe(upstream_id, UpstreamOutcome.LOST)
+                self.view.observer.observe(upstream_id, UpstreamOutcome.LOST)
             case NotRun(HTTPStatus.MISDIRECTED_REQUEST, at_fault):
-                self.view.observe(at_fault or upstream_id, UpstreamOutcome.LOST)
+                self.view.observer.observe(
+                    at_fault or upstream_id, UpstreamOutcome.LOST
+                )
             case NotReserved(silent=silent):
                 for engine in silent:
-                    self.view.observe(engine, UpstreamOutcome.LOST)
+                    self.view.observer.observe(engine, UpstreamOutcome.LOST)
             case NotRun(_, at_fault):
                 # Told of a full queue, all gateways would leave the engine together,
                 # and fill the queues of others.
                 by_other = at_fault not in (None, upstream_id)
-                self.view.observe(
+                self.view.observer.observe(
                     at_fault or upstream_id,
                     UpstreamOutcome.FAILED,
                     local_only=self.is_engine(placement.upstream) and not by_other,
                 )
             case FailedThere():
-                self.view.observe(upstream_id, UpstreamOutcome.FAILED)
+                self.view.observer.observe(upstream_id, UpstreamOutcome.FAILED)
             case Answered(pace=pace):
                 slowness = self.slowness_of(placement, pace, seconds)
-                self.view.observe(upstream_id, UpstreamOutcome.ANSWERED, slowness)
+                self.view.observer.observe(
+                    upstream_id, UpstreamOutcome.ANSWERED, slowness
+                )
 
     def is_engine(self, upstream: UpstreamHeartbeat) -> bool:
         """Return whether an upstream's service is one of engines.
@@ -234,7 +240,7 @@
             return
         slowness = first_event_slowness(placement, pace)
         if slowness is not None and slowness > 1.0:
-            self.view.observe(
+            self.view.observer.observe(
                 placement.upstream.upstream_id,
                 UpstreamOutcome.ANSWERED,
                 min(slowness, MAX_FIRST_EVENT_SLOWNESS),
@@ -273,7 +279,7 @@
         )
         estimate = slowness.estimate(seconds, now)
         if estimate is not None:
-            self.view.observe(
+            self.view.observer.observe(
                 upstream_id, UpstreamOutcome.ANSWERED, estimate, running=True
             )
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -25,23 +25,15 @@
     KnownEvacuations,
     KnownUpstream,
     LinkLoss,
-    OutageBegan,
-    OutageEnded,
-    OutagesConfig,
     PeerTable,
     PeerTableConfig,
     RegistryConfig,
-    ReportsOutcome,
     RouteConfiguration,
     RouteTable,
     ServiceRetryBudget,
     ServiceRetryBudgetConfig,
-    SharedHealth,
     UpstreamHealth,
     UpstreamHeartbeat,
-    UpstreamObservation,
-    UpstreamObservations,
-    UpstreamOutcome,
     UpstreamPhase,
     UpstreamRegistry,
     UpstreamStart,
@@ -59,6 +51,7 @@
 from cowslipshelf_core.messages import EvacuationState, RoutesDocument
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
+from cowslipshelf_daemon.internal.gateway.upstream_observer import UpstreamObserver
 from cowslipshelf_host.logs import part_logger
 
 LOG = part_logger("fleet_view")
@@ -80,18 +73,12 @@
     registry: UpstreamRegistry
     peers: PeerTable
     retry_budget: ServiceRetryBudget
-    outages: DataCentreOutages
-    """Data centres that may have failed; empty unless gateways share health."""
     cold: ColdLimiter
+    observer: UpstreamObserver
     on_work_changed: Callable[[WorkChanged], None]
     """Sends a change of engine work to the other gateways; set in assembly."""
     on_start_replaced: Callable[[UpstreamStart, UpstreamStart], None]
     """Drops attempts on a replaced start, given with its successor; set in assembly."""
-    shared_health: SharedHealth
-    on_observed: Callable[[], None] = lambda: None
-    """Sends the collected observations of upstreams soon; set in assembly."""
-    marked: set[UpstreamId] = field(default_factory=set)
-    """Upstreams that fail, are slow or avoided, as last logged."""
     engines: EngineTracker = field(default_factory=EngineTracker)
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     evacuations: KnownEvacuations = field(default_factory=KnownEvacuations)
@@ -109,37 +96,41 @@
     def from_settings(cls, settings: GatewaySettings) -> Self:
         """Create an empty view."""
         silence = MAX_MISSED_HEARTBEATS * settings.upstream_heartbeat_seconds
+        registry = UpstreamRegistry.from_config(RegistryConfig(silence))
+        peers = PeerTable.from_config(
+            PeerTableConfig(
+                settings.instance,
+                Epoch(uuid.uuid4().hex),
+                settings.data_centre,
+                settings.holds_replica,
+                settings.seeds,
+                settings.data_folder is not None,
+            )
+        )
         return cls(
             settings,
-            UpstreamRegistry.from_config(RegistryConfig(silence)),
-            PeerTable.from_config(
-                PeerTableConfig(
-                    settings.instance,
-                    Epoch(uuid.uuid4().hex),
-                    settings.data_centre,
-                    settings.holds_replica,
-                    settings.seeds,
-                    settings.data_folder is not None,
-                )
-            ),
+            registry,
+            peers,
             ServiceRetryBudget.from_config(retry_budget_config(settings)),
-            DataCentreOutages.from_config(
-                OutagesConfig(settings.instance, settings.data_centre, silence)
-            ),
             ColdLimiter.from_config(cold_limiter_config(settings, time.monotonic())),
+            UpstreamObserver.from_settings(settings, registry, peers),
             on_work_changed=lambda _changed: None,
             on_start_replaced=lambda _former, _later: None,
-            shared_health=SharedHealth(settings.instance, UpstreamHealth()),
         )
 
     @property
     def health(self) -> UpstreamHealth:
         """Return the health estimates of all upstreams."""
-        return self.shared_health.health
+        return self.observer.shared_health.health
+
+    @property
+    def outages(self) -> DataCentreOutages:
+        """Return the data centres that may have failed."""
+        return self.observer.outages
 
     def use_settings(self, settings: GatewaySettings) -> None:
         """Apply new settings; addresses and the data folder do not change."""
-        self.settings = settings
+        self.settings = self.observer.settings = settings
         self.peers.seeds = settings.seeds
         self.retry_budget.config = retry_budget_config(settings)
         started_at = self.cold.config.started_at
@@ -225,28 +216,9 @@
             )
         if known is not None:
             self.forget_replaced_start(known, heartbeat, age)
-        self.record_sign_of_life(heartbeat.upstream_id)
+        self.observer.record_heartbeat(heartbeat.upstream_id)
         return changed
 
-    def record_sign_of_life(self, upstream_id: UpstreamId) -> None:
-        """Record the newest heartbeat of an upstream for the detection of outages.
-
-        One that leaves announces its end, which is no sign of an outage.
-        """
-        known = self.registry.latest_start(upstream_id)
-        if known is None or not self.settings.shares_health:
-            return
-        heartbeat = known.heartbeat
-        if heartbeat.phase is UpstreamPhase.READY:
-            self.outages.record_heartbeat(
-                heartbeat.upstream_id,
-                heartbeat.data_centre,
-                heartbeat.sequence,
-                known.heard_at,
-            )
-        else:
-            self.outages.forget(heartbeat.upstream_id)
-
     def forget_replaced_start(
         self, former: KnownUpstream, heartbeat: UpstreamHeartbeat, age: float
     ) -> None:
@@ -308,7 +280,7 @@
         seen = self.registry.leave(start, time.monotonic())
         if known is not None:
             self.forget_replaced_start(known, seen.with_start_id, 0.0)
-        self.record_sign_of_life(start.upstream_id)
+        self.observer.record_heartbeat(start.upstream_id)
         LOG.info(
             "Upstream left.", upstream=start.upstream_id, told=began_ms != START_UNKNOWN
         )
@@ -348,156 +320,6 @@
         for attempt_id in message.ended:
             self.engines.end(attempt_id, now)
 
-    def observe(
-        self,
-        upstream_id: UpstreamId,
-        outcome: UpstreamOutcome,
-        slowness: float | None = None,
-        running: bool = False,
-        local_only: bool = False,
-    ) -> None:
-        """Record what an attempt of this gateway showed about an upstream.
-
-        While an answer is `running`, only its slowness is known. What is `local_only`
-        is neither reported to the other gateways nor a sign of an outage.
-        """
-        now = time.monotonic()
-        observation = UpstreamObservation(upstream_id, outcome, slowness, 0.0, running)
-        if not self.settings.shares_health:
-            self.health.record_own(observation, now)
-            return
-        if local_only:
-            if outcome is not UpstreamOutcome.LOST:
-                self.shared_health.answered_at[upstream_id] = now
-            self.health.record_own(observation, now)
-            self.log_mark(upstream_id, now)
-            return
-        if self.shared_health.observe(observation, now):
-            self.on_observed()
-        self.log_mark(upstream_id, now)
-        settings = self.settings
-        self.record_for_outages(
-            upstream_id, outcome, settings.instance, settings.data_centre, now
-        )
-
-    def record_observations(
-        self, reporter: InstanceId, message: UpstreamObservations
-    ) -> ReportsOutcome:
-        """Record what another gateway observed of upstreams; return what became of it.
-
-        Gateways that share nothing ignore it.
-        """
-        own = self.settings.instance
-        if not self.settings.shares_health or reporter == own:
-            return ReportsOutcome.IGNORED
-        now = time.monotonic()
-        outcome = self.shared_health.receive(
-            reporter, message, self.registry.known, now
-        )
-        self.log_trust(reporter, outcome)
-        if outcome is not ReportsOutcome.DOUBLED:
-            suspected = outcome is ReportsOutcome.LEFT_OUT
-            self.record_reported_for_outages(reporter, message, suspected)
-        if outcome is ReportsOutcome.RECORDED:
-            for observation in message.observations:
-                self.log_mark(observation.upstream_id, now)
-        return outcome
-
-    def log_mark(self, upstream_id: UpstreamId, now: float) -> None:
-        """Log that an upstream came to be marked, or is no longer."""
-        marked = self.health.is_marked(upstream_id, now)
-        if marked == (upstream_id in self.marked):
-            return
-        estimate = self.health.estimate(upstream_id, now)
-        if marked:
-            self.marked.add(upstream_id)
-        else:
-            self.marked.discard(upstream_id)
-        LOG.info(
-            "Upstream marked." if marked else "Upstream healthy.",
-            upstream=upstream_id,
-            slowness=round(estimate.slowness, 2),
-            failure_rate=round(estimate.failure_rate, 3),
-            avoided=estimate.avoided,
-        )
-
-    def log_trust(self, reporter: InstanceId, outcome: ReportsOutcome) -> None:
-        """Log that a reporter's observations are left out, or count again."""
-        left_out = self.shared_health.trust.left_out
-        if outcome is ReportsOutcome.LEFT_OUT and reporter not in left_out:
-            left_out.add(reporter)
-            LOG.warning("Observations left out.", reporter=reporter)
-        elif outcome is ReportsOutcome.RECORDED and reporter in left_out:
-            left_out.discard(reporter)
-            LOG.info("Observations count again.", reporter=reporter)
-
-    def record_reported_for_outages(
-        self, reporter: InstanceId, message: UpstreamObservations, suspected: bool
-    ) -> None:
-        """Record the losses and answers of another gateway for outages.
-
-        Those of a gateway whose data centre is not known yet are ignored, since a loss
-        counts by where it was seen.
-        """
-        peer = self.peers.known.get(reporter)
-        if peer is None or peer.alive is None:
-            return
-        now = time.monotonic()
-        for each in message.observations:
-            at = now - max(0.0, each.age_seconds)
-            self.record_for_outages(
-                each.upstream_id,
-                each.outcome,
-                reporter,
-                peer.alive.data_centre,
-                at,
-                suspected,
-            )
-
-    def record_for_outages(
-        self,
-        upstream_id: UpstreamId,
-        outcome: UpstreamOutcome,
-        reporter: InstanceId,
-        data_centre: DataCentre,
-        at: float,
-        suspected: bool = False,
-    ) -> None:
-        """Record a loss or an answer that a gateway of a data centre saw.
-
-        A failure is neither: another upstream may have named this one as its cause.
-        """
-        if not self.settings.shares_health:
-            return
-        if outcome is UpstreamOutcome.LOST:
-            now = time.monotonic()
-            self.outages.record_loss(
-                upstream_id, reporter, data_centre, at, now, suspected
-            )
-        elif outcome is UpstreamOutcome.ANSWERED:
-            self.outages.record_answer(upstream_id, at)
-
-    def log_outages(self) -> None:
-        """End the outages that are over, and log the changes since the last call."""
-        for change in self.outages.take_changes(time.monotonic()):
-            match change:
-                case OutageBegan():
-                    LOG.warning(
-                        "Data centre doubtful.",
-                        data_centre=change.data_centre,
-                        lost=list(change.lost),
-                        upstreams=change.avoided,
-                        seconds=change.doubt_seconds,
-                    )
-                case OutageEnded():
-                    LOG.info(
-                        "Data centre believed again.",
-                        data_centre=change.data_centre,
-                        seconds=round(change.seconds, 3),
-                        upstreams=change.avoided,
-                        heard=change.heard,
-                    )
-
     def lossy_data_centres(self) -> frozenset[DataCentre]:
         """Return the data centres whose links to the own one lose packets now."""
         if not self.settings.crossing_cost:
@@ -607,13 +429,8 @@
         now = time.monotonic()
         for upstream_id in self.registry.forget_old(now):
             self.forget_upstream(upstream_id)
-        # Attempts that end after their upstream was forgotten record it once more.
-        recorded = self.health.records.keys() | self.marked
-        for upstream_id in recorded - self.registry.known.keys():
-            self.health.forget(upstream_id)
-            self.marked.discard(upstream_id)
+        self.observer.forget_old(now)
         self.peers.forget_old(now)
-        self.shared_health.forget_old(now)
         self.cold.forget_old(now)
         forgotten = self.engines.forget_old(now)
         if forgotten:
@@ -621,9 +438,7 @@
 
     def forget_upstream(self, upstream_id: UpstreamId) -> None:
         """Forget the health and work of an upstream; its attempts end on their own."""
-        self.health.forget(upstream_id)
-        self.marked.discard(upstream_id)
-        self.outages.forget(upstream_id)
+        self.observer.forget(upstream_id)
         self.engines.forget_engine(upstream_id)
 
     def request_started(self, upstream_id: UpstreamId) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -237,7 +237,7 @@
 
     def queue_observations(self) -> None:
         """Send the observations of upstreams with the next batch, soon if urgent."""
-        urgent = self.view.shared_health.urgent
+        urgent = self.view.observer.shared_health.urgent
         delay = OBSERVATIONS_BATCH_SECONDS if urgent else CONFIRMATIONS_BATCH_SECONDS
         loop = asyncio.get_running_loop()
         due_at, timer = loop.time() + delay, self.observations_timer
@@ -253,7 +253,7 @@
         The relays change, as for heartbeats: the order of observations matters little.
         """
         self.observations_timer = None
-        shared = self.view.shared_health
+        shared = self.view.observer.shared_health
         if shared.dropped:
             self.metrics.count(DROPPED_METRIC, shared.dropped)
         message = shared.take(time.monotonic())
@@ -272,7 +272,7 @@
         self, origin: InstanceId, message: UpstreamObservations
     ) -> None:
         """Record what another gateway observed of upstreams."""
-        fate = self.view.record_observations(origin, message)
+        fate = self.view.observer.record_observations(origin, message)
         self.count_observations(str(fate), message)
 
     def tell_everything(self) -> None:
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -263,10 +263,10 @@
     """Guards against gateways that all leave a full engine for the same others."""
     known = ("u-1", "10.0.0.1:80"), ("u-2", "10.0.0.2:80")
     outcome, view = refused_by(status, address, *known, shares_health=True)
-    waiting = view.shared_health.waiting
+    waiting = view.observer.shared_health.waiting
     assert [each.observation.upstream_id for each in waiting] == sent
     upstream_id = outcome.at_fault or "u-1"
-    assert (upstream_id in view.shared_health.answered_at) is (status == 503)
+    assert (upstream_id in view.observer.shared_health.answered_at) is (status == 503)
     assert view.health.estimate(upstream_id, time.monotonic()).failure_rate > 0.2
 
 
@@ -284,7 +284,7 @@
         sized=False,
         shares_health=True,
     )
-    waiting = view.shared_health.waiting
+    waiting = view.observer.shared_health.waiting
     assert [each.observation.upstream_id for each in waiting] == sent
 
 
@@ -445,7 +445,7 @@
     assert outcome.upstream_exited
     assert view.health.estimate(decoder, time.monotonic()) == (1.0, 0.0, False)
     assert view.health.records == {}
-    assert view.shared_health.waiting == []
+    assert view.observer.shared_health.waiting == []
 
 
 def test_an_engine_that_restarts_ends_its_own_attempts():
@@ -480,10 +480,10 @@
         engine=engine,
         shares_health=True,
     )
-    view.shared_health.waiting.clear()
+    view.observer.shared_health.waiting.clear()
     runner = AttemptRunner(view, FakePool(None), MachinesDialect())
     broken = Broken("wait for answer", "silent", exited)
     runner.record_outcome(placement("w-0"), broken, 1.0)
-    assert bool(view.shared_health.waiting) is told
+    assert bool(view.observer.shared_health.waiting) is told
     assert bool(view.outages.losses) is told
     assert view.health.estimate("u-1", time.monotonic()).avoided
--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -59,7 +59,7 @@
 def clock(monkeypatch) -> None:
     monkeypatch.setattr(Clock, "now", 100.0)
     fixed = SimpleNamespace(monotonic=lambda: Clock.now)
-    for module in ("fleet_view", "placement", "request_handler"):
+    for module in ("fleet_view", "placement", "request_handler", "upstream_observer"):
         monkeypatch.setattr(f"{GATEWAY}.{module}.time", fixed)
 
 
@@ -94,7 +94,7 @@
     observations = tuple(
         UpstreamObservation(f"far-{number}", outcome, None, age) for number in numbers
     )
-    view.record_observations(reporter, UpstreamObservations(observations))
+    view.observer.record_observations(reporter, UpstreamObservations(observations))
 
 
 def doubtful(view: FleetView) -> set[str]:
@@ -121,7 +121,7 @@
     """Guards against tries of one dead upstream after the other."""
     view = view_of("here", "far", engines=engines)
     for number in range(3):
-        view.observe(f"here-{number}", LOST)
+        view.observer.observe(f"here-{number}", LOST)
     assert doubtful(view) == {f"here-{n}" for n in range(PER_DATA_CENTRE)}
     assert chosen(view) == {"far"}
 
@@ -131,7 +131,7 @@
     """Guards against refusals for what may be a false alarm."""
     view = view_of("far", engines=engines)
     for number in range(3):
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     assert chosen(view) == {"far"}
 
 
@@ -139,7 +139,7 @@
     """Guards against a refusal while engines that may be alive have the memory."""
     view = view_of("here", "far")
     for number in range(3):
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     tokens = int(ENGINE.memory_tokens * 0.9 * PER_DATA_CENTRE)
     few = [f"here-{number}" for number in range(4)]
     assert chosen(view, tokens // 2, excluded=few) == {"here", "far"}
@@ -208,7 +208,7 @@
     view = view_of("here", "far")
     for number in range(3):
         hear(view, f"far-{number}", sequence=2, phase=UpstreamPhase.LEAVING)
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     assert not doubtful(view)
 
 
@@ -218,7 +218,7 @@
     for number in range(PER_DATA_CENTRE):
         hear(view, f"far-{number}#1000", age=1.0)
     for number in range(3):
-        view.observe(f"far-{number}#1000", LOST)
+        view.observer.observe(f"far-{number}#1000", LOST)
     assert len(doubtful(view)) == PER_DATA_CENTRE
     hear(view, "far-0#2000")
     assert doubtful(view) == {f"far-{number}#1000" for number in range(1, 6)}
@@ -229,7 +229,7 @@
     """Guards against a change for deployments that did not ask for it."""
     view = view_of("here", "far", shares_health=False)
     for number in range(5):
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     report(view, "10.0.1.1", 0, 1, 2)
     assert not doubtful(view)
     assert not view.outages.upstreams
@@ -249,7 +249,7 @@
         if not dead and self.others_reserve:
             return Answered(200)
         for each in dead[:1]:
-            self.view.observe(each, LOST)
+            self.view.observer.observe(each, LOST)
         return NotReserved(frozenset(dead[:1]), frozenset())
 
 
@@ -307,7 +307,7 @@
     """Guards against four choices that share the dead engines."""
     view = view_of("here", "far")
     for number in range(3):
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     engines = ("far-2", "far-3", "here-1")
     parts = tuple(EnginePart(each, 0.1, 1, each == "far-2") for each in engines)
     found = {each.upstream_id: each for each in view.upstreams_of("s")}
@@ -342,7 +342,7 @@
     """Guards against a refusal while one false alarm covers all engines."""
     view = view_of("far")
     for number in range(2):
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     runner = DeadFarEngines(view)
     ask(view, runner, int(2.7 * ENGINE.memory_tokens))
     assert len(doubtful(view)) == PER_DATA_CENTRE
@@ -363,7 +363,7 @@
     for number in range(4):
         view.health.record_lost(f"here-{number}", Clock.now)
     for number in range(2):
-        view.observe(f"far-{number}", LOST)
+        view.observer.observe(f"far-{number}", LOST)
     runner = DeadFarEngines(view, others_reserve=False)
     answer = ask(view, runner, int(2.7 * ENGINE.memory_tokens))
     assert answer.status == 503
@@ -374,10 +374,10 @@
     """Guards against requests that avoid a data centre for no visible reason."""
     view = view_of("here", "far")
     report(view, "10.0.1.1", 0, 1, 2)
-    view.log_outages()
-    view.log_outages()
+    view.observer.log_outages()
+    view.observer.log_outages()
     assert capsys.readouterr().out.count("Data centre doubtful.") == 1
     Clock.now += 2.1
-    view.log_outages()
+    view.observer.log_outages()
     assert capsys.readouterr().out.count("Data centre believed again.") == 1
     assert not view.outages.ongoing
--- a/tests/cover/gateway/test_observations_exchange.py
+++ b/tests/cover/gateway/test_observations_exchange.py
@@ -42,7 +42,7 @@
         alive = PeerAlive(Epoch("e"), DataCentre(place), True, 0, ())
         view.peers.record_alive(name, alive, time.monotonic())
     gossip = Gossip(view, RecordingMessenger(), None, MachinesDialect(), Metrics())
-    view.on_observed = gossip.queue_observations
+    view.observer.on_observed = gossip.queue_observations
     return gossip
 
 
@@ -50,8 +50,8 @@
     async def fail() -> list:
         gossip = gossip_of(settings)
         for _ in range(5):
-            gossip.view.observe("u-1", UpstreamOutcome.FAILED)
-        gossip.view.observe("u-2", UpstreamOutcome.ANSWERED)
+            gossip.view.observer.observe("u-1", UpstreamOutcome.FAILED)
+        gossip.view.observer.observe("u-2", UpstreamOutcome.ANSWERED)
         await asyncio.sleep(0.1)
         return gossip.messenger.sent
 
@@ -75,17 +75,17 @@
     async def answer_and_fail() -> list[list]:
         gossip = gossip_of(SHARING)
         sent = gossip.messenger.sent
-        gossip.view.observe("u-1", UpstreamOutcome.FAILED)
+        gossip.view.observer.observe("u-1", UpstreamOutcome.FAILED)
         await asyncio.sleep(0.06)
         sent.clear()
-        gossip.view.observe("u-1", UpstreamOutcome.ANSWERED)
+        gossip.view.observer.observe("u-1", UpstreamOutcome.ANSWERED)
         await asyncio.sleep(0.06)
         early = list(sent)
-        gossip.view.observe("u-1", UpstreamOutcome.ANSWERED, 3.0)
+        gossip.view.observer.observe("u-1", UpstreamOutcome.ANSWERED, 3.0)
         await asyncio.sleep(0.06)
         slow = list(sent)
         sent.clear()
-        gossip.view.observe("u-1", UpstreamOutcome.ANSWERED, 3.0)
+        gossip.view.observer.observe("u-1", UpstreamOutcome.ANSWERED, 3.0)
         await asyncio.sleep(0.06)
         confirmed = list(sent)
         await asyncio.sleep(0.3)
@@ -106,7 +106,7 @@
     received = Delivered("10.0.0.2", "a", UpstreamObservations((FAILURE,) * 9))
     gossip.receive(received)
     assert gossip.view.health.records == {}
-    assert gossip.view.shared_health.trust.reporters == {}
+    assert gossip.view.observer.shared_health.trust.reporters == {}
 
 
 def test_received_observations_count_and_are_passed_on():
@@ -123,7 +123,9 @@
 def test_own_observations_that_come_back_count_once():
     """Guards against a relay that returns a message to its sender."""
     view = gossip_of(SHARING).view
-    own = view.record_observations("10.0.0.1", UpstreamObservations((FAILURE,)))
+    own = view.observer.record_observations(
+        "10.0.0.1", UpstreamObservations((FAILURE,))
+    )
     assert own is ReportsOutcome.IGNORED
     assert view.health.records == {}
 
@@ -138,9 +140,9 @@
     for upstream_id in (former, later):
         view.record_heartbeat(heartbeat(upstream_id), 0.0)
     for upstream_id in (former, later):
-        view.observe(upstream_id, UpstreamOutcome.LOST)
+        view.observer.observe(upstream_id, UpstreamOutcome.LOST)
     assert former in view.health.records
-    assert former in view.marked
+    assert former in view.observer.marked
     view.forget_old()
     assert view.health.records.keys() == {later}
-    assert view.marked == {later}
+    assert view.observer.marked == {later}
--- a/tests/cover/gateway/test_slow_streams.py
+++ b/tests/cover/gateway/test_slow_streams.py
@@ -22,7 +22,7 @@
     decode_pass_seconds,
 )
 from cowslipshelf_core.messages import RoutesDocument
-from cowslipshelf_daemon.internal.gateway import attempt, fleet_view
+from cowslipshelf_daemon.internal.gateway import attempt, fleet_view, upstream_observer
 from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
@@ -106,7 +106,7 @@
 def stream(monkeypatch):
     """Return a function that runs a stream, and returns the view and the reports."""
     clock = Clock()
-    for module in (attempt, fleet_view):
+    for module in (attempt, fleet_view, upstream_observer):
         monkeypatch.setattr(module, "time", SimpleNamespace(monotonic=clock.monotonic))
 
     def run(pauses, settings=SHARING, taking=0.0, helpers=(), prompt=None):
@@ -133,7 +133,7 @@
             RequestIdentity("a-1", "digest-1", None),
         )
         assert isinstance(asyncio.run(runner.run(task, placement)), Answered)
-        reports = view.shared_health.take(clock.now).observations
+        reports = view.observer.shared_health.take(clock.now).observations
         return view.health.estimate("u-1", clock.now), reports
 
     return run
