Separate what an attempt shows from running it

AttemptRunner had grown by the judgement of outcomes and of streams' pauses, which are in AttemptObservations and SlownessWatch now, the latter beside LinkWatch. No decision, log line or metric changes.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from functools import partial
-from http import HTTPStatus
 
 from cowslipshelf_core.dialect import (
     AnswerFacts,
@@ -15,14 +14,13 @@
     OutgoingRequest,
 )
 from cowslipshelf_core.gateway import (
-    EngineModel,
     RouteKind,
-    StreamSlowness,
-    UpstreamHeartbeat,
-    UpstreamOutcome,
     UpstreamStart,
 )
 from cowslipshelf_core.identifiers import UpstreamId
+from cowslipshelf_daemon.internal.gateway.attempt_observations import (
+    AttemptObservations,
+)
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
     AttemptOutcome,
@@ -41,12 +39,12 @@
 )
 from cowslipshelf_daemon.internal.gateway.event_stream import (
     EventSplitter,
-    count_events,
 )
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.link_watch import LinkWatch
 from cowslipshelf_daemon.internal.gateway.placement import Placement
+from cowslipshelf_daemon.internal.gateway.slowness_watch import SlownessWatch
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     MAX_BUFFERED_BYTES,
@@ -60,14 +58,6 @@
 LOG = part_logger("attempt")
 
 SERVER_ERROR = 500
-FIRST_TOKEN_SLACK_SECONDS = 0.4
-"""Delay of a first token that is not counted as slowness: a prefill pass for another
-prompt placed in the same milliseconds. When it counted, prompts avoided engines that
-were as fast as the others."""
-MAX_FIRST_EVENT_SLOWNESS = 1.3
-"""Slowness that a late first event counts as at most where gateways share health: a
-pass that prefills another prompt may be the cause, and would condemn the engine at all
-gateways."""
 
 
 class AttemptRunner:
@@ -78,6 +68,7 @@
         self.memory = EngineMemory(view, pool, dialect)
         self.pool = pool
         self.dialect = dialect
+        self.observations = AttemptObservations(view)
         self.open_attempts: set[OpenAttempt] = set()
         """Open attempts of requests that may be retried, with their connections."""
 
@@ -118,7 +109,7 @@
         try:
             outcome = await self.reserve_and_send(task, placement)
         except asyncio.CancelledError:
-            self.record_silence(task, placement, began)
+            self.observations.record_silence(task, placement, began)
             raise
         finally:
             self.view.request_ended(upstream.upstream_id)
@@ -127,162 +118,9 @@
                 self.view.end_work(placement.work.attempt_id)
         if isinstance(outcome, Answered):
             self.view.answer_times.answered_routes.add(task.route.name)
-        self.record_outcome(placement, outcome, time.monotonic() - began)
+        self.observations.record_outcome(placement, outcome, time.monotonic() - began)
         return outcome
 
-    def record_silence(
-        self, task: AttemptTask, placement: Placement, began: float
-    ) -> None:
-        """Record an upstream that stayed silent until the caller's deadline.
-
-        For requests that may not be retried, nothing else detects an upstream that
-        hangs while its heartbeats go on. Routes that no upstream ever answered are
-        exempt: their work takes longer than callers wait, and healthy upstreams were
-        avoided for it, one of three at some gateway in most seconds of a simulated day.
-        """
-        upstream = placement.upstream
-        now = time.monotonic()
-        usual = self.view.answer_times.answer_timeout(upstream.service)
-        if placement.first_token_seconds is not None or usual is None:
-            return
-        if task.route.name not in self.view.answer_times.answered_routes:
-            return
-        if now - began > usual:
-            LOG.info(
-                "Upstream silent.",
-                request=task.facts.attempt_id,
-                upstream=upstream.upstream_id,
-                seconds=round(now - began, 3),
-                usual=round(usual, 3),
-            )
-            self.view.observer.observe(upstream.upstream_id, UpstreamOutcome.LOST)
-
-    def record_outcome(
-        self, placement: Placement, outcome: AttemptOutcome, seconds: float
-    ) -> None:
-        """Update the health of the upstream by the outcome of an attempt."""
-        upstream_id = placement.upstream.upstream_id
-        match outcome:
-            case NotReached(evacuated=True):
-                pass
-            case Broken(replaced=str(replaced)):
-                # The upstream that answers is healthy if a helper was replaced. A
-                # replaced start is usually gone, and then there is nothing to avoid.
-                if replaced in self.view.registry.known:
-                    self.view.observer.observe(replaced, UpstreamOutcome.LOST)
-            case Broken(upstream_exited=False) if self.is_engine(placement.upstream):
-                # It was given up by this gateway's forecast. Engines that are slow or
-                # read for others are silent too, several of them at a time.
-                self.view.observer.observe(
-                    upstream_id, UpstreamOutcome.LOST, local_only=True
-                )
-            case NotReached() | Broken():
-                self.view.observer.observe(upstream_id, UpstreamOutcome.LOST)
-            case NotRun(HTTPStatus.MISDIRECTED_REQUEST, at_fault):
-                self.view.observer.observe(
-                    at_fault or upstream_id, UpstreamOutcome.LOST
-                )
-            case NotReserved(silent=silent):
-                for engine in silent:
-                    self.view.observer.observe(engine, UpstreamOutcome.LOST)
-            case NotRun(_, at_fault):
-                # Told of a full queue, all gateways would leave the engine together,
-                # and fill the queues of others.
-                by_other = at_fault not in (None, upstream_id)
-                self.view.observer.observe(
-                    at_fault or upstream_id,
-                    UpstreamOutcome.FAILED,
-                    local_only=self.is_engine(placement.upstream) and not by_other,
-                )
-            case FailedThere():
-                self.view.observer.observe(upstream_id, UpstreamOutcome.FAILED)
-            case Answered(pace=pace):
-                slowness = self.slowness_of(placement, pace, seconds)
-                self.view.observer.observe(
-                    upstream_id, UpstreamOutcome.ANSWERED, slowness
-                )
-
-    def is_engine(self, upstream: UpstreamHeartbeat) -> bool:
-        """Return whether an upstream's service is one of engines.
-
-        Requests without a known prompt size are placed there without engine work.
-        """
-        table = self.view.table
-        service = None if table is None else table.services.get(upstream.service)
-        return service is not None and service.engine is not None
-
-    def slowness_of(
-        self, placement: Placement, pace: StreamPace | None, seconds: float
-    ) -> float | None:
-        """Return how many times longer than predicted an answer took, if known."""
-        shares_health = self.view.settings.shares_health
-        if pace is None:
-            service, times = placement.upstream.service, self.view.answer_times
-            slowness = times.slowness(service, seconds)
-            if shares_health and slowness is not None:
-                # Where durations vary, every other answer would be reported as slow.
-                usual = times.is_usual(service, seconds)
-                slowness = min(1.0, slowness) if usual else slowness
-            times.add(service, seconds)
-            return slowness
-        if shares_health:
-            # Recorded while the stream ran.
-            return None
-        return first_event_slowness(placement, pace)
-
-    def observe_first_event(self, placement: Placement, pace: StreamPace) -> None:
-        """Record a late first event, unless it may be due to an engine that helped.
-
-        One in time shows nothing: the slack hides how slow an engine reads a short
-        prompt.
-        """
-        if placement.helpers:
-            return
-        slowness = first_event_slowness(placement, pace)
-        if slowness is not None and slowness > 1.0:
-            self.view.observer.observe(
-                placement.upstream.upstream_id,
-                UpstreamOutcome.ANSWERED,
-                min(slowness, MAX_FIRST_EVENT_SLOWNESS),
-                running=True,
-            )
-
-    def engine_model(self, placement: Placement) -> EngineModel | None:
-        """Return the model by which a stream's pauses are judged, if they are."""
-        table = self.view.table
-        if not self.view.settings.shares_health or table is None:
-            return None
-        service = table.services.get(placement.upstream.service)
-        if service is None or placement.work is None:
-            return None
-        return service.engine
-
-    def stream_slowness(
-        self, placement: Placement, model: EngineModel, now: float
-    ) -> StreamSlowness | None:
-        """Start to judge a stream at its first event, if its engine is tracked."""
-        upstream_id = placement.upstream.upstream_id
-        seconds = self.view.engines.usual_pass_seconds(upstream_id, model, now)
-        return None if seconds is None else StreamSlowness(seconds, now)
-
-    def observe_slowness(
-        self,
-        placement: Placement,
-        model: EngineModel,
-        slowness: StreamSlowness,
-        now: float,
-    ) -> None:
-        """Record how slow the engine of a running stream is, if that shows."""
-        upstream_id = placement.upstream.upstream_id
-        seconds = self.view.engines.decode_pass_seconds(
-            upstream_id, model, slowness.last_pause_began, now
-        )
-        estimate = slowness.estimate(seconds, now)
-        if estimate is not None:
-            self.view.observer.observe(
-                upstream_id, UpstreamOutcome.ANSWERED, estimate, running=True
-            )
-
     async def reserve_and_send(
         self, task: AttemptTask, placement: Placement
     ) -> AttemptOutcome:
@@ -461,8 +299,7 @@
         """Forward events as they arrive; only the first attempt's head is sent."""
         splitter = EventSplitter()
         pace = StreamPace(began)
-        model = self.engine_model(placement)
-        slowness: StreamSlowness | None = None
+        slowness_watch = SlownessWatch.of(self.view, placement)
         link_watch = LinkWatch.of(self.view, placement)
         async for data in connection.body():
             batch = splitter.feed(data)
@@ -470,18 +307,11 @@
                 raise connection.lost("read answer", "an event is too long to be held")
             if batch is None:
                 continue
-            is_first = pace.first is None
-            if placement.work is not None and is_first:
+            if placement.work is not None and pace.first is None:
                 self.view.first_token(placement.work.attempt_id)
             now = time.monotonic()
             pace.record_event(now)
-            if model is not None and is_first:
-                self.observe_first_event(placement, pace)
-                slowness = self.stream_slowness(placement, model, now)
-            elif slowness is not None and slowness.record_events(
-                count_events(batch.data), now
-            ):
-                self.observe_slowness(placement, model, slowness, now)
+            slowness_watch.record_events(pace, batch.data, now)
             connection.max_silence_seconds = (
                 placement.silence_limits.between_events_seconds
             )
@@ -489,9 +319,9 @@
             if batch.last_id is not None:
                 task.delivery.last_event_id = batch.last_id
             await task.responder.write(batch.data)
-            if slowness is not None:
-                slowness.record_taken(time.monotonic())
-            link_watch.record_event(pace.last_at, time.monotonic())
+            taken_at = time.monotonic()
+            slowness_watch.record_taken(taken_at)
+            link_watch.record_event(pace.last_at, taken_at)
         self.begin_stream(task, head)
         await task.responder.write(splitter.take_rest())
         await task.responder.end()
@@ -504,14 +334,6 @@
             task.responder.begin(head.status, headers)
 
 
-def first_event_slowness(placement: Placement, pace: StreamPace) -> float | None:
-    """Return how many times longer than predicted the first event took, if known."""
-    predicted = placement.first_token_seconds
-    if predicted is None or pace.first is None:
-        return None
-    return max(0.0, pace.first - FIRST_TOKEN_SLACK_SECONDS) / predicted
-
-
 def not_reserved(memory: ReservedMemory) -> NotReserved:
     """Tell the engines that gave no answer from those that had no memory."""
     missing = [answer for answer in memory.answers if not answer.granted]
--- a/tests/cover/gateway/test_attempt.py
+++ b/tests/cover/gateway/test_attempt.py
@@ -483,7 +483,7 @@
     view.observer.shared_health.waiting.clear()
     runner = AttemptRunner(view, FakePool(None), MachinesDialect())
     broken = Broken("wait for answer", "silent", exited)
-    runner.record_outcome(placement("w-0"), broken, 1.0)
+    runner.observations.record_outcome(placement("w-0"), broken, 1.0)
     assert bool(view.observer.shared_health.waiting) is told
     assert bool(view.outages.losses) is told
     assert view.health.estimate("u-1", time.monotonic()).avoided
