Keep a request's progress in a module of its own

The handler had grown past matching, trying and refusing; what is known across attempts and whether another may follow is RequestProgress' job. Nothing else changes.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -3,17 +3,14 @@
 import asyncio
 import math
 import time
-from dataclasses import dataclass, field
 
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.gateway import (
-    UNRANKED,
     HeldBack,
-    RequestRank,
     choose_service,
     request_digest,
 )
-from cowslipshelf_core.identifiers import ServiceName, UpstreamId
+from cowslipshelf_core.identifiers import ServiceName
 from cowslipshelf_daemon.internal.gateway.admission import (
     MAX_WAIT_SHARE,
     NOT_RUN,
@@ -29,9 +26,6 @@
     Broken,
     DeliveryProgress,
     FailedThere,
-    NotReached,
-    NotReserved,
-    NotRun,
 )
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import (
@@ -44,6 +38,10 @@
     Placement,
     place,
 )
+from cowslipshelf_daemon.internal.gateway.request_progress import (
+    RequestProgress,
+    may_try_another,
+)
 from cowslipshelf_daemon.internal.gateway.silence_limits import silence_limits
 from cowslipshelf_daemon.internal.suspect_requests import (
     RequestIdentity,
@@ -56,44 +54,14 @@
 
 BAD_ANSWER = 502
 OUT_OF_TIME = 504
-BUSY_RETRY_SECONDS = 0.2
-"""Minimum retry-after if the upstreams are full: a few passes of an engine."""
 MIN_LEFT_SECONDS = 0.02
 """Time left below which no upstream is tried: one round trip takes as long."""
-MAX_UNREACHED = 4
-"""Times that one request may find upstreams that can't be reached or reserve no memory;
-they don't count as attempts."""
-MAX_UNREACHED_IN_OUTAGE = 8
-"""The same if a data centre turned out to be doubtful meanwhile: the tries before that
-were spent on upstreams that ended together, and further ones avoid them."""
 OUTAGE_RETRY_SECONDS = 0.5
 """Minimum retry-after if a data centre is doubtful and others have upstreams. By then
 all gateways have the reports of the losses, which are batched for 20 ms and relayed
 once, also if a packet is lost on the way."""
 
 
-@dataclass(slots=True)
-class RequestProgress:
-    """Hold the state of a request across its attempts."""
-
-    excluded: set[UpstreamId] = field(default_factory=set)
-    sent: int = 0
-    unreached: int = 0
-    may_have_run: bool = False
-    waited: bool = False
-    """Whether the request has waited for a first upstream."""
-    met_outage: bool = False
-    """Whether it was offered to upstreams of a data centre that is doubtful now."""
-    last_failure: FailedThere | None = None
-    last_reason: str = ""
-    retry_after_seconds: float | None = BUSY_RETRY_SECONDS
-    """Retry-after in seconds; None if a retry would not help."""
-    rank: RequestRank = UNRANKED
-    lacks_capacity: bool = True
-    """Whether a refusal counts as one for lack of capacity. It doesn't if upstreams
-    ended under the request, or if there is no upstream that may be used."""
-
-
 class RequestHandler:
     """Handle the requests of callers."""
 
@@ -281,32 +249,7 @@
             may_retry,
         )
         outcome = await self.runner.run(task, placement._replace(silence_limits=limits))
-        at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
-        # Only a helper may be evacuated; placing again avoids whatever is.
-        stopped_by_evacuation = isinstance(outcome, NotReached) and outcome.evacuated
-        if at_fault is not None and at_fault not in progress.excluded:
-            progress.excluded.add(at_fault)
-        elif not stopped_by_evacuation and not isinstance(outcome, NotReserved):
-            progress.excluded.add(upstream_id)
-        match outcome:
-            case NotReached():
-                progress.sent -= 1
-                progress.unreached += 1
-                progress.may_have_run = ran_before
-                progress.last_reason = "no upstream could be reached"
-            case NotReserved(silent=silent, refused=refused):
-                progress.sent -= 1
-                progress.unreached += 1
-                progress.may_have_run = ran_before
-                progress.last_reason = "the engines reserved no memory"
-                progress.excluded |= silent | refused
-            case NotRun():
-                progress.may_have_run = ran_before
-                progress.last_reason = "the upstream was full"
-            case FailedThere():
-                progress.last_failure = outcome
-            case Broken():
-                progress.last_reason = f"{outcome.step} failed"
+        progress.record(outcome, upstream_id, ran_before)
         if not isinstance(outcome, Answered):
             self.exclude_doubtful(placement, progress)
         self.log_attempt_end(task, placement, outcome, began)
@@ -482,19 +425,3 @@
             headers.append((b"retry-after", f"{retry_after_seconds:g}".encode()))
         await responder.respond(status, headers)
         return status
-
-
-def may_try_another(
-    task: AttemptTask, outcome: AttemptOutcome, progress: RequestProgress
-) -> bool:
-    """Return whether another upstream may be tried after this outcome."""
-    match outcome:
-        case NotReached() | NotReserved():
-            in_outage = progress.met_outage
-            return progress.unreached < (
-                MAX_UNREACHED_IN_OUTAGE if in_outage else MAX_UNREACHED
-            )
-        case NotRun():
-            return progress.sent < task.route.max_attempts
-        case _:
-            return task.route.repeatable and progress.sent < task.route.max_attempts
--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -35,8 +35,8 @@
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.placement import Placement, place
-from cowslipshelf_daemon.internal.gateway.request_handler import (
-    RequestHandler,
+from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
+from cowslipshelf_daemon.internal.gateway.request_progress import (
     RequestProgress,
     may_try_another,
 )
