Share health where settings list it, and look for outages where one is expected

Outages of data centres are looked for where the settings say that a data centre may be lost; elsewhere several slow or crashed engines had been taken for one. A test covers which settings put which part in force.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/settings.py
@@ -42,6 +42,8 @@
     replica_in_memory: bool = False
     """Whether this gateway holds a replica without a disk from the start."""
 
+    max_data_centre_failures: int = 0
+    """Data centres that may fail at the same time; zero if none is expected to."""
     shares_health: bool = False
     """Whether gateways report failing and slow upstreams to each other."""
     crossing_cost: float = 0.0
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_observer.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_observer.py
@@ -36,7 +36,7 @@
     peers: PeerTable
     shared_health: SharedHealth
     outages: DataCentreOutages
-    """Empty unless gateways share health."""
+    """Empty unless gateways share health, and a data centre is expected to fail."""
     on_observed: Callable[[], None] = lambda: None
     """Sends the collected observations of upstreams soon; set in assembly."""
     marked: set[UpstreamId] = field(default_factory=set)
@@ -57,6 +57,15 @@
             DataCentreOutages.from_config(config),
         )
 
+    @property
+    def detects_outages(self) -> bool:
+        """Return whether losses may show that a data centre has failed.
+
+        Where none is expected to fail, several losses are of upstreams by themselves.
+        """
+        settings = self.settings
+        return settings.shares_health and settings.max_data_centre_failures > 0
+
     def observe(
         self,
         upstream_id: UpstreamId,
@@ -174,7 +183,7 @@
 
         A failure is neither: another upstream may have named this one as its cause.
         """
-        if not self.settings.shares_health:
+        if not self.detects_outages:
             return
         if outcome is UpstreamOutcome.LOST:
             now = time.monotonic()
@@ -211,7 +220,7 @@
         One that leaves announces its end, which is no sign of an outage.
         """
         known = self.registry.latest_start(upstream_id)
-        if known is None or not self.settings.shares_health:
+        if known is None or not self.detects_outages:
             return
         heartbeat = known.heartbeat
         if heartbeat.phase is UpstreamPhase.READY:
--- a/tests/cover/adapter/test_machine_settings.py
+++ b/tests/cover/adapter/test_machine_settings.py
@@ -54,6 +54,28 @@
     assert settings.retry_budget_slack == 106
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "shares_health", "crosses", "data_centre_failures"),
+    [
+        ("", "", False, False, 0),
+        ('contracts = ["base"]', "", False, False, 0),
+        ('contracts = ["base", "health"]', "", True, False, 0),
+        ('contracts = ["places"]', "", False, True, 0),
+        ('contracts = ["health", "places"]', "zones = 1", True, True, 1),
+    ],
+)
+def test_parts_are_in_force_only_where_the_settings_ask_for_them(
+    source, before, after, shares_health, crosses, data_centre_failures
+):
+    """Guards against a change for deployments whose settings name none of them."""
+    text = SETTINGS.replace("machines = 1", f"machines = 1\n{after}")
+    source.path.write_text(f"{before}\n{text}")
+    settings = source.load().unwrap()
+    assert settings.shares_health is shares_health
+    assert (settings.crossing_cost > 0) is crosses
+    assert settings.max_data_centre_failures == data_centre_failures
+
+
 def test_a_machine_without_a_disk_holds_no_replica_unless_its_loss_counts(source):
     """Guards against a fleet without disks that never accepts a change."""
     text = SETTINGS.replace('data_dir = "/data/my-front"', "")
--- a/tests/cover/gateway/test_attempt_observations.py
+++ b/tests/cover/gateway/test_attempt_observations.py
@@ -281,6 +281,7 @@
         ("u-1", "10.0.0.1:80"),
         engine=engine,
         shares_health=True,
+        max_data_centre_failures=1,
     )
     view.observer.shared_health.waiting.clear()
     runner = AttemptRunner(view, FakePool(None), MachinesDialect())
