Show the limits that upstreams name in logs and metrics

No module read the limit, so that a log could not tell a gateway that never got it from one that ignored it. An answer's limit is decoded in the adapter into a typed value, and each gateway logs when an upstream names, changes or ends one, shows it in the line of each attempt there, and counts the limited upstreams. Only answers to the attempt itself count. Nothing is decided by it yet.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
@@ -74,6 +74,29 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class NoLimit:
+    """Report that an answer names no limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNamed:
+    """Report the limit that an upstream names for all gateways together."""
+
+    requests_per_second: float
+    """Finite; zero means that it takes none."""
+
+
+@dataclass(frozen=True, slots=True)
+class LimitUnreadable:
+    """Report that an upstream names a limit which is not a valid number."""
+
+    text: str
+
+
+AnswerLimit = NoLimit | LimitNamed | LimitUnreadable
+
+
 class AnswerFacts(NamedTuple):
     """Hold what an upstream's headers say about its answer."""
 
@@ -84,6 +107,7 @@
     """Time for which the upstream keeps an idle connection open."""
     at_fault: str | None = None
     """Address of the upstream that is the reason why the request did not run."""
+    limit: AnswerLimit = NoLimit()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -258,6 +258,8 @@
             return
         lossy = len(self.view.lossy_data_centres())
         self.metrics.gauge("cowslipshelf_lossy_links", lossy)
+        limited = len(self.view.limits.rates)
+        self.metrics.gauge("cowslipshelf_limited_upstreams", limited)
         text = self.metrics.prometheus_text()
         await responder.respond(200, [METRICS_TYPE], text.encode())
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from functools import partial
+from http import HTTPStatus
 
 from cowslipshelf_core.dialect import (
     AnswerFacts,
@@ -232,11 +233,17 @@
         if facts.keep_alive_seconds is not None:
             connection.keep_alive_seconds = facts.keep_alive_seconds
         if facts.not_run:
+            if (
+                facts.attempt_id == task.facts.attempt_id
+                and head.status != HTTPStatus.MISDIRECTED_REQUEST
+            ):
+                self.record_limit(task, placement, facts)
             await connection.whole_body()
             return NotRun(head.status, self.upstream_at_fault(placement, facts))
         if facts.attempt_id != task.facts.attempt_id:
             # This is the late answer to an earlier request on the connection.
             raise connection.lost("match answer", f"answers {facts.attempt_id}")
+        self.record_limit(task, placement, facts)
         if task.route.kind is RouteKind.STREAM and head.status < 300:
             return await self.forward_stream(task, placement, connection, head, began)
         body = await connection.whole_body()
@@ -245,6 +252,14 @@
         await self.deliver(task, head, body)
         return Answered(head.status)
 
+    def record_limit(
+        self, task: AttemptTask, placement: Placement, facts: AnswerFacts
+    ) -> None:
+        """Record the limit that an answer of the upstream itself names."""
+        self.view.limits.record_answer(
+            placement.upstream.upstream_id, task.facts.attempt_id, facts.limit
+        )
+
     def upstream_at_fault(
         self, placement: Placement, facts: AnswerFacts
     ) -> UpstreamId | None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -49,6 +49,7 @@
     UpstreamName,
 )
 from cowslipshelf_core.messages import EvacuationState, RoutesDocument
+from cowslipshelf_daemon.internal.gateway.named_limits import NamedLimits
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_observer import UpstreamObserver
@@ -83,6 +84,7 @@
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     evacuations: KnownEvacuations = field(default_factory=KnownEvacuations)
     link_loss: LinkLoss = field(default_factory=LinkLoss)
+    limits: NamedLimits = field(default_factory=NamedLimits)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
     random: Random = field(default_factory=Random)
@@ -439,6 +441,7 @@
     def forget_upstream(self, upstream_id: UpstreamId) -> None:
         """Forget the health and work of an upstream; its attempts end on their own."""
         self.observer.forget(upstream_id)
+        self.limits.rates.pop(upstream_id, None)
         self.engines.forget_engine(upstream_id)
 
     def request_started(self, upstream_id: UpstreamId) -> None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -313,6 +313,7 @@
             pause_allowed=task.route.pause_seconds,
             upstream=placement.upstream.upstream_id,
             address=placement.upstream.address,
+            limit=self.view.limits.rates.get(placement.upstream.upstream_id),
             heartbeat_age=round(self.view.heartbeat_age(placement.upstream), 3),
             version=self.view.document.version,
             left=round(task.deadline - time.monotonic(), 3),
--- a/tests/cover/adapter/test_boundary.py
+++ b/tests/cover/adapter/test_boundary.py
@@ -11,7 +11,7 @@
     r"x-(deadline-ms|expect-|tenant|token-count|prompt-prefix|helpers"
     r"|not-run|runner-|response-stamp|request-priority|model|length-hint)"
     r"|path_prefix|gap_target_ms|timeout_ms|slo_ms|kv_tokens|kv_used|beat_addr"
-    r"|cold_left_ms|peer_port_range|COWSLIPSHELF_CONFIG\b|/api/(config|runners|order"
+    r"|cold_left_ms|server-limit|peer_port_range|COWSLIPSHELF_CONFIG\b|/api/(config|runners|order"
     r"|report|ready)\b",
     re.IGNORECASE,
 )
--- a/tests/cover/adapter/test_wire.py
+++ b/tests/cover/adapter/test_wire.py
@@ -6,11 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cowslipshelf_adapter.wire import MachinesDialect
+from cowslipshelf_adapter.wire import MAX_RATE, MachinesDialect
 from cowslipshelf_core.dialect import (
     EvacuateDataCentre,
     ForwardFacts,
+    LimitNamed,
+    LimitUnreadable,
     MemoryTicket,
+    NoLimit,
     PrefillHelper,
     PutConfiguration,
     ReadConfiguration,
@@ -140,6 +143,35 @@
     assert DIALECT.answer_facts(status, headers).at_fault == at_fault
 
 
+@pytest.mark.parametrize(
+    ("values", "limit"),
+    [
+        ([], NoLimit()),
+        ([b"2"], LimitNamed(2.0)),
+        ([b" 0.25 "], LimitNamed(0.25)),
+        ([b"0"], LimitNamed(0.0)),
+        ([b"1e-9"], LimitNamed(1e-9)),
+        ([b"1e400"], LimitNamed(MAX_RATE)),
+        ([b"9" * 400], LimitNamed(MAX_RATE)),
+        ([b"3", b"2"], LimitNamed(2.0)),
+        ([b"", b"2"], LimitNamed(2.0)),
+        ([b""], LimitUnreadable("")),
+        ([b"-1"], LimitUnreadable("-1")),
+        ([b"NaN"], LimitUnreadable("NaN")),
+        ([b"inf"], LimitUnreadable("inf")),
+        ([b"3,5"], LimitUnreadable("3,5")),
+        ([b"1_0"], LimitUnreadable("1_0")),
+        ([b"\xb2"], LimitUnreadable("\xb2")),
+        ([b"1" * 8192], LimitUnreadable("1" * 64)),
+    ],
+    ids=str,
+)
+def test_a_limit_is_a_decimal_number_or_unreadable(values, limit):
+    """Guards against a limit that crashes a gateway, or counts as none by mistake."""
+    headers = [(b"server-limit", value) for value in values]
+    assert DIALECT.answer_facts(200, headers).limit == limit
+
+
 def test_the_idle_time_of_an_upstream_is_decoded():
     facts = DIALECT.answer_facts(200, [(b"keep-alive", b"max=5, timeout=7")])
     assert facts.keep_alive_seconds == 7.0
