Keep the limits of upstreams, all gateways together

Callers noticed nothing.

Cause: no module read the limit, and nothing in the gateways could have kept it: each one decides for itself what it sends, while the limit is for all of them.

Change: a request to a limited upstream needs a permit, and one gateway, chosen by rendezvous hashing, issues those of an upstream, spaced by the limit. A gateway that may not be the only issuer issues less, so that all parts of a split network together keep to one and a half times the limit. Limits are told with a revision; a higher one, or the end, counts only if the answer that shows it was sent under a permit issued after the limit in force became known. Permits that are not used are returned, and expire by a clock that counts suspensions. Limited engines don't help with prompts of others. A request for which only limited upstreams are left waits for a permit that is due soon, or is refused at once with the time when one is.

Found by random histories on the way: a gateway that restarted inside one half of a split network counted only that half and issued the whole limit (633 and 720 in 4 s, 605 allowed); gateways now tell a newcomer whom they heard in the last ten minutes.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -35,6 +35,15 @@
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
 from cowslipshelf_core.internal.gateway.known_evacuations import KnownEvacuations
+from cowslipshelf_core.internal.gateway.limit_messages import (
+    AskPermits,
+    LimitLifted,
+    LimitMessage,
+    LimitState,
+    LimitsTold,
+    PermitsBooked,
+    PermitsReturned,
+)
 from cowslipshelf_core.internal.gateway.link_loss import (
     LinkLoss,
     StreamPauses,
@@ -67,6 +76,8 @@
     PeerTable,
     PeerTableConfig,
 )
+from cowslipshelf_core.internal.gateway.permit_issuer import PermitIssuer
+from cowslipshelf_core.internal.gateway.permit_wallet import Permit
 from cowslipshelf_core.internal.gateway.placement_cost import (
     Distance,
     EngineCandidate,
@@ -136,6 +147,13 @@
     HealthEstimate,
     UpstreamHealth,
 )
+from cowslipshelf_core.internal.gateway.upstream_limits import (
+    NOTHING_LIMITED,
+    LimitChange,
+    LimitChoice,
+    UpstreamLimits,
+    UpstreamLimitsConfig,
+)
 from cowslipshelf_core.internal.gateway.upstream_start import (
     START_UNKNOWN,
     UpstreamStart,
@@ -242,4 +260,18 @@
     "request_digest",
     "decompress_configuration",
     "answer_value",
+    "NOTHING_LIMITED",
+    "AskPermits",
+    "LimitChange",
+    "LimitChoice",
+    "LimitLifted",
+    "LimitMessage",
+    "LimitState",
+    "LimitsTold",
+    "Permit",
+    "PermitIssuer",
+    "PermitsBooked",
+    "PermitsReturned",
+    "UpstreamLimits",
+    "UpstreamLimitsConfig",
 ]
--- a/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
@@ -179,8 +179,11 @@
     return seconds < SHORT_PREFILL_SECONDS / 4
 
 
-def split_prefill(placing: Placing, parts: int) -> EnginesChosen:
-    """Choose the cheapest engines; the one that decodes holds the whole prompt."""
+def split_prefill(placing: Placing, parts: int) -> EnginesChosen | None:
+    """Choose the cheapest engines, if enough may help.
+
+    The one that decodes holds the whole prompt.
+    """
     memory = (placing.needed_tokens, *(0 for _ in range(parts - 1)))
     return choose_engines(placing, placing.roomy, placing.engines, memory)
 
@@ -206,11 +209,16 @@
     decoders: list[AssessedEngine],
     others: list[AssessedEngine],
     memory: tuple[int, ...],
-) -> EnginesChosen:
-    """Choose the engine that decodes and its helpers; `memory` is what each holds."""
+) -> EnginesChosen | None:
+    """Choose the engine that decodes and its helpers; `memory` is what each holds.
+
+    Return None if too few of the others may help.
+    """
     part = even_part(placing, len(memory))
     decoder = best_decoder(placing, part, decoders)
     helpers = best_helpers(placing, part, decoder, others)[: len(memory) - 1]
+    if len(helpers) < len(memory) - 1:
+        return None
     return total_choice(placing, part, decoder, helpers, memory)
 
 
@@ -234,7 +242,11 @@
     placing: Placing, part: PromptPart, decoder: PartCost, engines: list[AssessedEngine]
 ) -> list[PartCost]:
     """Return the other engines in the order of their cost as helpers."""
-    others = (each for each in engines if each is not decoder.engine)
+    others = (
+        each
+        for each in engines
+        if each is not decoder.engine and each.candidate.may_help
+    )
     costs = [helper_cost(each, part, placing, decoder.engine) for each in others]
     return sorted(costs, key=lambda cost: cost.rank)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -17,9 +17,14 @@
 )
 from cowslipshelf_core.dialect import Dialect
 from cowslipshelf_core.gateway import (
+    AskPermits,
     CallerLimits,
     FetchWork,
     HeartbeatsSeen,
+    LimitLifted,
+    LimitsTold,
+    PermitsBooked,
+    PermitsReturned,
     Relayed,
     SuspectRequestsTold,
     UpstreamObservations,
@@ -34,6 +39,7 @@
 )
 from cowslipshelf_daemon.internal.control_state_client import GatewayActor
 from cowslipshelf_daemon.internal.gateway.attempt import AttemptRunner
+from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.control_handler import ControlHandler
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
@@ -230,6 +236,11 @@
                 | SuspectRequestsTold()
                 | UpstreamObservations()
                 | FetchRoutes(query_id="")
+                | LimitsTold()
+                | AskPermits()
+                | PermitsBooked()
+                | PermitsReturned()
+                | LimitLifted()
             ):
                 self.inbox.tell(delivered)
             case ProposalResult() | LeaderSeen():
@@ -258,7 +269,7 @@
             return
         lossy = len(self.view.lossy_data_centres())
         self.metrics.gauge("cowslipshelf_lossy_links", lossy)
-        limited = len(self.view.limits.rates)
+        limited = len(self.view.limits.limited())
         self.metrics.gauge("cowslipshelf_limited_upstreams", limited)
         text = self.metrics.prometheus_text()
         await responder.respond(200, [METRICS_TYPE], text.encode())
@@ -310,6 +321,7 @@
         self.supervisor.tick()
         self.proposal_client.tell(Tick())
         self.gossip.routes.fetch_when_due()
+        self.view.limits.tick(boot_seconds())
         self.view.observer.log_outages()
         self.metrics.gauge(DOUBTFUL, len(self.view.outages.ongoing))
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -12,9 +12,11 @@
     Dialect,
     ForwardFacts,
     Headers,
+    LimitUnreadable,
     OutgoingRequest,
 )
 from cowslipshelf_core.gateway import (
+    Permit,
     RouteKind,
     UpstreamStart,
 )
@@ -34,6 +36,7 @@
     OpenAttempt,
     StreamPace,
 )
+from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
 from cowslipshelf_daemon.internal.gateway.engine_memory import (
     EngineMemory,
     ReservedMemory,
@@ -70,6 +73,8 @@
         self.pool = pool
         self.dialect = dialect
         self.observations = AttemptObservations(view)
+        self.unused_permits: set[Permit] = set()
+        """Permits of attempts that were not sent yet."""
         self.open_attempts: set[OpenAttempt] = set()
         """Open attempts of requests that may be retried, with their connections."""
 
@@ -105,6 +110,10 @@
         upstream = placement.upstream
         self.view.request_started(upstream.upstream_id)
         self.view.cold.reserve(placement.upstream_ids)
+        permit = self.view.limits.take(upstream.upstream_id, boot_seconds())
+        if permit is not None:
+            self.unused_permits.add(permit)
+            placement = placement._replace(permit=permit)
         if placement.work is not None:
             self.view.begin_work(placement.work)
         try:
@@ -115,6 +124,9 @@
         finally:
             self.view.request_ended(upstream.upstream_id)
             self.view.cold.release(placement.upstream_ids)
+            if permit in self.unused_permits:
+                self.unused_permits.remove(permit)
+                self.view.limits.put_back(permit)
             if placement.work is not None:
                 self.view.end_work(placement.work.attempt_id)
         if isinstance(outcome, Answered):
@@ -152,7 +164,11 @@
         evacuated = self.view.evacuated_among(upstream, helpers)
         if evacuated is not None:
             connection.abort()
-            return NotReached(f"{evacuated} is evacuated", evacuated=True)
+            return NotReached(f"{evacuated} is evacuated", withheld=True)
+        now = boot_seconds()
+        if not self.view.limits.may_send(upstream.upstream_id, placement.permit, now):
+            connection.abort()
+            return NotReached("the upstream's limit leaves no room", withheld=True)
         kept = False
         memory.on_expiry = connection.drop
         try:
@@ -227,6 +243,7 @@
         """Send the request, wait for the head, then forward or classify the answer."""
         began = time.monotonic()
         self.view.cold.record_sent(placement.upstream_ids, began)
+        self.unused_permits.discard(placement.permit)
         connection.send(self.outgoing_request(task, placement))
         head = await connection.head()
         facts = self.dialect.answer_facts(head.status, head.headers)
@@ -256,9 +273,20 @@
         self, task: AttemptTask, placement: Placement, facts: AnswerFacts
     ) -> None:
         """Record the limit that an answer of the upstream itself names."""
-        self.view.limits.record_answer(
-            placement.upstream.upstream_id, task.facts.attempt_id, facts.limit
-        )
+        upstream_id = placement.upstream.upstream_id
+        match facts.limit:
+            case LimitUnreadable(text):
+                LOG.warning(
+                    "Limit not readable.",
+                    request=task.facts.attempt_id,
+                    upstream=upstream_id,
+                    text=text,
+                    in_force=self.view.limits.rate_of(upstream_id),
+                )
+            case limit:
+                self.view.limits.record_answer(
+                    upstream_id, limit, placement.permit, boot_seconds()
+                )
 
     def upstream_at_fault(
         self, placement: Placement, facts: AnswerFacts
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_observations.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_observations.py
@@ -66,7 +66,7 @@
         """Update the health of the upstream by the outcome of an attempt."""
         upstream_id = placement.upstream.upstream_id
         match outcome:
-            case NotReached(evacuated=True):
+            case NotReached(withheld=True):
                 pass
             case Broken(replaced=str(replaced)):
                 # The upstream that answers is healthy if a helper was replaced. A
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -45,8 +45,8 @@
     """Report that no byte of the request reached the upstream."""
 
     detail: str
-    evacuated: bool = False
-    """Whether it was not sent because of an evacuation, so that nothing was lost."""
+    withheld: bool = False
+    """Whether this gateway did not send it, for an evacuation or a limit."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -3,7 +3,9 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 from typing import Self
@@ -24,6 +26,7 @@
     HeartbeatsSeen,
     KnownEvacuations,
     KnownUpstream,
+    LimitChoice,
     LinkLoss,
     PeerTable,
     PeerTableConfig,
@@ -34,6 +37,8 @@
     ServiceRetryBudgetConfig,
     UpstreamHealth,
     UpstreamHeartbeat,
+    UpstreamLimits,
+    UpstreamLimitsConfig,
     UpstreamPhase,
     UpstreamRegistry,
     UpstreamStart,
@@ -49,7 +54,7 @@
     UpstreamName,
 )
 from cowslipshelf_core.messages import EvacuationState, RoutesDocument
-from cowslipshelf_daemon.internal.gateway.named_limits import NamedLimits
+from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_observer import UpstreamObserver
@@ -63,6 +68,8 @@
 RESTORED_SECONDS = 2.5
 """Time for which upstreams restored after a restart are used: two heartbeats, plus the
 time that an upstream takes to find a gateway that answers again."""
+MIN_PERMIT_WAIT_SECONDS = 0.005
+QUESTION_NUMBER_BITS = 62
 NO_DOCUMENT = RoutesDocument(RouteConfiguration(0).version, "", b"")
 
 
@@ -75,6 +82,7 @@
     peers: PeerTable
     retry_budget: ServiceRetryBudget
     cold: ColdLimiter
+    limits: UpstreamLimits
     observer: UpstreamObserver
     on_work_changed: Callable[[WorkChanged], None]
     """Sends a change of engine work to the other gateways; set in assembly."""
@@ -84,9 +92,10 @@
     answer_times: AnswerTimes = field(default_factory=AnswerTimes)
     evacuations: KnownEvacuations = field(default_factory=KnownEvacuations)
     link_loss: LinkLoss = field(default_factory=LinkLoss)
-    limits: NamedLimits = field(default_factory=NamedLimits)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
+    permit_waiters: Counter[ServiceName] = field(default_factory=Counter)
+    """Number of requests of each service that wait for a permit."""
     random: Random = field(default_factory=Random)
     table: RouteTable | None = None
     document: RoutesDocument = NO_DOCUMENT
@@ -115,6 +124,7 @@
             peers,
             ServiceRetryBudget.from_config(retry_budget_config(settings)),
             ColdLimiter.from_config(cold_limiter_config(settings, time.monotonic())),
+            upstream_limits(settings),
             UpstreamObserver.from_settings(settings, registry, peers),
             on_work_changed=lambda _changed: None,
             on_start_replaced=lambda _former, _later: None,
@@ -134,6 +144,7 @@
         """Apply new settings; addresses and the data folder do not change."""
         self.settings = self.observer.settings = settings
         self.peers.seeds = settings.seeds
+        self.limits.seeds = frozenset(settings.seeds)
         self.retry_budget.config = retry_budget_config(settings)
         started_at = self.cold.config.started_at
         self.cold.config = cold_limiter_config(settings, started_at)
@@ -393,6 +404,37 @@
         others = self.peers.known.keys()
         return self.cold.choose(configuration, known, others, time.monotonic())
 
+    def limit_choice(
+        self, service: ServiceName, upstream_ids: Collection[UpstreamId]
+    ) -> LimitChoice:
+        """Return which upstreams of a service have a limit that leaves no room now."""
+        waiting = self.permit_waiters[service] if self.permit_waiters else 0
+        return self.limits.choose(upstream_ids, waiting, boot_seconds())
+
+    async def wait_for_permit(
+        self, service: ServiceName, upstream_ids: Collection[UpstreamId], until: float
+    ) -> LimitChoice:
+        """Wait until one of some limited upstreams has room, or none will in time.
+
+        Return which have none. `until` is a boot time.
+        """
+        self.permit_waiters[service] += 1
+        try:
+            while True:
+                choice = self.limit_choice(service, upstream_ids)
+                now = boot_seconds()
+                has_room = len(choice.blocked) < len(upstream_ids)
+                if has_room or now + choice.retry_after_seconds >= until:
+                    return choice
+                wake_at = min(until, self.limits.next_change_at(choice.blocked))
+                seconds = max(MIN_PERMIT_WAIT_SECONDS, wake_at - now)
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(self.changed.wait(), seconds)
+        finally:
+            self.permit_waiters[service] -= 1
+            if not self.permit_waiters[service]:
+                del self.permit_waiters[service]
+
     def cold_upstreams(self) -> frozenset[UpstreamId]:
         """Return the cold upstreams of all services."""
         now = time.monotonic()
@@ -434,6 +476,7 @@
         self.observer.forget_old(now)
         self.peers.forget_old(now)
         self.cold.forget_old(now)
+        self.limits.forget_old(self.registry.known, boot_seconds())
         forgotten = self.engines.forget_old(now)
         if forgotten:
             LOG.warning("Work forgotten whose end was not told.", attempts=forgotten)
@@ -441,7 +484,7 @@
     def forget_upstream(self, upstream_id: UpstreamId) -> None:
         """Forget the health and work of an upstream; its attempts end on their own."""
         self.observer.forget(upstream_id)
-        self.limits.rates.pop(upstream_id, None)
+        self.limits.forget(upstream_id)
         self.engines.forget_engine(upstream_id)
 
     def request_started(self, upstream_id: UpstreamId) -> None:
@@ -486,6 +529,15 @@
     )
 
 
+def upstream_limits(settings: GatewaySettings) -> UpstreamLimits:
+    """Return the limits of upstreams that a gateway knows at its start: none."""
+    first_number = Random().getrandbits(QUESTION_NUMBER_BITS)
+    config = UpstreamLimitsConfig(settings.instance, boot_seconds(), first_number)
+    limits = UpstreamLimits.from_config(config)
+    limits.seeds = frozenset(settings.seeds)
+    return limits
+
+
 def cold_limiter_config(
     settings: GatewaySettings, started_at: float
 ) -> ColdLimiterConfig:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -7,9 +7,14 @@
 
 from cowslipshelf_core.dialect import Dialect
 from cowslipshelf_core.gateway import (
+    AskPermits,
     FetchWork,
     HeartbeatsSeen,
+    LimitLifted,
+    LimitsTold,
     PeerChange,
+    PermitsBooked,
+    PermitsReturned,
     Relayed,
     RequestDigest,
     SuspectRequestsTold,
@@ -29,6 +34,7 @@
 )
 from cowslipshelf_daemon.internal.gateway.control_client import ControlClient
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.limits_exchange import LimitsExchange
 from cowslipshelf_daemon.internal.gateway.routes_exchange import RoutesExchange
 from cowslipshelf_daemon.internal.messenger import Delivered, Messenger
 from cowslipshelf_daemon.internal.retransmit_queue import RetransmitQueue
@@ -103,6 +109,7 @@
         """Suspects with changes that were not sent yet."""
         self.urgent_suspects: RetransmitQueue[RequestDigest] = RetransmitQueue()
         self.routes = RoutesExchange(view, messenger, client, dialect, self.send_alive)
+        self.limits = LimitsExchange(view, messenger, metrics)
         self.sync_turn = 0
 
     # Sending.
@@ -138,6 +145,7 @@
         self.send_alive(local_only=self.ticks % 2 == 1)
         self.flush_heartbeats()
         self.resend_suspects()
+        self.limits.tick()
 
     def send_alive(self, local_only: bool = False) -> None:
         """Send an alive message to all known gateways and the seeds."""
@@ -276,12 +284,13 @@
         self.count_observations(str(fate), message)
 
     def tell_everything(self) -> None:
-        """Send all upstreams and the worst suspects to one other gateway, in turn."""
+        """Send all upstreams, limits and the worst suspects to one peer, in turn."""
         peers = self.view.peers.alive(time.monotonic())
         if peers:
             self.sync_turn += 1
             peer = peers[self.sync_turn % len(peers)]
             self.send_upstreams(peer)
+            self.limits.tell_everything(peer)
             self.send_suspects(
                 peer, self.suspects.most_suspect_reports(MAX_SUSPECTS_PER_SYNC)
             )
@@ -291,8 +300,9 @@
         self.send(peer, HeartbeatsSeen(self.view.all_heartbeats()))
 
     def send_full_state(self, peer: InstanceId) -> None:
-        """Send all upstreams, engine work and suspects to one gateway."""
+        """Send all upstreams, limits, engine work and suspects to one gateway."""
         self.send_upstreams(peer)
+        self.limits.tell_newcomer(peer)
         self.send_work_snapshot(peer)
         self.send_suspects(peer, self.suspects.all_reports())
 
@@ -334,6 +344,14 @@
                 self.routes.answer(delivered.sender_address, query)
             case EvacuationState() as reported:
                 self.apply_evacuations(delivered.sender, reported)
+            case (
+                LimitsTold()
+                | AskPermits()
+                | PermitsBooked()
+                | PermitsReturned()
+                | LimitLifted()
+            ) as message:
+                self.limits.receive(delivered.sender, message)
             case RoutesSnapshot() as snapshot:
                 self.routes.receive_snapshot(delivered.sender, snapshot)
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -15,7 +15,9 @@
     EnginesChosen,
     EngineWork,
     FirstEventWait,
+    LimitChoice,
     NoEngine,
+    Permit,
     PromptToPlace,
     RequestRank,
     Route,
@@ -31,6 +33,9 @@
 RETRY_AFTER_SECONDS = 1.0
 """Retry-after if no upstream is known: one heartbeat interval."""
 
+MIN_LIMIT_RETRY_SECONDS = 0.1
+"""Least retry-after if limits leave no room, where it is not known when one does."""
+
 COLD_SURCHARGE = 0.1
 """Cost of an engine that is cold, in units of the value of a short prompt's answer. It
 exceeds that of using an empty engine and that of crossing data centres, so that a warm
@@ -65,6 +70,8 @@
     candidates: int = 0
     cost: float = 0.0
     silence_limits: SilenceLimits = SilenceLimits()
+    permit: Permit | None = None
+    """Permit to send the request, if its upstream is limited."""
 
     @property
     def helper_parts(self) -> tuple[EnginePart, ...]:
@@ -85,6 +92,8 @@
     retry_after_seconds: float
     cold: bool = False
     """Whether only cold upstreams without room are left."""
+    limited: frozenset[UpstreamId] = frozenset()
+    """The upstreams that are left, if the limits of all of them leave no room."""
     lacks_capacity: bool = True
     """Whether there are upstreams that might have served it with more capacity."""
 
@@ -101,11 +110,15 @@
     """Choose an upstream that was not tried before."""
     known = view.upstreams_of(service)
     cold = view.cold_choice(service, known)
-    unused = excluded | cold.blocked
+    untried = [each.upstream_id for each in known if each.upstream_id not in excluded]
+    limit = view.limit_choice(service, untried)
+    unused = excluded | cold.blocked | limit.blocked
     upstreams = [each for each in known if each.upstream_id not in unused]
     if not upstreams and cold.blocked - excluded:
         reason = "only cold upstreams without room are left"
         return NoPlacement(reason, cold.retry_after_seconds, cold=True)
+    if not upstreams and limit.blocked:
+        return no_room(view, limit)
     if not upstreams:
         reason = "every upstream was tried" if known else "no upstream is known"
         if view.is_evacuated(service):
@@ -119,6 +132,19 @@
     return place_by_load(view, upstreams, cold)
 
 
+def no_room(view: FleetView, limit: LimitChoice) -> NoPlacement:
+    """Report that only upstreams are left whose limits leave no room.
+
+    The times to retry are spread, so that callers who are refused together don't return
+    together.
+    """
+    wait = max(MIN_LIMIT_RETRY_SECONDS, limit.retry_after_seconds)
+    reason = "only upstreams whose limit leaves no room are left"
+    return NoPlacement(
+        reason, wait * view.random.uniform(1.0, 2.0), limited=limit.blocked
+    )
+
+
 def place_by_load(
     view: FleetView, upstreams: list[UpstreamHeartbeat], cold: ColdChoice
 ) -> Placement:
@@ -177,6 +203,7 @@
                 link_surcharge(route.pause_seconds, upstream.data_centre in lossy)
                 + (COLD_SURCHARGE if upstream.upstream_id in cold.cold else 0.0),
                 pending_slowness=health.slowness if shares_health else 1.0,
+                may_help=view.limits.rate_of(upstream.upstream_id) is None,
             )
         )
     asked = PromptToPlace(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -7,6 +7,7 @@
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.gateway import (
     HeldBack,
+    LimitChoice,
     choose_service,
     request_digest,
 )
@@ -27,6 +28,7 @@
     DeliveryProgress,
     FailedThere,
 )
+from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import (
     AnswerCutError,
@@ -36,6 +38,7 @@
 from cowslipshelf_daemon.internal.gateway.placement import (
     NoPlacement,
     Placement,
+    no_room,
     place,
 )
 from cowslipshelf_daemon.internal.gateway.request_progress import (
@@ -54,6 +57,8 @@
 
 BAD_ANSWER = 502
 OUT_OF_TIME = 504
+MAX_PERMIT_WAIT_SECONDS = 1.5
+"""Longest wait for a permit, if the limits of all upstreams leave no room."""
 MIN_LEFT_SECONDS = 0.02
 """Time left below which no upstream is tried: one round trip takes as long."""
 OUTAGE_RETRY_SECONDS = 0.5
@@ -191,6 +196,11 @@
                 service, left, progress
             ):
                 continue
+            if isinstance(placement, NoPlacement) and placement.limited:
+                choice = await self.wait_for_permit(service, placement, left, progress)
+                if choice.blocked != placement.limited:
+                    continue
+                placement = no_room(self.view, choice)
             if isinstance(placement, NoPlacement):
                 self.record_no_placement(task, placement, progress)
                 return None
@@ -221,6 +231,21 @@
             seconds,
         )
 
+    async def wait_for_permit(
+        self,
+        service: ServiceName,
+        placement: NoPlacement,
+        left: float,
+        progress: RequestProgress,
+    ) -> LimitChoice:
+        """Wait for a permit if one is due soon; return which upstreams have no room."""
+        if progress.permit_wait_until is None:
+            seconds = min(MAX_PERMIT_WAIT_SECONDS, left * MAX_WAIT_SHARE)
+            progress.permit_wait_until = boot_seconds() + seconds
+        return await self.view.wait_for_permit(
+            service, placement.limited, progress.permit_wait_until
+        )
+
     def may_retry(self, service: ServiceName) -> bool:
         """Take one retry from the budget shared by all gateways, if any is left."""
         now = time.monotonic()
@@ -313,7 +338,7 @@
             pause_allowed=task.route.pause_seconds,
             upstream=placement.upstream.upstream_id,
             address=placement.upstream.address,
-            limit=self.view.limits.rates.get(placement.upstream.upstream_id),
+            limit=self.view.limits.rate_of(placement.upstream.upstream_id),
             heartbeat_age=round(self.view.heartbeat_age(placement.upstream), 3),
             version=self.view.document.version,
             left=round(task.deadline - time.monotonic(), 3),
@@ -356,6 +381,8 @@
         progress.retry_after_seconds = max(
             progress.retry_after_seconds, placement.retry_after_seconds
         )
+        if placement.limited:
+            self.metrics.count("cowslipshelf_limit_refusals_total")
         if placement.cold:
             self.metrics.count("cowslipshelf_cold_refusals_total")
         LOG.info(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_progress.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_progress.py
@@ -34,6 +34,8 @@
     may_have_run: bool = False
     waited: bool = False
     """Whether the request has waited for a first upstream."""
+    permit_wait_until: float | None = None
+    """Boot time until which it waits for permits; None if it did not wait yet."""
     met_outage: bool = False
     """Whether it was offered to upstreams of a data centre that is doubtful now."""
     last_failure: FailedThere | None = None
@@ -53,11 +55,12 @@
         `ran_before` tells whether the request may have run in an earlier attempt.
         """
         at_fault = outcome.at_fault if isinstance(outcome, NotRun) else None
-        # Only a helper may be evacuated; placing again avoids whatever is.
-        stopped_by_evacuation = isinstance(outcome, NotReached) and outcome.evacuated
+        # Placing again avoids what is evacuated, which may be a helper only, and what
+        # has no room.
+        withheld = isinstance(outcome, NotReached) and outcome.withheld
         if at_fault is not None and at_fault not in self.excluded:
             self.excluded.add(at_fault)
-        elif not stopped_by_evacuation and not isinstance(outcome, NotReserved):
+        elif not withheld and not isinstance(outcome, NotReserved):
             self.excluded.add(upstream_id)
         match outcome:
             case NotReached():
--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -267,7 +267,7 @@
     async def run(self, task, placement: Placement):
         self.tried.append(placement.upstream.upstream_id)
         if len(self.tried) == 1:
-            return NotReached("a helper is evacuated", evacuated=True)
+            return NotReached("a helper is evacuated", withheld=True)
         return Answered(200)
 
 
--- a/tests/cover/gateway/test_evacuation.py
+++ b/tests/cover/gateway/test_evacuation.py
@@ -182,7 +182,7 @@
     )
     runner = AttemptRunner(view, pool, MachinesDialect())
     outcome = asyncio.run(runner.run(task, placement))
-    assert outcome == NotReached("here is evacuated", evacuated=True)
+    assert outcome == NotReached("here is evacuated", withheld=True)
     assert pool.aborted
     now, upstream_id = time.monotonic(), placement.upstream.upstream_id
     assert not view.health.estimate(upstream_id, now).avoided
