Keep the memory of gateways in a class of its own

Whatever all gateways must keep together is divided among those that may be sending, not only the limits of upstreams. No behaviour changes; the tests of limits pass.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/upstream_limits.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/upstream_limits.py
@@ -19,7 +19,6 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Self
 
-from cowslipshelf_core.announcing import rank
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.internal.gateway.dialect import (
     AnswerLimit,
@@ -27,9 +26,12 @@
     LimitUnreadable,
     NoLimit,
 )
+from cowslipshelf_core.internal.gateway.known_gateways import (
+    MEMORY_SECONDS,
+    KnownGateways,
+)
 from cowslipshelf_core.internal.gateway.limit_messages import (
     AskPermits,
-    GatewayHeard,
     LimitLifted,
     LimitMessage,
     LimitState,
@@ -47,9 +49,6 @@
 START_SECONDS = 3.0
 """Time after its start in which a gateway issues nothing: the former issuer may not
 have heard of it yet."""
-MEMORY_SECONDS = 600.0
-"""Time for which a gateway that is silent counts as one that may still send. Longer
-than regions lose each other."""
 MIN_REQUESTS_PER_SECOND = 0.1
 """Least rate at which an upstream is tried. One that takes nothing would otherwise
 never be asked whether that still holds."""
@@ -62,6 +61,7 @@
 
     instance: InstanceId
     started_at: float
+    seeds: frozenset[InstanceId]
     first_number: int
     """Number before that of the first question, drawn anew at each start."""
 
@@ -98,15 +98,11 @@
     """Sends a message to a gateway, or to this one itself."""
     on_changed: Callable[[LimitChange], None]
     """Logs a changed limit, and tells the other gateways of a new one."""
-    seeds: frozenset[InstanceId] = frozenset()
+    gateways: KnownGateways
     states: dict[UpstreamId, LimitState] = field(default_factory=dict)
     changed_at: dict[UpstreamId, float] = field(default_factory=dict)
     """Time at which the state of each upstream was adopted."""
     issuer: PermitIssuer = field(default_factory=PermitIssuer)
-    alive: frozenset[InstanceId] = frozenset()
-    """Other gateways that are alive."""
-    heard_at: dict[InstanceId, float] = field(default_factory=dict)
-    """Time at which each other gateway was last alive."""
 
     @classmethod
     def from_config(cls, config: UpstreamLimitsConfig) -> Self:
@@ -116,6 +112,7 @@
             PermitWallet(config.first_number),
             lambda _peer, _message: None,
             lambda _change: None,
+            KnownGateways(config.instance, config.seeds),
         )
 
     # What is known of the limits.
@@ -199,33 +196,9 @@
 
     # Who issues the permits, and at which rate.
 
-    def update_gateways(self, alive: Iterable[InstanceId], now: float) -> None:
-        """Record which other gateways are alive."""
-        self.alive = frozenset(alive)
-        self.heard_at |= dict.fromkeys(self.alive, now)
-        for instance, at in list(self.heard_at.items()):
-            if now - at > MEMORY_SECONDS:
-                del self.heard_at[instance]
-
-    def gateways_heard(self, now: float) -> tuple[GatewayHeard, ...]:
-        """List the other gateways that were alive lately, for one that has started.
-
-        Without them it would count only those on its side of a network partition.
-        """
-        return tuple(
-            GatewayHeard(instance, now - at) for instance, at in self.heard_at.items()
-        )
-
-    def merge_gateways(self, heard: Iterable[GatewayHeard], now: float) -> None:
-        """Record gateways that another one has heard."""
-        for instance, age in heard:
-            if instance != self.config.instance:
-                at = max(now - age, self.heard_at.get(instance, now - age))
-                self.heard_at[instance] = at
-
     def issuer_of(self, upstream_id: UpstreamId) -> InstanceId:
         """Return the gateway that issues the permits for an upstream."""
-        return first_ranked(upstream_id, (*self.alive, self.config.instance))
+        return self.gateways.first_alive(upstream_id)
 
     def share(self, upstream_id: UpstreamId) -> float:
         """Return the part of a limit that this gateway issues as its issuer.
@@ -234,15 +207,10 @@
         if it reaches more than half of them. Any other is at most one of several, whose
         parts add up to at most a half.
         """
-        own = self.config.instance
-        reached = len(self.alive) + 1
-        known = len(self.heard_at) + 1
-        if not self.alive:
-            known = max(known, len(self.seeds | {own}))
-        first = first_ranked(upstream_id, (*self.heard_at, own))
-        if first == own and 2 * reached > known:
+        reached, count = self.gateways.reached, self.gateways.count
+        if self.gateways.is_first(upstream_id) and 2 * reached > count:
             return 1.0
-        return reached / (2 * known)
+        return reached / (2 * count)
 
     def rate_to_issue(self, upstream_id: UpstreamId) -> float:
         """Return the requests a second for which this gateway issues permits."""
@@ -335,7 +303,7 @@
         """Handle a message about limits."""
         match message:
             case LimitsTold(limits=limits, gateways=gateways):
-                self.merge_gateways(gateways, now)
+                self.gateways.merge(gateways, now)
                 for state in limits:
                     if state.is_newer_than(self.states.get(state.upstream_id)):
                         self.adopt(state, sender, False, now)
@@ -372,10 +340,3 @@
             return
         if self.issuer.was_booked_after(sender, upstream_id, lifted.number, since):
             self.change(upstream_id, lifted.requests_per_second, sender, now)
-
-
-def first_ranked(
-    upstream_id: UpstreamId, instances: Iterable[InstanceId]
-) -> InstanceId:
-    """Return the gateway that rendezvous hashing chooses for an upstream."""
-    return min(instances, key=lambda each: (rank(upstream_id, each), each))
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -144,7 +144,7 @@
         """Apply new settings; addresses and the data folder do not change."""
         self.settings = self.observer.settings = settings
         self.peers.seeds = settings.seeds
-        self.limits.seeds = frozenset(settings.seeds)
+        self.limits.gateways.seeds = frozenset(settings.seeds)
         self.retry_budget.config = retry_budget_config(settings)
         started_at = self.cold.config.started_at
         self.cold.config = cold_limiter_config(settings, started_at)
@@ -532,10 +532,10 @@
 def upstream_limits(settings: GatewaySettings) -> UpstreamLimits:
     """Return the limits of upstreams that a gateway knows at its start: none."""
     first_number = Random().getrandbits(QUESTION_NUMBER_BITS)
-    config = UpstreamLimitsConfig(settings.instance, boot_seconds(), first_number)
-    limits = UpstreamLimits.from_config(config)
-    limits.seeds = frozenset(settings.seeds)
-    return limits
+    seeds = frozenset(settings.seeds)
+    return UpstreamLimits.from_config(
+        UpstreamLimitsConfig(settings.instance, boot_seconds(), seeds, first_number)
+    )
 
 
 def cold_limiter_config(
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/limits_exchange.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/limits_exchange.py
@@ -68,7 +68,7 @@
     def tick(self) -> None:
         """Update which gateways are alive, and send the latest changes again."""
         alive = self.view.peers.alive(time.monotonic())
-        self.view.limits.update_gateways(alive, boot_seconds())
+        self.view.limits.gateways.update(alive, boot_seconds())
         self.tell(alive, self.changed.take())
 
     def tell_everything(self, peer: InstanceId) -> None:
@@ -78,7 +78,7 @@
     def tell_newcomer(self, peer: InstanceId) -> None:
         """Send all known limits and gateways to a gateway that started or returned."""
         limits = self.view.limits
-        heard = limits.gateways_heard(boot_seconds())
+        heard = limits.gateways.heard(boot_seconds())
         self.send(peer, LimitsTold(tuple(limits.states.values()), heard))
 
     def tell(
--- a/tests/common/limited_fleet.py
+++ b/tests/common/limited_fleet.py
@@ -67,10 +67,9 @@
     def __post_init__(self) -> None:
         first_number = int(self.started_at * 1e6) + self.number + (1 << 40)
         config = UpstreamLimitsConfig(
-            name_of(self.number), self.started_at, first_number
+            name_of(self.number), self.started_at, self.seeds, first_number
         )
         self.limits = UpstreamLimits.from_config(config)
-        self.limits.seeds = self.seeds
 
     def clock(self, now: float) -> float:
         return now - self.frozen_seconds
@@ -107,7 +106,7 @@
         for gateway in self.gateways:
             others = [g.number for g in self.gateways if g is not gateway]
             gateway.last_heard = {name_of(number): 0.0 for number in others}
-            gateway.limits.update_gateways(gateway.alive(0.0), 0.0)
+            gateway.limits.gateways.update(gateway.alive(0.0), 0.0)
         if self.limit is not None:
             first = self.gateways[0].limits
             first.record_answer(UPSTREAM, LimitNamed(self.limit), None, 0.0)
@@ -221,10 +220,10 @@
                 )
                 gateway.starts[name] = started_at
                 gateway.last_heard[name] = gateway.clock(self.now)
-                gateway.limits.update_gateways(gateway.alive(self.now), self.now)
+                gateway.limits.gateways.update(gateway.alive(self.now), self.now)
                 if is_new:
                     states = tuple(gateway.limits.states.values())
-                    heard = gateway.limits.gateways_heard(self.now)
+                    heard = gateway.limits.gateways.heard(self.now)
                     told = LimitsTold(states, heard)
                     self.post(gateway.number, sent.sender, told)
             case message:
@@ -234,7 +233,7 @@
         """Let a gateway do what is due, and send requests while it may."""
         limits = gateway.limits
         if self.steps % round(ALIVE_SECONDS / STEP_SECONDS) == 0:
-            limits.update_gateways(gateway.alive(self.now), self.now)
+            limits.gateways.update(gateway.alive(self.now), self.now)
             self.tell_all(gateway.number, Alive(gateway.started_at))
         limits.tick(self.now)
         if not gateway.has_work or limits.rate_of(UPSTREAM) is None:
