Divide the retry budget among all gateways that may be sending

Cause, of the same class as the unkept limits: each gateway divided the slack of the budget by the gateways that it heard. In a network partition both halves did, and spent up to 1.4 times the slack together; a gateway that heard nobody took all of it.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/retry_budget.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/retry_budget.py
@@ -56,7 +56,10 @@
         self.count_of(service, now).requests.append(now)
 
     def allow_retry(self, service: ServiceName, gateways: int, now: float) -> bool:
-        """Spend one retry if this gateway's share of the budget allows it."""
+        """Spend one retry if this gateway's share of the budget allows it.
+
+        `gateways` are all that may be sending, also those that this one can't hear.
+        """
         count = self.count_of(service, now)
         slack = self.config.slack / max(1, gateways)
         allowed = SPENT_SHARE * (self.config.ratio * len(count.requests) + slack)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -464,6 +464,11 @@
             return 1
         return max(1, service.max_connections // (2 * self.gateway_count()))
 
+    @property
+    def sending_gateways(self) -> int:
+        """Return how many gateways may be sending, also those that are not heard."""
+        return self.limits.gateways.count
+
     def gateway_count(self) -> int:
         """Return how many gateways are alive, this one included."""
         return len(self.peers.alive(time.monotonic())) + 1
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -250,7 +250,7 @@
         """Take one retry from the budget shared by all gateways, if any is left."""
         now = time.monotonic()
         return self.view.retry_budget.allow_retry(
-            service, self.view.gateway_count(), now
+            service, self.view.sending_gateways, now
         )
 
     async def attempt(
