Spend less of the retry budget right after a restart

Cause: a process that restarts has forgotten what the former one spent in the same window. If all gateways restart together, their retries before and after add up to 1.4 times the slack of the budget. Found by reading, not seen.

Change: in the first window after a start that isn't the first of the fleet, a gateway spends 0.4 of its share.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/retry_budget.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/retry_budget.py
@@ -15,6 +15,11 @@
 and the budget holds for any sliding window, which these counts only approximate."""
 
 
+RESTARTED_SHARE = 0.4
+"""Part of the slack that is spent in the first window after a start, since the former
+process may have spent its share in that window. All gateways may restart at once."""
+
+
 class ServiceRetryBudgetConfig(NamedTuple):
     """Configure the retry budget of all gateways together."""
 
@@ -44,12 +49,16 @@
     """Track one gateway's share of the retry budget, by service."""
 
     config: ServiceRetryBudgetConfig
+    restarted_at: float | None = None
+    """Time at which this gateway started, unless no process was there before."""
     counts: dict[ServiceName, RetryCounts] = field(default_factory=dict)
 
     @classmethod
-    def from_config(cls, config: ServiceRetryBudgetConfig) -> Self:
+    def from_config(
+        cls, config: ServiceRetryBudgetConfig, restarted_at: float | None = None
+    ) -> Self:
         """Create a budget with nothing counted."""
-        return cls(config)
+        return cls(config, restarted_at)
 
     def count_request(self, service: ServiceName, now: float) -> None:
         """Count a request's first attempt."""
@@ -62,6 +71,9 @@
         """
         count = self.count_of(service, now)
         slack = self.config.slack / max(1, gateways)
+        restarted_at = self.restarted_at
+        if restarted_at is not None and now - restarted_at < self.config.window_seconds:
+            slack *= RESTARTED_SHARE
         allowed = SPENT_SHARE * (self.config.ratio * len(count.requests) + slack)
         if len(count.retries) + 1 > allowed:
             return False
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -122,7 +122,10 @@
             settings,
             registry,
             peers,
-            ServiceRetryBudget.from_config(retry_budget_config(settings)),
+            ServiceRetryBudget.from_config(
+                retry_budget_config(settings),
+                None if settings.first_start else time.monotonic(),
+            ),
             ColdLimiter.from_config(cold_limiter_config(settings, time.monotonic())),
             upstream_limits(settings),
             UpstreamObserver.from_settings(settings, registry, peers),
