Don't split a prompt's memory over engines that name a limit

The engines that hold a prompt together get orders about the memory, and the one that answers is probed with reports; none of these has a permit. The new test found a limited engine among them before.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/placement_cost.py
@@ -60,8 +60,8 @@
     pending_slowness: float = 1.0
     """Slowness by which the parts that wait there take longer than their model says."""
     may_help: bool = True
-    """Whether it may prefill for another engine. One that names a limit may not, since
-    its parts and the orders about their memory are requests without a permit."""
+    """Whether it may share a prompt's memory or prefill for another engine. One that
+    names a limit may not: parts, orders and probes would reach it without a permit."""
 
 
 class Distance(NamedTuple):
--- a/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/prompt_placement.py
@@ -197,7 +197,9 @@
         return None
     share = math.ceil(placing.needed_tokens * MEMORY_MARGIN / parts)
     able = [
-        each for each in placing.engines if free_memory(each, placing.model) >= share
+        each
+        for each in placing.engines
+        if each.candidate.may_help and free_memory(each, placing.model) >= share
     ]
     if len(able) < parts:
         return None
--- a/tests/cover/gateway/test_limited_upstreams.py
+++ b/tests/cover/gateway/test_limited_upstreams.py
@@ -100,6 +100,19 @@
         assert helpers <= {"u-0", "u-4", "u-5"}
 
 
+def test_engines_with_a_limit_do_not_share_the_memory_of_a_prompt():
+    """Guards against orders and probes that reach a limited engine without a permit."""
+    engines = tuple(f"u-{number}" for number in range(8))
+    view = view_of(*engines, engine=ENGINE)
+    Issuer(view, count=9)
+    for engine in engines[:4]:
+        limit(view, engine)
+        assert view.limits.choose((engine,), 0, boot_seconds()).blocked
+    too_large = PromptSize(int(ENGINE.memory_tokens * 1.5), 100)
+    for _ in range(20):
+        assert set(placed(view, too_large).upstream_ids) <= set(engines[4:])
+
+
 def test_a_request_that_no_limit_admits_in_time_is_refused_at_once():
     """Guards against a caller who waits for a permit that is due too late."""
     gateway = GatewayWithFakeRunner()
