Test limits beside restarts, kills and freezes of gateways, and without other upstreams

Five gateways are stopped for 1.5 s, killed and started again one after the other under load; a limit that ends is over at all of them; where only one limited upstream is left, callers are served up to the limit and refused otherwise, and nobody is left without an answer.

--- a/tests/nocover/gateway/test_upstream_limits.py
+++ b/tests/nocover/gateway/test_upstream_limits.py
@@ -1,20 +1,25 @@
 """Check on real gateway processes that limits of upstreams are kept."""
 
+import re
+import signal
 import threading
 import time
 from contextlib import contextmanager
+from http.client import HTTPException
 
 import pytest
 
 from common.gateway_fleet import (
     Fleet,
+    GatewayProcess,
     ask,
     document,
     route,
     running_fleet,
     send_heartbeats,
 )
-from common.scripted_upstream import Exchange, ScriptedUpstream
+from common.polling import wait_for
+from common.scripted_upstream import Exchange, ScriptedUpstream, call
 
 GATEWAYS = 5
 CALLERS_PER_GATEWAY = 2
@@ -22,7 +27,9 @@
 SETTLE_SECONDS = 3.0
 """Time after the first answer with a limit in which it need not be kept."""
 LOAD_SECONDS = 12.0
+FREEZE_SECONDS = 1.5
 CALL_PAUSE_SECONDS = 0.1
+NO_ANSWER = 0
 
 
 def allowed(requests_per_second: float) -> float:
@@ -74,15 +81,18 @@
     """Let callers ask every gateway all the while, and record the statuses."""
     stopped = threading.Event()
 
-    def call(gateway) -> None:
+    def keep_asking(gateway) -> None:
         while not stopped.is_set():
-            answer = ask(gateway, "/safe/x")
-            answer.read()
-            statuses.append(answer.status)
+            try:
+                answer = ask(gateway, "/safe/x")
+                answer.read()
+                statuses.append(answer.status)
+            except (OSError, HTTPException):
+                statuses.append(NO_ANSWER)
             stopped.wait(CALL_PAUSE_SECONDS)
 
     threads = [
-        threading.Thread(target=call, args=(gateway,))
+        threading.Thread(target=keep_asking, args=(gateway,))
         for gateway in fleet.gateways
         for _ in range(CALLERS_PER_GATEWAY)
     ]
@@ -109,3 +119,54 @@
         time.sleep(LOAD_SECONDS)
     assert limited.most_in_a_window() <= allowed(requests_per_second)
     assert set(statuses) == {200}
+
+
+def test_restarts_kills_and_freezes_of_gateways_do_not_exceed_the_limit(fleet):
+    """Guards against a burst of gateways that lost or outlived their permits."""
+    limited = LimitedUpstream(4)
+    other = ScriptedUpstream("u-other", "plain", lambda each: each.answer(200, b"x"))
+    send_heartbeats(fleet, limited.upstream, other)
+    with callers(fleet, []):
+        time.sleep(SETTLE_SECONDS)
+        for gateway in fleet.gateways:
+            gateway.process.send_signal(signal.SIGSTOP)
+            time.sleep(FREEZE_SECONDS)
+            gateway.process.send_signal(signal.SIGCONT)
+            gateway.kill()
+            gateway.start(first=False)
+            send_heartbeats(Fleet([gateway]), limited.upstream, other)
+        time.sleep(WINDOW_SECONDS)
+    assert limited.most_in_a_window() <= allowed(4)
+
+
+def test_a_limit_that_ends_is_soon_over_at_every_gateway(fleet):
+    """Guards against an upstream that stays limited after it has recovered."""
+    limited = LimitedUpstream(2)
+    send_heartbeats(fleet, limited.upstream)
+    with callers(fleet, []):
+        time.sleep(SETTLE_SECONDS)
+        limited.requests_per_second = None
+        wait_for(lambda: not any(map(limited_upstreams, fleet.gateways)))
+
+
+def limited_upstreams(gateway: GatewayProcess) -> int:
+    """Return how many limited upstreams a gateway's metrics show."""
+    _, text = call(gateway.metrics, "GET", "/metrics")
+    shown = re.search(rb"^cowslipshelf_limited_upstreams (\d+)", text, re.MULTILINE)
+    return int(shown[1]) if shown else 1
+
+
+def test_callers_of_limited_upstreams_only_are_served_or_refused_at_once(fleet):
+    """Guards against callers that wait where no upstream has room for them."""
+    limited = LimitedUpstream(4)
+    send_heartbeats(fleet, limited.upstream)
+    statuses: list[int] = []
+    with callers(fleet, statuses):
+        time.sleep(LOAD_SECONDS)
+    seconds = LOAD_SECONDS - SETTLE_SECONDS
+    served = sum(
+        at > limited.first_named_at + SETTLE_SECONDS for at in limited.arrivals
+    )
+    assert served >= 0.8 * 4 * seconds
+    assert set(statuses) == {200, 503}
+    assert limited.most_in_a_window() <= allowed(4)
