Let upstreams of the soak name limits

An upstream may name a limit at any moment, beside the other faults, and what it gets is judged in windows of 4 s. Excused is what follows a kill of all gateways, which then know no limit, and a disturbed link.

--- a/tests/common/scripted_upstream.py
+++ b/tests/common/scripted_upstream.py
@@ -34,12 +34,13 @@
         fields = {"Content-Length": str(len(body))} | self.signature() | headers
         self.connection.sendall(head(status, fields) + body)
 
-    def begin_stream(self) -> None:
+    def begin_stream(self, **headers: str) -> None:
         """Send the head of a streamed answer."""
         fields = {
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
-        } | self.signature()
+        }
+        fields |= self.signature() | headers
         self.connection.sendall(head(200, fields))
 
     def chunk(self, data: bytes) -> None:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -23,6 +23,7 @@
 )
 from common.scripted_upstream import Exchange, ScriptedUpstream, call
 from soak.faulty_link import FaultyLink, LinkMode
+from soak.limits import UpstreamLimit
 from soak.recorder import CallRecorder, CallResult, Kind, event, events_after
 
 CALLERS = 6
@@ -31,6 +32,8 @@
 APPLY_SECONDS = 2.0
 """Seconds after its acknowledgement within which a change must be in force."""
 RECOVER_SECONDS = 12.0
+REQUESTS_PER_SECOND = (None, None, 2, 5, 20)
+"""Limits that upstreams name."""
 FAULT_PAUSE_SECONDS = (0.2, 1.5)
 FAULT_SECONDS = (0.3, 3.0)
 EVENT_PAUSE_SECONDS = 0.03
@@ -81,6 +84,7 @@
         self.restored = threading.Event()
         self.upstreams: list[ScriptedUpstream] = []
         self.links: list[FaultyLink] = []
+        self.limits: list[UpstreamLimit] = []
         self.acknowledged: list[tuple[float, int]] = []
         self.sent: dict[int, dict] = {}
         self.faults: list[str] = []
@@ -94,6 +98,7 @@
         upstream.address = link.address
         self.upstreams.append(upstream)
         self.links.append(link)
+        self.limits.append(UpstreamLimit())
 
     # Upstreams.
 
@@ -104,12 +109,13 @@
         if headers["x-expect-instance"] != exchange.upstream.upstream_id:
             exchange.answer(421, X_Not_Run="1")
             return
+        limit = self.limits[self.upstreams.index(exchange.upstream)].headers()
         self.recorder.record_run(attempt_id)
         if not exchange.request.target.startswith(f"/{Kind.STREAM}/"):
             time.sleep(EVENT_PAUSE_SECONDS)
-            exchange.answer(200, attempt_id.encode())
+            exchange.answer(200, attempt_id.encode(), **limit)
             return
-        exchange.begin_stream()
+        exchange.begin_stream(**limit)
         last = int(headers.get("last-event-id", 0))
         for number in range(last + 1, len(events_after(0).split(b"\n\n"))):
             exchange.chunk(event(number))
@@ -199,6 +205,8 @@
             self.disturb_link,
             kill_all,
             self.restart_upstream,
+            self.change_limit,
+            self.change_limit,
         ]
         while not self.stopping.is_set():
             fault = self.random.choice(kinds)
@@ -223,6 +231,7 @@
         """Kill up to `MAX_LOST_IN_MEMORY` gateways, if all replicas are voters."""
         count = self.random.randint(1, MAX_LOST_IN_MEMORY)
         killed = self.random.sample(self.fleet.gateways, count)
+        self.excuse(*self.limits)
         pause = self.random.uniform(0, 0.5)
         if not self.all_vote_in_memory():
             return
@@ -246,6 +255,7 @@
 
     def kill_all(self) -> None:
         """Kill every gateway at the same moment."""
+        self.excuse(*self.limits)
         for gateway in self.fleet.gateways:
             gateway.kill()
         for gateway in self.fleet.gateways:
@@ -271,15 +281,29 @@
     def disturb_link(self) -> None:
         """Put a link into a random mode for a random time."""
         link = self.random.choice(self.links)
+        limit = self.limits[self.links.index(link)]
+        self.excuse(limit)
         link.mode = self.random.choice(list(LinkMode))
         time.sleep(self.random.uniform(*FAULT_SECONDS))
         link.mode = LinkMode.PASSES
+        self.excuse(limit)
 
     def restart_upstream(self) -> None:
         """Restart an upstream under a new start id, known from its next heartbeat."""
         upstream = self.random.choice(self.upstreams)
         upstream.upstream_id = f"{upstream.upstream_id.split('.')[0]}.{uuid.uuid4()}"
         upstream.sequence = 0
+        self.excuse(self.limits[self.upstreams.index(upstream)])
+
+    def change_limit(self) -> None:
+        """Let an upstream name another limit, or none."""
+        limit = self.random.choice(self.limits)
+        limit.change(self.random.choice(REQUESTS_PER_SECOND))
+
+    def excuse(self, *limits: UpstreamLimit) -> None:
+        """Begin to judge some limits anew."""
+        for limit in limits:
+            limit.excuse()
 
     # The complete run.
 
@@ -300,9 +324,18 @@
         self.stopping.set()
         for thread in (*threads, injector):
             thread.join()
+        self.check_limits()
         self.check_recovery()
         return self.recorder.all_violations()
 
+    def check_limits(self) -> None:
+        """Check that no upstream got more than the limits that it named allow."""
+        for upstream, limit in zip(self.upstreams, self.limits, strict=True):
+            limit.excuse()
+            if limit.most > 1.0:
+                text = f"{upstream.upstream_id} got {limit.most:.2f} of what it allowed"
+                self.recorder.record_violation(text)
+
     def check_recovery(self) -> None:
         """Check that the fleet recovers and still holds what it acknowledged."""
         for link in self.links:
