--- a/benchmarks/limits.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/limit_cases.py
@@ -1,25 +1,26 @@
-"""Compare ways to divide an upstream's limit among gateways, in a simulation.
-
-Run with `PYTHONPATH=tests python benchmarks/limits.py`.
-"""
+"""Play gateways that share an upstream's limit, in given cases and random histories."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 from typing import NamedTuple
 
-from common.limited_fleet import (
+from cowslipshelf_core.gateway import Permit
+from cowslipshelf_emulator.internal.limited_fleet import (
+    SETTLE_SECONDS,
     UPSTREAM,
-    WINDOW_SECONDS,
     LimitedFleet,
     SimulatedGateway,
+    allowed_in_window,
 )
 
 GATEWAYS = 8
 LIMIT = 4.0
-SETTLE_SECONDS = 4.0
 SECONDS = 60.0
-SEEDS = 3
+HISTORY_LIMITS = (0.1, 0.25, 0.5, 1, 2, 4, 8, 30, 100)
+LATENCIES = (0.001, 0.003, 0.02, 0.1)
+FAULT_SECONDS = (0.3, 1.0, 2.5, 6.0)
+WAIT_SECONDS = (0.1, 0.5, 1.0, 3.5)
 
 
 @dataclass
@@ -38,7 +39,7 @@
             self.arrivals.append(self.now)
         super().run(gateway)
 
-    def request(self, permit, gateway) -> None:
+    def request(self, permit: Permit | None, gateway: SimulatedGateway) -> None:
         """Send nothing under permits."""
 
     def restart(self, number: int) -> None:
@@ -77,13 +78,25 @@
     Case("cut into two halves", GATEWAYS, split),
     Case("the issuer restarts", GATEWAYS, restart_issuer),
 )
-FLEETS = {"even split": EvenSplitFleet, "permits of one issuer": LimitedFleet}
+DIVISIONS: dict[str, type[LimitedFleet]] = {
+    "even split": EvenSplitFleet,
+    "permits of one issuer": LimitedFleet,
+}
+
+
+class Played(NamedTuple):
+    """Hold what an upstream got."""
 
+    fullest: float
+    """Most requests in a window, as a part of what is allowed."""
+    used: float
+    """Part of the limit that was used."""
 
-def play(kind: type[LimitedFleet], case: Case, seed: int) -> tuple[float, float]:
-    """Return the fullest window as a part of what is allowed, and the limit's use."""
+
+def play_case(division: type[LimitedFleet], case: Case, seed: int) -> Played:
+    """Play one case for a minute."""
     random = Random(seed)
-    fleet = kind(GATEWAYS, LIMIT)
+    fleet = division(GATEWAYS, LIMIT)
     fleet.start()
     working = random.sample(range(GATEWAYS), case.working)
     for number, gateway in enumerate(fleet.gateways):
@@ -92,21 +105,39 @@
     case.disturb(fleet, random)
     before = len(fleet.arrivals)
     fleet.wait(SECONDS)
-    allowed = 1.5 * LIMIT * WINDOW_SECONDS + 5
     used = (len(fleet.arrivals) - before) / (LIMIT * SECONDS)
-    return fleet.most_in_a_window() / allowed, used
-
+    return Played(fleet.most_in_a_window() / allowed_in_window(LIMIT), used)
 
-def main() -> None:
-    """Print a line for each case and way to divide."""
-    print(f"{GATEWAYS} gateways, {LIMIT:g} requests/s, {SECONDS:g} s, {SEEDS} seeds")
-    for case in CASES:
-        for name, kind in FLEETS.items():
-            played = [play(kind, case, seed) for seed in range(SEEDS)]
-            fullest = max(each[0] for each in played)
-            used = sum(each[1] for each in played) / SEEDS
-            print(f"{case.name}, {name}: window {fullest:.2f}, used {used:.2f}")
 
-
-if __name__ == "__main__":
-    main()
+def play_history(seed: int) -> Played:
+    """Play up to 60 random faults, one after the other and overlapping."""
+    random = Random(seed)
+    limit = random.choice(HISTORY_LIMITS)
+    fleet = LimitedFleet(random.randint(1, 10), limit, random.choice(LATENCIES))
+    fleet.start()
+    fleet.wait(SETTLE_SECONDS)
+    for _ in range(random.randint(5, 60)):
+        disturb(fleet, random)
+    fleet.wait(5.0)
+    used = len(fleet.arrivals) / (limit * fleet.now)
+    return Played(fleet.most_in_a_window() / allowed_in_window(limit), used)
+
+
+def disturb(fleet: LimitedFleet, random: Random) -> None:
+    """Inject one random fault, or let some time pass."""
+    number, seconds = random.randrange(1000), random.choice(FAULT_SECONDS)
+    match random.randrange(10):
+        case 0:
+            fleet.drop(number)
+        case 1:
+            fleet.delay(number, seconds)
+        case 2:
+            fleet.double(number, seconds)
+        case 3:
+            fleet.restart(number)
+        case 4:
+            fleet.freeze(number, seconds)
+        case 5 | 6:
+            fleet.split(number)
+        case _:
+            fleet.wait(random.choice(WAIT_SECONDS))
--- a/tests/common/limited_fleet.py
+++ b/packages/emulator/src/cowslipshelf_emulator/internal/limited_fleet.py
@@ -46,9 +46,15 @@
 
 
 def name_of(number: int) -> str:
+    """Return the name of a gateway."""
     return f"10.0.0.{number}"
 
 
+def allowed_in_window(limit: float) -> float:
+    """Return how many requests may arrive in a window."""
+    return 1.5 * limit * WINDOW_SECONDS + 5
+
+
 @dataclass
 class SimulatedGateway:
     """Hold one gateway's limits; a restart creates it anew."""
@@ -65,6 +71,7 @@
     limits: UpstreamLimits | None = None
 
     def __post_init__(self) -> None:
+        """Create the limits that it knows: none."""
         first_number = int(self.started_at * 1e6) + self.number + (1 << 40)
         config = UpstreamLimitsConfig(
             name_of(self.number), self.started_at, self.seeds, first_number
@@ -72,9 +79,11 @@
         self.limits = UpstreamLimits.from_config(config)
 
     def clock(self, now: float) -> float:
+        """Return the time of its clock that stands still while it is frozen."""
         return now - self.frozen_seconds
 
     def alive(self, now: float) -> list[str]:
+        """List the other gateways that it heard lately."""
         return [
             name
             for name, at in self.last_heard.items()
@@ -114,6 +123,7 @@
     def create(
         self, number: int, started_at: float, seeds: frozenset[str]
     ) -> SimulatedGateway:
+        """Create a gateway that knows nothing, and connect it to the network."""
         gateway = SimulatedGateway(number, started_at, seeds)
         limits = gateway.limits
         limits.send = lambda peer, message: self.post(
@@ -124,50 +134,60 @@
         )
         return gateway
 
-    def post(self, sender: int, receiver: int, message, delay: float = 0.0) -> None:
+    def post(self, sender: int, receiver: int, message: LimitMessage | Alive) -> None:
+        """Send a message to one gateway."""
         latency = self.latency if sender != receiver else 0.0
-        due_at = self.now + latency + delay
+        due_at = self.now + latency
         self.messages.append(Sent(due_at, sender, receiver, message))
 
-    def tell_all(self, sender: int, message) -> None:
+    def tell_all(self, sender: int, message: LimitMessage | Alive) -> None:
+        """Send a message to all other gateways."""
         for receiver in range(self.count):
             if receiver != sender:
                 self.post(sender, receiver, message)
 
     def connected(self, one: int, other: int) -> bool:
+        """Return whether two gateways are in the same half."""
         return (self.halves >> one & 1) == (self.halves >> other & 1)
 
     # Faults.
 
     def split(self, halves: int) -> None:
+        """Cut the gateways of a bit mask off from the others."""
         self.halves = halves % (1 << self.count)
 
     def restart(self, number: int) -> None:
+        """Replace a gateway by one that knows nothing."""
         number %= self.count
         seeds = self.gateways[number].seeds
         self.gateways[number] = self.create(number, self.now, seeds)
 
     def freeze(self, number: int, seconds: float) -> None:
+        """Suspend a gateway for some time."""
         gateway = self.gateways[number % self.count]
         if gateway.frozen_until <= self.now:
             gateway.frozen_until = self.now + seconds
             gateway.frozen_seconds += seconds
 
     def drop(self, number: int) -> None:
+        """Lose a message that is on its way."""
         if self.messages:
             self.messages.pop(number % len(self.messages))
 
     def delay(self, number: int, seconds: float) -> None:
+        """Deliver a message later."""
         if self.messages:
             sent = self.messages.pop(number % len(self.messages))
             self.messages.append(sent._replace(due_at=sent.due_at + seconds))
 
     def double(self, number: int, seconds: float) -> None:
+        """Deliver a message a second time, later."""
         if self.messages:
             sent = self.messages[number % len(self.messages)]
             self.messages.append(sent._replace(due_at=sent.due_at + seconds))
 
     def name_limit(self, limit: float | None) -> None:
+        """Let the upstream name another limit, or none, from now on."""
         self.limit = limit
 
     # Time.
@@ -185,6 +205,7 @@
             self.step()
 
     def step(self) -> None:
+        """Pass one step of time."""
         self.now += STEP_SECONDS
         self.steps += 1
         self.deliver()
@@ -211,6 +232,7 @@
                 )
 
     def receive(self, gateway: SimulatedGateway, sent: Sent) -> None:
+        """Let a gateway handle a message."""
         match sent.message:
             case Alive(started_at=started_at):
                 name = name_of(sent.sender)
--- a/packages/emulator/src/cowslipshelf_emulator/program.py
+++ b/packages/emulator/src/cowslipshelf_emulator/program.py
@@ -10,6 +10,12 @@
 
 from cowslipshelf_emulator.internal.ablation import ablate
 from cowslipshelf_emulator.internal.fleet import build
+from cowslipshelf_emulator.internal.limit_cases import (
+    CASES,
+    DIVISIONS,
+    play_case,
+    play_history,
+)
 from cowslipshelf_emulator.internal.load import FLEETS, draw_arrivals
 from cowslipshelf_emulator.internal.log_comparison import compare, read_attempts
 from cowslipshelf_emulator.internal.policies import POLICIES
@@ -81,11 +87,40 @@
             )
 
 
+@cappa.command(name="limits")
+@dataclass
+class Limits:
+    """Play gateways that share the limit of one upstream."""
+
+    seeds: Annotated[int, cappa.Arg(long=True)] = 3
+    first: Annotated[int, cappa.Arg(long=True, help="the first seed")] = 0
+    histories: Annotated[
+        bool, cappa.Arg(long=True, help="random faults instead of given cases")
+    ] = False
+
+    def __call__(self) -> None:
+        """Print the fullest window, as a part of what is allowed, and the use."""
+        seeds = range(self.first, self.first + self.seeds)
+        if self.histories:
+            for seed in seeds:
+                played = play_history(seed)
+                print(
+                    f"seed {seed}: window {played.fullest:.3f}, used {played.used:.2f}"
+                )
+            return
+        for case in CASES:
+            for name, division in DIVISIONS.items():
+                results = [play_case(division, case, seed) for seed in seeds]
+                fullest = max(each.fullest for each in results)
+                used = sum(each.used for each in results) / len(results)
+                print(f"{case.name}, {name}: window {fullest:.2f}, used {used:.2f}")
+
+
 @dataclass
 class Emulator:
     """Emulate engines and the gateways before them."""
 
-    command: cappa.Subcommands[Play | Check | Ablate]
+    command: cappa.Subcommands[Play | Check | Ablate | Limits]
 
 
 def print_figures(title: str, result: Figures) -> None:
--- a/tests/cover/gateway_core/test_upstream_limits.py
+++ b/tests/cover/gateway_core/test_upstream_limits.py
@@ -4,7 +4,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from common.limited_fleet import UPSTREAM, WINDOW_SECONDS, LimitedFleet, name_of
 from cowslipshelf_core.dialect import LimitNamed, LimitUnreadable, NoLimit
 from cowslipshelf_core.gateway import (
     AskPermits,
@@ -12,6 +11,14 @@
     PermitIssuer,
     PermitsReturned,
 )
+from cowslipshelf_emulator.limits import (
+    CASES,
+    UPSTREAM,
+    LimitedFleet,
+    allowed_in_window,
+    name_of,
+    play_case,
+)
 
 LIMITS = st.sampled_from([0.25, 1.0, 4.0, 30.0])
 NUMBERS = st.integers(0, 1000)
@@ -27,10 +34,6 @@
 )
 
 
-def allowed(limit: float) -> float:
-    return 1.5 * limit * WINDOW_SECONDS + 5
-
-
 @settings(max_examples=150)
 @given(st.lists(STEPS, min_size=5, max_size=40), st.integers(1, 8), LIMITS)
 def test_no_order_loss_restart_freeze_or_partition_exceeds_the_limit(
@@ -42,7 +45,7 @@
     fleet.wait(3.0)
     for name, *arguments in [*steps, ("wait", 5.0)]:
         getattr(fleet, name)(*arguments)
-    assert fleet.most_in_a_window() <= allowed(limit)
+    assert fleet.most_in_a_window() <= allowed_in_window(limit)
 
 
 @settings(max_examples=40)
@@ -59,7 +62,7 @@
     before = len(fleet.arrivals)
     fleet.wait(seconds)
     assert len(fleet.arrivals) - before >= 0.9 * limit * seconds - 1
-    assert fleet.most_in_a_window() <= allowed(limit)
+    assert fleet.most_in_a_window() <= allowed_in_window(limit)
 
 
 def test_a_permit_that_one_gateway_does_not_use_goes_to_another():
@@ -187,3 +190,11 @@
     assert book("far", 1, 0.01) == 0
     assert book("near", 2, 1.005) == 0
     assert book("far", 2, 1.02) == 1
+
+
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_the_emulated_cases_keep_the_limit_and_use_it(case):
+    """Guards against figures of the emulator that the product no longer reaches."""
+    played = play_case(LimitedFleet, case, seed=1)
+    assert played.fullest <= 1.0
+    assert played.used >= (0.5 if "halves" in case.name else 0.9)
--- a/tests/soak/limits.py
+++ b/tests/soak/limits.py
@@ -13,13 +13,15 @@
 class UpstreamLimit:
     """Hold the limit of one upstream, and the arrivals while it was named.
 
-    Excused is what follows faults after which no gateway knows the limit, and disturbed
-    links, which deliver late what was sent in time.
+    Not judged is what follows faults after which no gateway knows the limit, and what
+    comes over a disturbed link, which delivers late what was sent in time.
     """
 
     requests_per_second: float | None = None
     named_at: float | None = None
     """Time of the first answer that named the limit."""
+    judged_from: float = 0.0
+    """Time from which arrivals are judged, after a disturbance of the link."""
     arrivals: list[float] = field(default_factory=list)
     most: float = 0.0
     """Most arrivals in any window that was judged, as a part of what was allowed."""
@@ -44,15 +46,22 @@
             self.named_at = None
             self.arrivals = []
 
-    def excuse(self) -> None:
-        """Judge what came until now, and begin anew."""
+    def forget(self) -> None:
+        """Judge what came until now; the limit has to be learned again."""
         self.change(self.requests_per_second)
 
+    def disturb_link(self, seconds: float) -> None:
+        """Judge what came until now, and go on after some time."""
+        with self.lock:
+            self.judge()
+            self.judged_from = time.monotonic() + seconds
+            self.arrivals = []
+
     def judge(self) -> None:
         """Find the fullest window once the limit had to be kept."""
         if self.named_at is None:
             return
-        since = self.named_at + SETTLE_SECONDS
+        since = max(self.named_at + SETTLE_SECONDS, self.judged_from)
         counted = [at for at in self.arrivals if at >= since]
         allowed = 1.5 * self.requests_per_second * WINDOW_SECONDS + 5
         for first in counted:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -34,6 +34,8 @@
 RECOVER_SECONDS = 12.0
 REQUESTS_PER_SECOND = (None, None, 2, 5, 20)
 """Limits that upstreams name."""
+LATE_SECONDS = 1.0
+"""Time after a disturbance of a link in which it delivers what it held."""
 FAULT_PAUSE_SECONDS = (0.2, 1.5)
 FAULT_SECONDS = (0.3, 3.0)
 EVENT_PAUSE_SECONDS = 0.03
@@ -231,7 +233,7 @@
         """Kill up to `MAX_LOST_IN_MEMORY` gateways, if all replicas are voters."""
         count = self.random.randint(1, MAX_LOST_IN_MEMORY)
         killed = self.random.sample(self.fleet.gateways, count)
-        self.excuse(*self.limits)
+        self.forget_limits()
         pause = self.random.uniform(0, 0.5)
         if not self.all_vote_in_memory():
             return
@@ -255,7 +257,7 @@
 
     def kill_all(self) -> None:
         """Kill every gateway at the same moment."""
-        self.excuse(*self.limits)
+        self.forget_limits()
         for gateway in self.fleet.gateways:
             gateway.kill()
         for gateway in self.fleet.gateways:
@@ -281,29 +283,28 @@
     def disturb_link(self) -> None:
         """Put a link into a random mode for a random time."""
         link = self.random.choice(self.links)
-        limit = self.limits[self.links.index(link)]
-        self.excuse(limit)
+        seconds = self.random.uniform(*FAULT_SECONDS)
+        self.limits[self.links.index(link)].disturb_link(seconds + LATE_SECONDS)
         link.mode = self.random.choice(list(LinkMode))
-        time.sleep(self.random.uniform(*FAULT_SECONDS))
+        time.sleep(seconds)
         link.mode = LinkMode.PASSES
-        self.excuse(limit)
 
     def restart_upstream(self) -> None:
         """Restart an upstream under a new start id, known from its next heartbeat."""
         upstream = self.random.choice(self.upstreams)
         upstream.upstream_id = f"{upstream.upstream_id.split('.')[0]}.{uuid.uuid4()}"
         upstream.sequence = 0
-        self.excuse(self.limits[self.upstreams.index(upstream)])
+        self.limits[self.upstreams.index(upstream)].forget()
 
     def change_limit(self) -> None:
         """Let an upstream name another limit, or none."""
         limit = self.random.choice(self.limits)
         limit.change(self.random.choice(REQUESTS_PER_SECOND))
 
-    def excuse(self, *limits: UpstreamLimit) -> None:
-        """Begin to judge some limits anew."""
-        for limit in limits:
-            limit.excuse()
+    def forget_limits(self) -> None:
+        """Begin to judge all limits anew, since no gateway may know them."""
+        for limit in self.limits:
+            limit.forget()
 
     # The complete run.
 
@@ -331,7 +332,7 @@
     def check_limits(self) -> None:
         """Check that no upstream got more than the limits that it named allow."""
         for upstream, limit in zip(self.upstreams, self.limits, strict=True):
-            limit.excuse()
+            limit.forget()
             if limit.most > 1.0:
                 text = f"{upstream.upstream_id} got {limit.most:.2f} of what it allowed"
                 self.recorder.record_violation(text)
