--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -5,7 +5,6 @@
 import uuid
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable
-from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
 from typing import Self
@@ -17,7 +16,6 @@
     AnswerTimes,
     ColdChoice,
     ColdLimiter,
-    ColdLimiterConfig,
     ColdReport,
     DataCentreOutages,
     EngineTracker,
@@ -34,11 +32,9 @@
     RouteConfiguration,
     RouteTable,
     ServiceRetryBudget,
-    ServiceRetryBudgetConfig,
     UpstreamHealth,
     UpstreamHeartbeat,
     UpstreamLimits,
-    UpstreamLimitsConfig,
     UpstreamPhase,
     UpstreamRegistry,
     UpstreamStart,
@@ -55,6 +51,11 @@
 )
 from cowslipshelf_core.messages import EvacuationState, RoutesDocument
 from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
+from cowslipshelf_daemon.internal.gateway.decider_settings import (
+    cold_limiter_config,
+    retry_budget_config,
+    upstream_limits_config,
+)
 from cowslipshelf_daemon.internal.gateway.settings import GatewaySettings
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_observer import UpstreamObserver
@@ -68,8 +69,6 @@
 RESTORED_SECONDS = 2.5
 """Time for which upstreams restored after a restart are used: two heartbeats, plus the
 time that an upstream takes to find a gateway that answers again."""
-MIN_PERMIT_WAIT_SECONDS = 0.005
-QUESTION_NUMBER_BITS = 62
 NO_DOCUMENT = RoutesDocument(RouteConfiguration(0).version, "", b"")
 
 
@@ -127,7 +126,7 @@
                 None if settings.first_start else time.monotonic(),
             ),
             ColdLimiter.from_config(cold_limiter_config(settings, time.monotonic())),
-            upstream_limits(settings),
+            UpstreamLimits.from_config(upstream_limits_config(settings)),
             UpstreamObserver.from_settings(settings, registry, peers),
             on_work_changed=lambda _changed: None,
             on_start_replaced=lambda _former, _later: None,
@@ -414,30 +413,6 @@
         waiting = self.permit_waiters[service] if self.permit_waiters else 0
         return self.limits.choose(upstream_ids, waiting, boot_seconds())
 
-    async def wait_for_permit(
-        self, service: ServiceName, upstream_ids: Collection[UpstreamId], until: float
-    ) -> LimitChoice:
-        """Wait until one of some limited upstreams has room, or none will in time.
-
-        Return which have none. `until` is a boot time.
-        """
-        self.permit_waiters[service] += 1
-        try:
-            while True:
-                choice = self.limit_choice(service, upstream_ids)
-                now = boot_seconds()
-                has_room = len(choice.blocked) < len(upstream_ids)
-                if has_room or now + choice.retry_after_seconds >= until:
-                    return choice
-                wake_at = min(until, self.limits.next_change_at(choice.blocked))
-                seconds = max(MIN_PERMIT_WAIT_SECONDS, wake_at - now)
-                with suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), seconds)
-        finally:
-            self.permit_waiters[service] -= 1
-            if not self.permit_waiters[service]:
-                del self.permit_waiters[service]
-
     def cold_upstreams(self) -> frozenset[UpstreamId]:
         """Return the cold upstreams of all services."""
         now = time.monotonic()
@@ -526,34 +501,3 @@
     def all_heartbeats(self) -> tuple[HeartbeatSeen, ...]:
         """List the latest heartbeats of all upstreams, for a peer or a restart."""
         return self.registry.all_heartbeats(time.monotonic())
-
-
-def retry_budget_config(settings: GatewaySettings) -> ServiceRetryBudgetConfig:
-    """Return the retry budget that the settings define."""
-    return ServiceRetryBudgetConfig(
-        settings.retry_budget_window_seconds,
-        settings.retry_budget_ratio,
-        settings.retry_budget_slack,
-    )
-
-
-def upstream_limits(settings: GatewaySettings) -> UpstreamLimits:
-    """Return the limits of upstreams that a gateway knows at its start: none."""
-    first_number = Random().getrandbits(QUESTION_NUMBER_BITS)
-    seeds = frozenset(settings.seeds)
-    return UpstreamLimits.from_config(
-        UpstreamLimitsConfig(settings.instance, boot_seconds(), seeds, first_number)
-    )
-
-
-def cold_limiter_config(
-    settings: GatewaySettings, started_at: float
-) -> ColdLimiterConfig:
-    """Return the limit on cold upstreams that the settings define."""
-    return ColdLimiterConfig(
-        settings.instance,
-        started_at,
-        settings.upstream_heartbeat_seconds,
-        settings.cold_over,
-        settings.cold_slack,
-    )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -7,7 +7,6 @@
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.gateway import (
     HeldBack,
-    LimitChoice,
     choose_service,
     request_digest,
 )
@@ -28,13 +27,13 @@
     DeliveryProgress,
     FailedThere,
 )
-from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
 from cowslipshelf_daemon.internal.gateway.http_server import (
     AnswerCutError,
     HttpRequest,
     Responder,
 )
+from cowslipshelf_daemon.internal.gateway.permit_waits import wait_for_permit
 from cowslipshelf_daemon.internal.gateway.placement import (
     NoPlacement,
     Placement,
@@ -57,8 +56,6 @@
 
 BAD_ANSWER = 502
 OUT_OF_TIME = 504
-MAX_PERMIT_WAIT_SECONDS = 1.5
-"""Longest wait for a permit, if the limits of all upstreams leave no room."""
 MIN_LEFT_SECONDS = 0.02
 """Time left below which no upstream is tried: one round trip takes as long."""
 OUTAGE_RETRY_SECONDS = 0.5
@@ -197,7 +194,9 @@
             ):
                 continue
             if isinstance(placement, NoPlacement) and placement.limited:
-                choice = await self.wait_for_permit(service, placement, left, progress)
+                choice = await wait_for_permit(
+                    self.view, service, placement.limited, left, progress
+                )
                 if choice.blocked != placement.limited:
                     continue
                 placement = no_room(self.view, choice)
@@ -231,21 +230,6 @@
             seconds,
         )
 
-    async def wait_for_permit(
-        self,
-        service: ServiceName,
-        placement: NoPlacement,
-        left: float,
-        progress: RequestProgress,
-    ) -> LimitChoice:
-        """Wait for a permit if one is due soon; return which upstreams have no room."""
-        if progress.permit_wait_until is None:
-            seconds = min(MAX_PERMIT_WAIT_SECONDS, left * MAX_WAIT_SHARE)
-            progress.permit_wait_until = boot_seconds() + seconds
-        return await self.view.wait_for_permit(
-            service, placement.limited, progress.permit_wait_until
-        )
-
     def may_retry(self, service: ServiceName) -> bool:
         """Take one retry from the budget shared by all gateways, if any is left."""
         now = time.monotonic()
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -32,6 +32,7 @@
 APPLY_SECONDS = 2.0
 """Seconds after its acknowledgement within which a change must be in force."""
 RECOVER_SECONDS = 12.0
+FIRST_REQUESTS_PER_SECOND = 5
 REQUESTS_PER_SECOND = (None, None, 2, 5, 20)
 """Limits that upstreams name."""
 LATE_SECONDS = 1.0
@@ -92,6 +93,7 @@
         self.faults: list[str] = []
         for number in range(UPSTREAMS):
             self.add_upstream(number)
+        self.limits[0].change(FIRST_REQUESTS_PER_SECOND)
 
     def add_upstream(self, number: int) -> None:
         """Start an upstream behind its own faulty link."""
