Give the thread of a silent peer time to send its bytes

Traced: with a peer that writes 0.15 s late the test fails exactly so, for each case in which bytes come first; the client's silence was 0.1 s, and whether the thread of the peer writes within it depends on the load only. That the client then reports the start of an answer as silent is right. So the check was wrong where bytes come first: the silence there is 2 s now. It checks the same steps, pieces and error; without bytes the silence is 0.1 s as before.

--- a/tests/cover/upstreams/test_engine_client.py
+++ b/tests/cover/upstreams/test_engine_client.py
@@ -23,6 +23,8 @@
 )
 
 SILENCE_SECONDS = 0.1
+SILENCE_AFTER_BYTES_SECONDS = 2.0
+"""Silence that the thread of a peer does not reach before it has sent its bytes."""
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
@@ -84,8 +86,9 @@
         peer.sendall(sent)
         release.wait(30.0)
 
+    silence_seconds = SILENCE_AFTER_BYTES_SECONDS if sent else SILENCE_SECONDS
     with scripted_peer(hold) as address:
-        pieces, error = collect(address, SILENCE_SECONDS)
+        pieces, error = collect(address, silence_seconds)
         release.set()
     assert error is not None
     assert error.step == ("stream" if sent else "start")
