Show in the logs how an answer was framed, and streams that end inside an event

The logs could not tell whether a stream that reached its caller as complete had ended with its length, its last chunk or its connection, nor whether bytes of an event were left over. `Attempt ended.` names the framing now, and a warning each stream that ends inside an event. No change of logic.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -267,7 +267,7 @@
         if head.status >= SERVER_ERROR:
             return FailedThere(head, body)
         await self.deliver(task, head, body)
-        return Answered(head.status)
+        return Answered(head.status, framing=head.framing)
 
     def record_limit(
         self, task: AttemptTask, placement: Placement, facts: AnswerFacts
@@ -365,10 +365,19 @@
             taken_at = time.monotonic()
             slowness_watch.record_taken(taken_at)
             link_watch.record_event(pace.last_at, taken_at)
+        if splitter.buffer:
+            LOG.warning(
+                "Stream ended inside an event.",
+                request=task.facts.attempt_id,
+                upstream=placement.upstream.upstream_id,
+                framing=head.framing,
+                unfinished_bytes=len(splitter.buffer),
+                last_event=task.delivery.last_event_id,
+            )
         self.begin_stream(task, head)
         await task.responder.write(splitter.take_rest())
         await task.responder.end()
-        return Answered(head.status, pace)
+        return Answered(head.status, pace, head.framing)
 
     def begin_stream(self, task: AttemptTask, head: UpstreamHead) -> None:
         """Send the head of a streamed answer, unless it was sent before."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt_outcomes.py
@@ -8,6 +8,7 @@
 from cowslipshelf_core.identifiers import AttemptId, CustomerName, UpstreamId
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest, Responder
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
+    BodyFraming,
     UpstreamConnection,
     UpstreamHead,
 )
@@ -38,6 +39,7 @@
 
     status: int
     pace: StreamPace | None = None
+    framing: BodyFraming | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -351,6 +351,7 @@
             outcome=type(outcome).__name__,
             detail=getattr(outcome, "detail", ""),
             status=getattr(outcome, "status", None),
+            framing=getattr(outcome, "framing", None),
             seconds=round(time.monotonic() - began, 4),
             first=round(pace.first, 4) if pace and pace.first else None,
             pause=round(pace.longest_pause, 4) if pace else None,
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator, Callable
+from enum import StrEnum
 from typing import NamedTuple
 
 import h11
@@ -34,12 +35,31 @@
         """Whether the upstream closed the connection, as a process that exits does."""
 
 
+class BodyFraming(StrEnum):
+    """Name what tells where the body of an answer ends."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The end of the connection."""
+
+
 class UpstreamHead(NamedTuple):
     """Hold the status and headers of an answer."""
 
     status: int
     headers: Headers
 
+    @property
+    def framing(self) -> BodyFraming:
+        """Return what tells where the body ends; chunks go before a length."""
+        names = {name for name, _ in self.headers}
+        if b"transfer-encoding" in names:
+            return BodyFraming.CHUNKS
+        if b"content-length" in names:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
+
 
 class UpstreamConnection:
     """Manage one connection to an upstream."""
