--- a/tests/common/scripted_upstream.py
+++ b/tests/common/scripted_upstream.py
@@ -51,6 +51,24 @@
         """Complete a stream."""
         self.connection.sendall(b"0\r\n\r\n")
 
+    def answer_stream(self, body: bytes, framing: str) -> None:
+        """Send a stream whose framing says that it is complete."""
+        fields = {"Content-Type": "text/event-stream"} | self.signature()
+        match framing:
+            case "length":
+                fields["Content-Length"] = str(len(body))
+            case "chunks":
+                fields["Transfer-Encoding"] = "chunked"
+                body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+        self.connection.sendall(head(200, fields) + body)
+        if framing == "connection":
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection as a process that exits does, without a reset."""
+        self.reader.close()
+        self.connection.close()
+
     def cut(self) -> None:
         """Reset the connection."""
         reset = b"\x01\x00\x00\x00\x00\x00\x00\x00"
