Don't pass on the length of a stream that another upstream may resume

Callers whose stream began with a length lost it when another upstream resumed it: the connection closed at the first length, or was cut short of it. The length of the first answer was passed on, and only an answer of the same bytes could fit it. A stream is now framed by the gateway itself.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -380,9 +380,16 @@
         return Answered(head.status, pace, head.framing)
 
     def begin_stream(self, task: AttemptTask, head: UpstreamHead) -> None:
-        """Send the head of a streamed answer, unless it was sent before."""
+        """Send the head of a streamed answer, unless it was sent before.
+
+        Without a length, since a resumed stream may have another one.
+        """
         if not task.responder.begun:
-            headers = self.dialect.answer_headers(head.headers)
+            headers = [
+                pair
+                for pair in self.dialect.answer_headers(head.headers)
+                if pair[0] != b"content-length"
+            ]
             task.responder.begin(head.status, headers)
 
 
--- a/tests/common/scripted_upstream.py
+++ b/tests/common/scripted_upstream.py
@@ -51,12 +51,15 @@
         """Complete a stream."""
         self.connection.sendall(b"0\r\n\r\n")
 
-    def answer_stream(self, body: bytes, framing: str) -> None:
-        """Send a stream whose framing says that it is complete."""
+    def answer_stream(self, body: bytes, framing: str, missing: int = 0) -> None:
+        """Send a stream that is complete by its framing, or lacks bytes of its length.
+
+        Framed by the connection, it is complete when that closes.
+        """
         fields = {"Content-Type": "text/event-stream"} | self.signature()
         match framing:
             case "length":
-                fields["Content-Length"] = str(len(body))
+                fields["Content-Length"] = str(len(body) + missing)
             case "chunks":
                 fields["Transfer-Encoding"] = "chunked"
                 body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
--- a/tests/nocover/gateway/test_broken_streams.py
+++ b/tests/nocover/gateway/test_broken_streams.py
@@ -99,6 +99,21 @@
         assert read_until_broken(answer) == (FIRST_EVENT + REST, True)
 
 
+def test_a_stream_with_a_length_is_resumed_by_one_of_another_length(fleet, serve):
+    """Guards against a resumed stream that is cut when the first length is reached."""
+
+    def stream(exchange: Exchange) -> None:
+        if exchange.request.headers.get("last-event-id") == "1":
+            exchange.answer_stream(REST, "length")
+            return
+        exchange.answer_stream(BROKEN_OFF, "length", missing=5)
+        exchange.cut()
+
+    serve(stream)
+    answer = ask(fleet.gateways[0], "/resumable/x", "POST", b"prompt")
+    assert read_until_broken(answer) == (FIRST_EVENT + REST, True)
+
+
 @pytest.mark.parametrize("ends", LINE_ENDS)
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_a_whole_stream_is_passed_on_as_complete(fleet, serve, framing, ends):
