Pass on events at once however their lines end

Callers got an event only with the next one, or at the end of its stream, if a line that ends with LF is followed by a blank one that ends with CRLF or a lone CR: three ways to write the end of an event were looked for, and there are nine. The new test failed before for LF and CRLF (1 of 5 cases) and is green. The usual ends are found as before; a CR that may be the first half of a CRLF still waits for its LF.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
@@ -1,10 +1,14 @@
 """Split a stream into complete events, so that a broken one can be resumed."""
 
+import re
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 ID_FIELD = b"id:"
-LINE_ENDS = (b"\r\n\r\n", b"\n\n", b"\r\r")
+# A CR after CRLF or LF at the end of the bytes is probably the first half of a CRLF.
+EVENT_END = re.compile(rb"(?>\r\r\n?|(?>\r\n|\r|\n)(?>\r\n|\n|\r(?!\Z)))")
+MAX_EVENT_END_BYTES = 4
+USUAL_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 
 
 class EventBatch(NamedTuple):
@@ -27,22 +31,24 @@
     def feed(self, data: bytes) -> EventBatch | None:
         """Add bytes and return the events that they complete, or None."""
         # The blank line that ends an event may begin in the buffered bytes.
-        begin = max(0, len(self.buffer) - len(LINE_ENDS[0]))
+        begin = max(0, len(self.buffer) - MAX_EVENT_END_BYTES + 1)
         self.buffer += data
-        end = max(
-            (
-                self.buffer.rfind(mark, begin) + len(mark)
-                for mark in LINE_ENDS
-                if self.buffer.rfind(mark, begin) >= 0
-            ),
-            default=0,
-        )
+        end = self.end_of_events(begin)
         if end == 0:
             return None
         whole = bytes(self.buffer[:end])
         del self.buffer[:end]
         return EventBatch(whole, last_event_id(whole))
 
+    def end_of_events(self, begin: int) -> int:
+        """Return the length of the complete events; the first ends after `begin`."""
+        if self.buffer.endswith(USUAL_EVENT_ENDS):
+            return len(self.buffer)
+        end = 0
+        for match in EVENT_END.finditer(self.buffer, begin):
+            end = match.end()
+        return end
+
     def take_rest(self) -> bytes:
         """Return and clear the bytes left at the end of a complete stream."""
         rest = bytes(self.buffer)
@@ -60,4 +66,4 @@
 
 def count_events(data: bytes) -> int:
     """Return how many events some complete ones are."""
-    return sum(data.count(mark) for mark in LINE_ENDS)
+    return len(EVENT_END.findall(data))
--- a/tests/cover/gateway/test_event_stream.py
+++ b/tests/cover/gateway/test_event_stream.py
@@ -1,9 +1,14 @@
 """Check that a stream is forwarded in whole events, however it is fragmented."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from cowslipshelf_daemon.internal.gateway.event_stream import EventSplitter
+from cowslipshelf_daemon.internal.gateway.event_stream import (
+    EventBatch,
+    EventSplitter,
+    count_events,
+)
 
 END = st.sampled_from(["\n\n", "\r\n\r\n"])
 EVENTS = st.lists(
@@ -38,3 +43,11 @@
     assert out == whole
     assert splitter.take_rest() == half
     assert last == (str(events[-1][0]) if events else None)
+
+
+@pytest.mark.parametrize("end", ["\n\n", "\r\n\r\n", "\r\r", "\r\n\n", "\n\r\n"])
+def test_an_event_is_passed_on_before_the_next_one_begins(end):
+    """Guards against events that are held until the stream ends."""
+    data = f"id: 1\ndata: x{end}".encode()
+    assert EventSplitter().feed(data) == EventBatch(data, "1")
+    assert count_events(data) == 1
