Take a stream that ends inside an event for broken off

What callers saw: status 200, half an event and a proper end of the answer. The cause: a gateway took the framing of an upstream's answer, its length, last chunk or connection, as the only judge of where a stream ends, and passed the unfinished event on before it ended its own answer. Whatever frames a stream completes it even if the upstream broke off.

Now a stream must also end outside of an event, in the terms of the format: behind the blank line of its last event, with comments after it at most. Else the attempt counts as broken, and the request is resumed where it may be, or its answer is cut. The same holds for event streams on other routes. Answers of another media type or with a content coding are whole by their framing alone, as before.

Properties cut and write streams in any way; whole ones stay whole with all line ends.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/attempt.py
@@ -52,6 +52,7 @@
 from cowslipshelf_daemon.internal.gateway.unix_time import unix_milliseconds
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     MAX_BUFFERED_BYTES,
+    BodyFraming,
     UpstreamConnection,
     UpstreamHead,
     UpstreamLostError,
@@ -264,6 +265,8 @@
         if task.route.kind is RouteKind.STREAM and head.status < 300:
             return await self.forward_stream(task, placement, connection, head, began)
         body = await connection.whole_body()
+        if head.holds_events(by_default=False):
+            check_end(connection, head, EventSplitter(bytearray(body)))
         if head.status >= SERVER_ERROR:
             return FailedThere(head, body)
         await self.deliver(task, head, body)
@@ -365,15 +368,8 @@
             taken_at = time.monotonic()
             slowness_watch.record_taken(taken_at)
             link_watch.record_event(pace.last_at, taken_at)
-        if splitter.buffer:
-            LOG.warning(
-                "Stream ended inside an event.",
-                request=task.facts.attempt_id,
-                upstream=placement.upstream.upstream_id,
-                framing=head.framing,
-                unfinished_bytes=len(splitter.buffer),
-                last_event=task.delivery.last_event_id,
-            )
+        if head.holds_events(by_default=True):
+            check_end(connection, head, splitter)
         self.begin_stream(task, head)
         await task.responder.write(splitter.take_rest())
         await task.responder.end()
@@ -393,6 +389,22 @@
             task.responder.begin(head.status, headers)
 
 
+def check_end(
+    connection: UpstreamConnection, head: UpstreamHead, splitter: EventSplitter
+) -> None:
+    """Raise `UpstreamLostError` if a stream has ended inside an event.
+
+    Whatever frames the answer may complete it although the upstream broke off.
+    """
+    if splitter.is_inside_event():
+        raise connection.lost(
+            "read answer",
+            f"ended inside an event, {len(splitter.buffer)} bytes after the last "
+            f"whole one, framed by {head.framing}",
+            upstream_exited=head.framing is BodyFraming.CONNECTION,
+        )
+
+
 def not_reserved(memory: ReservedMemory) -> NotReserved:
     """Tell the engines that gave no answer from those that had no memory."""
     missing = [answer for answer in memory.answers if not answer.granted]
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
@@ -9,6 +9,8 @@
 EVENT_END = re.compile(rb"(?>\r\r\n?|(?>\r\n|\r|\n)(?>\r\n|\n|\r(?!\Z)))")
 MAX_EVENT_END_BYTES = 4
 USUAL_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+LINE_ENDS = (b"\n", b"\r")
+COMMENT_MARK = b":"
 
 
 class EventBatch(NamedTuple):
@@ -49,6 +51,20 @@
             end = match.end()
         return end
 
+    def is_inside_event(self) -> bool:
+        """Return whether a stream that ends here breaks off inside an event.
+
+        Comments belong to no event. A line without an end counts as one, whatever it
+        is: the format has an end of each line, so more was to come.
+        """
+        inside = False
+        for line in self.buffer.splitlines(keepends=True):
+            if not line.endswith(LINE_ENDS):
+                return True
+            is_blank = not line.rstrip(b"\r\n")
+            inside = not is_blank and (inside or not line.startswith(COMMENT_MARK))
+        return inside
+
     def take_rest(self) -> bytes:
         """Return and clear the bytes left at the end of a complete stream."""
         rest = bytes(self.buffer)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -10,6 +10,8 @@
 
 from cowslipshelf_core.dialect import Headers, OutgoingRequest
 
+EVENT_STREAM = b"text/event-stream"
+IDENTITY = b"identity"
 READ_BYTES = 65_536
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """Longest answer or event that is buffered; twice the largest request body."""
@@ -60,6 +62,18 @@
             return BodyFraming.LENGTH
         return BodyFraming.CONNECTION
 
+    def holds_events(self, by_default: bool) -> bool:
+        """Return whether the body is readable as server-sent events.
+
+        `by_default` holds for an answer that names no media type.
+        """
+        values = dict(self.headers)
+        media_type = values.get(b"content-type", b"").partition(b";")[0].strip().lower()
+        coding = values.get(b"content-encoding", IDENTITY).strip().lower()
+        if coding != IDENTITY:
+            return False
+        return media_type == EVENT_STREAM if media_type else by_default
+
 
 class UpstreamConnection:
     """Manage one connection to an upstream."""
--- a/tests/cover/gateway/test_event_stream.py
+++ b/tests/cover/gateway/test_event_stream.py
@@ -1,5 +1,7 @@
 """Check that a stream is forwarded in whole events, however it is fragmented."""
 
+from itertools import cycle
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +17,15 @@
     st.tuples(st.integers(0, 99), st.text("abc ", max_size=8), END), max_size=6
 )
 
+LINE_END = st.sampled_from(["\n", "\r\n", "\r"])
+MIXED_EVENTS = st.lists(
+    st.tuples(st.text("abc ", max_size=8), LINE_END, LINE_END, LINE_END), max_size=6
+)
+COMMENTS = st.lists(
+    st.tuples(st.sampled_from(["", ": ping", ":"]), LINE_END), max_size=3
+)
+CUTS = st.lists(st.integers(1, 9), min_size=1)
+
 
 def event(number: int, text: str, end: str) -> bytes:
     line = end[: len(end) // 2]
@@ -45,6 +56,45 @@
     assert last == (str(events[-1][0]) if events else None)
 
 
+def mixed_event(text: str, first: str, second: str, blank: str) -> bytes:
+    # A lone CR before LF would be one line end instead of two.
+    blank = "\r\n" if (second, blank) == ("\r", "\n") else blank
+    return f"id: 1{first}data: {text}{second}{blank}".encode()
+
+
+def feed_in_pieces(splitter: EventSplitter, data: bytes, cuts: list[int]) -> bytes:
+    """Feed data cut into pieces of the given sizes; return the complete events."""
+    out, position, sizes = b"", 0, cycle(cuts)
+    while position < len(data):
+        step = next(sizes)
+        batch = splitter.feed(data[position : position + step])
+        position += step
+        out += batch.data if batch is not None else b""
+    return out
+
+
+@given(MIXED_EVENTS, COMMENTS, CUTS)
+def test_a_whole_stream_ends_outside_of_an_event(events, comments, cuts):
+    """Guards against whole streams that count as broken for how they are written."""
+    whole = b"".join(mixed_event(*each) for each in events)
+    whole += "".join(text + end for text, end in comments).encode()
+    splitter = EventSplitter()
+    out = feed_in_pieces(splitter, whole, cuts)
+    assert not splitter.is_inside_event()
+    assert out + splitter.take_rest() == whole
+
+
+@given(MIXED_EVENTS, CUTS, st.data())
+def test_a_stream_cut_inside_an_event_is_noticed(events, cuts, data):
+    """Guards against a stream that broke off inside an event and counts as whole."""
+    last = mixed_event("text", *data.draw(st.tuples(LINE_END, LINE_END, LINE_END)))
+    kept = data.draw(st.integers(1, len(last.rstrip(b"\r\n"))))
+    splitter = EventSplitter()
+    whole = b"".join(mixed_event(*each) for each in events)
+    feed_in_pieces(splitter, whole + last[:kept], cuts)
+    assert splitter.is_inside_event()
+
+
 @pytest.mark.parametrize("end", ["\n\n", "\r\n\r\n", "\r\r", "\r\n\n", "\n\r\n"])
 def test_an_event_is_passed_on_before_the_next_one_begins(end):
     """Guards against events that are held until the stream ends."""
--- a/tests/nocover/gateway/test_broken_streams.py
+++ b/tests/nocover/gateway/test_broken_streams.py
@@ -1,11 +1,13 @@
 """Check on real gateways that a caller can tell a broken stream from a whole one."""
 
 from http.client import HTTPException, HTTPResponse
+from uuid import uuid4
 
 import pytest
 
 from common.gateway_fleet import (
     Fleet,
+    GatewayProcess,
     ask,
     document,
     route,
@@ -18,26 +20,28 @@
 FIRST_EVENT = b"id: 1\ndata: one\n\n"
 BROKEN_OFF = FIRST_EVENT + b"id: 2\ndata: tw"
 REST = b"id: 2\ndata: two\n\nid: 3\ndata: three\n\n"
-LINE_ENDS = {
-    "lf": (b"\n", b"\n\n"),
-    "crlf": (b"\r\n", b"\r\n\r\n"),
-    "cr": (b"\r", b"\r\r"),
-    "crlf-then-lf": (b"\r\n", b"\r\n\n"),
-    "lf-then-crlf": (b"\n", b"\n\r\n"),
-    "cr-then-crlf": (b"\r", b"\r\r\n"),
-    "two-blank-lines": (b"\n", b"\n\n\n"),
-}
-
-
-@pytest.fixture(scope="module")
-def fleet(tmp_path_factory):
-    with running_fleet(tmp_path_factory.mktemp("fleet")) as fleet:
+LINE_ENDS = (
+    (b"\n", b"\n\n"),
+    (b"\r\n", b"\r\n\r\n"),
+    (b"\r", b"\r\r"),
+    (b"\r\n", b"\r\n\n"),
+    (b"\n", b"\n\r\n"),
+    (b"\r", b"\r\r\n"),
+    (b"\n", b"\n\n\n"),
+)
+"""The end of a line, and that of an event, which is followed by a blank line."""
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with running_fleet(tmp_path) as fleet:
         stream = {"kind": "stream", "attempts": 3}
         fleet.accept(
             document(
                 1,
                 route("/resumable/", resumable=True, **stream),
                 route("/once/", **stream),
+                route("/safe/"),
             )
         )
         yield fleet
@@ -45,23 +49,26 @@
 
 @pytest.fixture
 def serve(fleet: Fleet):
-    """Return a function that makes one upstream after the other run a script."""
+    """Return a function that makes two upstreams run a script."""
     upstreams = []
 
-    def run(script, count: int = 2) -> list[ScriptedUpstream]:
-        names = (f"u-{id(script)}-{number}" for number in range(count))
-        upstreams.extend(ScriptedUpstream(name, "plain", script) for name in names)
+    def run(script) -> list[ScriptedUpstream]:
+        upstreams.extend(
+            ScriptedUpstream(name, "plain", script) for name in ("u-1", "u-2")
+        )
         send_heartbeats(fleet, *upstreams)
         return upstreams
 
     yield run
     for upstream in upstreams:
-        upstream.send_heartbeat(fleet.gateways[0].control, "draining")
-        for gateway in fleet.gateways:
-            upstream.send_heartbeat(gateway.control, "draining")
         upstream.stop()
 
 
+def stream(gateway: GatewayProcess, prefix: str) -> HTTPResponse:
+    """Ask for a stream that no other test has asked for."""
+    return ask(gateway, f"{prefix}{uuid4().hex}", "POST", b"prompt")
+
+
 def read_until_broken(answer: HTTPResponse) -> tuple[bytes, bool]:
     """Return the body, and whether the caller takes it for complete."""
     body = bytearray()
@@ -80,7 +87,7 @@
     """Guards against a caller that takes a stream which broke off for a whole one."""
     serve(lambda exchange: exchange.answer_stream(BROKEN_OFF, framing))
     for gateway in fleet.gateways:
-        answer = ask(gateway, "/once/x", "POST", b"prompt")
+        answer = stream(gateway, "/once/")
         assert answer.status == 200
         assert read_until_broken(answer) == (FIRST_EVENT, False)
 
@@ -89,44 +96,77 @@
 def test_a_stream_that_ends_inside_an_event_is_resumed(fleet, serve, framing):
     """Guards against a stream that ends short though another upstream may go on."""
 
-    def stream(exchange: Exchange) -> None:
+    def script(exchange: Exchange) -> None:
         resumed = exchange.request.headers.get("last-event-id") == "1"
         exchange.answer_stream(REST if resumed else BROKEN_OFF, framing)
 
-    serve(stream)
+    serve(script)
     for gateway in fleet.gateways:
-        answer = ask(gateway, "/resumable/x", "POST", b"prompt")
+        answer = stream(gateway, "/resumable/")
         assert read_until_broken(answer) == (FIRST_EVENT + REST, True)
 
 
 def test_a_stream_with_a_length_is_resumed_by_one_of_another_length(fleet, serve):
     """Guards against a resumed stream that is cut when the first length is reached."""
 
-    def stream(exchange: Exchange) -> None:
+    def script(exchange: Exchange) -> None:
         if exchange.request.headers.get("last-event-id") == "1":
             exchange.answer_stream(REST, "length")
             return
         exchange.answer_stream(BROKEN_OFF, "length", missing=5)
         exchange.cut()
 
-    serve(stream)
-    answer = ask(fleet.gateways[0], "/resumable/x", "POST", b"prompt")
+    serve(script)
+    answer = stream(fleet.gateways[0], "/resumable/")
     assert read_until_broken(answer) == (FIRST_EVENT + REST, True)
 
 
-@pytest.mark.parametrize("ends", LINE_ENDS)
 @pytest.mark.parametrize("framing", FRAMINGS)
-def test_a_whole_stream_is_passed_on_as_complete(fleet, serve, framing, ends):
+def test_a_whole_stream_is_passed_on_as_complete(fleet, serve, framing):
     """Guards against whole streams that are cut or run twice for how they are written.
 
     The last event is followed by a comment, which is no event.
     """
-    line, end = LINE_ENDS[ends]
-    events = b"".join(
-        b"id: %d%bdata: x%b" % (number, line, end) for number in range(1, 4)
-    )
-    body = events + b": bye" + line
-    upstreams = serve(lambda exchange: exchange.answer_stream(body, framing))
-    answer = ask(fleet.gateways[0], "/resumable/x", "POST", b"prompt")
-    assert read_until_broken(answer) == (body, True)
-    assert sum(len(each.seen) for each in upstreams) == 1
+    bodies = [
+        b"".join(b"id: %d%bdata: x%b" % (number, line, end) for number in range(1, 4))
+        + b": bye"
+        + line
+        for line, end in LINE_ENDS
+    ]
+    left = iter(bodies)
+    upstreams = serve(lambda exchange: exchange.answer_stream(next(left), framing))
+    for body in bodies:
+        answer = stream(fleet.gateways[0], "/resumable/")
+        assert read_until_broken(answer) == (body, True)
+    assert sum(len(each.seen) for each in upstreams) == len(bodies)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_an_event_stream_of_another_route_that_ends_inside_an_event_is_repeated(
+    fleet, serve, framing
+):
+    """Guards against a broken stream whose route is not one of streams."""
+    turns = iter([BROKEN_OFF])
+
+    def script(exchange: Exchange) -> None:
+        exchange.answer_stream(next(turns, FIRST_EVENT + REST), framing)
+
+    serve(script)
+    answer = ask(fleet.gateways[0], "/safe/x")
+    assert read_until_broken(answer) == (FIRST_EVENT + REST, True)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"Content_Type": "application/json"},
+        {"Content_Type": "text/event-stream", "Content_Encoding": "gzip"},
+    ],
+)
+def test_an_answer_that_holds_no_readable_events_is_whole_by_its_framing(
+    fleet, serve, headers
+):
+    """Guards against whole answers that are cut since they look like half an event."""
+    serve(lambda exchange: exchange.answer(200, b'{"a": 1}', **headers))
+    answer = stream(fleet.gateways[0], "/once/")
+    assert (answer.status, *read_until_broken(answer)) == (200, b'{"a": 1}', True)
