Reset the connection of a cut answer that only its end would complete

Callers of HTTP/1.0 saw each cut answer as complete: without chunks or a length, the end of the connection ends the answer, and a cut one was ended like a whole one, as were all answers under a gateway that was killed or whose grace was over.

From the head of such an answer to its last byte, closing the connection resets it, whoever closes it, the kernel for a killed process included. The gateway waits until the kernel has all bytes before that ends.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -16,6 +17,8 @@
 
 READ_AHEAD_BYTES = 262_144
 """Bytes buffered ahead of the parser; beyond this, reading pauses."""
+OLDEST_WITH_CHUNKS = b"1.1"
+"""HTTP version before which an answer without a length ends with its connection."""
 CLOSE_TIMEOUT_SECONDS = 2.0
 """Time for a caller to read the last answer before its connection is dropped."""
 
@@ -50,6 +53,7 @@
         self.connection = connection
         self.begun = False
         self.ended = False
+        self.ends_with_connection = False
 
     async def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
         """Send a complete answer."""
@@ -64,6 +68,10 @@
         self.begun = True
         if self.connection.server.closing or self.connection.close_after:
             headers = [*headers, (b"connection", b"close")]
+        has_length = any(name == b"content-length" for name, _ in headers)
+        if not has_length and not self.connection.takes_chunks:
+            self.ends_with_connection = True
+            self.connection.reset_if_closed(True)
         response = h11.Response(status_code=status, headers=headers)
         self.connection.send(response)
 
@@ -78,6 +86,8 @@
         self.connection.send(h11.EndOfMessage())
         self.ended = True
         await self.connection.drained()
+        if self.ends_with_connection:
+            self.connection.reset_if_closed(False)
 
 
 class HttpServer:
@@ -353,6 +363,27 @@
         if not self.writable.is_set():
             await self.writable.wait()
 
+    @property
+    def takes_chunks(self) -> bool:
+        """Return whether the caller reads answers in chunks."""
+        version = self.parser.their_http_version
+        return version is None or version >= OLDEST_WITH_CHUNKS
+
+    def reset_if_closed(self, enabled: bool) -> None:
+        """Set whether closing the connection, or the end of the process, resets it.
+
+        A caller takes the plain end of a connection for the end of an answer that has
+        neither a length nor chunks. While resets are enabled, `drained` waits until the
+        kernel has all bytes, since a reset discards what is left.
+        """
+        if self.transport.is_closing():
+            return
+        linger = struct.pack("ii", enabled, 0)
+        sock = self.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if enabled:
+            self.transport.set_write_buffer_limits(0)
+
     async def finish(self) -> None:
         """Flush the last bytes, then close."""
         if self.transport.is_closing():
--- a/tests/nocover/gateway/test_broken_streams.py
+++ b/tests/nocover/gateway/test_broken_streams.py
@@ -1,11 +1,14 @@
 """Check on real gateways that a caller can tell a broken stream from a whole one."""
 
+import socket
 from http.client import HTTPException, HTTPResponse
 from uuid import uuid4
 
 import pytest
 
 from common.gateway_fleet import (
+    HOST,
+    KEY,
     Fleet,
     GatewayProcess,
     ask,
@@ -170,3 +173,60 @@
     serve(lambda exchange: exchange.answer(200, b'{"a": 1}', **headers))
     answer = stream(fleet.gateways[0], "/once/")
     assert (answer.status, *read_until_broken(answer)) == (200, b'{"a": 1}', True)
+
+
+def ask_old_http(gateway: GatewayProcess, path: str) -> socket.socket:
+    """Send a request in HTTP/1.0, whose answers may end with the connection."""
+    connection = socket.create_connection((gateway.host, gateway.ports.callers), 10)
+    head = (
+        f"POST {path} HTTP/1.0\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+        f"X-Attempt-Id: {uuid4().hex}\r\nContent-Length: 6\r\n\r\nprompt"
+    )
+    connection.sendall(head.encode())
+    return connection
+
+
+def read_old_http(connection: socket.socket) -> tuple[bytes, bool]:
+    """Return the body, and whether the connection ended without a reset."""
+    received = bytearray()
+    try:
+        while data := connection.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        return bytes(received).partition(b"\r\n\r\n")[2], False
+    return bytes(received).partition(b"\r\n\r\n")[2], True
+
+
+def test_a_whole_stream_is_complete_for_a_caller_of_http_1_0(fleet, serve):
+    """Guards against whole answers that look cut where the connection ends them."""
+    events = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 20_000))
+    serve(lambda exchange: exchange.answer_stream(events, "chunks"))
+    with ask_old_http(fleet.gateways[0], "/once/x") as connection:
+        assert read_old_http(connection) == (events, True)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_cut_stream_is_not_complete_for_a_caller_of_http_1_0(fleet, serve, framing):
+    """Guards against a cut answer that ends as a whole one does, with no last chunk."""
+    serve(lambda exchange: exchange.answer_stream(BROKEN_OFF, framing))
+    with ask_old_http(fleet.gateways[0], "/once/x") as connection:
+        assert read_old_http(connection)[1] is False
+
+
+@pytest.mark.parametrize("how", ["killed", "stopped"])
+def test_a_stream_under_a_gateway_that_ends_is_not_complete(fleet, serve, how):
+    """Guards against a gateway whose end completes the answers that it had begun."""
+
+    def script(exchange: Exchange) -> None:
+        exchange.begin_stream()
+        exchange.chunk(FIRST_EVENT)
+        exchange.wait_until_caller_left(20)
+
+    serve(script)
+    gateway = fleet.gateways[0]
+    with ask_old_http(gateway, "/once/x") as connection:
+        received = b""
+        while FIRST_EVENT not in received:
+            received += connection.recv(65_536)
+        gateway.kill() if how == "killed" else gateway.ask_to_end()
+        assert read_old_http(connection)[1] is False
