Reset the connection of a cut answer in our own interface, too

A caller of HTTP/1.0 saw a truncated answer of an entry as complete: without chunks, the end of the connection ends the body, and it was closed with a plain end, as it also is when the process is killed. From the head to the last byte of such an answer, closing the connection resets it now. The new test failed before; event streams still end with their error event.

--- a/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/answer_writer.py
@@ -1,6 +1,7 @@
 """Write the answer to one call to the caller's socket."""
 
 import socket
+import struct
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -28,6 +29,7 @@
 LINE_BREAKS = frozenset("\r\n")
 """A header value that contains one could inject other headers."""
 LAST_CHUNK = b"0\r\n\r\n"
+LINGER_BYTES = struct.calcsize("ii")
 
 
 @dataclass(slots=True)
@@ -72,6 +74,7 @@
             kept.append(("Transfer-Encoding", "chunked"))
         if self.has_body and not self.allows_chunked:
             self.keep_alive = False
+            set_reset_on_close(self.socket, True)
         self.pending_head = self.head_bytes(status, kept)
 
     def chunk(self, data: bytes) -> None:
@@ -88,12 +91,15 @@
         last = LAST_CHUNK if self.has_body and self.allows_chunked else b""
         if last or self.pending_head:
             self.send("end", last)
+        if self.has_body and not self.allows_chunked:
+            set_reset_on_close(self.socket, False)
 
     def refusal(self, refusal: Refusal, head_sent: bool) -> None:
         """Send a refusal in place of the answer, or within one that has started.
 
         An event stream ends with an error event. Other bodies have no place for an
-        error: they are truncated, which every HTTP client reports as an error.
+        error: they are truncated, which every HTTP client reports as an error. Where
+        the end of the connection would complete them, it is reset.
         """
         self.ended = True
         if not head_sent and not self.head_sent:
@@ -175,6 +181,22 @@
         self.socket.sendall(data)
 
 
+def set_reset_on_close(sock: socket.socket, enabled: bool) -> None:
+    """Set whether closing a socket, or the end of the process, resets its connection.
+
+    The other side takes a plain end of the connection for the end of an answer that has
+    neither a length nor chunks. A reset discards what was not received.
+    """
+    linger = struct.pack("ii", enabled, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+def resets_on_close(sock: socket.socket) -> bool:
+    """Return whether closing a socket resets its connection."""
+    linger = sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_BYTES)
+    return struct.unpack("ii", linger)[0] != 0
+
+
 def _phrase(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
--- a/packages/callers/src/cowslipshelf_callers/internal/connection.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/connection.py
@@ -10,6 +10,8 @@
 
 from cheroot.server import HTTPConnection
 
+from cowslipshelf_callers.internal.answer_writer import resets_on_close
+
 READ_BUFFER_BYTES = 16_384
 LINGER_SECONDS = 1.0
 MAX_LINGER_BYTES = 4_194_304
@@ -101,8 +103,13 @@
         Closing a socket with unread data resets the connection, and the reset
         overtakes the answer: a caller refused while it still sends would never see
         the refusal. So the rest of the input is read and discarded first, within
-        limits of time and size.
+        limits of time and size. An answer that was cut is reset instead, without the
+        shutdown that would end it like a whole one.
         """
+        if resets_on_close(self.socket):
+            self.rfile.close()
+            self.socket.close()
+            return
         if self.linger:
             discard_input(self.socket)
         self.linger = False
--- a/tests/common/callers_http.py
+++ b/tests/common/callers_http.py
@@ -74,9 +74,11 @@
     return socket.create_connection((host, int(port)), timeout=TIMEOUT_SECONDS)
 
 
-def request_bytes(method: str, path: str, body: bytes = b"", **headers: str) -> bytes:
+def request_bytes(
+    method: str, path: str, body: bytes = b"", version: str = "1.1", **headers: str
+) -> bytes:
     """Return the bytes of a request that closes its connection after the reply."""
-    lines = [f"{method} {path} HTTP/1.1", "Host: x", "Connection: close"]
+    lines = [f"{method} {path} HTTP/{version}", "Host: x", "Connection: close"]
     named = {"authorization": "Bearer key", **headers}
     lines += [f"{name.replace('_', '-')}: {value}" for name, value in named.items()]
     if body:
--- a/tests/cover/callers/test_callers_server.py
+++ b/tests/cover/callers/test_callers_server.py
@@ -104,6 +104,24 @@
         assert not reply.raw_body.endswith(b"0\r\n\r\n")
 
 
+def test_an_answer_that_breaks_off_is_reset_for_a_caller_without_chunks():
+    """Guards against a truncated answer that the end of the connection completes."""
+    handler = RecordingHandler((b"half",), (), LOST)
+    with running_server(handler) as server, pytest.raises(ConnectionResetError):
+        ask(server, request_bytes("POST", CHAT, CHAT_BODY, version="1.0"))
+
+
+@pytest.mark.parametrize("refusal", [None, LOST])
+def test_a_stream_that_says_how_it_ended_is_whole_without_chunks(refusal):
+    """Guards against answers that are reset although they end as they should."""
+    handler = RecordingHandler((b"data: 1\n\n" * 50_000,), refusal=refusal)
+    with running_server(handler) as server:
+        reply = ask(server, request_bytes("POST", CHAT, CHAT_BODY, version="1.0"))
+    assert "transfer-encoding" not in reply.headers
+    assert reply.raw_body.startswith(handler.chunks[0])
+    assert (b"connection_lost" in reply.raw_body) is (refusal is not None)
+
+
 class BrokenHandler(RecordingHandler):
     """Fail after writing the chunks, as a programming error would."""
 
