Read events of engines whose lines end with CR

Callers of an engine that writes its stream with CR alone got none of it: its events were never split, and the whole stream counted as broken for want of its final marker. The property, with CR among the line ends, failed before and is green.

--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/event_parser.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/event_parser.py
@@ -21,11 +21,16 @@
 
     def __init__(self) -> None:
         self.buffer = b""
+        self.is_after_cr = False
+        """Whether the last byte was a CR, whose line end an LF may belong to."""
 
     def feed(self, piece: bytes) -> list[ServerSentEvent]:
         """Return the events that the next piece of bytes completes."""
-        # A line may end in CR LF, and the two may arrive in different pieces.
-        self.buffer = (self.buffer + piece).replace(b"\r\n", b"\n")
+        if self.is_after_cr:
+            piece = piece.removeprefix(b"\n")
+        if piece:
+            self.is_after_cr = piece.endswith(b"\r")
+        self.buffer += piece.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
         *blocks, self.buffer = self.buffer.split(b"\n\n")
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise EventTooLargeError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
--- a/tests/cover/upstreams/test_event_parser.py
+++ b/tests/cover/upstreams/test_event_parser.py
@@ -21,11 +21,12 @@
 @steady
 @given(
     events=EVENTS,
-    line_end=st.sampled_from(["\n", "\r\n"]),
+    line_end=st.sampled_from(["\n", "\r\n", "\r"]),
     comments=st.booleans(),
     cuts=st.lists(st.integers(0, 200)),
 )
 @example(events=[(1, ["a"]), (2, ["b"])], line_end="\r\n", comments=True, cuts=[8, 9])
+@example(events=[(1, ["a"])], line_end="\r", comments=False, cuts=[])
 def test_events_are_the_same_wherever_the_bytes_are_cut(
     events, line_end, comments, cuts
 ) -> None:
