Don't take a cut chunk size for the last chunk

A caller of a plain service could get half an answer as a whole one: if the connection closes after the first digits of a chunk's size and these are zeros, the HTTP library reads the size zero, which ends the answer. A line between chunks must be whole now. The property of an answer cut at any byte failed before at that place and is green.

--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/complete_heads.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/complete_heads.py
@@ -1,4 +1,4 @@
-"""Reject HTTP answers whose head is truncated."""
+"""Reject HTTP answers that are truncated within their head or a line of chunks."""
 
 from http.client import HTTPException, HTTPResponse
 from io import BufferedReader
@@ -13,6 +13,10 @@
     """Report a truncated head."""
 
 
+class ChunkCutError(HTTPException):
+    """Report a truncated line between chunks."""
+
+
 class LastLineRecorder:
     """Wrap a file and record the last line read from it."""
 
@@ -29,6 +33,26 @@
         return getattr(self.file, name)
 
 
+class WholeLinesFile:
+    """Wrap a file and reject a line that the end of the file truncates.
+
+    A truncated size of a chunk may read as zero, which ends the answer.
+    """
+
+    def __init__(self, file: BufferedReader) -> None:
+        self.file = file
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Read a line, or nothing at the end; raise `ChunkCutError` within a line."""
+        line = self.file.readline(limit)
+        if line and len(line) != limit and not line.endswith(b"\n"):
+            raise ChunkCutError("the connection closed within a line of chunks")
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.file, name)
+
+
 class CompleteHeadResponse(HTTPResponse):
     """Parse an answer and reject a truncated head.
 
@@ -43,7 +67,7 @@
         self.fp = recorder
         super().begin()
         if self.fp is recorder:
-            self.fp = recorder.file
+            self.fp = WholeLinesFile(recorder.file)
         if recorder.last_line not in HEAD_TERMINATORS:
             raise HeadCutError("the connection closed within the head")
 
--- a/tests/cover/upstreams/test_plain_client.py
+++ b/tests/cover/upstreams/test_plain_client.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 import urllib3
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from common.upstreams import DEFAULT_HAND_OVER, scripted_peer, steady
@@ -15,6 +15,11 @@
 from cowslipshelf_standins.plain import PlainConfig, PlainServer
 from cowslipshelf_upstreams import PlainClient, PlainClientConfig, UpstreamLostError
 
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"0006\r\npaid 5\r\n0006\r\n euros\r\n0\r\n\r\n"
+)
+
 
 @pytest.fixture
 def service():
@@ -131,3 +136,20 @@
             assert error.may_have_arrived
         else:
             assert (cut >= len(wire), body) == (True, b"paid 5 euros")
+
+
+@steady
+@given(cut=st.integers(0, 100))
+@example(cut=CHUNKED.index(b"0006\r\n euros") + 1)
+def test_a_chunked_body_is_not_whole_before_its_last_chunk(cut: int) -> None:
+    """Guards against the first digit of a chunk's size that reads as the last chunk."""
+    with scripted_peer(lambda peer: peer.sendall(CHUNKED[:cut])) as address:
+        try:
+            stream = client_of(address).call(payment())
+            body = b"".join(piece.data for piece in stream)
+        except UpstreamLostError as error:
+            assert cut < len(CHUNKED)
+            assert error.may_have_arrived
+        else:
+            # The size of the last chunk ends the body; an empty line follows it.
+            assert (cut >= len(CHUNKED) - len(b"\r\n"), body) == (True, b"paid 5 euros")
