Don't take an answer for framed by a length that is no number

A caller of a plain service could get half an answer as a whole one: with a Content-Length that can't be read or is negative, the HTTP library reads up to the end of the connection, while the check for a length only looked for the header. It asks for the length itself now.

--- a/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
+++ b/packages/upstreams/src/cowslipshelf_upstreams/internal/stream.py
@@ -20,7 +20,6 @@
 DONE_PIECE = b"data: [DONE]\n\n"
 NO_ERROR = (b"", b"null")
 READ_BYTES = 65_536
-BODILESS_STATUSES = frozenset((204, 304))
 
 
 class UpstreamPiece(NamedTuple):
@@ -137,16 +136,14 @@
             yield UpstreamPiece(self.sequence, data, 0)
 
     def check_framing(self) -> None:
-        """Raise if a body has no length or chunks: truncation would go undetected."""
-        headers = self.response.headers
-        framed = "Content-Length" in headers or self.response.chunked
-        bodiless = self.status in BODILESS_STATUSES
-        if not (framed or bodiless or self.is_head_answer()):
-            raise self.lost("the answer has neither a length nor chunks")
+        """Raise if a body has no length or chunks: truncation would go undetected.
 
-    def is_head_answer(self) -> bool:
-        """Return whether the answer has no body because it answers a HEAD request."""
-        return self.response.length_remaining == 0
+        A body that can't exist, as in the answer to HEAD, has the length zero, and a
+        length that is no number counts as none.
+        """
+        has_length = self.response.length_remaining is not None
+        if not (self.response.chunked or has_length):
+            raise self.lost("the answer has neither a length nor chunks")
 
     def lost(self, detail: str) -> UpstreamLostError:
         """Return the error for an incomplete answer."""
--- a/tests/cover/upstreams/test_plain_client.py
+++ b/tests/cover/upstreams/test_plain_client.py
@@ -153,3 +153,13 @@
         else:
             # The size of the last chunk ends the body; an empty line follows it.
             assert (cut >= len(CHUNKED) - len(b"\r\n"), body) == (True, b"paid 5 euros")
+
+
+@pytest.mark.parametrize("length", ["twelve", "-12", "", "1e2"])
+def test_a_length_that_is_no_number_frames_no_body(length: str) -> None:
+    """Guards against a truncated answer whose length can't be compared."""
+    wire = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\npaid 5".encode()
+    with scripted_peer(lambda peer: peer.sendall(wire)) as address:
+        stream = client_of(address).call(payment())
+        with pytest.raises(UpstreamLostError):
+            list(stream)
