Count a connection that the kernel times out as lost

What callers saw: a gateway that answers nobody from one moment on, with its connections open, until its memory is over its limit. The cause: the kernel's ETIMEDOUT is a TimeoutError in Python, and the wait for an answer took it for the silence that its own timer ends. It found the connection not quiet, read again without a limit, and got the stored error again, without a turn of the event loop and with a traceback that grows.

Now a TimeoutError counts as silence only if the timer has expired.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/upstream_connection.py
@@ -189,9 +189,12 @@
         seconds = self.max_silence_seconds
         while True:
             try:
-                async with asyncio.timeout(seconds):
+                async with asyncio.timeout(seconds) as silence:
                     return await self.reader.read(READ_BYTES)
             except TimeoutError:
+                # The kernel's error for a connection that it gave up is the same one.
+                if not silence.expired():
+                    raise
                 # Bytes may have come with the timeout, after a pause of this process.
                 seconds = self.excused_seconds() if self.is_quiet() else None
                 if seconds == 0.0:
--- a/tests/cover/gateway/test_upstream_connection.py
+++ b/tests/cover/gateway/test_upstream_connection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from common.timed_out_connections import exit_code_of_losses
 from cowslipshelf_core.dialect import OutgoingRequest
 from cowslipshelf_daemon.internal.gateway.upstream_connection import (
     UpstreamConnection,
@@ -108,3 +109,8 @@
     """Guards against holding back slow requests as if they ended upstreams."""
     loss = asyncio.run(loss_of(lambda _connection, _writer: None, max_silence=0.05))
     assert loss.upstream_exited is False
+
+
+def test_a_connection_that_the_kernel_times_out_is_lost():
+    """Guards against a gateway that takes it for silence, and reads it forever."""
+    assert exit_code_of_losses() == 0
