End a gateway whose event loop is stuck in one task

A loop that runs one task forever answers nobody while its connections stay open, which is worse for callers than a crash. A thread now compares the loop's turns with the processor time of its thread, and ends the process with the stack in the log after 5 s of it without a turn.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -54,6 +54,7 @@
     Responder,
 )
 from cowslipshelf_daemon.internal.gateway.loop_inbox import LoopInbox
+from cowslipshelf_daemon.internal.gateway.loop_watchdog import LoopWatchdog
 from cowslipshelf_daemon.internal.gateway.replica_supervisor import ReplicaSupervisor
 from cowslipshelf_daemon.internal.gateway.request_handler import RequestHandler
 from cowslipshelf_daemon.internal.gateway.settings import (
@@ -292,10 +293,11 @@
         if settings.callers_address is not None:
             await self.callers.start(settings.callers_address, early_listener)
 
-    async def run(self) -> None:
+    async def run(self, watchdog: LoopWatchdog) -> None:
         """Run the periodic tasks until the gateway has shut down."""
         tasks = self.periodic_tasks()
         while not self.ended.is_set():
+            watchdog.record_turn()
             now = time.monotonic()
             for task in tasks:
                 task.run_when_due(now, self.metrics)
@@ -404,9 +406,13 @@
     settings: GatewaySettings,
     source: SettingsSource,
     dialect: Dialect,
+    on_endless_turn: Callable[[], object],
     early_listener: socket.socket | None = None,
 ) -> None:
-    """Run a gateway until a signal asks it to end and it has shut down."""
+    """Run a gateway until a signal asks it to end and it has shut down.
+
+    `on_endless_turn` is called in another thread if the event loop is stuck.
+    """
     gateway = Gateway(settings, source, dialect)
     shutdown: list[asyncio.Task[None]] = []
 
@@ -427,8 +433,11 @@
         first_start=settings.first_start,
         seeds=settings.seeds,
     )
+    watchdog = LoopWatchdog(on_endless_turn)
+    watchdog.start()
     try:
-        await gateway.run()
+        await gateway.run(watchdog)
     finally:
+        watchdog.stop()
         gateway.stop()
     LOG.info("Ended.")
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/running.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/running.py
@@ -22,6 +22,7 @@
 EXIT_DONE = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 6
+EXIT_STUCK = 10
 
 
 def run_gateway(adapter_name: str, early_listener: socket.socket | None) -> NoReturn:
@@ -41,9 +42,13 @@
     # The runner is not closed: that would wait for threads that write to a disk, and
     # the shutdown grace period leaves no time to cancel the remaining tasks.
     runner = asyncio.Runner()
+
+    def end_stuck() -> None:
+        end_with_logs(writer, EXIT_STUCK)
+
     try:
         dialect = adapter.MachinesDialect()
-        runner.run(serve(settings, source, dialect, early_listener))
+        runner.run(serve(settings, source, dialect, end_stuck, early_listener))
     except Exception:
         LOG.exception("Gateway failed.")
         end_with_logs(writer, EXIT_FAILED)
