Let streams of the soak break off inside an event, in any framing

A tenth of the soak's streams end inside an event although their framing says that they are complete, streams are framed by a length, chunks or their connection, and a third of the callers speak HTTP/1.0.

--- a/tests/common/scripted_upstream.py
+++ b/tests/common/scripted_upstream.py
@@ -1,14 +1,18 @@
 """Run an upstream on a real socket that answers as a test's script says."""
 
 import json
+import re
 import socket
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http.client import HTTPConnection
 from typing import NamedTuple
 
 ACCEPT_SECONDS = 0.1
+FRAMINGS = ("length", "chunks", "connection")
+"""What may tell where a stream ends."""
 
 
 class SeenRequest(NamedTuple):
@@ -51,19 +55,34 @@
         """Complete a stream."""
         self.connection.sendall(b"0\r\n\r\n")
 
-    def answer_stream(self, body: bytes, framing: str, missing: int = 0) -> None:
+    def answer_stream(
+        self,
+        body: bytes,
+        framing: str,
+        missing: int = 0,
+        pause_seconds: float = 0.0,
+        **headers: str,
+    ) -> None:
         """Send a stream that is complete by its framing, or lacks bytes of its length.
 
-        Framed by the connection, it is complete when that closes.
+        Framed by the connection, it is complete when that closes. There is a pause
+        after each event.
         """
-        fields = {"Content-Type": "text/event-stream"} | self.signature()
+        fields = {"Content-Type": "text/event-stream"} | self.signature() | headers
         match framing:
             case "length":
                 fields["Content-Length"] = str(len(body) + missing)
             case "chunks":
                 fields["Transfer-Encoding"] = "chunked"
-                body = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
-        self.connection.sendall(head(200, fields) + body)
+        self.connection.sendall(head(200, fields))
+        for piece in re.findall(rb"(?s).+?(?:\n\n|\Z)", body):
+            if framing == "chunks":
+                self.chunk(piece)
+            else:
+                self.connection.sendall(piece)
+            time.sleep(pause_seconds)
+        if framing == "chunks":
+            self.end_stream()
         if framing == "connection":
             self.close()
 
--- a/tests/nocover/gateway/test_broken_streams.py
+++ b/tests/nocover/gateway/test_broken_streams.py
@@ -17,9 +17,8 @@
     running_fleet,
     send_heartbeats,
 )
-from common.scripted_upstream import Exchange, ScriptedUpstream
+from common.scripted_upstream import FRAMINGS, Exchange, ScriptedUpstream
 
-FRAMINGS = ("length", "chunks", "connection")
 FIRST_EVENT = b"id: 1\ndata: one\n\n"
 BROKEN_OFF = FIRST_EVENT + b"id: 2\ndata: tw"
 REST = b"id: 2\ndata: two\n\nid: 3\ndata: three\n\n"
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import re
 import signal
 import threading
 import time
@@ -21,10 +22,10 @@
     route,
     running_fleet,
 )
-from common.scripted_upstream import Exchange, ScriptedUpstream, call
+from common.scripted_upstream import FRAMINGS, Exchange, ScriptedUpstream, call
 from soak.faulty_link import FaultyLink, LinkMode
 from soak.limits import UpstreamLimit
-from soak.recorder import CallRecorder, CallResult, Kind, event, events_after
+from soak.recorder import CallRecorder, CallResult, Kind, events_after
 
 CALLERS = 6
 UPSTREAMS = 3
@@ -40,6 +41,8 @@
 FAULT_PAUSE_SECONDS = (0.2, 1.5)
 FAULT_SECONDS = (0.3, 3.0)
 EVENT_PAUSE_SECONDS = 0.03
+BROKEN_SHARE = 0.1
+"""Share of the streams that end inside an event, framed as complete."""
 ROUTES = tuple(
     route(f"/{kind}/", **changes)
     for kind, changes in (
@@ -119,12 +122,15 @@
             time.sleep(EVENT_PAUSE_SECONDS)
             exchange.answer(200, attempt_id.encode(), **limit)
             return
-        exchange.begin_stream(**limit)
-        last = int(headers.get("last-event-id", 0))
-        for number in range(last + 1, len(events_after(0).split(b"\n\n"))):
-            exchange.chunk(event(number))
-            time.sleep(EVENT_PAUSE_SECONDS)
-        exchange.end_stream()
+        body = events_after(int(headers.get("last-event-id", 0)))
+        if body and random.random() < BROKEN_SHARE:
+            body = break_off(body)
+        exchange.answer_stream(
+            body,
+            random.choice(FRAMINGS),
+            pause_seconds=EVENT_PAUSE_SECONDS,
+            **limit,
+        )
 
     def send_heartbeats(self) -> None:
         """Send every upstream's heartbeats, each to any gateway that answers."""
@@ -146,9 +152,8 @@
         while not self.stopping.is_set():
             gateway = rng.choice(self.fleet.gateways)
             if connection is None:
-                connection = HTTPConnection(
-                    gateway.host, gateway.ports.callers, timeout=12
-                )
+                speak = rng.choice((HTTPConnection, HTTPConnection, OldHttpConnection))
+                connection = speak(gateway.host, gateway.ports.callers, timeout=12)
             result = send_request(connection, rng.choice(list(Kind)))
             self.recorder.record_result(result)
             if not result.whole or result.status != 200:
@@ -359,6 +364,21 @@
             each.stop()
 
 
+class OldHttpConnection(HTTPConnection):
+    """Speak HTTP/1.0, in which the end of a connection may complete an answer."""
+
+    _http_vsn = 10
+    _http_vsn_str = "HTTP/1.0"
+
+
+def break_off(body: bytes) -> bytes:
+    """Return the beginning of some events, up to a byte inside one of them."""
+    ends = [match.end() for match in re.finditer(rb"\n\n", body)]
+    return body[
+        : random.choice([end for end in range(1, len(body)) if end not in ends])
+    ]
+
+
 def send_request(connection: HTTPConnection, kind: Kind) -> CallResult:
     """Send one request with a new attempt id."""
     attempt_id = uuid.uuid4().hex
