Test a gateway whose kernel gives up an upstream that reads nothing

A body larger than the kernel buffers, to an upstream that accepts and never reads, brings the timeout about without any right on the machine: after 3.3 s the wait for the answer ends with errno 110. The soak lets links read nothing for 4 s, with such bodies among its requests.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -40,6 +40,11 @@
 """Time after a disturbance of a link in which it delivers what it held."""
 FAULT_PAUSE_SECONDS = (0.2, 1.5)
 FAULT_SECONDS = (0.3, 3.0)
+DEAF_SECONDS = 4.0
+"""Longer than data may stay unacknowledged before the kernel drops a connection."""
+LARGE_BODY = bytes(3_000_000)
+"""More than the kernel buffers for a link that reads nothing."""
+LARGE_SHARE = 0.02
 EVENT_PAUSE_SECONDS = 0.03
 BROKEN_SHARE = 0.1
 """Share of the streams that end inside an event, framed as complete."""
@@ -212,6 +217,7 @@
             self.restart_gracefully,
             self.disturb_link,
             self.disturb_link,
+            self.deafen_link,
             kill_all,
             self.restart_upstream,
             self.change_limit,
@@ -296,6 +302,14 @@
         time.sleep(seconds)
         link.mode = LinkMode.PASSES
 
+    def deafen_link(self) -> None:
+        """Let a link read nothing until the kernel gives up what waits for it."""
+        link = self.random.choice(self.links)
+        self.limits[self.links.index(link)].disturb_link(DEAF_SECONDS + LATE_SECONDS)
+        link.mode = LinkMode.SILENT
+        time.sleep(DEAF_SECONDS)
+        link.mode = LinkMode.PASSES
+
     def restart_upstream(self) -> None:
         """Restart an upstream under a new start id, known from its next heartbeat."""
         upstream = self.random.choice(self.upstreams)
@@ -388,16 +402,17 @@
         "X-Attempt-Id": attempt_id,
         "X-Deadline-Ms": "5000",
     }
-    status, body, whole = 0, b"", False
+    status, received, whole = 0, b"", False
     try:
-        connection.request("POST", f"/{kind}/x", b"", headers)
+        body = LARGE_BODY if random.random() < LARGE_SHARE else b""
+        connection.request("POST", f"/{kind}/x", body, headers)
         answer = connection.getresponse()
         status = answer.status
-        body = answer.read()
+        received = answer.read()
         whole = True
     except (OSError, HTTPException):
         pass
-    return CallResult(attempt_id, kind, status, body, whole)
+    return CallResult(attempt_id, kind, status, received, whole)
 
 
 def run_seed(
