Refuse a request at once whose turn for a permit comes too late

Callers waited for up to a quarter of their time for a permit of a limited upstream, and were refused then: 48 of 53 refusals at a limit of 4 a second with ten callers at five gateways. Each waiting request counted only the next permit, which went to another one. Without the line that counts them, the new test fails in the case that must not wait (1 of 2).

--- a/packages/core/src/cowslipshelf_core/internal/gateway/limit_messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/limit_messages.py
@@ -67,6 +67,9 @@
     is zero."""
     interval_seconds: float
     """Time between two permits."""
+    waiting_gateways: int = 1
+    """Gateways with waiting requests, the one that asked included. They get permits in
+    turn."""
 
 
 class PermitsReturned(Message, frozen=True):
--- a/packages/core/src/cowslipshelf_core/internal/gateway/permit_issuer.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/permit_issuer.py
@@ -86,7 +86,10 @@
                 due = max(0.0, first_at - ahead - now)
                 issued.waiting[sender] = now + due + WAITING_SECONDS
         after = max(0.0, first_at - now)
-        return PermitsBooked(asked.upstream_id, asked.number, count, after, interval)
+        waiting_gateways = len({*issued.waiting, sender})
+        return PermitsBooked(
+            asked.upstream_id, asked.number, count, after, interval, waiting_gateways
+        )
 
     def take_back(
         self, sender: InstanceId, returned: PermitsReturned, rate: float, now: float
--- a/packages/core/src/cowslipshelf_core/internal/gateway/permit_wallet.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/permit_wallet.py
@@ -72,6 +72,8 @@
     """Time from which the issuer may be asked."""
     due_at: float = 0.0
     """Time of the next permit that the issuer could give, as far as it is known."""
+    turn_seconds: float | None = None
+    """Time between two permits for this gateway while others wait too, if known."""
 
 
 @dataclass(slots=True)
@@ -157,6 +159,7 @@
         if asked is None or asked.number != booked.number:
             return []
         held.asked = None
+        held.turn_seconds = booked.interval_seconds * max(1, booked.waiting_gateways)
         first_at = asked.asked_at + booked.after_seconds
         held.permits += [
             Permit(
@@ -168,6 +171,9 @@
             for turn in range(booked.count)
         ]
         held.due_at = first_at + booked.count * booked.interval_seconds
+        if booked.count:
+            # The gateways that wait come first.
+            held.due_at += held.turn_seconds - booked.interval_seconds
         if not booked.count:
             ahead = max(MAX_AHEAD_SECONDS, booked.interval_seconds)
             held.ask_at = max(now + MIN_PAUSE_SECONDS, first_at - ahead)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/upstream_limits.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/upstream_limits.py
@@ -262,6 +262,15 @@
         """Return when a permit for a blocked upstream may be used or asked for."""
         return min(map(self.wallet.next_change_at, upstream_ids))
 
+    def behind_others(self, choice: LimitChoice, ahead: int) -> LimitChoice:
+        """Return a choice with the wait of a request that others wait ahead of."""
+        turns = (self.wallet.of(each).turn_seconds for each in choice.blocked)
+        permits_per_second = sum(1.0 / seconds for seconds in turns if seconds)
+        if not permits_per_second:
+            return choice
+        seconds = choice.retry_after_seconds + ahead / permits_per_second
+        return choice._replace(retry_after_seconds=seconds)
+
     def take(self, upstream_id: UpstreamId, now: float) -> Permit | None:
         """Take a permit for an upstream, if it is limited and there is one."""
         if self.rate_of(upstream_id) is None:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -3,7 +3,6 @@
 import asyncio
 import time
 import uuid
-from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -93,8 +92,8 @@
     link_loss: LinkLoss = field(default_factory=LinkLoss)
     open_requests: dict[UpstreamId, int] = field(default_factory=dict)
     """Number of open requests of this gateway at each upstream."""
-    permit_waiters: Counter[ServiceName] = field(default_factory=Counter)
-    """Number of requests of each service that wait for a permit."""
+    permit_waiters: dict[ServiceName, list[object]] = field(default_factory=dict)
+    """Requests of each service that wait for a permit, in the order of their coming."""
     random: Random = field(default_factory=Random)
     table: RouteTable | None = None
     document: RoutesDocument = NO_DOCUMENT
@@ -410,7 +409,7 @@
         self, service: ServiceName, upstream_ids: Collection[UpstreamId]
     ) -> LimitChoice:
         """Return which upstreams of a service have a limit that leaves no room now."""
-        waiting = self.permit_waiters[service] if self.permit_waiters else 0
+        waiting = len(self.permit_waiters.get(service, ()))
         return self.limits.choose(upstream_ids, waiting, boot_seconds())
 
     def cold_upstreams(self) -> frozenset[UpstreamId]:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/permit_waits.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/permit_waits.py
@@ -25,25 +25,30 @@
 ) -> LimitChoice:
     """Wait until one of some limited upstreams has room; return which have none.
 
-    It returns at once if none will have room while the request may wait.
+    It returns at once if none will have room while the request may wait, behind those
+    that wait already.
     """
     if progress.permit_wait_until is None:
         seconds = min(MAX_WAIT_SECONDS, left * MAX_WAIT_SHARE)
         progress.permit_wait_until = boot_seconds() + seconds
     until = progress.permit_wait_until
-    view.permit_waiters[service] += 1
+    waiters = view.permit_waiters.setdefault(service, [])
+    own = object()
+    waiters.append(own)
     try:
         while True:
             choice = view.limit_choice(service, upstream_ids)
             now = boot_seconds()
-            has_room = len(choice.blocked) < len(upstream_ids)
-            if has_room or now + choice.retry_after_seconds >= until:
+            if len(choice.blocked) < len(upstream_ids):
+                return choice
+            choice = view.limits.behind_others(choice, waiters.index(own))
+            if now + choice.retry_after_seconds >= until:
                 return choice
             wake_at = min(until, view.limits.next_change_at(choice.blocked))
             with suppress(TimeoutError):
                 seconds = max(MIN_SLEEP_SECONDS, wake_at - now)
                 await asyncio.wait_for(view.changed.wait(), seconds)
     finally:
-        view.permit_waiters[service] -= 1
-        if not view.permit_waiters[service]:
+        waiters.remove(own)
+        if not waiters:
             del view.permit_waiters[service]
--- a/tests/cover/gateway/test_limited_upstreams.py
+++ b/tests/cover/gateway/test_limited_upstreams.py
@@ -26,7 +26,9 @@
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import Answered, NotReached
 from cowslipshelf_daemon.internal.gateway.boot_time import boot_seconds
 from cowslipshelf_daemon.internal.gateway.fleet_view import FleetView
+from cowslipshelf_daemon.internal.gateway.permit_waits import wait_for_permit
 from cowslipshelf_daemon.internal.gateway.placement import NoPlacement, Placement, place
+from cowslipshelf_daemon.internal.gateway.request_progress import RequestProgress
 
 LONG_PROMPT = PromptSize(100_000, 100)
 LIMIT = (b"server-limit", b"2")
@@ -36,8 +38,17 @@
 class Issuer:
     """Answer a view's questions for permits as a test says."""
 
-    def __init__(self, view: FleetView, count: int, after: float = 0.0) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        count: int,
+        after: float = 0.0,
+        waiting_gateways: int = 1,
+        interval: float = 1.0,
+    ) -> None:
         self.view = view
+        self.waiting_gateways = waiting_gateways
+        self.interval = interval
         self.count = count
         self.after = after
         self.messages: list = []
@@ -47,7 +58,12 @@
         self.messages.append(message)
         if isinstance(message, AskPermits):
             booked = PermitsBooked(
-                message.upstream_id, message.number, self.count, self.after, 1.0
+                message.upstream_id,
+                message.number,
+                self.count,
+                self.after,
+                self.interval,
+                self.waiting_gateways,
             )
             self.view.limits.receive(_peer, booked, boot_seconds())
 
@@ -141,6 +157,28 @@
     assert not gateway.view.permit_waiters
 
 
+@pytest.mark.parametrize(("gateways", "waits"), [(1, True), (5, False)])
+def test_a_request_behind_others_is_refused_at_once_if_its_turn_is_too_late(
+    gateways, waits
+):
+    """Guards against callers who wait in vain behind those that take all permits."""
+
+    async def wait_behind(view: FleetView, ahead: int) -> float:
+        view.permit_waiters["s"] = [object() for _ in range(ahead)]
+        began = boot_seconds()
+        progress = RequestProgress()
+        choice = await wait_for_permit(view, "s", ("u-1",), 4.0, progress)
+        assert choice.blocked
+        assert choice.retry_after_seconds > 0.0
+        return boot_seconds() - began
+
+    view = view_of("u-1")
+    Issuer(view, count=0, after=0.2, waiting_gateways=gateways, interval=0.2)
+    limit(view, "u-1", 5.0)
+    seconds = asyncio.run(wait_behind(view, ahead=2))
+    assert (seconds > 0.3) is waits
+
+
 def run(view: FleetView, *connections):
     """Run an attempt on u-1 on each connection; return the outcomes."""
 
