--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/event_stream.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 ID_FIELD = b"id:"
-# A CR after CRLF or LF at the end of the bytes is probably the first half of a CRLF.
+# Two line ends. A CR after CRLF or LF at the end of the bytes is probably the first
+# half of a CRLF, and does not count yet.
 EVENT_END = re.compile(rb"(?>\r\r\n?|(?>\r\n|\r|\n)(?>\r\n|\n|\r(?!\Z)))")
 MAX_EVENT_END_BYTES = 4
 USUAL_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/loop_watchdog.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/loop_watchdog.py
@@ -17,8 +17,7 @@
 
 CHECK_SECONDS = 1.0
 MAX_TURN_CPU_SECONDS = 5.0
-"""Processor time after which a turn of the loop counts as endless; the longest regular
-ones take a tenth of it."""
+"""Processor time after which a turn of the loop counts as endless."""
 MAX_STACK_FRAMES = 15
 
 
