--- a/tests/cover/upstreams/test_plain_client.py
+++ b/tests/cover/upstreams/test_plain_client.py
@@ -145,7 +145,7 @@
     """Guards against the first digit of a chunk's size that reads as the last chunk."""
     with scripted_peer(lambda peer: peer.sendall(CHUNKED[:cut])) as address:
         try:
-            stream = client_of(address).call(payment())
+            stream = client_of(address).call(payment(method="GET", body=b""))
             body = b"".join(piece.data for piece in stream)
         except UpstreamLostError as error:
             assert cut < len(CHUNKED)
@@ -160,6 +160,6 @@
     """Guards against a truncated answer whose length can't be compared."""
     wire = f"HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\npaid 5".encode()
     with scripted_peer(lambda peer: peer.sendall(wire)) as address:
-        stream = client_of(address).call(payment())
+        stream = client_of(address).call(payment(method="GET", body=b""))
         with pytest.raises(UpstreamLostError):
             list(stream)
