Let the watchdog see an endless turn in three checks before it ends a process

One check is not enough to tell an endless turn from a pause; after three, a second apart, a loop that can go on has done so.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/loop_watchdog.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/loop_watchdog.py
@@ -18,6 +18,9 @@
 CHECK_SECONDS = 1.0
 MAX_TURN_CPU_SECONDS = 5.0
 """Processor time after which a turn of the loop counts as endless."""
+MIN_CHECKS = 3
+"""Checks in which a turn must go on. A machine that was suspended may count the pause
+as processor time, and the first check after it may come before the loop."""
 MAX_STACK_FRAMES = 15
 
 
@@ -31,6 +34,8 @@
 
     max_cpu_seconds: float = MAX_TURN_CPU_SECONDS
     turns: int = -1
+    checks: int = 0
+    """Checks in which the present turn has gone on."""
     cpu_seconds_at_turn: float = 0.0
 
     def is_endless(self, turns: int, cpu_seconds: float) -> bool:
@@ -40,9 +45,12 @@
         """
         if turns != self.turns:
             self.turns = turns
+            self.checks = 0
             self.cpu_seconds_at_turn = cpu_seconds
             return False
-        return cpu_seconds - self.cpu_seconds_at_turn >= self.max_cpu_seconds
+        self.checks += 1
+        used = cpu_seconds - self.cpu_seconds_at_turn
+        return self.checks >= MIN_CHECKS and used >= self.max_cpu_seconds
 
 
 class LoopWatchdog:
