Forget how many gateways waited for permits once that is old

A request behind others could be refused at once although nobody else waited any more: the number of waiting gateways came with the last answer of the issuer and was used until the next one, however long ago that was. It holds for a second now, or for one turn if that is longer. Found by reading; the new test covers both, and only limited upstreams reach this code.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/permit_wallet.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/permit_wallet.py
@@ -74,6 +74,8 @@
     """Time of the next permit that the issuer could give, as far as it is known."""
     turn_seconds: float | None = None
     """Time between two permits for this gateway while others wait too, if known."""
+    turn_known_until: float = 0.0
+    """Time after which those that waited need no longer wait."""
 
 
 @dataclass(slots=True)
@@ -133,6 +135,11 @@
             return held.asked.asked_at + ANSWER_SECONDS
         return held.ask_at
 
+    def turn_seconds(self, upstream_id: UpstreamId, now: float) -> float | None:
+        """Return the time between two permits for this gateway, if lately known."""
+        held = self.of(upstream_id)
+        return held.turn_seconds if now <= held.turn_known_until else None
+
     def ask(
         self,
         upstream_id: UpstreamId,
@@ -160,6 +167,7 @@
             return []
         held.asked = None
         held.turn_seconds = booked.interval_seconds * max(1, booked.waiting_gateways)
+        held.turn_known_until = now + max(ANSWER_SECONDS, held.turn_seconds)
         first_at = asked.asked_at + booked.after_seconds
         held.permits += [
             Permit(
--- a/packages/core/src/cowslipshelf_core/internal/gateway/upstream_limits.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/upstream_limits.py
@@ -262,9 +262,9 @@
         """Return when a permit for a blocked upstream may be used or asked for."""
         return min(map(self.wallet.next_change_at, upstream_ids))
 
-    def behind_others(self, choice: LimitChoice, ahead: int) -> LimitChoice:
+    def behind_others(self, choice: LimitChoice, ahead: int, now: float) -> LimitChoice:
         """Return a choice with the wait of a request that others wait ahead of."""
-        turns = (self.wallet.of(each).turn_seconds for each in choice.blocked)
+        turns = (self.wallet.turn_seconds(each, now) for each in choice.blocked)
         permits_per_second = sum(1.0 / seconds for seconds in turns if seconds)
         if not permits_per_second:
             return choice
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/permit_waits.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/permit_waits.py
@@ -41,7 +41,7 @@
             now = boot_seconds()
             if len(choice.blocked) < len(upstream_ids):
                 return choice
-            choice = view.limits.behind_others(choice, waiters.index(own))
+            choice = view.limits.behind_others(choice, waiters.index(own), now)
             if now + choice.retry_after_seconds >= until:
                 return choice
             wake_at = min(until, view.limits.next_change_at(choice.blocked))
--- a/tests/cover/gateway/test_limited_upstreams.py
+++ b/tests/cover/gateway/test_limited_upstreams.py
@@ -179,6 +179,18 @@
     assert (seconds > 0.3) is waits
 
 
+def test_what_waited_long_ago_delays_no_request():
+    """Guards against refusals for other gateways that have stopped waiting."""
+    view = view_of("u-1")
+    Issuer(view, count=0, after=0.2, waiting_gateways=5, interval=0.2)
+    limit(view, "u-1", 5.0)
+    now = boot_seconds()
+    choice = view.limits.choose(("u-1",), 0, now)
+    for later, delays in ((0.0, True), (60.0, False)):
+        behind = view.limits.behind_others(choice, 2, now + later)
+        assert (behind.retry_after_seconds > choice.retry_after_seconds) is delays
+
+
 def run(view: FleetView, *connections):
     """Run an attempt on u-1 on each connection; return the outcomes."""
 
