--- a/tests/nocover/gateway/test_kernel_timeouts.py
+++ b/tests/nocover/gateway/test_kernel_timeouts.py
@@ -11,7 +11,6 @@
 
 BODY_BYTES = 3_000_000
 """More than the kernel takes for an upstream that reads nothing."""
-KERNEL_TIMEOUT_SECONDS = 3.0
 SERVED_SECONDS = 20.0
 
 
@@ -38,7 +37,7 @@
     answer = ask(
         gateway, "/deaf/x", "POST", os.urandom(BODY_BYTES), X_Deadline_Ms="30000"
     )
-    assert answer.status in (502, 504)
+    assert answer.status == 502
 
     def hello(exchange: Exchange) -> None:
         exchange.answer(200, b"hello")
