Name the shared parts of a prompt where an attempt begins

The logs of the incident do not tell a request that is sent again from requests that share a part of their prompt. An adapter gives the parts that others may share, all but the last, as digests; the first eight are logged.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -116,8 +116,10 @@
     UpstreamRegistry,
 )
 from cowslipshelf_core.internal.gateway.request_digest import (
+    PartDigest,
     RequestDigest,
     request_digest,
+    shared_part_digests,
 )
 from cowslipshelf_core.internal.gateway.request_rank import (
     UNRANKED,
@@ -202,6 +204,7 @@
     "OutageChange",
     "OutageEnded",
     "OutagesConfig",
+    "PartDigest",
     "PeerTable",
     "PeerTableConfig",
     "PeerChange",
@@ -258,6 +261,7 @@
     "prefill_chunks",
     "prefill_seconds",
     "request_digest",
+    "shared_part_digests",
     "decompress_configuration",
     "answer_value",
     "NOTHING_LIMITED",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/dialect.py
@@ -19,6 +19,7 @@
 from cowslipshelf_core.internal.gateway.configuration import RouteConfiguration
 from cowslipshelf_core.internal.gateway.prompt_cost import PromptSize
 from cowslipshelf_core.internal.gateway.registry import ReceivedHeartbeat
+from cowslipshelf_core.internal.gateway.request_digest import PartDigest
 from cowslipshelf_core.messages import RoutesDocument
 
 Headers = list[tuple[bytes, bytes]]
@@ -33,6 +34,8 @@
     deadline_seconds: float | None
     last_event_id: str | None
     prompt: PromptSize | None
+    shared_parts: tuple[PartDigest, ...] = ()
+    """Parts of the prompt that other prompts may share."""
 
 
 class PrefillHelper(NamedTuple):
--- a/packages/core/src/cowslipshelf_core/internal/gateway/request_digest.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/request_digest.py
@@ -1,7 +1,9 @@
-"""Compute digests of requests, equal for requests with the same content."""
+"""Compute digests of requests and of prompt parts, equal for the same content."""
 
 import re
+from collections.abc import Iterable
 from hashlib import blake2b
+from itertools import islice
 from typing import NewType
 
 from cowslipshelf_core.identifiers import CustomerName
@@ -9,6 +11,11 @@
 RequestDigest = NewType("RequestDigest", str)
 """Digest of the content of a request, in hexadecimal."""
 
+PartDigest = NewType("PartDigest", str)
+"""Digest of a part that several prompts share, in hexadecimal."""
+
+MAX_SHARED_PARTS = 128
+"""Most parts of one prompt that are told apart; later ones are left out."""
 DIGEST_BYTES = 16
 LENGTH_BYTES = 8
 DIGEST_PATTERN = re.compile(f"[0-9a-f]{{{2 * DIGEST_BYTES}}}")
@@ -32,6 +39,18 @@
     return RequestDigest(digest.hexdigest())
 
 
-def is_request_digest(text: str) -> bool:
+def shared_part_digests(parts: Iterable[bytes]) -> tuple[PartDigest, ...]:
+    """Return the digests of the parts of one prompt, each once, in order.
+
+    The customer is not included: a part has the same effect on whoever sends it.
+    """
+    first = islice(dict.fromkeys(parts), MAX_SHARED_PARTS)
+    return tuple(
+        PartDigest(blake2b(part, digest_size=DIGEST_BYTES).hexdigest())
+        for part in first
+    )
+
+
+def is_digest(text: str) -> bool:
     """Return whether a text has the form of a digest."""
     return DIGEST_PATTERN.fullmatch(text) is not None
--- a/packages/core/src/cowslipshelf_core/internal/gateway/suspect_request.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/suspect_request.py
@@ -17,7 +17,7 @@
 )
 from cowslipshelf_core.internal.gateway.request_digest import (
     RequestDigest,
-    is_request_digest,
+    is_digest,
 )
 
 SAME_EXIT_SECONDS = 1.0
@@ -174,7 +174,7 @@
 
 def suspect_report_problem(report: SuspectRequestReport) -> str | None:
     """Return why a report of another gateway is invalid, or None if it is valid."""
-    if not is_request_digest(report.digest):
+    if not is_digest(report.digest):
         return "the digest is none"
     if len(report.exits) > MAX_EXITS:
         return f"{len(report.exits)} ends, {MAX_EXITS} at most"
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -56,6 +56,7 @@
 
 BAD_ANSWER = 502
 OUT_OF_TIME = 504
+MAX_LOGGED_PARTS = 8
 MIN_LEFT_SECONDS = 0.02
 """Time left below which no upstream is tried: one round trip takes as long."""
 OUTAGE_RETRY_SECONDS = 0.5
@@ -316,6 +317,7 @@
             "Attempt begins.",
             request=task.facts.attempt_id,
             digest=task.identity.digest,
+            parts=task.facts.shared_parts[:MAX_LOGGED_PARTS],
             customer=task.customer,
             route=task.route.name,
             objective=round(task.route.objective_seconds, 4),
--- a/tests/cover/adapter/test_wire.py
+++ b/tests/cover/adapter/test_wire.py
@@ -76,6 +76,26 @@
     assert DIALECT.caller_facts([(b"x-token-count", value)]).prompt is None
 
 
+def shared_parts(value: bytes) -> tuple[str, ...]:
+    return DIALECT.caller_facts([(b"x-prompt-prefix", value)]).shared_parts
+
+
+def test_the_parts_of_a_prompt_are_told_apart_by_their_ids_but_for_the_last():
+    first, second = shared_parts(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    assert shared_parts(b"91bd3f06:9, 5C1E07A2:8,77:1") == (second, first)
+    assert shared_parts(b"91bd3f06:410,91bd3f06:410,77:1") == (second,)
+
+
+@pytest.mark.parametrize("value", [b"", b",", b":8,:9,", b"5c1e07a2:800", b"5c1e07a2"])
+def test_a_prompt_without_parts_before_its_last_shares_none(value):
+    assert shared_parts(value) == ()
+
+
+def test_a_list_of_countless_parts_is_cut_short():
+    """Guards against a caller whose header fills the memory of all gateways."""
+    assert len(shared_parts(b",".join(b"%x:1" % each for each in range(1000)))) == 128
+
+
 @pytest.mark.parametrize("value", [b"", b"soon", b"-5", b"nan"])
 def test_a_deadline_that_cannot_be_read_is_none(value):
     assert DIALECT.caller_facts([(b"x-deadline-ms", value)]).deadline_seconds is None
