Hold back prompts that share a part under which upstreams exit

A gateway told suspects by a digest of the whole request, so requests that share a part and differ in all else were each a first offender.

Gateways now record with each exit the shared parts of all requests that it broke off, and report this to each other. A part is held back after three exits, 0.3 s apart at least, with no answer since, if it was in a third of all exits since its first one; four exits if it was answered in the last ten minutes. Exits that a held part explains don't count against others. Of two parts that always came together, a request with only one runs alone until it is answered. A held part is probed as held requests are. The file of suspects keeps it over a restart.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -33,6 +33,7 @@
 )
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
+from cowslipshelf_core.internal.gateway.exit_evidence import PartQuarantineConfig
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
 from cowslipshelf_core.internal.gateway.known_evacuations import KnownEvacuations
 from cowslipshelf_core.internal.gateway.limit_messages import (
@@ -56,10 +57,14 @@
 from cowslipshelf_core.internal.gateway.messages import (
     EnginePart,
     EngineWork,
+    ExitPartsReport,
     ExitReport,
     FetchWork,
     HeartbeatsSeen,
+    HeldPartReport,
     HeldWork,
+    PartReport,
+    PromptPartsTold,
     Relayed,
     SuspectRequestReport,
     SuspectRequestsTold,
@@ -70,6 +75,11 @@
     WorkChanged,
     WorkHeld,
 )
+from cowslipshelf_core.internal.gateway.part_quarantine import (
+    EvidenceKey,
+    PartQuarantine,
+    parts_report_problem,
+)
 from cowslipshelf_core.internal.gateway.peer_table import (
     KnownPeer,
     PeerChange,
@@ -163,6 +173,14 @@
 from cowslipshelf_core.internal.gateway.work_gaps import WorkGapDetector
 
 __all__ = [
+    "EvidenceKey",
+    "ExitPartsReport",
+    "HeldPartReport",
+    "PartQuarantine",
+    "PartQuarantineConfig",
+    "PartReport",
+    "PromptPartsTold",
+    "parts_report_problem",
     "AllowedAlone",
     "AnswerTimes",
     "CallerLimits",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
@@ -7,7 +7,10 @@
 
 from cowslipshelf_core.identifiers import AttemptId, InstanceId, UpstreamId
 from cowslipshelf_core.internal.gateway.registry import HeartbeatSeen
-from cowslipshelf_core.internal.gateway.request_digest import RequestDigest
+from cowslipshelf_core.internal.gateway.request_digest import (
+    PartDigest,
+    RequestDigest,
+)
 from cowslipshelf_core.messages import Message
 
 
@@ -111,6 +114,46 @@
     suspects: tuple[SuspectRequestReport, ...]
 
 
+class ExitPartsReport(NamedTuple):
+    """Report the prompt parts of the requests that an upstream's exit broke off."""
+
+    exit: UpstreamExit
+    age_seconds: float
+    parts: tuple[PartDigest, ...]
+
+
+class HeldPartReport(NamedTuple):
+    """Report what a gateway knows of a prompt part that is held back."""
+
+    exit_age_seconds: float
+    """Age of its last exit."""
+    trials: int
+    """Number of trials begun."""
+    last_ended_trial: int
+    """Number of the last trial that has ended."""
+    trial_age_seconds: float
+    probes: int
+    """Number of trials begun after a hold."""
+    trial_exits: int
+    """Number of upstreams that exited in its trials."""
+
+
+class PartReport(NamedTuple):
+    """Report what a gateway knows of a prompt part."""
+
+    part: PartDigest
+    answer_age_seconds: float | None
+    """Age of its last complete answer, if there was one lately."""
+    held: HeldPartReport | None
+
+
+class PromptPartsTold(Message, frozen=True):
+    """Report which prompt parts were running when upstreams exited."""
+
+    exits: tuple[ExitPartsReport, ...] = ()
+    parts: tuple[PartReport, ...] = ()
+
+
 class UpstreamOutcome(StrEnum):
     """Name what an attempt shows about an upstream."""
 
--- a/packages/core/src/cowslipshelf_core/internal/gateway/quarantine.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/quarantine.py
@@ -11,7 +11,10 @@
 
 from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_core.internal.gateway.messages import SuspectRequestReport
-from cowslipshelf_core.internal.gateway.request_digest import RequestDigest
+from cowslipshelf_core.internal.gateway.request_digest import (
+    PartDigest,
+    RequestDigest,
+)
 from cowslipshelf_core.internal.gateway.suspect_request import (
     QuarantineConfig,
     SuspectRequest,
@@ -29,6 +32,8 @@
 
     probe: bool
     """Whether the request was held back until now."""
+    parts: tuple[PartDigest, ...] = ()
+    """Parts of its prompt that are on trial, instead of the whole request."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/message_dispatcher.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/message_dispatcher.py
@@ -6,7 +6,7 @@
 
 from cowslipshelf_core.agreement import ProposalResult
 from cowslipshelf_core.configuration_view import VersionSeen
-from cowslipshelf_core.gateway import SuspectRequestsTold
+from cowslipshelf_core.gateway import PromptPartsTold, SuspectRequestsTold
 from cowslipshelf_core.messages import (
     Announce,
     ConfigurationSnapshot,
@@ -44,6 +44,8 @@
                 self.routing.tell(received)
             case SuspectRequestsTold() as told:
                 self.suspects.merge_reports(received.sender, told)
+            case PromptPartsTold() as told:
+                self.suspects.parts.merge_report(received.sender, told)
             case message:
                 delivered = Delivered(received.sender, received.sender_address, message)
                 self.deliver(delivered)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/suspect_broadcaster.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/suspect_broadcaster.py
@@ -2,7 +2,7 @@
 
 from threading import Lock
 
-from cowslipshelf_core.gateway import RequestDigest
+from cowslipshelf_core.gateway import EvidenceKey, RequestDigest
 from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_daemon.internal.messenger import Messenger
 from cowslipshelf_daemon.internal.retransmit_queue import RetransmitQueue
@@ -22,9 +22,12 @@
         self, instance: InstanceId, messenger: Messenger, metrics: Metrics
     ) -> None:
         self.messenger = messenger
-        self.suspects = SuspectRequests(instance, metrics, self.broadcast)
+        self.suspects = SuspectRequests(
+            instance, metrics, self.broadcast, self.broadcast_parts
+        )
         self.lock = Lock()
         self.repeats: RetransmitQueue[RequestDigest] = RetransmitQueue()
+        self.repeated_parts: RetransmitQueue[EvidenceKey] = RetransmitQueue()
         self.rounds = 0
 
     def broadcast(self, digest: RequestDigest) -> None:
@@ -35,6 +38,18 @@
             self.suspects.reports(frozenset((digest,)))
         )
 
+    def broadcast_parts(self) -> None:
+        """Send what changed of prompt parts, and queue its resends."""
+        keys = self.suspects.parts.take_changed()
+        with self.lock:
+            self.repeated_parts.add(keys, RESENDS)
+        self.send_parts(keys)
+
+    def send_parts(self, keys: frozenset[EvidenceKey]) -> None:
+        """Send reports of prompt parts to all other entries."""
+        if keys:
+            self.messenger.send_to_other_entries(self.suspects.parts.report(keys))
+
     def rebroadcast(self) -> None:
         """Resend queued reports; called with each heartbeat to the other entries."""
         self.rounds += 1
@@ -42,6 +57,8 @@
             self.suspects.forget_old()
         with self.lock:
             digests = self.repeats.take()
+            keys = self.repeated_parts.take()
+        self.send_parts(keys | self.suspects.parts.take_unconfirmed_answers())
         if digests:
             self.messenger.send_to_other_entries(self.suspects.reports(digests))
 
@@ -50,3 +67,6 @@
         message = self.suspects.all_reports()
         if message.suspects:
             self.messenger.send(address, message)
+        parts = self.suspects.parts.full_report()
+        if parts.exits or parts.parts:
+            self.messenger.send(address, parts)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -25,6 +25,7 @@
     LimitsTold,
     PermitsBooked,
     PermitsReturned,
+    PromptPartsTold,
     Relayed,
     SuspectRequestsTold,
     UpstreamObservations,
@@ -174,7 +175,9 @@
             self.upstreams_file = UpstreamsFile(settings.data_folder)
             self.view.restore(self.upstreams_file.read())
             self.suspects_file = SuspectRequestsFile(settings.data_folder)
-            self.suspects.merge_reports(settings.instance, self.suspects_file.read())
+            stored = self.suspects_file.read()
+            self.suspects.merge_reports(settings.instance, stored.requests)
+            self.suspects.parts.merge_report(settings.instance, stored.parts)
         self.mailbox = self.make_mailbox(own_address)
         self.cold_upstreams: frozenset[UpstreamId] = frozenset()
         """Upstreams that were last reported as cold."""
@@ -235,6 +238,7 @@
                 | WorkHeld()
                 | RoutesSnapshot()
                 | SuspectRequestsTold()
+                | PromptPartsTold()
                 | UpstreamObservations()
                 | FetchRoutes(query_id="")
                 | LimitsTold()
@@ -349,9 +353,12 @@
 
     def write_suspects(self) -> None:
         """Write the suspect requests for a restart, if they changed."""
-        changes = self.suspects.change_count
+        parts = self.suspects.parts
+        changes = self.suspects.change_count + parts.change_count
         if self.suspects_file.needs_write(changes):
-            self.suspects_file.write_soon(self.suspects.all_reports(), changes)
+            self.suspects_file.write_soon(
+                self.suspects.all_reports(), parts.full_report(), changes
+            )
 
     def reload(self) -> None:
         """Apply changed settings, as far as they may change at run time."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/gossip.py
@@ -8,6 +8,7 @@
 from cowslipshelf_core.dialect import Dialect
 from cowslipshelf_core.gateway import (
     AskPermits,
+    EvidenceKey,
     FetchWork,
     HeartbeatsSeen,
     LimitLifted,
@@ -15,6 +16,7 @@
     PeerChange,
     PermitsBooked,
     PermitsReturned,
+    PromptPartsTold,
     Relayed,
     RequestDigest,
     SuspectRequestsTold,
@@ -65,6 +67,8 @@
 URGENT_SENDS = 3
 """Times that a changed upstream is sent: a message may be lost, and an upstream that
 leaves must get no new work two seconds later."""
+ANSWERS_DELAY_SECONDS = 0.2
+"""Longest time for which the answers of prompt parts wait for others' reports."""
 MAX_SUSPECTS_PER_SYNC = 200
 """Suspects in each periodic full list to one gateway: some 25 kB."""
 EVACUATED_METRIC = "cowslipshelf_evacuated_data_centres"
@@ -104,10 +108,15 @@
         self.work_due = False
         self.observations_timer: asyncio.TimerHandle | None = None
         instance = view.settings.instance
-        self.suspects = SuspectRequests(instance, metrics, self.queue_suspect)
+        self.suspects = SuspectRequests(
+            instance, metrics, self.queue_suspect, self.queue_parts
+        )
         self.changed_suspects: set[RequestDigest] = set()
         """Suspects with changes that were not sent yet."""
         self.urgent_suspects: RetransmitQueue[RequestDigest] = RetransmitQueue()
+        self.parts_due = False
+        self.answers_due = False
+        self.urgent_parts: RetransmitQueue[EvidenceKey] = RetransmitQueue()
         self.routes = RoutesExchange(view, messenger, client, dialect, self.send_alive)
         self.limits = LimitsExchange(view, messenger, metrics)
         self.sync_turn = 0
@@ -216,6 +225,39 @@
         repeated = self.urgent_suspects.take()
         if repeated:
             self.send_to_all(self.suspects.reports(repeated))
+        repeated_parts = self.urgent_parts.take()
+        if repeated_parts:
+            self.send_to_all(self.suspects.parts.report(repeated_parts))
+
+    def queue_parts(self) -> None:
+        """Add what changed of prompt parts to the next batch.
+
+        Most gateways have answered the parts of an exit lately, and the report of one
+        is enough. Their delays differ, so that the first one spares the others theirs.
+        """
+        loop = asyncio.get_running_loop()
+        quarantine = self.suspects.parts.quarantine
+        if quarantine.changed and not self.parts_due:
+            self.parts_due = True
+            loop.call_later(WORK_BATCH_SECONDS, self.flush_parts)
+        if quarantine.unconfirmed_answers and not self.answers_due:
+            self.answers_due = True
+            delay = self.view.random.uniform(0.0, ANSWERS_DELAY_SECONDS)
+            loop.call_later(delay, self.flush_answers)
+
+    def flush_parts(self) -> None:
+        """Send what changed of prompt parts, repeatedly."""
+        self.parts_due = False
+        keys = self.suspects.parts.take_changed()
+        self.urgent_parts.add(keys, URGENT_SENDS - 1)
+        self.send_to_all(self.suspects.parts.report(keys))
+
+    def flush_answers(self) -> None:
+        """Send the answers of prompt parts that no other gateway has reported."""
+        self.answers_due = False
+        keys = self.suspects.parts.take_unconfirmed_answers()
+        if keys:
+            self.send_to_all(self.suspects.parts.report(keys))
 
     def queue_work(self, changed: WorkChanged) -> None:
         """Add a work change to the next batch."""
@@ -294,6 +336,7 @@
             self.send_suspects(
                 peer, self.suspects.most_suspect_reports(MAX_SUSPECTS_PER_SYNC)
             )
+            self.send_parts(peer, self.suspects.parts.recent_report())
 
     def send_upstreams(self, peer: InstanceId) -> None:
         """Send all upstreams to one gateway."""
@@ -305,12 +348,18 @@
         self.limits.tell_newcomer(peer)
         self.send_work_snapshot(peer)
         self.send_suspects(peer, self.suspects.all_reports())
+        self.send_parts(peer, self.suspects.parts.full_report())
 
     def send_suspects(self, peer: InstanceId, message: SuspectRequestsTold) -> None:
         """Send suspects to one gateway, if there are any."""
         if message.suspects:
             self.send(peer, message)
 
+    def send_parts(self, peer: InstanceId, message: PromptPartsTold) -> None:
+        """Send evidence on prompt parts to one gateway, if there is any."""
+        if message.exits or message.parts:
+            self.send(peer, message)
+
     def send_work_snapshot(self, peer: InstanceId) -> None:
         """Send this gateway's work on engines to one gateway."""
         own, now = self.view.settings.instance, time.monotonic()
@@ -338,6 +387,8 @@
                 if self.work_gaps.record_snapshot(delivered.sender, number):
                     now = time.monotonic()
                     self.view.engines.replace(delivered.sender, message, now)
+            case PromptPartsTold() as told:
+                self.suspects.parts.merge_report(delivered.sender, told)
             case FetchWork():
                 self.send_work_snapshot(delivered.sender)
             case FetchRoutes() as query:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import time
+from http import HTTPStatus
 
 from cowslipshelf_core.dialect import CallerFacts, Dialect
 from cowslipshelf_core.gateway import (
@@ -141,6 +142,7 @@
                     name, request.method, request.host, request.target, request.body
                 ),
                 name,
+                facts.shared_parts,
             ),
         )
         return await self.serve(task)
@@ -298,8 +300,11 @@
             case Broken(upstream_exited=True, replaced=replaced):
                 upstream_id = replaced or placement.upstream.upstream_id
                 self.suspects.record_exit(task.identity, upstream_id)
-            case Answered() | FailedThere():
-                self.suspects.record_answer(task.identity)
+            case Answered(status):
+                succeeded = status < HTTPStatus.MULTIPLE_CHOICES
+                self.suspects.record_answer(task.identity, succeeded)
+            case FailedThere():
+                self.suspects.record_answer(task.identity, succeeded=False)
 
     def count_engine_attempt(self, placement: Placement) -> None:
         """Count an attempt on an engine by whether its events cross data centres."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
@@ -7,9 +7,11 @@
 from typing import NamedTuple
 
 from cowslipshelf_core.gateway import (
+    Allowed,
     AllowedAlone,
     HeldBack,
     ListedSuspect,
+    PartDigest,
     QuarantineConfig,
     RequestDigest,
     RequestQuarantine,
@@ -19,6 +21,7 @@
     suspect_report_problem,
 )
 from cowslipshelf_core.identifiers import CustomerName, InstanceId, UpstreamId
+from cowslipshelf_daemon.internal.suspect_parts import SuspectParts
 from cowslipshelf_host.logs import part_logger
 from cowslipshelf_host.metrics import Metrics
 
@@ -32,6 +35,7 @@
     REFUSALS: "Times that such a request was refused.",
     UPSTREAM_EXITS: "Upstreams that ended under a request, as seen here.",
 }
+MAX_LOGGED_PARTS = 8
 MAX_REPORTS_PER_MESSAGE = 4_000
 """Most reports that are read from one message; a process keeps fewer."""
 
@@ -43,13 +47,16 @@
     """Id that the caller gave the request, for the log."""
     digest: RequestDigest
     customer: CustomerName | None
+    shared_parts: tuple[PartDigest, ...] = ()
+    """Parts of its prompt that other prompts may share."""
 
 
 class SuspectRequests:
     """Track the requests under which upstreams exited, as one process knows them.
 
     Any thread may call the methods. After each change, `broadcast` is called with the
-    digest of the changed request, to send it to other processes.
+    digest of the changed request, to send it to other processes; `broadcast_parts`
+    after each change of what is known of the parts of prompts.
     """
 
     def __init__(
@@ -57,10 +64,14 @@
         instance: InstanceId,
         metrics: Metrics,
         broadcast: Callable[[RequestDigest], None],
+        broadcast_parts: Callable[[], None],
     ) -> None:
         self.quarantine = RequestQuarantine.from_config(QuarantineConfig(instance))
         self.metrics = metrics
         self.broadcast = broadcast
+        self.parts = SuspectParts(instance, metrics, broadcast_parts)
+        self.trials: dict[str, AllowedAlone] = {}
+        """The trials that run here, by the id of the request."""
         self.lock = RLock()
         self.change_count = 0
         """Number of changes; tells whether the stored copy is out of date."""
@@ -71,12 +82,16 @@
         """Decide whether a request may run now."""
         with self.lock:
             verdict = self.quarantine.verdict(request.digest, time.monotonic())
+        if not isinstance(verdict, HeldBack):
+            by_parts = self.parts.verdict(request.shared_parts)
+            verdict = verdict if isinstance(by_parts, Allowed) else by_parts
         if isinstance(verdict, HeldBack):
             self.metrics.count(REFUSALS)
             LOG.info(
                 "Request held back.",
                 request=request.request_id,
                 digest=request.digest,
+                parts=request.shared_parts[:MAX_LOGGED_PARTS],
                 customer=request.customer,
                 upstreams=verdict.upstreams,
                 left_seconds=round(verdict.left_seconds, 3),
@@ -113,16 +128,25 @@
             "Suspect tried.",
             request=request.request_id,
             digest=request.digest,
+            parts=verdict.parts,
             customer=request.customer,
             upstreams=self.quarantine.exited_upstreams(request.digest),
             probe=verdict.probe,
         )
+        self.trials[request.request_id] = verdict
+        if verdict.parts:
+            self.parts.begin_trial(verdict)
+            return
         with self.lock:
             self.quarantine.begin_trial(request.digest, verdict, time.monotonic())
         self.note_change(request.digest)
 
     def end_trial(self, request: RequestIdentity) -> None:
         """Record that a trial is over, whatever its result."""
+        verdict = self.trials.pop(request.request_id, None)
+        if verdict is not None and verdict.parts:
+            self.parts.end_trial(verdict.parts)
+            return
         with self.lock:
             self.quarantine.end_trial(request.digest)
         self.note_change(request.digest)
@@ -130,6 +154,8 @@
     def record_exit(self, request: RequestIdentity, upstream_id: UpstreamId) -> None:
         """Record that an upstream exited while it ran a request."""
         now = time.monotonic()
+        on_trial = request.request_id in self.trials
+        self.parts.record_exit(request.shared_parts, upstream_id, on_trial)
         with self.lock:
             if not self.quarantine.record_exit(request.digest, upstream_id, now):
                 return
@@ -144,8 +170,14 @@
         )
         self.note_change(request.digest)
 
-    def record_answer(self, request: RequestIdentity) -> None:
-        """Clear a request that an upstream has answered completely."""
+    def record_answer(self, request: RequestIdentity, succeeded: bool = True) -> None:
+        """Clear a request that an upstream has answered completely.
+
+        An error doesn't clear the parts of its prompt: the upstream may have answered
+        it before it read them.
+        """
+        if succeeded:
+            self.parts.record_answer(request.shared_parts)
         with self.lock:
             cleared = self.quarantine.record_answer(request.digest, time.monotonic())
         if cleared:
@@ -187,7 +219,15 @@
             )
 
     def release(self, digest: RequestDigest, by: str) -> bool:
-        """Clear a request for an operator; return whether anything was known of it."""
+        """Clear a request or a prompt part for an operator; return whether it was held.
+
+        A request with open exits is cleared as well.
+        """
+        part = PartDigest(digest)
+        if any(each.digest == digest for each in self.parts.listed()):
+            self.parts.record_answer((part,))
+            LOG.info("Prompt part released.", prompt_part=part, by=by)
+            return True
         with self.lock:
             released = self.quarantine.record_answer(digest, time.monotonic())
         if released:
@@ -196,12 +236,14 @@
         return released
 
     def listed(self) -> tuple[ListedSuspect, ...]:
-        """Return the suspect requests, the most suspect first."""
+        """Return the held prompt parts, then the requests, the most suspect first."""
         with self.lock:
-            return self.quarantine.listed(time.monotonic())
+            requests = self.quarantine.listed(time.monotonic())
+        return self.parts.listed() + requests
 
     def forget_old(self) -> None:
-        """Forget old suspects, and update the gauge of held requests."""
+        """Forget old suspects, and update the gauges of what is held."""
+        self.parts.forget_old()
         with self.lock:
             forgotten = self.quarantine.forget_old(time.monotonic())
             held = len(self.quarantine.held_requests())
--- a/tests/common/gateway_requests.py
+++ b/tests/common/gateway_requests.py
@@ -58,14 +58,16 @@
             self.view.record_heartbeat(heartbeat(f"u-{number}", address=address), 0.0)
         self.runner = FakeRunner(*outcomes)
         metrics = Metrics()
-        self.suspects = SuspectRequests("10.0.0.1", metrics, self.told.append)
+        self.suspects = SuspectRequests(
+            "10.0.0.1", metrics, self.told.append, lambda: None
+        )
         self.handler = RequestHandler(
             self.view, self.runner, MachinesDialect(), metrics, self.suspects
         )
 
-    def ask(self, body: bytes = BODY) -> RecordedAnswer:
+    def ask(self, body: bytes = BODY, *headers: tuple[bytes, bytes]) -> RecordedAnswer:
         answer = RecordedAnswer()
-        headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", b"3000")]
+        headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", b"3000"), *headers]
         request = HttpRequest("POST", "/x", headers, body, "host.example", "caller")
         asyncio.run(self.handler(request, answer))
         return answer
--- a/tests/cover/daemon/test_suspect_requests.py
+++ b/tests/cover/daemon/test_suspect_requests.py
@@ -16,7 +16,7 @@
 
 def test_of_many_threads_that_ask_for_a_suspect_one_may_try_it():
     """Guards against sending a suspect request to several upstreams at once."""
-    suspects = SuspectRequests("entry-1", Metrics(), lambda _digest: None)
+    suspects = SuspectRequests("entry-1", Metrics(), lambda _digest: None, lambda: None)
     for upstream in ("u-1", "u-2"):
         suspects.quarantine.record_exit(DIGEST, upstream, time.monotonic())
     barrier, verdicts = threading.Barrier(THREADS), []
--- a/tests/cover/gateway/test_avoided_data_centres.py
+++ b/tests/cover/gateway/test_avoided_data_centres.py
@@ -272,7 +272,9 @@
 
 
 def handler_of(view: FleetView, runner: DeadFarEngines | None) -> RequestHandler:
-    suspects = SuspectRequests("10.0.0.1", Metrics(), lambda _digest: None)
+    suspects = SuspectRequests(
+        "10.0.0.1", Metrics(), lambda _digest: None, lambda: None
+    )
     return RequestHandler(view, runner, MachinesDialect(), Metrics(), suspects)
 
 
--- a/tests/cover/gateway/test_newer_configuration.py
+++ b/tests/cover/gateway/test_newer_configuration.py
@@ -64,7 +64,7 @@
     headers = [(b"x-attempt-id", b"a"), (b"x-deadline-ms", DEADLINE_MS), *KEY]
     request = HttpRequest("GET", path, headers, b"", "host.example", "caller")
     metrics = Metrics()
-    suspects = SuspectRequests("10.0.0.1", metrics, lambda _digest: None)
+    suspects = SuspectRequests("10.0.0.1", metrics, lambda _digest: None, lambda: None)
     handler = RequestHandler(view, None, MachinesDialect(), metrics, suspects)
 
     async def request_and_time() -> float:
--- a/tests/cover/gateway/test_suspect_requests.py
+++ b/tests/cover/gateway/test_suspect_requests.py
@@ -9,12 +9,15 @@
 from common.gateway_requests import BODY, GatewayWithFakeRunner, RecordedAnswer
 from cowslipshelf_core.gateway import (
     AllowedAlone,
+    ExitPartsReport,
     ExitReport,
     HeldBack,
+    PromptPartsTold,
     SuspectRequestReport,
     SuspectRequestsTold,
     UpstreamExit,
     request_digest,
+    shared_part_digests,
 )
 from cowslipshelf_daemon.internal.gateway.attempt_outcomes import (
     Answered,
@@ -24,6 +27,7 @@
 )
 from cowslipshelf_daemon.internal.gateway.http_server import HttpRequest
 from cowslipshelf_daemon.internal.gateway.suspect_requests_file import (
+    StoredSuspects,
     SuspectRequestsDocument,
     SuspectRequestsFile,
 )
@@ -139,10 +143,12 @@
     file = SuspectRequestsFile(str(tmp_path))
     document = stored(report("u-1", age=1.0), time.time() - 5.0)
     file.write(msgspec.msgpack.encode(document), 1)
-    told_again = SuspectRequestsFile(str(tmp_path)).read()
+    told_again = SuspectRequestsFile(str(tmp_path)).read().requests
     (recalled,) = told_again.suspects
     assert recalled.exits[0].age_seconds == pytest.approx(6.0, abs=1.0)
-    suspects = SuspectRequests("10.0.0.1", Metrics(), lambda _digest: None)
+    suspects = SuspectRequests(
+        "10.0.0.1", Metrics(), lambda _digest: None, lambda: None
+    )
     suspects.merge_reports("10.0.0.1", told_again)
     assert suspects.quarantine.exit_count(DIGEST) == 1
 
@@ -151,7 +157,7 @@
     file = SuspectRequestsFile(str(tmp_path))
     document = stored(report("u-1"), time.time() + 900.0)
     file.write(msgspec.msgpack.encode(document), 1)
-    assert file.read().suspects[0].exits[0].age_seconds == 1.0
+    assert file.read().requests.suspects[0].exits[0].age_seconds == 1.0
 
 
 @pytest.mark.parametrize("keep", [0, 1, 7, 20])
@@ -160,4 +166,86 @@
     file = SuspectRequestsFile(str(tmp_path))
     document = stored(report("u-1"), time.time())
     file.write(msgspec.msgpack.encode(document)[:keep], 1)
-    assert file.read() == SuspectRequestsTold(())
+    assert file.read() == StoredSuspects(SuspectRequestsTold(()), PromptPartsTold())
+
+
+PARTS = shared_part_digests([b"first", b"fatal"])
+HELD_PART = PromptPartsTold(
+    tuple(
+        ExitPartsReport(UpstreamExit(f"u-{age}", 0), float(age), PARTS[1:])
+        for age in range(1, 4)
+    )
+)
+
+
+def ask_with_parts(gateway: GatewayWithFakeRunner, body: bytes) -> RecordedAnswer:
+    return gateway.ask(body, (b"x-prompt-prefix", b"first:800,fatal:40,%b:9" % body))
+
+
+def test_requests_that_share_a_held_part_are_refused_before_they_run():
+    gateway = GatewayWithFakeRunner(Answered(200))
+    gateway.suspects.parts.merge_report("peer", HELD_PART)
+    answer = ask_with_parts(gateway, b"1")
+    assert answer.status == 503
+    assert b"retry-after" not in answer.headers
+    assert gateway.ask(b"2").status is None
+    assert gateway.runner.sent == 1
+
+
+def test_an_exit_counts_against_all_parts_of_its_request_but_the_last():
+    gateway = GatewayWithFakeRunner(ENDED, LOST, Answered(200))
+    ask_with_parts(gateway, b"1")
+    evidence = gateway.suspects.parts.quarantine.evidence
+    assert list(evidence.parts.values()) == [set(PARTS)]
+    assert not evidence.open_exits(PARTS[0])
+
+
+@pytest.mark.parametrize("outcome", [Answered(400), Answered(304)])
+def test_an_answer_that_was_not_generated_clears_no_part(outcome):
+    """Guards against a fatal part that is cleared by refusals of its requests."""
+    gateway = GatewayWithFakeRunner(ENDED, outcome)
+    ask_with_parts(gateway, b"1")
+    assert gateway.suspects.parts.quarantine.evidence.open_exits(PARTS[1])
+
+
+def test_a_restart_recalls_which_parts_are_held_back(tmp_path):
+    before = GatewayWithFakeRunner().suspects.parts
+    before.merge_report("peer", HELD_PART)
+    file = SuspectRequestsFile(str(tmp_path))
+    document = SuspectRequestsDocument(
+        time.time() - 5.0, SuspectRequestsTold(()), before.full_report()
+    )
+    file.write(msgspec.msgpack.encode(document), 1)
+    after = GatewayWithFakeRunner()
+    after.suspects.parts.merge_report("10.0.0.1", file.read().parts)
+    assert ask_with_parts(after, b"1").status == 503
+    (listed,) = after.suspects.listed()
+    assert listed.digest == PARTS[1]
+    assert listed.last_event_seconds == pytest.approx(6.0, abs=1.0)
+
+
+def test_a_file_of_an_earlier_build_is_read(tmp_path):
+    """Guards against suspects that are forgotten when a gateway is upgraded."""
+    file = SuspectRequestsFile(str(tmp_path))
+    earlier = (time.time(), SuspectRequestsTold((report("u-1"),)))
+    file.write(msgspec.msgpack.encode(earlier), 1)
+    stored = file.read()
+    assert len(stored.requests.suspects) == 1
+    assert stored.parts == PromptPartsTold()
+
+
+def test_an_operator_releases_a_held_part():
+    gateway = GatewayWithFakeRunner(Answered(200))
+    gateway.suspects.parts.merge_report("peer", HELD_PART)
+    assert gateway.suspects.release(PARTS[1], "operator")
+    assert not gateway.suspects.release(PARTS[1], "operator")
+    ask_with_parts(gateway, b"1")
+    assert gateway.runner.sent == 1
+
+
+def test_an_invalid_report_of_parts_changes_nothing():
+    """Guards against a faulty peer that makes a gateway refuse prompts."""
+    gateway = GatewayWithFakeRunner()
+    odd = HELD_PART.exits[0]._replace(age_seconds=float("nan"))
+    gateway.suspects.parts.merge_report("peer", PromptPartsTold((odd,)))
+    assert not gateway.suspects.parts.quarantine.evidence.exits
