Tell exits under a prompt part apart by the attempts that they broke off

A prompt part was held back by exits that lie 0.3 s apart. Attempts that follow each other faster, as those of one request do, counted as one exit, and the exits of a rack that fails within a second as several.

An exit now counts as separate from an earlier one if its attempt began later, and 0.1 s lie between them; a part needs exits under two requests at least, and one that was answered lately a second from its first exit to its last.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -33,7 +33,10 @@
 )
 from cowslipshelf_core.internal.gateway.engine_forecast import abandon_seconds
 from cowslipshelf_core.internal.gateway.engine_tracker import EngineTracker, EngineView
-from cowslipshelf_core.internal.gateway.exit_evidence import PartQuarantineConfig
+from cowslipshelf_core.internal.gateway.exit_evidence import (
+    BrokenAttempt,
+    PartQuarantineConfig,
+)
 from cowslipshelf_core.internal.gateway.first_event_wait import FirstEventWait
 from cowslipshelf_core.internal.gateway.known_evacuations import KnownEvacuations
 from cowslipshelf_core.internal.gateway.limit_messages import (
@@ -55,6 +58,7 @@
     MemoryLeaseConfig,
 )
 from cowslipshelf_core.internal.gateway.messages import (
+    BrokenPart,
     EnginePart,
     EngineWork,
     ExitPartsReport,
@@ -174,6 +178,8 @@
 
 __all__ = [
     "EvidenceKey",
+    "BrokenPart",
+    "BrokenAttempt",
     "ExitPartsReport",
     "HeldPartReport",
     "PartQuarantine",
--- a/packages/core/src/cowslipshelf_core/internal/gateway/exit_evidence.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/exit_evidence.py
@@ -6,28 +6,44 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple, Self
 
 from cowslipshelf_core.identifiers import InstanceId, UpstreamId
 from cowslipshelf_core.internal.gateway.messages import UpstreamExit
-from cowslipshelf_core.internal.gateway.request_digest import PartDigest
+from cowslipshelf_core.internal.gateway.request_digest import (
+    PartDigest,
+    RequestDigest,
+)
 from cowslipshelf_core.internal.gateway.suspect_request import SAME_EXIT_SECONDS
 
 
+class BrokenAttempt(NamedTuple):
+    """Describe an attempt that an upstream's exit broke off."""
+
+    began_at: float
+    request: RequestDigest
+
+
 class PartQuarantineConfig(NamedTuple):
     """Configure when requests with a prompt part are held back, and for how long."""
 
     instance: InstanceId
     unknown_after_exits: int = 3
-    """Spaced exits after which a part that was not answered lately is held back."""
+    """Separate exits after which a part that was not answered lately is held back."""
+    min_requests: int = 2
+    """Least number of different requests that these exits must have broken off."""
     known_after_exits: int = 4
     """The same for a part that was answered lately."""
-    spacing_seconds: float = 0.3
-    """Time within which several exits count as one, as when a rack fails."""
-    min_share: float = 1 / 3
-    """Share that a part must have of the spaced exits since its first one."""
+    known_after_seconds: float = 1.0
+    """Least time from the first to the last of these exits."""
+    spacing_seconds: float = 0.1
+    """Time within which exits are not separate, as when a rack fails."""
+    same_moment_seconds: float = 0.03
+    """Time between exits up to which they count as one in a share of exits."""
+    min_share: float = 0.5
+    """Share that a part must have of all exits since its first one."""
     covering_share: float = 0.75
     """Share of a part's exits above which another part may be the reason of all."""
     doubted_trial_exits: int = 2
@@ -61,8 +77,11 @@
     config: PartQuarantineConfig
     exits: dict[UpstreamExit, float] = field(default_factory=dict)
     """The time of each exit."""
-    parts: dict[UpstreamExit, set[PartDigest]] = field(default_factory=dict)
-    """The parts of the requests that an exit broke off."""
+    parts: dict[UpstreamExit, dict[PartDigest, BrokenAttempt]] = field(
+        default_factory=dict
+    )
+    """The parts of the attempts that an exit broke off, each with the one of its
+    attempts that began last."""
     by_part: dict[PartDigest, set[UpstreamExit]] = field(default_factory=dict)
     answered: dict[PartDigest, float] = field(default_factory=dict)
     """The time of each part's last complete answer, the oldest one first."""
@@ -81,19 +100,26 @@
         return UpstreamExit(upstream_id, len(same))
 
     def record_exit(
-        self, exited: UpstreamExit, parts: Iterable[PartDigest], at: float
+        self,
+        exited: UpstreamExit,
+        broken: Mapping[PartDigest, BrokenAttempt],
+        at: float,
     ) -> bool:
-        """Record the parts that an exit broke off; return whether any is new."""
-        known = self.parts.setdefault(exited, set())
-        new = [part for part in dict.fromkeys(parts) if part not in known]
-        new = new[: self.config.max_parts_per_exit - len(known)]
-        self.exits[exited] = min(self.exits.get(exited, math.inf), at)
-        known.update(new)
-        for part in new:
+        """Record the parts that an exit broke off; return whether any of it is new."""
+        known = self.parts.setdefault(exited, {})
+        news = False
+        for part, attempt in broken.items():
+            if part not in known and len(known) >= self.config.max_parts_per_exit:
+                continue
+            if part in known and attempt <= known[part]:
+                continue
+            news |= part not in known or attempt.request != known[part].request
+            known[part] = attempt
             self.by_part.setdefault(part, set()).add(exited)
+        self.exits[exited] = min(self.exits.get(exited, math.inf), at)
         if len(self.exits) > self.config.max_exits:
             self.remove_exit(min(self.exits, key=self.exits.__getitem__))
-        return bool(new)
+        return news
 
     def record_answer(self, part: PartDigest, at: float) -> bool:
         """Record a complete answer; return whether it cleared the part of an exit."""
@@ -136,19 +162,39 @@
         needed = config.known_after_exits if is_known else config.unknown_after_exits
         if len(against) < needed:
             return False
-        spaced = self.count_spaced(against)
-        began = min(self.exits[each] for each in against)
-        others = {each for each, at in self.exits.items() if at >= began}
-        total = self.count_spaced(others - explained)
-        return spaced >= needed and spaced >= config.min_share * total
-
-    def count_spaced(self, exits: Iterable[UpstreamExit]) -> int:
-        """Count exits, those that follow within a short time as one."""
-        spaced, last_at = 0, -math.inf
+        broken = {each: self.parts[each][part] for each in against}
+        if len({attempt.request for attempt in broken.values()}) < config.min_requests:
+            return False
+        separate = self.count_separate(
+            (self.exits[each], attempt.began_at) for each, attempt in broken.items()
+        )
+        times = [self.exits[each] for each in against]
+        first_at = min(times)
+        if is_known and max(times) < first_at + config.known_after_seconds:
+            return False
+        since = {each for each, at in self.exits.items() if at >= first_at}
+        share = self.count_moments(against) / self.count_moments(since - explained)
+        return separate >= needed and share >= config.min_share
+
+    def count_separate(self, exits: Iterable[tuple[float, float]]) -> int:
+        """Count exits, given with the beginning of an attempt, that are separate.
+
+        An attempt that began before an exit may end by the same cause. An exit is
+        separate from an earlier one if its attempt began later.
+        """
+        separate, last_at = 0, -math.inf
+        for at, began in sorted(exits):
+            if began > last_at and at >= last_at + self.config.spacing_seconds:
+                separate, last_at = separate + 1, at
+        return separate
+
+    def count_moments(self, exits: Iterable[UpstreamExit]) -> int:
+        """Count exits, those that follow almost at once as one."""
+        moments, last_at = 0, -math.inf
         for at in sorted(self.exits[each] for each in exits):
-            if at >= last_at + self.config.spacing_seconds:
-                spaced, last_at = spaced + 1, at
-        return spaced
+            moments += at >= last_at + self.config.same_moment_seconds
+            last_at = at
+        return moments
 
     def covers(self, other: PartDigest, part: PartDigest) -> bool:
         """Return whether another part was in nearly all open exits of a part."""
--- a/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/messages.py
@@ -114,12 +114,21 @@
     suspects: tuple[SuspectRequestReport, ...]
 
 
+class BrokenPart(NamedTuple):
+    """Report a prompt part of an attempt that an upstream's exit broke off."""
+
+    part: PartDigest
+    run_seconds: float
+    """Time from the beginning of the attempt to the exit."""
+    request: RequestDigest
+
+
 class ExitPartsReport(NamedTuple):
-    """Report the prompt parts of the requests that an upstream's exit broke off."""
+    """Report the prompt parts of the attempts that an upstream's exit broke off."""
 
     exit: UpstreamExit
     age_seconds: float
-    parts: tuple[PartDigest, ...]
+    parts: tuple[BrokenPart, ...]
 
 
 class HeldPartReport(NamedTuple):
--- a/packages/core/src/cowslipshelf_core/internal/gateway/part_quarantine.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/part_quarantine.py
@@ -11,11 +11,13 @@
 
 from cowslipshelf_core.identifiers import UpstreamId
 from cowslipshelf_core.internal.gateway.exit_evidence import (
+    BrokenAttempt,
     ExitEvidence,
     PartQuarantineConfig,
 )
 from cowslipshelf_core.internal.gateway.held_part import HeldPart
 from cowslipshelf_core.internal.gateway.messages import (
+    BrokenPart,
     ExitPartsReport,
     PartReport,
     PromptPartsTold,
@@ -107,18 +109,19 @@
         self,
         parts: Iterable[PartDigest],
         upstream_id: UpstreamId,
+        attempt: BrokenAttempt,
         on_trial: bool,
         now: float,
     ) -> tuple[PartDigest, ...]:
         """Record an exit under a request with some parts; return those now held."""
-        parts = frozenset(parts)
-        if not parts:
+        broken = dict.fromkeys(parts, attempt)
+        if not broken:
             return ()
         if on_trial:
-            for part in parts & self.held.keys():
+            for part in broken.keys() & self.held.keys():
                 self.held[part].trial_exits += 1
         exited = self.evidence.identify_exit(upstream_id, now)
-        if not self.evidence.record_exit(exited, parts, now):
+        if not self.evidence.record_exit(exited, broken, now):
             return ()
         self.changed.add(exited)
         return self.judge(exited, now)
@@ -129,7 +132,7 @@
         at = evidence.exits.get(exited)
         if at is None:
             return ()
-        parts = evidence.parts[exited]
+        parts = evidence.parts[exited].keys()
         for part in parts & self.held.keys():
             self.held[part].exited_at = max(self.held[part].exited_at, at)
             self.changed.add(part)
@@ -222,12 +225,20 @@
         for key in keys:
             if isinstance(key, UpstreamExit):
                 if key in evidence.exits:
-                    age = max(0.0, now - evidence.exits[key])
-                    exits.append(ExitPartsReport(key, age, tuple(evidence.parts[key])))
+                    exits.append(self.report_exit(key, now))
             else:
                 parts.append(self.report_part(key, now))
         return PromptPartsTold(tuple(exits), tuple(parts))
 
+    def report_exit(self, exited: UpstreamExit, now: float) -> ExitPartsReport:
+        """Return the report of one exit."""
+        at = self.evidence.exits[exited]
+        parts = tuple(
+            BrokenPart(part, max(0.0, at - attempt.began_at), attempt.request)
+            for part, attempt in self.evidence.parts[exited].items()
+        )
+        return ExitPartsReport(exited, max(0.0, now - at), parts)
+
     def report_part(self, part: PartDigest, now: float) -> PartReport:
         """Return the report of one part, after which its answer counts as told."""
         answer_age = None
@@ -251,11 +262,11 @@
             self.merge_part(report, now)
         for report in told.exits:
             at = now - report.age_seconds
-            known_at = self.evidence.exits.get(report.exit, math.inf)
-            if (
-                self.evidence.record_exit(report.exit, report.parts, at)
-                or at < known_at
-            ):
+            broken = {
+                each.part: BrokenAttempt(at - each.run_seconds, each.request)
+                for each in report.parts
+            }
+            if self.evidence.record_exit(report.exit, broken, at):
                 self.judge(report.exit, now)
         # Each gateway reports what it has seen itself.
         self.changed = set(changed)
@@ -311,12 +322,14 @@
 
 def parts_report_problem(told: PromptPartsTold) -> str | None:
     """Return why a report of another gateway is invalid, or None if it is valid."""
-    parts = [part for report in told.exits for part in report.parts]
-    parts += [report.part for report in told.parts]
-    if not all(is_digest(part) for part in parts):
+    broken = [each for report in told.exits for each in report.parts]
+    digests = [digest for each in broken for digest in (each.part, each.request)]
+    digests += [report.part for report in told.parts]
+    if not all(is_digest(each) for each in digests):
         return "a digest is none"
     held = [report.held for report in told.parts if report.held is not None]
     ages = [report.age_seconds for report in told.exits]
+    ages += [each.run_seconds for each in broken]
     ages += [report.answer_age_seconds or 0.0 for report in told.parts]
     ages += [
         age for each in held for age in (each.exit_age_seconds, each.trial_age_seconds)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -144,6 +144,8 @@
         self.chosen: ChosenUpstream | None = None
         self.reading_upstream: UpstreamId | None = None
         """The upstream whose answer is being read."""
+        self.attempt_began_at = time.monotonic()
+        """The time at which its attempt was handed over."""
         self.identity = request_identity(request)
         self.on_trial = False
         self.sender = AttemptSender(
@@ -247,7 +249,9 @@
     def report_stream_end(self, end: StreamEnd) -> None:
         """Record whether the upstream exited under the request or answered it."""
         if end.upstream_ended and self.reading_upstream is not None:
-            self.services.suspects.record_exit(self.identity, self.reading_upstream)
+            self.services.suspects.record_exit(
+                self.identity, self.reading_upstream, self.attempt_began_at
+            )
         elif end.refusal is None:
             self.services.suspects.record_answer(self.identity)
 
@@ -267,6 +271,7 @@
         self.close_stream()
         attempt_id = hand_over.attempt_id
         self.reading_upstream = hand_over.upstream_id
+        self.attempt_began_at = time.monotonic()
         answer = self.sender.hand_over(self.chosen, hand_over)
         match answer:
             case AttemptRefused():
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -265,7 +265,7 @@
         if not isinstance(outcome, Answered):
             self.exclude_doubtful(placement, progress)
         self.log_attempt_end(task, placement, outcome, began)
-        self.record_for_quarantine(task, placement, outcome)
+        self.record_for_quarantine(task, placement, outcome, began)
         return outcome
 
     def exclude_doubtful(self, placement: Placement, progress: RequestProgress) -> None:
@@ -293,13 +293,17 @@
         )
 
     def record_for_quarantine(
-        self, task: AttemptTask, placement: Placement, outcome: AttemptOutcome
+        self,
+        task: AttemptTask,
+        placement: Placement,
+        outcome: AttemptOutcome,
+        began: float,
     ) -> None:
         """Record whether an upstream exited under the request, or answered it."""
         match outcome:
             case Broken(upstream_exited=True, replaced=replaced):
                 upstream_id = replaced or placement.upstream.upstream_id
-                self.suspects.record_exit(task.identity, upstream_id)
+                self.suspects.record_exit(task.identity, upstream_id, began)
             case Answered(status):
                 succeeded = status < HTTPStatus.MULTIPLE_CHOICES
                 self.suspects.record_answer(task.identity, succeeded)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/suspect_parts.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/suspect_parts.py
@@ -6,6 +6,7 @@
 
 from cowslipshelf_core.gateway import (
     AllowedAlone,
+    BrokenAttempt,
     EvidenceKey,
     ListedSuspect,
     PartDigest,
@@ -63,12 +64,16 @@
         self.announce()
 
     def record_exit(
-        self, parts: tuple[PartDigest, ...], upstream_id: UpstreamId, on_trial: bool
+        self,
+        parts: tuple[PartDigest, ...],
+        upstream_id: UpstreamId,
+        attempt: BrokenAttempt,
+        on_trial: bool,
     ) -> None:
         """Record that an upstream exited under a request with some parts."""
         with self.lock:
             held = self.quarantine.record_exit(
-                parts, upstream_id, on_trial, time.monotonic()
+                parts, upstream_id, attempt, on_trial, time.monotonic()
             )
             self.log_held(held, None)
         self.announce()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/suspect_requests.py
@@ -9,6 +9,7 @@
 from cowslipshelf_core.gateway import (
     Allowed,
     AllowedAlone,
+    BrokenAttempt,
     HeldBack,
     ListedSuspect,
     PartDigest,
@@ -151,11 +152,17 @@
             self.quarantine.end_trial(request.digest)
         self.note_change(request.digest)
 
-    def record_exit(self, request: RequestIdentity, upstream_id: UpstreamId) -> None:
-        """Record that an upstream exited while it ran a request."""
+    def record_exit(
+        self, request: RequestIdentity, upstream_id: UpstreamId, began_at: float
+    ) -> None:
+        """Record that an upstream exited during an attempt of a request."""
         now = time.monotonic()
-        on_trial = request.request_id in self.trials
-        self.parts.record_exit(request.shared_parts, upstream_id, on_trial)
+        self.parts.record_exit(
+            request.shared_parts,
+            upstream_id,
+            BrokenAttempt(began_at, request.digest),
+            on_trial=request.request_id in self.trials,
+        )
         with self.lock:
             if not self.quarantine.record_exit(request.digest, upstream_id, now):
                 return
