Hold back chats that share a message under which engines exit

The messages before a chat's last one are now the parts that it may share. A complete answer with an error status clears none of them.

--- a/packages/callers/src/cowslipshelf_callers/internal/call.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/call.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from cowslipshelf_core.configuration import ServiceKind
+from cowslipshelf_core.gateway import PartDigest
 from cowslipshelf_core.identifiers import ModelName, RequestId, ServiceName
 
 
@@ -36,6 +37,8 @@
     """None for the default of the service."""
     peer: str
     """Address of the caller."""
+    shared_parts: tuple[PartDigest, ...] = ()
+    """Parts of the prompt that other prompts may share."""
 
 
 class ServedModel(NamedTuple):
--- a/packages/callers/src/cowslipshelf_callers/internal/model_call.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/model_call.py
@@ -10,6 +10,7 @@
 
 from cowslipshelf_callers.errors import BadCallError
 from cowslipshelf_core.errors import Refusal, RefusalCode, RefusalReason
+from cowslipshelf_core.gateway import PartDigest, shared_part_digests
 from cowslipshelf_core.identifiers import ModelName
 
 BYTES_PER_TOKEN = 4
@@ -66,6 +67,8 @@
     prompt_tokens: int
     max_output_tokens: int
     prefix_hash: int
+    shared_parts: tuple[PartDigest, ...] = ()
+    """Parts of the prompt that other prompts may share."""
 
 
 CHAT_DECODER = msgspec.json.Decoder(ChatBody)
@@ -76,7 +79,9 @@
     """Parse the body of a chat completion."""
     decoded = _decode(CHAT_DECODER, body)
     texts = [text for message in decoded.messages for text in _texts(message)]
-    return _facts(decoded, estimate_tokens(texts), hash_prefix(texts))
+    facts = _facts(decoded, estimate_tokens(texts), hash_prefix(texts))
+    earlier = (_message_key(message) for message in decoded.messages[:-1])
+    return facts._replace(shared_parts=shared_part_digests(earlier))
 
 
 def parse_completion(body: bytes) -> ModelCallFacts:
@@ -93,6 +98,10 @@
     return _facts(decoded, tokens, hash_prefix(texts))
 
 
+def _message_key(message: ChatMessage) -> bytes:
+    return msgspec.json.encode((message.role, _texts(message)))
+
+
 def _texts(message: ChatMessage) -> list[str]:
     match message.content:
         case str() as text:
--- a/packages/callers/src/cowslipshelf_callers/internal/routes.py
+++ b/packages/callers/src/cowslipshelf_callers/internal/routes.py
@@ -171,6 +171,7 @@
         idempotency_key=idempotency_key_of(line.headers),
         deadline_seconds=deadline_of(line.headers),
         peer=line.peer,
+        shared_parts=facts.shared_parts,
     )
 
 
--- a/packages/core/src/cowslipshelf_core/internal/requests/caller_request.py
+++ b/packages/core/src/cowslipshelf_core/internal/requests/caller_request.py
@@ -11,6 +11,7 @@
     RequestId,
     ServiceName,
 )
+from cowslipshelf_core.internal.gateway.request_digest import PartDigest
 
 
 class CallerRequest(NamedTuple):
@@ -40,6 +41,8 @@
     body: bytes
     body_digest: str
     """Hex digest of the body; tells a resend from a different body under one key."""
+    shared_parts: tuple[PartDigest, ...] = ()
+    """Parts of the prompt that other prompts may share."""
 
     def is_non_idempotent(self) -> bool:
         """Return whether the request must run at most once."""
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/callers_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/callers_handler.py
@@ -111,6 +111,7 @@
             headers=call.headers,
             body=call.body,
             body_digest=call.body_digest,
+            shared_parts=call.shared_parts,
         )
 
     def models(self, customer_key: str) -> tuple[ServedModel, ...] | Refusal:
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/request_driver.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterator
+from http import HTTPStatus
 from typing import NamedTuple
 
 from cowslipshelf_callers import AnswerWriter, CallerGoneError
@@ -21,6 +22,7 @@
     Frame,
     Message,
     StreamEnd,
+    StreamHead,
     StreamHeartbeat,
 )
 from cowslipshelf_core.requests import (
@@ -144,6 +146,8 @@
         self.chosen: ChosenUpstream | None = None
         self.reading_upstream: UpstreamId | None = None
         """The upstream whose answer is being read."""
+        self.answer_status = HTTPStatus.OK.value
+        """The status of that answer."""
         self.attempt_began_at = time.monotonic()
         """The time at which its attempt was handed over."""
         self.identity = request_identity(request)
@@ -253,7 +257,8 @@
                 self.identity, self.reading_upstream, self.attempt_began_at
             )
         elif end.refusal is None:
-            self.services.suspects.record_answer(self.identity)
+            succeeded = self.answer_status < HTTPStatus.MULTIPLE_CHOICES
+            self.services.suspects.record_answer(self.identity, succeeded)
 
     def ask_claim(self, claim: Message) -> None:
         """Submit a claim command to the replicated state."""
@@ -364,6 +369,8 @@
             self.close_stream()
             self.handle(StreamLost(self.streaming_attempt))
             return
+        if isinstance(frame, StreamHead):
+            self.answer_status = frame.status
         match frame:
             case _ if self.seconds_left() <= 0:
                 self.handle(DeadlinePassed())
@@ -434,7 +441,9 @@
         request.path,
         request.body_digest.encode(),
     )
-    return RequestIdentity(request.request_id, digest, request.customer)
+    return RequestIdentity(
+        request.request_id, digest, request.customer, request.shared_parts
+    )
 
 
 def refusal_of(verdict: HeldBack) -> Refusal:
--- a/tests/cover/callers/test_model_call.py
+++ b/tests/cover/callers/test_model_call.py
@@ -49,3 +49,18 @@
     }
     assert len(hashes) == 1
     assert 0 < hashes.pop() < 2**64
+
+
+def chat_parts(*messages: tuple[str, str]) -> tuple[str, ...]:
+    listed = [{"role": role, "content": text} for role, text in messages]
+    body = {"model": "m", "messages": listed}
+    return parse_chat(json.dumps(body).encode()).shared_parts
+
+
+def test_chats_share_the_messages_before_their_last():
+    system, first = ("system", "s"), ("user", "a")
+    parts = chat_parts(system, first, ("user", "b"))
+    assert parts == chat_parts(system, first, ("user", "c"))
+    assert chat_parts(system, ("user", "b")) == parts[:1]
+    assert chat_parts(("user", "s"), first) != parts[:1]
+    assert chat_parts(system) == ()
--- a/tests/nocover/daemon/test_requests_that_end_upstreams.py
+++ b/tests/nocover/daemon/test_requests_that_end_upstreams.py
@@ -149,3 +149,38 @@
     sound = body | {"prompt": "sound"}
     status, document = send(fleet, "entry-1", "/v1/completions", sound)
     assert status == 200, document
+
+
+MANY_ENGINES = tuple(
+    Upstream(f"scribe-{n}", "scribe", "model", (MODEL,)) for n in range(10)
+)
+FIFTH_EXIT = 5
+MAX_LATER = 3
+"""Most engines that may exit under a message once it has ended five."""
+
+
+def chat(number: int, *before: str) -> dict:
+    """Return a chat with some messages before its last one, which is its own."""
+    texts = [*before, f"question {number}"]
+    messages = [{"role": "user", "content": text} for text in texts]
+    return {"model": MODEL, "messages": messages, "max_tokens": 4}
+
+
+def test_chats_that_share_a_message_which_ends_engines_end_few_more(fleet):
+    """Guards against a message that ends an engine in each chat that has it."""
+    start(fleet, MANY_ENGINES, idempotent=True)
+    path, numbers = "/v1/chat/completions", iter(range(1_000))
+    for _ in range(40):
+        send(fleet, fleet.entry_names[0], path, chat(next(numbers), "hello", FATAL))
+        send(fleet, fleet.entry_names[1], path, chat(next(numbers), "hello"))
+        if count_exited(fleet, MANY_ENGINES) >= FIFTH_EXIT:
+            break
+    time.sleep(PROPAGATION_SECONDS)
+    known = count_exited(fleet, MANY_ENGINES)
+    for number in range(RESENDS):
+        entry = fleet.entry_names[number % len(fleet.entry_names)]
+        status, document = send(fleet, entry, path, chat(next(numbers), "hello", FATAL))
+    assert count_exited(fleet, MANY_ENGINES) <= known + MAX_LATER < len(MANY_ENGINES)
+    assert document["error"]["code"] == "not_run"
+    status, document = send(fleet, "entry-1", path, chat(next(numbers), "hello"))
+    assert status == 200, document
