Refuse connections unread that a busy gateway can't serve in time

With 4100 descriptors the only bound at the door was far above what a gateway can serve.

Connections wait unread now while a turn of the event loop takes longer than 20 ms, at most eight are taken on in a turn, and one that has waited for 0.1 s is reset, so that its caller may try another gateway at once. Kept connections are not held up.

--- a/packages/core/src/cowslipshelf_core/gateway.py
+++ b/packages/core/src/cowslipshelf_core/gateway.py
@@ -1,5 +1,10 @@
 """Export the decision logic of gateways, which serve requests by configured routes."""
 
+from cowslipshelf_core.internal.gateway.accept_throttle import (
+    AcceptThrottle,
+    AcceptThrottleConfig,
+    WaitingConnection,
+)
 from cowslipshelf_core.internal.gateway.answer_times import AnswerTimes
 from cowslipshelf_core.internal.gateway.cold_limiter import (
     UNLIMITED,
@@ -177,6 +182,9 @@
 from cowslipshelf_core.internal.gateway.work_gaps import WorkGapDetector
 
 __all__ = [
+    "AcceptThrottle",
+    "AcceptThrottleConfig",
+    "WaitingConnection",
     "EvidenceKey",
     "BrokenPart",
     "BrokenAttempt",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/early_listener.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/early_listener.py
@@ -16,6 +16,14 @@
     """
     if not address:
         return None
+    try:
+        return listen(address)
+    except (OSError, ValueError):
+        return None
+
+
+def listen(address: str) -> socket.socket:
+    """Return a non-blocking socket that listens on an address, given as IP and port."""
     host, _, port = address.rpartition(":")
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -25,5 +33,5 @@
         listener.setblocking(False)
     except (OSError, ValueError):
         listener.close()
-        return None
+        raise
     return listener
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -190,6 +190,7 @@
             RequestHandler(self.view, runner, dialect, self.metrics, self.suspects),
             self.limits,
             max(64, (settings.max_descriptors - RESERVED_DESCRIPTORS) // 2),
+            self.metrics,
         )
         self.control = HttpServer(
             "control",
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
@@ -10,8 +10,10 @@
 
 from cowslipshelf_core.dialect import Headers
 from cowslipshelf_core.gateway import CallerLimits
-from cowslipshelf_daemon.internal.early_listener import BACKLOG
+from cowslipshelf_daemon.internal.early_listener import BACKLOG, listen
+from cowslipshelf_daemon.internal.gateway.throttled_listener import ThrottledListener
 from cowslipshelf_host.logs import part_logger
+from cowslipshelf_host.metrics import Metrics
 
 LOG = part_logger("http_server")
 
@@ -99,6 +101,7 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         max_connections: int,
+        metrics: Metrics | None = None,
     ) -> None:
         self.name = name
         self.handler = handler
@@ -106,20 +109,38 @@
         self.max_connections = max_connections
         self.connections: set[HttpConnection] = set()
         self.closing = False
-        self.server: asyncio.Server | None = None
+        self.metrics = metrics
+        """Given to a server that refuses connections which it is too busy to serve."""
+        self.server: asyncio.Server | ThrottledListener | None = None
+        self.admitting: set[asyncio.Task] = set()
 
     async def start(self, address: str, listener: socket.socket | None = None) -> None:
         """Listen on an address, given as IP and port, or on a bound socket."""
-        host, _, port = address.rpartition(":")
+        listener = listener or listen(address)
+        if self.metrics is not None:
+            self.server = ThrottledListener(
+                listener, self.admit, self.has_room, self.metrics
+            )
+            return
         loop = asyncio.get_running_loop()
-        if listener is None:
-            where = {"host": host, "port": int(port)}
-        else:
-            where = {"sock": listener}
         self.server = await loop.create_server(
-            lambda: HttpConnection(self), backlog=BACKLOG, **where
+            lambda: HttpConnection(self), backlog=BACKLOG, sock=listener
         )
 
+    def admit(self, connection: socket.socket) -> None:
+        """Serve an accepted connection."""
+        loop = asyncio.get_running_loop()
+        connecting = loop.connect_accepted_socket(
+            lambda: HttpConnection(self), connection
+        )
+        task = loop.create_task(connecting)
+        self.admitting.add(task)
+        task.add_done_callback(self.admitting.discard)
+
+    def has_room(self, more: int) -> bool:
+        """Return whether so many connections fit beside the open ones."""
+        return len(self.connections) + more <= self.max_connections
+
     @property
     def busy(self) -> int:
         """Return the number of requests being answered."""
--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -76,6 +76,7 @@
     replica_in_memory: bool = False
     max_sync_seconds: float = 0.0
     """Maximum time of a disk sync; zero does not slow syncs."""
+    max_descriptors: int = 1024
     process: subprocess.Popen | None = None
 
     @property
@@ -138,7 +139,8 @@
             "heartbeat_ms = 60000\n[listen]\n"
             f'front = "{self.callers}"\nready = "{self.host}:{self.ports.ready}"\n'
             f'control = "{self.control}"\n'
-            "[limits]\nmax_fds = 1024\n[fault_tolerance]\nmachines = 1\n"
+            f"[limits]\nmax_fds = {self.max_descriptors}\n"
+            "[fault_tolerance]\nmachines = 1\n"
             "[bounds]\ngrace_s = 8\n"
         )
 
@@ -247,6 +249,7 @@
     size: int = 3,
     in_memory: int | None = None,
     max_sync_seconds: float = 0.0,
+    max_descriptors: int = 1024,
 ) -> Iterator[Fleet]:
     """Run gateways with replicas until the test ends.
 
@@ -259,6 +262,7 @@
     ]
     for number, gateway in enumerate(gateways):
         gateway.max_sync_seconds = max_sync_seconds
+        gateway.max_descriptors = max_descriptors
         if in_memory is not None:
             gateway.holds_replica = False
             gateway.replica_in_memory = number < in_memory
