--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -13,6 +13,7 @@
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 
+from common.connection_load import Load, run
 from common.gateway_fleet import (
     HOST,
     KEY,
@@ -45,6 +46,12 @@
 LARGE_BODY = bytes(3_000_000)
 """More than the kernel buffers for a link that reads nothing."""
 LARGE_SHARE = 0.02
+BURST_PER_SECOND = 500
+BURST_REQUEST = (
+    f"POST /{Kind.SAFE}/x HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Token {KEY}\r\n"
+    "X-Attempt-Id: burst\r\nX-Deadline-Ms: 1000\r\nContent-Length: 0\r\n"
+    "Connection: close\r\n\r\n"
+).encode()
 EVENT_PAUSE_SECONDS = 0.03
 BROKEN_SHARE = 0.1
 """Share of the streams that end inside an event, framed as complete."""
@@ -222,6 +229,7 @@
             self.restart_upstream,
             self.change_limit,
             self.change_limit,
+            self.open_many_connections,
         ]
         while not self.stopping.is_set():
             fault = self.random.choice(kinds)
@@ -317,6 +325,12 @@
         upstream.sequence = 0
         self.limits[self.upstreams.index(upstream)].forget()
 
+    def open_many_connections(self) -> None:
+        """Let most new connections go to one gateway for a while."""
+        gateway = self.random.choice(self.fleet.gateways)
+        seconds = self.random.uniform(*FAULT_SECONDS)
+        run(Load(gateway.callers, BURST_REQUEST, BURST_PER_SECOND, seconds=seconds))
+
     def change_limit(self) -> None:
         """Let an upstream name another limit, or none."""
         limit = self.random.choice(self.limits)
