Pause accepting while a process has no descriptor left

The socket of the throttled listener stays readable then, and would have kept the event loop busy with failing accepts and their log lines.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/early_listener.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/early_listener.py
@@ -25,10 +25,11 @@
 def listen(address: str) -> socket.socket:
     """Return a non-blocking socket that listens on an address, given as IP and port."""
     host, _, port = address.rpartition(":")
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
+        listener.bind((host.strip("[]"), int(port)))
         listener.listen(BACKLOG)
         listener.setblocking(False)
     except (OSError, ValueError):
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/throttled_listener.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/throttled_listener.py
@@ -24,6 +24,7 @@
 }
 MAX_ACCEPTS_PER_TURN = 64
 """Most connections that are taken from the kernel's queue at once."""
+ACCEPT_PAUSE_SECONDS = 0.2
 CALM_SECONDS = 1.0
 """Time without a refusal after which refusing counts as over."""
 RESET = struct.pack("ii", 1, 0)
@@ -57,7 +58,7 @@
         self.calm_timer: asyncio.TimerHandle | None = None
         for name, text in HELPS.items():
             metrics.describe(name, text)
-        self.loop.add_reader(listener, self.accept)
+        self.resume_accepting()
 
     def accept(self) -> None:
         """Queue the connections that have come."""
@@ -70,8 +71,7 @@
             except ConnectionAbortedError:
                 continue
             except OSError as error:
-                # The reader is called again in the next turn.
-                LOG.warning("Connection not accepted.", error=str(error))
+                self.pause_accepting(error)
                 break
             connection.setblocking(False)
             if self.has_room(len(self.throttle.waiting) + 1):
@@ -80,6 +80,20 @@
                 self.refuse([WaitingConnection(connection, now)], "descriptors", 0.0)
         self.decide_soon()
 
+    def pause_accepting(self, error: OSError) -> None:
+        """Accept nothing for a while, as the process has no descriptor or memory left.
+
+        The socket stays readable meanwhile, and would keep the event loop busy.
+        """
+        LOG.warning("Connection not accepted.", error=str(error))
+        self.loop.remove_reader(self.listener)
+        self.loop.call_later(ACCEPT_PAUSE_SECONDS, self.resume_accepting)
+
+    def resume_accepting(self) -> None:
+        """Accept connections again, unless the socket was closed meanwhile."""
+        if self.listener.fileno() >= 0:
+            self.loop.add_reader(self.listener, self.accept)
+
     def decide_soon(self) -> None:
         """Decide in the next turn of the event loop, if any connection waits."""
         if self.throttle.waiting and not self.deciding:
--- a/tests/cover/gateway/test_throttled_listener.py
+++ b/tests/cover/gateway/test_throttled_listener.py
@@ -1,12 +1,14 @@
 """Check how a server takes on connections on real sockets."""
 
 import asyncio
+import errno
 import socket
 import time
 
 import pytest
 
 from cowslipshelf_core.gateway import CallerLimits
+from cowslipshelf_daemon.internal.early_listener import listen
 from cowslipshelf_daemon.internal.gateway.http_server import HttpServer
 from cowslipshelf_host.metrics import Metrics
 
@@ -105,3 +107,49 @@
                 running.connect()
 
     asyncio.run(run())
+
+
+class ExhaustedListener:
+    """Fail to accept as a process without free descriptors does, for a while."""
+
+    def __init__(self, listener: socket.socket, failures: int) -> None:
+        self.listener = listener
+        self.left = failures
+        self.accepts = 0
+
+    def accept(self):
+        self.accepts += 1
+        if self.left:
+            self.left -= 1
+            raise OSError(errno.EMFILE, "Too many open files")
+        return self.listener.accept()
+
+    def fileno(self) -> int:
+        return self.listener.fileno()
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+def test_without_any_descriptor_the_gateway_pauses_and_then_serves():
+    """Guards against an event loop that spins while nothing can be accepted."""
+
+    async def run() -> None:
+        async with RunningServer() as running:
+            throttled = running.server.server
+            throttled.close()
+            exhausted = ExhaustedListener(listen("127.0.0.1:0"), failures=2)
+            running.port = exhausted.listener.getsockname()[1]
+            throttled.listener = exhausted
+            throttled.resume_accepting()
+            assert (await running.ask()).startswith(b"HTTP/1.1 200")
+            assert exhausted.accepts <= 5
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "[::1]"])
+def test_an_address_of_either_kind_is_listened_on(host):
+    listener = listen(f"{host}:0")
+    with listener, socket.create_connection(listener.getsockname()[:2]):
+        assert listener.accept()[0].fileno() >= 0
