Drop unused connections where there is no room for others

Callers that open connections and send nothing kept a descriptor each until the idle timeout, so that thousands of them left none for others. Where the bound is reached, those on which nothing has come for a second since they opened are dropped; connections that have carried a request stay.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/http_server.py
@@ -1,8 +1,10 @@
 """Serve HTTP/1.1 on asyncio, with limits on request size and slowness."""
 
 import asyncio
+import math
 import socket
 import struct
+import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -21,6 +23,11 @@
 """Bytes buffered ahead of the parser; beyond this, reading pauses."""
 OLDEST_WITH_CHUNKS = b"1.1"
 """HTTP version before which an answer without a length ends with its connection."""
+UNUSED_SECONDS = 1.0
+"""Age of a connection from which nothing has come yet at which it may be dropped if
+there is no room for others."""
+MAKE_ROOM_SECONDS = 0.1
+"""Least time between two searches for unused connections."""
 CLOSE_TIMEOUT_SECONDS = 2.0
 """Time for a caller to read the last answer before its connection is dropped."""
 
@@ -113,6 +120,7 @@
         """Given to a server that refuses connections which it is too busy to serve."""
         self.server: asyncio.Server | ThrottledListener | None = None
         self.admitting: set[asyncio.Task] = set()
+        self.made_room_at = -math.inf
 
     async def start(self, address: str, listener: socket.socket | None = None) -> None:
         """Listen on an address, given as IP and port, or on a bound socket."""
@@ -138,9 +146,28 @@
         task.add_done_callback(self.admitting.discard)
 
     def has_room(self, more: int) -> bool:
-        """Return whether so many connections fit beside the open ones."""
+        """Return whether so many connections fit, without the unused ones if needed."""
+        if len(self.connections) + more > self.max_connections:
+            self.drop_unused(time.monotonic())
         return len(self.connections) + more <= self.max_connections
 
+    def drop_unused(self, now: float) -> None:
+        """Drop the connections on which nothing has come for a while since they opened.
+
+        Callers that open connections without using them must not take the place of
+        others. One that has carried a request may be about to carry the next.
+        """
+        if now < self.made_room_at + MAKE_ROOM_SECONDS:
+            return
+        self.made_room_at = now
+        unused = [each for each in self.connections if each.is_unused(now)]
+        for connection in unused:
+            # The transport reports the loss only in the next turn.
+            self.connections.discard(connection)
+            connection.abort()
+        if unused:
+            LOG.warning("Unused connections dropped.", dropped=len(unused))
+
     @property
     def busy(self) -> int:
         """Return the number of requests being answered."""
@@ -179,6 +206,8 @@
         self.writable = asyncio.Event()
         self.writable.set()
         self.incoming = bytearray()
+        self.opened_at = time.monotonic()
+        self.used = False
         self.ended = False
         self.busy = False
         self.close_after = False
@@ -201,6 +230,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; pause reading if the buffer is full."""
+        self.used = True
         self.incoming += data
         if len(self.incoming) > READ_AHEAD_BYTES:
             self.transport.pause_reading()
@@ -240,6 +270,10 @@
         """Return whether no request is being answered or received."""
         return not self.busy and not self.has_begun
 
+    def is_unused(self, now: float) -> bool:
+        """Return whether nothing has come on it although it has been open for long."""
+        return not self.used and now > self.opened_at + UNUSED_SECONDS
+
     @property
     def has_begun(self) -> bool:
         """Return whether bytes of the next request have arrived."""
--- a/tests/cover/gateway/test_throttled_listener.py
+++ b/tests/cover/gateway/test_throttled_listener.py
@@ -9,6 +9,7 @@
 
 from cowslipshelf_core.gateway import CallerLimits
 from cowslipshelf_daemon.internal.early_listener import listen
+from cowslipshelf_daemon.internal.gateway import http_server
 from cowslipshelf_daemon.internal.gateway.http_server import HttpServer
 from cowslipshelf_host.metrics import Metrics
 
@@ -109,6 +110,30 @@
     asyncio.run(run())
 
 
+def test_callers_that_send_nothing_do_not_take_the_place_of_others(monkeypatch):
+    """Guards against idle connections that use up the descriptors of a gateway."""
+    monkeypatch.setattr(http_server, "UNUSED_SECONDS", 0.05)
+    monkeypatch.setattr(http_server, "MAKE_ROOM_SECONDS", 0.0)
+
+    async def run() -> None:
+        async with RunningServer(max_connections=4) as running:
+            kept = running.connect()
+            kept.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            idle = [running.connect() for _ in range(3)]
+            while len(running.server.connections) < 4:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            assert (await running.ask()).startswith(b"HTTP/1.1 200")
+            assert len(running.server.connections) <= 2
+            kept.send(b"GET / HTTP/1.1\r\nhost: h\r\n\r\n")
+            await asyncio.sleep(0.1)
+            assert kept.recv(65_536).count(b"hello") == 2
+            for each in (kept, *idle):
+                each.close()
+
+    asyncio.run(run())
+
+
 class ExhaustedListener:
     """Fail to accept as a process without free descriptors does, for a while."""
 
