--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/throttled_listener.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/throttled_listener.py
@@ -4,7 +4,7 @@
 import socket
 import struct
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from cowslipshelf_core.gateway import (
     AcceptThrottle,
@@ -55,6 +55,8 @@
         )
         self.deciding = False
         self.refused_since_calm = 0
+        self.refused_at = 0.0
+        """Time of the last refusal, by the clock of the loop."""
         self.calm_timer: asyncio.TimerHandle | None = None
         for name, text in HELPS.items():
             metrics.describe(name, text)
@@ -114,31 +116,35 @@
 
     def refuse(
         self,
-        refused: Iterable[WaitingConnection[socket.socket]],
+        refused: Collection[WaitingConnection[socket.socket]],
         reason: str,
         turn_seconds: float,
     ) -> None:
         """Reset connections unread; log when that begins and when it is over."""
+        if not refused:
+            return
         for connection, _ in refused:
-            self.metrics.count(REFUSED, reason=reason)
-            self.refused_since_calm += 1
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
             connection.close()
-        if not self.refused_since_calm or not refused:
+        self.metrics.count(REFUSED, len(refused), reason=reason)
+        self.refused_since_calm += len(refused)
+        self.refused_at = self.loop.time()
+        if self.calm_timer is not None:
+            return
+        LOG.warning(
+            "Refusing connections.",
+            reason=reason,
+            turn_seconds=round(turn_seconds, 4),
+            waiting=len(self.throttle.waiting),
+        )
+        self.calm_timer = self.loop.call_later(CALM_SECONDS, self.check_calm)
+
+    def check_calm(self) -> None:
+        """Log that no connection was refused for a while, or look again later."""
+        left = self.refused_at + CALM_SECONDS - self.loop.time()
+        if left > 0.0:
+            self.calm_timer = self.loop.call_later(left, self.check_calm)
             return
-        if self.calm_timer is None:
-            LOG.warning(
-                "Refusing connections.",
-                reason=reason,
-                turn_seconds=round(turn_seconds, 4),
-                waiting=len(self.throttle.waiting),
-            )
-        else:
-            self.calm_timer.cancel()
-        self.calm_timer = self.loop.call_later(CALM_SECONDS, self.note_calm)
-
-    def note_calm(self) -> None:
-        """Log that no connection was refused for a while."""
         LOG.info("Refusing no connections.", refused=self.refused_since_calm)
         self.refused_since_calm = 0
         self.calm_timer = None
