--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -47,6 +47,7 @@
 )
 from cowslipshelf_daemon.internal.gateway.silence_limits import silence_limits
 from cowslipshelf_daemon.internal.suspect_requests import (
+    MAX_LOGGED_PARTS,
     RequestIdentity,
     SuspectRequests,
 )
@@ -57,7 +58,6 @@
 
 BAD_ANSWER = 502
 OUT_OF_TIME = 504
-MAX_LOGGED_PARTS = 8
 MIN_LEFT_SECONDS = 0.02
 """Time left below which no upstream is tried: one round trip takes as long."""
 OUTAGE_RETRY_SECONDS = 0.5
