Tell a gateway that still reports a prompt part that the part was answered

A gateway that was cut off or stopped while a held part was answered kept it held, and reported it every few seconds. The others refused that report as older than the answer, and told nothing back. After ten minutes they had forgotten the answer, and would have held the part back again, too.

Such a report is now answered with the time of the answer, by whichever gateway comes first. The new test failed before: the gateway that had missed the answer still wanted a probe.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/part_quarantine.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/part_quarantine.py
@@ -284,6 +284,8 @@
         if report.held is None:
             return
         if now - report.held.exit_age_seconds <= self.evidence.answered_at(part):
+            # The other gateway has missed the answer.
+            self.unconfirmed_answers.add(part)
             return
         if part in self.held:
             self.held[part].merge(report.held, now)
--- a/tests/cover/gateway_core/test_part_quarantine.py
+++ b/tests/cover/gateway_core/test_part_quarantine.py
@@ -193,6 +193,22 @@
     assert quarantine.take_unconfirmed_answers() == frozenset()
 
 
+def test_a_gateway_that_missed_an_answer_is_told_when_it_reports_the_part():
+    """Guards against a mended part that one gateway holds back, and tells others."""
+    answered = PartQuarantine.from_config(CONFIG)
+    stale = quarantine_after(*fatal_exits(3, FATAL))
+    answered.merge(stale.report(stale.known(), 3.0), 3.0)
+    answered.record_answer([FATAL], 60.0)
+    answered.take_changed()
+    for quarantine in (stale, answered):
+        quarantine.evidence.forget_old(610.0)
+    answered.merge(stale.report(stale.recent(620.0), 620.0), 620.0)
+    assert answered.held == {}
+    keys = answered.take_unconfirmed_answers()
+    stale.merge(answered.report(keys, 620.0), 620.0)
+    assert stale.verdict([FATAL], 620.0) == Allowed()
+
+
 def test_what_waits_to_be_reported_outlasts_a_report_of_another_gateway():
     quarantine = quarantine_after((0.0, "u-1", (FATAL,)))
     quarantine.merge(PromptPartsTold(), 0.1)
