--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -373,6 +373,7 @@
         self.state = "ready"
         self.sequence = 0
         self.work_seconds = 0.02
+        self.places = asyncio.Semaphore(slots)
         self.runs: list[dict[str, str]] = []
         """Headers of the requests that were run."""
         self.server: asyncio.Server | None = None
@@ -448,11 +449,12 @@
             return reply(200, [f"X-Runner-Id: {self.name}"], b"ok")
         if named is not None and named != self.name:
             return reply(421, [*common, "X-Not-Run: 1"], b"")
-        self.runs.append({"method": method, "path": path, **headers})
-        self.fleet.record.write(
-            f"runner {self.name} runs {attempt}, tenant {headers.get('x-tenant')}"
-        )
-        await asyncio.sleep(self.work_seconds)
+        async with self.places:
+            self.runs.append({"method": method, "path": path, **headers})
+            self.fleet.record.write(
+                f"runner {self.name} runs {attempt}, tenant {headers.get('x-tenant')}"
+            )
+            await asyncio.sleep(self.work_seconds)
         return reply(200, [*common, f"X-Response-Stamp: {self.name}.{attempt}"], b"ok")
 
 
