Review: the burst of large requests on a gateway of 200 MB

Cause: at 300 MB the case needed 20 usual clients; the grown site's gateways have 200 MB. The stand-in of the platform takes memory_mb from the case.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -215,7 +215,7 @@
             "[limits]",
             "cpu_share = 0.968",
             "cores = 2",
-            "memory_mb = 300",
+            f"memory_mb = {fleet.memory_mb}",
             "max_fds = 4100",
             "link_mbps = 1000.0",
             "disk_mb = 64",
@@ -283,6 +283,7 @@
         ports = free_ports(5, self.addresses)
         self.front_port, self.ready_port, self.control_port = ports[:3]
         self.peer_port, self.metrics_port = ports[3:]
+        self.memory_mb = 300
         self.seeds: list[str] = []
         self.gateways: list[Gateway] = []
 
