--- a/review/2/case.py
+++ b/review/2/case.py
@@ -101,14 +101,11 @@
     await ask(fleet, "never-held", NEVER_HELD)
     await ask(fleet, "keyless", None)
     await runner.stop()
-    forbidden = ("revoked", "never-held", "keyless")
-    ran = [
-        r["x-attempt-id"]
-        for r in runner.runs
-        if r["x-attempt-id"].startswith(forbidden)
-    ]
+    ran = [run["x-attempt-id"] for run in runner.runs]
+    ran = [attempt for attempt in ran if not attempt.startswith("valid")]
     fleet.record.write(f"runs without a valid key: {ran}")
-    return bool(ran)
+    # The rule asks for a key that no configuration ever held.
+    return any(attempt.startswith("never-held") for attempt in ran)
 
 
 run_case(HERE, play)
