Keep replaced machines out of the quorums of the replicas

Cause: a successor votes at once beside the machine that is gone. A lost voter was removed only as the only silent one, after six seconds under one leader, and never when two were lost together; and a learner that never caught up held back every later change. So disks lost within the tolerance took more than a quorum's rest. Change: a lost voter goes as soon as the voters that answer could no longer lose max_failures of them, if enough are left, learners included that can be promoted at once. Lost is one that says that it leaves, whose gateway has been silent for 3 s, or that a restarted fleet has never heard; one that only the leader doesn't hear keeps its 6 s. A successor isn't promoted into a larger quorum while a voter is silent. Learners no longer wait for each other, and lost ones go. A gateway announces its end to all others.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/elections.py
@@ -78,7 +78,7 @@
     )
     for peer in state.membership.replicas:
         if peer != state.replica_id:
-            state.leadership.peers[peer] = PeerProgress(start_index)
+            state.leadership.peers[peer] = PeerProgress(start_index, state.now)
     state.set_role(Role.LEADER, state.replica_id.instance)
     state.append_as_leader(EntryKind.NO_OP, b"", "", state.log.last_at)
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/events.py
@@ -84,9 +84,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicasSeen:
-    """Report which instances hold replicas now."""
+    """Report which instances hold replicas now, and which of them may be lost."""
 
     replicas: tuple[InstanceId, ...]
+    silent: frozenset[InstanceId] = frozenset()
+    """Those that no longer say that they are alive."""
+    without: frozenset[InstanceId] = frozenset()
+    """Instances that say that they hold no replica, or won't for long."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
@@ -1,11 +1,11 @@
 """Accept proposals as the leader, and step down without a quorum."""
 
 from cowslipshelf_core.internal.agreement.events import CommandProposed
-from cowslipshelf_core.internal.agreement.membership import (
-    heard_within_lease,
+from cowslipshelf_core.internal.agreement.lost_replicas import (
     promote_learner,
-    remove_silent_voter,
+    remove_lost_replica,
 )
+from cowslipshelf_core.internal.agreement.membership import heard_within_lease
 from cowslipshelf_core.internal.agreement.messages import ProposalRefusal
 from cowslipshelf_core.internal.agreement.read_index import (
     confirm_reads,
@@ -120,6 +120,7 @@
         voter
         for voter in state.membership.voters
         if voter in leadership.peers
+        and voter.instance not in state.instances_without
         and heard_within_lease(state, leadership.peers[voter])
     ]
     if not candidates:
@@ -132,7 +133,7 @@
 
 
 def on_tick(state: ReplicaState) -> None:
-    """Send due heartbeats, and continue a transfer or a voter removal."""
+    """Send due heartbeats, and continue a transfer, or remove a lost replica."""
     leadership = state.leadership
     if leadership.transfer_target is not None:
         if state.now >= leadership.transfer_deadline:
@@ -141,4 +142,4 @@
             try_transfer(state)
     if state.now >= leadership.heartbeat_due:
         send_heartbeats(state)
-    remove_silent_voter(state)
+    remove_lost_replica(state)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
@@ -22,7 +22,7 @@
     proposed = change_membership(state.membership, event.change)
     if proposed is None:
         state.refuse(event.proposal_id, ProposalRefusal.BAD_MEMBERSHIP)
-    elif not can_change_to(state, proposed):
+    elif is_learner_waiting(state, proposed) or not can_change_to(state, proposed):
         state.refuse(event.proposal_id, ProposalRefusal.MEMBERSHIP_BUSY)
     else:
         append_membership(state, proposed, event.proposal_id, event.at)
@@ -53,15 +53,19 @@
     )
 
 
+def is_learner_waiting(state: ReplicaState, proposed: Membership) -> bool:
+    """Return whether a learner of both memberships has not been promoted yet."""
+    return bool(set(state.membership.learners) & set(proposed.learners))
+
+
 def can_change_to(state: ReplicaState, proposed: Membership) -> bool:
-    """Return whether the previous change is complete and the next one can commit.
+    """Return whether the previous change is committed and the next one can be.
 
     Two changes at once could be committed by two quorums that share no voter. And
     removing a voter while too few of the others have caught up would leave committed
     entries on less than a quorum.
     """
-    waiting = set(state.membership.learners) & set(proposed.learners)
-    if waiting or not is_membership_committed(state):
+    if not is_membership_committed(state):
         return False
     needed = state.log.membership_index
     caught_up = {state.replica_id}
@@ -79,13 +83,8 @@
 
 def heard_within_lease(state: ReplicaState, progress: PeerProgress) -> bool:
     """Return whether a replica has answered within the lease."""
-    return heard_within(state, progress, state.lease_seconds)
-
-
-def heard_within(state: ReplicaState, progress: PeerProgress, seconds: float) -> bool:
-    """Return whether a replica has answered within some seconds."""
     heard = progress.heard_at
-    return heard is not None and state.now - heard <= seconds
+    return heard is not None and state.now - heard <= state.lease_seconds
 
 
 def append_membership(
@@ -100,25 +99,11 @@
         leadership.proposals[entry.index] = proposal_id
     followers = [r for r in membership.replicas if r != state.replica_id]
     leadership.peers = {
-        peer: leadership.peers.get(peer) or PeerProgress(entry.index)
+        peer: leadership.peers.get(peer) or PeerProgress(entry.index, state.now)
         for peer in followers
     }
 
 
-def promote_learner(state: ReplicaState) -> None:
-    """Make a learner a voter once it has synced every committed entry."""
-    if not state.membership.learners or not is_membership_committed(state):
-        return
-    for learner in state.membership.learners:
-        progress = state.leadership.peers[learner]
-        if (
-            heard_within_lease(state, progress)
-            and progress.match_index >= state.commit_index
-        ):
-            append_membership(state, with_promoted(state.membership, learner), "", 0.0)
-            return
-
-
 def with_promoted(membership: Membership, learner: ReplicaId) -> Membership:
     """Return a membership with a learner moved to the voters."""
     learners = tuple(r for r in membership.learners if r != learner)
@@ -129,39 +114,16 @@
     """Add an empty replica as a learner, if its instance may join.
 
     A request that arrives during another change is ignored, since the replica
-    repeats it.
-    """
-    known = learner.instance in state.replica_instances
-    if not known and not state.config.open_membership:
-        return
-    proposed = change_membership(state.membership, AddReplica(learner))
-    if proposed is not None and can_change_to(state, proposed):
-        append_membership(state, proposed, "", 0.0)
-
-
-def remove_silent_voter(state: ReplicaState) -> None:
-    """Remove the one silent voter of an open cluster that has more than needed.
-
-    A lost instance would otherwise count in every quorum until an operator removed
-    it, and the next loss would stop all changes. Nothing is removed while more than
-    one voter is silent.
+    repeats it. In an open cluster, a learner that never catches up must not keep
+    others out.
     """
-    config = state.config
-    voters = state.membership.voters
-    if not config.open_membership or len(voters) <= config.min_voters:
+    is_open = state.config.open_membership
+    if not is_open and learner.instance not in state.replica_instances:
         return
-    leadership = state.leadership
-    silence = config.voter_removal_seconds + state.sync_allowance
-    if state.now - leadership.began_at <= silence:
+    if learner.instance in state.instances_without:
         return
-    silent = [
-        voter
-        for voter in voters
-        if voter in leadership.peers
-        and not heard_within(state, leadership.peers[voter], silence)
-    ]
-    if len(silent) != 1:
+    proposed = change_membership(state.membership, AddReplica(learner))
+    if proposed is None or not can_change_to(state, proposed):
         return
-    proposed = change_membership(state.membership, RemoveReplica(silent[0]))
-    if proposed is not None and can_change_to(state, proposed):
+    if is_open or not is_learner_waiting(state, proposed):
         append_membership(state, proposed, "", 0.0)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/progress.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/progress.py
@@ -10,6 +10,8 @@
     """Track how much of the log one replica has."""
 
     next_index: int
+    tracked_since: float
+    """When this leader began to replicate to it, in replica time."""
     heard_at: float | None = None
     match_index: int = 0
     read_round: int = 0
@@ -26,6 +28,11 @@
     snapshot_offset: int = 0
     """Offset of the unanswered chunk, in bytes."""
 
+    def silence(self, now: float) -> float:
+        """Return the seconds since its last answer, or since it was first sent to."""
+        heard = self.tracked_since if self.heard_at is None else self.heard_at
+        return now - heard
+
     def probe_from(self, next_index: int) -> None:
         """Search for the last common entry again, with one message at a time."""
         self.next_index = next_index
--- a/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
@@ -164,8 +164,10 @@
             case TransferLeadership():
                 if state.leadership is not None:
                     leading.transfer_leadership(state)
-            case ReplicasSeen(replicas):
+            case ReplicasSeen(replicas, silent, without):
                 state.replica_instances = replicas
+                state.silent_instances = silent
+                state.instances_without = without
             case BootstrapCluster():
                 bootstrap.bootstrap_alone(state)
             case DiskFailed(reason):
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -104,6 +104,10 @@
     """Replicas that reported since the start that their folders are empty as well."""
     replica_instances: tuple[InstanceId, ...] = ()
     """Instances known to hold replicas, this one included."""
+    silent_instances: frozenset[InstanceId] = frozenset()
+    """Those that no longer say that they are alive."""
+    instances_without: frozenset[InstanceId] = frozenset()
+    """Instances that say that they hold no replica, or won't for long."""
 
     @property
     def term(self) -> int:
--- a/packages/core/src/cowslipshelf_core/internal/gateway/peer_table.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/peer_table.py
@@ -10,6 +10,7 @@
 from enum import Enum, auto
 from typing import NamedTuple, Self
 
+from cowslipshelf_core.agreement import ReplicasSeen
 from cowslipshelf_core.announcing import rank
 from cowslipshelf_core.identifiers import (
     ConfigurationVersion,
@@ -66,6 +67,8 @@
     config: PeerTableConfig
     seeds: tuple[InstanceId, ...]
     holds_replica: bool
+    leaving: bool = False
+    """Whether this gateway is about to end, and its replica with it."""
     known: dict[InstanceId, KnownPeer] = field(default_factory=dict)
 
     @classmethod
@@ -140,10 +143,27 @@
     def replicas(self) -> tuple[InstanceId, ...]:
         """Return the gateways that hold replicas, this one included."""
         holders = [peer for peer, alive in self.last_messages() if alive.holds_replica]
-        if self.holds_replica:
+        if self.announces_replica:
             holders.append(self.config.instance)
         return tuple(sorted(holders))
 
+    @property
+    def announces_replica(self) -> bool:
+        """Return whether this gateway tells the others that it holds a replica."""
+        return self.holds_replica and not self.leaving
+
+    def replicas_seen(self, now: float) -> ReplicasSeen:
+        """Report which gateways hold replicas, and which of them may be lost."""
+        silent, without = set(), set()
+        for peer, known in self.known.items():
+            if known.alive is None:
+                continue
+            if not known.alive.holds_replica:
+                without.add(peer)
+            elif now - known.heard_at > self.config.silence_seconds:
+                silent.add(peer)
+        return ReplicasSeen(self.replicas(), frozenset(silent), frozenset(without))
+
     def replicas_to_ask(self, now: float) -> tuple[InstanceId, ...]:
         """Return the replicas: the own one, those that are alive, then all others."""
         own = self.config.instance
@@ -164,7 +184,7 @@
         """
         messages = self.last_messages()
         holders = [alive for _, alive in messages if alive.holds_replica]
-        if self.config.has_disk or not holders:
+        if self.config.has_disk or self.leaving or not holders:
             return False
         if not all(alive.replica_in_memory for alive in holders):
             return False
@@ -208,12 +228,12 @@
         return PeerAlive(
             self.config.epoch,
             self.config.data_centre,
-            self.holds_replica,
+            self.announces_replica,
             version,
             tuple(peers) if with_peers else (),
             work_number,
             routes_bytes,
-            self.holds_replica and not self.config.has_disk,
+            self.announces_replica and not self.config.has_disk,
             evacuations.revision,
             evacuations.data_centres,
         )
--- a/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/entry/replica_actor.py
@@ -295,8 +295,9 @@
 
     def apply(self, index: int, entry: Entry) -> None:
         """Apply a committed command and answer its proposer if it was proposed here."""
+        if entry.kind is EntryKind.MEMBERSHIP:
+            self.record_members(index, entry)
         if entry.kind is not EntryKind.COMMAND:
-            self.audit_forced_members(index, entry)
             return
         # A leader of a newer version may commit a command that this version can't
         # decode. If it were skipped, this replica's state and every snapshot it sends
@@ -310,16 +311,22 @@
             encoded = encode_outcome(outcome)
             self.answer_proposer(ProposalResult(entry.proposal_id, index, encoded))
 
-    def audit_forced_members(self, index: int, entry: Entry) -> None:
-        """Record in the audit trail who forced the members of the cluster.
+    def record_members(self, index: int, entry: Entry) -> None:
+        """Log the members of the cluster, and audit who forced them.
 
         The record is built from the log entry alone, so every replica makes the same.
         """
+        members = decode_membership(entry.payload)
+        LOG.info(
+            "Members changed.",
+            index=index,
+            voters=[voter.instance for voter in members.voters],
+            learners=[learner.instance for learner in members.learners],
+        )
         operator = forced_by(entry)
         if operator is None:
             return
-        members = decode_membership(entry.payload).voters
-        for member in members:
+        for member in members.voters:
             detail = f"forced as the only member, folder {member.folder}"
             record = RecordMembership(operator, member.instance, "recovered", detail)
             self.state.apply(record, index, entry.at)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/assembly.py
@@ -384,7 +384,8 @@
         began = time.monotonic()
         LOG.info("Leaving.", requests=self.callers.busy)
         self.callers.closing = True
-        self.supervisor.transfer_leadership()
+        self.supervisor.leave()
+        self.gossip.send_alive()
         await asyncio.sleep(LEAVE_ROTATION_SECONDS)
         self.callers.stop_listening()
         self.callers.close_idle()
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_supervisor.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/replica_supervisor.py
@@ -17,7 +17,6 @@
     TransferLeadership,
 )
 from cowslipshelf_core.control import ControlState
-from cowslipshelf_core.identifiers import InstanceId
 from cowslipshelf_daemon.internal.entry.replica_actor import (
     ControlStateQuery,
     ReplicaActor,
@@ -67,7 +66,7 @@
         self.inbox = inbox
         self.proposal_client = proposal_client
         self.actor: ActorRef | None = None
-        self.replicas: tuple[InstanceId, ...] = ()
+        self.replicas_seen = ReplicasSeen(())
         self.started = time.monotonic()
         self.start_due = 0.0
         self.bootstrapped = False
@@ -105,7 +104,7 @@
             return
         self.status_due = now + STATUS_INTERVAL_SECONDS
         if self.view.peers.should_hold_replica():
-            LOG.info("Replica wanted here.", replicas=self.replicas)
+            LOG.info("Replica wanted here.", replicas=self.replicas_seen.replicas)
             self.view.peers.holds_replica = True
 
     def start(self) -> None:
@@ -131,7 +130,7 @@
         if stored.snapshot is not None:
             state = ControlState.from_snapshot(stored.snapshot.state)
         replica = Replica.from_config(config, stored)
-        self.replicas = ()
+        self.replicas_seen = ReplicasSeen(())
         self.actor = ReplicaActor.start(
             ReplicaParts(
                 replica,
@@ -189,14 +188,17 @@
 
     def announce_replicas(self) -> None:
         """Tell the replica and the control client which gateways run replicas now."""
-        replicas = self.view.peers.replicas()
-        if replicas == self.replicas:
+        seen = self.view.peers.replicas_seen(time.monotonic())
+        before = self.replicas_seen
+        if seen == before:
             return
-        self.replicas = replicas
-        LOG.info("Replicas known.", replicas=replicas)
-        self.proposal_client.tell(ReplicasSeen(replicas))
+        self.replicas_seen = seen
+        if (seen.replicas, seen.silent) != (before.replicas, before.silent):
+            silent = sorted(seen.silent)
+            LOG.info("Replicas known.", replicas=seen.replicas, silent=silent)
+        self.proposal_client.tell(seen)
         if self.actor is not None:
-            self.actor.tell(ReplicasSeen(replicas))
+            self.actor.tell(seen)
 
     def bootstrap_when_due(self, now: float) -> None:
         """Bootstrap the cluster once, if this gateway is chosen to."""
@@ -207,11 +209,12 @@
             return
         if self.view.peers.bootstrap_instance() == settings.instance:
             self.bootstrapped = True
-            LOG.info("Cluster founded.", replicas=self.replicas)
+            LOG.info("Cluster founded.", replicas=self.replicas_seen.replicas)
             self.actor.tell(BootstrapCluster())
 
-    def transfer_leadership(self) -> None:
-        """Transfer leadership before the process ends."""
+    def leave(self) -> None:
+        """Transfer leadership, and announce no replica any more, before the end."""
+        self.view.peers.leaving = True
         if self.actor is not None:
             self.actor.tell(TransferLeadership())
 
--- a/tests/common/agreement_cluster.py
+++ b/tests/common/agreement_cluster.py
@@ -67,6 +67,8 @@
     nodes: dict[InstanceId, Node] = field(default_factory=dict)
     network: list[InFlight] = field(default_factory=list)
     isolated: set[InstanceId] = field(default_factory=set)
+    split: set[InstanceId] = field(default_factory=set)
+    """Instances that reach each other, but none of the others."""
     committed: dict[int, Entry] = field(default_factory=dict)
     leaders: dict[int, ReplicaId] = field(default_factory=dict)
     acknowledged: dict[str, int] = field(default_factory=dict)
@@ -149,6 +151,8 @@
         item = self.network[position] if keep else self.network.pop(position)
         if {item.sender, item.recipient} & self.isolated:
             return
+        if (item.sender in self.split) != (item.recipient in self.split):
+            return
         message = DECODER.decode(item.data)
         self.step(item.recipient, [PeerMessageArrived(item.sender, message)], crash)
 
@@ -200,6 +204,7 @@
     def heal(self) -> None:
         """End all partitions."""
         self.isolated.clear()
+        self.split.clear()
 
     def run(self, rounds: int, seconds: float = SETTLE_TICK_SECONDS) -> None:
         """Let time pass, and deliver every message."""
