Require a key where customers are listed, whether or not one is left

Cause: a gateway took a configuration for one without customers if its index by key was empty. Customers without keys are not in that index. Change: the configuration says whether operators list customers, an empty list included; then routes that aren't public need a key. The log line of a new configuration counts the keys.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/configuration.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/configuration.py
@@ -114,3 +114,13 @@
     services: tuple[ServiceConfiguration, ...] = ()
     limits: CallerLimits = CallerLimits()
     customers: tuple[GatewayCustomer, ...] = ()
+    lists_customers: bool = False
+    """Whether operators list customers, even if there is none left."""
+
+    @property
+    def requires_key(self) -> bool:
+        """Return whether callers need a key on routes that aren't public.
+
+        Customers whose last key was taken away are still customers.
+        """
+        return self.lists_customers or bool(self.customers)
--- a/packages/core/src/cowslipshelf_core/internal/gateway/route_table.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/route_table.py
@@ -21,6 +21,7 @@
     configuration: RouteConfiguration
     routes: dict[tuple[str, str], Route]
     customers: dict[str, GatewayCustomer]
+    """Customers by key; one without keys isn't found here."""
     services: dict[ServiceName, ServiceConfiguration]
     ranks: RequestRanks
 
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/admission.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/admission.py
@@ -105,6 +105,7 @@
     if route is None:
         return Denied(UNKNOWN_ROUTE)
     customer = table.customers.get(facts.key) if facts.key is not None else None
-    if customer is None and not route.public and table.customers:
+    required = table.configuration.requires_key and not route.public
+    if customer is None and required:
         return Denied(UNKNOWN_KEY)
     return Admitted(route, customer)
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/fleet_view.py
@@ -173,6 +173,7 @@
             before=before,
             routes=len(configuration.routes),
             customers=len(configuration.customers),
+            keys=sum(len(customer.keys) for customer in configuration.customers),
             ranked_services=sorted(self.table.ranks.highest),
         )
         return True
--- a/tests/cover/adapter/test_configuration.py
+++ b/tests/cover/adapter/test_configuration.py
@@ -89,6 +89,20 @@
     assert read.configuration.customers[0].keys == ("k1", "k2")
 
 
+@pytest.mark.parametrize(
+    ("changes", "required"),
+    [
+        ({"tenants": None}, False),
+        ({"tenants": []}, True),
+        ({"tenants": [{"name": "c", "api_keys": []}]}, True),
+    ],
+)
+def test_tenants_without_keys_still_require_one(changes, required):
+    """Taking the last key or the last tenant away admits everybody."""
+    read = ConfigurationReader().read(body(**changes)).unwrap()
+    assert read.configuration.requires_key is required
+
+
 def test_equal_contents_have_equal_digests_whatever_their_order():
     reordered = dict(reversed(DOCUMENT.items()))
     digests = {
