Refuse a request whose service was removed before its next attempt

Callers saw: the connection ended without an answer if the service was taken out of the configuration between two attempts of a request. Cause: the next attempt looked the service up in the new table by its key: KeyError. Change: such a request is refused at once, with a time to come back.

--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/placement.py
@@ -107,7 +107,15 @@
     excluded: frozenset[UpstreamId],
     rank: RequestRank = UNRANKED,
 ) -> Placement | NoPlacement:
-    """Choose an upstream that was not tried before."""
+    """Choose an upstream that was not tried before.
+
+    The service may have been removed since the request was admitted.
+    """
+    configured = view.table.services.get(service)
+    if configured is None:
+        return NoPlacement(
+            "the service was removed", RETRY_AFTER_SECONDS, lacks_capacity=False
+        )
     known = view.upstreams_of(service)
     cold = view.cold_choice(service, known)
     untried = [each.upstream_id for each in known if each.upstream_id not in excluded]
@@ -124,7 +132,7 @@
         if view.is_evacuated(service):
             reason = "every upstream is evacuated"
         return NoPlacement(reason, RETRY_AFTER_SECONDS, lacks_capacity=bool(known))
-    model = view.table.services[service].engine
+    model = configured.engine
     if model is not None and facts.prompt is not None:
         return place_on_engines(
             view, route, facts, left_seconds, upstreams, model, rank, cold
--- a/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
+++ b/packages/daemon/src/cowslipshelf_daemon/internal/gateway/request_handler.py
@@ -224,6 +224,8 @@
         An evacuated one ends the wait too, since the refusal is then certain.
         """
         view = self.view
+        if service not in view.table.services:
+            return False
         if progress.waited or view.upstreams_of(service):
             return False
         progress.waited = True
