Compact the log of the replicas by its size, too

Result: the test's log of 100 large changes stays within its bound; it holds all of them on the code before.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/config.py
@@ -24,6 +24,8 @@
     """Committed entries after the last snapshot that trigger a new one."""
     entries_kept: int = 1024
     """Entries before a snapshot that stay in the log for slightly lagging replicas."""
+    max_log_bytes: int = 8 * 1024 * 1024
+    """Payloads of the entries held that trigger a snapshot; half of them stay."""
     max_uncommitted_entries: int = 4096
     max_entries_per_message: int = 512
     max_bytes_per_message: int = 262_144
--- a/packages/core/src/cowslipshelf_core/internal/agreement/log.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/log.py
@@ -25,6 +25,8 @@
     snapshot: Snapshot | None = None
     entries: list[Entry] = field(default_factory=list)
     memberships: list[tuple[int, Membership]] = field(default_factory=list)
+    held_bytes: int = 0
+    """Payloads of the entries held."""
 
     @classmethod
     def from_stored(cls, stored: StoredState) -> "ReplicaLog":
@@ -107,12 +109,15 @@
         """Append entries; a membership among them takes effect at once."""
         for entry in entries:
             self.entries.append(entry)
+            self.held_bytes += len(entry.payload)
             if entry.kind is EntryKind.MEMBERSHIP:
                 self.memberships.append((entry.index, decode_membership(entry.payload)))
 
     def truncate_from(self, index: int) -> None:
         """Drop an entry and all after it, and roll back memberships among them."""
-        del self.entries[index - self.base_index - 1 :]
+        position = index - self.base_index - 1
+        self.held_bytes -= payload_bytes(self.entries[position:])
+        del self.entries[position:]
         self.memberships = [m for m in self.memberships if m[0] < index]
 
     def membership_at(self, index: int) -> Membership:
@@ -120,12 +125,23 @@
         known = [m for at, m in self.memberships if at <= index]
         return known[-1] if known else Membership()
 
+    def first_index_within(self, max_bytes: int, last_index: int) -> int:
+        """Return the first index from which entries up to the last fit in a size."""
+        size = 0
+        for index in range(last_index, self.base_index, -1):
+            size += len(self.entry_at(index).payload)
+            if size > max_bytes:
+                return index + 1
+        return self.base_index + 1
+
     def compact(self, snapshot: Snapshot, keep_from: int) -> None:
         """Set a snapshot of the own state, and drop the entries before an index."""
         self.snapshot = snapshot
         base = max(keep_from - 1, self.base_index)
         base_term = self.term_at(base)
-        del self.entries[: base - self.base_index]
+        dropped = base - self.base_index
+        self.held_bytes -= payload_bytes(self.entries[:dropped])
+        del self.entries[:dropped]
         self.base_index = base
         self.base_term = base_term
         later = [m for m in self.memberships if m[0] > snapshot.index]
@@ -135,6 +151,7 @@
         """Replace the whole log by a snapshot."""
         self.snapshot = snapshot
         self.entries = []
+        self.held_bytes = 0
         self.base_index = snapshot.index
         self.base_term = snapshot.term
         self.memberships = [(snapshot.index, snapshot.membership)]
@@ -158,3 +175,8 @@
             if found < term:
                 return None
         return None
+
+
+def payload_bytes(entries: list[Entry]) -> int:
+    """Return the size of the payloads of some entries."""
+    return sum(len(entry.payload) for entry in entries)
--- a/packages/core/src/cowslipshelf_core/internal/agreement/snapshots.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/snapshots.py
@@ -25,7 +25,10 @@
         membership=state.log.membership_at(event.index),
         state=event.state,
     )
-    keep_from = max(1, event.index + 1 - state.config.entries_kept)
+    keep_from = max(
+        event.index + 1 - state.config.entries_kept,
+        state.log.first_index_within(state.config.max_log_bytes // 2, event.index),
+    )
     state.log.compact(snapshot, keep_from)
     state.effects.append(SaveSnapshot(snapshot, state.log.base_index + 1))
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -250,9 +250,15 @@
             self.leadership.proposals.pop(index, None)
 
     def request_snapshot_when_due(self) -> None:
-        """Request a snapshot once enough committed entries follow the last one."""
+        """Request a snapshot once there are many or large entries after the last one.
+
+        The disk and the memory of a small machine hold few entries of a large
+        configuration.
+        """
         entries_since = self.commit_index - self.log.snapshot_index
-        if self.snapshot_wanted or entries_since < self.config.snapshot_after_entries:
+        many = entries_since >= self.config.snapshot_after_entries
+        large = entries_since > 0 and self.log.held_bytes > self.config.max_log_bytes
+        if self.snapshot_wanted or not (many or large):
             return
         self.snapshot_wanted = True
         self.effects.append(SnapshotWanted(self.commit_index))
--- a/tests/cover/agreement/test_catching_up.py
+++ b/tests/cover/agreement/test_catching_up.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from common.agreement_cluster import DECODER, Cluster
-from cowslipshelf_core.agreement import InstallSnapshot, ReplicaConfig
+from cowslipshelf_core.agreement import CommandProposed, InstallSnapshot, ReplicaConfig
 
 MISSED_COMMANDS = 600
 BURST_MESSAGES = 8
@@ -167,3 +167,22 @@
     sizes = [len(item.data) for item in cluster.network]
     assert sizes
     assert max(sizes) <= 100
+
+
+def test_the_log_of_large_changes_stays_small():
+    """A thousand large changes fill the disk and the memory of a small machine.
+
+    The log was compacted by the number of its entries alone.
+    """
+    size, longest = 200, 2000
+    cluster = Cluster.settled(max_log_bytes=longest)
+    for number in range(100):
+        leader = cluster.leader()
+        command = bytes([number]) * size
+        cluster.step(leader.instance, [CommandProposed(f"p-{number}", command, 0.0)])
+        cluster.run(1)
+    for node in cluster.nodes.values():
+        held = sum(len(entry.payload) for entry in node.disk.load().entries)
+        assert held <= longest + 10 * size
+        assert held == node.replica.state.log.held_bytes
+    cluster.settle()
