Refuse two routes whose hosts differ by case alone

Operators saw: such a configuration was accepted, and one of the two routes got nothing. Cause: the check compared hosts as written, the table looks them up in lower case. Found by reading in an independent review. Change: the check compares them in lower case. Result: the new case fails on the code before, green now.

--- a/packages/core/src/cowslipshelf_core/internal/gateway/configuration_checks.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/configuration_checks.py
@@ -22,7 +22,7 @@
         for weighted in route.services:
             if weighted.service not in services:
                 yield f"route {route.name}: unknown service {weighted.service}"
-        place = (route.host, route.prefix)
+        place = (route.host.lower(), route.prefix)
         if place in places:
             yield f"route {route.name}: {route.host}{route.prefix} is taken"
         places.add(place)
--- a/tests/cover/gateway_core/test_route_table.py
+++ b/tests/cover/gateway_core/test_route_table.py
@@ -44,6 +44,10 @@
     [
         (configuration(route(services=(WeightedService("nobody", 1),))), "unknown"),
         (configuration(route(name="a"), route(name="b")), "taken"),
+        (
+            configuration(route(name="a", host="A.example"), route(host="a.example")),
+            "taken",
+        ),
         (configuration(route(services=(WeightedService("s", 0),))), "zero"),
         (configuration(route(services=())), "zero"),
         (configuration(route(services=(WeightedService("s", -1),))), "below"),
