--- a/tests/cover/gateway_core/test_peer_table.py
+++ b/tests/cover/gateway_core/test_peer_table.py
@@ -66,6 +66,27 @@
     assert own.record_alive("10.0.0.7", alive(), 9.0) is PeerChange.RETURNED
 
 
+def test_lost_holders_of_replicas_are_told_from_those_that_leave():
+    """A gateway that is gone keeps its vote, or one that runs loses it."""
+    own = table("10.0.0.1")
+    for peer in ("10.0.0.2", "10.0.0.3", "10.0.0.4"):
+        own.record_alive(peer, alive(), 0.0)
+    own.record_alive("10.0.0.2", alive(), 4.0)
+    own.record_alive("10.0.0.4", alive(holds_replica=False), 4.0)
+    seen = own.replicas_seen(4.0)
+    assert seen.replicas == ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+    assert (seen.silent, seen.without) == ({"10.0.0.3"}, {"10.0.0.4"})
+
+
+def test_a_gateway_that_leaves_holds_no_replica_for_the_others():
+    """A planned end counts as a loss until its silence shows it."""
+    own = table("10.0.0.1")
+    own.leaving = True
+    assert not own.alive_message(0, 0, 0, with_peers=False).holds_replica
+    assert own.replicas_seen(0.0).replicas == ()
+    assert own.holds_replica
+
+
 def test_a_restart_is_distinguished_from_a_return():
     own = table("10.0.0.1")
     own.record_alive("10.0.0.7", alive(), 0.0)
