--- a/tests/common/gateway_fleet.py
+++ b/tests/common/gateway_fleet.py
@@ -177,6 +177,8 @@
     """Hold some gateways with a common configuration."""
 
     gateways: list[GatewayProcess]
+    spares: list[GatewayProcess] = []
+    """Gateways that don't run, with addresses and disks of their own."""
 
     def put(self, document: dict, at: int = 0) -> int:
         """Send a configuration to one gateway; return the answer's status."""
@@ -250,17 +252,20 @@
     in_memory: int | None = None,
     max_sync_seconds: float = 0.0,
     max_descriptors: int = 1024,
+    spares: int = 0,
 ) -> Iterator[Fleet]:
     """Run gateways with replicas until the test ends.
 
     With `in_memory`, none has a disk, and that many hold a replica from the start.
     """
-    hosts = own_hosts(size + 1)
+    hosts = own_hosts(size + spares + 1)
     ports = free_ports(hosts)
-    gateways = [
-        GatewayProcess(folder / host, host, ports, hosts[:3]) for host in hosts[:size]
+    every = [
+        GatewayProcess(folder / host, host, ports, hosts[:3])
+        for host in hosts[: size + spares]
     ]
-    for number, gateway in enumerate(gateways):
+    gateways = every[:size]
+    for number, gateway in enumerate(every):
         gateway.max_sync_seconds = max_sync_seconds
         gateway.max_descriptors = max_descriptors
         if in_memory is not None:
@@ -269,10 +274,10 @@
     for gateway in gateways:
         gateway.start(first=True)
     try:
-        yield Fleet(gateways)
+        yield Fleet(gateways, every[size:])
     finally:
-        for gateway in gateways:
-            if gateway.process.poll() is None:
+        for gateway in every:
+            if gateway.process is not None and gateway.process.poll() is None:
                 gateway.kill()
 
 
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -69,6 +69,13 @@
 """Gateways that a fleet of seven without disks may lose at once."""
 
 
+SPARES = 8
+"""Gateways that may take the place of others."""
+NEEDED_VOTERS = 3
+CATCH_UP_SECONDS = 4.0
+"""Time for which a lost gateway still counts after its successor has started."""
+
+
 class FleetKind(StrEnum):
     """Say where the gateways store their configuration."""
 
@@ -81,9 +88,9 @@
         """Return the arguments of `running_fleet` for this kind."""
         match self:
             case FleetKind.DISKS:
-                return {}
+                return {"spares": SPARES}
             case FleetKind.SLOW_DISKS:
-                return {"max_sync_seconds": 0.2}
+                return {"max_sync_seconds": 0.2, "spares": SPARES}
             case FleetKind.MEMORY:
                 return {"size": 7, "in_memory": 3}
 
@@ -230,6 +237,7 @@
             self.change_limit,
             self.change_limit,
             self.open_many_connections,
+            self.replace,
         ]
         while not self.stopping.is_set():
             fault = self.random.choice(kinds)
@@ -273,9 +281,32 @@
         """Return whether all gateways but one run and count three synced voters."""
         running = [g for g in self.fleet.gateways if g.process.poll() is None]
         return len(running) == len(self.fleet.gateways) - 1 and all(
-            gateway.voters() == 3 for gateway in running
+            gateway.voters() == NEEDED_VOTERS for gateway in running
         )
 
+    def replace(self) -> None:
+        """Replace a gateway for good, as planned or after its loss."""
+        gateways, spares = self.fleet
+        if not spares or not all(g.voters() == NEEDED_VOTERS for g in gateways):
+            return
+        place = self.random.randrange(len(gateways))
+        replaced, successor = gateways[place], spares.pop()
+        planned = self.random.random() < 0.5
+        if not planned:
+            replaced.kill()
+        time.sleep(self.random.uniform(*FAULT_SECONDS))
+        hosts = [each.host for each in gateways if each is not replaced]
+        for each in (*gateways, successor):
+            each.seeds = [*hosts, successor.host]
+        successor.start(first=False)
+        if planned:
+            time.sleep(self.random.uniform(*FAULT_SECONDS))
+            replaced.ask_to_end()
+            replaced.process.wait()
+        gateways[place] = successor
+        if not planned:
+            time.sleep(CATCH_UP_SECONDS)
+
     def kill_all(self) -> None:
         """Kill every gateway at the same moment."""
         self.forget_limits()
