--- a/tests/common/agreement_cluster.py
+++ b/tests/common/agreement_cluster.py
@@ -69,6 +69,8 @@
     isolated: set[InstanceId] = field(default_factory=set)
     split: set[InstanceId] = field(default_factory=set)
     """Instances that reach each other, but none of the others."""
+    paused: set[InstanceId] = field(default_factory=set)
+    """Instances whose processes stand still; messages to them wait."""
     committed: dict[int, Entry] = field(default_factory=dict)
     leaders: dict[int, ReplicaId] = field(default_factory=dict)
     acknowledged: dict[str, int] = field(default_factory=dict)
@@ -159,9 +161,12 @@
     def deliver_all(self) -> None:
         """Deliver every message that is in the network now, in order."""
         waiting, self.network = self.network, []
+        held = [item for item in waiting if item.recipient in self.paused]
         for item in waiting:
-            self.network.insert(0, item)
-            self.deliver(0)
+            if item.recipient not in self.paused:
+                self.network.insert(0, item)
+                self.deliver(0)
+        self.network[:0] = held
 
     def drop(self, position: int) -> None:
         """Lose a message."""
@@ -171,7 +176,8 @@
         """Advance the clocks, and let every running instance handle a tick."""
         for node in self.nodes.values():
             node.clock += seconds
-            self.step(node.instance, [TickElapsed()])
+            if node.instance not in self.paused:
+                self.step(node.instance, [TickElapsed()])
 
     def jump(self, instance: InstanceId, seconds: float) -> None:
         """Move one clock forwards or backwards."""
--- a/tests/common/replaced_machines.py
+++ b/tests/common/replaced_machines.py
@@ -27,6 +27,13 @@
     seconds: float
 
 
+class Pause(NamedTuple):
+    """Let a process stand still for some seconds."""
+
+    target: int
+    seconds: float
+
+
 class Restart(NamedTuple):
     """End a process, with or without a signal before, and start it again."""
 
@@ -62,7 +69,7 @@
     seconds: float
 
 
-Fault = Cut | Restart | Wipe | Replace | Split | KillAll
+Fault = Cut | Pause | Restart | Wipe | Replace | Split | KillAll
 
 
 @dataclass
@@ -131,17 +138,15 @@
     def gossip(self) -> None:
         """Let each machine hear the others, and tell its replica."""
         reached = [
-            instance
-            for instance, node in self.cluster.nodes.items()
-            if node.running and instance not in self.cluster.isolated
+            instance for instance in self.cluster.nodes if self.is_sound(instance)
         ]
         split = self.cluster.split
         for observer in reached:
             for peer in reached:
                 if (observer in split) == (peer in split):
                     self.heard[observer, peer] = self.now
-        for observer, node in self.cluster.nodes.items():
-            if node.running:
+        for observer in self.cluster.nodes:
+            if self.runs(observer) and observer not in self.cluster.paused:
                 self.tell(observer)
 
     def tell(self, observer: InstanceId) -> None:
@@ -185,6 +190,11 @@
                 cut = self.choose(target)
                 self.cluster.isolate(cut)
                 self.later(seconds, lambda: self.cluster.isolated.discard(cut))
+            case Pause(target, seconds):
+                self.lose(seconds)
+                paused = self.choose(target)
+                self.cluster.paused.add(paused)
+                self.later(seconds, lambda: self.cluster.paused.discard(paused))
             case Restart(target, seconds, planned):
                 self.lose(seconds)
                 ended = self.choose(target)
@@ -233,8 +243,9 @@
         return sound[target % len(sound)]
 
     def is_sound(self, instance: InstanceId) -> bool:
-        """Return whether a machine runs and isn't cut off."""
-        return self.runs(instance) and instance not in self.cluster.isolated
+        """Return whether a machine runs, and is neither cut off nor paused."""
+        hindered = self.cluster.isolated | self.cluster.paused
+        return self.runs(instance) and instance not in hindered
 
     def end(self, instance: InstanceId, planned: bool) -> None:
         """End a process; a planned end is announced shortly before."""
--- a/tests/cover/agreement/test_replaced_machines.py
+++ b/tests/cover/agreement/test_replaced_machines.py
@@ -8,6 +8,7 @@
     Cut,
     KillAll,
     Machines,
+    Pause,
     Replace,
     Restart,
     Split,
@@ -18,6 +19,7 @@
 DELAYS = st.sampled_from([0.5, 1.0, 2.9])
 FAULTS = (
     st.builds(Cut, TARGETS, st.sampled_from([1.0, 3.5, 8.0]))
+    | st.builds(Pause, TARGETS, st.sampled_from([1.0, 3.5, 8.0]))
     | st.builds(Restart, TARGETS, DELAYS, st.booleans())
     | st.builds(Wipe, TARGETS, DELAYS)
     | st.builds(Replace, TARGETS, DELAYS, st.booleans())
