--- a/packages/core/src/cowslipshelf_core/internal/agreement/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/config.py
@@ -36,7 +36,7 @@
     """Whether any replica may join, without a fixed list of instances.
 
     Only the replica that receives `BootstrapCluster` starts a cluster, and the leader
-    removes a voter that stays silent once there are more voters than needed.
+    removes lost voters as long as enough others are left.
     """
     max_failures: int = 0
     """Replicas that may be lost at once.
@@ -44,7 +44,11 @@
     With open membership, commands are refused until there are enough voters for it.
     """
     voter_removal_seconds: float = 6.0
-    """Silence after which an open cluster removes a voter that it can do without."""
+    """Silence after which a voter is removed that is alive, or that isn't in the way.
+
+    One whose instance is silent, too, is removed sooner if the voters that answer could
+    not lose `max_failures` more.
+    """
 
     @property
     def min_voters(self) -> int:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/events.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/events.py
@@ -89,7 +89,7 @@
     replicas: tuple[InstanceId, ...]
     silent: frozenset[InstanceId] = frozenset()
     """Those that no longer say that they are alive."""
-    without: frozenset[InstanceId] = frozenset()
+    without_replica: frozenset[InstanceId] = frozenset()
     """Instances that say that they hold no replica, or won't for long."""
 
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/leading.py
@@ -120,7 +120,7 @@
         voter
         for voter in state.membership.voters
         if voter in leadership.peers
-        and voter.instance not in state.instances_without
+        and voter.instance not in state.instances_without_replica
         and heard_within_lease(state, leadership.peers[voter])
     ]
     if not candidates:
--- a/packages/core/src/cowslipshelf_core/internal/agreement/lost_replicas.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/lost_replicas.py
@@ -1,4 +1,9 @@
-"""Keep lost voters out of the quorums of an open cluster, and promote new ones."""
+"""Remove lost voters from an open cluster, and promote learners in their place.
+
+A voter that is gone counts in the quorum, and the loss of one more may then end all
+changes. A voter that is only slow or cut off comes back, but may be removed meanwhile
+if the others need a smaller quorum; it joins again as a learner.
+"""
 
 from cowslipshelf_core.internal.agreement.events import RemoveReplica
 from cowslipshelf_core.internal.agreement.membership import (
@@ -14,11 +19,7 @@
 
 
 def remove_lost_replica(state: ReplicaState) -> None:
-    """Remove a lost replica of an open cluster, one at a time.
-
-    A voter that is gone for good would otherwise count in every quorum until an
-    operator removed it. One that returns joins again.
-    """
+    """Remove a lost learner, or a lost voter if it may go; one change at a time."""
     if not state.config.open_membership:
         return
     lost = [replica for replica in state.membership.replicas if is_lost(state, replica)]
@@ -26,7 +27,7 @@
     for replica in lost:
         proposed = change_membership(state.membership, RemoveReplica(replica))
         learns = replica in state.membership.learners
-        if proposed is None or not (learns or is_voter_replaceable(state, lost)):
+        if proposed is None or not (learns or may_remove_voter(state, lost)):
             continue
         if can_change_to(state, proposed):
             append_membership(state, proposed, "", 0.0)
@@ -43,7 +44,7 @@
     if progress is None:
         return False
     instance = replica.instance
-    if instance in state.instances_without:
+    if instance in state.instances_without_replica:
         return True
     if heard_within_lease(state, progress):
         return False
@@ -61,16 +62,17 @@
 
 def removal_order(state: ReplicaState, replica: ReplicaId) -> tuple[bool, float]:
     """Return a sort key: first those that say so, then those silent for longest."""
-    leaves = replica.instance in state.instances_without
+    leaves = replica.instance in state.instances_without_replica
     return not leaves, -state.leadership.peers[replica].silence(state.now)
 
 
-def is_voter_replaceable(state: ReplicaState, lost: list[ReplicaId]) -> bool:
-    """Return whether the cluster is better off without one of its lost voters.
+def may_remove_voter(state: ReplicaState, lost: list[ReplicaId]) -> bool:
+    """Return whether one of the lost voters may be removed now.
 
-    Enough others have to be left, those included that can be promoted at once. If the
-    voters that answer can still lose `max_failures` of them, a single lost voter gets
-    the time to return, and several are kept: they may only be cut off, and hold data.
+    Enough voters have to be left, with the learners that can be promoted at once. While
+    those that answer can still lose `max_failures`, there is no hurry: a single lost
+    voter gets time to return. Several are kept, since they may only be cut off, and
+    hold data that others may lose.
     """
     config, membership = state.config, state.membership
     left = len(membership.voters) - 1 + len(ready_learners(state))
@@ -88,7 +90,7 @@
     """Return whether a voter, or this replica, answers and isn't about to leave."""
     if voter == state.replica_id:
         return True
-    if voter.instance in state.instances_without:
+    if voter.instance in state.instances_without_replica:
         return False
     return heard_within_lease(state, state.leadership.peers[voter])
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/membership.py
@@ -120,7 +120,7 @@
     is_open = state.config.open_membership
     if not is_open and learner.instance not in state.replica_instances:
         return
-    if learner.instance in state.instances_without:
+    if learner.instance in state.instances_without_replica:
         return
     proposed = change_membership(state.membership, AddReplica(learner))
     if proposed is None or not can_change_to(state, proposed):
--- a/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/replica.py
@@ -164,10 +164,10 @@
             case TransferLeadership():
                 if state.leadership is not None:
                     leading.transfer_leadership(state)
-            case ReplicasSeen(replicas, silent, without):
+            case ReplicasSeen(replicas, silent, without_replica):
                 state.replica_instances = replicas
                 state.silent_instances = silent
-                state.instances_without = without
+                state.instances_without_replica = without_replica
             case BootstrapCluster():
                 bootstrap.bootstrap_alone(state)
             case DiskFailed(reason):
--- a/packages/core/src/cowslipshelf_core/internal/agreement/state.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/state.py
@@ -106,7 +106,7 @@
     """Instances known to hold replicas, this one included."""
     silent_instances: frozenset[InstanceId] = frozenset()
     """Those that no longer say that they are alive."""
-    instances_without: frozenset[InstanceId] = frozenset()
+    instances_without_replica: frozenset[InstanceId] = frozenset()
     """Instances that say that they hold no replica, or won't for long."""
 
     @property
--- a/packages/core/src/cowslipshelf_core/internal/gateway/peer_table.py
+++ b/packages/core/src/cowslipshelf_core/internal/gateway/peer_table.py
@@ -154,15 +154,17 @@
 
     def replicas_seen(self, now: float) -> ReplicasSeen:
         """Report which gateways hold replicas, and which of them may be lost."""
-        silent, without = set(), set()
+        silent, without_replica = set(), set()
         for peer, known in self.known.items():
             if known.alive is None:
                 continue
             if not known.alive.holds_replica:
-                without.add(peer)
+                without_replica.add(peer)
             elif now - known.heard_at > self.config.silence_seconds:
                 silent.add(peer)
-        return ReplicasSeen(self.replicas(), frozenset(silent), frozenset(without))
+        return ReplicasSeen(
+            self.replicas(), frozenset(silent), frozenset(without_replica)
+        )
 
     def replicas_to_ask(self, now: float) -> tuple[InstanceId, ...]:
         """Return the replicas: the own one, those that are alive, then all others."""
--- a/tests/cover/gateway_core/test_peer_table.py
+++ b/tests/cover/gateway_core/test_peer_table.py
@@ -75,7 +75,7 @@
     own.record_alive("10.0.0.4", alive(holds_replica=False), 4.0)
     seen = own.replicas_seen(4.0)
     assert seen.replicas == ("10.0.0.1", "10.0.0.2", "10.0.0.3")
-    assert (seen.silent, seen.without) == ({"10.0.0.3"}, {"10.0.0.4"})
+    assert (seen.silent, seen.without_replica) == ({"10.0.0.3"}, {"10.0.0.4"})
 
 
 def test_a_gateway_that_leaves_holds_no_replica_for_the_others():
