--- a/packages/core/src/cowslipshelf_core/internal/agreement/config.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/config.py
@@ -44,9 +44,9 @@
     With open membership, commands are refused until there are enough voters for it.
     """
     voter_removal_seconds: float = 6.0
-    """Silence after which a voter is removed that is alive, or that isn't in the way.
+    """Silence after which an open cluster removes a voter that it can do without.
 
-    One whose instance is silent, too, is removed sooner if the voters that answer could
+    A voter whose instance is silent, too, goes sooner if the voters that answer could
     not lose `max_failures` more.
     """
 
--- a/packages/core/src/cowslipshelf_core/internal/agreement/lost_replicas.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/lost_replicas.py
@@ -37,8 +37,8 @@
 def is_lost(state: ReplicaState, replica: ReplicaId) -> bool:
     """Return whether a replica is gone, or says that it will be.
 
-    One whose instance is alive is given more time, since its disk may be slow. One
-    whose instance is not known has not been heard since this process started.
+    One whose instance is alive is given more time, since its disk may be slow. An
+    instance that is not known has been silent since this process started.
     """
     progress = state.leadership.peers.get(replica)
     if progress is None:
