--- a/tests/cover/agreement/test_replaced_machines.py
+++ b/tests/cover/agreement/test_replaced_machines.py
@@ -99,3 +99,34 @@
         machines.apply(Cut(target, 20.0))
     machines.advance(15.0)
     assert machines.voters() == set(machines.running)
+
+
+@pytest.mark.parametrize(("size", "tolerance"), [(3, 1), (4, 1), (6, 2)])
+def test_changes_are_taken_all_through_a_rolling_restart(size, tolerance):
+    """Planned restarts cost machines their votes, one after the other."""
+    machines = Machines.started(size, tolerance, seed=0)
+    for _ in range(size):
+        machines.apply(Restart(1, 2.0, planned=True))
+        machines.running.append(machines.running.pop(1))
+        machines.cluster.run_until(lambda: machines.cluster.leader() is not None)
+        machines.cluster.acknowledge()
+    machines.check_recovered()
+
+
+@given(seed=st.integers(0, 1000), size=SIZES, seconds=st.sampled_from([3.5, 8.0, 20.0]))
+@settings(max_examples=20, deadline=None, derandomize=True)
+def test_no_change_is_acknowledged_on_less_than_a_quorum_of_all(seed, size, seconds):
+    """Removed voters let fewer copies of a change count than the tolerance needs."""
+    machines = Machines.started(*size, seed)
+    for target in range(size[1]):
+        machines.apply(Cut(target + 1, seconds))
+    machines.advance(seconds / 2)
+    if machines.cluster.leader() is not None:
+        accepted = machines.cluster.acknowledge()
+        holders = [
+            node
+            for node in machines.cluster.nodes.values()
+            if any(entry.proposal_id == accepted for entry in node.disk.load().entries)
+        ]
+        assert len(holders) > size[1]
+    machines.check_recovered()
