Let a replica of an open cluster join again whatever its log says

Operators would see: a gateway whose replica never votes again. Cause: a returning voter that crashes after it received its own removal, and before its return, takes itself for removed by operators and doesn't ask to join. Its leader no longer keeps it as a learner. Change: in an open cluster a replica without a leader always asks. Result: the test fails on the code before (never a voter again), green now.

--- a/packages/core/src/cowslipshelf_core/internal/agreement/bootstrap.py
+++ b/packages/core/src/cowslipshelf_core/internal/agreement/bootstrap.py
@@ -50,8 +50,11 @@
 
     A new replica may have received entries or not when the leader that added it was
     lost before the change was committed; it has to ask again. A replica whose
-    instance is not in the last membership that it knows was removed by operators.
+    instance is not in the last membership that it knows was removed by operators, or,
+    in an open cluster, by a leader that took it for lost.
     """
+    if state.config.open_membership:
+        return True
     instances = {replica.instance for replica in state.membership.replicas}
     return not instances or state.replica_id.instance in instances
 
--- a/tests/cover/agreement/test_open_membership.py
+++ b/tests/cover/agreement/test_open_membership.py
@@ -92,3 +92,31 @@
     cluster.isolate("entry-2")
     cluster.run(400)
     assert has_voters(cluster, cluster.nodes)
+
+
+def test_a_replica_that_crashes_between_its_removal_and_its_return_joins_again():
+    """A replica whose log ends with its own removal never asks to join again."""
+    cluster = Cluster.of_size(4, **OPEN_MEMBERSHIP, max_entries_per_message=1)
+    cluster.step("entry-0", [BootstrapCluster()])
+    cluster.run_until(lambda: has_voters(cluster, cluster.nodes))
+    cluster.run_until(cluster.is_settled)
+    others = ("entry-0", "entry-1", "entry-2")
+    cluster.isolate("entry-3")
+    cluster.run_until(lambda: has_voters(cluster, others))
+    cluster.heal()
+    returning = cluster.nodes["entry-3"]
+
+    def knows_its_removal() -> bool:
+        membership = returning.replica.status().membership
+        return {voter.instance for voter in membership.voters} == set(others)
+
+    while not knows_its_removal():
+        if cluster.network:
+            cluster.deliver(0)
+        else:
+            cluster.tick(0.05)
+    assert not returning.replica.status().membership.learners
+    cluster.crash("entry-3")
+    cluster.run_until(lambda: not cluster.leader().replica.status().membership.learners)
+    cluster.restart("entry-3")
+    cluster.run_until(lambda: has_voters(cluster, cluster.nodes))
