--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -469,6 +469,54 @@
         await writer.drain()
 
 
+@dataclass
+class StreamRunner(Runner):
+    """Stand in for a sound model runner, which answers with a stream of events."""
+
+    events: int = 10
+    pause_seconds: float = 0.05
+
+    async def run(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        attempt_id: str,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Send the events after the last one that the request names."""
+        if path == "/api/report":
+            await self.respond(writer, HTTP_OK, {}, attempt_id, b"{}")
+            return
+        run = Run(attempt_id, path, time.monotonic())
+        self.runs.append(run)
+        last = headers.get("last-event-id", "0")
+        self.record.write(
+            "runner runs",
+            runner=self.name,
+            id=attempt_id,
+            call=f"{method} {path}",
+            last_event=last,
+        )
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"X-Attempt-Id: {attempt_id}",
+            f"X-Response-Stamp: {self.name}.{len(self.runs)}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode("latin-1"))
+        for number in range(int(last) + 1, self.events + 1):
+            await asyncio.sleep(self.pause_seconds)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        run.ended = time.monotonic()
+        self.record.write("runner has run", runner=self.name, id=attempt_id)
+
+
 def route(name: str, path: str, service: str, kind: str, **more: object) -> dict:
     """Return a route of a configuration."""
     document = {
@@ -515,6 +563,31 @@
     }
 
 
+def engine_service(name: str) -> dict:
+    """Return a service of model runners, with the figures of the pages' example."""
+    engine = {
+        "slots": 8,
+        "kv_tokens": 405000,
+        "kv_token_bytes": 163840,
+        "link_mbps": 400000.0,
+        "stride": 34,
+        "models": [{"name": "m"}],
+        "step_ms": 1.31,
+        "per_seq_ms": 0.001834,
+        "context_per_k": 0.00213,
+        "read_per_s": 154000.0,
+        "pairs_per_m": 0.162,
+        "chunk": 2048,
+        "report_lag_ms": 200.0,
+        "loads_per_s": 0.0,
+        "loads_at_once": 8,
+        "delays": [],
+        "usual": {"prompt": 11301, "answer": 1266},
+        "hop_ms": 0.1,
+    }
+    return plain_service(name) | {"max_conns": 294, "engine": engine}
+
+
 def caller_headers(attempt_id: str, deadline_ms: int) -> dict[str, str]:
     """Return the headers of a client's request."""
     return {
